--- /dev/null
+++ b/crates/cli/src/budget.rs
@@ -0,0 +1,54 @@
+//! Commands of budgets.
+
+use serde_json::{Value, json};
+
+use crate::args::{BudgetCommand, Format};
+use crate::client::Client;
+use crate::config::Config;
+use crate::error::Result;
+use crate::output;
+use crate::table::new_change_id;
+
+/// Runs a command of budgets.
+///
+/// # Errors
+/// What the operator has to be told.
+pub async fn run(cfg: &Config, command: BudgetCommand) -> Result<()> {
+    let client = Client::new(cfg)?;
+    match command {
+        BudgetCommand::Show { name } => {
+            let budget = client.budget(&name).await?;
+            print_budget(&budget, cfg.format);
+        }
+        BudgetCommand::TopUp { name, tokens, change } => {
+            let id = change.unwrap_or_else(new_change_id);
+            client.top_up(&name, &id, tokens).await?;
+            println!("{tokens} tokens added to '{name}' (top-up {id})");
+        }
+    }
+    Ok(())
+}
+
+fn print_budget(budget: &Value, format: Format) {
+    if format == Format::Json {
+        output::json(budget);
+        return;
+    }
+    let line = json!({
+        "name": budget["name"], "total": budget["total"], "granted or used": budget["committed"],
+        "not yet granted": budget["available"],
+    });
+    output::rows(&[line], format);
+    let Some(grants) = budget["ledger"]["grants"].as_object() else { return };
+    let holders: Vec<Value> = grants
+        .iter()
+        .map(|(holder, grant)| {
+            json!({
+                "name": holder, "address": grant["address"], "granted": grant["granted"],
+                "returned": grant["returned"],
+            })
+        })
+        .collect();
+    println!();
+    output::rows(&holders, format);
+}
--- /dev/null
+++ b/crates/cli/src/demo.rs
@@ -0,0 +1,253 @@
+//! The demo: stand-ins and three daemons in this process, on loopback.
+
+use std::net::TcpListener;
+use std::time::Duration;
+
+use bankcove_core::Name;
+use bankcove_core::edit::difference;
+use bankcove_core::members::{Host, HostRole, HostState};
+use bankcove_core::table::Table;
+use bankcove_standins::engine::{self, Settings};
+use bankcove_standins::{Running, service, store};
+use bankcoved::config::Config;
+use bankcoved::controller;
+use bankcoved::daemon::Daemon;
+use bankcoved::identity::hash_key;
+use serde_json::{Value, json};
+
+use crate::error::{Error, Result};
+use crate::table::new_change_id;
+
+/// The table of the demo: the first of the two example tables.
+const TABLE: &str = include_str!("../../../examples/vaasa.json");
+
+/// Daemons of the demo.
+const DAEMONS: usize = 3;
+
+/// Token of the demo's operators.
+const OPERATOR_TOKEN: &str = "demo-operators";
+
+/// Key of the demo's caller; it belongs to the workspace `dispatch`.
+const KEY: &str = "demo-dispatch-key";
+
+/// Workspace of the demo's caller.
+const WORKSPACE: &str = "dispatch";
+
+/// Pause between two looks while the daemons start.
+const POLL: Duration = Duration::from_millis(50);
+
+/// Looks before the demo gives up.
+const LOOKS: u32 = 200;
+
+/// Requests of `demo --once`.
+const REQUESTS: u32 = 3;
+
+struct Demo {
+    store: Running,
+    servers: Vec<Running>,
+    daemons: Vec<controller::Running>,
+    http: reqwest::Client,
+}
+
+/// Runs the demo until ctrl-C, or for a few requests.
+///
+/// # Errors
+/// When it can't be started, or a request comes to nothing.
+pub async fn run(once: bool) -> Result<()> {
+    let demo = Demo::start().await?;
+    let outcome = if once { demo.send_requests().await } else { demo.wait_for_interrupt().await };
+    demo.stop().await;
+    outcome
+}
+
+impl Demo {
+    async fn start() -> Result<Self> {
+        let http = reqwest::Client::builder().no_proxy().build();
+        let http = http.map_err(|e| Error::Setup(std::io::Error::other(e)))?;
+        let store = store::start("127.0.0.1:0").await.map_err(Error::Setup)?;
+        let (table, servers) = start_servers().await?;
+        let mut daemons = Vec::new();
+        for n in 1..=DAEMONS {
+            let cfg = settings(n, &table, &store.address().to_string())?;
+            let daemon = Daemon::new(cfg, bankcoved::logging::silent())?;
+            daemons.push(controller::Running::start(daemon).await?);
+        }
+        let demo = Demo { store, servers, daemons, http };
+        demo.list_hosts().await?;
+        demo.apply(&table).await?;
+        demo.wait_until_ready().await?;
+        Ok(demo)
+    }
+
+    async fn list_hosts(&self) -> Result<()> {
+        let host = |running: &controller::Running| Host {
+            name: running.daemon.cfg.name.clone(),
+            hall: running.daemon.cfg.hall.clone(),
+            address: running.daemon.cfg.peer_listen.clone(),
+            role: HostRole::Daemon,
+            state: HostState::Live,
+        };
+        let hosts: Vec<Host> = self.daemons.iter().map(host).collect();
+        let url = format!("http://{}/hosts", self.store.address());
+        let sent = self.http.put(url).json(&hosts).send().await;
+        sent.map(|_| ()).map_err(|e| Error::Demo(e.to_string()))
+    }
+
+    async fn apply(&self, table: &Table) -> Result<()> {
+        let edit = difference(&Table::default(), table, new_change_id(), "demo".to_owned());
+        let cfg = &self.daemons[0].daemon.cfg;
+        let url = format!("http://{}/v1/table/edits", cfg.operator_listen);
+        let req = self.http.post(url).bearer_auth(OPERATOR_TOKEN).json(&edit);
+        let res = req.send().await.map_err(|e| Error::Demo(e.to_string()))?;
+        if res.status().is_success() {
+            return Ok(());
+        }
+        Err(Error::Demo(res.text().await.unwrap_or_default()))
+    }
+
+    async fn wait_until_ready(&self) -> Result<()> {
+        for _ in 0..LOOKS {
+            if self.daemons.iter().all(|running| running.daemon.revision() > 0) {
+                return Ok(());
+            }
+            tokio::time::sleep(POLL).await;
+        }
+        Err(Error::Demo("the daemons did not take the table over".to_owned()))
+    }
+
+    fn caller_address(&self, n: u32) -> &str {
+        &self.daemons[n as usize % self.daemons.len()].daemon.cfg.caller_listen
+    }
+
+    async fn wait_for_interrupt(&self) -> Result<()> {
+        self.print_addresses();
+        tokio::signal::ctrl_c().await.map_err(Error::Setup)?;
+        println!("\nstopping");
+        Ok(())
+    }
+
+    fn print_addresses(&self) {
+        println!("object API    {}", self.store.address());
+        println!("servers       {}", self.servers.len());
+        for running in &self.daemons {
+            let cfg = &running.daemon.cfg;
+            println!(
+                "{}  callers {}  operators {}",
+                cfg.name, cfg.caller_listen, cfg.operator_listen
+            );
+        }
+        let address = self.caller_address(0);
+        println!("\nA request, answered as a stream:\n");
+        println!(
+            "  curl -sN http://{address}/v1/chat/completions -H 'Authorization: Bearer {KEY}' \
+             -H 'Content-Type: application/json' -d '{}'",
+            body("The ramp at the east door is iced over.")
+        );
+        let operators = &self.daemons[0].daemon.cfg.operator_listen;
+        println!("\nWhat is left of the budget, and the table:\n");
+        println!("  bankcove --server {operators} --token {OPERATOR_TOKEN} budget show dispatch");
+        println!("  bankcove --server {operators} --token {OPERATOR_TOKEN} table get");
+        println!("\nctrl-C ends it.");
+    }
+
+    async fn send_requests(&self) -> Result<()> {
+        for n in 0..REQUESTS {
+            let answer = self.send_request(n).await?;
+            println!("{} answered: {answer}", self.daemons[n as usize % DAEMONS].daemon.cfg.name);
+        }
+        let budget = self.budget().await?;
+        let held: u64 = self.daemons.iter().map(|running| free(&running.daemon)).sum();
+        let total = budget["total"].as_u64().unwrap_or(0);
+        let left = budget["available"].as_u64().unwrap_or(0) + held;
+        println!("budget '{WORKSPACE}': {total} tokens, {} spent, {left} left", total - left);
+        Ok(())
+    }
+
+    async fn send_request(&self, n: u32) -> Result<String> {
+        let url = format!("http://{}/v1/chat/completions", self.caller_address(n));
+        let body = body(&format!("Summarise the handover of shift {n}."));
+        let req = self.http.post(url).bearer_auth(KEY).json(&body);
+        let res = req.send().await.map_err(|e| Error::Demo(e.to_string()))?;
+        let text = res.text().await.map_err(|e| Error::Demo(e.to_string()))?;
+        if !text.contains("[DONE]") {
+            return Err(Error::Demo(text));
+        }
+        Ok(text_of(&text))
+    }
+
+    async fn budget(&self) -> Result<Value> {
+        let cfg = &self.daemons[0].daemon.cfg;
+        let url = format!("http://{}/v1/budgets/{WORKSPACE}", cfg.operator_listen);
+        let req = self.http.get(url).bearer_auth(OPERATOR_TOKEN);
+        let res = req.send().await.map_err(|e| Error::Demo(e.to_string()))?;
+        res.json().await.map_err(|e| Error::Demo(e.to_string()))
+    }
+
+    async fn stop(self) {
+        let stopping = self.daemons.into_iter().map(controller::Running::stop);
+        futures::future::join_all(stopping).await;
+    }
+}
+
+fn free(daemon: &Daemon) -> u64 {
+    daemon.budgets.holder().free(&Name::from(WORKSPACE))
+}
+
+/// The example table, its servers replaced by stand-ins.
+async fn start_servers() -> Result<(Table, Vec<Running>)> {
+    let mut table: Table = serde_json::from_str(TABLE)
+        .map_err(|e| Error::Demo(format!("examples/vaasa.json: {e}")))?;
+    let mut servers = Vec::new();
+    for row in &mut table.servers {
+        let running = match row.kind {
+            bankcove_core::table::ServerKind::Model => {
+                engine::start("127.0.0.1:0", Settings::default()).await
+            }
+            bankcove_core::table::ServerKind::Service => service::start("127.0.0.1:0").await,
+        };
+        let running = running.map_err(Error::Setup)?;
+        row.address = running.address().to_string();
+        servers.push(running);
+    }
+    for row in &mut table.workspaces {
+        if row.name.as_str() == WORKSPACE {
+            row.keys_sha256 = vec![hash_key(KEY)];
+        }
+    }
+    Ok((table, servers))
+}
+
+fn settings(n: usize, table: &Table, store: &str) -> Result<Config> {
+    let hall = table.halls[n % table.halls.len()].name.clone();
+    Ok(Config {
+        name: Name::from(format!("entry-{n}")),
+        hall,
+        caller_listen: free_address()?,
+        peer_listen: free_address()?,
+        operator_listen: free_address()?,
+        operator_token: OPERATOR_TOKEN.to_owned(),
+        store: store.to_owned(),
+        ..Config::example()
+    })
+}
+
+fn free_address() -> Result<String> {
+    let listener = TcpListener::bind("127.0.0.1:0").map_err(Error::Setup)?;
+    Ok(listener.local_addr().map_err(Error::Setup)?.to_string())
+}
+
+fn body(prompt: &str) -> Value {
+    json!({
+        "model": "dispatch-8b", "stream": true, "max_tokens": 12,
+        "messages": [{"role": "user", "content": prompt}],
+    })
+}
+
+fn text_of(stream: &str) -> String {
+    let data = stream.lines().filter_map(|line| line.strip_prefix("data: "));
+    let pieces = data.filter_map(|data| serde_json::from_str::<Value>(data).ok());
+    let texts = pieces.map(|piece| {
+        piece["choices"][0]["delta"]["content"].as_str().unwrap_or_default().to_owned()
+    });
+    texts.collect()
+}
--- /dev/null
+++ b/crates/cli/src/drain.rs
@@ -0,0 +1,18 @@
+//! Draining a backend server, and taking it back.
+
+use serde_json::json;
+
+use crate::client::Client;
+use crate::config::Config;
+use crate::error::Result;
+use crate::table;
+
+/// Sets whether a server takes new work.
+///
+/// # Errors
+/// What the operator has to be told.
+pub async fn run(cfg: &Config, server: &str, drain: bool) -> Result<()> {
+    let state = if drain { "draining" } else { "serving" };
+    let fields = vec![("state".to_owned(), json!(state))];
+    table::set(&Client::new(cfg)?, "servers", server, fields, None, None).await
+}
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,32 @@
+//! The operators' client of bankcove.
+
+mod args;
+mod budget;
+mod client;
+mod config;
+mod controller;
+mod demo;
+mod drain;
+mod error;
+mod load;
+mod output;
+mod standin;
+mod table;
+
+use std::process::ExitCode;
+
+use clap::Parser;
+
+use crate::args::Args;
+
+fn main() -> ExitCode {
+    let args = Args::parse();
+    match controller::run(args) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(e) => {
+            let code = e.exit_code();
+            eprintln!("{:?}", miette::Report::new(e));
+            code
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/src/output.rs
@@ -0,0 +1,71 @@
+//! Printing: aligned columns for people, JSON and CSV for programs.
+
+use comfy_table::presets::NOTHING;
+use serde::Serialize;
+use serde_json::Value;
+
+use crate::args::Format;
+
+/// Columns that stand first, where a sheet has them.
+const FIRST_COLUMNS: [&str; 4] = ["name", "workspace", "hall", "to"];
+
+/// Prints a value as JSON.
+pub fn json(value: &impl Serialize) {
+    println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
+}
+
+/// Prints rows that are JSON objects; the columns are their fields.
+pub fn rows(rows: &[Value], format: Format) {
+    let columns = columns(rows);
+    match format {
+        Format::Json => json(&rows),
+        Format::Text => print_aligned(&columns, rows),
+        Format::Csv => print_csv(&columns, rows),
+    }
+}
+
+fn columns(rows: &[Value]) -> Vec<String> {
+    let mut columns: Vec<String> = Vec::new();
+    for row in rows.iter().filter_map(Value::as_object) {
+        for key in row.keys().filter(|key| !FIRST_COLUMNS.contains(&key.as_str())) {
+            if !columns.contains(key) {
+                columns.push(key.clone());
+            }
+        }
+    }
+    let has = |column: &&&str| rows.iter().any(|row| row.get(**column).is_some());
+    let first = FIRST_COLUMNS.iter().filter(has).map(|column| (*column).to_owned());
+    first.chain(columns).collect()
+}
+
+fn print_aligned(columns: &[String], rows: &[Value]) {
+    let mut table = comfy_table::Table::new();
+    table.load_preset(NOTHING).set_header(columns);
+    for row in rows {
+        table.add_row(columns.iter().map(|column| cell(row, column)));
+    }
+    println!("{table}");
+}
+
+fn print_csv(columns: &[String], rows: &[Value]) {
+    let mut writer = csv::Writer::from_writer(std::io::stdout());
+    let lines = std::iter::once(columns.to_vec())
+        .chain(rows.iter().map(|row| columns.iter().map(|column| cell(row, column)).collect()));
+    for line in lines {
+        if writer.write_record(line).is_err() {
+            // Whoever read the output has gone.
+            return;
+        }
+    }
+}
+
+fn cell(row: &Value, column: &str) -> String {
+    match &row[column] {
+        Value::Null => String::new(),
+        Value::String(text) => text.clone(),
+        Value::Array(items) if items.iter().all(Value::is_string) => {
+            items.iter().filter_map(Value::as_str).collect::<Vec<_>>().join(" ")
+        }
+        other => other.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/cli/src/standin.rs
@@ -0,0 +1,33 @@
+//! Stand-ins as processes of their own, for tests.
+
+use std::time::Duration;
+
+use bankcove_standins::engine::Settings;
+use bankcove_standins::{Running, engine, service, store};
+use serde_json::json;
+
+use crate::args::StandinCommand;
+use crate::error::{Error, Result};
+
+/// Runs a stand-in until the process ends; its address is printed first.
+///
+/// # Errors
+/// When the port can't be listened on.
+pub async fn run(command: StandinCommand) -> Result<()> {
+    let mut running = start(command).await.map_err(Error::Setup)?;
+    println!("{}", json!({"address": running.address()}));
+    running.wait().await;
+    Ok(())
+}
+
+async fn start(command: StandinCommand) -> std::io::Result<Running> {
+    match command {
+        StandinCommand::Store { listen } => store::start(&listen).await,
+        StandinCommand::Service { listen } => service::start(&listen).await,
+        StandinCommand::Engine { listen, step_ms, slots, ignores_orders } => {
+            let step = Duration::from_millis(step_ms);
+            let settings = Settings { step, slots, checks_orders: !ignores_orders };
+            engine::start(&listen, settings).await
+        }
+    }
+}
--- /dev/null
+++ b/crates/cli/tests/commands.rs
@@ -0,0 +1,60 @@
+//! The operators' client as a person at the shell meets it.
+
+use std::io::Write;
+use std::process::{Command, Output};
+
+use serde_json::json;
+
+fn bankcove(args: &[&str]) -> Output {
+    Command::new(env!("CARGO_BIN_EXE_bankcove")).args(args).output().expect("it can be started")
+}
+
+fn check_table(table: &serde_json::Value) -> Output {
+    let mut file = tempfile::NamedTempFile::new().expect("a temporary file can be made");
+    write!(file, "{table}").expect("the file can be written");
+    bankcove(&["table", "check", &file.path().to_string_lossy()])
+}
+
+fn stderr(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stderr).into_owned()
+}
+
+#[test]
+fn a_good_table_has_no_fault() {
+    let output = check_table(&json!({"halls": [{"name": "hall-1"}]}));
+    assert!(output.status.success(), "{}", stderr(&output));
+}
+
+#[test]
+fn every_fault_of_a_table_is_told_with_row_field_and_fix() {
+    let table = json!({
+        "halls": [{"name": "hall-1", "weight": 0}],
+        "workspaces": [{"name": "w", "keys_sha256": ["12"], "default_budget": "none"}],
+        "servers": [{"name": "s", "hall": "hall-9", "address": "x", "kind": "service"}],
+    });
+    let output = check_table(&table);
+    let stderr = stderr(&output);
+    assert_eq!(output.status.code(), Some(1));
+    for said in ["keys_sha256", "default_budget", "hall-9", "IP number", "weight", "add that hall"]
+    {
+        assert!(stderr.contains(said), "'{said}' is missing in {stderr}");
+    }
+}
+
+#[test]
+fn a_misspelt_field_is_told_with_its_path() {
+    let output = check_table(&json!({"halls": [{"name": "hall-1", "wieght": 2}]}));
+    assert!(stderr(&output).contains("halls[0]"), "{}", stderr(&output));
+}
+
+#[test]
+fn a_daemon_that_is_not_there_has_an_exit_code_of_its_own() {
+    let output = bankcove(&["--server", "127.0.0.1:9", "--token", "x", "status"]);
+    assert_eq!(output.status.code(), Some(5), "{}", stderr(&output));
+}
+
+#[test]
+fn completions_are_printed() {
+    let output = bankcove(&["completions", "bash"]);
+    assert!(String::from_utf8_lossy(&output.stdout).contains("bankcove"));
+}
--- /dev/null
+++ b/crates/core/src/holder.rs
@@ -0,0 +1,263 @@
+//! The spending half of budgets: what this daemon holds and has promised.
+//!
+//! Every credit and debit is a cumulative sum per counterpart, so a message
+//! that is repeated, reordered or lost does no harm: the next one heals it.
+//! A debit is made before it is told, so a token is never in two places.
+
+use std::collections::HashMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Incarnation, Millis, Name, Tokens};
+
+/// Time constant of the spending rate, in milliseconds.
+const RATE_WINDOW_MS: f64 = 10_000.0;
+
+/// Terms of a budget's row that go along with a draw.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Terms {
+    /// Tokens that the row allows.
+    pub tokens: Tokens,
+    /// The row's version.
+    pub version: u64,
+    /// How far ahead to draw, in seconds of recent spending.
+    pub horizon_s: f64,
+    /// At most 1/`share_divisor` of what is available is drawn at once.
+    pub share_divisor: u64,
+}
+
+/// A holder's wish for more tokens.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Draw {
+    /// The budget.
+    pub budget: Name,
+    /// Who asks.
+    pub holder: Incarnation,
+    /// Where the holder's peer port listens.
+    pub address: String,
+    /// Cumulative grant that the holder knows of.
+    pub known_granted: Tokens,
+    /// Cumulative tokens that the holder had from the asked daemon itself.
+    pub received: Tokens,
+    /// Fewer tokens than these are of no use.
+    pub need: Tokens,
+    /// Tokens that would last for the horizon.
+    pub want: Tokens,
+    /// The budget's row as the holder knows it.
+    pub terms: Terms,
+}
+
+/// What `reserve` answers when the tokens at hand do not suffice.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Shortfall {
+    /// Tokens missing.
+    pub missing: Tokens,
+}
+
+/// Tokens set aside for one attempt; it is settled exactly once.
+#[derive(Debug, PartialEq, Eq)]
+#[must_use = "a reservation that is not settled keeps its tokens"]
+pub struct Reservation {
+    budget: Name,
+    tokens: Tokens,
+}
+
+impl Reservation {
+    /// The budget that it draws on.
+    pub fn budget(&self) -> &Name {
+        &self.budget
+    }
+
+    /// The most that the attempt may cost.
+    pub fn tokens(&self) -> Tokens {
+        self.tokens
+    }
+}
+
+/// What this daemon holds of one budget.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Account {
+    /// Cumulative grant by the store.
+    pub granted: Tokens,
+    /// Cumulative tokens given back to the store.
+    pub returned: Tokens,
+    /// Cumulative tokens received, by sender.
+    pub received: HashMap<Incarnation, Tokens>,
+    /// Cumulative tokens sent, by receiver.
+    pub sent: HashMap<Incarnation, Tokens>,
+    /// Tokens spent by finished attempts.
+    pub spent: Tokens,
+    /// Tokens set aside for running attempts.
+    pub reserved: Tokens,
+    rate: Rate,
+}
+
+impl Account {
+    /// Tokens that may be reserved now.
+    pub fn free(&self) -> Tokens {
+        let credits = self.granted + self.received.values().sum::<Tokens>();
+        let debits = self.returned + self.sent.values().sum::<Tokens>();
+        credits - debits - self.spent - self.reserved
+    }
+}
+
+/// An exponentially decaying rate.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+struct Rate {
+    sum: f64,
+    at: Millis,
+}
+
+impl Rate {
+    fn add(&mut self, tokens: Tokens, now: Millis) {
+        self.sum = self.decayed(now) + tokens as f64;
+        self.at = now;
+    }
+
+    fn per_second(&self, now: Millis) -> f64 {
+        self.decayed(now) * 1000.0 / RATE_WINDOW_MS
+    }
+
+    fn decayed(&self, now: Millis) -> f64 {
+        let age = now.saturating_sub(self.at) as f64;
+        self.sum * (-age / RATE_WINDOW_MS).exp()
+    }
+}
+
+/// All that this daemon holds.
+#[derive(Debug, Clone, Serialize)]
+pub struct Holder {
+    incarnation: Incarnation,
+    accounts: HashMap<Name, Account>,
+}
+
+impl Holder {
+    /// A holder that has nothing yet.
+    pub fn new(incarnation: Incarnation) -> Self {
+        Holder { incarnation, accounts: HashMap::new() }
+    }
+
+    /// The budgets that this daemon ever held tokens of.
+    pub fn accounts(&self) -> &HashMap<Name, Account> {
+        &self.accounts
+    }
+
+    /// Tokens of `budget` that may be reserved now.
+    pub fn free(&self, budget: &Name) -> Tokens {
+        self.accounts.get(budget).map_or(0, Account::free)
+    }
+
+    /// Tokens of `budget` set aside for running attempts.
+    pub fn reserved(&self, budget: &Name) -> Tokens {
+        self.accounts.get(budget).map_or(0, |account| account.reserved)
+    }
+
+    /// Cumulative tokens of `budget` that came from `sender`.
+    pub fn received_from(&self, budget: &Name, sender: Incarnation) -> Tokens {
+        let account = self.accounts.get(budget);
+        account.and_then(|account| account.received.get(&sender)).copied().unwrap_or(0)
+    }
+
+    /// Sets `tokens` aside.
+    ///
+    /// # Errors
+    /// [`Shortfall`] when fewer are free; nothing is set aside then.
+    pub fn reserve(
+        &mut self,
+        budget: &Name,
+        tokens: Tokens,
+        now: Millis,
+    ) -> Result<Reservation, Shortfall> {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        let free = account.free();
+        if free < tokens {
+            return Err(Shortfall { missing: tokens - free });
+        }
+        account.reserved += tokens;
+        account.rate.add(tokens, now);
+        Ok(Reservation { budget: budget.clone(), tokens })
+    }
+
+    /// Ends a reservation: `used` tokens are spent, the others are free again.
+    /// More than was reserved can't be spent: the excess is cut off.
+    pub fn settle(&mut self, reservation: Reservation, used: Tokens) {
+        let account = self.accounts.entry(reservation.budget).or_default();
+        account.reserved -= reservation.tokens;
+        account.spent += used.min(reservation.tokens);
+    }
+
+    /// The draw that would let `need` more tokens be reserved.
+    pub fn draw(
+        &mut self,
+        budget: &Name,
+        need: Tokens,
+        terms: Terms,
+        address: &str,
+        now: Millis,
+    ) -> Draw {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        let ahead = account.rate.per_second(now) * terms.horizon_s;
+        Draw {
+            budget: budget.clone(),
+            holder: self.incarnation,
+            address: address.to_owned(),
+            known_granted: account.granted,
+            received: 0,
+            need,
+            want: need.saturating_add(ahead as Tokens),
+            terms,
+        }
+    }
+
+    /// Takes in the store's cumulative grant.
+    pub fn granted(&mut self, budget: &Name, cumulative: Tokens) {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        account.granted = account.granted.max(cumulative);
+    }
+
+    /// Takes in what `sender` has sent, as a cumulative sum.
+    pub fn received(&mut self, budget: &Name, sender: Incarnation, cumulative: Tokens) {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        let known = account.received.entry(sender).or_default();
+        *known = (*known).max(cumulative);
+    }
+
+    /// Sends up to `most` free tokens to `receiver` and returns the cumulative
+    /// sum sent to it. What it has not yet taken in (`already_received` tells)
+    /// counts towards `most`, so that a lost answer is healed by asking again.
+    pub fn give(
+        &mut self,
+        budget: &Name,
+        receiver: Incarnation,
+        already_received: Tokens,
+        most: Tokens,
+    ) -> Tokens {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        let free = account.free();
+        let sent = account.sent.entry(receiver).or_default();
+        let under_way = sent.saturating_sub(already_received);
+        *sent += most.saturating_sub(under_way).min(free);
+        *sent
+    }
+
+    /// Whether `need` tokens can be sent to `receiver`, counting those that
+    /// are under way to it.
+    pub fn can_give(
+        &self,
+        budget: &Name,
+        receiver: Incarnation,
+        already_received: Tokens,
+        need: Tokens,
+    ) -> bool {
+        let Some(account) = self.accounts.get(budget) else { return need == 0 };
+        let sent = account.sent.get(&receiver).copied().unwrap_or(0);
+        sent.saturating_sub(already_received) + account.free() >= need
+    }
+
+    /// Gives all free tokens back to the store; the cumulative sum is returned.
+    pub fn give_back(&mut self, budget: &Name) -> Tokens {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        account.returned += account.free();
+        account.returned
+    }
+}
--- /dev/null
+++ b/crates/core/src/id.rs
@@ -0,0 +1,133 @@
+//! Identities: of a process start, of a request, of one attempt at a request.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
+
+use crate::Name;
+
+/// One start of one daemon; a restart is a new incarnation.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Incarnation(pub u64);
+
+/// 128-bit hash of (workspace, idempotency key): the identity of a request.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct RequestHash(pub u128);
+
+/// One attempt of one daemon to serve a request.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// The daemon's start that made the attempt.
+    pub incarnation: Incarnation,
+    /// Counts the attempts of that start.
+    pub sequence: u64,
+}
+
+/// A text that does not name an identity.
+#[derive(Debug, thiserror::Error)]
+#[error("'{0}' is not an identity in hexadecimal digits")]
+pub struct ParseIdError(String);
+
+impl RequestHash {
+    /// Hashes a workspace and the idempotency key that its caller sent.
+    pub fn of(workspace: &Name, key: &str) -> Self {
+        let mut buf = Vec::with_capacity(workspace.as_str().len() + key.len() + 1);
+        buf.extend_from_slice(workspace.as_str().as_bytes());
+        buf.push(0);
+        buf.extend_from_slice(key.as_bytes());
+        RequestHash(xxh3_128(&buf))
+    }
+
+    /// The one of `count` shards that holds this request.
+    pub fn shard(self, count: u32) -> u32 {
+        (self.0 % u128::from(count)) as u32
+    }
+}
+
+/// The one of `count` shards that holds what is called `name`.
+pub fn shard_of_name(name: &Name, count: u32) -> u32 {
+    (xxh3_64(name.as_str().as_bytes()) % u64::from(count)) as u32
+}
+
+/// Score of `member` for `key` in rendezvous hashing; the highest score owns.
+pub fn rendezvous_score(key: u64, member: u64) -> u64 {
+    let mut buf = [0; 16];
+    buf[..8].copy_from_slice(&key.to_le_bytes());
+    buf[8..].copy_from_slice(&member.to_le_bytes());
+    xxh3_64(&buf)
+}
+
+macro_rules! hex_identity {
+    ($kind:ident, $inner:ty, $digits:literal) => {
+        impl fmt::Display for $kind {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                write!(f, concat!("{:0", $digits, "x}"), self.0)
+            }
+        }
+
+        impl fmt::Debug for $kind {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                fmt::Display::fmt(self, f)
+            }
+        }
+
+        impl FromStr for $kind {
+            type Err = ParseIdError;
+
+            fn from_str(text: &str) -> Result<Self, ParseIdError> {
+                <$inner>::from_str_radix(text, 16)
+                    .map($kind)
+                    .map_err(|_| ParseIdError(text.to_owned()))
+            }
+        }
+
+        impl Serialize for $kind {
+            fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+                if serializer.is_human_readable() {
+                    return serializer.collect_str(self);
+                }
+                self.0.serialize(serializer)
+            }
+        }
+
+        impl<'de> Deserialize<'de> for $kind {
+            fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+                if !deserializer.is_human_readable() {
+                    return <$inner>::deserialize(deserializer).map($kind);
+                }
+                let text = String::deserialize(deserializer)?;
+                text.parse().map_err(de::Error::custom)
+            }
+        }
+    };
+}
+
+hex_identity!(Incarnation, u64, "16");
+hex_identity!(RequestHash, u128, "32");
+
+impl fmt::Display for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}-{}", self.incarnation, self.sequence)
+    }
+}
+
+impl fmt::Debug for AttemptId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
+
+impl FromStr for AttemptId {
+    type Err = ParseIdError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIdError> {
+        let wrong = || ParseIdError(text.to_owned());
+        let (incarnation, sequence) = text.split_once('-').ok_or_else(wrong)?;
+        Ok(AttemptId {
+            incarnation: incarnation.parse()?,
+            sequence: sequence.parse().map_err(|_| wrong())?,
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/members.rs
@@ -0,0 +1,207 @@
+//! Who the other daemons are: the platform's list corrected by heartbeats.
+//!
+//! The list lags and may be wrong. Nothing that must always hold depends on
+//! this view: it only says whom to ask first.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::id::rendezvous_score;
+use crate::{Incarnation, Millis, Name};
+
+/// A peer that was silent to this many heartbeats in a row is suspected.
+pub const SUSPECT_AFTER_FAILURES: u32 = 2;
+
+/// State of a host in the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostState {
+    /// It is live.
+    Live,
+    /// It is leaving.
+    Leaving,
+}
+
+/// What runs on a listed host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum HostRole {
+    /// A daemon of bankcove.
+    #[default]
+    Daemon,
+    /// A backend server.
+    Server,
+}
+
+/// One line of the platform's host list.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Host {
+    /// The host's name; for backend servers the name of their row.
+    pub name: Name,
+    /// The hall that it stands in.
+    pub hall: Name,
+    /// For daemons the peer port, for backend servers their address.
+    pub address: String,
+    /// What runs there.
+    #[serde(default)]
+    pub role: HostRole,
+    /// Its state.
+    pub state: HostState,
+}
+
+/// What a daemon says of itself in a heartbeat.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// The sender's name.
+    pub name: Name,
+    /// The sender's hall.
+    pub hall: Name,
+    /// The sender's start.
+    pub incarnation: Incarnation,
+    /// Where the sender's peer port listens.
+    pub address: String,
+    /// Revision of the table in force at the sender.
+    pub revision: u64,
+    /// Whether the sender is stopping.
+    pub stopping: bool,
+    /// How long ago the store answered the sender or a peer in its contact.
+    pub store_heard_ms: Option<Millis>,
+}
+
+/// A peer as this daemon sees it.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+pub struct Peer {
+    /// The peer's name.
+    pub name: Name,
+    /// The peer's hall.
+    pub hall: Name,
+    /// Its peer port.
+    pub address: String,
+    /// Its start, once it was heard.
+    pub incarnation: Option<Incarnation>,
+    /// Revision of the table that it last told.
+    pub revision: u64,
+    /// Whether the platform's list has it as live.
+    pub listed: bool,
+    /// Whether it is stopping, by the list or by its own word.
+    pub stopping: bool,
+    /// Heartbeats in a row that it did not answer.
+    pub failures: u32,
+    /// When it was heard last.
+    pub heard_at: Option<Millis>,
+}
+
+impl Peer {
+    /// Whether it is worth asking.
+    pub fn is_usable(&self) -> bool {
+        self.listed && !self.stopping && self.failures < SUSPECT_AFTER_FAILURES
+    }
+}
+
+/// The view of this daemon.
+#[derive(Debug, Clone, Serialize)]
+pub struct Members {
+    me: Name,
+    peers: BTreeMap<Name, Peer>,
+}
+
+impl Members {
+    /// A view that knows nobody yet.
+    pub fn new(me: Name) -> Self {
+        Members { me, peers: BTreeMap::new() }
+    }
+
+    /// Every peer that is known.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values()
+    }
+
+    /// Peers worth asking.
+    pub fn usable(&self) -> impl Iterator<Item = &Peer> {
+        self.peers.values().filter(|peer| peer.is_usable())
+    }
+
+    /// Takes in the platform's list.
+    pub fn host_list(&mut self, hosts: &[Host]) {
+        for peer in self.peers.values_mut() {
+            peer.listed = false;
+        }
+        let daemons = hosts.iter().filter(|host| host.role == HostRole::Daemon);
+        for host in daemons {
+            if host.name == self.me {
+                continue;
+            }
+            let peer = self.entry(&host.name, &host.hall, &host.address);
+            peer.listed = true;
+            if host.state == HostState::Leaving {
+                peer.stopping = true;
+            }
+        }
+        self.peers.retain(|_, peer| peer.listed || peer.failures < SUSPECT_AFTER_FAILURES);
+    }
+
+    /// Takes in a heartbeat, received or answered.
+    pub fn heard(&mut self, now: Millis, heartbeat: &Heartbeat) {
+        if heartbeat.name == self.me {
+            return;
+        }
+        let peer = self.entry(&heartbeat.name, &heartbeat.hall, &heartbeat.address);
+        if peer.incarnation != Some(heartbeat.incarnation) {
+            peer.incarnation = Some(heartbeat.incarnation);
+            peer.revision = 0;
+        }
+        peer.address.clone_from(&heartbeat.address);
+        peer.revision = peer.revision.max(heartbeat.revision);
+        peer.stopping = heartbeat.stopping;
+        peer.failures = 0;
+        // A peer that speaks is live, whatever the lagging list says.
+        peer.listed = true;
+        peer.heard_at = Some(now);
+    }
+
+    /// Takes in that a peer did not answer.
+    pub fn failed(&mut self, name: &Name) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.failures = peer.failures.saturating_add(1);
+        }
+    }
+
+    /// Up to `count` peers for the next heartbeats, a different few each time.
+    pub fn heartbeat_targets(&self, count: usize, seed: u64) -> Vec<Peer> {
+        let score = |peer: &&Peer| rendezvous_score(seed, name_key(&peer.name));
+        let mut peers: Vec<&Peer> = self.peers.values().filter(|peer| !peer.stopping).collect();
+        peers.sort_unstable_by_key(score);
+        peers.into_iter().take(count).cloned().collect()
+    }
+
+    /// Usable peers and this daemon (none) in the order of their claim to own
+    /// `key`; every daemon with the same view comes to the same order.
+    pub fn owners(&self, key: u64, most: usize) -> Vec<Option<Peer>> {
+        let mine = (rendezvous_score(key, name_key(&self.me)), None);
+        let others = self.usable().filter(|peer| peer.incarnation.is_some());
+        let others = others.map(|peer| (rendezvous_score(key, name_key(&peer.name)), Some(peer)));
+        let mut ranked: Vec<(u64, Option<&Peer>)> = others.chain([mine]).collect();
+        ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
+        ranked.into_iter().take(most).map(|(_, peer)| peer.cloned()).collect()
+    }
+
+    fn entry(&mut self, name: &Name, hall: &Name, address: &str) -> &mut Peer {
+        self.peers.entry(name.clone()).or_insert_with(|| Peer {
+            name: name.clone(),
+            hall: hall.clone(),
+            address: address.to_owned(),
+            incarnation: None,
+            revision: 0,
+            listed: false,
+            stopping: false,
+            failures: 0,
+            heard_at: None,
+        })
+    }
+}
+
+fn name_key(name: &Name) -> u64 {
+    xxh3_64(name.as_str().as_bytes())
+}
--- /dev/null
+++ b/crates/core/src/owner.rs
@@ -0,0 +1,580 @@
+//! The owner of one budget shard: batches draws into conditional updates and
+//! collects unspent tokens from other holders before anybody is refused.
+//!
+//! Ownership is a hint for batching. A grant exists only once the conditional
+//! update that records it has succeeded, and nobody is told of it before. Two
+//! owners at once, or one that was paused, cost conflicts and never tokens.
+
+use std::collections::{HashMap, VecDeque};
+
+use serde::{Deserialize, Serialize};
+
+use crate::holder::Draw;
+use crate::shard::Shard;
+use crate::{Incarnation, Millis, Name, Tokens};
+
+/// Shortest time between two writes of one shard, in milliseconds.
+pub const WRITE_INTERVAL_MS: Millis = 500;
+
+/// A shard read longer ago than this is read again before a refusal.
+pub const RELOAD_AFTER_MS: Millis = 250;
+
+/// Shortest time between two collections for one budget.
+pub const GATHER_INTERVAL_MS: Millis = 100;
+
+/// How long the store is left alone after it was away.
+pub const STORE_PAUSE_MS: Millis = 500;
+
+/// When to come back while running requests may still give tokens back.
+pub const RETRY_SOON_MS: Millis = 1_000;
+
+/// When to come back when the budget is used up.
+pub const RETRY_LATER_MS: Millis = 30_000;
+
+/// Names a caller of the owner; chosen by the shell.
+pub type Ticket = u64;
+
+/// What can be asked of an owner.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum Request {
+    /// More tokens for a holder.
+    Draw(Draw),
+    /// More tokens for a budget.
+    TopUp {
+        /// The budget.
+        budget: Name,
+        /// Identity that the operator's client gave it.
+        id: String,
+        /// Tokens to add.
+        tokens: Tokens,
+    },
+    /// A holder stops for good.
+    Retire {
+        /// The budget.
+        budget: Name,
+        /// Who stops.
+        holder: Incarnation,
+        /// Cumulative tokens that it has given back.
+        returned: Tokens,
+    },
+}
+
+impl Request {
+    fn budget(&self) -> &Name {
+        match self {
+            Request::Draw(draw) => &draw.budget,
+            Request::TopUp { budget, .. } | Request::Retire { budget, .. } => budget,
+        }
+    }
+}
+
+/// What an owner answers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reply {
+    /// The holder's cumulative grant; it covers the need.
+    Granted {
+        /// Cumulative tokens granted by the store.
+        granted: Tokens,
+    },
+    /// Too little is left, also after collecting.
+    Short {
+        /// When it is worth asking again.
+        retry_after_ms: Millis,
+    },
+    /// The request is recorded.
+    Recorded,
+    /// The store does not answer; nothing is known to be recorded.
+    StoreAway {
+        /// When it is worth asking again.
+        retry_after_ms: Millis,
+    },
+}
+
+/// What happens to an owner.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Event {
+    /// Somebody asks.
+    Asked(Ticket, Request),
+    /// The shard was read; version 0 means that there is none yet.
+    Loaded(u64, Shard),
+    /// The write succeeded and made this version.
+    Written(u64),
+    /// The write was refused: the shard has changed.
+    Conflict,
+    /// It is not known whether the write took effect.
+    Ambiguous,
+    /// The store does not answer; a write did not take effect.
+    StoreAway,
+    /// A collection ended.
+    Gathered {
+        /// The budget collected for.
+        budget: Name,
+        /// What this daemon now has free.
+        free: Tokens,
+        /// Whether more may come: tokens reserved elsewhere, or silent holders.
+        more_may_come: bool,
+    },
+    /// A time asked for by [`Command::WakeAt`] has come.
+    Tick,
+}
+
+/// What an owner wants done.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Command {
+    /// Read the shard.
+    Load,
+    /// Write the shard if it is still at this version.
+    Write(u64, Shard),
+    /// Ask these holders for all they have free of the budget. An empty list
+    /// means that the holders are not known: ask the live peers.
+    Gather(Name, Vec<(Incarnation, String)>),
+    /// Answer.
+    Reply(Ticket, Reply),
+    /// Send tokens that this daemon holds, and answer with the grant as well.
+    Give {
+        /// Whom to answer.
+        ticket: Ticket,
+        /// The draw that is served; `need` is what has to be sent.
+        draw: Draw,
+        /// Tokens that would do as well, at most.
+        most: Tokens,
+        /// Cumulative grant by the store, told along.
+        granted: Tokens,
+    },
+    /// Send [`Event::Tick`] at this time.
+    WakeAt(Millis),
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    Loading,
+    Writing,
+}
+
+#[derive(Debug)]
+struct Pending {
+    ticket: Ticket,
+    request: Request,
+    arrived: Millis,
+}
+
+#[derive(Debug, Default, Clone, Copy)]
+struct Gather {
+    running: bool,
+    started: Option<Millis>,
+    ended: bool,
+    free: Tokens,
+    more_may_come: bool,
+}
+
+/// What a request is answered with once its write has succeeded.
+#[derive(Debug)]
+enum Outcome {
+    Reply(Reply),
+    Give { most: Tokens, need: Tokens, granted: Tokens },
+}
+
+/// What is to become of one request in this round.
+enum Decision {
+    Answer(Outcome),
+    AfterWrite(Outcome),
+    Wait,
+}
+
+/// Figures that the owner keeps of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct OwnerCounts {
+    /// Reads of the store.
+    pub loads: u64,
+    /// Writes tried.
+    pub writes: u64,
+    /// Writes refused because the shard had changed.
+    pub conflicts: u64,
+    /// Collections from other holders.
+    pub gathers: u64,
+}
+
+/// The owner of one shard, as far as this daemon is concerned.
+#[derive(Debug)]
+pub struct Owner {
+    me: Incarnation,
+    write_interval: Millis,
+    collects: bool,
+    shard: Option<(u64, Shard)>,
+    loaded_at: Millis,
+    reload_wanted: bool,
+    phase: Phase,
+    pending: VecDeque<Pending>,
+    in_write: Vec<(Pending, Outcome)>,
+    written_shard: Shard,
+    gathers: HashMap<Name, Gather>,
+    last_write: Option<Millis>,
+    store_away_until: Millis,
+    counts: OwnerCounts,
+}
+
+impl Owner {
+    /// An owner that has read nothing yet.
+    pub fn new(me: Incarnation, write_interval: Millis) -> Self {
+        Owner {
+            me,
+            write_interval,
+            collects: true,
+            shard: None,
+            loaded_at: 0,
+            reload_wanted: false,
+            phase: Phase::Idle,
+            pending: VecDeque::new(),
+            in_write: Vec::new(),
+            written_shard: Shard::default(),
+            gathers: HashMap::new(),
+            last_write: None,
+            store_away_until: 0,
+            counts: OwnerCounts::default(),
+        }
+    }
+
+    /// The same owner without collecting from other holders: a baseline.
+    pub fn without_collecting(mut self) -> Self {
+        self.collects = false;
+        self
+    }
+
+    /// Figures of this owner.
+    pub fn counts(&self) -> OwnerCounts {
+        self.counts
+    }
+
+    /// The shard as last read or written.
+    pub fn shard(&self) -> Option<&Shard> {
+        self.shard.as_ref().map(|(_, shard)| shard)
+    }
+
+    /// Takes one event and says what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Command> {
+        let mut commands = Vec::new();
+        match event {
+            Event::Asked(ticket, request) => {
+                self.pending.push_back(Pending { ticket, request, arrived: now });
+            }
+            Event::Loaded(version, shard) => self.loaded(now, version, shard),
+            Event::Written(version) => self.written(now, version, &mut commands),
+            Event::Conflict => {
+                self.counts.conflicts += 1;
+                self.write_failed();
+            }
+            Event::Ambiguous => self.write_failed(),
+            Event::StoreAway => self.store_away(now),
+            Event::Gathered { budget, free, more_may_come } => {
+                let gather = self.gathers.entry(budget).or_default();
+                gather.running = false;
+                gather.ended = true;
+                gather.free = free;
+                gather.more_may_come = more_may_come;
+            }
+            Event::Tick => {}
+        }
+        self.advance(now, &mut commands);
+        commands
+    }
+
+    fn loaded(&mut self, now: Millis, version: u64, shard: Shard) {
+        self.phase = Phase::Idle;
+        self.shard = Some((version, shard));
+        self.loaded_at = now;
+        self.reload_wanted = false;
+        self.store_away_until = 0;
+    }
+
+    fn written(&mut self, now: Millis, version: u64, commands: &mut Vec<Command>) {
+        self.phase = Phase::Idle;
+        self.shard = Some((version, std::mem::take(&mut self.written_shard)));
+        self.loaded_at = now;
+        for (pending, outcome) in std::mem::take(&mut self.in_write) {
+            answer(pending, outcome, commands);
+        }
+    }
+
+    /// Whether a write is allowed now; asks to be woken when it is too early.
+    fn may_write(&self, now: Millis, commands: &mut Vec<Command>) -> bool {
+        let write_at = self.last_write.map_or(now, |at| at + self.write_interval);
+        if now < write_at {
+            commands.push(Command::WakeAt(write_at));
+        }
+        now >= write_at
+    }
+
+    /// The requests of the write go back to the front, in their order; the
+    /// shard is read again, and it tells whether the write took effect.
+    fn write_failed(&mut self) {
+        self.phase = Phase::Idle;
+        self.reload_wanted = true;
+        for (pending, _) in std::mem::take(&mut self.in_write).into_iter().rev() {
+            self.pending.push_front(pending);
+        }
+    }
+
+    fn store_away(&mut self, now: Millis) {
+        self.phase = Phase::Idle;
+        self.store_away_until = now + STORE_PAUSE_MS;
+        for (pending, _) in std::mem::take(&mut self.in_write).into_iter().rev() {
+            self.pending.push_front(pending);
+        }
+    }
+
+    fn advance(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        if self.phase != Phase::Idle || self.pending.is_empty() {
+            return;
+        }
+        let store_is_away = now < self.store_away_until;
+        let must_load = self.shard.is_none() || self.reload_wanted;
+        if must_load && !store_is_away {
+            self.phase = Phase::Loading;
+            self.counts.loads += 1;
+            commands.push(Command::Load);
+            return;
+        }
+        if store_is_away {
+            self.serve_without_store(now, commands);
+        } else {
+            self.serve(now, commands);
+        }
+    }
+
+    fn serve(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let Some((version, mut next)) = self.shard.clone() else { return };
+        let mut waiting = VecDeque::new();
+        let mut to_write = Vec::new();
+        for pending in std::mem::take(&mut self.pending) {
+            match self.decide(now, &pending, &mut next, commands) {
+                Decision::Answer(outcome) => answer(pending, outcome, commands),
+                Decision::AfterWrite(outcome) => to_write.push((pending, outcome)),
+                Decision::Wait => waiting.push_back(pending),
+            }
+        }
+        self.pending = waiting;
+        if to_write.is_empty() {
+            self.load_if_wanted(now, commands);
+            return;
+        }
+        self.phase = Phase::Writing;
+        self.counts.writes += 1;
+        self.last_write = Some(now);
+        self.in_write = to_write;
+        self.written_shard = next.clone();
+        commands.push(Command::Write(version, next));
+    }
+
+    fn load_if_wanted(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        if self.reload_wanted && now >= self.store_away_until {
+            self.phase = Phase::Loading;
+            self.counts.loads += 1;
+            commands.push(Command::Load);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        next: &mut Shard,
+        commands: &mut Vec<Command>,
+    ) -> Decision {
+        let ledger = next.ledger(pending.request.budget());
+        match &pending.request {
+            Request::TopUp { id, tokens, .. } => {
+                if ledger.has_top_up(id) {
+                    return Decision::Answer(Outcome::Reply(Reply::Recorded));
+                }
+                if !self.may_write(now, commands) {
+                    return Decision::Wait;
+                }
+                ledger.top_up(id, *tokens);
+                Decision::AfterWrite(Outcome::Reply(Reply::Recorded))
+            }
+            Request::Retire { holder, returned, .. } => {
+                if !ledger.grants.contains_key(holder) {
+                    return Decision::Answer(Outcome::Reply(Reply::Recorded));
+                }
+                if !self.may_write(now, commands) {
+                    return Decision::Wait;
+                }
+                ledger.retire(*holder, *returned);
+                Decision::AfterWrite(Outcome::Reply(Reply::Recorded))
+            }
+            Request::Draw(draw) => self.decide_draw(now, pending, draw, next, commands),
+        }
+    }
+
+    fn decide_draw(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        draw: &Draw,
+        next: &mut Shard,
+        commands: &mut Vec<Command>,
+    ) -> Decision {
+        let stored = self.shard_grant(draw);
+        let ledger = next.ledger(&draw.budget);
+        ledger.adopt_row(draw.terms.tokens, draw.terms.version);
+        let granted = ledger.granted_to(draw.holder);
+        // A grant whose answer was lost is told again, without a write.
+        let undelivered = granted.saturating_sub(draw.known_granted);
+        if undelivered >= draw.need {
+            let outcome = Outcome::Reply(Reply::Granted { granted });
+            let in_this_write = stored != granted;
+            return if in_this_write {
+                Decision::AfterWrite(outcome)
+            } else {
+                Decision::Answer(outcome)
+            };
+        }
+        let need = draw.need - undelivered;
+        let available = ledger.available();
+        if available >= need {
+            if !self.may_write(now, commands) {
+                return Decision::Wait;
+            }
+            let share = available / draw.terms.share_divisor.max(1);
+            let amount = draw.want.min(share).max(need);
+            ledger.grant(draw.holder, &draw.address, amount);
+            let granted = granted + amount;
+            return Decision::AfterWrite(Outcome::Reply(Reply::Granted { granted }));
+        }
+        if self.loaded_at < pending.arrived && now >= self.loaded_at + RELOAD_AFTER_MS {
+            self.reload_wanted = true;
+            return Decision::Wait;
+        }
+        let holders = ledger.grants.iter();
+        let others: Vec<_> = holders
+            .filter(|(holder, _)| **holder != self.me && **holder != draw.holder)
+            .map(|(holder, grant)| (*holder, grant.address.clone()))
+            .collect();
+        let Some(gather) = self.gathered(now, pending, &draw.budget, others, commands) else {
+            return Decision::Wait;
+        };
+        if available + gather.free < need {
+            return Decision::Answer(Outcome::Reply(short(gather)));
+        }
+        if available > 0 {
+            if !self.may_write(now, commands) {
+                return Decision::Wait;
+            }
+            ledger.grant(draw.holder, &draw.address, available);
+        }
+        let need = need - available;
+        let most = self.take_gathered(draw, need);
+        let granted = granted + available;
+        let outcome = Outcome::Give { most, need, granted };
+        if available > 0 { Decision::AfterWrite(outcome) } else { Decision::Answer(outcome) }
+    }
+
+    /// The grant that the store is known to have recorded.
+    fn shard_grant(&self, draw: &Draw) -> Tokens {
+        let in_write = self.shard.as_ref().map(|(_, shard)| shard);
+        let ledger = in_write.and_then(|shard| shard.budgets.get(&draw.budget));
+        ledger.map_or(draw.known_granted, |ledger| ledger.granted_to(draw.holder))
+    }
+
+    /// Takes from what the last collection brought: the need, or a share.
+    fn take_gathered(&mut self, draw: &Draw, need: Tokens) -> Tokens {
+        let gather = self.gathers.entry(draw.budget.clone()).or_default();
+        let share = gather.free / draw.terms.share_divisor.max(1);
+        let most = draw.want.min(share).max(need);
+        gather.free = gather.free.saturating_sub(most);
+        most
+    }
+
+    /// The collection that this request may rely on; starts one when needed.
+    fn gathered(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        budget: &Name,
+        holders: Vec<(Incarnation, String)>,
+        commands: &mut Vec<Command>,
+    ) -> Option<Gather> {
+        if !self.collects {
+            return Some(Gather::default());
+        }
+        let gather = self.gathers.entry(budget.clone()).or_default();
+        if gather.running {
+            return None;
+        }
+        let fresh = gather.started.is_some_and(|started| started >= pending.arrived);
+        if fresh && gather.ended {
+            return Some(*gather);
+        }
+        let earliest = gather.started.map_or(now, |started| started + GATHER_INTERVAL_MS);
+        if now < earliest {
+            commands.push(Command::WakeAt(earliest));
+            return None;
+        }
+        *gather = Gather { running: true, started: Some(now), ..Gather::default() };
+        self.counts.gathers += 1;
+        commands.push(Command::Gather(budget.clone(), holders));
+        None
+    }
+
+    fn serve_without_store(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let mut waiting = VecDeque::new();
+        for pending in std::mem::take(&mut self.pending) {
+            match self.decide_without_store(now, &pending, commands) {
+                Decision::Answer(outcome) | Decision::AfterWrite(outcome) => {
+                    answer(pending, outcome, commands);
+                }
+                Decision::Wait => waiting.push_back(pending),
+            }
+        }
+        self.pending = waiting;
+    }
+
+    fn decide_without_store(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        commands: &mut Vec<Command>,
+    ) -> Decision {
+        let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
+        let Request::Draw(draw) = &pending.request else {
+            return Decision::Answer(Outcome::Reply(away));
+        };
+        let others = self.known_holders(draw);
+        let Some(gather) = self.gathered(now, pending, &draw.budget, others, commands) else {
+            return Decision::Wait;
+        };
+        if gather.free < draw.need {
+            return Decision::Answer(Outcome::Reply(away));
+        }
+        let most = self.take_gathered(draw, draw.need);
+        let granted = draw.known_granted;
+        Decision::Answer(Outcome::Give { most, need: draw.need, granted })
+    }
+
+    fn known_holders(&self, draw: &Draw) -> Vec<(Incarnation, String)> {
+        let shard = self.shard.as_ref().map(|(_, shard)| shard);
+        let Some(ledger) = shard.and_then(|shard| shard.budgets.get(&draw.budget)) else {
+            return Vec::new();
+        };
+        let others = ledger.grants.iter();
+        let others = others.filter(|(holder, _)| **holder != self.me && **holder != draw.holder);
+        others.map(|(holder, grant)| (*holder, grant.address.clone())).collect()
+    }
+}
+
+fn short(gather: Gather) -> Reply {
+    let retry_after_ms = if gather.more_may_come { RETRY_SOON_MS } else { RETRY_LATER_MS };
+    Reply::Short { retry_after_ms }
+}
+
+fn answer(pending: Pending, outcome: Outcome, commands: &mut Vec<Command>) {
+    let command = match (outcome, pending.request) {
+        (Outcome::Give { most, need, granted }, Request::Draw(draw)) => {
+            Command::Give { ticket: pending.ticket, draw: Draw { need, ..draw }, most, granted }
+        }
+        (Outcome::Reply(reply), _) => Command::Reply(pending.ticket, reply),
+        (Outcome::Give { .. }, _) => return,
+    };
+    commands.push(command);
+}
--- /dev/null
+++ b/crates/core/src/shard.rs
@@ -0,0 +1,156 @@
+//! The stored half of budgets: what has been granted to whom.
+//!
+//! A budget is divided beforehand. The store records for each holder (one
+//! daemon's start) a cumulative sum that it may spend. The sum of what holders
+//! have, and of what retired holders used, never exceeds the budget's total;
+//! this is all that "spend never exceeds a budget" rests on.
+
+use std::collections::BTreeMap;
+
+use serde::{Deserialize, Serialize};
+
+use crate::id::shard_of_name;
+use crate::{Incarnation, Name, Tokens};
+
+/// Number of objects that hold all budgets. Fixed by the store's write rate,
+/// not by the fleet: 64 objects at 2 writes a second are 128 writes a second.
+pub const BUDGET_SHARDS: u32 = 64;
+
+/// How many top-ups a ledger remembers by identity.
+pub const REMEMBERED_TOP_UPS: usize = 128;
+
+/// The shard that holds this budget.
+pub fn shard_of_budget(budget: &Name) -> u32 {
+    shard_of_name(budget, BUDGET_SHARDS)
+}
+
+/// What the store grants one holder.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Cumulative tokens granted.
+    pub granted: Tokens,
+    /// Cumulative tokens given back.
+    #[serde(default)]
+    pub returned: Tokens,
+    /// Where the holder's peer port listens.
+    pub address: String,
+}
+
+/// A top-up that was recorded.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct TopUp {
+    /// Identity that the operator's client gave it.
+    pub id: String,
+    /// Tokens added.
+    pub tokens: Tokens,
+}
+
+/// One budget in the store.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Ledger {
+    /// Tokens that the table's row allows.
+    pub row_tokens: Tokens,
+    /// Version of that row; an older row never replaces a newer one.
+    pub row_version: u64,
+    /// Cumulative tokens of all top-ups.
+    #[serde(default)]
+    pub topped_up: Tokens,
+    /// The last top-ups, oldest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub top_ups: Vec<TopUp>,
+    /// Sum of granted less returned over holders that have retired. Negative
+    /// when a retired holder gave back tokens that others had sent it.
+    #[serde(default)]
+    pub retired: i64,
+    /// Holders that may spend.
+    #[serde(default)]
+    pub grants: BTreeMap<Incarnation, Grant>,
+}
+
+impl Ledger {
+    /// Tokens that may be spent in all.
+    pub fn total(&self) -> Tokens {
+        self.row_tokens.saturating_add(self.topped_up)
+    }
+
+    /// Tokens that holders have or have used.
+    pub fn committed(&self) -> i64 {
+        let net = |grant: &Grant| grant.granted as i64 - grant.returned as i64;
+        self.retired + self.grants.values().map(net).sum::<i64>()
+    }
+
+    /// Tokens not yet granted to anybody.
+    pub fn available(&self) -> Tokens {
+        let left = self.total() as i64 - self.committed();
+        left.max(0) as Tokens
+    }
+
+    /// Takes the row's terms, unless the ledger has seen a newer row.
+    pub fn adopt_row(&mut self, tokens: Tokens, version: u64) {
+        if version > self.row_version {
+            self.row_tokens = tokens;
+            self.row_version = version;
+        }
+    }
+
+    /// Cumulative tokens granted to `holder`.
+    pub fn granted_to(&self, holder: Incarnation) -> Tokens {
+        self.grants.get(&holder).map_or(0, |grant| grant.granted)
+    }
+
+    /// Grants `tokens` more to `holder`.
+    pub fn grant(&mut self, holder: Incarnation, address: &str, tokens: Tokens) {
+        let entry = self.grants.entry(holder).or_insert_with(|| Grant {
+            granted: 0,
+            returned: 0,
+            address: address.to_owned(),
+        });
+        entry.granted += tokens;
+    }
+
+    /// Records a top-up once; a repeat of its identity changes nothing.
+    pub fn top_up(&mut self, id: &str, tokens: Tokens) {
+        if self.has_top_up(id) {
+            return;
+        }
+        self.topped_up = self.topped_up.saturating_add(tokens);
+        self.top_ups.push(TopUp { id: id.to_owned(), tokens });
+        let surplus = self.top_ups.len().saturating_sub(REMEMBERED_TOP_UPS);
+        self.top_ups.drain(..surplus);
+    }
+
+    /// Whether a top-up of this identity is recorded.
+    pub fn has_top_up(&self, id: &str) -> bool {
+        self.top_ups.iter().any(|top_up| top_up.id == id)
+    }
+
+    /// Records what `holder` has given back, as a cumulative sum.
+    pub fn give_back(&mut self, holder: Incarnation, returned: Tokens) {
+        if let Some(grant) = self.grants.get_mut(&holder) {
+            grant.returned = grant.returned.max(returned);
+        }
+    }
+
+    /// Ends `holder`: what it used stays committed, and it may spend no more.
+    pub fn retire(&mut self, holder: Incarnation, returned: Tokens) {
+        self.give_back(holder, returned);
+        if let Some(grant) = self.grants.remove(&holder) {
+            self.retired += grant.granted as i64 - grant.returned as i64;
+        }
+    }
+}
+
+/// One stored object: many budgets.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Shard {
+    /// The budgets of this shard that were ever drawn on.
+    #[serde(default)]
+    pub budgets: BTreeMap<Name, Ledger>,
+}
+
+impl Shard {
+    /// The ledger of `budget`, made empty when it is new.
+    pub fn ledger(&mut self, budget: &Name) -> &mut Ledger {
+        self.budgets.entry(budget.clone()).or_default()
+    }
+}
--- /dev/null
+++ b/crates/core/src/table.rs
@@ -0,0 +1,324 @@
+//! The operators' table: halls, workspaces, budgets, backend servers, routes.
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Name, Tokens};
+
+/// Hours of a day, for weights that follow the sun.
+pub const HOURS: usize = 24;
+
+/// How many of the last changes the table remembers.
+pub const HISTORY_LENGTH: usize = 128;
+
+/// A place with backend servers in it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Hall {
+    /// The row's name.
+    pub name: Name,
+    /// Share of work that this hall draws, against the other halls.
+    #[serde(default = "one_weight")]
+    pub weight: f64,
+    /// Weight in each hour of the day (UTC), in place of `weight`; 24 numbers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub weights_by_hour: Vec<f64>,
+    /// Revision of the table that wrote this row last; written by the system.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// A customer, with the keys that its callers show.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Workspace {
+    /// The row's name.
+    pub name: Name,
+    /// SHA-256 of each bearer key, in 64 hexadecimal digits.
+    pub keys_sha256: Vec<String>,
+    /// The budget of requests that name none.
+    pub default_budget: Name,
+    /// Revision of the table that wrote this row last; written by the system.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// Which error a budget's owner minds more.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum WhenShort {
+    /// Answer at once, also while running requests may still give tokens back.
+    #[default]
+    Refuse,
+    /// Count the prompt exactly where a server can, before refusing.
+    Count,
+}
+
+/// A prepaid sum of tokens.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Budget {
+    /// The row's name.
+    pub name: Name,
+    /// The workspace that spends it.
+    pub workspace: Name,
+    /// Tokens allowed by this row; top-ups add to it.
+    pub tokens: Tokens,
+    /// How far ahead a daemon draws, in seconds of its own recent spending.
+    #[serde(default = "default_horizon_s")]
+    pub horizon_s: f64,
+    /// A daemon draws at most 1/`share_divisor` of what is not yet granted.
+    #[serde(default = "default_share_divisor")]
+    pub share_divisor: u64,
+    /// What a daemon does before it refuses.
+    #[serde(default)]
+    pub when_short: WhenShort,
+    /// Revision of the table that wrote this row last; written by the system.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// What kind of work a backend server does.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerKind {
+    /// A language-model runner with the chat-completions interface.
+    Model,
+    /// A plain HTTP service.
+    Service,
+}
+
+/// Whether a backend server takes new work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum ServerState {
+    /// It takes new work.
+    #[default]
+    Serving,
+    /// It finishes what it has and takes nothing new.
+    Draining,
+}
+
+/// A backend server.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// The row's name.
+    pub name: Name,
+    /// The hall that it stands in.
+    pub hall: Name,
+    /// Its address, IP number and port.
+    pub address: String,
+    /// What kind of work it does.
+    pub kind: ServerKind,
+    /// Models that it serves; only for model servers.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub models: Vec<Name>,
+    /// Share of its hall's work, against the hall's other servers.
+    #[serde(default = "one_weight")]
+    pub weight: f64,
+    /// Requests that one daemon may have open there at once.
+    #[serde(default = "default_limit")]
+    pub limit: u32,
+    /// Whether it takes new work.
+    #[serde(default)]
+    pub state: ServerState,
+    /// Whether it checks the epoch of orders and refuses work by itself.
+    #[serde(default)]
+    pub checks_orders: bool,
+    /// Revision of the table that wrote this row last; written by the system.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// What a route leads to.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(tag = "to", rename_all = "snake_case")]
+pub enum RouteTarget {
+    /// Servers that serve this model, by the chat-completions interface.
+    Model {
+        /// The model that callers ask for.
+        model: Name,
+    },
+    /// Plain services, by the first part of the path.
+    Service {
+        /// Paths that begin so are led to `servers`.
+        path_prefix: String,
+        /// The plain services.
+        servers: Vec<Name>,
+    },
+}
+
+/// A way from a caller's request to backend servers.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Route {
+    /// The row's name.
+    pub name: Name,
+    /// What it leads to.
+    #[serde(flatten)]
+    pub target: RouteTarget,
+    /// Output limit of callers that give none, and the most that one may ask.
+    #[serde(default = "default_max_tokens")]
+    pub max_tokens: u64,
+    /// Price of one call of a plain service, in tokens.
+    #[serde(default)]
+    pub call_tokens: Tokens,
+    /// Higher goes first at the engine.
+    #[serde(default)]
+    pub priority: i32,
+    /// Whether a request may run again when its outcome is not known.
+    #[serde(default = "yes")]
+    pub repeatable: bool,
+    /// Longest time for the whole request, in milliseconds.
+    #[serde(default = "default_deadline_ms")]
+    pub deadline_ms: u64,
+    /// Revision of the table that wrote this row last; written by the system.
+    #[serde(default)]
+    pub version: u64,
+}
+
+/// Something with a name and a version: a row of any sheet.
+pub trait Row: Clone + Serialize {
+    /// The sheet's name as operators write it.
+    const SHEET: &'static str;
+    /// The row's name.
+    fn name(&self) -> &Name;
+    /// Revision of the table that wrote the row last.
+    fn version(&self) -> u64;
+    /// Puts the version.
+    fn set_version(&mut self, version: u64);
+}
+
+macro_rules! row {
+    ($kind:ty, $sheet:literal) => {
+        impl Row for $kind {
+            const SHEET: &'static str = $sheet;
+            fn name(&self) -> &Name {
+                &self.name
+            }
+            fn version(&self) -> u64 {
+                self.version
+            }
+            fn set_version(&mut self, version: u64) {
+                self.version = version;
+            }
+        }
+    };
+}
+
+row!(Hall, "halls");
+row!(Workspace, "workspaces");
+row!(Budget, "budgets");
+row!(Server, "servers");
+row!(Route, "routes");
+
+/// One accepted change, as the table remembers it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Change {
+    /// Identity that the operator's client gave it.
+    pub id: String,
+    /// Revision of the table that it made.
+    pub revision: u64,
+    /// Who asked for it.
+    pub who: String,
+    /// When it was accepted, in seconds since 1970.
+    pub when_s: u64,
+    /// Rows that it touched, as "sheet/name".
+    pub rows: Vec<String>,
+}
+
+/// The whole table.
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Table {
+    /// Counts the accepted changes; never falls.
+    #[serde(default)]
+    pub revision: u64,
+    /// Places.
+    #[serde(default)]
+    pub halls: Vec<Hall>,
+    /// Customers.
+    #[serde(default)]
+    pub workspaces: Vec<Workspace>,
+    /// Prepaid sums.
+    #[serde(default)]
+    pub budgets: Vec<Budget>,
+    /// Backend servers.
+    #[serde(default)]
+    pub servers: Vec<Server>,
+    /// Ways to the servers.
+    #[serde(default)]
+    pub routes: Vec<Route>,
+    /// The last changes, oldest first.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub history: Vec<Change>,
+}
+
+impl Table {
+    /// The budget of this name.
+    pub fn budget(&self, name: &Name) -> Option<&Budget> {
+        self.budgets.iter().find(|row| row.name == *name)
+    }
+
+    /// The server of this name.
+    pub fn server(&self, name: &Name) -> Option<&Server> {
+        self.servers.iter().find(|row| row.name == *name)
+    }
+
+    /// The workspace whose keys hold this hash.
+    pub fn workspace_of_key(&self, sha256: &str) -> Option<&Workspace> {
+        let holds = |row: &&Workspace| row.keys_sha256.iter().any(|key| key == sha256);
+        self.workspaces.iter().find(holds)
+    }
+
+    /// The route that serves this model.
+    pub fn route_of_model(&self, wanted: &str) -> Option<&Route> {
+        self.routes.iter().find(|row| match &row.target {
+            RouteTarget::Model { model } => model.as_str() == wanted,
+            RouteTarget::Service { .. } => false,
+        })
+    }
+
+    /// The service route with the longest prefix of this path.
+    pub fn route_of_path(&self, path: &str) -> Option<&Route> {
+        let fitting = self.routes.iter().filter_map(|row| match &row.target {
+            RouteTarget::Service { path_prefix, .. } if path.starts_with(path_prefix.as_str()) => {
+                Some((path_prefix.len(), row))
+            }
+            _ => None,
+        });
+        fitting.max_by_key(|(length, _)| *length).map(|(_, row)| row)
+    }
+
+    /// The change of this identity, when the table still remembers it.
+    pub fn change(&self, id: &str) -> Option<&Change> {
+        self.history.iter().find(|change| change.id == id)
+    }
+}
+
+fn one_weight() -> f64 {
+    1.0
+}
+
+fn default_horizon_s() -> f64 {
+    10.0
+}
+
+fn default_share_divisor() -> u64 {
+    4
+}
+
+fn default_limit() -> u32 {
+    64
+}
+
+fn default_max_tokens() -> u64 {
+    512
+}
+
+fn default_deadline_ms() -> u64 {
+    60_000
+}
+
+fn yes() -> bool {
+    true
+}
--- /dev/null
+++ b/crates/daemon/src/backend.rs
@@ -0,0 +1,176 @@
+//! Calls of backend servers.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::lifecycle::NothingRan;
+use bankcove_core::router::{Choice, LoadReport};
+use bankcove_core::table::ServerKind;
+use bankcove_core::{AttemptId, Name, Tokens};
+use bytes::Bytes;
+use reqwest::{Method, Response, StatusCode};
+use serde::Deserialize;
+use serde_json::Value;
+
+use crate::daemon::Daemon;
+
+/// Longest call that is not a request of a caller.
+const SHORT_CALL: Duration = Duration::from_secs(2);
+
+/// Load reports asked for at once.
+const REPORTS_AT_ONCE: usize = 64;
+
+/// Why a dispatch brought no answer.
+#[derive(Debug)]
+pub enum DispatchError {
+    /// Nothing ran there.
+    NothingRan {
+        /// What proves it.
+        proof: NothingRan,
+        /// Whether the server said that it is leaving.
+        leaving: bool,
+    },
+    /// The request may have run.
+    Unknown,
+}
+
+/// A request on its way to a backend server.
+#[derive(Debug, Clone)]
+pub struct Outgoing {
+    /// The method.
+    pub method: Method,
+    /// Path and query.
+    pub path: String,
+    /// Headers that the caller's request carries on.
+    pub headers: reqwest::header::HeaderMap,
+    /// The body.
+    pub body: Bytes,
+    /// Name of the run, the same for every attempt at the same request.
+    pub run_id: String,
+    /// The attempt.
+    pub attempt: AttemptId,
+}
+
+#[derive(Deserialize)]
+struct Refusal {
+    error: RefusalBody,
+}
+
+#[derive(Deserialize)]
+struct RefusalBody {
+    code: String,
+    ran: bool,
+}
+
+/// What a cancelled run has cost.
+#[derive(Debug, Clone, Copy, Deserialize)]
+pub struct CancelledRun {
+    /// Tokens of the prompt.
+    pub prompt_tokens: Tokens,
+    /// Tokens generated.
+    pub output_tokens: Tokens,
+}
+
+/// Sends a request and returns once its answer begins.
+///
+/// # Errors
+/// [`DispatchError`] tells whether the request may have run.
+pub async fn dispatch(
+    daemon: &Daemon,
+    choice: &Choice,
+    outgoing: Outgoing,
+    kind: ServerKind,
+) -> Result<Response, DispatchError> {
+    let url = format!("http://{}{}", choice.address, outgoing.path);
+    let req = daemon.http.request(outgoing.method, url).headers(outgoing.headers);
+    let req = req.header("x-run-id", &outgoing.run_id);
+    let req = req.header("x-attempt", outgoing.attempt.to_string()).body(outgoing.body);
+    let res = match req.send().await {
+        Ok(res) => res,
+        Err(e) if e.is_connect() => {
+            let proof = NothingRan::connection_failed();
+            return Err(DispatchError::NothingRan { proof, leaving: false });
+        }
+        Err(_) => return Err(DispatchError::Unknown),
+    };
+    // A plain service may say anything in its body; only engines are believed.
+    if kind == ServerKind::Service || res.status() != StatusCode::SERVICE_UNAVAILABLE {
+        return Ok(res);
+    }
+    match res.json::<Refusal>().await {
+        Ok(refusal) if !refusal.error.ran => Err(DispatchError::NothingRan {
+            proof: NothingRan::refused_by_server(),
+            leaving: refusal.error.code == "leaving",
+        }),
+        _ => Err(DispatchError::Unknown),
+    }
+}
+
+/// Resumes the stream of a run; never begins one.
+pub async fn resume(
+    daemon: &Daemon,
+    choice: &Choice,
+    run_id: &str,
+    model: &str,
+    offset: u64,
+) -> Option<Response> {
+    let url = format!("http://{}/v1/runs/{run_id}/stream", choice.address);
+    let req =
+        daemon.http.get(url).query(&[("offset", offset.to_string().as_str()), ("model", model)]);
+    let res = req.send().await.ok()?;
+    res.status().is_success().then_some(res)
+}
+
+/// Cancels a run and learns what it cost.
+pub async fn cancel(daemon: &Daemon, choice: &Choice, run_id: &str) -> Option<CancelledRun> {
+    let url = format!("http://{}/v1/runs/{run_id}/cancel", choice.address);
+    let res = daemon.http.post(url).timeout(SHORT_CALL).send().await.ok()?;
+    res.error_for_status().ok()?.json().await.ok()
+}
+
+/// Counts the tokens of a prompt.
+pub async fn count_tokens(daemon: &Daemon, choice: &Choice, body: &Value) -> Option<Tokens> {
+    #[derive(Deserialize)]
+    struct Count {
+        count: Tokens,
+    }
+    let url = format!("http://{}/v1/tokenize", choice.address);
+    let res = daemon.http.post(url).json(body).timeout(SHORT_CALL).send().await.ok()?;
+    let count: Count = res.error_for_status().ok()?.json().await.ok()?;
+    Some(count.count)
+}
+
+/// Asks the model servers for load reports until the daemon ends.
+pub async fn follow_load(daemon: Arc<Daemon>) {
+    let interval = Duration::from_millis(daemon.cfg.limits.load_report_ms);
+    loop {
+        read_load_reports(&daemon).await;
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            () = daemon.ended.cancelled() => return,
+        }
+    }
+}
+
+async fn read_load_reports(daemon: &Arc<Daemon>) {
+    let Some(table) = daemon.table.load_full() else { return };
+    let models = table.servers.iter().filter(|row| row.kind == ServerKind::Model);
+    let servers: Vec<(Name, String)> =
+        models.map(|row| (row.name.clone(), row.address.clone())).collect();
+    let reports = servers
+        .into_iter()
+        .map(|(name, address)| async move { (name, read_load_report(daemon, &address).await) });
+    let mut reports =
+        futures::StreamExt::buffer_unordered(futures::stream::iter(reports), REPORTS_AT_ONCE);
+    while let Some((name, report)) = futures::StreamExt::next(&mut reports).await {
+        if let Some(report) = report {
+            daemon.router.lock().report(daemon.clock.now(), &name, report);
+        }
+    }
+}
+
+async fn read_load_report(daemon: &Daemon, address: &str) -> Option<LoadReport> {
+    let url = format!("http://{address}/v1/load");
+    let res = daemon.http.get(url).timeout(SHORT_CALL).send().await.ok()?;
+    res.error_for_status().ok()?.json().await.ok()
+}
--- /dev/null
+++ b/crates/daemon/src/chat.rs
@@ -0,0 +1,266 @@
+//! `POST /v1/chat/completions` and `GET /v1/models`.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::lifecycle::{Admitted, Attempt, Received};
+use bankcove_core::table::{RouteTarget, ServerKind, WhenShort};
+use bankcove_core::{AttemptId, Tokens};
+use bytes::Bytes;
+use reqwest::Method;
+use salvo::http::header::{CONTENT_TYPE, HeaderValue};
+use salvo::prelude::*;
+use serde_json::{Value, json};
+use slog::{Logger, o};
+use tokio::sync::{mpsc, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::admission::{self, Caller, identify};
+use crate::answer::{ATTEMPT_HEADER, KEY_HEADER, Problem};
+use crate::backend::{self, Outgoing};
+use crate::daemon::Daemon;
+use crate::http::{daemon, read_body};
+use crate::placement::{self, Need};
+use crate::pump::{self, Run};
+
+/// Bytes of a prompt that decide where it goes.
+const PREFIX_BYTES: usize = 512;
+
+/// Pieces that may wait for a slow caller.
+const STREAM_BUFFER: usize = 32;
+
+/// A chat request that was read and understood.
+pub struct Chat {
+    /// Who calls.
+    pub caller: Caller,
+    /// The attempt's logger.
+    pub log: Logger,
+    body: Value,
+    model: String,
+    max_tokens: Tokens,
+    prompt_bytes: usize,
+    prefix: u64,
+    stream: bool,
+    repeatable: bool,
+    deadline: Duration,
+}
+
+/// The beginning of an answer.
+pub enum Answer {
+    /// Pieces as they come.
+    Stream(mpsc::Receiver<Bytes>),
+    /// The whole answer.
+    Whole(Bytes),
+}
+
+/// Serves a chat request.
+#[handler]
+pub async fn complete(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let daemon = daemon(depot);
+    let id = daemon.next_attempt();
+    put_header(res, ATTEMPT_HEADER, &id.to_string());
+    let chat = match read_chat(&daemon, id, req).await {
+        Ok(chat) => chat,
+        Err(problem) => return problem.render(res),
+    };
+    put_header(res, KEY_HEADER, &chat.caller.key);
+    let (tx, rx) = oneshot::channel();
+    // A task of its own: a caller that goes away must not cut off accounting.
+    let serving = serve(Arc::clone(&daemon), chat, id, tx);
+    daemon.work.spawn(serving);
+    match rx.await {
+        Ok(Ok(Answer::Stream(pieces))) => {
+            res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
+            res.stream(futures::stream::unfold(pieces, |mut pieces| async {
+                let piece = pieces.recv().await?;
+                Some((Ok::<_, std::io::Error>(piece), pieces))
+            }));
+        }
+        Ok(Ok(Answer::Whole(body))) => {
+            res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+            res.body(body);
+        }
+        Ok(Err(problem)) => problem.render(res),
+        Err(_) => Problem::unknown("internal", "the request was dropped").render(res),
+    }
+}
+
+/// Lists the models that have a route.
+#[handler]
+pub async fn list_models(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let daemon = daemon(depot);
+    let caller = match identify(&daemon, req) {
+        Ok(caller) => caller,
+        Err(problem) => return problem.render(res),
+    };
+    let routes = caller.table.routes.iter().filter_map(|route| match &route.target {
+        RouteTarget::Model { model } => Some(json!({"id": model, "object": "model"})),
+        RouteTarget::Service { .. } => None,
+    });
+    res.render(Json(json!({"object": "list", "data": routes.collect::<Vec<_>>()})));
+}
+
+/// Puts a header whose value is known to be plain text.
+pub fn put_header(res: &mut Response, name: &'static str, value: &str) {
+    if let Ok(value) = HeaderValue::from_str(value) {
+        res.headers_mut().insert(name, value);
+    }
+}
+
+async fn read_chat(daemon: &Daemon, id: AttemptId, req: &mut Request) -> Result<Chat, Problem> {
+    let caller = identify(daemon, req)?;
+    let bytes = read_body(daemon, req).await?;
+    let body: Value = serde_json::from_slice(&bytes)
+        .map_err(|e| Problem::bad_request("bad_json", format!("the body is no JSON: {e}")))?;
+    let model = body["model"].as_str().unwrap_or_default().to_owned();
+    let Some(route) = caller.table.route_of_model(&model).cloned() else {
+        let message = format!("no route serves model '{model}'; see GET /v1/models");
+        return Err(Problem::refused(StatusCode::NOT_FOUND, "no_such_model", message));
+    };
+    if !body["messages"].is_array() {
+        return Err(Problem::bad_request("bad_request", "'messages' must be an array"));
+    }
+    let max_tokens = match &body["max_tokens"] {
+        Value::Null => route.max_tokens,
+        value => {
+            value.as_u64().filter(|n| (1..=route.max_tokens).contains(n)).ok_or_else(|| {
+                let message =
+                    format!("'max_tokens' must be a number from 1 to {}", route.max_tokens);
+                Problem::bad_request("bad_max_tokens", message)
+            })?
+        }
+    };
+    let messages = body["messages"].to_string();
+    let prefix = &messages.as_bytes()[..messages.len().min(PREFIX_BYTES)];
+    let log =
+        daemon.log.new(o!("request" => caller.request.to_string(), "attempt" => id.to_string()));
+    Ok(Chat {
+        log,
+        prefix: xxh3_64(prefix),
+        prompt_bytes: messages.len(),
+        stream: body["stream"].as_bool().unwrap_or(false),
+        repeatable: route.repeatable && !caller.once,
+        deadline: Duration::from_millis(route.deadline_ms),
+        caller,
+        body,
+        model,
+        max_tokens,
+    })
+}
+
+async fn serve(
+    daemon: Arc<Daemon>,
+    chat: Chat,
+    id: AttemptId,
+    tx: oneshot::Sender<Result<Answer, Problem>>,
+) {
+    let started = daemon.clock.now();
+    let deadline = tokio::time::Instant::now() + chat.deadline;
+    let run = match start(&daemon, chat, id).await {
+        Ok(run) => run,
+        Err(problem) => {
+            daemon.metrics.count(problem.code());
+            // A caller that went away needs no answer; nothing ran.
+            let _gone = tx.send(Err(problem));
+            return;
+        }
+    };
+    daemon.metrics.time("time_to_answer", daemon.clock.now() - started);
+    if run.stream {
+        let (pieces_tx, pieces_rx) = mpsc::channel(STREAM_BUFFER);
+        // When the caller has gone, the pump sees its channel closed.
+        let _gone = tx.send(Ok(Answer::Stream(pieces_rx)));
+        pump::stream(&daemon, run, pieces_tx, deadline).await;
+    } else {
+        pump::whole(&daemon, run, tx, deadline).await;
+    }
+}
+
+/// Admits, claims and dispatches a request.
+async fn start(daemon: &Arc<Daemon>, chat: Chat, id: AttemptId) -> Result<Run, Problem> {
+    let attempt = Attempt::new(chat.caller.request, id);
+    let mut attempt = admit(daemon, &chat, attempt).await?;
+    if !chat.repeatable {
+        attempt = admission::claim(daemon, &chat.caller, attempt).await?;
+    }
+    let run_id =
+        format!("{}-{:016x}", chat.caller.request, xxh3_64(chat.body.to_string().as_bytes()));
+    let outgoing = outgoing(&chat, run_id.clone(), id);
+    let need = need(&chat);
+    let placed = placement::place(daemon, attempt, &need, &outgoing).await?;
+    slog::info!(chat.log, "dispatched"; "server" => %placed.choice.server);
+    Ok(Run {
+        log: chat.log,
+        budget: chat.caller.budget.name,
+        model: chat.model,
+        run_id,
+        max_tokens: chat.max_tokens,
+        stream: chat.stream,
+        placed,
+    })
+}
+
+fn need(chat: &Chat) -> Need<'_> {
+    Need {
+        pool: &chat.model,
+        prefix: chat.prefix,
+        kind: ServerKind::Model,
+        request: chat.caller.request,
+        claimed: !chat.repeatable,
+    }
+}
+
+/// Sets the greatest cost aside. A prompt has at most as many tokens as bytes;
+/// where that is too much, the budget's row may ask for an exact count.
+async fn admit(
+    daemon: &Arc<Daemon>,
+    chat: &Chat,
+    attempt: Attempt<Received>,
+) -> Result<Attempt<Admitted>, Problem> {
+    let bound = chat.prompt_bytes as Tokens + chat.max_tokens;
+    let budget = &chat.caller.budget;
+    let (refusal, attempt) = match admission::admit(daemon, &chat.caller, attempt, bound).await {
+        Ok(admitted) => return Ok(admitted),
+        Err(refused) => refused,
+    };
+    let exact = match budget.when_short {
+        WhenShort::Count => count(daemon, chat).await,
+        WhenShort::Refuse => None,
+    };
+    let Some(exact) = exact.filter(|exact| *exact < bound) else {
+        return Err(admission::short(daemon, &attempt.not_run(), budget, refusal));
+    };
+    match admission::admit(daemon, &chat.caller, attempt, exact).await {
+        Ok(admitted) => Ok(admitted),
+        Err((refusal, attempt)) => {
+            Err(admission::short(daemon, &attempt.not_run(), budget, refusal))
+        }
+    }
+}
+
+async fn count(daemon: &Arc<Daemon>, chat: &Chat) -> Option<Tokens> {
+    let choice = placement::choose(daemon, &need(chat), &[]).ok()?;
+    let prompt = backend::count_tokens(daemon, &choice, &chat.body).await?;
+    Some(prompt + chat.max_tokens)
+}
+
+fn outgoing(chat: &Chat, run_id: String, attempt: AttemptId) -> Outgoing {
+    let mut body = chat.body.clone();
+    body["max_tokens"] = json!(chat.max_tokens);
+    if chat.stream {
+        body["stream_options"] = json!({"include_usage": true});
+    }
+    let mut headers = reqwest::header::HeaderMap::new();
+    headers.insert(
+        reqwest::header::CONTENT_TYPE,
+        reqwest::header::HeaderValue::from_static("application/json"),
+    );
+    Outgoing {
+        method: Method::POST,
+        path: "/v1/chat/completions".to_owned(),
+        headers,
+        body: Bytes::from(body.to_string()),
+        run_id,
+        attempt,
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/config.rs
@@ -0,0 +1,246 @@
+//! Settings of a daemon: one JSON file, checked as a whole at start.
+
+use std::net::SocketAddr;
+use std::path::Path;
+
+use bankcove_core::Name;
+use bankcove_core::owner::WRITE_INTERVAL_MS;
+use bankcove_core::reqlog::APPEND_INTERVAL_MS;
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+
+use crate::error::{ConfigFault, Error, Result};
+
+/// Shortest operators' token, in bytes.
+const MIN_TOKEN_BYTES: usize = 8;
+
+/// Settings of one daemon.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Name of this host, unique in the fleet.
+    pub name: Name,
+    /// Hall that this host stands in.
+    pub hall: Name,
+    /// Where callers connect, IP number and port.
+    pub caller_listen: String,
+    /// Where peers connect.
+    pub peer_listen: String,
+    /// Where peers are told to connect; `peer_listen` when left out.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub peer_advertise: Option<String>,
+    /// Where operators connect.
+    pub operator_listen: String,
+    /// Token that operators show as `Authorization: Bearer`.
+    pub operator_token: String,
+    /// The platform's object API.
+    pub store: String,
+    /// Peers to ask while the platform does not answer.
+    #[serde(default)]
+    pub seed_peers: Vec<String>,
+    /// Where metrics go by UDP; none sends none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub metrics: Option<String>,
+    /// Bounds and intervals.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// Bounds and intervals; each has a measured default.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Largest body of a request, in bytes.
+    pub max_body_bytes: usize,
+    /// Longest time to read a request's body, in milliseconds.
+    pub body_timeout_ms: u64,
+    /// Longest planned stop, in milliseconds.
+    pub stop_timeout_ms: u64,
+    /// Time between heartbeats, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Peers that each heartbeat goes to.
+    pub heartbeat_fanout: usize,
+    /// Time between two reads of the host list, in milliseconds.
+    pub host_list_ms: u64,
+    /// Time between two load reports of a backend server, in milliseconds.
+    pub load_report_ms: u64,
+    /// Longest call of a peer, in milliseconds.
+    pub peer_timeout_ms: u64,
+    /// Longest wait for a peer's unspent tokens, in milliseconds.
+    pub gather_timeout_ms: u64,
+    /// Shortest time between two writes of a budget shard, in milliseconds.
+    pub budget_write_ms: u64,
+    /// Shortest time between two appends to a log shard, in milliseconds.
+    pub log_append_ms: u64,
+    /// How long the end of an answer waits for its bill before the bill is
+    /// copied to peers instead, in milliseconds.
+    pub bill_wait_ms: u64,
+    /// After this long without word from the store or most peers, servers that
+    /// check no orders get no new work, in milliseconds.
+    pub isolation_ms: u64,
+    /// Tries of one request at different servers, while nothing has run.
+    pub max_tries: usize,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Limits {
+            max_body_bytes: 4 << 20,
+            body_timeout_ms: 10_000,
+            stop_timeout_ms: 120_000,
+            heartbeat_ms: 500,
+            heartbeat_fanout: 2,
+            host_list_ms: 1_000,
+            load_report_ms: 500,
+            peer_timeout_ms: 1_500,
+            gather_timeout_ms: 200,
+            budget_write_ms: WRITE_INTERVAL_MS,
+            log_append_ms: APPEND_INTERVAL_MS,
+            bill_wait_ms: 2_000,
+            isolation_ms: 4_000,
+            max_tries: 3,
+        }
+    }
+}
+
+impl Config {
+    /// Settings for a first look, with every default written out.
+    pub fn example() -> Self {
+        Config {
+            name: Name::from("entry-1"),
+            hall: Name::from("hall-1"),
+            caller_listen: "127.0.0.1:8080".to_owned(),
+            peer_listen: "127.0.0.1:8081".to_owned(),
+            peer_advertise: None,
+            operator_listen: "127.0.0.1:8082".to_owned(),
+            operator_token: "change-this-token".to_owned(),
+            store: "127.0.0.1:8500".to_owned(),
+            seed_peers: Vec::new(),
+            metrics: None,
+            limits: Limits::default(),
+        }
+    }
+
+    /// Where peers are told to connect.
+    pub fn peer_address(&self) -> &str {
+        self.peer_advertise.as_deref().unwrap_or(&self.peer_listen)
+    }
+
+    /// Reads and checks a file.
+    ///
+    /// # Errors
+    /// [`Error::ReadConfig`] or [`Error::Config`] with every fault found.
+    pub fn read(path: &Path) -> Result<Self> {
+        let text = std::fs::read_to_string(path)
+            .map_err(|source| Error::ReadConfig { path: path.to_owned(), source })?;
+        Config::parse(&text)
+    }
+
+    /// Reads settings from JSON text and checks them.
+    ///
+    /// # Errors
+    /// [`Error::Config`] with every fault found.
+    pub fn parse(text: &str) -> Result<Self> {
+        let mut value: Value = serde_json::from_str(text)
+            .map_err(|e| faults(vec![fault("", &e.to_string(), "mend the JSON at that place")]))?;
+        let mut found = take_unknown_keys(&mut value);
+        match serde_path_to_error::deserialize::<_, Config>(&value) {
+            Ok(cfg) => {
+                found.extend(cfg.faults());
+                if found.is_empty() { Ok(cfg) } else { Err(faults(found)) }
+            }
+            Err(e) => {
+                let (path, problem) = (e.path().to_string(), e.inner().to_string());
+                found.push(fault(&path, &problem, "see 'bankcoved --print-defaults'"));
+                Err(faults(found))
+            }
+        }
+    }
+
+    fn faults(&self) -> Vec<ConfigFault> {
+        let mut found = Vec::new();
+        let mut addresses = vec![
+            ("caller_listen", &self.caller_listen),
+            ("peer_listen", &self.peer_listen),
+            ("operator_listen", &self.operator_listen),
+            ("store", &self.store),
+        ];
+        addresses.extend(self.peer_advertise.as_ref().map(|address| ("peer_advertise", address)));
+        addresses.extend(self.metrics.as_ref().map(|address| ("metrics", address)));
+        addresses.extend(self.seed_peers.iter().map(|address| ("seed_peers", address)));
+        for (path, address) in addresses {
+            if address.parse::<SocketAddr>().is_err() {
+                let problem = format!("'{address}' is no IP number and port");
+                found.push(fault(path, &problem, "write it like 10.0.0.7:8080"));
+            }
+        }
+        for (path, name) in [("name", &self.name), ("hall", &self.hall)] {
+            if !name.is_well_formed() {
+                let problem = format!("'{name}' is not a name");
+                found.push(fault(path, &problem, "use 1 to 64 of a-z, A-Z, 0-9, '.', '-', '_'"));
+            }
+        }
+        if self.operator_token.len() < MIN_TOKEN_BYTES {
+            let problem = "the token is shorter than 8 bytes";
+            found.push(fault("operator_token", problem, "use a long random token"));
+        }
+        found.extend(self.limits.faults());
+        found
+    }
+}
+
+impl Limits {
+    fn faults(&self) -> Vec<ConfigFault> {
+        let positive = [
+            ("limits.max_body_bytes", self.max_body_bytes as u64),
+            ("limits.body_timeout_ms", self.body_timeout_ms),
+            ("limits.heartbeat_ms", self.heartbeat_ms),
+            ("limits.heartbeat_fanout", self.heartbeat_fanout as u64),
+            ("limits.host_list_ms", self.host_list_ms),
+            ("limits.load_report_ms", self.load_report_ms),
+            ("limits.peer_timeout_ms", self.peer_timeout_ms),
+            ("limits.gather_timeout_ms", self.gather_timeout_ms),
+            ("limits.isolation_ms", self.isolation_ms),
+            ("limits.max_tries", self.max_tries as u64),
+        ];
+        let zero = positive.into_iter().filter(|(_, value)| *value == 0);
+        zero.map(|(path, _)| fault(path, "0 is not usable here", "use 1 or more")).collect()
+    }
+}
+
+fn fault(path: &str, problem: &str, fix: &str) -> ConfigFault {
+    ConfigFault { path: path.to_owned(), problem: problem.to_owned(), fix: fix.to_owned() }
+}
+
+fn faults(found: Vec<ConfigFault>) -> Error {
+    Error::Config(found)
+}
+
+/// Removes every key that the settings do not have and names it: serde would
+/// stop at the first.
+fn take_unknown_keys(value: &mut Value) -> Vec<ConfigFault> {
+    let mut example = Config::example();
+    example.peer_advertise = Some(String::new());
+    example.metrics = Some(String::new());
+    let known = serde_json::to_value(example).unwrap_or_default();
+    let mut found = Vec::new();
+    take_unknown_keys_below(value, &known, "", &mut found);
+    found
+}
+
+fn take_unknown_keys_below(
+    value: &mut Value,
+    known: &Value,
+    path: &str,
+    found: &mut Vec<ConfigFault>,
+) {
+    let (Some(value), Some(known)) = (value.as_object_mut(), known.as_object()) else { return };
+    value.retain(|key, inner| {
+        let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
+        match known.get(key) {
+            Some(known) => take_unknown_keys_below(inner, known, &path, found),
+            None => found.push(fault(&path, "there is no such setting", "remove or rename it")),
+        }
+        known.contains_key(key)
+    });
+}
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,126 @@
+//! The state that all parts of a daemon share.
+
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+use arc_swap::ArcSwapOption;
+use bankcove_core::members::{Heartbeat, Members};
+use bankcove_core::router::Router;
+use bankcove_core::table::Table;
+use bankcove_core::{AttemptId, Incarnation};
+use bankcove_platform::Client;
+use parking_lot::Mutex;
+use slog::Logger;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+use crate::billing::Billing;
+use crate::budgets::Budgets;
+use crate::clock::Clock;
+use crate::config::Config;
+use crate::error::Result;
+use crate::health::Contact;
+use crate::metrics::Metrics;
+use crate::peer::PeerPool;
+use crate::request_log::RequestLogs;
+
+/// One daemon.
+pub struct Daemon {
+    /// Its settings.
+    pub cfg: Config,
+    /// This start of it.
+    pub incarnation: Incarnation,
+    /// Its clocks.
+    pub clock: Clock,
+    /// Its logger.
+    pub log: Logger,
+    /// Its metrics.
+    pub metrics: Metrics,
+    /// The platform's store.
+    pub store: Client,
+    /// Connections to backend servers.
+    pub http: reqwest::Client,
+    /// The table in force; none until the first one is adopted.
+    pub table: ArcSwapOption<Table>,
+    /// The routing state.
+    pub router: Mutex<Router>,
+    /// The other daemons.
+    pub members: Mutex<Members>,
+    /// Budgets held and shards owned.
+    pub budgets: Budgets,
+    /// Shards of the request log.
+    pub requests: RequestLogs,
+    /// Bills that wait for the store.
+    pub billing: Billing,
+    /// Connections to peers.
+    pub peers: PeerPool,
+    /// Whom this daemon has heard of late.
+    pub contact: Contact,
+    /// Cancelled when a planned stop begins.
+    pub stopping: CancellationToken,
+    /// Cancelled when background tasks are to end.
+    pub ended: CancellationToken,
+    /// Requests in flight.
+    pub work: TaskTracker,
+    attempts: AtomicU64,
+}
+
+impl Daemon {
+    /// A daemon that serves nothing yet.
+    ///
+    /// # Errors
+    /// [`crate::Error::Setup`] when the process can't be set up.
+    pub fn new(cfg: Config, log: Logger) -> Result<Arc<Self>> {
+        let incarnation = Incarnation(rand::random());
+        let http = reqwest::Client::builder()
+            .no_proxy()
+            .connect_timeout(std::time::Duration::from_millis(cfg.limits.peer_timeout_ms))
+            .build()
+            .map_err(|e| crate::Error::Setup(std::io::Error::other(e.to_string())))?;
+        Ok(Arc::new(Daemon {
+            clock: Clock::start(),
+            metrics: Metrics::new(cfg.metrics.as_deref())?,
+            store: Client::new(&cfg.store),
+            http,
+            table: ArcSwapOption::empty(),
+            router: Mutex::new(Router::default()),
+            members: Mutex::new(Members::new(cfg.name.clone())),
+            budgets: Budgets::new(incarnation),
+            requests: RequestLogs::default(),
+            billing: Billing::default(),
+            peers: PeerPool::default(),
+            contact: Contact::default(),
+            stopping: CancellationToken::new(),
+            ended: CancellationToken::new(),
+            work: TaskTracker::new(),
+            attempts: AtomicU64::new(0),
+            incarnation,
+            log,
+            cfg,
+        }))
+    }
+
+    /// Identity for a new attempt.
+    pub fn next_attempt(&self) -> AttemptId {
+        let sequence = self.attempts.fetch_add(1, Ordering::Relaxed);
+        AttemptId { incarnation: self.incarnation, sequence }
+    }
+
+    /// Revision of the table in force; 0 when there is none yet.
+    pub fn revision(&self) -> u64 {
+        self.table.load().as_ref().map_or(0, |table| table.revision)
+    }
+
+    /// What this daemon says of itself.
+    pub fn heartbeat(&self) -> Heartbeat {
+        Heartbeat {
+            name: self.cfg.name.clone(),
+            hall: self.cfg.hall.clone(),
+            incarnation: self.incarnation,
+            address: self.cfg.peer_address().to_owned(),
+            revision: self.revision(),
+            stopping: self.stopping.is_cancelled(),
+            store_heard_ms: self.contact.store_age(self.clock.now()),
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/dump.rs
@@ -0,0 +1,63 @@
+//! The whole state of a daemon, for people.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use bankcove_core::Tokens;
+use serde_json::{Value, json};
+
+use crate::daemon::Daemon;
+
+/// State of this daemon in a few lines.
+pub fn status(daemon: &Daemon) -> Value {
+    let now = daemon.clock.now();
+    let peers: Vec<Value> = {
+        let members = daemon.members.lock();
+        let peer = |peer: &bankcove_core::members::Peer| {
+            json!({
+                "name": peer.name, "hall": peer.hall, "revision": peer.revision,
+                "usable": peer.is_usable(), "stopping": peer.stopping,
+                "heard_ms_ago": peer.heard_at.map(|at| now.saturating_sub(at)),
+            })
+        };
+        members.peers().map(peer).collect()
+    };
+    json!({
+        "name": daemon.cfg.name,
+        "hall": daemon.cfg.hall,
+        "incarnation": daemon.incarnation,
+        "revision": daemon.revision(),
+        "stopping": daemon.stopping.is_cancelled(),
+        "store_heard_ms_ago": daemon.contact.store_age(now),
+        "isolated": daemon.contact.is_isolated(now, daemon.cfg.limits.isolation_ms),
+        "requests_in_flight": daemon.work.len(),
+        "bills_waiting": daemon.billing.waiting(),
+        "peers": peers,
+    })
+}
+
+/// Everything that this daemon knows, without keys.
+pub async fn dump(daemon: &Arc<Daemon>) -> Value {
+    let holder = daemon.budgets.holder().clone();
+    let free: HashMap<String, Tokens> = holder
+        .accounts()
+        .iter()
+        .map(|(name, account)| (name.to_string(), account.free()))
+        .collect();
+    let mut table = daemon.table.load().as_ref().map(|table| (**table).clone());
+    if let Some(table) = &mut table {
+        // Not even hashes of keys leave by a dump.
+        table.workspaces.iter_mut().for_each(|row| row.keys_sha256.clear());
+    }
+    let servers = daemon.router.lock().servers().to_vec();
+    json!({
+        "status": status(daemon),
+        "table": table,
+        "holder": holder,
+        "free": free,
+        "owners": daemon.budgets.dump_owners().await,
+        "request_log": daemon.requests.dump().await,
+        "servers": servers,
+        "peer_connections": daemon.peers.len(),
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/health.rs
@@ -0,0 +1,69 @@
+//! Whom this daemon has heard of late, and what follows for backend servers
+//! that would not refuse work by themselves.
+//!
+//! A daemon that hears from nobody can't know of a drain. It stops giving new
+//! work to servers that check no orders; servers that do refuse by themselves.
+
+use std::collections::VecDeque;
+
+use bankcove_core::Millis;
+use parking_lot::Mutex;
+
+/// Heartbeats whose outcome is remembered.
+const REMEMBERED: usize = 16;
+
+/// Fewest heartbeats that say anything.
+const ENOUGH: usize = 4;
+
+#[derive(Debug, Default)]
+struct State {
+    store_heard: Option<Millis>,
+    heartbeats: VecDeque<bool>,
+}
+
+/// Contact with the store and with peers.
+#[derive(Debug, Default)]
+pub struct Contact {
+    state: Mutex<State>,
+}
+
+impl Contact {
+    /// The store answered.
+    pub fn store_heard(&self, now: Millis) {
+        self.state.lock().store_heard = Some(now);
+    }
+
+    /// A peer says that the store answered somebody this long ago.
+    pub fn store_heard_by_peer(&self, now: Millis, age: Option<Millis>) {
+        let Some(heard) = age.map(|age| now.saturating_sub(age)) else { return };
+        let mut state = self.state.lock();
+        state.store_heard = state.store_heard.max(Some(heard));
+    }
+
+    /// How long ago the store answered this daemon or a peer in contact.
+    pub fn store_age(&self, now: Millis) -> Option<Millis> {
+        self.state.lock().store_heard.map(|at| now.saturating_sub(at))
+    }
+
+    /// A heartbeat was answered, or not.
+    pub fn heartbeat(&self, answered: bool) {
+        let mut state = self.state.lock();
+        state.heartbeats.push_back(answered);
+        if state.heartbeats.len() > REMEMBERED {
+            state.heartbeats.pop_front();
+        }
+    }
+
+    /// Whether this daemon may be cut off from where drains are accepted: no
+    /// word from the store for `limit` and most peers silent.
+    pub fn is_isolated(&self, now: Millis, limit: Millis) -> bool {
+        let state = self.state.lock();
+        let store_is_near = state.store_heard.is_some_and(|at| now.saturating_sub(at) <= limit);
+        if store_is_near {
+            return false;
+        }
+        let answered = state.heartbeats.iter().filter(|answered| **answered).count();
+        let known = state.heartbeats.len();
+        known < ENOUGH || answered * 2 <= known
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/http.rs
@@ -0,0 +1,66 @@
+//! What the HTTP sides have in common: serving, injected state, bodies.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use salvo::conn::{Acceptor, TcpListener};
+use salvo::prelude::*;
+use salvo::server::ServerHandle;
+use tokio::task::JoinHandle;
+
+use crate::answer::Problem;
+use crate::daemon::Daemon;
+use crate::error::{Error, Result};
+
+/// A side that serves.
+pub struct Side {
+    /// Stops it.
+    pub handle: ServerHandle,
+    /// Ends when it has stopped.
+    pub task: JoinHandle<()>,
+}
+
+/// The daemon that a request came to.
+pub fn daemon(depot: &Depot) -> Arc<Daemon> {
+    let daemon = depot.obtain::<Arc<Daemon>>();
+    Arc::clone(daemon.expect("the daemon is injected into every route"))
+}
+
+/// Serves `router` on `address`.
+///
+/// # Errors
+/// [`Error::Listen`] when the port can't be listened on.
+pub async fn serve(address: &str, router: Router) -> Result<Side> {
+    let acceptor = TcpListener::new(address.to_owned()).try_bind().await;
+    let acceptor = acceptor.map_err(|e| Error::Listen {
+        address: address.to_owned(),
+        source: std::io::Error::other(e.to_string()),
+    })?;
+    let _listens_at = acceptor.holdings();
+    let server = Server::new(acceptor);
+    let handle = server.handle();
+    let task = tokio::spawn(async move { server.serve(router).await });
+    Ok(Side { handle, task })
+}
+
+/// Reads a body within the bounds of the settings.
+///
+/// # Errors
+/// The answer for a caller whose body is too large or too slow.
+pub async fn read_body(daemon: &Daemon, req: &mut Request) -> std::result::Result<Bytes, Problem> {
+    let limits = &daemon.cfg.limits;
+    let reading = req.payload_with_max_size(limits.max_body_bytes);
+    match tokio::time::timeout(Duration::from_millis(limits.body_timeout_ms), reading).await {
+        Ok(Ok(body)) => Ok(body.clone()),
+        Ok(Err(_)) => {
+            let message =
+                format!("the body can't be read or exceeds {} bytes", limits.max_body_bytes);
+            Err(Problem::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message))
+        }
+        Err(_) => {
+            let message = format!("the body took longer than {} ms", limits.body_timeout_ms);
+            Err(Problem::refused(StatusCode::REQUEST_TIMEOUT, "body_too_slow", message))
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,34 @@
+//! The bankcove daemon as a library, so that the demo can embed it.
+//!
+//! A thin shell around `bankcove-core`: it turns sockets, timers and answers
+//! of the store into events and carries out the commands that come back.
+
+pub mod admission;
+pub mod answer;
+pub mod args;
+pub mod backend;
+pub mod billing;
+pub mod budgets;
+pub mod chat;
+pub mod clock;
+pub mod config;
+pub mod controller;
+pub mod daemon;
+pub mod dump;
+pub mod error;
+pub mod health;
+pub mod http;
+pub mod identity;
+pub mod logging;
+pub mod membership;
+pub mod metrics;
+pub mod operator;
+pub mod peer;
+pub mod placement;
+pub mod proxy;
+pub mod pump;
+pub mod request_log;
+pub mod sse;
+pub mod table_sync;
+
+pub use error::{Error, Result};
--- /dev/null
+++ b/crates/daemon/src/logging.rs
@@ -0,0 +1,24 @@
+//! Logs: JSON lines on standard error.
+
+use std::sync::Mutex;
+
+use slog::{Drain, Logger, o};
+
+use crate::config::Config;
+
+/// Lines that may wait for a slow reader before some are dropped and counted.
+const QUEUE: usize = 4_096;
+
+/// A logger that writes JSON lines to standard error.
+pub fn json(cfg: &Config) -> Logger {
+    let lines = slog_json::Json::default(std::io::stderr());
+    let lines = Mutex::new(lines).map(slog::Fuse);
+    let drain = slog_async::Async::new(lines).chan_size(QUEUE).build().fuse();
+    let level = slog::LevelFilter::new(drain, slog::Level::Info).fuse();
+    Logger::root(level, o!("host" => cfg.name.to_string(), "hall" => cfg.hall.to_string()))
+}
+
+/// A logger that drops everything.
+pub fn silent() -> Logger {
+    Logger::root(slog::Discard, o!())
+}
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,12 @@
+//! The bankcove daemon.
+
+use clap::Parser;
+
+use bankcoved::args::Args;
+use bankcoved::controller;
+
+fn main() -> miette::Result<()> {
+    let args = Args::parse();
+    controller::run(args)?;
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/membership.rs
@@ -0,0 +1,99 @@
+//! Shell around membership: the host list and the heartbeats.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::Name;
+use bankcove_core::members::{Heartbeat, HostRole, HostState, Peer};
+
+use crate::daemon::Daemon;
+use crate::table_sync;
+
+/// Takes in a heartbeat that was received or answered.
+pub fn heard(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
+    let now = daemon.clock.now();
+    daemon.members.lock().heard(now, heartbeat);
+    daemon.contact.store_heard_by_peer(now, heartbeat.store_heard_ms);
+    if heartbeat.revision > daemon.revision() {
+        let daemon = Arc::clone(daemon);
+        let address = heartbeat.address.clone();
+        tokio::spawn(async move { table_sync::fetch_from_peer(&daemon, &address).await });
+    }
+}
+
+/// Sends heartbeats until the daemon ends.
+pub async fn send_heartbeats(daemon: Arc<Daemon>) {
+    let interval = Duration::from_millis(daemon.cfg.limits.heartbeat_ms);
+    loop {
+        beat(&daemon).await;
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            () = daemon.ended.cancelled() => return,
+        }
+    }
+}
+
+/// Sends one round of heartbeats to a few peers.
+pub async fn beat(daemon: &Arc<Daemon>) {
+    let fanout = daemon.cfg.limits.heartbeat_fanout;
+    let targets = daemon.members.lock().heartbeat_targets(fanout, rand::random());
+    futures::future::join_all(targets.iter().map(|peer| beat_one(daemon, peer))).await;
+}
+
+async fn beat_one(daemon: &Arc<Daemon>, peer: &Peer) {
+    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+    let mine = daemon.heartbeat();
+    let beat = |client: crate::peer::PeerServiceClient, cx| async move {
+        client.heartbeat(cx, mine).await
+    };
+    let answer = daemon.peers.call(&peer.address, timeout, beat).await;
+    daemon.contact.heartbeat(answer.is_some());
+    match answer {
+        Some(heartbeat) => heard(daemon, &heartbeat),
+        None => daemon.members.lock().failed(&peer.name),
+    }
+}
+
+/// Reads the platform's host list until the daemon ends.
+pub async fn follow_host_list(daemon: Arc<Daemon>) {
+    let interval = Duration::from_millis(daemon.cfg.limits.host_list_ms);
+    loop {
+        read_host_list(&daemon).await;
+        tokio::select! {
+            () = tokio::time::sleep(interval) => {}
+            () = daemon.ended.cancelled() => return,
+        }
+    }
+}
+
+/// Reads the platform's host list once.
+pub async fn read_host_list(daemon: &Arc<Daemon>) {
+    let hosts = match daemon.store.hosts().await {
+        Ok(hosts) => hosts,
+        Err(e) => {
+            slog::debug!(daemon.log, "host list not read"; "error" => %e);
+            return;
+        }
+    };
+    let leaving: Vec<Name> = hosts
+        .iter()
+        .filter(|host| host.role == HostRole::Server && host.state == HostState::Leaving)
+        .map(|host| host.name.clone())
+        .collect();
+    daemon.members.lock().host_list(&hosts);
+    daemon.router.lock().listed_leaving(&leaving);
+}
+
+/// Makes the peers of the settings known, for a start without the platform.
+pub async fn greet_seed_peers(daemon: &Arc<Daemon>) {
+    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+    for address in &daemon.cfg.seed_peers {
+        let mine = daemon.heartbeat();
+        let beat = |client: crate::peer::PeerServiceClient, cx| async move {
+            client.heartbeat(cx, mine).await
+        };
+        if let Some(heartbeat) = daemon.peers.call(address, timeout, beat).await {
+            heard(daemon, &heartbeat);
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/operator.rs
@@ -0,0 +1,172 @@
+//! The operators' side: table, budgets, status, dump. Everything there needs
+//! the operators' token.
+
+use std::sync::Arc;
+
+use bankcove_core::edit::Edit;
+use bankcove_core::owner::{Reply, Request as OwnerRequest};
+use bankcove_core::shard::{Shard, shard_of_budget};
+use bankcove_core::{Name, Tokens};
+use bankcove_platform::Kind;
+use salvo::affix_state;
+use salvo::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::budgets::ask_owner;
+use crate::daemon::Daemon;
+use crate::http::daemon;
+use crate::identity::tokens_match;
+use crate::table_sync::{self, EditError};
+use crate::{admission, dump};
+
+/// Largest body that operators may send, in bytes.
+const MAX_BODY_BYTES: usize = 16 << 20;
+
+/// A top-up, as operators send it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct TopUpRequest {
+    /// Identity, so that a repeat counts once.
+    pub id: String,
+    /// Tokens to add.
+    pub tokens: Tokens,
+}
+
+/// Routes of the operators' side.
+pub fn router(daemon: Arc<Daemon>) -> Router {
+    Router::with_path("v1")
+        .hoop(affix_state::inject(daemon))
+        .hoop(check_token)
+        .push(Router::with_path("table").get(get_table))
+        .push(Router::with_path("table/edits").post(post_edit))
+        .push(Router::with_path("budgets/{name}").get(get_budget))
+        .push(Router::with_path("budgets/{name}/top-ups").post(post_top_up))
+        .push(Router::with_path("status").get(get_status))
+        .push(Router::with_path("dump").get(get_dump))
+}
+
+fn fail(res: &mut Response, status: StatusCode, code: &str, message: &str) {
+    res.status_code(status);
+    res.render(Json(json!({"error": {"code": code, "message": message}})));
+}
+
+#[handler]
+async fn check_token(
+    req: &mut Request,
+    depot: &mut Depot,
+    res: &mut Response,
+    ctrl: &mut FlowCtrl,
+) {
+    let daemon = daemon(depot);
+    let shown = admission::header(req, "authorization").and_then(|v| v.strip_prefix("Bearer "));
+    if !shown.is_some_and(|token| tokens_match(token, &daemon.cfg.operator_token)) {
+        let message = "show the operators' token as 'Authorization: Bearer TOKEN'";
+        fail(res, StatusCode::UNAUTHORIZED, "bad_token", message);
+        ctrl.skip_rest();
+    }
+}
+
+#[handler]
+async fn get_table(depot: &mut Depot, res: &mut Response) {
+    let table = daemon(depot).table.load_full();
+    res.render(Json(table.map(|table| (*table).clone()).unwrap_or_default()));
+}
+
+#[handler]
+async fn post_edit(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let daemon = daemon(depot);
+    let edit = match req.parse_json_with_max_size::<Edit>(MAX_BODY_BYTES).await {
+        Ok(edit) => edit,
+        Err(e) => {
+            let message = format!("the edit can't be read: {e}");
+            return fail(res, StatusCode::BAD_REQUEST, "bad_edit", &message);
+        }
+    };
+    match table_sync::edit(&daemon, &edit).await {
+        Ok(table) => {
+            slog::info!(daemon.log, "edit accepted"; "change" => &edit.id, "who" => &edit.who);
+            // A repeat of an old change is told the revision that it made.
+            let revision = table.change(&edit.id).map_or(table.revision, |change| change.revision);
+            res.render(Json(json!({ "revision": revision })));
+        }
+        Err(e) => render_edit_error(res, &e),
+    }
+}
+
+fn render_edit_error(res: &mut Response, e: &EditError) {
+    let message = e.to_string();
+    match e {
+        EditError::Unknown => fail(res, StatusCode::SERVICE_UNAVAILABLE, "unknown", &message),
+        EditError::Refused(bankcove_core::Error::Table(faults)) => {
+            res.status_code(StatusCode::UNPROCESSABLE_ENTITY);
+            let error = json!({"code": "faults", "message": message, "faults": faults});
+            res.render(Json(json!({ "error": error })));
+        }
+        EditError::Refused(bankcove_core::Error::RowConflict { .. }) => {
+            fail(res, StatusCode::CONFLICT, "row_conflict", &message);
+        }
+        EditError::Refused(bankcove_core::Error::RowShape { .. }) => {
+            fail(res, StatusCode::UNPROCESSABLE_ENTITY, "row_shape", &message);
+        }
+    }
+}
+
+#[handler]
+async fn get_budget(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let daemon = daemon(depot);
+    let name = Name::from(req.param::<String>("name").unwrap_or_default());
+    let Some(row) = daemon.table.load().as_ref().and_then(|table| table.budget(&name).cloned())
+    else {
+        let message = format!("no budget is named '{name}'");
+        return fail(res, StatusCode::NOT_FOUND, "no_such_budget", &message);
+    };
+    let object = format!("shard-{:02}", shard_of_budget(&name));
+    let Ok(shard) = daemon.store.read::<Shard>(Kind::Budgets, &object).await else {
+        let message = "the store does not answer";
+        return fail(res, StatusCode::SERVICE_UNAVAILABLE, "store_away", message);
+    };
+    let mut ledger = shard.map(|read| read.value).unwrap_or_default().ledger(&name).clone();
+    ledger.adopt_row(row.tokens, row.version);
+    let held = daemon.budgets.holder().accounts().get(&name).cloned().unwrap_or_default();
+    res.render(Json(json!({
+        "name": name, "total": ledger.total(), "available": ledger.available(),
+        "committed": ledger.committed(), "ledger": ledger, "held_here": held,
+    })));
+}
+
+#[handler]
+async fn post_top_up(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let daemon = daemon(depot);
+    let name = Name::from(req.param::<String>("name").unwrap_or_default());
+    let known = daemon.table.load().as_ref().is_some_and(|table| table.budget(&name).is_some());
+    if !known {
+        let message = format!("no budget is named '{name}'");
+        return fail(res, StatusCode::NOT_FOUND, "no_such_budget", &message);
+    }
+    let top_up = match req.parse_json::<TopUpRequest>().await {
+        Ok(top_up) => top_up,
+        Err(e) => {
+            let message = format!("the top-up can't be read: {e}");
+            return fail(res, StatusCode::BAD_REQUEST, "bad_top_up", &message);
+        }
+    };
+    let request = OwnerRequest::TopUp { budget: name, id: top_up.id, tokens: top_up.tokens };
+    match ask_owner(&daemon, request).await.reply {
+        Reply::Recorded => res.render(Json(json!({"recorded": true}))),
+        _ => {
+            let message = "the store does not answer; send the top-up again with the same id";
+            fail(res, StatusCode::SERVICE_UNAVAILABLE, "unknown", message);
+        }
+    }
+}
+
+#[handler]
+async fn get_status(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(dump::status(&daemon(depot))));
+}
+
+#[handler]
+async fn get_dump(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(dump::dump(&daemon(depot)).await));
+}
--- /dev/null
+++ b/crates/daemon/src/peer.rs
@@ -0,0 +1,216 @@
+//! Calls between daemons, by tarpc.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bankcove_core::bill::Bill;
+use bankcove_core::members::Heartbeat;
+use bankcove_core::owner::{Reply, Request};
+use bankcove_core::reqlog::{Entry, Outcome};
+use bankcove_core::{Incarnation, Name, Tokens};
+use futures::StreamExt;
+use parking_lot::Mutex;
+use serde::{Deserialize, Serialize};
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+
+use crate::daemon::Daemon;
+use crate::error::{Error, Result};
+use crate::{budgets, request_log};
+
+/// Largest message; a whole table fits.
+const MAX_FRAME_BYTES: usize = 32 << 20;
+
+/// An owner's answer, with the tokens that it sent along.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerAnswer {
+    /// The answer.
+    pub reply: Reply,
+    /// The owner and its cumulative sum sent to the asker, when it sent any.
+    pub sent: Option<(Incarnation, Tokens)>,
+}
+
+/// Answer to a request for unspent tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GiveAnswer {
+    /// Tokens were sent.
+    Sent {
+        /// Cumulative sum sent to the asker.
+        cumulative: Tokens,
+        /// Tokens still set aside for running attempts.
+        reserved: Tokens,
+    },
+    /// The asked incarnation does not run here any more.
+    OtherIncarnation,
+}
+
+/// What daemons ask of each other.
+#[tarpc::service]
+pub trait PeerService {
+    /// Tells of the sender and asks the same of the receiver.
+    async fn heartbeat(from: Heartbeat) -> Heartbeat;
+    /// The table in force, as JSON, when its revision is above this one.
+    async fn table_above(revision: u64) -> Option<String>;
+    /// Asks the receiver as the owner of a budget shard.
+    async fn ask_owner(request: Request) -> OwnerAnswer;
+    /// Asks `holder` for up to `most` of what it has free of a budget.
+    async fn give(
+        budget: Name,
+        holder: Incarnation,
+        receiver: Incarnation,
+        received: Tokens,
+        most: Tokens,
+    ) -> GiveAnswer;
+    /// Appends to the request log by way of the receiver.
+    async fn submit(entry: Entry) -> Outcome;
+    /// Keeps a bill until the store takes it.
+    async fn keep_bill(bill: Bill);
+}
+
+/// Connections to peers, made when needed.
+#[derive(Debug, Default)]
+pub struct PeerPool {
+    clients: Mutex<HashMap<String, PeerServiceClient>>,
+}
+
+impl PeerPool {
+    /// A client of the peer at this address.
+    ///
+    /// # Errors
+    /// When it can't be connected to within `timeout`.
+    pub async fn client(
+        &self,
+        address: &str,
+        timeout: Duration,
+    ) -> std::io::Result<PeerServiceClient> {
+        if let Some(client) = self.clients.lock().get(address) {
+            return Ok(client.clone());
+        }
+        let mut connect =
+            tarpc::serde_transport::tcp::connect(address.to_owned(), Bincode::default);
+        connect.config_mut().max_frame_length(MAX_FRAME_BYTES);
+        let transport = tokio::time::timeout(timeout, connect).await??;
+        let client = PeerServiceClient::new(tarpc::client::Config::default(), transport).spawn();
+        self.clients.lock().insert(address.to_owned(), client.clone());
+        Ok(client)
+    }
+
+    /// Calls the peer at this address; none when it does not answer in time.
+    pub async fn call<T, F>(
+        &self,
+        address: &str,
+        timeout: Duration,
+        call: impl FnOnce(PeerServiceClient, Context) -> F,
+    ) -> Option<T>
+    where
+        F: Future<Output = Result<T, RpcError>>,
+    {
+        let client = self.client(address, timeout).await.ok()?;
+        let mut cx = tarpc::context::current();
+        cx.deadline = Instant::now() + timeout;
+        let answer = tokio::time::timeout(timeout, call(client, cx)).await;
+        match answer {
+            Ok(Ok(answer)) => Some(answer),
+            Ok(Err(RpcError::DeadlineExceeded)) | Err(_) => None,
+            Ok(Err(_)) => {
+                self.clients.lock().remove(address);
+                None
+            }
+        }
+    }
+
+    /// How many connections are kept.
+    pub fn len(&self) -> usize {
+        self.clients.lock().len()
+    }
+
+    /// Whether no connection is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+#[derive(Clone)]
+struct Server {
+    daemon: Arc<Daemon>,
+}
+
+impl PeerService for Server {
+    async fn heartbeat(self, _: Context, from: Heartbeat) -> Heartbeat {
+        crate::membership::heard(&self.daemon, &from);
+        self.daemon.heartbeat()
+    }
+
+    async fn table_above(self, _: Context, revision: u64) -> Option<String> {
+        let table = self.daemon.table.load_full()?;
+        if table.revision <= revision {
+            return None;
+        }
+        serde_json::to_string(&*table).ok()
+    }
+
+    async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
+        budgets::ask_local_owner(&self.daemon, request).await
+    }
+
+    async fn give(
+        self,
+        _: Context,
+        budget: Name,
+        holder: Incarnation,
+        receiver: Incarnation,
+        received: Tokens,
+        most: Tokens,
+    ) -> GiveAnswer {
+        if holder != self.daemon.incarnation {
+            return GiveAnswer::OtherIncarnation;
+        }
+        self.daemon.budgets.give(&budget, receiver, received, most)
+    }
+
+    async fn submit(self, _: Context, entry: Entry) -> Outcome {
+        request_log::submit_here(&self.daemon, entry).await
+    }
+
+    async fn keep_bill(self, _: Context, bill: Bill) {
+        self.daemon.billing.keep(Entry::Bill(bill));
+    }
+}
+
+/// Serves peers until the daemon ends.
+///
+/// # Errors
+/// [`Error::Listen`] when the port can't be listened on.
+pub async fn serve(daemon: Arc<Daemon>) -> Result<()> {
+    let address = daemon.cfg.peer_listen.clone();
+    let listening = tarpc::serde_transport::tcp::listen(address.clone(), Bincode::default).await;
+    let mut listener = listening.map_err(|source| Error::Listen { address, source })?;
+    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    tokio::spawn(async move {
+        let ended = daemon.ended.clone();
+        let accept = listener.filter_map(|transport| async { transport.ok() });
+        let accept = accept.for_each(|transport| {
+            let server = Server { daemon: Arc::clone(&daemon) };
+            let ended = daemon.ended.clone();
+            let channel = BaseChannel::with_defaults(transport);
+            tokio::spawn(async move {
+                let requests = channel.execute(server.serve()).for_each(|response| async {
+                    tokio::spawn(response);
+                });
+                tokio::select! {
+                    () = requests => {}
+                    () = ended.cancelled() => {}
+                }
+            });
+            async {}
+        });
+        tokio::select! {
+            () = accept => {}
+            () = ended.cancelled() => {}
+        }
+    });
+    Ok(())
+}
--- /dev/null
+++ b/crates/daemon/src/placement.rs
@@ -0,0 +1,159 @@
+//! Dispatch of an admitted attempt: chooses a server, and another one for as
+//! long as it is proved that nothing ran.
+
+use std::sync::Arc;
+
+use bankcove_core::lifecycle::{Admitted, Attempt, Dispatched};
+use bankcove_core::reqlog::Entry;
+use bankcove_core::router::{Choice, NoServer, Wanted};
+use bankcove_core::table::ServerKind;
+use bankcove_core::{Name, RequestHash};
+use reqwest::Response;
+use salvo::http::StatusCode;
+
+use crate::answer::Problem;
+use crate::backend::{self, DispatchError, Outgoing};
+use crate::daemon::Daemon;
+
+/// When to come back when no server is usable.
+const RETRY_NO_SERVER_MS: u64 = 1_000;
+
+/// When to come back after an unknown outcome.
+const RETRY_UNKNOWN_MS: u64 = 500;
+
+/// An attempt that a server has begun to answer.
+pub struct Placed {
+    /// The attempt.
+    pub attempt: Attempt<Dispatched>,
+    /// The server.
+    pub choice: Choice,
+    /// The beginning of its answer.
+    pub res: Response,
+    /// Ends the server's count of open requests.
+    pub open: OpenRequest,
+}
+
+/// A request that is open at a server; dropping it counts it as ended.
+pub struct OpenRequest {
+    daemon: Arc<Daemon>,
+    server: Name,
+    well: bool,
+}
+
+impl OpenRequest {
+    fn new(daemon: &Arc<Daemon>, server: &Name) -> Self {
+        daemon.router.lock().sent(server);
+        OpenRequest { daemon: Arc::clone(daemon), server: server.clone(), well: true }
+    }
+
+    /// The server has failed this request.
+    pub fn failed(&mut self) {
+        self.well = false;
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        let now = self.daemon.clock.now();
+        self.daemon.router.lock().ended(now, &self.server, self.well);
+    }
+}
+
+/// What a request needs of a server.
+pub struct Need<'a> {
+    /// The router's pool.
+    pub pool: &'a str,
+    /// Hash of the prompt's prefix.
+    pub prefix: u64,
+    /// What kind of server it is.
+    pub kind: ServerKind,
+    /// The request.
+    pub request: RequestHash,
+    /// Whether a claim has to be given up when nothing ran.
+    pub claimed: bool,
+}
+
+/// Chooses a server for a request.
+///
+/// # Errors
+/// [`NoServer`] when none is to be had.
+pub fn choose(daemon: &Daemon, need: &Need, tried: &[Name]) -> Result<Choice, NoServer> {
+    let wanted = Wanted {
+        pool: need.pool,
+        prefix: need.prefix,
+        hour: daemon.clock.hour(),
+        seed: rand::random(),
+        tried,
+    };
+    daemon.router.lock().choose(daemon.clock.now(), &wanted)
+}
+
+/// Dispatches an attempt.
+///
+/// # Errors
+/// The answer for the caller when no server has begun to answer.
+pub async fn place(
+    daemon: &Arc<Daemon>,
+    mut attempt: Attempt<Admitted>,
+    need: &Need<'_>,
+    outgoing: &Outgoing,
+) -> Result<Placed, Problem> {
+    let mut tried = Vec::new();
+    while tried.len() < daemon.cfg.limits.max_tries {
+        let Ok(choice) = choose(daemon, need, &tried) else { break };
+        if !may_use(daemon, &choice.server) {
+            tried.push(choice.server);
+            continue;
+        }
+        let mut open = OpenRequest::new(daemon, &choice.server);
+        let dispatched = attempt.dispatch();
+        match backend::dispatch(daemon, &choice, outgoing.clone(), need.kind).await {
+            Ok(res) => return Ok(Placed { attempt: dispatched, choice, res, open }),
+            Err(DispatchError::NothingRan { proof, leaving }) => {
+                open.failed();
+                if leaving {
+                    daemon.router.lock().said_leaving(daemon.clock.now(), &choice.server);
+                }
+                attempt = dispatched.back_out(proof);
+                tried.push(choice.server);
+            }
+            Err(DispatchError::Unknown) => {
+                open.failed();
+                return Err(lost(daemon, dispatched, &choice));
+            }
+        }
+    }
+    Err(nowhere(daemon, attempt, need))
+}
+
+/// Whether new work may go to this server now, given what this daemon can
+/// know of drains.
+fn may_use(daemon: &Daemon, server: &Name) -> bool {
+    let now = daemon.clock.now();
+    if !daemon.contact.is_isolated(now, daemon.cfg.limits.isolation_ms) {
+        return true;
+    }
+    let table = daemon.table.load();
+    let row = table.as_ref().and_then(|table| table.server(server));
+    row.is_some_and(|row| row.checks_orders)
+}
+
+/// The request may have run: its whole reservation counts as spent.
+fn lost(daemon: &Daemon, attempt: Attempt<Dispatched>, choice: &Choice) -> Problem {
+    let _finished = attempt.finish(&mut daemon.budgets.holder(), None);
+    daemon.metrics.count("request.unknown");
+    let message = format!("server '{}' broke off before its answer began", choice.server);
+    Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
+}
+
+fn nowhere(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>) -> Problem {
+    let id = attempt.id;
+    let not_run = attempt.not_run(&mut daemon.budgets.holder());
+    if need.claimed {
+        daemon.billing.keep(Entry::Release { request: need.request, attempt: id });
+    }
+    daemon.metrics.count("refused.no_server");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let message = "no backend server takes the request now";
+    Problem::not_run(&not_run, status, "no_server", message).retry_after(RETRY_NO_SERVER_MS)
+}
--- /dev/null
+++ b/crates/daemon/src/pump.rs
@@ -0,0 +1,334 @@
+//! Carries an answer from a backend server to its caller, then accounts for it.
+//!
+//! The end of an answer is held back until its bill is safe. A stream that
+//! breaks is resumed at the same server; a caller that goes away cancels its
+//! run and is billed for what ran.
+
+use std::sync::Arc;
+
+use bankcove_core::bill::Bill;
+use bankcove_core::lifecycle::{Attempt, Dispatched};
+use bankcove_core::stream::{Sequence, Verdict};
+use bankcove_core::{Name, Tokens};
+use bytes::Bytes;
+use reqwest::Response;
+use serde::Deserialize;
+use slog::Logger;
+use tokio::sync::{mpsc, oneshot};
+use tokio::time::Instant;
+
+use crate::answer::Problem;
+use crate::backend;
+use crate::billing::{self, Billed};
+use crate::chat::Answer;
+use crate::daemon::Daemon;
+use crate::placement::Placed;
+use crate::sse::{Event, Piece, Splitter, Usage};
+
+/// Text that ends a stream.
+const END: &[u8] = b"data: [DONE]\n\n";
+
+/// Tries to resume a stream without any new piece between them.
+const RESUME_TRIES: u32 = 3;
+
+/// When to come back after an unknown outcome.
+const RETRY_UNKNOWN_MS: u64 = 500;
+
+/// A run at an engine.
+pub struct Run {
+    /// The attempt's logger.
+    pub log: Logger,
+    /// The budget that pays.
+    pub budget: Name,
+    /// The model.
+    pub model: String,
+    /// Name of the run.
+    pub run_id: String,
+    /// Output limit.
+    pub max_tokens: Tokens,
+    /// Whether the caller wants pieces.
+    pub stream: bool,
+    /// Where it runs.
+    pub placed: Placed,
+}
+
+/// What remains to be accounted for once the answer has been carried.
+struct Account {
+    log: Logger,
+    budget: Name,
+    attempt: Attempt<Dispatched>,
+    /// Whether the run was begun, and so paid for, by another attempt.
+    attached: bool,
+}
+
+/// How the carrying of a stream ended.
+enum Ending {
+    /// The last piece has come.
+    Last(Usage, Bytes),
+    /// The run was cancelled by another attempt.
+    Cancelled,
+    /// The caller has gone.
+    CallerGone,
+    /// The deadline has passed.
+    Late,
+    /// The server has broken off and can't be resumed, or does not keep to
+    /// its own protocol.
+    ServerLost,
+}
+
+#[derive(Deserialize)]
+struct WholeAnswer {
+    id: String,
+    usage: Usage,
+    #[serde(default)]
+    choices: Vec<crate::sse::Choice>,
+}
+
+fn is_attached(res: &Response) -> bool {
+    res.headers().get("x-run").is_some_and(|value| value == "attached")
+}
+
+/// Carries a stream to its caller.
+pub async fn stream(
+    daemon: &Arc<Daemon>,
+    run: Run,
+    pieces: mpsc::Sender<Bytes>,
+    deadline: Instant,
+) {
+    let Run { log, budget, model, run_id, max_tokens, placed, .. } = run;
+    let Placed { attempt, choice, res, mut open } = placed;
+    let account = Account { log, budget, attempt, attached: is_attached(&res) };
+    let mut carrier = Carrier {
+        daemon,
+        log: &account.log,
+        choice: &choice,
+        model: &model,
+        run_id: &run_id,
+        max_tokens,
+        sequence: Sequence::new(run_id.clone()),
+        pieces: &pieces,
+    };
+    let ending = tokio::select! {
+        ending = carrier.carry(res) => ending,
+        () = tokio::time::sleep_until(deadline) => Ending::Late,
+    };
+    match ending {
+        Ending::Last(usage, last) => {
+            settle_and_bill(daemon, account, usage).await;
+            // A caller that went away only now has been billed for a whole run.
+            let _gone = pieces.send(last).await;
+            let _gone = pieces.send(Bytes::from_static(END)).await;
+        }
+        Ending::CallerGone => cancel_and_bill(daemon, account, &choice, &run_id).await,
+        Ending::Late => {
+            cancel_and_bill(daemon, account, &choice, &run_id).await;
+            let problem = Problem::unknown("deadline", "the route's deadline has passed");
+            send_problem(&pieces, &problem).await;
+        }
+        Ending::Cancelled | Ending::ServerLost => {
+            open.failed();
+            give_up(daemon, account);
+            send_problem(&pieces, &server_lost()).await;
+        }
+    }
+    drop(open);
+}
+
+async fn send_problem(pieces: &mpsc::Sender<Bytes>, problem: &Problem) {
+    let event = Bytes::from(format!("data: {}\n\n", problem.body()));
+    // A caller that went away needs no answer.
+    let _gone = pieces.send(event).await;
+}
+
+fn server_lost() -> Problem {
+    let message = "the server broke off; retry with the same idempotency key";
+    Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
+}
+
+/// Carries a whole answer to its caller.
+pub async fn whole(
+    daemon: &Arc<Daemon>,
+    run: Run,
+    mut tx: oneshot::Sender<Result<Answer, Problem>>,
+    deadline: Instant,
+) {
+    let Run { log, budget, run_id, placed, .. } = run;
+    let Placed { attempt, choice, res, mut open } = placed;
+    let account = Account { log, budget, attempt, attached: is_attached(&res) };
+    let body = tokio::select! {
+        body = res.bytes() => body.ok(),
+        () = tx.closed() => return cancel_and_bill(daemon, account, &choice, &run_id).await,
+        () = tokio::time::sleep_until(deadline) => {
+            cancel_and_bill(daemon, account, &choice, &run_id).await;
+            let problem = Problem::unknown("deadline", "the route's deadline has passed");
+            // A caller that went away needs no answer.
+            let _gone = tx.send(Err(problem));
+            return;
+        }
+    };
+    let answer = body.as_ref().and_then(|body| serde_json::from_slice::<WholeAnswer>(body).ok());
+    let cancelled = |answer: &WholeAnswer| {
+        answer.choices.iter().any(|choice| choice.finish_reason.as_deref() == Some("cancelled"))
+    };
+    match (answer, body) {
+        (Some(answer), Some(body)) if answer.id == run_id && !cancelled(&answer) => {
+            settle_and_bill(daemon, account, answer.usage).await;
+            // A caller that went away only now has been billed for a whole run.
+            let _gone = tx.send(Ok(Answer::Whole(body)));
+        }
+        _ => {
+            open.failed();
+            give_up(daemon, account);
+            // A caller that went away needs no answer.
+            let _gone = tx.send(Err(server_lost()));
+        }
+    }
+}
+
+struct Carrier<'a> {
+    daemon: &'a Arc<Daemon>,
+    log: &'a Logger,
+    choice: &'a bankcove_core::router::Choice,
+    model: &'a str,
+    run_id: &'a str,
+    max_tokens: Tokens,
+    sequence: Sequence,
+    pieces: &'a mpsc::Sender<Bytes>,
+}
+
+/// What became of one event.
+enum Step {
+    GoOn,
+    Resume,
+    End(Ending),
+}
+
+impl Carrier<'_> {
+    async fn carry(&mut self, first: Response) -> Ending {
+        let mut res = Some(first);
+        let mut tries = 0;
+        loop {
+            let before = self.sequence.next();
+            if let Some(res) = res.take()
+                && let Some(ending) = self.carry_connection(res).await
+            {
+                return ending;
+            }
+            tries = if self.sequence.next() > before { 1 } else { tries + 1 };
+            if tries > RESUME_TRIES {
+                return Ending::ServerLost;
+            }
+            slog::info!(self.log, "stream resumed"; "offset" => self.sequence.next());
+            let offset = self.sequence.next();
+            res = backend::resume(self.daemon, self.choice, self.run_id, self.model, offset).await;
+        }
+    }
+
+    /// Carries one connection; none when the stream has to be resumed.
+    async fn carry_connection(&mut self, mut res: Response) -> Option<Ending> {
+        let mut splitter = Splitter::default();
+        loop {
+            let chunk = tokio::select! {
+                chunk = res.chunk() => chunk,
+                () = self.pieces.closed() => return Some(Ending::CallerGone),
+            };
+            let Ok(Some(chunk)) = chunk else { return None };
+            splitter.push(&chunk);
+            while let Some(event) = splitter.next_event() {
+                match self.take(event).await {
+                    Step::GoOn => {}
+                    Step::Resume => return None,
+                    Step::End(ending) => return Some(ending),
+                }
+            }
+        }
+    }
+
+    async fn take(&mut self, event: Event) -> Step {
+        let (piece, raw) = match event {
+            Event::Piece(piece, raw) => (piece, raw),
+            // The last piece comes before the end mark and has ended the loop.
+            Event::End | Event::Unreadable => return Step::Resume,
+        };
+        let offset = piece.offset.unwrap_or(self.sequence.next());
+        match self.sequence.accept(&piece.id, offset) {
+            Verdict::Deliver => self.deliver(&piece, raw).await,
+            Verdict::Repeat => Step::GoOn,
+            Verdict::Gap => Step::Resume,
+            Verdict::Foreign => {
+                slog::warn!(self.log, "foreign piece dropped"; "offset" => offset);
+                Step::GoOn
+            }
+        }
+    }
+
+    async fn deliver(&mut self, piece: &Piece, raw: Bytes) -> Step {
+        if piece.is_cancelled() {
+            return Step::End(Ending::Cancelled);
+        }
+        if piece.is_last() {
+            let Some(usage) = piece.usage else { return Step::End(Ending::ServerLost) };
+            return Step::End(Ending::Last(usage, raw));
+        }
+        if self.sequence.next() > self.max_tokens {
+            // More than was asked for, and more than is paid for.
+            return Step::End(Ending::ServerLost);
+        }
+        match self.pieces.send(raw).await {
+            Ok(()) => Step::GoOn,
+            Err(_) => Step::End(Ending::CallerGone),
+        }
+    }
+}
+
+/// Settles the reservation, then has the request billed.
+async fn settle_and_bill(daemon: &Arc<Daemon>, account: Account, usage: Usage) {
+    let tokens = usage.prompt_tokens + usage.completion_tokens;
+    // A run that another attempt began is paid for by that attempt's grant.
+    let spent = if account.attached { 0 } else { tokens };
+    let request = account.attempt.request;
+    let attempt = account.attempt.id;
+    if tokens > account.attempt.limit() {
+        slog::error!(account.log, "the engine says more than the limit"; "tokens" => tokens);
+    }
+    let _finished = account.attempt.finish(&mut daemon.budgets.holder(), Some(spent));
+    let bill = Bill {
+        request,
+        attempt,
+        budget: account.budget,
+        prompt_tokens: usage.prompt_tokens,
+        output_tokens: usage.completion_tokens,
+    };
+    let billed = billing::bill(daemon, bill).await;
+    if billed == Billed::Repeat {
+        daemon.metrics.count("bill.repeat");
+    }
+    daemon.metrics.count("request.done");
+    slog::info!(account.log, "done"; "tokens" => tokens, "bill" => ?billed);
+}
+
+/// Ends a run that nobody waits for, and bills what ran.
+async fn cancel_and_bill(
+    daemon: &Arc<Daemon>,
+    account: Account,
+    choice: &bankcove_core::router::Choice,
+    run_id: &str,
+) {
+    daemon.metrics.count("request.cancelled");
+    match backend::cancel(daemon, choice, run_id).await {
+        Some(run) => {
+            let usage =
+                Usage { prompt_tokens: run.prompt_tokens, completion_tokens: run.output_tokens };
+            settle_and_bill(daemon, account, usage).await;
+        }
+        None => give_up(daemon, account),
+    }
+}
+
+/// What ran is not known: the whole reservation counts as spent.
+fn give_up(daemon: &Arc<Daemon>, account: Account) {
+    daemon.metrics.count("request.unknown");
+    slog::warn!(account.log, "outcome unknown");
+    let used = account.attached.then_some(0);
+    let _finished = account.attempt.finish(&mut daemon.budgets.holder(), used);
+}
--- /dev/null
+++ b/crates/daemon/src/request_log.rs
@@ -0,0 +1,220 @@
+//! Shell around the request log: claims and bills on their way to the store.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Weak};
+use std::time::Duration;
+
+use bankcove_core::Millis;
+use bankcove_core::reqlog::{Command, Entry, Event, Outcome, RequestLog, Segment};
+use bankcove_platform::{Kind, WriteOutcome, segment_name};
+use parking_lot::Mutex;
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::daemon::Daemon;
+
+/// Owners that are tried before this daemon appends itself.
+const OWNERS_TRIED: usize = 1;
+
+/// Mixed into the shard's number, so that budget shards and log shards do not
+/// share owners.
+const OWNER_KEY: u64 = 0x6c6f_6700_0000_0000;
+
+enum Mail {
+    Submitted(Entry, oneshot::Sender<Outcome>),
+    Event(Event),
+    Dump(oneshot::Sender<LogDump>),
+}
+
+/// What a log shard tells of itself.
+#[derive(Debug, Clone, Copy, Serialize)]
+pub struct LogDump {
+    /// Requests remembered.
+    pub remembered: usize,
+    /// Entries that wait.
+    pub waiting: usize,
+    /// Appends tried.
+    pub appends: u64,
+    /// Segments read.
+    pub reads: u64,
+}
+
+/// The log shards that this daemon has appended to.
+#[derive(Debug, Default)]
+pub struct RequestLogs {
+    shards: Mutex<HashMap<u32, mpsc::UnboundedSender<Mail>>>,
+}
+
+impl RequestLogs {
+    /// What the log shards tell of themselves.
+    pub async fn dump(&self) -> HashMap<u32, LogDump> {
+        let shards: Vec<_> = self.shards.lock().iter().map(|(n, tx)| (*n, tx.clone())).collect();
+        let mut dumps = HashMap::new();
+        for (shard, log) in shards {
+            let (tx, rx) = oneshot::channel();
+            if log.send(Mail::Dump(tx)).is_ok()
+                && let Ok(dump) = rx.await
+            {
+                dumps.insert(shard, dump);
+            }
+        }
+        dumps
+    }
+}
+
+/// Appends an entry by way of the shard's owner, else by this daemon itself.
+/// Submitting an entry twice does no harm: the log tells what it came to.
+pub async fn submit(daemon: &Arc<Daemon>, entry: Entry) -> Outcome {
+    let owners = daemon.members.lock().owners(OWNER_KEY + u64::from(entry.shard()), OWNERS_TRIED);
+    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+    for owner in owners {
+        let Some(owner) = owner else { break };
+        let sent = entry.clone();
+        let ask = |client: crate::peer::PeerServiceClient, cx| async move {
+            client.submit(cx, sent).await
+        };
+        match daemon.peers.call(&owner.address, timeout, ask).await {
+            // The owner may be cut off from the store alone.
+            Some(Outcome::StoreAway) => {}
+            Some(outcome) => return outcome,
+            None => daemon.members.lock().failed(&owner.name),
+        }
+    }
+    submit_here(daemon, entry).await
+}
+
+/// Appends an entry by this daemon itself.
+pub async fn submit_here(daemon: &Arc<Daemon>, entry: Entry) -> Outcome {
+    let (tx, rx) = oneshot::channel();
+    let log = local_log(daemon, entry.shard());
+    if log.send(Mail::Submitted(entry, tx)).is_err() {
+        return Outcome::StoreAway;
+    }
+    rx.await.unwrap_or(Outcome::StoreAway)
+}
+
+fn local_log(daemon: &Arc<Daemon>, shard: u32) -> mpsc::UnboundedSender<Mail> {
+    let mut shards = daemon.requests.shards.lock();
+    let log = shards.entry(shard).or_insert_with(|| {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let task = LogTask {
+            shard,
+            daemon: Arc::downgrade(daemon),
+            tx: tx.downgrade(),
+            tickets: HashMap::new(),
+            next_ticket: 0,
+        };
+        tokio::spawn(task.run(RequestLog::new(daemon.cfg.limits.log_append_ms), rx));
+        tx
+    });
+    log.clone()
+}
+
+/// The task of one log shard; it ends when its channel is closed.
+struct LogTask {
+    shard: u32,
+    daemon: Weak<Daemon>,
+    tx: mpsc::WeakUnboundedSender<Mail>,
+    tickets: HashMap<u64, oneshot::Sender<Outcome>>,
+    next_ticket: u64,
+}
+
+impl LogTask {
+    async fn run(mut self, mut machine: RequestLog, mut rx: mpsc::UnboundedReceiver<Mail>) {
+        while let Some(mail) = rx.recv().await {
+            let Some(daemon) = self.daemon.upgrade() else { return };
+            let event = match mail {
+                Mail::Event(event) => event,
+                Mail::Submitted(entry, reply) => {
+                    self.next_ticket += 1;
+                    self.tickets.insert(self.next_ticket, reply);
+                    Event::Submitted(self.next_ticket, entry)
+                }
+                Mail::Dump(reply) => {
+                    let dump = LogDump {
+                        remembered: machine.remembered(),
+                        waiting: machine.waiting(),
+                        appends: machine.appends(),
+                        reads: machine.reads(),
+                    };
+                    // Whoever asked may have gone away.
+                    let _gone = reply.send(dump);
+                    continue;
+                }
+            };
+            let commands = machine.handle(daemon.clock.unix_ms(), event);
+            self.carry_out(&daemon, commands);
+        }
+    }
+
+    fn carry_out(&mut self, daemon: &Arc<Daemon>, commands: Vec<Command>) {
+        let mut wake_at: Option<Millis> = None;
+        for command in commands {
+            match command {
+                Command::FindNewest => self.later(find_newest(Arc::clone(daemon), self.shard)),
+                Command::Read(number) => self.later(read(Arc::clone(daemon), self.shard, number)),
+                Command::Append(number, segment) => {
+                    self.later(append(Arc::clone(daemon), self.shard, number, segment));
+                }
+                Command::Answer(ticket, outcome) => {
+                    if let Some(tx) = self.tickets.remove(&ticket) {
+                        // Whoever asked may have gone away and can ask again.
+                        let _gone = tx.send(outcome);
+                    }
+                }
+                Command::WakeAt(at) => {
+                    wake_at = Some(wake_at.map_or(at, |earlier| earlier.min(at)));
+                }
+            }
+        }
+        if let Some(at) = wake_at {
+            let wait = Duration::from_millis(at.saturating_sub(daemon.clock.unix_ms()));
+            self.later(async move {
+                tokio::time::sleep(wait).await;
+                Event::Tick
+            });
+        }
+    }
+
+    /// Sends the event that `work` ends in, unless the channel is closed then.
+    fn later(&self, work: impl Future<Output = Event> + Send + 'static) {
+        let tx = self.tx.clone();
+        tokio::spawn(async move {
+            let event = work.await;
+            if let Some(tx) = tx.upgrade() {
+                // A closed channel has ended the task that would read this.
+                let _closed = tx.send(Mail::Event(event));
+            }
+        });
+    }
+}
+
+async fn find_newest(daemon: Arc<Daemon>, shard: u32) -> Event {
+    match daemon.store.last_name(Kind::RequestLog(shard)).await {
+        Ok(name) => Event::Newest(name.and_then(|name| name.parse().ok())),
+        Err(e) => away(&daemon, shard, &e),
+    }
+}
+
+async fn read(daemon: Arc<Daemon>, shard: u32, number: u64) -> Event {
+    let name = segment_name(number);
+    match daemon.store.read::<Segment>(Kind::RequestLog(shard), &name).await {
+        Ok(read) => Event::SegmentRead(number, read.map(|read| read.value)),
+        Err(e) => away(&daemon, shard, &e),
+    }
+}
+
+async fn append(daemon: Arc<Daemon>, shard: u32, number: u64, segment: Segment) -> Event {
+    let name = segment_name(number);
+    match daemon.store.write(Kind::RequestLog(shard), &name, 0, &segment).await {
+        WriteOutcome::Written(_) => Event::Appended,
+        WriteOutcome::Conflict => Event::Conflict,
+        WriteOutcome::Ambiguous => Event::Ambiguous,
+        WriteOutcome::NotSent => Event::StoreAway,
+    }
+}
+
+fn away(daemon: &Daemon, shard: u32, e: &bankcove_platform::Error) -> Event {
+    slog::warn!(daemon.log, "log shard not read"; "shard" => shard, "error" => %e);
+    Event::StoreAway
+}
--- /dev/null
+++ b/crates/daemon/src/table_sync.rs
@@ -0,0 +1,119 @@
+//! The table in force: watched in the store, fetched from peers, never older.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::edit::{Edit, apply};
+use bankcove_core::table::Table;
+use bankcove_platform::{Kind, WriteOutcome};
+
+use crate::daemon::Daemon;
+
+/// Name of the one object that holds the table.
+pub const TABLE_NAME: &str = "main";
+
+/// Longest watch of the table.
+const WATCH: Duration = Duration::from_secs(2);
+
+/// Pause after the store did not answer.
+const STORE_PAUSE: Duration = Duration::from_millis(300);
+
+/// Tries of an edit against racing ones and lost answers.
+const EDIT_TRIES: usize = 8;
+
+/// Why an edit was not accepted.
+#[derive(Debug, thiserror::Error)]
+pub enum EditError {
+    /// The edit itself is at fault.
+    #[error(transparent)]
+    Refused(#[from] bankcove_core::Error),
+    /// The store does not answer; the edit may or may not be accepted.
+    #[error(
+        "the store does not answer, so it is not known whether the edit was accepted; send it again with the same change id"
+    )]
+    Unknown,
+}
+
+/// Puts a table in force, if it is newer than the one in force.
+pub fn adopt(daemon: &Arc<Daemon>, table: Table) {
+    {
+        // The router's lock orders adoptions, so that none goes back.
+        let mut router = daemon.router.lock();
+        if table.revision <= daemon.revision() {
+            return;
+        }
+        router.adopt(&table);
+        slog::info!(daemon.log, "table adopted"; "revision" => table.revision);
+        daemon.table.store(Some(Arc::new(table)));
+    }
+    daemon.metrics.count("table.adopted");
+    let daemon = Arc::clone(daemon);
+    // Others hear of the new revision at once, not at the next heartbeat.
+    tokio::spawn(async move { crate::membership::beat(&daemon).await });
+}
+
+/// Watches the table in the store until the daemon ends.
+pub async fn watch(daemon: Arc<Daemon>) {
+    let mut version = 0;
+    loop {
+        let watched = tokio::select! {
+            watched = daemon.store.watch::<Table>(Kind::Table, TABLE_NAME, version, WATCH) => watched,
+            () = daemon.ended.cancelled() => return,
+        };
+        match watched {
+            Ok(read) => {
+                daemon.contact.store_heard(daemon.clock.now());
+                if let Some(read) = read {
+                    version = read.version;
+                    adopt(&daemon, read.value);
+                }
+            }
+            Err(e) => {
+                slog::debug!(daemon.log, "table not watched"; "error" => %e);
+                tokio::time::sleep(STORE_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Fetches the table from a peer that has a newer one.
+pub async fn fetch_from_peer(daemon: &Arc<Daemon>, address: &str) {
+    let revision = daemon.revision();
+    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+    let fetch = |client: crate::peer::PeerServiceClient, cx| async move {
+        client.table_above(cx, revision).await
+    };
+    let Some(Some(text)) = daemon.peers.call(address, timeout, fetch).await else { return };
+    match serde_json::from_str(&text) {
+        Ok(table) => adopt(daemon, table),
+        Err(e) => slog::warn!(daemon.log, "a peer's table can't be read"; "error" => %e),
+    }
+}
+
+/// Accepts an edit: it is in the store when this returns.
+///
+/// # Errors
+/// [`EditError`] tells whether the edit is at fault or its fate not known.
+pub async fn edit(daemon: &Arc<Daemon>, edit: &Edit) -> Result<Arc<Table>, EditError> {
+    for _ in 0..EDIT_TRIES {
+        let Ok(read) = daemon.store.read::<Table>(Kind::Table, TABLE_NAME).await else {
+            return Err(EditError::Unknown);
+        };
+        let (version, table) = read.map_or((0, Table::default()), |r| (r.version, r.value));
+        if table.change(&edit.id).is_some() {
+            adopt(daemon, table.clone());
+            return Ok(Arc::new(table));
+        }
+        let next = apply(&table, edit, daemon.clock.unix_ms() / 1000)?;
+        match daemon.store.write(Kind::Table, TABLE_NAME, version, &next).await {
+            WriteOutcome::Written(_) => {
+                adopt(daemon, next.clone());
+                return Ok(Arc::new(next));
+            }
+            // Read again: the object tells whether this edit is in it.
+            WriteOutcome::Conflict | WriteOutcome::Ambiguous => {}
+            WriteOutcome::NotSent => return Err(EditError::Unknown),
+        }
+    }
+    Err(EditError::Unknown)
+}
--- /dev/null
+++ b/crates/proofs/src/caller.rs
@@ -0,0 +1,256 @@
+//! Callers: they send requests, and write down what they were told.
+
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+use crate::table::{KEY, MODEL};
+
+/// What became of one attempt, as its caller saw it.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Told {
+    /// The whole answer.
+    Done {
+        /// The text.
+        text: String,
+        /// Tokens generated, as the answer says.
+        output_tokens: u64,
+    },
+    /// It ran nowhere.
+    NotRun {
+        /// The machine-readable code.
+        code: String,
+        /// When to come back.
+        retry_after_ms: Option<u64>,
+    },
+    /// It may have run.
+    Unknown {
+        /// The machine-readable code, or what the connection did.
+        code: String,
+    },
+}
+
+/// One attempt of a caller.
+#[derive(Debug, Clone)]
+pub struct Attempt {
+    /// The idempotency key.
+    pub key: String,
+    /// The daemon's name for the attempt.
+    pub attempt: Option<String>,
+    /// The run that the answer came from.
+    pub run: Option<String>,
+    /// What the caller was told.
+    pub told: Told,
+}
+
+/// A chat request.
+#[derive(Debug, Clone)]
+pub struct Ask {
+    /// The idempotency key.
+    pub key: String,
+    /// The prompt.
+    pub prompt: String,
+    /// Output limit.
+    pub max_tokens: u64,
+    /// Whether to ask for a stream.
+    pub stream: bool,
+    /// Whether it may run only once.
+    pub once: bool,
+    /// How long the caller waits.
+    pub patience: Duration,
+}
+
+impl Ask {
+    /// A streamed request with this key.
+    pub fn new(key: impl Into<String>) -> Self {
+        let key = key.into();
+        Ask {
+            prompt: format!("summarise shift {key}"),
+            key,
+            max_tokens: 8,
+            stream: true,
+            once: false,
+            patience: Duration::from_secs(20),
+        }
+    }
+
+    /// Asks for this many tokens.
+    #[must_use]
+    pub fn max_tokens(mut self, tokens: u64) -> Self {
+        self.max_tokens = tokens;
+        self
+    }
+
+    /// Asks for the whole answer at once.
+    #[must_use]
+    pub fn whole(mut self) -> Self {
+        self.stream = false;
+        self
+    }
+
+    /// Marks the request as not repeatable.
+    #[must_use]
+    pub fn once(mut self) -> Self {
+        self.once = true;
+        self
+    }
+
+    /// Waits this long for the whole answer.
+    #[must_use]
+    pub fn patience(mut self, patience: Duration) -> Self {
+        self.patience = patience;
+        self
+    }
+}
+
+/// Sends requests to daemons.
+#[derive(Debug, Clone)]
+pub struct Caller {
+    http: reqwest::Client,
+}
+
+impl Default for Caller {
+    fn default() -> Self {
+        let http = reqwest::Client::builder().no_proxy().build();
+        Caller { http: http.expect("an HTTP client without TLS needs nothing from the machine") }
+    }
+}
+
+impl Caller {
+    /// Sends a chat request to the daemon at this address.
+    pub async fn ask(&self, daemon: &str, ask: &Ask) -> Attempt {
+        let mut body = json!({
+            "model": MODEL, "max_tokens": ask.max_tokens, "stream": ask.stream,
+            "messages": [{"role": "user", "content": ask.prompt}],
+        });
+        if ask.stream {
+            body["stream_options"] = json!({"include_usage": true});
+        }
+        let mut req = self
+            .http
+            .post(format!("http://{daemon}/v1/chat/completions"))
+            .bearer_auth(KEY)
+            .header("idempotency-key", &ask.key)
+            .timeout(ask.patience)
+            .json(&body);
+        if ask.once {
+            req = req.header("x-bankcove-repeatable", "false");
+        }
+        let mut attempt =
+            Attempt { key: ask.key.clone(), attempt: None, run: None, told: lost("no answer") };
+        let res = match req.send().await {
+            Ok(res) => res,
+            Err(e) if e.is_connect() => {
+                attempt.told = not_run("connection_refused", None);
+                return attempt;
+            }
+            Err(_) => return attempt,
+        };
+        let header = res.headers().get("x-bankcove-attempt");
+        attempt.attempt = header.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        let is_ok = res.status().is_success();
+        let Ok(body) = res.text().await else {
+            attempt.told = lost("broken off");
+            return attempt;
+        };
+        let (told, run) = if !is_ok {
+            (read_problem(&serde_json::from_str(&body).unwrap_or_default()), None)
+        } else if ask.stream {
+            read_stream(&body)
+        } else {
+            read_whole(&serde_json::from_str(&body).unwrap_or_default())
+        };
+        attempt.told = told;
+        attempt.run = run;
+        attempt
+    }
+
+    /// Sends the same request to daemons in turn until it is done, or `tries`
+    /// are used up.
+    pub async fn ask_until_done(
+        &self,
+        daemons: &[String],
+        ask: &Ask,
+        tries: usize,
+    ) -> Vec<Attempt> {
+        let mut attempts = Vec::new();
+        for n in 0..tries {
+            let attempt = self.ask(&daemons[n % daemons.len()], ask).await;
+            let done = matches!(attempt.told, Told::Done { .. });
+            attempts.push(attempt);
+            if done {
+                break;
+            }
+            tokio::time::sleep(Duration::from_millis(200)).await;
+        }
+        attempts
+    }
+
+    /// Posts to a plain service; the status, and the body as JSON.
+    pub async fn post(
+        &self,
+        daemon: &str,
+        path: &str,
+        key: &str,
+        body: &str,
+        patience: Duration,
+    ) -> Option<(u16, Value)> {
+        let req = self.http.post(format!("http://{daemon}{path}")).bearer_auth(KEY);
+        let req = req.header("idempotency-key", key).timeout(patience).body(body.to_owned());
+        let res = req.send().await.ok()?;
+        let status = res.status().as_u16();
+        Some((status, res.json().await.ok()?))
+    }
+}
+
+fn lost(code: &str) -> Told {
+    Told::Unknown { code: code.to_owned() }
+}
+
+fn not_run(code: &str, retry_after_ms: Option<u64>) -> Told {
+    Told::NotRun { code: code.to_owned(), retry_after_ms }
+}
+
+/// Reads what an error body tells.
+pub fn read_problem(body: &Value) -> Told {
+    let error = &body["error"];
+    let code = error["code"].as_str().unwrap_or("unreadable");
+    match error["outcome"].as_str() {
+        Some("not_run") => not_run(code, error["retry_after_ms"].as_u64()),
+        _ => lost(code),
+    }
+}
+
+fn read_whole(body: &Value) -> (Told, Option<String>) {
+    let run = body["id"].as_str().map(str::to_owned);
+    let text = body["choices"][0]["message"]["content"].as_str();
+    let tokens = body["usage"]["completion_tokens"].as_u64();
+    match (text, tokens) {
+        (Some(text), Some(output_tokens)) => {
+            (Told::Done { text: text.to_owned(), output_tokens }, run)
+        }
+        _ => (lost("unreadable"), run),
+    }
+}
+
+fn read_stream(body: &str) -> (Told, Option<String>) {
+    let mut text = String::new();
+    let mut run = None;
+    let mut tokens = None;
+    for data in body.lines().filter_map(|line| line.strip_prefix("data:")).map(str::trim) {
+        if data == "[DONE]" {
+            return match tokens {
+                Some(output_tokens) => (Told::Done { text, output_tokens }, run),
+                None => (lost("no usage"), run),
+            };
+        }
+        let piece: Value = serde_json::from_str(data).unwrap_or_default();
+        if piece["error"].is_object() {
+            return (read_problem(&piece), run);
+        }
+        run = piece["id"].as_str().map(str::to_owned).or(run);
+        text += piece["choices"][0]["delta"]["content"].as_str().unwrap_or_default();
+        tokens = piece["usage"]["completion_tokens"].as_u64().or(tokens);
+    }
+    (lost("no end mark"), run)
+}
--- /dev/null
+++ b/crates/proofs/src/check.rs
@@ -0,0 +1,129 @@
+//! Checkers: they read histories and name what broke a promise.
+
+use std::collections::{HashMap, HashSet};
+
+use bankcove_core::bill::Bill;
+use bankcove_core::reqlog::{Entry, Segment};
+use bankcove_standins::engine::{RunRecord, token_text};
+use bankcove_standins::service::CallRecord;
+
+use crate::caller::{Attempt, Told};
+
+/// A promise that a history breaks.
+pub type Violation = String;
+
+/// Tokens that ran at the engines and in calls never exceed the budget. The
+/// sum only grows, so its end stands for every moment before.
+pub fn spend_within(runs: &[RunRecord], call_tokens: u64, budget: u64) -> Result<u64, Violation> {
+    let ran: u64 = runs.iter().map(|run| run.prompt_tokens + run.output_tokens).sum();
+    let spent = ran + call_tokens;
+    if spent > budget {
+        return Err(format!("{spent} tokens were served under a budget of {budget}"));
+    }
+    Ok(spent)
+}
+
+/// The bills that count: the first of each request, in log order.
+pub fn bills(segments: &[Segment]) -> Vec<Bill> {
+    let mut seen = HashSet::new();
+    let entries = segments.iter().flat_map(|segment| &segment.entries);
+    let bills = entries.filter_map(|entry| match entry {
+        Entry::Bill(bill) if seen.insert(bill.request) => Some(bill.clone()),
+        _ => None,
+    });
+    bills.collect()
+}
+
+/// Every request that was answered whole has a bill, and no more bills stand
+/// than requests were sent. `requests` maps keys to request hashes.
+pub fn billed_once(
+    attempts: &[Attempt],
+    bills: &[Bill],
+    request_of: impl Fn(&str) -> bankcove_core::RequestHash,
+) -> Result<(), Violation> {
+    let mut count: HashMap<bankcove_core::RequestHash, u32> = HashMap::new();
+    for bill in bills {
+        *count.entry(bill.request).or_default() += 1;
+    }
+    let asked: HashSet<_> = attempts.iter().map(|attempt| request_of(&attempt.key)).collect();
+    if let Some((request, _)) = count.iter().find(|(request, _)| !asked.contains(*request)) {
+        return Err(format!("a bill stands for {request}, which nobody asked for"));
+    }
+    if let Some((request, n)) = count.iter().find(|(_, n)| **n > 1) {
+        return Err(format!("{n} bills stand for {request}"));
+    }
+    for attempt in attempts {
+        let done = matches!(attempt.told, Told::Done { .. });
+        if done && !count.contains_key(&request_of(&attempt.key)) {
+            return Err(format!("'{}' was answered and has no bill", attempt.key));
+        }
+    }
+    Ok(())
+}
+
+/// Every whole answer is that of its own run, from the first token to the last.
+pub fn whole_answers(attempts: &[Attempt]) -> Result<usize, Violation> {
+    let mut whole = 0;
+    for attempt in attempts {
+        let Told::Done { text, output_tokens } = &attempt.told else { continue };
+        let Some(run) = &attempt.run else {
+            return Err(format!("'{}' has an answer without a run", attempt.key));
+        };
+        let expected: String = (0..*output_tokens).map(|n| token_text(run, n)).collect();
+        if *text != expected {
+            return Err(format!("'{}' got '{text}' in place of '{expected}'", attempt.key));
+        }
+        whole += 1;
+    }
+    Ok(whole)
+}
+
+/// No attempt that was told "not run" stands in the history of any server.
+pub fn not_run_is_true(
+    attempts: &[Attempt],
+    runs: &[RunRecord],
+    calls: &[CallRecord],
+) -> Result<usize, Violation> {
+    let ran: HashSet<&str> = runs
+        .iter()
+        .flat_map(|run| std::iter::once(&run.attempt).chain(&run.attached))
+        .chain(calls.iter().map(|call| &call.attempt))
+        .map(String::as_str)
+        .collect();
+    let mut told = 0;
+    for attempt in attempts {
+        let Told::NotRun { code, .. } = &attempt.told else { continue };
+        told += 1;
+        if attempt.attempt.as_deref().is_some_and(|id| ran.contains(id)) {
+            return Err(format!("'{}' was told not run ({code}) and ran", attempt.key));
+        }
+    }
+    Ok(told)
+}
+
+/// No request ran more than once; `runs` names the run of each start.
+pub fn at_most_once<'a>(runs: impl Iterator<Item = &'a str>) -> Result<usize, Violation> {
+    let mut seen = HashSet::new();
+    for run in runs {
+        if !seen.insert(run) {
+            return Err(format!("{run} ran more than once"));
+        }
+    }
+    Ok(seen.len())
+}
+
+/// Revisions in the order that a daemon adopted them never fall.
+pub fn revisions_rise(log: &str) -> Result<usize, Violation> {
+    let lines = log.lines().filter_map(|line| serde_json::from_str::<serde_json::Value>(line).ok());
+    let mut last = 0;
+    let mut count = 0;
+    for line in lines.filter(|line| line["msg"] == "table adopted") {
+        let revision = line["revision"].as_u64().unwrap_or(0);
+        if revision <= last {
+            return Err(format!("revision {revision} was adopted after {last}"));
+        }
+        last = revision;
+        count += 1;
+    }
+    Ok(count)
+}
--- /dev/null
+++ b/crates/proofs/src/fleet.rs
@@ -0,0 +1,350 @@
+//! A whole system of separate processes on loopback.
+
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use std::process::Command;
+use std::time::Duration;
+
+use bankcove_core::members::Host;
+use bankcove_core::reqlog::Segment;
+use bankcove_core::shard::Shard;
+use bankcove_standins::engine::RunRecord;
+use bankcove_standins::faults::Faults;
+use bankcove_standins::service::CallRecord;
+use bankcove_standins::store::Counts;
+use serde::de::DeserializeOwned;
+use serde_json::{Value, json};
+use tempfile::TempDir;
+
+use crate::process::{Process, binary, free_address};
+use crate::relay::Relay;
+use crate::table;
+
+/// The operators' token of every proof.
+pub const TOKEN: &str = "token-of-the-proof";
+
+/// Longest wait for something that has to come true.
+const PATIENCE: Duration = Duration::from_secs(30);
+
+/// Pause between two looks.
+const POLL: Duration = Duration::from_millis(50);
+
+/// A daemon process and the links to and from it.
+pub struct DaemonProcess {
+    /// The process.
+    pub process: Process,
+    /// Where callers connect.
+    pub callers: String,
+    /// Where operators connect.
+    pub operators: String,
+    /// The link from peers to it.
+    pub peer_link: Relay,
+    /// Its link to the store.
+    pub store_link: Relay,
+    /// Its name.
+    pub name: String,
+    config: PathBuf,
+    log: PathBuf,
+}
+
+/// A stand-in process.
+pub struct StandIn {
+    /// The process.
+    pub process: Process,
+    /// Where it listens.
+    pub address: SocketAddr,
+}
+
+impl StandIn {
+    fn start(args: &[&str]) -> Self {
+        let (process, address) = Process::start_standin(args);
+        StandIn { process, address }
+    }
+
+    /// Sets its faults.
+    pub async fn faults(&self, faults: Faults) {
+        put(&self.address.to_string(), "faults", &faults).await;
+    }
+
+    /// Its history.
+    pub async fn history<T: DeserializeOwned>(&self) -> T {
+        get(&self.address.to_string(), "history").await
+    }
+}
+
+/// What a fleet is made of.
+#[derive(Debug, Clone)]
+pub struct Plan {
+    /// Daemons.
+    pub daemons: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Plain services.
+    pub services: usize,
+    /// Tokens of the budget.
+    pub tokens: u64,
+    /// Time between two tokens of an engine, in milliseconds.
+    pub step_ms: u64,
+    /// Whether engines ignore orders.
+    pub ignores_orders: bool,
+    /// Bounds and intervals of the daemons.
+    pub limits: Value,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Plan {
+            daemons: 1,
+            engines: 1,
+            services: 0,
+            tokens: 1_000_000,
+            step_ms: 2,
+            ignores_orders: false,
+            limits: json!({
+                "heartbeat_ms": 100, "host_list_ms": 200, "load_report_ms": 200,
+                "budget_write_ms": 20, "log_append_ms": 10, "peer_timeout_ms": 500,
+                "bill_wait_ms": 1000,
+            }),
+        }
+    }
+}
+
+/// The processes of one proof.
+pub struct Fleet {
+    /// The store.
+    pub store: StandIn,
+    /// The engines.
+    pub engines: Vec<StandIn>,
+    /// The plain services.
+    pub services: Vec<StandIn>,
+    /// The daemons.
+    pub daemons: Vec<DaemonProcess>,
+    /// The table as it was applied.
+    pub table: Value,
+    dir: TempDir,
+    limits: Value,
+}
+
+impl Fleet {
+    /// Starts everything and waits until every daemon serves.
+    pub async fn start(plan: &Plan) -> Self {
+        let store = StandIn::start(&["store"]);
+        let step = plan.step_ms.to_string();
+        let mut engine_args = vec!["engine", "--step-ms", &step];
+        if plan.ignores_orders {
+            engine_args.push("--ignores-orders");
+        }
+        let engines: Vec<StandIn> =
+            (0..plan.engines).map(|_| StandIn::start(&engine_args)).collect();
+        let services: Vec<StandIn> =
+            (0..plan.services).map(|_| StandIn::start(&["service"])).collect();
+        let addresses =
+            |list: &[StandIn]| list.iter().map(|s| s.address.to_string()).collect::<Vec<_>>();
+        let table = table::table(&addresses(&engines), &addresses(&services), plan.tokens);
+        let dir = tempfile::tempdir().expect("a temporary folder can be made");
+        let limits = plan.limits.clone();
+        let mut fleet = Fleet { store, engines, services, daemons: Vec::new(), table, dir, limits };
+        for n in 0..plan.daemons {
+            fleet.add_daemon(&format!("entry-{n}")).await;
+        }
+        fleet.list_hosts().await;
+        fleet.apply_table().await;
+        fleet.wait_until_ready().await;
+        fleet
+    }
+
+    /// Starts one more daemon.
+    pub async fn add_daemon(&mut self, name: &str) {
+        let peer_listen = free_address();
+        let peer_link = Relay::start(peer_listen.clone()).await;
+        let store_link = Relay::start(self.store.address.to_string()).await;
+        let callers = free_address();
+        let operators = free_address();
+        let seeds: Vec<String> = self.daemons.iter().map(|d| d.peer_link.address()).collect();
+        let config = json!({
+            "name": name, "hall": "hall-1", "caller_listen": callers, "peer_listen": peer_listen,
+            "peer_advertise": peer_link.address(), "operator_listen": operators,
+            "operator_token": TOKEN, "store": store_link.address(), "limits": self.limits,
+            "seed_peers": seeds,
+        });
+        let path = self.dir.path().join(format!("{name}.json"));
+        std::fs::write(&path, config.to_string()).expect("the settings can be written");
+        let log = self.dir.path().join(format!("{name}.log"));
+        let process = start_daemon(&path, &log);
+        let name = name.to_owned();
+        self.daemons.push(DaemonProcess {
+            process,
+            callers,
+            operators,
+            peer_link,
+            store_link,
+            name,
+            config: path,
+            log,
+        });
+    }
+
+    /// Starts a daemon again that has ended, at the same addresses.
+    pub async fn restart_daemon(&mut self, index: usize) {
+        let daemon = &mut self.daemons[index];
+        daemon.process = start_daemon(&daemon.config, &daemon.log);
+        self.wait_until_serving(index).await;
+    }
+
+    /// Puts the daemons into the platform's host list.
+    pub async fn list_hosts(&self) {
+        self.put_hosts(&self.hosts()).await;
+    }
+
+    /// The host list with every daemon live.
+    pub fn hosts(&self) -> Vec<Host> {
+        let host = |daemon: &DaemonProcess| {
+            serde_json::from_value(json!({
+                "name": daemon.name, "hall": "hall-1", "address": daemon.peer_link.address(),
+                "state": "live",
+            }))
+        };
+        self.daemons.iter().map(|d| host(d).expect("the line is a host")).collect()
+    }
+
+    /// Sets the platform's host list.
+    pub async fn put_hosts(&self, hosts: &[Host]) {
+        put(&self.store.address.to_string(), "hosts", &hosts).await;
+    }
+
+    /// Applies the fleet's table with the operators' client.
+    pub async fn apply_table(&self) {
+        let path = self.dir.path().join("table.json");
+        std::fs::write(&path, self.table.to_string()).expect("the table can be written");
+        self.wait_until_serving(0).await;
+        let output = self.bankcove(0, &["table", "apply", &path.to_string_lossy()]);
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    }
+
+    /// Runs the operators' client against a daemon.
+    pub fn bankcove(&self, daemon: usize, args: &[&str]) -> std::process::Output {
+        Command::new(binary("bankcove"))
+            .args(args)
+            .env("BANKCOVE_SERVER", &self.daemons[daemon].operators)
+            .env("BANKCOVE_TOKEN", TOKEN)
+            .output()
+            .expect("the operators' client can be started")
+    }
+
+    /// What a daemon's operator port answers.
+    pub async fn operator(&self, daemon: usize, path: &str) -> Option<Value> {
+        let url = format!("http://{}/v1/{path}", self.daemons[daemon].operators);
+        let req = http().get(url).bearer_auth(TOKEN).timeout(Duration::from_secs(5));
+        req.send().await.ok()?.error_for_status().ok()?.json().await.ok()
+    }
+
+    /// Waits until every daemon has the table in force and knows its peers.
+    pub async fn wait_until_ready(&self) {
+        let revision =
+            self.operator(0, "status").await.map_or(0, |s| s["revision"].as_u64().unwrap_or(0));
+        for index in 0..self.daemons.len() {
+            self.wait_for_status(index, |status| {
+                let peers = status["peers"].as_array().map_or(0, Vec::len);
+                status["revision"].as_u64() >= Some(revision.max(1))
+                    && peers + 1 >= self.daemons.len()
+            })
+            .await;
+        }
+    }
+
+    /// Waits until a daemon answers operators.
+    pub async fn wait_until_serving(&self, index: usize) {
+        self.wait_for_status(index, |_| true).await;
+    }
+
+    /// Waits until a daemon's status fulfils `wanted`.
+    ///
+    /// # Panics
+    /// When it does not for a long time.
+    pub async fn wait_for_status(&self, index: usize, wanted: impl Fn(&Value) -> bool) {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let status = self.operator(index, "status").await;
+            if status.as_ref().is_some_and(&wanted) {
+                return;
+            }
+            assert!(tokio::time::Instant::now() < deadline, "waited in vain; last: {status:?}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
+    /// Everything that ran at the engines.
+    pub async fn runs(&self) -> Vec<RunRecord> {
+        let mut runs = Vec::new();
+        for engine in &self.engines {
+            runs.extend(engine.history::<Vec<RunRecord>>().await);
+        }
+        runs
+    }
+
+    /// Every call of the plain services.
+    pub async fn calls(&self) -> Vec<CallRecord> {
+        let mut calls = Vec::new();
+        for service in &self.services {
+            calls.extend(service.history::<Vec<CallRecord>>().await);
+        }
+        calls
+    }
+
+    /// Every write that the store accepted, in order.
+    pub async fn writes(&self) -> Vec<Value> {
+        self.store.history().await
+    }
+
+    /// Calls that the store counted.
+    pub async fn store_counts(&self) -> Counts {
+        get(&self.store.address.to_string(), "counts").await
+    }
+
+    /// The text of a daemon's log.
+    pub fn log(&self, index: usize) -> String {
+        std::fs::read_to_string(&self.daemons[index].log).unwrap_or_default()
+    }
+}
+
+/// Segments of the request log among the store's writes, in log order.
+pub fn segments(writes: &[Value]) -> Vec<Segment> {
+    let of_log =
+        |write: &&Value| write["kind"].as_str().is_some_and(|kind| kind.starts_with("log-"));
+    let mut segments: Vec<(String, String, Segment)> = writes
+        .iter()
+        .filter(of_log)
+        .filter_map(|write| {
+            let segment = serde_json::from_value(write["value"].clone()).ok()?;
+            Some((write["kind"].to_string(), write["name"].to_string(), segment))
+        })
+        .collect();
+    segments.sort_by(|a, b| (&a.0, &a.1).cmp(&(&b.0, &b.1)));
+    segments.into_iter().map(|(_, _, segment)| segment).collect()
+}
+
+/// Budget shards among the store's writes, in the order of the writes.
+pub fn shards(writes: &[Value]) -> Vec<Shard> {
+    let budgets = writes.iter().filter(|write| write["kind"] == "budgets");
+    budgets.filter_map(|write| serde_json::from_value(write["value"].clone()).ok()).collect()
+}
+
+fn start_daemon(config: &Path, log: &Path) -> Process {
+    Process::start("bankcoved", &["--config", &config.to_string_lossy()], log)
+}
+
+fn http() -> reqwest::Client {
+    let client = reqwest::Client::builder().no_proxy().build();
+    client.expect("an HTTP client without TLS needs nothing from the machine")
+}
+
+async fn put(address: &str, path: &str, value: &impl serde::Serialize) {
+    let req = http().put(format!("http://{address}/{path}")).json(value);
+    let res = req.send().await.expect("the stand-in answers");
+    assert!(res.status().is_success(), "the stand-in refused: {}", res.status());
+}
+
+async fn get<T: DeserializeOwned>(address: &str, path: &str) -> T {
+    let res = http().get(format!("http://{address}/{path}")).send().await;
+    res.expect("the stand-in answers").json().await.expect("the answer has its shape")
+}
--- /dev/null
+++ b/crates/proofs/src/process.rs
@@ -0,0 +1,120 @@
+//! Processes that a proof starts, freezes, kills and ends.
+
+use std::io::{BufRead, BufReader};
+use std::net::{SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command, Stdio};
+
+use nix::sys::signal::{Signal, kill};
+use nix::unistd::Pid;
+use serde_json::Value;
+
+/// A process; dropping it kills it.
+#[derive(Debug)]
+pub struct Process {
+    child: Child,
+}
+
+/// Path of a binary that cargo built next to this test.
+///
+/// # Panics
+/// When the test's own path is not known.
+pub fn binary(name: &str) -> PathBuf {
+    let mut path = std::env::current_exe().expect("a running program has a path");
+    path.pop();
+    if path.ends_with("deps") || path.ends_with("examples") {
+        path.pop();
+    }
+    path.join(name)
+}
+
+/// A port that was free a moment ago.
+///
+/// # Panics
+/// When the loopback has none left.
+pub fn free_address() -> String {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback has a free port");
+    listener.local_addr().expect("a listener has an address").to_string()
+}
+
+impl Process {
+    /// Starts a program; its standard error goes to `log`.
+    ///
+    /// # Panics
+    /// When it can't be started.
+    pub fn start(name: &str, args: &[&str], log: &std::path::Path) -> Self {
+        let log = std::fs::File::options().create(true).append(true).open(log);
+        let child = Command::new(binary(name))
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log.expect("the log file can be opened"))
+            .spawn()
+            .unwrap_or_else(|e| panic!("{name} can't be started; run 'cargo build': {e}"));
+        Process { child }
+    }
+
+    /// Starts a stand-in and waits for the address that it prints.
+    ///
+    /// # Panics
+    /// When it can't be started.
+    pub fn start_standin(args: &[&str]) -> (Self, SocketAddr) {
+        let mut child = Command::new(binary("bankcove"))
+            .arg("standin")
+            .args(args)
+            .stdin(Stdio::null())
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the stand-in can be started; run 'cargo build'");
+        let stdout = child.stdout.take().expect("standard output is piped");
+        let mut line = String::new();
+        BufReader::new(stdout).read_line(&mut line).expect("the stand-in prints its address");
+        let ready: Value = serde_json::from_str(&line).expect("the address is JSON");
+        let address = ready["address"].as_str().and_then(|text| text.parse().ok());
+        (Process { child }, address.expect("the line holds an address"))
+    }
+
+    /// Ends it without a chance to clean up.
+    pub fn kill(&mut self) {
+        self.signal(Signal::SIGKILL);
+        self.wait();
+    }
+
+    /// Stops it in its tracks.
+    pub fn freeze(&self) {
+        self.signal(Signal::SIGSTOP);
+    }
+
+    /// Lets it go on.
+    pub fn thaw(&self) {
+        self.signal(Signal::SIGCONT);
+    }
+
+    /// Asks it to stop as planned.
+    pub fn terminate(&self) {
+        self.signal(Signal::SIGTERM);
+    }
+
+    /// Waits until it has ended; whether it ended well.
+    pub fn wait(&mut self) -> bool {
+        self.child.wait().is_ok_and(|status| status.success())
+    }
+
+    /// Whether it has ended.
+    pub fn has_ended(&mut self) -> bool {
+        matches!(self.child.try_wait(), Ok(Some(_)))
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        // A process that has ended needs no signal.
+        let _ended = kill(pid, signal);
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.thaw();
+        self.kill();
+    }
+}
--- /dev/null
+++ b/crates/proofs/src/table.rs
@@ -0,0 +1,45 @@
+//! Tables for proofs.
+
+use bankcoved::identity::hash_key;
+use serde_json::{Value, json};
+
+/// The model of every proof.
+pub const MODEL: &str = "dispatch-8b";
+
+/// The workspace's key in every proof.
+pub const KEY: &str = "key-of-the-proof";
+
+/// A table with one workspace, budget and hall, and these servers.
+pub fn table(engines: &[String], services: &[String], tokens: u64) -> Value {
+    let engine = |(n, address): (usize, &String)| {
+        json!({
+            "name": format!("engine-{n}"), "hall": "hall-1", "address": address,
+            "kind": "model", "models": [MODEL], "checks_orders": true,
+        })
+    };
+    let service = |(n, address): (usize, &String)| {
+        json!({
+            "name": format!("service-{n}"), "hall": "hall-1", "address": address, "kind": "service",
+        })
+    };
+    let mut servers: Vec<Value> = engines.iter().enumerate().map(engine).collect();
+    servers.extend(services.iter().enumerate().map(service));
+    let mut routes =
+        vec![json!({"name": "chat", "to": "model", "model": MODEL, "max_tokens": 512})];
+    if !services.is_empty() {
+        let names: Vec<String> = (0..services.len()).map(|n| format!("service-{n}")).collect();
+        routes.push(json!({
+            "name": "orders", "to": "service", "path_prefix": "/orders", "servers": names,
+            "repeatable": false, "call_tokens": 5,
+        }));
+    }
+    json!({
+        "halls": [{"name": "hall-1"}],
+        "workspaces": [
+            {"name": "dispatch", "keys_sha256": [hash_key(KEY)], "default_budget": "main"},
+        ],
+        "budgets": [{"name": "main", "workspace": "dispatch", "tokens": tokens}],
+        "servers": servers,
+        "routes": routes,
+    })
+}
