--- /dev/null
+++ b/crates/standins/src/engine.rs
@@ -0,0 +1,463 @@
+//! Stand-in of a model engine: the chat-completions interface, a load report,
+//! cancelling, resuming, and fenced orders.
+//!
+//! Headers of a request: `x-run-id` names the run, so that a repeat attaches
+//! to it and does not run again; `x-attempt` names the daemon's attempt. Of an
+//! answer: `x-run` is `new` or `attached`.
+
+use std::collections::HashMap;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::router::LoadReport;
+use bytes::Bytes;
+use parking_lot::Mutex;
+use salvo::affix_state;
+use salvo::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::{Value, json};
+use tokio::sync::{Notify, Semaphore, mpsc};
+
+use crate::faults::Faults;
+use crate::serve::{MAX_BODY_BYTES, Running};
+
+/// Bytes of a prompt that make one token.
+const BYTES_PER_TOKEN: usize = 4;
+
+/// Output limit of callers that give none.
+const DEFAULT_MAX_TOKENS: u64 = 16;
+
+/// Pieces that may wait for a slow reader.
+const STREAM_BUFFER: usize = 64;
+
+/// How the engine behaves.
+#[derive(Debug, Clone, Copy)]
+pub struct Settings {
+    /// Time between two tokens.
+    pub step: Duration,
+    /// Requests that run at once; others wait.
+    pub slots: usize,
+    /// Whether it checks orders and refuses work once ordered to leave.
+    pub checks_orders: bool,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Settings { step: Duration::from_millis(4), slots: 32, checks_orders: true }
+    }
+}
+
+/// One run, as the history tells it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct RunRecord {
+    /// Name of the run.
+    pub run: String,
+    /// The attempt that began it.
+    pub attempt: String,
+    /// Attempts that attached to it.
+    pub attached: Vec<String>,
+    /// Tokens of the prompt.
+    pub prompt_tokens: u64,
+    /// Tokens generated so far.
+    pub output_tokens: u64,
+    /// Whether it has ended.
+    pub ended: bool,
+    /// Whether it was cancelled.
+    pub cancelled: bool,
+    /// When it began, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+struct Run {
+    record: Mutex<RunRecord>,
+    limit: u64,
+    changed: Notify,
+}
+
+struct State {
+    runs: HashMap<String, Arc<Run>>,
+    /// Every run that ever began, also those that a later one replaced.
+    history: Vec<Arc<Run>>,
+    faults: Faults,
+    leaving: bool,
+    epoch: u64,
+    running: u32,
+    waiting: u32,
+}
+
+struct Engine {
+    settings: Settings,
+    state: Mutex<State>,
+    slots: Semaphore,
+}
+
+#[derive(Deserialize)]
+struct ChatRequest {
+    model: String,
+    messages: Vec<Value>,
+    #[serde(default)]
+    max_tokens: Option<u64>,
+    #[serde(default)]
+    stream: bool,
+}
+
+#[derive(Deserialize)]
+struct Order {
+    epoch: u64,
+    leave: bool,
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+/// When the port can't be listened on.
+pub async fn start(listen: &str, settings: Settings) -> std::io::Result<Running> {
+    let engine = Arc::new(Engine {
+        settings,
+        state: Mutex::new(State {
+            runs: HashMap::new(),
+            history: Vec::new(),
+            faults: Faults::default(),
+            leaving: false,
+            epoch: 0,
+            running: 0,
+            waiting: 0,
+        }),
+        slots: Semaphore::new(settings.slots),
+    });
+    Running::start(listen, routes(engine)).await
+}
+
+fn routes(engine: Arc<Engine>) -> Router {
+    let api = Router::with_path("v1")
+        .hoop(show_faults)
+        .push(Router::with_path("chat/completions").post(chat))
+        .push(Router::with_path("runs").get(history))
+        .push(Router::with_path("runs/{id}/cancel").post(cancel))
+        .push(Router::with_path("runs/{id}/stream").get(resume))
+        .push(Router::with_path("load").get(load))
+        .push(Router::with_path("tokenize").post(tokenize))
+        .push(Router::with_path("orders").post(orders));
+    Router::new()
+        .hoop(affix_state::inject(engine))
+        .push(api)
+        .push(Router::with_path("faults").put(put_faults))
+        .push(Router::with_path("history").get(history))
+}
+
+fn engine(depot: &Depot) -> Arc<Engine> {
+    let engine = depot.obtain::<Arc<Engine>>();
+    Arc::clone(engine.expect("the engine is injected into every route"))
+}
+
+fn header(req: &Request, name: &str) -> String {
+    let value = req.headers().get(name).and_then(|value| value.to_str().ok());
+    value.unwrap_or_default().to_owned()
+}
+
+fn error(res: &mut Response, status: StatusCode, code: &str) {
+    res.status_code(status);
+    res.render(Json(json!({"error": {"code": code, "ran": false}})));
+}
+
+#[handler]
+async fn show_faults(depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    let faults = engine(depot).state.lock().faults;
+    tokio::time::sleep(faults.delay()).await;
+    if faults.down {
+        error(res, StatusCode::SERVICE_UNAVAILABLE, "down");
+        ctrl.skip_rest();
+    }
+}
+
+#[handler]
+async fn chat(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let engine = engine(depot);
+    let run_id = header(req, "x-run-id");
+    let attempt = header(req, "x-attempt");
+    let Ok(body) = req.parse_json_with_max_size::<ChatRequest>(MAX_BODY_BYTES).await else {
+        error(res, StatusCode::BAD_REQUEST, "bad_request");
+        return;
+    };
+    let Some((run, is_new)) = engine.begin(&run_id, &attempt, &body) else {
+        error(res, StatusCode::SERVICE_UNAVAILABLE, "leaving");
+        return;
+    };
+    if is_new {
+        tokio::spawn(generate(Arc::clone(&engine), Arc::clone(&run)));
+    }
+    let kind = if is_new { "new" } else { "attached" };
+    res.headers_mut().insert("x-run", salvo::http::HeaderValue::from_static(kind));
+    if body.stream {
+        let faults = engine.state.lock().faults;
+        stream(run, body.model, 0, faults, res);
+        return;
+    }
+    run.wait_for(u64::MAX).await;
+    res.render(Json(whole(&run, &body.model)));
+}
+
+/// Resumes the stream of a run; it never begins one.
+#[handler]
+async fn resume(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let id: String = req.param("id").unwrap_or_default();
+    let offset: u64 = req.query("offset").unwrap_or(0);
+    let model: String = req.query("model").unwrap_or_default();
+    let engine = engine(depot);
+    let state = engine.state.lock();
+    match state.runs.get(&id) {
+        Some(run) => stream(Arc::clone(run), model, offset, state.faults, res),
+        None => error(res, StatusCode::NOT_FOUND, "no_such_run"),
+    }
+}
+
+fn stream(run: Arc<Run>, model: String, offset: u64, faults: Faults, res: &mut Response) {
+    let (tx, rx) = mpsc::channel(STREAM_BUFFER);
+    tokio::spawn(send_stream(run, model, offset, faults, tx));
+    let content_type = salvo::http::HeaderValue::from_static("text/event-stream");
+    res.headers_mut().insert("content-type", content_type);
+    res.stream(futures::stream::unfold(rx, |mut rx| async { rx.recv().await.map(|x| (x, rx)) }));
+}
+
+impl Engine {
+    /// The run of this name, begun when there is none; none while leaving.
+    fn begin(&self, run_id: &str, attempt: &str, body: &ChatRequest) -> Option<(Arc<Run>, bool)> {
+        let mut state = self.state.lock();
+        let known = state.runs.get(run_id).filter(|_| !run_id.is_empty());
+        if let Some(run) = known.filter(|run| !run.record.lock().cancelled) {
+            run.record.lock().attached.push(attempt.to_owned());
+            return Some((Arc::clone(run), false));
+        }
+        if state.leaving {
+            return None;
+        }
+        let run_name =
+            if run_id.is_empty() { format!("run-{}", state.runs.len()) } else { run_id.to_owned() };
+        let record = RunRecord {
+            run: run_name.clone(),
+            attempt: attempt.to_owned(),
+            attached: Vec::new(),
+            prompt_tokens: prompt_tokens(&body.messages),
+            output_tokens: 0,
+            ended: false,
+            cancelled: false,
+            at_ms: unix_ms(),
+        };
+        let limit = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
+        let run = Arc::new(Run { record: Mutex::new(record), limit, changed: Notify::new() });
+        state.runs.insert(run_name, Arc::clone(&run));
+        state.history.push(Arc::clone(&run));
+        state.waiting += 1;
+        Some((run, true))
+    }
+
+    fn step(&self) -> Duration {
+        let factor = self.state.lock().faults.slow_factor.max(1);
+        self.settings.step * u32::try_from(factor).unwrap_or(u32::MAX)
+    }
+}
+
+impl Run {
+    /// Waits until more than `offset` tokens are there, or the run has ended.
+    async fn wait_for(&self, offset: u64) -> RunRecord {
+        loop {
+            let changed = self.changed.notified();
+            {
+                let record = self.record.lock();
+                if record.output_tokens > offset || record.ended {
+                    return record.clone();
+                }
+            }
+            changed.await;
+        }
+    }
+}
+
+async fn generate(engine: Arc<Engine>, run: Arc<Run>) {
+    let Ok(_slot) = engine.slots.acquire().await else { return };
+    {
+        let mut state = engine.state.lock();
+        state.waiting -= 1;
+        state.running += 1;
+    }
+    for _ in 0..run.limit {
+        tokio::time::sleep(engine.step()).await;
+        if run.record.lock().cancelled {
+            break;
+        }
+        run.record.lock().output_tokens += 1;
+        run.changed.notify_waiters();
+    }
+    run.record.lock().ended = true;
+    run.changed.notify_waiters();
+    engine.state.lock().running -= 1;
+}
+
+async fn send_stream(
+    run: Arc<Run>,
+    model: String,
+    mut offset: u64,
+    faults: Faults,
+    tx: mpsc::Sender<std::io::Result<Bytes>>,
+) {
+    loop {
+        let record = run.wait_for(offset).await;
+        while offset < record.output_tokens {
+            let piece = piece(&record.run, &model, offset);
+            for _ in 0..(1 + u32::from(faults.repeat)) {
+                if send(&tx, &piece).await.is_err() {
+                    return;
+                }
+            }
+            if faults.misdirect {
+                let foreign = self::piece("another-run", &model, offset);
+                // A reader that left is noticed with the next own piece.
+                let _left = send(&tx, &foreign).await;
+            }
+            offset += 1;
+            if faults.cut_after > 0 && offset % faults.cut_after == 0 {
+                let broken = std::io::Error::other("cut by the fault panel");
+                // Nobody reads on: the cut is what the reader sees either way.
+                let _left = tx.send(Err(broken)).await;
+                return;
+            }
+        }
+        if record.ended {
+            break;
+        }
+    }
+    let last = last_piece(&run.record.lock(), &model);
+    if send(&tx, &last).await.is_ok() {
+        let done = Bytes::from_static(b"data: [DONE]\n\n");
+        // A reader that left needs no end mark.
+        let _left = tx.send(Ok(done)).await;
+    }
+}
+
+async fn send(tx: &mpsc::Sender<std::io::Result<Bytes>>, piece: &Value) -> Result<(), ()> {
+    tx.send(Ok(Bytes::from(format!("data: {piece}\n\n")))).await.map_err(|_| ())
+}
+
+/// Text of the token at this offset: it names its run, so that a piece of
+/// another answer is recognised.
+pub fn token_text(run: &str, offset: u64) -> String {
+    let start = &run[..run.len().min(8)];
+    format!("{start}:{offset} ")
+}
+
+fn piece(run: &str, model: &str, offset: u64) -> Value {
+    json!({
+        "id": run, "object": "chat.completion.chunk", "model": model, "offset": offset,
+        "choices": [{"index": 0, "delta": {"content": token_text(run, offset)}, "finish_reason": null}],
+    })
+}
+
+fn last_piece(record: &RunRecord, model: &str) -> Value {
+    json!({
+        "id": record.run, "object": "chat.completion.chunk", "model": model,
+        "offset": record.output_tokens, "usage": usage(record),
+        "choices": [{"index": 0, "delta": {}, "finish_reason": finish_reason(record)}],
+    })
+}
+
+fn whole(run: &Run, model: &str) -> Value {
+    let record = run.record.lock();
+    let text: String = (0..record.output_tokens).map(|i| token_text(&record.run, i)).collect();
+    let message = json!({"role": "assistant", "content": text});
+    json!({
+        "id": record.run, "object": "chat.completion", "model": model, "usage": usage(&record),
+        "choices": [{"index": 0, "message": message, "finish_reason": finish_reason(&record)}],
+    })
+}
+
+fn finish_reason(record: &RunRecord) -> &'static str {
+    if record.cancelled { "cancelled" } else { "length" }
+}
+
+fn usage(record: &RunRecord) -> Value {
+    json!({
+        "prompt_tokens": record.prompt_tokens,
+        "completion_tokens": record.output_tokens,
+        "total_tokens": record.prompt_tokens + record.output_tokens,
+    })
+}
+
+fn prompt_tokens(messages: &[Value]) -> u64 {
+    let bytes: usize = messages.iter().map(|m| m["content"].as_str().unwrap_or("").len()).sum();
+    bytes.div_ceil(BYTES_PER_TOKEN) as u64
+}
+
+/// Milliseconds since 1970.
+pub(crate) fn unix_ms() -> u64 {
+    let since = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH);
+    since.map_or(0, |since| since.as_millis() as u64)
+}
+
+#[handler]
+async fn cancel(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let id: String = req.param("id").unwrap_or_default();
+    let engine = engine(depot);
+    let run = engine.state.lock().runs.get(&id).cloned();
+    let Some(run) = run else {
+        error(res, StatusCode::NOT_FOUND, "no_such_run");
+        return;
+    };
+    run.record.lock().cancelled = true;
+    let record = run.wait_for(u64::MAX).await;
+    res.render(Json(record));
+}
+
+#[handler]
+async fn tokenize(req: &mut Request, res: &mut Response) {
+    match req.parse_json_with_max_size::<ChatRequest>(MAX_BODY_BYTES).await {
+        Ok(body) => res.render(Json(json!({"count": prompt_tokens(&body.messages)}))),
+        Err(_) => error(res, StatusCode::BAD_REQUEST, "bad_request"),
+    }
+}
+
+#[handler]
+async fn load(depot: &mut Depot, res: &mut Response) {
+    let engine = engine(depot);
+    let state = engine.state.lock();
+    let report =
+        LoadReport { running: state.running, waiting: state.waiting, leaving: state.leaving };
+    res.render(Json(report));
+}
+
+#[handler]
+async fn orders(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let engine = engine(depot);
+    let Ok(order) = req.parse_json::<Order>().await else {
+        error(res, StatusCode::BAD_REQUEST, "bad_request");
+        return;
+    };
+    if !engine.settings.checks_orders {
+        error(res, StatusCode::NOT_FOUND, "takes_no_orders");
+        return;
+    }
+    let mut state = engine.state.lock();
+    if order.epoch < state.epoch {
+        error(res, StatusCode::CONFLICT, "old_epoch");
+        return;
+    }
+    state.epoch = order.epoch;
+    state.leaving = order.leave;
+    res.render(Json(json!({"epoch": order.epoch, "leaving": order.leave})));
+}
+
+#[handler]
+async fn put_faults(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    match req.parse_json::<Faults>().await {
+        Ok(faults) => engine(depot).state.lock().faults = faults,
+        Err(_) => error(res, StatusCode::BAD_REQUEST, "bad_request"),
+    }
+}
+
+#[handler]
+async fn history(depot: &mut Depot, res: &mut Response) {
+    let engine = engine(depot);
+    let state = engine.state.lock();
+    let records: Vec<RunRecord> =
+        state.history.iter().map(|run| run.record.lock().clone()).collect();
+    res.render(Json(records));
+}
--- /dev/null
+++ b/crates/standins/src/faults.rs
@@ -0,0 +1,34 @@
+//! The faults that a stand-in can be told to show.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+
+/// Faults of any stand-in; each reads the ones that concern it.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// Every call fails with 503.
+    pub down: bool,
+    /// Every call is answered this much later, in milliseconds.
+    pub delay_ms: u64,
+    /// Share of writes that take effect and are answered with 500.
+    pub lose_answers: f64,
+    /// The host list is this many milliseconds old.
+    pub hosts_lag_ms: u64,
+    /// Streams break off after this many pieces; 0 means never.
+    pub cut_after: u64,
+    /// Each piece of a stream is followed by one of another stream.
+    pub misdirect: bool,
+    /// Each piece of a stream is sent twice.
+    pub repeat: bool,
+    /// Steps take this many times as long; 0 means 1.
+    pub slow_factor: u64,
+}
+
+impl Faults {
+    /// The delay of every call.
+    pub fn delay(&self) -> Duration {
+        Duration::from_millis(self.delay_ms)
+    }
+}
--- /dev/null
+++ b/crates/standins/src/service.rs
@@ -0,0 +1,105 @@
+//! Stand-in of a plain service: it does what it is asked, checks nothing, and
+//! writes down each call.
+
+use std::sync::Arc;
+
+use parking_lot::Mutex;
+use salvo::affix_state;
+use salvo::prelude::*;
+use serde::{Deserialize, Serialize};
+use serde_json::json;
+
+use crate::engine::unix_ms;
+use crate::faults::Faults;
+use crate::serve::{MAX_BODY_BYTES, Running};
+
+/// One call, as the history tells it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct CallRecord {
+    /// The request, as the daemon named it.
+    pub run: String,
+    /// The daemon's attempt.
+    pub attempt: String,
+    /// The method.
+    pub method: String,
+    /// The path.
+    pub path: String,
+    /// The body as text.
+    pub body: String,
+    /// When it came, in milliseconds since 1970.
+    pub at_ms: u64,
+}
+
+#[derive(Default)]
+struct Service {
+    calls: Mutex<Vec<CallRecord>>,
+    faults: Mutex<Faults>,
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+/// When the port can't be listened on.
+pub async fn start(listen: &str) -> std::io::Result<Running> {
+    let router = Router::new()
+        .hoop(affix_state::inject(Arc::new(Service::default())))
+        .push(Router::with_path("faults").put(put_faults))
+        .push(Router::with_path("history").get(history))
+        .push(Router::with_path("{**rest}").goal(call));
+    Running::start(listen, router).await
+}
+
+fn service(depot: &Depot) -> Arc<Service> {
+    let service = depot.obtain::<Arc<Service>>();
+    Arc::clone(service.expect("the service is injected into every route"))
+}
+
+#[handler]
+async fn call(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let service = service(depot);
+    let header = |name: &str| {
+        let value = req.headers().get(name).and_then(|value| value.to_str().ok());
+        value.unwrap_or_default().to_owned()
+    };
+    let mut record = CallRecord {
+        run: header("x-run-id"),
+        attempt: header("x-attempt"),
+        method: req.method().to_string(),
+        path: req.uri().path().to_owned(),
+        body: String::new(),
+        at_ms: unix_ms(),
+    };
+    if let Ok(body) = req.payload_with_max_size(MAX_BODY_BYTES).await {
+        record.body = String::from_utf8_lossy(body).into_owned();
+    }
+    let answer = json!({"method": record.method, "path": record.path, "body": record.body});
+    let count = {
+        let mut calls = service.calls.lock();
+        calls.push(record);
+        calls.len()
+    };
+    let faults = *service.faults.lock();
+    tokio::time::sleep(faults.delay()).await;
+    if faults.down {
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+    } else if answer["method"] == "POST" {
+        res.status_code(StatusCode::CREATED);
+    }
+    res.render(Json(json!({"call": count, "you": answer})));
+}
+
+#[handler]
+async fn put_faults(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    match req.parse_json::<Faults>().await {
+        Ok(faults) => *service(depot).faults.lock() = faults,
+        Err(e) => {
+            res.status_code(StatusCode::BAD_REQUEST);
+            res.render(Text::Plain(e.to_string()));
+        }
+    }
+}
+
+#[handler]
+async fn history(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(&*service(depot).calls.lock()));
+}
--- /dev/null
+++ b/crates/standins/src/store.rs
@@ -0,0 +1,261 @@
+//! Stand-in of the platform's object API and host list.
+//!
+//! `GET|PUT /v1/objects/KIND/NAME` with `if_version`, `GET /v1/objects/KIND`,
+//! `GET /v1/watch/KIND/NAME`, `GET|PUT /v1/hosts`; besides `PUT /faults`,
+//! `GET /history` and `GET /counts`.
+
+use std::collections::{BTreeMap, HashMap};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use bankcove_core::members::Host;
+use bankcove_platform::ListPage;
+use parking_lot::Mutex;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use salvo::affix_state;
+use salvo::prelude::*;
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::sync::Notify;
+
+use crate::faults::Faults;
+use crate::serve::{MAX_BODY_BYTES, Running};
+
+/// Seed of the choice which answers are lost.
+const SEED: u64 = 7;
+
+/// Longest watch, in milliseconds.
+const MAX_WATCH_MS: u64 = 60_000;
+
+/// Calls that were counted.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, serde::Deserialize)]
+pub struct Counts {
+    /// Reads, lists and host lists.
+    pub reads: u64,
+    /// Writes that were tried.
+    pub writes: u64,
+    /// Watches that were opened.
+    pub watches: u64,
+    /// Bytes of the values written.
+    pub bytes_written: u64,
+    /// Bytes of the greatest value written.
+    pub largest_value: u64,
+}
+
+struct State {
+    objects: HashMap<String, BTreeMap<String, (u64, Value)>>,
+    hosts: Vec<(Instant, Vec<Host>)>,
+    faults: Faults,
+    counts: Counts,
+    history: Vec<Value>,
+    rng: StdRng,
+}
+
+struct Store {
+    state: Mutex<State>,
+    changed: Notify,
+}
+
+/// Starts the stand-in.
+///
+/// # Errors
+/// When the port can't be listened on.
+pub async fn start(listen: &str) -> std::io::Result<Running> {
+    let store = Arc::new(Store {
+        state: Mutex::new(State {
+            objects: HashMap::new(),
+            hosts: Vec::new(),
+            faults: Faults::default(),
+            counts: Counts::default(),
+            history: Vec::new(),
+            rng: StdRng::seed_from_u64(SEED),
+        }),
+        changed: Notify::new(),
+    });
+    Running::start(listen, routes(store)).await
+}
+
+fn routes(store: Arc<Store>) -> Router {
+    let api = Router::with_path("v1")
+        .hoop(show_faults)
+        .push(Router::with_path("objects/{kind}").get(list))
+        .push(Router::with_path("objects/{kind}/{name}").get(read).put(write))
+        .push(Router::with_path("watch/{kind}/{name}").get(watch))
+        .push(Router::with_path("hosts").get(list_hosts));
+    Router::new()
+        .hoop(affix_state::inject(store))
+        .push(api)
+        .push(Router::with_path("hosts").put(put_hosts))
+        .push(Router::with_path("faults").put(put_faults))
+        .push(Router::with_path("counts").get(counts))
+        .push(Router::with_path("history").get(history))
+}
+
+fn store(depot: &Depot) -> Arc<Store> {
+    let store = depot.obtain::<Arc<Store>>();
+    Arc::clone(store.expect("the store is injected into every route"))
+}
+
+fn place(req: &Request) -> (String, String) {
+    (req.param("kind").unwrap_or_default(), req.param("name").unwrap_or_default())
+}
+
+#[handler]
+async fn show_faults(depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+    let faults = store(depot).state.lock().faults;
+    tokio::time::sleep(faults.delay()).await;
+    if faults.down {
+        res.status_code(StatusCode::SERVICE_UNAVAILABLE);
+        ctrl.skip_rest();
+    }
+}
+
+#[handler]
+async fn read(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let (kind, name) = place(req);
+    let store = store(depot);
+    let mut state = store.state.lock();
+    state.counts.reads += 1;
+    render_object(state.object(&kind, &name), res);
+}
+
+fn render_object(object: Option<&(u64, Value)>, res: &mut Response) {
+    match object {
+        Some((version, value)) => res.render(Json(json!({"version": version, "value": value}))),
+        None => {
+            res.status_code(StatusCode::NOT_FOUND);
+        }
+    }
+}
+
+#[handler]
+async fn write(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let (kind, name) = place(req);
+    let expect: u64 = req.query("if_version").unwrap_or(0);
+    let payload = req.payload_with_max_size(MAX_BODY_BYTES).await;
+    let Some(body) = payload.ok().cloned() else {
+        res.status_code(StatusCode::BAD_REQUEST);
+        return;
+    };
+    let Ok(value) = serde_json::from_slice::<Value>(&body) else {
+        res.status_code(StatusCode::BAD_REQUEST);
+        return;
+    };
+    let store = store(depot);
+    let mut state = store.state.lock();
+    state.counts.writes += 1;
+    let found = state.object(&kind, &name).map_or(0, |(version, _)| *version);
+    if found != expect {
+        res.status_code(StatusCode::CONFLICT);
+        res.render(Json(json!({"version": found})));
+        return;
+    }
+    let version = found + 1;
+    state.counts.bytes_written += body.len() as u64;
+    state.counts.largest_value = state.counts.largest_value.max(body.len() as u64);
+    let event =
+        json!({"event": "write", "kind": kind, "name": name, "version": version, "value": value});
+    state.history.push(event);
+    state.objects.entry(kind).or_default().insert(name, (version, value));
+    let lose = state.faults.lose_answers;
+    let lost = lose > 0.0 && state.rng.random_bool(lose.min(1.0));
+    drop(state);
+    store.changed.notify_waiters();
+    if lost {
+        res.status_code(StatusCode::INTERNAL_SERVER_ERROR);
+        return;
+    }
+    res.render(Json(json!({"version": version})));
+}
+
+#[handler]
+async fn watch(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let (kind, name) = place(req);
+    let after: u64 = req.query("after").unwrap_or(0);
+    let wait: u64 = req.query("timeout_ms").unwrap_or(0);
+    let deadline = Instant::now() + Duration::from_millis(wait.min(MAX_WATCH_MS));
+    let store = store(depot);
+    store.state.lock().counts.watches += 1;
+    loop {
+        let changed = store.changed.notified();
+        {
+            let state = store.state.lock();
+            let object = state.object(&kind, &name);
+            if !state.faults.down && object.is_some_and(|(version, _)| *version > after) {
+                render_object(object, res);
+                return;
+            }
+        }
+        if tokio::time::timeout_at(deadline.into(), changed).await.is_err() {
+            res.status_code(StatusCode::NO_CONTENT);
+            return;
+        }
+    }
+}
+
+#[handler]
+async fn list(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    let kind: String = req.param("kind").unwrap_or_default();
+    let limit: usize = req.query("limit").unwrap_or(1_000);
+    let descending = req.query::<String>("order").as_deref() == Some("descending");
+    let store = store(depot);
+    let mut state = store.state.lock();
+    state.counts.reads += 1;
+    let objects = state.objects.get(&kind);
+    let names = objects.into_iter().flat_map(|objects| objects.keys().cloned());
+    let mut names: Vec<String> = names.collect();
+    if descending {
+        names.reverse();
+    }
+    names.truncate(limit);
+    res.render(Json(ListPage { names }));
+}
+
+#[handler]
+async fn list_hosts(depot: &mut Depot, res: &mut Response) {
+    let store = store(depot);
+    let mut state = store.state.lock();
+    state.counts.reads += 1;
+    let lag = Duration::from_millis(state.faults.hosts_lag_ms);
+    let seen = state.hosts.iter().rev().find(|(at, _)| at.elapsed() >= lag);
+    let hosts = seen.map(|(_, hosts)| hosts.clone()).unwrap_or_default();
+    res.render(Json(json!({"hosts": hosts})));
+}
+
+#[handler]
+async fn put_hosts(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    match req.parse_json::<Vec<Host>>().await {
+        Ok(hosts) => store(depot).state.lock().hosts.push((Instant::now(), hosts)),
+        Err(e) => refuse(res, &e),
+    }
+}
+
+#[handler]
+async fn put_faults(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    match req.parse_json::<Faults>().await {
+        Ok(faults) => store(depot).state.lock().faults = faults,
+        Err(e) => refuse(res, &e),
+    }
+}
+
+fn refuse(res: &mut Response, e: &impl std::fmt::Display) {
+    res.status_code(StatusCode::BAD_REQUEST);
+    res.render(Text::Plain(e.to_string()));
+}
+
+#[handler]
+async fn counts(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(store(depot).state.lock().counts));
+}
+
+#[handler]
+async fn history(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(&store(depot).state.lock().history));
+}
+
+impl State {
+    fn object(&self, kind: &str, name: &str) -> Option<&(u64, Value)> {
+        self.objects.get(kind).and_then(|objects| objects.get(name))
+    }
+}
