Budgets, routing and slopes measured; grants ahead; retries leave a failed hall; load tool

Cause of false refusals in a store outage under a tight budget: what was not yet granted is out of reach. A draw now brings at least a part of an equal share (column held_ahead).

--- /dev/null
+++ b/crates/bench/benches/decision.rs
@@ -0,0 +1,31 @@
+//! Time of one routing decision, from 16 to 10,000 backend servers.
+//!
+//! `cargo bench -p bankcove-bench --bench decision`
+
+use bankcove_bench::routing_world::table;
+use bankcove_core::router::{Router, Wanted};
+use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
+
+fn decide(c: &mut Criterion) {
+    let mut group = c.benchmark_group("route one request");
+    for servers in [16, 160, 1_600, 10_000] {
+        let mut router = Router::default();
+        router.adopt(&table(servers, 10));
+        let mut seed = 0_u64;
+        group.bench_with_input(BenchmarkId::from_parameter(servers), &router, |b, router| {
+            b.iter(|| {
+                seed = seed.wrapping_add(0x9e37_79b9_7f4a_7c15);
+                let wanted = Wanted { pool: "m", prefix: seed, hour: 0, seed, tried: &[] };
+                router.choose(0, &wanted)
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group! {
+    name = benches;
+    config = Criterion::default().sample_size(20).without_plots();
+    targets = decide
+}
+criterion_main!(benches);
--- /dev/null
+++ b/crates/bench/benches/routing.rs
@@ -0,0 +1,46 @@
+//! Routing: time to the first token, prefix hits and balance of the design,
+//! of round robin and of least reported load, on the same seeded load.
+//!
+//! `cargo bench -p bankcove-bench --bench routing`
+
+use bankcove_bench::routing_world::{Rule, Trouble, World};
+
+const SEED: u64 = 1;
+const LENGTH_MS: u64 = 120_000;
+
+fn main() {
+    println!(
+        "{:<11} {:<14} {:>5} {:>8} {:>8} {:>8} {:>7} {:>8} {:>10} {:>5}",
+        "trouble",
+        "rule",
+        "req/s",
+        "p50 ms",
+        "p95 ms",
+        "p99 ms",
+        "hits %",
+        "busiest",
+        "sent again",
+        "lost"
+    );
+    for trouble in [Trouble::None, Trouble::SlowServer, Trouble::HallGone] {
+        for rate in [60.0, 90.0] {
+            for rule in [Rule::Design, Rule::RoundRobin, Rule::LeastReported] {
+                let outcome = World::run(rule, trouble, rate, LENGTH_MS, SEED);
+                let at = |quantile| outcome.first_token.value_at_quantile(quantile);
+                println!(
+                    "{:<11} {:<14} {:>5} {:>8} {:>8} {:>8} {:>7.1} {:>8.2} {:>10} {:>5}",
+                    format!("{trouble:?}"),
+                    format!("{rule:?}"),
+                    rate,
+                    at(0.50),
+                    at(0.95),
+                    at(0.99),
+                    outcome.hits_percent,
+                    outcome.busiest,
+                    outcome.sent_again,
+                    outcome.lost,
+                );
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/bench/benches/slopes.rs
@@ -0,0 +1,270 @@
+//! Slopes for docs/CAPACITY.md: bytes and allocations for each thing that a
+//! role keeps, sends or stores, over at least four sizes.
+//!
+//! `cargo bench -p bankcove-bench --bench slopes`
+
+use std::alloc::{GlobalAlloc, Layout, System};
+use std::sync::atomic::{AtomicI64, AtomicU64, Ordering};
+use std::time::Instant;
+
+use bankcove_bench::routing_world::table;
+use bankcove_core::bill::Bill;
+use bankcove_core::holder::{Draw, Holder, Terms};
+use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Members};
+use bankcove_core::owner::{Event as OwnerEvent, Owner, Request};
+use bankcove_core::reqlog::{Entry, Event, RequestLog, Segment};
+use bankcove_core::router::Router;
+use bankcove_core::shard::Shard;
+use bankcove_core::table::Table;
+use bankcove_core::{AttemptId, Incarnation, Name, RequestHash};
+
+/// Counts the bytes that are allocated and not yet freed.
+struct Counting;
+
+static HELD: AtomicI64 = AtomicI64::new(0);
+static ALLOCATIONS: AtomicU64 = AtomicU64::new(0);
+
+// SAFETY: every call is handed to the system's allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        HELD.fetch_add(layout.size() as i64, Ordering::Relaxed);
+        ALLOCATIONS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        HELD.fetch_sub(layout.size() as i64, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(ptr, layout) }
+    }
+}
+
+#[global_allocator]
+static ALLOCATOR: Counting = Counting;
+
+/// Bytes held by what `make` makes.
+fn held<T>(make: impl FnOnce() -> T) -> f64 {
+    let before = HELD.load(Ordering::Relaxed);
+    let made = make();
+    let after = HELD.load(Ordering::Relaxed);
+    drop(made);
+    (after - before) as f64
+}
+
+/// Prints the sizes, the values, and the slope by least squares.
+fn slope(what: &str, unit: &str, sizes: [usize; 4], value: impl Fn(usize) -> f64) {
+    let points: Vec<(f64, f64)> = sizes.iter().map(|n| (*n as f64, value(*n))).collect();
+    let count = points.len() as f64;
+    let mean_x = points.iter().map(|(x, _)| x).sum::<f64>() / count;
+    let mean_y = points.iter().map(|(_, y)| y).sum::<f64>() / count;
+    let over: f64 = points.iter().map(|(x, y)| (x - mean_x) * (y - mean_y)).sum();
+    let under: f64 = points.iter().map(|(x, _)| (x - mean_x) * (x - mean_x)).sum();
+    let raw: Vec<String> = points.iter().map(|(x, y)| format!("{x}: {y:.0}")).collect();
+    println!("{what:<44} {:>9.2} {unit:<16} {}", over / under, raw.join(", "));
+}
+
+fn json_bytes(value: &impl serde::Serialize) -> f64 {
+    serde_json::to_vec(value).map_or(0.0, |bytes| bytes.len() as f64)
+}
+
+fn wire_bytes(value: &impl serde::Serialize) -> f64 {
+    bincode::serialized_size(value).map_or(0.0, |bytes| bytes as f64)
+}
+
+fn attempt(n: u64) -> AttemptId {
+    AttemptId { incarnation: Incarnation(n * 7_919), sequence: n }
+}
+
+fn bill(n: usize) -> Bill {
+    Bill {
+        request: RequestHash((n as u128) << 64 | 0x9e37),
+        attempt: attempt(n as u64),
+        budget: Name::from(format!("budget-{n}")),
+        prompt_tokens: 412,
+        output_tokens: 244,
+    }
+}
+
+fn segment(entries: usize) -> Segment {
+    let entries = (0..entries).map(|n| Entry::Bill(bill(n))).collect();
+    Segment { at: 1_796_213_870_000, window_start: 1_000, entries }
+}
+
+fn shard(budgets: usize, holders: u64) -> Shard {
+    let mut shard = Shard::default();
+    for n in 0..budgets {
+        let ledger = shard.ledger(&Name::from(format!("budget-{n}")));
+        ledger.adopt_row(1_000_000_000, 1);
+        for holder in 0..holders {
+            ledger.grant(Incarnation(holder * 7_919), "10.12.34.56:8081", 100_000);
+        }
+    }
+    shard
+}
+
+fn host(n: usize) -> Host {
+    Host {
+        name: Name::from(format!("entry-{n}")),
+        hall: Name::from(format!("hall-{}", n % 10)),
+        address: format!("10.1.{}.{}:8081", n / 256, n % 256),
+        role: HostRole::Daemon,
+        state: HostState::Live,
+    }
+}
+
+fn members(count: usize) -> Members {
+    let mut members = Members::new(Name::from("me"));
+    members.host_list(&(0..count).map(host).collect::<Vec<_>>());
+    members
+}
+
+fn terms() -> Terms {
+    Terms {
+        tokens: 1_000_000,
+        version: 1,
+        horizon_s: 10.0,
+        share_divisor: 4,
+        held_ahead: 0.5,
+        daemons: 1_300,
+    }
+}
+
+fn holder(budgets: usize) -> Holder {
+    let mut holder = Holder::new(Incarnation(1));
+    for n in 0..budgets {
+        holder.granted(&Name::from(format!("budget-{n}")), 1_000);
+    }
+    holder
+}
+
+fn draw(budget: &Name) -> Draw {
+    Holder::new(Incarnation(1)).draw(budget, 600, terms(), "10.12.34.56:8081", 0)
+}
+
+fn heartbeat() -> Heartbeat {
+    Heartbeat {
+        name: Name::from("entry-1234"),
+        hall: Name::from("hall-10"),
+        incarnation: Incarnation(7_919),
+        address: "10.12.34.56:8081".to_owned(),
+        revision: 1_000_000,
+        stopping: false,
+        store_heard_ms: Some(120),
+    }
+}
+
+fn request_log(requests: usize) -> RequestLog {
+    let mut log = RequestLog::new(0);
+    log.handle(0, Event::Submitted(1, Entry::Bill(bill(requests + 1))));
+    log.handle(0, Event::Newest(None));
+    log.handle(0, Event::SegmentRead(0, Some(segment(requests))));
+    log
+}
+
+/// Nanoseconds of an owner's round for one draw, with so many other budgets
+/// and holders in its shard.
+fn owner_round(budgets: usize, holders: u64) -> f64 {
+    const ROUNDS: u32 = 50;
+    let shard = shard(budgets, holders);
+    let name = Name::from("budget-0");
+    let mut owner = Owner::new(Incarnation(1), 0);
+    owner.handle(0, OwnerEvent::Asked(0, Request::Draw(draw(&name))));
+    owner.handle(0, OwnerEvent::Loaded(1, shard));
+    owner.handle(0, OwnerEvent::Written(2));
+    let started = Instant::now();
+    for round in 0..ROUNDS {
+        let now = u64::from(round) + 1;
+        let mut draw = draw(&name);
+        draw.known_granted = u64::MAX / 2;
+        owner.handle(now, OwnerEvent::Asked(u64::from(round), Request::Draw(draw)));
+        owner.handle(now, OwnerEvent::Written(now + 2));
+    }
+    started.elapsed().as_nanos() as f64 / f64::from(ROUNDS)
+}
+
+fn memory() {
+    println!("\n# Memory, bytes held for each");
+    slope("router: a backend server", "B", [16, 160, 1_600, 10_000], |n| {
+        let table = table(n, 10);
+        held(|| {
+            let mut router = Router::default();
+            router.adopt(&table);
+            router
+        })
+    });
+    slope("table: a server's row", "B", [16, 160, 1_600, 10_000], |n| held(|| table(n, 10)));
+    slope("membership: a peer", "B", [10, 100, 500, 1_300], |n| held(|| members(n)));
+    slope("holder: a budget drawn on", "B", [100, 1_000, 10_000, 39_000], |n| held(|| holder(n)));
+    slope("owner: a grant in a shard", "B", [100, 500, 1_300, 5_000], |n| {
+        held(|| shard(1, n as u64))
+    });
+    slope("request log: a remembered request", "B", [1_000, 4_000, 16_000, 64_000], |n| {
+        held(|| request_log(n))
+    });
+}
+
+fn stored() {
+    println!("\n# Stored, bytes of JSON for each");
+    slope("table: a server's row", "B", [16, 160, 1_600, 10_000], |n| json_bytes(&table(n, 10)));
+    slope("budget shard: a budget without holders", "B", [10, 100, 300, 610], |n| {
+        json_bytes(&shard(n, 0))
+    });
+    slope("budget shard: a grant", "B", [10, 100, 500, 1_300], |n| json_bytes(&shard(1, n as u64)));
+    slope("log segment: a bill", "B", [10, 100, 500, 2_000], |n| json_bytes(&segment(n)));
+}
+
+fn sent() {
+    println!("\n# Sent between daemons, bytes of each message's body");
+    println!("{:<44} {:>9.2} B", "heartbeat, one way", wire_bytes(&heartbeat()));
+    let budget = Name::from("budget-12345");
+    println!("{:<44} {:>9.2} B", "draw", wire_bytes(&Request::Draw(draw(&budget))));
+    println!("{:<44} {:>9.2} B", "bill submitted", wire_bytes(&Entry::Bill(bill(12_345))));
+    let table: Table = table(10_000, 10);
+    println!("{:<44} {:>9.0} B", "whole table of 10,000 servers", json_bytes(&table));
+}
+
+fn work() {
+    println!("\n# Work, nanoseconds and allocations for each");
+    slope("owner: a draw, by grants in its budget", "ns", [10, 100, 500, 1_300], |n| {
+        owner_round(1, n as u64)
+    });
+    slope("owner: a draw, by budgets in its shard", "ns", [10, 100, 300, 610], |n| {
+        owner_round(n, 3)
+    });
+    slope("membership: owners of a key, by peers", "ns", [10, 100, 500, 1_300], |n| {
+        const ROUNDS: u64 = 200;
+        let mut members = members(n);
+        for peer in (0..n).map(host) {
+            let mut beat = heartbeat();
+            beat.name = peer.name;
+            members.heard(0, &beat);
+        }
+        let started = Instant::now();
+        for key in 0..ROUNDS {
+            std::hint::black_box(members.owners(key, 2));
+        }
+        started.elapsed().as_nanos() as f64 / ROUNDS as f64
+    });
+    let before = ALLOCATIONS.load(Ordering::Relaxed);
+    let mut holder = holder(1);
+    let budget = Name::from("budget-0");
+    for now in 0..1_000 {
+        if let Ok(reservation) = holder.reserve(&budget, 1, now) {
+            holder.settle(reservation, 0);
+        }
+    }
+    let allocations = ALLOCATIONS.load(Ordering::Relaxed) - before;
+    println!(
+        "{:<44} {:>9.2} allocations",
+        "holder: reserve and settle",
+        allocations as f64 / 1_000.0
+    );
+}
+
+fn main() {
+    memory();
+    stored();
+    sent();
+    work();
+}
--- a/crates/bench/src/budget_load.rs
+++ b/crates/bench/src/budget_load.rs
@@ -54,8 +54,8 @@
     pub shifting: bool,
     /// A daemon draws at most this part of what is available at once.
     pub share_divisor: u64,
-    /// And at least this part.
-    pub floor_divisor: u64,
+    /// And at least this part of an equal share.
+    pub held_ahead: f64,
     /// What fails.
     pub failures: Failures,
 }
@@ -72,7 +72,7 @@
             length: 60_000,
             shifting: false,
             share_divisor: 4,
-            floor_divisor: 32,
+            held_ahead: 1.0,
             failures: Failures::default(),
         }
     }
--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,4 +5,5 @@
 pub mod budget_load;
 pub mod budget_policy;
 pub mod budget_world;
+pub mod routing_world;
 pub mod schedule;
--- /dev/null
+++ b/crates/bench/src/routing_world.rs
@@ -0,0 +1,312 @@
+//! Engines with slots and prefix caches, and daemons that route to them, in
+//! simulated time.
+
+use std::collections::VecDeque;
+
+use bankcove_core::router::{LoadReport, Router, Wanted};
+use bankcove_core::table::Table;
+use bankcove_core::{Millis, Name};
+use hdrhistogram::Histogram;
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde_json::json;
+
+use crate::schedule::Schedule;
+
+/// Requests that one engine runs at once.
+const SLOTS: usize = 8;
+
+/// Prefixes that one engine keeps.
+const CACHED_PREFIXES: usize = 24;
+
+/// Different prefixes that callers use.
+const PREFIXES: u64 = 400;
+
+/// Time to read a prompt whose prefix is not cached, and one whose is.
+const COLD_MS: Millis = 240;
+const WARM_MS: Millis = 40;
+
+/// Time between two tokens.
+const STEP_MS: Millis = 20;
+
+/// Longest time to a first token that is told apart.
+const MAX_MS: u64 = 600_000;
+
+/// Age of load reports, and the time between them.
+const REPORT_MS: Millis = 500;
+
+/// How a server is chosen.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rule {
+    /// The daemon's own router.
+    Design,
+    /// Each server in its turn.
+    RoundRobin,
+    /// The server with the least load in the last reports.
+    LeastReported,
+}
+
+/// What fails in the second half.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Trouble {
+    /// Nothing.
+    None,
+    /// One server is ten times as slow.
+    SlowServer,
+    /// All servers of one hall refuse connections.
+    HallGone,
+}
+
+/// What a run came to.
+#[derive(Debug)]
+pub struct Outcome {
+    /// Time to the first token, in milliseconds.
+    pub first_token: Histogram<u64>,
+    /// Requests whose prefix was cached, in %.
+    pub hits_percent: f64,
+    /// Requests at the busiest server, against the mean.
+    pub busiest: f64,
+    /// Requests that a server refused and that were sent again.
+    pub sent_again: u64,
+    /// Requests that found no server.
+    pub lost: u64,
+    /// Requests in all.
+    pub requests: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Request {
+    arrived: Millis,
+    daemon: usize,
+    prefix: u64,
+    tokens: u64,
+}
+
+enum Happening {
+    Arrives(Request),
+    Ends { server: usize, request: Request },
+    Report,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    running: usize,
+    queue: VecDeque<Request>,
+    cache: VecDeque<u64>,
+    served: u64,
+}
+
+/// The world of one run.
+pub struct World {
+    rule: Rule,
+    trouble: Trouble,
+    length: Millis,
+    now: Millis,
+    schedule: Schedule<Happening>,
+    engines: Vec<Engine>,
+    halls: usize,
+    routers: Vec<Router>,
+    reported: Vec<u32>,
+    in_turn: usize,
+    rng: StdRng,
+    outcome: Outcome,
+    hits: u64,
+}
+
+/// A table with this many servers in this many halls.
+pub fn table(servers: usize, halls: usize) -> Table {
+    let hall = |n: usize| json!({"name": format!("hall-{n}")});
+    let server = |n: usize| {
+        json!({
+            "name": format!("server-{n}"), "hall": format!("hall-{}", n % halls), "kind": "model",
+            "address": format!("10.{}.{}.{}:8000", n >> 16, (n >> 8) & 255, n & 255),
+            "models": ["m"], "limit": 1_000,
+        })
+    };
+    let value = json!({
+        "halls": (0..halls).map(hall).collect::<Vec<_>>(),
+        "servers": (0..servers).map(server).collect::<Vec<_>>(),
+        "routes": [{"name": "chat", "to": "model", "model": "m"}],
+    });
+    serde_json::from_value(value).expect("the value has the shape of a table")
+}
+
+impl World {
+    /// Runs a load of `rate` requests a second for `length` milliseconds.
+    pub fn run(rule: Rule, trouble: Trouble, rate: f64, length: Millis, seed: u64) -> Outcome {
+        let (daemons, servers, halls) = (8, 18, 3);
+        let table = table(servers, halls);
+        let router = || {
+            let mut router = Router::default();
+            router.adopt(&table);
+            router
+        };
+        let mut world = World {
+            rule,
+            trouble,
+            length,
+            now: 0,
+            schedule: Schedule::default(),
+            engines: (0..servers).map(|_| Engine::default()).collect(),
+            halls,
+            routers: (0..daemons).map(|_| router()).collect(),
+            reported: vec![0; servers],
+            in_turn: 0,
+            rng: StdRng::seed_from_u64(seed),
+            outcome: Outcome {
+                first_token: Histogram::new_with_bounds(1, MAX_MS, 3)
+                    .expect("the bounds are usable"),
+                hits_percent: 0.0,
+                busiest: 0.0,
+                sent_again: 0,
+                lost: 0,
+                requests: 0,
+            },
+            hits: 0,
+        };
+        world.prepare(rate, daemons);
+        world.go_on();
+        world.finish()
+    }
+
+    fn prepare(&mut self, rate: f64, daemons: usize) {
+        let mut at = 0.0;
+        while at < self.length as f64 {
+            at += -self.rng.random::<f64>().max(1e-12).ln() * 1000.0 / rate;
+            // The square favours low numbers: few prefixes are used by many.
+            let part: f64 = self.rng.random();
+            let request = Request {
+                arrived: at as Millis,
+                daemon: self.rng.random_range(0..daemons),
+                prefix: (part * part * PREFIXES as f64) as u64,
+                tokens: self.rng.random_range(10..80),
+            };
+            self.schedule.at(request.arrived, Happening::Arrives(request));
+        }
+        for n in 0..=self.length / REPORT_MS {
+            self.schedule.at(n * REPORT_MS, Happening::Report);
+        }
+    }
+
+    fn go_on(&mut self) {
+        while let Some((at, what)) = self.schedule.take_next() {
+            self.now = at;
+            match what {
+                Happening::Arrives(request) => self.arrives(request),
+                Happening::Ends { server, request } => self.ends(server, request),
+                Happening::Report => self.report(),
+            }
+        }
+    }
+
+    fn finish(mut self) -> Outcome {
+        let served: Vec<u64> = self.engines.iter().map(|engine| engine.served).collect();
+        let mean = served.iter().sum::<u64>() as f64 / served.len() as f64;
+        let most = served.iter().max().copied().unwrap_or(0) as f64;
+        self.outcome.busiest = most / mean;
+        self.outcome.hits_percent = 100.0 * self.hits as f64 / self.outcome.requests as f64;
+        self.outcome
+    }
+
+    fn in_trouble(&self) -> bool {
+        self.now >= self.length / 2
+    }
+
+    fn refuses(&self, server: usize) -> bool {
+        self.trouble == Trouble::HallGone && self.in_trouble() && server % self.halls == 0
+    }
+
+    fn slowness(&self, server: usize) -> Millis {
+        let slow = self.trouble == Trouble::SlowServer && self.in_trouble() && server == 0;
+        if slow { 10 } else { 1 }
+    }
+
+    fn arrives(&mut self, request: Request) {
+        self.outcome.requests += 1;
+        let mut tried: Vec<Name> = Vec::new();
+        for _ in 0..3 {
+            let Some(server) = self.choose(&request, &tried) else { break };
+            let name = Name::from(format!("server-{server}"));
+            let router = &mut self.routers[request.daemon];
+            router.sent(&name);
+            if self.refuses(server) {
+                self.routers[request.daemon].ended(self.now, &name, false);
+                self.outcome.sent_again += 1;
+                tried.push(name);
+                continue;
+            }
+            self.engines[server].queue.push_back(request);
+            self.start(server);
+            return;
+        }
+        self.outcome.lost += 1;
+    }
+
+    fn choose(&mut self, request: &Request, tried: &[Name]) -> Option<usize> {
+        match self.rule {
+            Rule::Design => {
+                let wanted = Wanted {
+                    pool: "m",
+                    prefix: request.prefix.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                    hour: 0,
+                    seed: self.rng.random(),
+                    tried,
+                };
+                let choice = self.routers[request.daemon].choose(self.now, &wanted).ok()?;
+                choice.server.as_str().strip_prefix("server-")?.parse().ok()
+            }
+            Rule::RoundRobin => {
+                self.in_turn += 1;
+                Some(self.in_turn % self.engines.len())
+            }
+            Rule::LeastReported => {
+                let named = |n: &usize| Name::from(format!("server-{n}"));
+                let untried = (0..self.engines.len()).filter(|n| !tried.contains(&named(n)));
+                untried.min_by_key(|n| self.reported[*n])
+            }
+        }
+    }
+
+    fn start(&mut self, server: usize) {
+        let slowness = self.slowness(server);
+        let engine = &mut self.engines[server];
+        while engine.running < SLOTS {
+            let Some(request) = engine.queue.pop_front() else { return };
+            engine.running += 1;
+            engine.served += 1;
+            let cached = engine.cache.iter().position(|prefix| *prefix == request.prefix);
+            if let Some(place) = cached {
+                engine.cache.remove(place);
+                self.hits += 1;
+            }
+            engine.cache.push_back(request.prefix);
+            if engine.cache.len() > CACHED_PREFIXES {
+                engine.cache.pop_front();
+            }
+            let reading = if cached.is_some() { WARM_MS } else { COLD_MS } * slowness;
+            let first = self.now + reading - request.arrived;
+            self.outcome.first_token.saturating_record(first.max(1));
+            let end = self.now + reading + request.tokens * STEP_MS * slowness;
+            self.schedule.at(end, Happening::Ends { server, request });
+        }
+    }
+
+    fn ends(&mut self, server: usize, request: Request) {
+        self.engines[server].running -= 1;
+        let name = Name::from(format!("server-{server}"));
+        self.routers[request.daemon].ended(self.now, &name, true);
+        self.start(server);
+    }
+
+    fn report(&mut self) {
+        for (n, engine) in self.engines.iter().enumerate() {
+            let (running, waiting) = (engine.running as u32, engine.queue.len() as u32);
+            self.reported[n] = running + waiting;
+            let name = Name::from(format!("server-{n}"));
+            for router in &mut self.routers {
+                let report = LoadReport { running, waiting, leaving: false };
+                router.report(self.now, &name, report);
+            }
+        }
+    }
+}
--- a/crates/bench/src/schedule.rs
+++ b/crates/bench/src/schedule.rs
@@ -51,7 +51,7 @@
     }
 
     /// Takes what happens next.
-    pub fn next(&mut self) -> Option<(Millis, T)> {
+    pub fn take_next(&mut self) -> Option<(Millis, T)> {
         self.entries.pop().map(|Reverse(entry)| (entry.at, entry.what))
     }
 }
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -1,6 +1,331 @@
-//! Stub until the path stands.
+//! The load tool: requests at a steady rate, whatever the answers take, and
+//! latencies from the time that each was meant to be sent.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hdrhistogram::Histogram;
+use indicatif::{ProgressBar, ProgressStyle};
+use rand::rngs::StdRng;
+use rand::{Rng, SeedableRng};
+use serde::Serialize;
+use serde_json::{Value, json};
+use tokio::sync::mpsc;
+use tokio::time::Instant;
+
 use crate::args::{Format, LoadArgs};
-use crate::error::Result;
-pub async fn run(_args: &LoadArgs, _format: Format) -> Result<()> {
+use crate::error::{Error, Result};
+use crate::output;
+
+/// Longest latency that is told apart, in microseconds.
+const MAX_MICROS: u64 = 600_000_000;
+
+/// Digits of a latency that are kept.
+const DIGITS: u8 = 3;
+
+/// Longest wait for one attempt.
+const PATIENCE: Duration = Duration::from_secs(120);
+
+/// Pause before a retry when the answer names none.
+const RETRY: Duration = Duration::from_millis(200);
+
+/// Longest pause before a retry.
+const LONGEST_RETRY: Duration = Duration::from_secs(5);
+
+/// Pause between two looks at the progress.
+const TICK: Duration = Duration::from_millis(250);
+
+/// One request, as it was drawn.
+struct Request {
+    number: u64,
+    due: Instant,
+    target: String,
+    key: String,
+    model: String,
+    prompt: String,
+    max_tokens: u64,
+    stream: bool,
+    retries: u32,
+}
+
+/// What became of a request, or of its last attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fate {
+    Done,
+    NotRun,
+    Unknown,
+    Doubled,
+    Wrong,
+}
+
+/// What one request came to.
+struct Sample {
+    fate: Fate,
+    attempts: u32,
+    first_token: Option<Duration>,
+    between: Vec<Duration>,
+    whole: Duration,
+}
+
+/// Counts and latencies of a load.
+struct Report {
+    done: u64,
+    not_run: u64,
+    unknown: u64,
+    doubled: u64,
+    wrong: u64,
+    attempts: u64,
+    first_token: Histogram<u64>,
+    between: Histogram<u64>,
+    whole: Histogram<u64>,
+}
+
+#[derive(Serialize)]
+struct Latency {
+    p50_ms: f64,
+    p95_ms: f64,
+    p99_ms: f64,
+    max_ms: f64,
+}
+
+/// Sends the load and prints what came of it.
+///
+/// # Errors
+/// [`Error::Usage`] when the arguments can't be used.
+pub async fn run(args: &LoadArgs, format: Format) -> Result<()> {
+    if !(args.rate > 0.0 && args.duration > 0.0) {
+        return Err(Error::Usage("--rate and --duration must be above 0".to_owned()));
+    }
+    let http = reqwest::Client::builder().no_proxy().timeout(PATIENCE).build();
+    let http = http.map_err(|e| Error::Setup(std::io::Error::other(e)))?;
+    let (tx, rx) = mpsc::unbounded_channel();
+    let collecting = tokio::spawn(collect(rx, (args.rate * args.duration) as u64));
+    send_all(args, http, tx).await;
+    let report = collecting.await.map_err(|e| Error::Setup(std::io::Error::other(e)))?;
+    report.print(args, format);
     Ok(())
 }
+
+/// Sends each request when it is due. The channel closes when all have ended.
+async fn send_all(args: &LoadArgs, http: reqwest::Client, tx: mpsc::UnboundedSender<Sample>) {
+    let mut rng = StdRng::seed_from_u64(args.seed);
+    let start = Instant::now();
+    let run = Arc::<str>::from(format!("{:08x}", rand::random::<u32>()));
+    let count = (args.rate * args.duration) as u64;
+    for number in 0..count {
+        let request = draw(args, &mut rng, number, start);
+        tokio::time::sleep_until(request.due).await;
+        let (http, tx, run) = (http.clone(), tx.clone(), Arc::clone(&run));
+        tokio::spawn(async move {
+            let sample = send(&http, &request, &run).await;
+            // The collector reads until every sender is gone.
+            let _collected = tx.send(sample);
+        });
+    }
+}
+
+fn draw(args: &LoadArgs, rng: &mut StdRng, number: u64, start: Instant) -> Request {
+    let turn = number as usize;
+    let length = rng.random_range(1..=args.prompt_bytes.max(1));
+    Request {
+        number,
+        due: start + Duration::from_secs_f64(number as f64 / args.rate),
+        target: args.targets[turn % args.targets.len()].clone(),
+        key: args.keys[turn % args.keys.len()].clone(),
+        model: args.models[rng.random_range(0..args.models.len())].clone(),
+        prompt: "ramp ".chars().cycle().take(length).collect(),
+        max_tokens: args.max_tokens,
+        stream: rng.random_bool(args.streams.clamp(0.0, 1.0)),
+        retries: args.retries,
+    }
+}
+
+async fn send(http: &reqwest::Client, request: &Request, run: &str) -> Sample {
+    let mut sample = Sample {
+        fate: Fate::Unknown,
+        attempts: 0,
+        first_token: None,
+        between: Vec::new(),
+        whole: Duration::ZERO,
+    };
+    while sample.attempts <= request.retries {
+        sample.attempts += 1;
+        sample.between.clear();
+        let pause = attempt(http, request, run, &mut sample).await;
+        sample.whole = request.due.elapsed();
+        match sample.fate {
+            Fate::NotRun | Fate::Unknown if sample.attempts <= request.retries => {
+                tokio::time::sleep(pause.min(LONGEST_RETRY)).await;
+            }
+            _ => break,
+        }
+    }
+    sample
+}
+
+/// One attempt; returns when to come back.
+async fn attempt(
+    http: &reqwest::Client,
+    request: &Request,
+    run: &str,
+    sample: &mut Sample,
+) -> Duration {
+    let body = json!({
+        "model": request.model, "max_tokens": request.max_tokens, "stream": request.stream,
+        "messages": [{"role": "user", "content": request.prompt}],
+    });
+    let req = http
+        .post(format!("http://{}/v1/chat/completions", request.target))
+        .bearer_auth(&request.key)
+        .header("idempotency-key", format!("load-{run}-{}", request.number))
+        .json(&body);
+    sample.fate = Fate::Unknown;
+    let mut res = match req.send().await {
+        Ok(res) => res,
+        Err(e) => {
+            sample.fate = if e.is_connect() { Fate::NotRun } else { Fate::Unknown };
+            return RETRY;
+        }
+    };
+    if !res.status().is_success() {
+        let problem: Value = res.json().await.unwrap_or_default();
+        sample.fate = match problem["error"]["outcome"].as_str() {
+            Some("not_run") => Fate::NotRun,
+            _ => Fate::Unknown,
+        };
+        return problem["error"]["retry_after_ms"].as_u64().map_or(RETRY, Duration::from_millis);
+    }
+    let mut text = Vec::new();
+    let mut last = None;
+    while let Ok(Some(chunk)) = res.chunk().await {
+        let now = Instant::now();
+        sample.first_token.get_or_insert(now - request.due);
+        if let Some(last) = last.replace(now) {
+            sample.between.push(now - last);
+        }
+        text.extend_from_slice(&chunk);
+    }
+    sample.fate = judge(&String::from_utf8_lossy(&text), request);
+    RETRY
+}
+
+/// Whether an answer is whole: as many pieces as its usage says, all of one
+/// run, none twice.
+fn judge(text: &str, request: &Request) -> Fate {
+    if !request.stream {
+        let answer: Value = serde_json::from_str(text).unwrap_or_default();
+        let whole = answer["usage"]["completion_tokens"].is_u64();
+        return if whole { Fate::Done } else { Fate::Unknown };
+    }
+    let pieces: Vec<Value> = text
+        .lines()
+        .filter_map(|line| line.strip_prefix("data: "))
+        .filter_map(|data| serde_json::from_str(data).ok())
+        .collect();
+    let Some(usage) = pieces.iter().find_map(|piece| piece["usage"]["completion_tokens"].as_u64())
+    else {
+        return Fate::Unknown;
+    };
+    if pieces.windows(2).any(|pair| pair[0]["id"] != pair[1]["id"]) {
+        return Fate::Wrong;
+    }
+    match (pieces.len() as u64).cmp(&(usage + 1)) {
+        std::cmp::Ordering::Equal => Fate::Done,
+        std::cmp::Ordering::Greater => Fate::Doubled,
+        std::cmp::Ordering::Less => Fate::Wrong,
+    }
+}
+
+async fn collect(mut rx: mpsc::UnboundedReceiver<Sample>, count: u64) -> Report {
+    let mut report = Report::new();
+    let bar = ProgressBar::new(count);
+    let style = ProgressStyle::with_template("{bar:30} {pos}/{len} {elapsed} {msg}");
+    bar.set_style(style.unwrap_or_else(|_| ProgressStyle::default_bar()));
+    bar.enable_steady_tick(TICK);
+    while let Some(sample) = rx.recv().await {
+        report.add(&sample);
+        bar.inc(1);
+        bar.set_message(format!("{} not run, {} unknown", report.not_run, report.unknown));
+    }
+    bar.finish_and_clear();
+    report
+}
+
+fn histogram() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_MICROS, DIGITS).expect("the bounds are usable")
+}
+
+impl Report {
+    fn new() -> Self {
+        Report {
+            done: 0,
+            not_run: 0,
+            unknown: 0,
+            doubled: 0,
+            wrong: 0,
+            attempts: 0,
+            first_token: histogram(),
+            between: histogram(),
+            whole: histogram(),
+        }
+    }
+
+    fn add(&mut self, sample: &Sample) {
+        self.attempts += u64::from(sample.attempts);
+        let count = match sample.fate {
+            Fate::Done => &mut self.done,
+            Fate::NotRun => &mut self.not_run,
+            Fate::Unknown => &mut self.unknown,
+            Fate::Doubled => &mut self.doubled,
+            Fate::Wrong => &mut self.wrong,
+        };
+        *count += 1;
+        if sample.fate != Fate::Done {
+            return;
+        }
+        let micros = |time: Duration| (time.as_micros() as u64).max(1);
+        if let Some(first) = sample.first_token {
+            self.first_token.saturating_record(micros(first));
+        }
+        for between in &sample.between {
+            self.between.saturating_record(micros(*between));
+        }
+        self.whole.saturating_record(micros(sample.whole));
+    }
+
+    fn print(&self, args: &LoadArgs, format: Format) {
+        let latencies = [
+            ("first token", latency(&self.first_token)),
+            ("between tokens", latency(&self.between)),
+            ("whole", latency(&self.whole)),
+        ];
+        let counts = json!({
+            "done": self.done, "not_run": self.not_run, "unknown": self.unknown,
+            "doubled": self.doubled, "wrong": self.wrong, "attempts": self.attempts,
+            "done_per_second": self.done as f64 / args.duration, "seed": args.seed,
+        });
+        if format == Format::Json {
+            let of = |n: usize| serde_json::to_value(&latencies[n].1).unwrap_or_default();
+            output::json(&json!({
+                "counts": counts, "first_token": of(0), "between_tokens": of(1), "whole": of(2),
+            }));
+            return;
+        }
+        output::rows(&[counts], format);
+        println!();
+        let rows: Vec<Value> = latencies
+            .iter()
+            .map(|(name, latency)| {
+                let mut row = serde_json::to_value(latency).unwrap_or_default();
+                row["name"] = json!(name);
+                row
+            })
+            .collect();
+        output::rows(&rows, format);
+    }
+}
+
+fn latency(histogram: &Histogram<u64>) -> Latency {
+    let at = |quantile| histogram.value_at_quantile(quantile) as f64 / 1000.0;
+    Latency { p50_ms: at(0.5), p95_ms: at(0.95), p99_ms: at(0.99), max_ms: at(1.0) }
+}
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -24,17 +24,26 @@
     pub horizon_s: f64,
     /// At most 1/`share_divisor` of what is available is drawn at once.
     pub share_divisor: u64,
-    /// At least 1/`floor_divisor` of it, so that a daemon that spends little
-    /// has something in hand when the store is away.
-    pub floor_divisor: u64,
+    /// At least this part of an equal share, so that a daemon that spends
+    /// little has something in hand when the store is away.
+    pub held_ahead: f64,
+    /// Daemons that share the budget, as the drawing one knows.
+    pub daemons: u64,
 }
 
 impl Terms {
-    /// What to grant a holder that wants `want` of `available` tokens.
+    /// What to give a holder that wants `want` of `available` tokens.
     pub fn amount(&self, want: Tokens, available: Tokens) -> Tokens {
-        let floor = available / self.floor_divisor.max(1);
-        let share = available / self.share_divisor.max(1);
-        want.max(floor).min(share)
+        want.min(available / self.share_divisor.max(1))
+    }
+
+    /// What a holder should have in hand, whatever it spends: a part of an
+    /// equal share of the whole budget, and never more than half of what is
+    /// still available.
+    pub fn floor(&self, total: Tokens, available: Tokens) -> Tokens {
+        let equal = total as f64 / self.daemons.max(1) as f64;
+        let floor = (equal * self.held_ahead) as Tokens;
+        floor.min(available / 2)
     }
 }
 
@@ -206,6 +215,13 @@
         account.spent += used.min(reservation.tokens);
     }
 
+    /// Whether so little is free that it is time to draw ahead.
+    pub fn runs_low(&self, budget: &Name, terms: &Terms, now: Millis) -> bool {
+        let Some(account) = self.accounts.get(budget) else { return false };
+        let ahead = account.rate.per_second(now) * terms.horizon_s;
+        (account.free() as f64) < ahead / 2.0
+    }
+
     /// The draw that would let `need` more tokens be reserved.
     pub fn draw(
         &mut self,
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -13,9 +13,12 @@
 use crate::shard::{Ledger, Shard};
 use crate::{Incarnation, Millis, Name, Tokens};
 
-/// Shortest time between two writes of one shard, in milliseconds.
+/// Mean time between two writes of one shard that is always busy.
 pub const WRITE_INTERVAL_MS: Millis = 500;
 
+/// Writes that may come at once after a quiet time, beyond the first.
+const WRITE_BURST: u64 = 3;
+
 /// A shard read longer ago than this is read again before a refusal.
 pub const RELOAD_AFTER_MS: Millis = 250;
 
@@ -64,6 +67,14 @@
 }
 
 impl Request {
+    /// The draw, when somebody waits for it.
+    fn draw_now(&self) -> Option<&Draw> {
+        match self {
+            Request::Draw(draw) if draw.need > 0 => Some(draw),
+            _ => None,
+        }
+    }
+
     fn budget(&self) -> &Name {
         match self {
             Request::Draw(draw) => &draw.budget,
@@ -213,8 +224,10 @@
     in_write: Vec<(Pending, Outcome)>,
     written_shard: Shard,
     gathers: HashMap<Name, Gather>,
-    last_write: Option<Millis>,
+    /// Each write moves this on by one interval; it may run ahead by a burst.
+    writes_paid_until: Millis,
     store_away_until: Millis,
+    next_wake: Option<Millis>,
     counts: OwnerCounts,
 }
 
@@ -233,8 +246,9 @@
             in_write: Vec::new(),
             written_shard: Shard::default(),
             gathers: HashMap::new(),
-            last_write: None,
+            writes_paid_until: 0,
             store_away_until: 0,
+            next_wake: None,
             counts: OwnerCounts::default(),
         }
     }
@@ -301,14 +315,24 @@
     }
 
     /// Whether a write is allowed now; asks to be woken when it is too early.
-    fn may_write(&self, now: Millis, commands: &mut Vec<Command>) -> bool {
-        let write_at = self.last_write.map_or(now, |at| at + self.write_interval);
+    fn may_write(&mut self, now: Millis, commands: &mut Vec<Command>) -> bool {
+        let burst = WRITE_BURST * self.write_interval;
+        let write_at = self.writes_paid_until.saturating_sub(burst);
         if now < write_at {
-            commands.push(Command::WakeAt(write_at));
+            self.wake_at(write_at, now, commands);
         }
         now >= write_at
     }
 
+    /// Asks to be woken, unless that is asked for already.
+    fn wake_at(&mut self, at: Millis, now: Millis, commands: &mut Vec<Command>) {
+        let is_asked = self.next_wake.is_some_and(|wake| now < wake && wake <= at);
+        if !is_asked {
+            self.next_wake = Some(at);
+            commands.push(Command::WakeAt(at));
+        }
+    }
+
     /// The requests of the write go back to the front, in their order; the
     /// shard is read again, and it tells whether the write took effect.
     fn write_failed(&mut self) {
@@ -387,7 +411,7 @@
         self.shard = Some((version, shard));
         self.phase = Phase::Writing;
         self.counts.writes += 1;
-        self.last_write = Some(now);
+        self.writes_paid_until = self.writes_paid_until.max(now) + self.write_interval;
         self.in_write = to_write;
         self.written_shard = next.clone();
         commands.push(Command::Write(version, next));
@@ -452,7 +476,8 @@
         let granted = ledger.granted_to(draw.holder);
         // A grant whose answer was lost is told again, without a write.
         let undelivered = granted.saturating_sub(draw.known_granted);
-        if undelivered >= draw.need {
+        let is_ahead = draw.need == 0;
+        if undelivered >= draw.need && !(is_ahead && undelivered == 0) {
             let outcome = Outcome::Reply(Reply::Granted { granted });
             let in_this_write = stored != granted;
             return if in_this_write {
@@ -463,11 +488,15 @@
         }
         let need = draw.need - undelivered;
         let available = ledger.available();
+        if is_ahead && available == 0 {
+            return Decision::Answer(Outcome::Reply(Reply::Granted { granted }));
+        }
         if available >= need {
             if !self.may_write(now, commands) {
                 return Decision::Wait;
             }
-            let amount = draw.terms.amount(draw.want, available).max(need);
+            let floor = draw.terms.floor(ledger.total(), available).saturating_sub(draw.free);
+            let amount = draw.terms.amount(draw.want, available).max(floor).max(need);
             ledger.grant(draw.holder, &draw.address, amount);
             let granted = granted + amount;
             return Decision::AfterWrite(Outcome::Reply(Reply::Granted { granted }));
@@ -529,9 +558,10 @@
         }
         let earliest = gather.started.map_or(now, |started| started + GATHER_INTERVAL_MS);
         if now < earliest {
-            commands.push(Command::WakeAt(earliest));
+            self.wake_at(earliest, now, commands);
             return None;
         }
+        let gather = self.gathers.entry(budget.clone()).or_default();
         *gather = Gather { running: true, started: Some(now), ..Gather::default() };
         self.counts.gathers += 1;
         commands.push(Command::Gather(budget.clone(), holders()));
@@ -558,7 +588,7 @@
         commands: &mut Vec<Command>,
     ) -> Decision {
         let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
-        let Request::Draw(draw) = &pending.request else {
+        let Some(draw) = pending.request.draw_now() else {
             return Decision::Answer(Outcome::Reply(away));
         };
         let shard = self.shard.take();
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -9,9 +9,10 @@
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::id::rendezvous_score;
-use crate::table::{HOURS, Server, ServerKind, ServerState, Table};
+use crate::table::{HOURS, RouteTarget, Server, ServerKind, ServerState, Table};
 use crate::{Millis, Name};
 
 /// Points on a hall's ring for a server of weight 1.
@@ -262,14 +263,17 @@
     /// [`NoServer`] tells whether the table has none or none is usable now.
     pub fn choose(&self, now: Millis, wanted: &Wanted) -> Result<Choice, NoServer> {
         let pool = self.pools.get(wanted.pool).ok_or(NoServer::NoneInTable)?;
-        let mut halls: Vec<(f64, &HallPool)> = pool
+        // A hall where this request has failed already comes last: when one
+        // server does not answer, its neighbours may not either.
+        let failed: Vec<&Name> = wanted.tried.iter().filter_map(|n| self.hall_of(n)).collect();
+        let mut halls: Vec<(bool, f64, &HallPool)> = pool
             .halls
             .iter()
             .filter(|hall| hall.weights[wanted.hour % HOURS] > 0.0)
-            .map(|hall| (hall.score(wanted), hall))
+            .map(|hall| (failed.contains(&&hall.hall), hall.score(wanted), hall))
             .collect();
-        halls.sort_unstable_by(|a, b| b.0.total_cmp(&a.0));
-        for (_, hall) in halls {
+        halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        for (_, _, hall) in halls {
             if let Some(view) = self.choose_in_hall(now, hall, wanted) {
                 return Ok(Choice { server: view.name.clone(), address: view.address.clone() });
             }
@@ -277,6 +281,11 @@
         Err(NoServer::NoneUsable)
     }
 
+    fn hall_of(&self, server: &Name) -> Option<&Name> {
+        let index = self.by_name.get(server)?;
+        self.servers.get(*index as usize).map(|view| &view.hall)
+    }
+
     fn choose_in_hall<'a>(
         &'a self,
         now: Millis,
@@ -341,7 +350,7 @@
             }
         }
         for route in &table.routes {
-            if let crate::table::RouteTarget::Service { servers, .. } = &route.target {
+            if let RouteTarget::Service { servers, .. } = &route.target {
                 for name in servers {
                     if let Some(index) = self.by_name.get(name).map(|index| *index as usize) {
                         self.add_to_pool(table, &route.name, index, &table.servers[index]);
@@ -369,10 +378,7 @@
         let hall = &mut pool.halls[place];
         hall.members.push(index as u32);
         hall.load += self.servers[index].load();
-        let key = crate::id::rendezvous_score(
-            0,
-            xxhash_rust::xxh3::xxh3_64(row.name.as_str().as_bytes()),
-        );
+        let key = xxh3_64(row.name.as_str().as_bytes());
         let points = ((row.weight * POINTS_PER_SERVER).ceil() as u32).clamp(1, MAX_POINTS);
         for point in 0..points {
             hall.ring.push((rendezvous_score(u64::from(point), key), index as u32));
@@ -392,7 +398,7 @@
         }
         HallPool {
             hall: hall.clone(),
-            hall_key: xxhash_rust::xxh3::xxh3_64(hall.as_str().as_bytes()),
+            hall_key: xxh3_64(hall.as_str().as_bytes()),
             weights,
             ring: Vec::new(),
             members: Vec::new(),
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -69,11 +69,11 @@
     /// A daemon draws at most 1/`share_divisor` of what is not yet granted.
     #[serde(default = "default_share_divisor")]
     pub share_divisor: u64,
-    /// A daemon draws at least 1/`floor_divisor` of it: a smaller number keeps
-    /// more at hand for an outage of the store, and strands more with a host
-    /// that dies.
-    #[serde(default = "default_floor_divisor")]
-    pub floor_divisor: u64,
+    /// Part of an equal share that each daemon draws at least, 0 to 1: more
+    /// keeps more at hand for an outage of the store, and strands more with a
+    /// host that dies.
+    #[serde(default = "default_held_ahead")]
+    pub held_ahead: f64,
     /// What a daemon does before it refuses.
     #[serde(default)]
     pub when_short: WhenShort,
@@ -312,8 +312,8 @@
     4
 }
 
-fn default_floor_divisor() -> u64 {
-    32
+fn default_held_ahead() -> f64 {
+    1.0
 }
 
 fn default_limit() -> u32 {
--- a/crates/core/src/table_check.rs
+++ b/crates/core/src/table_check.rs
@@ -136,9 +136,9 @@
             let problem = "the divisor is 0".to_owned();
             faults.add(row, "share_divisor", problem, "leave it out, or use 1 or more");
         }
-        if row.floor_divisor < row.share_divisor {
-            let problem = "the floor is above the share".to_owned();
-            faults.add(row, "floor_divisor", problem, "use share_divisor or more");
+        if !(0.0..=1.0).contains(&row.held_ahead) {
+            let problem = format!("{} is no part of a share", row.held_ahead);
+            faults.add(row, "held_ahead", problem, "use a number from 0 to 1");
         }
     }
 }
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -25,6 +25,9 @@
 /// another request takes first.
 const DRAWS: u32 = 8;
 
+/// Shortest time between two draws ahead of one budget.
+const DRAW_AHEAD_MS: Millis = 1_000;
+
 /// A holder that did not answer is left out of collections this long.
 const SILENT_HOLDER_MS: Millis = 2_000;
 
@@ -51,6 +54,7 @@
     asked_at: Millis,
     need: Tokens,
     refusal: Option<Refusal>,
+    ahead_at: Millis,
 }
 
 enum Mail {
@@ -134,6 +138,7 @@
     let arrived = daemon.clock.now();
     let try_now = || daemon.budgets.holder.lock().reserve(&budget.name, tokens, arrived);
     if let Ok(reservation) = try_now() {
+        draw_ahead(daemon, budget);
         return Ok(reservation);
     }
     let last = Arc::clone(daemon.budgets.draws.lock().entry(budget.name.clone()).or_default());
@@ -152,7 +157,7 @@
         }
         let asked_at = daemon.clock.now();
         if let Err(refusal) = draw(daemon, budget, missing).await {
-            *last = LastShort { asked_at, need: missing, refusal: Some(refusal) };
+            *last = LastShort { asked_at, need: missing, refusal: Some(refusal), ..*last };
             return Err(refusal);
         }
     }
@@ -160,14 +165,39 @@
     Err(Refusal { retry_after_ms: RETRY_SOON_MS, store_away: false })
 }
 
-async fn draw(daemon: &Arc<Daemon>, budget: &Budget, need: Tokens) -> Result<(), Refusal> {
-    let terms = Terms {
+fn terms(daemon: &Daemon, budget: &Budget) -> Terms {
+    Terms {
         tokens: budget.tokens,
         version: budget.version,
         horizon_s: budget.horizon_s,
         share_divisor: budget.share_divisor,
-        floor_divisor: budget.floor_divisor,
-    };
+        held_ahead: budget.held_ahead,
+        daemons: 1 + daemon.members.lock().usable().count() as u64,
+    }
+}
+
+/// Draws ahead when little is left, away from the path of any request.
+fn draw_ahead(daemon: &Arc<Daemon>, budget: &Budget) {
+    let terms = terms(daemon, budget);
+    if !daemon.budgets.holder.lock().runs_low(&budget.name, &terms, daemon.clock.now()) {
+        return;
+    }
+    let draws = Arc::clone(daemon.budgets.draws.lock().entry(budget.name.clone()).or_default());
+    let (daemon, budget) = (Arc::clone(daemon), budget.clone());
+    tokio::spawn(async move {
+        // A draw that runs already brings what this one would.
+        let Ok(mut last) = draws.try_lock() else { return };
+        if daemon.clock.now() < last.ahead_at + DRAW_AHEAD_MS {
+            return;
+        }
+        last.ahead_at = daemon.clock.now();
+        // Nobody waits for it: the next request finds out what came.
+        let _refused = draw(&daemon, &budget, 0).await;
+    });
+}
+
+async fn draw(daemon: &Arc<Daemon>, budget: &Budget, need: Tokens) -> Result<(), Refusal> {
+    let terms = terms(daemon, budget);
     let now = daemon.clock.now();
     let address = daemon.cfg.peer_address();
     let draw = daemon.budgets.holder.lock().draw(&budget.name, need, terms, address, now);
