--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -22,7 +22,9 @@
 /// A shard read longer ago than this is read again before a refusal.
 pub const RELOAD_AFTER_MS: Millis = 250;
 
-/// Shortest time between two collections for one budget.
+/// Shortest time between two collections for one budget, and one millisecond
+/// more for each holder beyond as many. A refusal rests on a collection that is
+/// no older, so it is told at once and costs each holder a bounded rate.
 pub const GATHER_INTERVAL_MS: Millis = 100;
 
 /// How long the store is left alone after it was away.
@@ -178,6 +180,7 @@
 struct Gather {
     running: bool,
     started: Option<Millis>,
+    interval: Millis,
     ended: bool,
     free: Tokens,
     more_may_come: bool,
@@ -552,19 +555,17 @@
         if gather.running {
             return None;
         }
-        let fresh = gather.started.is_some_and(|started| started >= pending.arrived);
-        if fresh && gather.ended {
+        let is_fresh = gather
+            .started
+            .is_some_and(|started| started >= pending.arrived || now < started + gather.interval);
+        if gather.ended && is_fresh {
             return Some(*gather);
         }
-        let earliest = gather.started.map_or(now, |started| started + GATHER_INTERVAL_MS);
-        if now < earliest {
-            self.wake_at(earliest, now, commands);
-            return None;
-        }
-        let gather = self.gathers.entry(budget.clone()).or_default();
-        *gather = Gather { running: true, started: Some(now), ..Gather::default() };
+        let holders = holders();
+        let interval = GATHER_INTERVAL_MS.max(holders.len() as Millis);
+        *gather = Gather { running: true, started: Some(now), interval, ..Gather::default() };
         self.counts.gathers += 1;
-        commands.push(Command::Gather(budget.clone(), holders()));
+        commands.push(Command::Gather(budget.clone(), holders));
         None
     }
 
