Small pieces of streams are sent at once

Cause: first tokens took 45 ms at a step of 5 ms, directly at the stand-in and through the daemon alike: the HTTP library leaves Nagle's algorithm on, and a stream's second piece waited for the acknowledgement of the first. Ruled out: the daemon's own work (both ways showed the same), the load tool. Listening sockets now set no-delay, which accepted ones take over; peers too. The last event of an answer waits for its bill: up to 100 ms.

--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use salvo::conn::{Acceptor, TcpListener};
+use salvo::conn::tcp::TcpAcceptor;
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
 use tokio::task::JoinHandle;
@@ -12,6 +12,7 @@
 use crate::answer::Problem;
 use crate::daemon::Daemon;
 use crate::error::{Error, Result};
+use crate::tcp;
 
 /// A side that serves.
 pub struct Side {
@@ -32,12 +33,9 @@
 /// # Errors
 /// [`Error::Listen`] when the port can't be listened on.
 pub async fn serve(address: &str, router: Router) -> Result<Side> {
-    let acceptor = TcpListener::new(address.to_owned()).try_bind().await;
-    let acceptor = acceptor.map_err(|e| Error::Listen {
-        address: address.to_owned(),
-        source: std::io::Error::other(e.to_string()),
-    })?;
-    let _listens_at = acceptor.holdings();
+    let acceptor = TcpAcceptor::try_from(tcp::listen(address)?);
+    let acceptor =
+        acceptor.map_err(|source| Error::Listen { address: address.to_owned(), source })?;
     let server = Server::new(acceptor);
     let handle = server.handle();
     let task = tokio::spawn(async move { server.serve(router).await });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -31,5 +31,6 @@
 pub mod request_log;
 pub mod sse;
 pub mod table_sync;
+pub mod tcp;
 
 pub use error::{Error, Result};
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -16,14 +16,19 @@
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::daemon::Daemon;
-use crate::error::{Error, Result};
-use crate::{budgets, request_log};
+use crate::error::Result;
+use crate::{budgets, request_log, tcp};
 
 /// Largest message; a whole table fits.
 const MAX_FRAME_BYTES: usize = 32 << 20;
 
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
 /// An owner's answer, with the tokens that it sent along.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerAnswer {
@@ -183,34 +188,45 @@
 /// Serves peers until the daemon ends.
 ///
 /// # Errors
-/// [`Error::Listen`] when the port can't be listened on.
+/// [`crate::Error::Listen`] when the port can't be listened on.
 pub async fn serve(daemon: Arc<Daemon>) -> Result<()> {
-    let address = daemon.cfg.peer_listen.clone();
-    let listening = tarpc::serde_transport::tcp::listen(address.clone(), Bincode::default).await;
-    let mut listener = listening.map_err(|source| Error::Listen { address, source })?;
-    listener.config_mut().max_frame_length(MAX_FRAME_BYTES);
+    let listener = tcp::listen(&daemon.cfg.peer_listen)?;
     tokio::spawn(async move {
         let ended = daemon.ended.clone();
-        let accept = listener.filter_map(|transport| async { transport.ok() });
-        let accept = accept.for_each(|transport| {
-            let server = Server { daemon: Arc::clone(&daemon) };
-            let ended = daemon.ended.clone();
-            let channel = BaseChannel::with_defaults(transport);
-            tokio::spawn(async move {
-                let requests = channel.execute(server.serve()).for_each(|response| async {
-                    tokio::spawn(response);
-                });
-                tokio::select! {
-                    () = requests => {}
-                    () = ended.cancelled() => {}
-                }
-            });
-            async {}
-        });
         tokio::select! {
-            () = accept => {}
+            () = accept(&daemon, listener) => {}
             () = ended.cancelled() => {}
         }
     });
     Ok(())
 }
+
+async fn accept(daemon: &Arc<Daemon>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(answer(Arc::clone(daemon), stream))),
+            Err(e) => {
+                slog::warn!(daemon.log, "a peer was not accepted"; "error" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Answers one peer until it leaves or the daemon ends.
+async fn answer(daemon: Arc<Daemon>, stream: TcpStream) {
+    let ended = daemon.ended.clone();
+    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    let channel = BaseChannel::with_defaults(transport);
+    let requests = channel.execute(Server { daemon }.serve()).for_each(|response| async {
+        tokio::spawn(response);
+    });
+    tokio::select! {
+        () = requests => {}
+        () = ended.cancelled() => {}
+    }
+}
+
+fn framed(stream: TcpStream) -> Framed<TcpStream, LengthDelimitedCodec> {
+    LengthDelimitedCodec::builder().max_frame_length(MAX_FRAME_BYTES).new_framed(stream)
+}
--- a/crates/standins/src/serve.rs
+++ b/crates/standins/src/serve.rs
@@ -2,13 +2,17 @@
 
 use std::net::SocketAddr;
 
-use salvo::conn::{Acceptor, TcpListener};
-use salvo::{Listener, Router, Server};
+use salvo::conn::tcp::TcpAcceptor;
+use salvo::{Router, Server};
+use tokio::net::TcpSocket;
 use tokio::task::JoinHandle;
 
 /// Largest body that a stand-in takes, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 << 20;
 
+/// Connections that may wait to be accepted.
+const BACKLOG: u32 = 1_024;
+
 /// A stand-in that serves; dropping it ends it.
 #[derive(Debug)]
 pub struct Running {
@@ -22,14 +26,15 @@
     /// # Errors
     /// When the port can't be listened on.
     pub async fn start(listen: &str, router: Router) -> std::io::Result<Self> {
-        let acceptor = TcpListener::new(listen.to_owned())
-            .try_bind()
-            .await
-            .map_err(|e| std::io::Error::other(format!("can't listen on {listen}: {e}")))?;
-        let holding = acceptor.holdings().first();
-        let address = holding.and_then(|holding| holding.local_addr.clone().into_std());
-        let address =
-            address.ok_or_else(|| std::io::Error::other("the listener has no address"))?;
+        let listen: SocketAddr = listen.parse().map_err(std::io::Error::other)?;
+        let socket = if listen.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+        socket.set_reuseaddr(true)?;
+        // Accepted connections take it over: pieces of a stream go at once.
+        socket.set_nodelay(true)?;
+        socket.bind(listen)?;
+        let listener = socket.listen(BACKLOG)?;
+        let address = listener.local_addr()?;
+        let acceptor = TcpAcceptor::try_from(listener)?;
         let task = tokio::spawn(async move { Server::new(acceptor).serve(router).await });
         Ok(Running { address, task })
     }
