What is asked of the store no longer grows with the fleet

Causes, from the slopes: each daemon asked every backend server for a load report (26 million a second at full size), read the host list (1,300 reads a second) and watched the table; a stored budget shard grew by 67 bytes for each daemon of each budget (53 MB at full size, values may have 1 MB). Now: 16 load reports a round, busy servers first, the others in turn; two daemons of each hall read the host list and watch the table, the others have both from peers; the store grants to at most 16 holders of a budget, further ones get theirs from the owner (test a_stored_budget_does_not_grow_with_the_fleet). Ruled out: longer intervals with more daemons (a drain by the list would take longer than a few seconds).

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -168,7 +168,7 @@
     const ROUNDS: u32 = 50;
     let shard = shard(budgets, holders);
     let name = Name::from("budget-0");
-    let mut owner = Owner::new(Incarnation(1), 0);
+    let mut owner = Owner::new(Incarnation(1), "10.12.34.56:8081", 0);
     owner.handle(0, OwnerEvent::Asked(0, Request::Draw(draw(&name))));
     owner.handle(0, OwnerEvent::Loaded(1, shard));
     owner.handle(0, OwnerEvent::Written(2));
--- a/crates/bench/src/budget_world.rs
+++ b/crates/bench/src/budget_world.rs
@@ -406,7 +406,8 @@
         }
         let collects = self.policy == Policy::Design;
         let owner = self.owners.entry((daemon, shard)).or_insert_with(|| {
-            let owner = Owner::new(Incarnation(daemon as u64), WRITE_INTERVAL_MS);
+            let owner =
+                Owner::new(Incarnation(daemon as u64), "127.0.0.1:20001", WRITE_INTERVAL_MS);
             if collects { owner } else { owner.without_collecting() }
         });
         let commands = owner.handle(self.now, event);
@@ -437,7 +438,10 @@
                 self.schedule.at(self.now + took, later(event));
             }
             Command::Reply(ticket, reply) => self.reply(ticket, reply, None),
-            Command::Give { ticket, draw, most, granted } => {
+            Command::Give { own_granted, ticket, draw, most, granted } => {
+                if let Some(own) = own_granted {
+                    self.holders[daemon].granted(&draw.budget, own);
+                }
                 self.give(daemon, ticket, &draw, most, granted);
             }
             Command::WakeAt(at) => self.schedule.at(at, later(Event::Tick)),
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -187,6 +187,24 @@
         ranked.into_iter().take(most).map(|(_, peer)| peer.cloned()).collect()
     }
 
+    /// Whether this daemon is one of the `count` that read the store for their
+    /// hall; else the peers of the hall that do, the first one first.
+    ///
+    /// # Errors
+    /// The peers to ask instead.
+    pub fn reads_store_for(&self, hall: &Name, count: usize) -> Result<(), Vec<Peer>> {
+        let key = name_key(hall);
+        let in_hall = self.usable().filter(|peer| peer.hall == *hall && peer.incarnation.is_some());
+        let mine = rendezvous_score(key, name_key(&self.me));
+        let score = |peer: &&Peer| rendezvous_score(key, name_key(&peer.name));
+        let mut ahead: Vec<&Peer> = in_hall.filter(|peer| score(peer) > mine).collect();
+        if ahead.len() < count {
+            return Ok(());
+        }
+        ahead.sort_unstable_by_key(|peer| std::cmp::Reverse(score(peer)));
+        Err(ahead.into_iter().take(count).cloned().collect())
+    }
+
     fn entry(&mut self, name: &Name, hall: &Name, address: &str) -> &mut Peer {
         self.peers.entry(name.clone()).or_insert_with(|| Peer {
             name: name.clone(),
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -149,6 +149,8 @@
     Reply(Ticket, Reply),
     /// Send tokens that this daemon holds, and answer with the grant as well.
     Give {
+        /// This daemon's own cumulative grant, when the write has raised it.
+        own_granted: Option<Tokens>,
         /// Whom to answer.
         ticket: Ticket,
         /// The draw that is served; `need` is what has to be sent.
@@ -190,7 +192,7 @@
 #[derive(Debug)]
 enum Outcome {
     Reply(Reply),
-    Give { most: Tokens, need: Tokens, granted: Tokens },
+    Give { own_granted: Option<Tokens>, most: Tokens, need: Tokens, granted: Tokens },
 }
 
 /// What is to become of one request in this round.
@@ -217,6 +219,7 @@
 #[derive(Debug)]
 pub struct Owner {
     me: Incarnation,
+    address: String,
     write_interval: Millis,
     collects: bool,
     shard: Option<(u64, Shard)>,
@@ -235,10 +238,11 @@
 }
 
 impl Owner {
-    /// An owner that has read nothing yet.
-    pub fn new(me: Incarnation, write_interval: Millis) -> Self {
+    /// An owner that has read nothing yet; `address` is its peer port.
+    pub fn new(me: Incarnation, address: &str, write_interval: Millis) -> Self {
         Owner {
             me,
+            address: address.to_owned(),
             write_interval,
             collects: true,
             shard: None,
@@ -500,6 +504,13 @@
             }
             let floor = draw.terms.floor(ledger.total(), available).saturating_sub(draw.free);
             let amount = draw.terms.amount(draw.want, available).max(floor).max(need);
+            if ledger.is_full_for(draw.holder) {
+                // The owner takes the grant and sends the tokens on.
+                ledger.grant(self.me, &self.address, amount);
+                let own_granted = Some(ledger.granted_to(self.me));
+                let outcome = Outcome::Give { own_granted, most: amount, need, granted };
+                return Decision::AfterWrite(outcome);
+            }
             ledger.grant(draw.holder, &draw.address, amount);
             let granted = granted + amount;
             return Decision::AfterWrite(Outcome::Reply(Reply::Granted { granted }));
@@ -522,12 +533,19 @@
             if !self.may_write(now, commands) {
                 return Decision::Wait;
             }
+            if ledger.is_full_for(draw.holder) {
+                ledger.grant(self.me, &self.address, available);
+                let own_granted = Some(ledger.granted_to(self.me));
+                let most = self.take_gathered(draw, need - available) + available;
+                let outcome = Outcome::Give { own_granted, most, need, granted };
+                return Decision::AfterWrite(outcome);
+            }
             ledger.grant(draw.holder, &draw.address, available);
         }
         let need = need - available;
         let most = self.take_gathered(draw, need);
         let granted = granted + available;
-        let outcome = Outcome::Give { most, need, granted };
+        let outcome = Outcome::Give { own_granted: None, most, need, granted };
         if available > 0 { Decision::AfterWrite(outcome) } else { Decision::Answer(outcome) }
     }
 
@@ -607,7 +625,7 @@
         }
         let most = self.take_gathered(draw, need);
         let granted = draw.known_granted;
-        Decision::Answer(Outcome::Give { most, need, granted })
+        Decision::Answer(Outcome::Give { own_granted: None, most, need, granted })
     }
 }
 
@@ -655,8 +673,9 @@
 
 fn answer(pending: Pending, outcome: Outcome, commands: &mut Vec<Command>) {
     let command = match (outcome, pending.request) {
-        (Outcome::Give { most, need, granted }, Request::Draw(draw)) => {
-            Command::Give { ticket: pending.ticket, draw: Draw { need, ..draw }, most, granted }
+        (Outcome::Give { own_granted, most, need, granted }, Request::Draw(draw)) => {
+            let (ticket, draw) = (pending.ticket, Draw { need, ..draw });
+            Command::Give { own_granted, ticket, draw, most, granted }
         }
         (Outcome::Reply(reply), _) => Command::Reply(pending.ticket, reply),
         (Outcome::Give { .. }, _) => return,
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -85,6 +85,7 @@
     /// Its address.
     pub address: String,
     limit: u32,
+    reports_load: bool,
     row_draining: bool,
     listed_leaving: bool,
     leaving_until: Millis,
@@ -103,6 +104,7 @@
             hall: row.hall.clone(),
             address: row.address.clone(),
             limit: row.limit,
+            reports_load: row.kind == ServerKind::Model,
             row_draining: row.state == ServerState::Draining,
             listed_leaving: false,
             leaving_until: 0,
@@ -210,6 +212,29 @@
         &self.servers
     }
 
+    /// Up to `most` model servers to ask for a load report: those with open
+    /// requests first, the others from place `turn` on; and the next turn.
+    pub fn servers_to_ask(&self, most: usize, turn: usize) -> (Vec<Choice>, usize) {
+        let count = self.servers.len();
+        let choice =
+            |view: &ServerView| Choice { server: view.name.clone(), address: view.address.clone() };
+        let busy = self.servers.iter().filter(|view| view.reports_load && view.in_flight > 0);
+        // Half of the round goes to the others, so that no report is for ever old.
+        let mut asked: Vec<Choice> = busy.take(most.div_ceil(2)).map(choice).collect();
+        let mut next = turn;
+        for step in 0..count {
+            if asked.len() >= most {
+                break;
+            }
+            let view = &self.servers[(turn + step) % count];
+            next = (turn + step + 1) % count;
+            if view.reports_load && !asked.iter().any(|known| known.server == view.name) {
+                asked.push(choice(view));
+            }
+        }
+        (asked, next)
+    }
+
     /// Takes in which servers the platform lists as leaving.
     pub fn listed_leaving(&mut self, leaving: &[Name]) {
         for view in &mut self.servers {
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -17,6 +17,11 @@
 /// not by the fleet: 64 objects at 2 writes a second are 128 writes a second.
 pub const BUDGET_SHARDS: u32 = 64;
 
+/// Holders that the store grants tokens of one budget to. Further ones get
+/// theirs from the shard's owner, so that a stored shard does not grow with the
+/// fleet: 610 budgets of 16 grants are some 700 KB.
+pub const MAX_GRANTS: usize = 16;
+
 /// How many top-ups a ledger remembers by identity.
 pub const REMEMBERED_TOP_UPS: usize = 128;
 
@@ -104,6 +109,11 @@
         self.grants.get(&holder).map_or(0, |grant| grant.granted)
     }
 
+    /// Whether `holder` has no grant and there is no room for one more.
+    pub fn is_full_for(&self, holder: Incarnation) -> bool {
+        self.grants.len() >= MAX_GRANTS && !self.grants.contains_key(&holder)
+    }
+
     /// Grants `tokens` more to `holder`.
     pub fn grant(&mut self, holder: Incarnation, address: &str, tokens: Tokens) {
         let entry = self
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -36,7 +36,7 @@
 
 impl World {
     pub fn new(daemons: u64, tokens: Tokens) -> Self {
-        let owner = |n| Owner::new(Incarnation(n), WRITE_INTERVAL_MS);
+        let owner = |n| Owner::new(Incarnation(n), "127.0.0.1:1", WRITE_INTERVAL_MS);
         World {
             now: 0,
             store_away: false,
@@ -126,7 +126,10 @@
                         events.push_back(self.gather(owner, budget, &holders));
                     }
                     Command::Reply(_, reply) => return self.take_reply(&request, reply),
-                    Command::Give { draw, most, granted, .. } => {
+                    Command::Give { own_granted, draw, most, granted, .. } => {
+                        if let Some(own) = own_granted {
+                            self.holders[owner].granted(&budget(), own);
+                        }
                         return self.give(owner, &draw, most, granted);
                     }
                     Command::WakeAt(at) => {
--- a/crates/core/tests/owner.rs
+++ b/crates/core/tests/owner.rs
@@ -4,6 +4,7 @@
 
 use bankcove_core::Incarnation;
 use bankcove_core::owner::{Command, Event, Reply, Request};
+use bankcove_core::shard::MAX_GRANTS;
 use common::{World, budget};
 
 #[test]
@@ -96,3 +97,18 @@
     assert!(!ledger.grants.contains_key(&Incarnation(1)));
     assert!(world.ask(0, 0, 70).is_some());
 }
+
+#[test]
+fn a_stored_budget_does_not_grow_with_the_fleet() {
+    let daemons = 3 * MAX_GRANTS;
+    let mut world = World::new(daemons as u64, 100_000);
+    for holder in 0..daemons {
+        let reservation = world.ask(0, holder, 100).expect("there is enough");
+        world.settle(holder, reservation, 100);
+    }
+    let ledger = &world.stored_shard().budgets[&budget()];
+    assert!(ledger.grants.len() <= MAX_GRANTS + 1, "{}", ledger.grants.len());
+    assert_eq!(world.spent(), 100 * daemons as u64);
+    let left = 100_000 - world.spent();
+    assert!(world.ask(0, daemons - 1, left).is_some(), "all that is left is in reach");
+}
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -6,7 +6,7 @@
 use bankcove_core::lifecycle::NothingRan;
 use bankcove_core::router::{Choice, LoadReport};
 use bankcove_core::table::ServerKind;
-use bankcove_core::{AttemptId, Name, Tokens};
+use bankcove_core::{AttemptId, Tokens};
 use bytes::Bytes;
 use reqwest::{Method, Response, StatusCode};
 use serde::Deserialize;
@@ -17,9 +17,6 @@
 /// Longest call that is not a request of a caller.
 const SHORT_CALL: Duration = Duration::from_secs(2);
 
-/// Load reports asked for at once.
-const REPORTS_AT_ONCE: usize = 64;
-
 /// Why a dispatch brought no answer.
 #[derive(Debug)]
 pub enum DispatchError {
@@ -140,11 +137,12 @@
     Some(count.count)
 }
 
-/// Asks the model servers for load reports until the daemon ends.
+/// Asks model servers for load reports until the daemon ends.
 pub async fn follow_load(daemon: Arc<Daemon>) {
     let interval = Duration::from_millis(daemon.cfg.limits.load_report_ms);
+    let mut turn = 0;
     loop {
-        read_load_reports(&daemon).await;
+        turn = read_load_reports(&daemon, turn).await;
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
             () = daemon.ended.cancelled() => return,
@@ -152,21 +150,20 @@
     }
 }
 
-async fn read_load_reports(daemon: &Arc<Daemon>) {
-    let Some(table) = daemon.table.load_full() else { return };
-    let models = table.servers.iter().filter(|row| row.kind == ServerKind::Model);
-    let servers: Vec<(Name, String)> =
-        models.map(|row| (row.name.clone(), row.address.clone())).collect();
-    let reports = servers
-        .into_iter()
-        .map(|(name, address)| async move { (name, read_load_report(daemon, &address).await) });
-    let mut reports =
-        futures::StreamExt::buffer_unordered(futures::stream::iter(reports), REPORTS_AT_ONCE);
-    while let Some((name, report)) = futures::StreamExt::next(&mut reports).await {
+/// Reads one round of load reports, so many that its cost does not grow with
+/// the servers; returns whose turn is next.
+async fn read_load_reports(daemon: &Arc<Daemon>, turn: usize) -> usize {
+    let most = daemon.cfg.limits.load_reports_at_once;
+    let (servers, next) = daemon.router.lock().servers_to_ask(most, turn);
+    let reports = servers.into_iter().map(|choice| async move {
+        (choice.server, read_load_report(daemon, &choice.address).await)
+    });
+    for (name, report) in futures::future::join_all(reports).await {
         if let Some(report) = report {
             daemon.router.lock().report(daemon.clock.now(), &name, report);
         }
     }
+    next
 }
 
 async fn read_load_report(daemon: &Daemon, address: &str) -> Option<LoadReport> {
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -274,7 +274,11 @@
             tickets: HashMap::new(),
             next_ticket: 0,
         };
-        let machine = Owner::new(daemon.incarnation, daemon.cfg.limits.budget_write_ms);
+        let machine = Owner::new(
+            daemon.incarnation,
+            daemon.cfg.peer_address(),
+            daemon.cfg.limits.budget_write_ms,
+        );
         tokio::spawn(task.run(machine, rx));
         tx
     });
@@ -328,7 +332,10 @@
                 Command::Reply(ticket, reply) => {
                     self.answer(ticket, OwnerAnswer { reply, sent: None });
                 }
-                Command::Give { ticket, draw, most, granted } => {
+                Command::Give { own_granted, ticket, draw, most, granted } => {
+                    if let Some(own) = own_granted {
+                        daemon.budgets.holder.lock().granted(&draw.budget, own);
+                    }
                     let answer = give(daemon, &draw, most, granted);
                     self.answer(ticket, answer);
                 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -64,6 +64,9 @@
     pub host_list_ms: u64,
     /// Time between two load reports of a backend server, in milliseconds.
     pub load_report_ms: u64,
+    /// Backend servers asked for a load report at once: those with requests of
+    /// this daemon first, the others in turn.
+    pub load_reports_at_once: usize,
     /// Longest call of a peer, in milliseconds.
     pub peer_timeout_ms: u64,
     /// Longest wait for a peer's unspent tokens, in milliseconds.
@@ -92,6 +95,7 @@
             heartbeat_fanout: 2,
             host_list_ms: 1_000,
             load_report_ms: 500,
+            load_reports_at_once: 16,
             peer_timeout_ms: 1_500,
             gather_timeout_ms: 200,
             budget_write_ms: WRITE_INTERVAL_MS,
@@ -198,6 +202,7 @@
             ("limits.heartbeat_fanout", self.heartbeat_fanout as u64),
             ("limits.host_list_ms", self.host_list_ms),
             ("limits.load_report_ms", self.load_report_ms),
+            ("limits.load_reports_at_once", self.load_reports_at_once as u64),
             ("limits.peer_timeout_ms", self.peer_timeout_ms),
             ("limits.gather_timeout_ms", self.gather_timeout_ms),
             ("limits.isolation_ms", self.isolation_ms),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use arc_swap::ArcSwapOption;
+use arc_swap::{ArcSwap, ArcSwapOption};
 use bankcove_core::members::{Heartbeat, Members};
 use bankcove_core::router::Router;
 use bankcove_core::table::Table;
@@ -20,6 +20,7 @@
 use crate::config::Config;
 use crate::error::Result;
 use crate::health::Contact;
+use crate::membership::HostList;
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
 use crate::request_log::RequestLogs;
@@ -46,6 +47,8 @@
     pub router: Mutex<Router>,
     /// The other daemons.
     pub members: Mutex<Members>,
+    /// The platform's host list as last read.
+    pub hosts: ArcSwap<HostList>,
     /// Budgets held and shards owned.
     pub budgets: Budgets,
     /// Shards of the request log.
@@ -85,6 +88,7 @@
             table: ArcSwapOption::empty(),
             router: Mutex::new(Router::default()),
             members: Mutex::new(Members::new(cfg.name.clone())),
+            hosts: ArcSwap::from_pointee(HostList::default()),
             budgets: Budgets::new(incarnation),
             requests: RequestLogs::default(),
             billing: Billing::default(),
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -4,11 +4,16 @@
 use std::time::Duration;
 
 use bankcove_core::Name;
-use bankcove_core::members::{Heartbeat, HostRole, HostState, Peer};
+use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Peer};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::Daemon;
 use crate::table_sync;
 
+/// Daemons of each hall that read the store for all of it: what is asked of
+/// the store grows with the halls, not with the fleet.
+pub const STORE_READERS: usize = 2;
+
 /// Takes in a heartbeat that was received or answered.
 pub fn heard(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
     let now = daemon.clock.now();
@@ -66,15 +71,38 @@
     }
 }
 
-/// Reads the platform's host list once.
+/// Reads the platform's host list once: from the store when this daemon reads
+/// it for its hall, else from a peer that does.
 pub async fn read_host_list(daemon: &Arc<Daemon>) {
-    let hosts = match daemon.store.hosts().await {
-        Ok(hosts) => hosts,
-        Err(e) => {
-            slog::debug!(daemon.log, "host list not read"; "error" => %e);
-            return;
-        }
+    let readers = daemon.members.lock().reads_store_for(&daemon.cfg.hall, STORE_READERS);
+    let hosts = match readers {
+        Ok(()) => daemon.store.hosts().await.ok(),
+        Err(peers) => host_list_of_peers(daemon, &peers).await,
     };
+    match hosts {
+        Some(hosts) => take_host_list(daemon, hosts),
+        None => slog::debug!(daemon.log, "host list not read"),
+    }
+}
+
+/// The host list of the first of these peers that answers; none when it is the
+/// one known already.
+async fn host_list_of_peers(daemon: &Arc<Daemon>, peers: &[Peer]) -> Option<Vec<Host>> {
+    let known = daemon.hosts.load().hash;
+    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+    for peer in peers {
+        let ask = |client: crate::peer::PeerServiceClient, cx| async move {
+            client.hosts_unless(cx, known).await
+        };
+        match daemon.peers.call(&peer.address, timeout, ask).await {
+            Some(hosts) => return hosts,
+            None => daemon.members.lock().failed(&peer.name),
+        }
+    }
+    None
+}
+
+fn take_host_list(daemon: &Arc<Daemon>, hosts: Vec<Host>) {
     let leaving: Vec<Name> = hosts
         .iter()
         .filter(|host| host.role == HostRole::Server && host.state == HostState::Leaving)
@@ -82,6 +110,23 @@
         .collect();
     daemon.members.lock().host_list(&hosts);
     daemon.router.lock().listed_leaving(&leaving);
+    daemon.hosts.store(Arc::new(HostList::new(hosts)));
+}
+
+/// The platform's host list as last read.
+#[derive(Debug, Default)]
+pub struct HostList {
+    /// Hash of the lines; 0 before the first list.
+    pub hash: u64,
+    /// The lines.
+    pub hosts: Vec<Host>,
+}
+
+impl HostList {
+    fn new(hosts: Vec<Host>) -> Self {
+        let text = serde_json::to_vec(&hosts).unwrap_or_default();
+        HostList { hash: xxh3_64(&text), hosts }
+    }
 }
 
 /// Makes the peers of the settings known, for a start without the platform.
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,7 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bankcove_core::bill::Bill;
-use bankcove_core::members::Heartbeat;
+use bankcove_core::members::{Heartbeat, Host};
 use bankcove_core::owner::{Reply, Request};
 use bankcove_core::reqlog::{Entry, Outcome};
 use bankcove_core::{Incarnation, Name, Tokens};
@@ -59,6 +59,9 @@
     async fn heartbeat(from: Heartbeat) -> Heartbeat;
     /// The table in force, as JSON, when its revision is above this one.
     async fn table_above(revision: u64) -> Option<String>;
+    /// The platform's host list as the receiver knows it, unless its hash is
+    /// this one.
+    async fn hosts_unless(hash: u64) -> Option<Vec<Host>>;
     /// Asks the receiver as the owner of a budget shard.
     async fn ask_owner(request: Request) -> OwnerAnswer;
     /// Asks `holder` for up to `most` of what it has free of a budget.
@@ -157,6 +160,11 @@
         serde_json::to_string(&*table).ok()
     }
 
+    async fn hosts_unless(self, _: Context, hash: u64) -> Option<Vec<Host>> {
+        let known = self.daemon.hosts.load();
+        (known.hash != hash && known.hash != 0).then(|| known.hosts.clone())
+    }
+
     async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
         budgets::ask_local_owner(&self.daemon, request).await
     }
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -8,6 +8,7 @@
 use bankcove_platform::{Kind, WriteOutcome};
 
 use crate::daemon::Daemon;
+use crate::membership::STORE_READERS;
 
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
@@ -54,10 +55,19 @@
     tokio::spawn(async move { crate::membership::beat(&daemon).await });
 }
 
-/// Watches the table in the store until the daemon ends.
+/// Watches the table in the store, as long as this daemon does so for its
+/// hall, until the daemon ends.
 pub async fn watch(daemon: Arc<Daemon>) {
     let mut version = 0;
     loop {
+        let readers = daemon.members.lock().reads_store_for(&daemon.cfg.hall, STORE_READERS);
+        if readers.is_err() && daemon.revision() > 0 {
+            // Heartbeats tell of new revisions, and peers hand them over.
+            tokio::select! {
+                () = tokio::time::sleep(STORE_PAUSE) => continue,
+                () = daemon.ended.cancelled() => return,
+            }
+        }
         let watched = tokio::select! {
             watched = daemon.store.watch::<Table>(Kind::Table, TABLE_NAME, version, WATCH) => watched,
             () = daemon.ended.cancelled() => return,
