What a dead daemon never opened is taken back

Holding less ahead costs refusals in an outage instead. Now a grant is sealed, and a holder opens it piece by piece, by a draw or by the word of two witnesses, which is there when the store is away. What was never opened is taken back once one witness has closed the holder; that is safe also when the holder lives, so no proof of death is trusted. Ruled out: reclaiming by engines' run records (plain services keep none), by a refused connection alone (the address may be another host's by now).

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -8,11 +8,16 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::witness::Witness;
 use crate::{Incarnation, Millis, Name, Tokens};
 
 /// Time constant of the spending rate, in milliseconds.
 const RATE_WINDOW_MS: f64 = 10_000.0;
 
+/// How much of a grant is opened at a time, in seconds of recent spending. This
+/// much is lost with a daemon that dies; the sealed rest is taken back.
+const OPEN_AHEAD_S: f64 = 2.0;
+
 /// Terms of a budget's row that go along with a draw.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Terms {
@@ -62,10 +67,18 @@
     pub received: Tokens,
     /// Tokens that the holder has free already; `need` comes on top.
     pub free: Tokens,
+    /// Cumulative tokens of its grant that the holder has opened.
+    pub opened: Tokens,
+    /// Who is to attest what the holder opens while the store is away.
+    pub witnesses: Vec<Witness>,
+    /// Counts the draws of this holder and budget.
+    pub number: u64,
     /// Fewer tokens than these are of no use.
     pub need: Tokens,
     /// Tokens that would last for the horizon.
     pub want: Tokens,
+    /// Tokens to open of them; the rest stays sealed.
+    pub open: Tokens,
     /// The budget's row as the holder knows it.
     pub terms: Terms,
 }
@@ -97,11 +110,26 @@
     }
 }
 
+/// A step that opens more of a grant, once every witness has agreed.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Opening {
+    /// Cumulative tokens of the grant that will be open.
+    pub opened: Tokens,
+    /// Who has to agree.
+    pub witnesses: Vec<Witness>,
+}
+
 /// What this daemon holds of one budget.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Account {
     /// Cumulative grant by the store.
     pub granted: Tokens,
+    /// What may be spent of it.
+    pub opened: Tokens,
+    /// Those that the store may have recorded as witnesses of this holder.
+    pub witnesses: Vec<Witness>,
+    /// Draws made.
+    pub draws: u64,
     /// Tokens given back to the store.
     pub returned: Tokens,
     /// Cumulative tokens received, by sender.
@@ -116,9 +144,19 @@
 }
 
 impl Account {
+    /// Tokens of the grant that have to be opened before they are spent.
+    pub fn sealed(&self) -> Tokens {
+        self.granted - self.opened
+    }
+
+    /// What to open beyond a need.
+    fn open_ahead(&self, now: Millis) -> Tokens {
+        (self.rate.per_second(now) * OPEN_AHEAD_S) as Tokens
+    }
+
     /// Tokens that may be reserved now.
     pub fn free(&self) -> Tokens {
-        let credits = self.granted + self.received.values().sum::<Tokens>();
+        let credits = self.opened + self.received.values().sum::<Tokens>();
         let debits = self.returned + self.sent.values().sum::<Tokens>();
         credits - debits - self.spent - self.reserved
     }
@@ -170,6 +208,11 @@
         self.accounts.get(budget).map_or(0, Account::free)
     }
 
+    /// Tokens of `budget` that have to be opened before they are spent.
+    pub fn sealed(&self, budget: &Name) -> Tokens {
+        self.accounts.get(budget).map_or(0, Account::sealed)
+    }
+
     /// Tokens of `budget` set aside for running attempts.
     pub fn reserved(&self, budget: &Name) -> Tokens {
         self.accounts.get(budget).map_or(0, |account| account.reserved)
@@ -219,7 +262,13 @@
     pub fn runs_low(&self, budget: &Name, terms: &Terms, now: Millis) -> bool {
         let Some(account) = self.accounts.get(budget) else { return false };
         let ahead = account.rate.per_second(now) * terms.horizon_s;
-        (account.free() as f64) < ahead / 2.0
+        ((account.free() + account.sealed()) as f64) < ahead / 2.0
+    }
+
+    /// Whether so little is open that it is time to open more.
+    pub fn is_nearly_closed(&self, budget: &Name, now: Millis) -> bool {
+        let Some(account) = self.accounts.get(budget) else { return false };
+        account.sealed() > 0 && account.free() < account.open_ahead(now) / 2
     }
 
     /// The draw that would let `need` more tokens be reserved.
@@ -233,6 +282,7 @@
     ) -> Draw {
         let account = self.accounts.entry(budget.clone()).or_default();
         let ahead = account.rate.per_second(now) * terms.horizon_s;
+        account.draws += 1;
         Draw {
             budget: budget.clone(),
             holder: self.incarnation,
@@ -240,12 +290,62 @@
             known_granted: account.granted,
             received: 0,
             free: account.free(),
+            opened: account.opened,
+            witnesses: Vec::new(),
+            number: account.draws,
             need,
             want: need.saturating_add(ahead as Tokens),
+            open: need.saturating_add(account.open_ahead(now)),
             terms,
         }
     }
 
+    /// Takes in that a draw will name these witnesses. Until its answer comes,
+    /// the store may have recorded them or the ones before: all have to agree.
+    pub fn propose_witnesses(&mut self, budget: &Name, witnesses: &[Witness]) {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        for witness in witnesses {
+            if !account.witnesses.contains(witness) {
+                account.witnesses.push(witness.clone());
+            }
+        }
+    }
+
+    /// Takes in that the store has recorded these witnesses.
+    pub fn witnesses_recorded(&mut self, budget: &Name, witnesses: &[Witness]) {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        account.witnesses = witnesses.to_vec();
+    }
+
+    /// What would open `need` more of the grant and some ahead; none when
+    /// nothing is sealed or there is nobody to attest it.
+    pub fn opening(&self, budget: &Name, need: Tokens, now: Millis) -> Option<Opening> {
+        let account = self.accounts.get(budget)?;
+        let more = need.saturating_add(account.open_ahead(now)).min(account.sealed());
+        if more == 0 || account.witnesses.is_empty() {
+            return None;
+        }
+        let witnesses = account.witnesses.clone();
+        Some(Opening { opened: account.opened + more, witnesses })
+    }
+
+    /// Takes in that every witness of `opening` has agreed. It counts only if
+    /// nobody else may be a witness by now.
+    pub fn opening_agreed(&mut self, budget: &Name, opening: &Opening) -> bool {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        let agreed = account.witnesses.iter().all(|known| opening.witnesses.contains(known));
+        if agreed {
+            account.opened = account.opened.max(opening.opened).min(account.granted);
+        }
+        agreed
+    }
+
+    /// Takes in what may be spent of the grant, as a cumulative sum.
+    pub fn opened(&mut self, budget: &Name, cumulative: Tokens) {
+        let account = self.accounts.entry(budget.clone()).or_default();
+        account.opened = account.opened.max(cumulative).min(account.granted);
+    }
+
     /// Takes in the store's cumulative grant.
     pub fn granted(&mut self, budget: &Name, cumulative: Tokens) {
         let account = self.accounts.entry(budget.clone()).or_default();
@@ -291,11 +391,13 @@
         sent.saturating_sub(already_received) + account.free() >= need
     }
 
-    /// Gives all free tokens back to the store for good; returns what is kept
-    /// of the grant.
+    /// Gives all free and sealed tokens back to the store for good; returns
+    /// what is kept of the grant.
     pub fn retire(&mut self, budget: &Name) -> i64 {
         let account = self.accounts.entry(budget.clone()).or_default();
+        let kept = account.opened as i64 - account.free() as i64 - account.returned as i64;
         account.returned += account.free();
-        account.granted as i64 - account.returned as i64
+        account.granted = account.opened;
+        kept
     }
 }
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod stream;
 pub mod table;
 pub mod table_check;
+pub mod witness;
 
 pub use error::{Error, Result};
 pub use id::{AttemptId, Incarnation, RequestHash};
--- a/crates/core/src/owner.rs
+++ b/crates/core/src/owner.rs
@@ -6,11 +6,13 @@
 //! owners at once, or one that was paused, cost conflicts and never tokens.
 
 use std::collections::{HashMap, VecDeque};
+use std::sync::Arc;
 
 use serde::{Deserialize, Serialize};
 
 use crate::holder::Draw;
-use crate::shard::{Ledger, Shard};
+use crate::shard::{Grant, Ledger, Shard};
+use crate::witness::Witness;
 use crate::{Incarnation, Millis, Name, Tokens};
 
 /// Mean time between two writes of one shard that is always busy.
@@ -66,6 +68,17 @@
         /// What it keeps of its grant.
         kept: i64,
     },
+    /// What a silent holder never opened is taken back.
+    Reclaim {
+        /// The budget.
+        budget: Name,
+        /// Whose grant it is.
+        holder: Incarnation,
+        /// A witness of the holder, which has closed it.
+        witness: Incarnation,
+        /// What the holder had opened by that witness's word.
+        opened: Tokens,
+    },
 }
 
 impl Request {
@@ -80,7 +93,9 @@
     fn budget(&self) -> &Name {
         match self {
             Request::Draw(draw) => &draw.budget,
-            Request::TopUp { budget, .. } | Request::Retire { budget, .. } => budget,
+            Request::TopUp { budget, .. }
+            | Request::Retire { budget, .. }
+            | Request::Reclaim { budget, .. } => budget,
         }
     }
 }
@@ -92,6 +107,10 @@
     Granted {
         /// Cumulative tokens granted by the store.
         granted: Tokens,
+        /// Cumulative tokens of the grant that may be spent.
+        opened: Tokens,
+        /// Whether the store has recorded the witnesses that the draw names.
+        recorded: bool,
     },
     /// Too little is left, also after collecting.
     Short {
@@ -135,6 +154,17 @@
     Tick,
 }
 
+/// A holder as the ledger has it.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct HolderRef {
+    /// The holder.
+    pub incarnation: Incarnation,
+    /// Its peer port.
+    pub address: Arc<str>,
+    /// Its witnesses.
+    pub witnesses: Vec<Witness>,
+}
+
 /// What an owner wants done.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Command {
@@ -144,21 +174,22 @@
     Write(u64, Shard),
     /// Ask these holders, and any others that may hold tokens, for all they
     /// have free of the budget; also the one that draws.
-    Gather(Name, Vec<(Incarnation, String)>),
+    Gather(Name, Vec<HolderRef>),
     /// Answer.
     Reply(Ticket, Reply),
     /// Send tokens that this daemon holds, and answer with the grant as well.
     Give {
-        /// This daemon's own cumulative grant, when the write has raised it.
-        own_granted: Option<Tokens>,
+        /// This daemon's own cumulative grant and what is open of it, when the
+        /// write has raised them.
+        own: Option<(Tokens, Tokens)>,
         /// Whom to answer.
         ticket: Ticket,
         /// The draw that is served; `need` is what has to be sent.
-        draw: Draw,
+        draw: Box<Draw>,
         /// Tokens that would do as well, at most.
         most: Tokens,
-        /// Cumulative grant by the store, told along.
-        granted: Tokens,
+        /// The answer when they are sent.
+        reply: Reply,
     },
     /// Send [`Event::Tick`] at this time.
     WakeAt(Millis),
@@ -192,7 +223,7 @@
 #[derive(Debug)]
 enum Outcome {
     Reply(Reply),
-    Give { own_granted: Option<Tokens>, most: Tokens, need: Tokens, granted: Tokens },
+    Give { own: Option<(Tokens, Tokens)>, most: Tokens, need: Tokens, reply: Reply },
 }
 
 /// What is to become of one request in this round.
@@ -461,6 +492,19 @@
                 ledger.retire(*holder, *kept);
                 Decision::AfterWrite(Outcome::Reply(Reply::Recorded))
             }
+            Request::Reclaim { holder, witness, opened, .. } => {
+                if !ledger.grants.contains_key(holder) {
+                    return Decision::Answer(Outcome::Reply(Reply::Recorded));
+                }
+                if !self.may_write(now, commands) {
+                    return Decision::Wait;
+                }
+                if !ledger.reclaim(*holder, *witness, *opened) {
+                    let retry_after_ms = RETRY_SOON_MS;
+                    return Decision::Answer(Outcome::Reply(Reply::Short { retry_after_ms }));
+                }
+                Decision::AfterWrite(Outcome::Reply(Reply::Recorded))
+            }
             Request::Draw(draw) => self.decide_draw(now, pending, draw, draft, commands),
         }
     }
@@ -480,13 +524,13 @@
             return Decision::Answer(Outcome::Reply(Reply::Short { retry_after_ms }));
         }
         ledger.adopt_row(draw.terms.tokens, draw.terms.version);
-        let granted = ledger.granted_to(draw.holder);
-        // A grant whose answer was lost is told again, without a write.
-        let undelivered = granted.saturating_sub(draw.known_granted);
+        // What was opened but not told is told again, without a write.
+        let opened = ledger.opened_by(draw.holder);
+        let undelivered = opened.saturating_sub(draw.opened);
         let is_ahead = draw.need == 0;
         if undelivered >= draw.need && !(is_ahead && undelivered == 0) {
-            let outcome = Outcome::Reply(Reply::Granted { granted });
-            let in_this_write = stored != granted;
+            let outcome = Outcome::Reply(granted_reply(ledger, draw, false));
+            let in_this_write = stored != (ledger.granted_to(draw.holder), opened);
             return if in_this_write {
                 Decision::AfterWrite(outcome)
             } else {
@@ -494,26 +538,25 @@
             };
         }
         let need = draw.need - undelivered;
+        let opened = opened.max(draw.opened);
+        let sealed = ledger.granted_to(draw.holder).saturating_sub(opened);
         let available = ledger.available();
-        if is_ahead && available == 0 {
-            return Decision::Answer(Outcome::Reply(Reply::Granted { granted }));
+        if is_ahead && available + sealed == 0 {
+            return Decision::Answer(Outcome::Reply(granted_reply(ledger, draw, false)));
         }
-        if available >= need {
+        if available + sealed >= need {
             if !self.may_write(now, commands) {
                 return Decision::Wait;
             }
-            let floor = draw.terms.floor(ledger.total(), available).saturating_sub(draw.free);
-            let amount = draw.terms.amount(draw.want, available).max(floor).max(need);
             if ledger.is_full_for(draw.holder) {
                 // The owner takes the grant and sends the tokens on.
-                ledger.grant(self.me, &self.address, amount);
-                let own_granted = Some(ledger.granted_to(self.me));
-                let outcome = Outcome::Give { own_granted, most: amount, need, granted };
-                return Decision::AfterWrite(outcome);
+                let amount = draw.terms.amount(draw.want, available).max(need);
+                let own = Some(self.grant_to_me(ledger, amount));
+                let reply = granted_reply(ledger, draw, false);
+                return Decision::AfterWrite(Outcome::Give { own, most: amount, need, reply });
             }
-            ledger.grant(draw.holder, &draw.address, amount);
-            let granted = granted + amount;
-            return Decision::AfterWrite(Outcome::Reply(Reply::Granted { granted }));
+            grant_and_open(ledger, draw, need, opened);
+            return Decision::AfterWrite(Outcome::Reply(granted_reply(ledger, draw, true)));
         }
         if self.loaded_at < pending.arrived && now >= self.loaded_at + RELOAD_AFTER_MS {
             self.reload_wanted = true;
@@ -529,24 +572,26 @@
         if available + gather.free < need {
             return Decision::Answer(Outcome::Reply(short(gather)));
         }
-        if available > 0 {
-            if !self.may_write(now, commands) {
-                return Decision::Wait;
-            }
-            if ledger.is_full_for(draw.holder) {
-                ledger.grant(self.me, &self.address, available);
-                let own_granted = Some(ledger.granted_to(self.me));
-                let most = self.take_gathered(draw, need - available) + available;
-                let outcome = Outcome::Give { own_granted, most, need, granted };
-                return Decision::AfterWrite(outcome);
-            }
-            ledger.grant(draw.holder, &draw.address, available);
+        if available == 0 {
+            let most = self.take_gathered(draw, need);
+            let reply = granted_reply(ledger, draw, false);
+            return Decision::Answer(Outcome::Give { own: None, most, need, reply });
         }
-        let need = need - available;
-        let most = self.take_gathered(draw, need);
-        let granted = granted + available;
-        let outcome = Outcome::Give { own_granted: None, most, need, granted };
-        if available > 0 { Decision::AfterWrite(outcome) } else { Decision::Answer(outcome) }
+        if !self.may_write(now, commands) {
+            return Decision::Wait;
+        }
+        // What the store has left goes by way of the owner, all in one piece.
+        let own = Some(self.grant_to_me(ledger, available));
+        let most = self.take_gathered(draw, need.saturating_sub(available)) + available;
+        let reply = granted_reply(ledger, draw, false);
+        Decision::AfterWrite(Outcome::Give { own, most, need, reply })
+    }
+
+    /// Grants this daemon tokens that it will send on: they are open at once.
+    fn grant_to_me(&self, ledger: &mut Ledger, tokens: Tokens) -> (Tokens, Tokens) {
+        ledger.grant(self.me, &self.address, tokens);
+        ledger.open(self.me, Tokens::MAX);
+        (ledger.granted_to(self.me), ledger.opened_by(self.me))
     }
 
     /// Takes from what the last collection brought: the need, or a share.
@@ -563,7 +608,7 @@
         now: Millis,
         pending: &Pending,
         budget: &Name,
-        holders: impl FnOnce() -> Vec<(Incarnation, String)>,
+        holders: impl FnOnce() -> Vec<HolderRef>,
         commands: &mut Vec<Command>,
     ) -> Option<Gather> {
         if !self.collects {
@@ -624,15 +669,43 @@
             return Decision::Answer(Outcome::Reply(away));
         }
         let most = self.take_gathered(draw, need);
-        let granted = draw.known_granted;
-        Decision::Answer(Outcome::Give { own_granted: None, most, need, granted })
+        let (granted, opened) = (draw.known_granted, draw.opened);
+        let reply = Reply::Granted { granted, opened, recorded: false };
+        Decision::Answer(Outcome::Give { own: None, most, need, reply })
     }
 }
 
 /// Everybody but `me` that has a grant.
-fn holders_of(ledger: &Ledger, me: Incarnation) -> Vec<(Incarnation, String)> {
+fn holders_of(ledger: &Ledger, me: Incarnation) -> Vec<HolderRef> {
     let others = ledger.grants.iter().filter(|(holder, _)| **holder != me);
-    others.map(|(holder, grant)| (*holder, grant.address.to_string())).collect()
+    let holder = |(incarnation, grant): (&Incarnation, &Grant)| HolderRef {
+        incarnation: *incarnation,
+        address: Arc::clone(&grant.address),
+        witnesses: grant.witnesses.clone(),
+    };
+    others.map(holder).collect()
+}
+
+/// What the holder of a draw is told of its grant.
+fn granted_reply(ledger: &Ledger, draw: &Draw, recorded: bool) -> Reply {
+    let granted = ledger.granted_to(draw.holder);
+    Reply::Granted { granted, opened: ledger.opened_by(draw.holder), recorded }
+}
+
+/// Grants what a draw calls for and opens the part that it names; the rest
+/// stays sealed in the holder's hands.
+fn grant_and_open(ledger: &mut Ledger, draw: &Draw, need: Tokens, opened: Tokens) {
+    let available = ledger.available();
+    let sealed = ledger.granted_to(draw.holder).saturating_sub(opened);
+    let wanted = draw.terms.amount(draw.want, available + sealed).max(need);
+    let floor = draw.terms.floor(ledger.total(), available);
+    let held = draw.free + sealed;
+    let more = wanted.saturating_sub(sealed).max(floor.saturating_sub(held)).min(available);
+    ledger.grant(draw.holder, &draw.address, more);
+    // Without witnesses nothing could be opened later, nor taken back.
+    let open = if draw.witnesses.is_empty() { Tokens::MAX } else { opened + draw.open.max(need) };
+    ledger.open(draw.holder, open);
+    ledger.name_witnesses(draw);
 }
 
 /// The shard that the next write would make: only ledgers that are looked at
@@ -653,10 +726,10 @@
         self.changed.entry(budget.clone()).or_insert_with(copy)
     }
 
-    /// The grant that the store is known to have recorded.
-    fn stored_grant(&self, budget: &Name, holder: Incarnation) -> Tokens {
+    /// The grant that the store is known to have recorded, and what is open.
+    fn stored_grant(&self, budget: &Name, holder: Incarnation) -> (Tokens, Tokens) {
         let ledger = self.stored.budgets.get(budget);
-        ledger.map_or(0, |ledger| ledger.granted_to(holder))
+        ledger.map_or((0, 0), |ledger| (ledger.granted_to(holder), ledger.opened_by(holder)))
     }
 
     fn finish(self) -> Shard {
@@ -673,9 +746,9 @@
 
 fn answer(pending: Pending, outcome: Outcome, commands: &mut Vec<Command>) {
     let command = match (outcome, pending.request) {
-        (Outcome::Give { own_granted, most, need, granted }, Request::Draw(draw)) => {
-            let (ticket, draw) = (pending.ticket, Draw { need, ..draw });
-            Command::Give { own_granted, ticket, draw, most, granted }
+        (Outcome::Give { own, most, need, reply }, Request::Draw(draw)) => {
+            let (ticket, draw) = (pending.ticket, Box::new(Draw { need, ..draw }));
+            Command::Give { own, ticket, draw, most, reply }
         }
         (Outcome::Reply(reply), _) => Command::Reply(pending.ticket, reply),
         (Outcome::Give { .. }, _) => return,
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -10,7 +10,9 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::holder::Draw;
 use crate::id::shard_of_name;
+use crate::witness::Witness;
 use crate::{Incarnation, Name, Tokens};
 
 /// Number of objects that hold all budgets. Fixed by the store's write rate,
@@ -19,8 +21,8 @@
 
 /// Holders that the store grants tokens of one budget to. Further ones get
 /// theirs from the shard's owner, so that a stored shard does not grow with the
-/// fleet: 610 budgets of 16 grants are some 700 KB.
-pub const MAX_GRANTS: usize = 16;
+/// fleet: 610 budgets of 8 grants are some 800 KB.
+pub const MAX_GRANTS: usize = 8;
 
 /// How many top-ups a ledger remembers by identity.
 pub const REMEMBERED_TOP_UPS: usize = 128;
@@ -40,8 +42,18 @@
 pub struct Grant {
     /// Cumulative tokens granted.
     pub granted: Tokens,
+    /// Cumulative tokens of the grant that the holder may spend, as far as the
+    /// store knows; its witnesses may have let it open more.
+    pub opened: Tokens,
     /// Where the holder's peer port listens.
     pub address: Arc<str>,
+    /// Who attests what else the holder has opened.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub witnesses: Vec<Witness>,
+    /// Number of the draw that named the witnesses; an older draw that is
+    /// written late does not replace them.
+    #[serde(default)]
+    pub named_by: u64,
 }
 
 /// A top-up that was recorded.
@@ -114,15 +126,53 @@
         self.grants.len() >= MAX_GRANTS && !self.grants.contains_key(&holder)
     }
 
-    /// Grants `tokens` more to `holder`.
+    /// What `holder` may spend of its grant, as far as the store knows.
+    pub fn opened_by(&self, holder: Incarnation) -> Tokens {
+        self.grants.get(&holder).map_or(0, |grant| grant.opened)
+    }
+
+    /// Grants `tokens` more to `holder`; they are sealed at first.
     pub fn grant(&mut self, holder: Incarnation, address: &str, tokens: Tokens) {
-        let entry = self
-            .grants
-            .entry(holder)
-            .or_insert_with(|| Grant { granted: 0, address: Arc::from(address) });
+        let entry = self.grants.entry(holder).or_insert_with(|| Grant {
+            granted: 0,
+            opened: 0,
+            address: Arc::from(address),
+            witnesses: Vec::new(),
+            named_by: 0,
+        });
         entry.granted += tokens;
     }
 
+    /// Lets `holder` spend its grant up to the cumulative sum `opened`.
+    pub fn open(&mut self, holder: Incarnation, opened: Tokens) {
+        if let Some(grant) = self.grants.get_mut(&holder) {
+            grant.opened = grant.opened.max(opened).min(grant.granted);
+        }
+    }
+
+    /// Records the witnesses that a draw names, unless a later one has.
+    pub fn name_witnesses(&mut self, draw: &Draw) {
+        if let Some(grant) = self.grants.get_mut(&draw.holder)
+            && draw.number > grant.named_by
+        {
+            grant.witnesses.clone_from(&draw.witnesses);
+            grant.named_by = draw.number;
+        }
+    }
+
+    /// Takes back what `holder` never opened; `opened` is what one of its
+    /// witnesses said when it closed the holder. False when that daemon is not
+    /// its witness any more, so that its word says nothing.
+    pub fn reclaim(&mut self, holder: Incarnation, witness: Incarnation, opened: Tokens) -> bool {
+        let Some(grant) = self.grants.get(&holder) else { return true };
+        if !grant.witnesses.iter().any(|known| known.incarnation == witness) {
+            return false;
+        }
+        let kept = grant.opened.max(opened).min(grant.granted);
+        self.retire(holder, kept as i64);
+        true
+    }
+
     /// Records a top-up once; a repeat of its identity changes nothing.
     pub fn top_up(&mut self, id: &str, tokens: Tokens) {
         if self.has_top_up(id) {
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -4,19 +4,24 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
-use bankcove_core::holder::{Holder, Reservation, Shortfall, Terms};
-use bankcove_core::owner::{Command, Event, Owner, OwnerCounts, RETRY_SOON_MS, Reply, Request};
+use bankcove_core::holder::{Draw, Holder, Reservation, Shortfall, Terms};
+use bankcove_core::members::Peer;
+use bankcove_core::owner::{
+    Command, Event, HolderRef, Owner, OwnerCounts, RETRY_SOON_MS, Reply, Request,
+};
 use bankcove_core::shard::{Shard, shard_of_budget};
 use bankcove_core::table::Budget;
+use bankcove_core::witness::{Marks, Witness};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use bankcove_platform::{Kind, WriteOutcome};
 use futures::future::join_all;
 use parking_lot::Mutex;
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::Daemon;
-use crate::peer::{GiveAnswer, OwnerAnswer};
+use crate::peer::{GiveAnswer, OwnerAnswer, PeerServiceClient};
 
 /// Owners that are tried before this daemon acts as the owner itself.
 const OWNERS_TRIED: usize = 2;
@@ -25,6 +30,9 @@
 /// another request takes first.
 const DRAWS: u32 = 8;
 
+/// Daemons that attest what a holder opens while the store is away.
+const WITNESSES: usize = 2;
+
 /// Shortest time between two draws ahead of one budget.
 const DRAW_AHEAD_MS: Millis = 1_000;
 
@@ -79,6 +87,7 @@
     owners: Mutex<HashMap<u32, mpsc::UnboundedSender<Mail>>>,
     draws: Mutex<HashMap<Name, Arc<tokio::sync::Mutex<LastShort>>>>,
     silent: Mutex<HashMap<Incarnation, Millis>>,
+    marks: Mutex<Marks>,
 }
 
 impl Budgets {
@@ -89,6 +98,7 @@
             owners: Mutex::new(HashMap::new()),
             draws: Mutex::new(HashMap::new()),
             silent: Mutex::new(HashMap::new()),
+            marks: Mutex::new(Marks::default()),
         }
     }
 
@@ -97,17 +107,9 @@
         self.holder.lock()
     }
 
-    /// Sends unspent tokens to a peer.
-    pub fn give(
-        &self,
-        budget: &Name,
-        receiver: Incarnation,
-        received: Tokens,
-        most: Tokens,
-    ) -> GiveAnswer {
-        let mut holder = self.holder.lock();
-        let cumulative = holder.give(budget, receiver, received, most);
-        GiveAnswer::Sent { cumulative, reserved: holder.reserved(budget) }
+    /// What this daemon attests for others.
+    pub fn marks(&self) -> parking_lot::MutexGuard<'_, Marks> {
+        self.marks.lock()
     }
 
     /// What the owners in this daemon tell of themselves, by shard.
@@ -138,7 +140,7 @@
     let arrived = daemon.clock.now();
     let try_now = || daemon.budgets.holder.lock().reserve(&budget.name, tokens, arrived);
     if let Ok(reservation) = try_now() {
-        draw_ahead(daemon, budget);
+        prepare(daemon, budget);
         return Ok(reservation);
     }
     let last = Arc::clone(daemon.budgets.draws.lock().entry(budget.name.clone()).or_default());
@@ -155,6 +157,10 @@
         {
             return Err(refusal);
         }
+        // Witnesses are nearer than the store, and there when it is away.
+        if open(daemon, &budget.name, missing).await {
+            continue;
+        }
         let asked_at = daemon.clock.now();
         if let Err(refusal) = draw(daemon, budget, missing).await {
             *last = LastShort { asked_at, need: missing, refusal: Some(refusal), ..*last };
@@ -176,10 +182,15 @@
     }
 }
 
-/// Draws ahead when little is left, away from the path of any request.
-fn draw_ahead(daemon: &Arc<Daemon>, budget: &Budget) {
+/// Opens and draws ahead when little is left, away from the path of any request.
+fn prepare(daemon: &Arc<Daemon>, budget: &Budget) {
     let terms = terms(daemon, budget);
-    if !daemon.budgets.holder.lock().runs_low(&budget.name, &terms, daemon.clock.now()) {
+    let now = daemon.clock.now();
+    let (closes, runs_low) = {
+        let holder = daemon.budgets.holder.lock();
+        (holder.is_nearly_closed(&budget.name, now), holder.runs_low(&budget.name, &terms, now))
+    };
+    if !closes && !runs_low {
         return;
     }
     let draws = Arc::clone(daemon.budgets.draws.lock().entry(budget.name.clone()).or_default());
@@ -187,6 +198,9 @@
     tokio::spawn(async move {
         // A draw that runs already brings what this one would.
         let Ok(mut last) = draws.try_lock() else { return };
+        if closes && open(&daemon, &budget.name, 0).await {
+            return;
+        }
         if daemon.clock.now() < last.ahead_at + DRAW_AHEAD_MS {
             return;
         }
@@ -200,15 +214,26 @@
     let terms = terms(daemon, budget);
     let now = daemon.clock.now();
     let address = daemon.cfg.peer_address();
-    let draw = daemon.budgets.holder.lock().draw(&budget.name, need, terms, address, now);
+    let witnesses = witnesses(daemon);
+    let draw = {
+        // In one step: what is opened later needs the new witnesses' word too.
+        let mut holder = daemon.budgets.holder.lock();
+        holder.propose_witnesses(&budget.name, &witnesses);
+        let draw = holder.draw(&budget.name, need, terms, address, now);
+        Draw { witnesses: witnesses.clone(), ..draw }
+    };
     let answer = ask_owner(daemon, Request::Draw(draw)).await;
     let mut holder = daemon.budgets.holder.lock();
     if let Some((owner, cumulative)) = answer.sent {
         holder.received(&budget.name, owner, cumulative);
     }
     match answer.reply {
-        Reply::Granted { granted } => {
+        Reply::Granted { granted, opened, recorded } => {
             holder.granted(&budget.name, granted);
+            holder.opened(&budget.name, opened);
+            if recorded {
+                holder.witnesses_recorded(&budget.name, &witnesses);
+            }
             Ok(())
         }
         Reply::Short { retry_after_ms } => Err(Refusal { retry_after_ms, store_away: false }),
@@ -217,6 +242,54 @@
     }
 }
 
+/// Peers that are to attest what this daemon opens while the store is away.
+fn witnesses(daemon: &Daemon) -> Vec<Witness> {
+    let key = xxh3_64(daemon.cfg.name.as_str().as_bytes());
+    let ranked = daemon.members.lock().owners(key, WITNESSES + 1);
+    let peers = ranked.into_iter().flatten().take(WITNESSES);
+    let witness = |peer: Peer| {
+        Some(Witness { incarnation: peer.incarnation?, address: Arc::from(peer.address) })
+    };
+    peers.filter_map(witness).collect()
+}
+
+/// Opens `tokens` more of this daemon's grant, and some ahead, by its witnesses'
+/// word; false when nothing is sealed or they do not agree.
+async fn open(daemon: &Arc<Daemon>, budget: &Name, tokens: Tokens) -> bool {
+    let now = daemon.clock.now();
+    let Some(opening) = daemon.budgets.holder.lock().opening(budget, tokens, now) else {
+        return false;
+    };
+    let (me, opened) = (daemon.incarnation, opening.opened);
+    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let asks = opening.witnesses.iter().map(|witness| {
+        let (budget, incarnation) = (budget.clone(), witness.incarnation);
+        let ask = move |client: PeerServiceClient, cx| async move {
+            client.open(cx, me, incarnation, budget, opened).await
+        };
+        daemon.peers.call(&witness.address, timeout, ask)
+    });
+    let agreed = join_all(asks).await.into_iter().all(|agreed| agreed == Some(true));
+    agreed && daemon.budgets.holder.lock().opening_agreed(budget, &opening)
+}
+
+/// Sends a peer what is free and what is sealed, as far as it can be opened.
+pub async fn give_all(
+    daemon: &Arc<Daemon>,
+    budget: &Name,
+    receiver: Incarnation,
+    received: Tokens,
+    most: Tokens,
+) -> GiveAnswer {
+    if daemon.budgets.holder.lock().sealed(budget) > 0 {
+        open(daemon, budget, Tokens::MAX).await;
+    }
+    let mut holder = daemon.budgets.holder.lock();
+    let cumulative = holder.give(budget, receiver, received, most);
+    let more_later = holder.reserved(budget) + holder.sealed(budget);
+    GiveAnswer::Sent { cumulative, reserved: more_later }
+}
+
 /// Asks the owner of the budget's shard: the first that answers of the first
 /// few in rendezvous order, else this daemon itself.
 pub async fn ask_owner(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
@@ -229,9 +302,8 @@
         if let (Request::Draw(draw), Some(incarnation)) = (&mut request, owner.incarnation) {
             draw.received = daemon.budgets.holder.lock().received_from(&draw.budget, incarnation);
         }
-        let ask = |client: crate::peer::PeerServiceClient, cx| async move {
-            client.ask_owner(cx, request).await
-        };
+        let ask =
+            |client: PeerServiceClient, cx| async move { client.ask_owner(cx, request).await };
         match daemon.peers.call(&owner.address, timeout, ask).await {
             Some(OwnerAnswer { reply: Reply::StoreAway { .. }, sent: None }) => {
                 // The owner may be cut off from the store alone.
@@ -259,7 +331,9 @@
 fn shard_of_request(request: &Request) -> u32 {
     match request {
         Request::Draw(draw) => shard_of_budget(&draw.budget),
-        Request::TopUp { budget, .. } | Request::Retire { budget, .. } => shard_of_budget(budget),
+        Request::TopUp { budget, .. }
+        | Request::Retire { budget, .. }
+        | Request::Reclaim { budget, .. } => shard_of_budget(budget),
     }
 }
 
@@ -332,11 +406,13 @@
                 Command::Reply(ticket, reply) => {
                     self.answer(ticket, OwnerAnswer { reply, sent: None });
                 }
-                Command::Give { own_granted, ticket, draw, most, granted } => {
-                    if let Some(own) = own_granted {
-                        daemon.budgets.holder.lock().granted(&draw.budget, own);
+                Command::Give { own, ticket, draw, most, reply } => {
+                    if let Some((granted, opened)) = own {
+                        let mut holder = daemon.budgets.holder.lock();
+                        holder.granted(&draw.budget, granted);
+                        holder.opened(&draw.budget, opened);
                     }
-                    let answer = give(daemon, &draw, most, granted);
+                    let answer = give(daemon, &draw, most, reply);
                     self.answer(ticket, answer);
                 }
                 Command::WakeAt(at) => {
@@ -401,13 +477,7 @@
     }
 }
 
-fn give(
-    daemon: &Arc<Daemon>,
-    draw: &bankcove_core::holder::Draw,
-    most: Tokens,
-    granted: Tokens,
-) -> OwnerAnswer {
-    let reply = Reply::Granted { granted };
+fn give(daemon: &Arc<Daemon>, draw: &Draw, most: Tokens, reply: Reply) -> OwnerAnswer {
     if draw.holder == daemon.incarnation {
         // The tokens are in this daemon's own holder already.
         return OwnerAnswer { reply, sent: None };
@@ -421,19 +491,20 @@
     OwnerAnswer { reply, sent: Some((daemon.incarnation, cumulative)) }
 }
 
-async fn gather(daemon: Arc<Daemon>, budget: Name, holders: Vec<(Incarnation, String)>) -> Event {
-    let holders = with_unlisted(&daemon, &budget, holders);
+async fn gather(daemon: Arc<Daemon>, budget: Name, listed: Vec<HolderRef>) -> Event {
+    let holders = with_unlisted(&daemon, &budget, listed);
+    if daemon.budgets.holder.lock().sealed(&budget) > 0 {
+        open(&daemon, &budget, Tokens::MAX).await;
+    }
     let now = daemon.clock.now();
     let silent: HashSet<Incarnation> = {
         let mut silent = daemon.budgets.silent.lock();
         silent.retain(|_, until| *until > now);
         silent.keys().copied().collect()
     };
-    let skipped = holders.iter().any(|(holder, _)| silent.contains(holder));
-    let asked = holders.iter().filter(|(holder, _)| !silent.contains(holder));
-    let answers = join_all(asked.map(|(holder, address)| {
-        gather_from(Arc::clone(&daemon), budget.clone(), *holder, address.clone())
-    }));
+    let skipped = holders.iter().any(|holder| silent.contains(&holder.incarnation));
+    let asked = holders.iter().filter(|holder| !silent.contains(&holder.incarnation));
+    let answers = join_all(asked.map(|holder| gather_from(&daemon, &budget, holder)));
     let more_elsewhere = answers.await.into_iter().any(|more| more);
     let holder = daemon.budgets.holder.lock();
     let more_may_come = skipped || more_elsewhere || holder.reserved(&budget) > 0;
@@ -442,11 +513,7 @@
 
 /// Adds those that may hold tokens without a grant: whom this daemon has sent
 /// some, and peers that may have collected as owners before it.
-fn with_unlisted(
-    daemon: &Arc<Daemon>,
-    budget: &Name,
-    listed: Vec<(Incarnation, String)>,
-) -> Vec<(Incarnation, String)> {
+fn with_unlisted(daemon: &Arc<Daemon>, budget: &Name, listed: Vec<HolderRef>) -> Vec<HolderRef> {
     let receivers: HashSet<Incarnation> =
         daemon.budgets.holder.lock().receivers(budget).into_iter().collect();
     let key = OWNER_KEY + u64::from(shard_of_budget(budget));
@@ -455,44 +522,71 @@
     let sent_to = members.usable().filter(|peer| {
         peer.incarnation.is_some_and(|incarnation| receivers.contains(&incarnation))
     });
-    let unlisted = ranked.chain(sent_to.cloned());
-    let mut holders: HashMap<Incarnation, String> = listed.into_iter().collect();
-    for peer in unlisted {
-        if let Some(incarnation) = peer.incarnation {
-            holders.entry(incarnation).or_insert(peer.address);
-        }
+    let unlisted = ranked.chain(sent_to.cloned()).filter_map(|peer| {
+        let (incarnation, address) = (peer.incarnation?, Arc::from(peer.address));
+        Some(HolderRef { incarnation, address, witnesses: Vec::new() })
+    });
+    let mut holders: HashMap<Incarnation, HolderRef> =
+        listed.into_iter().map(|holder| (holder.incarnation, holder)).collect();
+    for holder in unlisted {
+        holders.entry(holder.incarnation).or_insert(holder);
     }
-    holders.into_iter().collect()
+    holders.into_values().collect()
 }
 
 /// Collects from one holder; returns whether more may come from it later.
-async fn gather_from(
-    daemon: Arc<Daemon>,
-    budget: Name,
-    holder: Incarnation,
-    address: String,
-) -> bool {
-    let me = daemon.incarnation;
-    let received = daemon.budgets.holder.lock().received_from(&budget, holder);
+async fn gather_from(daemon: &Arc<Daemon>, budget: &Name, holder: &HolderRef) -> bool {
+    let (me, incarnation) = (daemon.incarnation, holder.incarnation);
+    let received = daemon.budgets.holder.lock().received_from(budget, incarnation);
     let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
     let wanted = budget.clone();
-    let ask = |client: crate::peer::PeerServiceClient, cx| async move {
-        client.give(cx, wanted, holder, me, received, Tokens::MAX).await
+    let ask = |client: PeerServiceClient, cx| async move {
+        client.give(cx, wanted, incarnation, me, received, Tokens::MAX).await
     };
-    match daemon.peers.call(&address, timeout, ask).await {
+    match daemon.peers.call(&holder.address, timeout, ask).await {
         Some(GiveAnswer::Sent { cumulative, reserved }) => {
-            daemon.budgets.holder.lock().received(&budget, holder, cumulative);
+            daemon.budgets.holder.lock().received(budget, incarnation, cumulative);
             reserved > 0
         }
-        Some(GiveAnswer::OtherIncarnation) => false,
+        Some(GiveAnswer::OtherIncarnation) => {
+            reclaim(daemon, budget, holder).await;
+            false
+        }
+        None if daemon.peers.is_refused(&holder.address, timeout).await => {
+            reclaim(daemon, budget, holder).await;
+            false
+        }
         None => {
             let until = daemon.clock.now() + SILENT_HOLDER_MS;
-            daemon.budgets.silent.lock().insert(holder, until);
+            daemon.budgets.silent.lock().insert(incarnation, until);
             true
         }
     }
 }
 
+/// Takes back what a holder that seems to be gone never opened. Should it live
+/// after all, its closed witness keeps it from opening any more.
+async fn reclaim(daemon: &Arc<Daemon>, budget: &Name, holder: &HolderRef) {
+    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    for witness in &holder.witnesses {
+        let (gone, attests, closed) = (holder.incarnation, witness.incarnation, budget.clone());
+        let opened = if attests == daemon.incarnation {
+            Some(daemon.budgets.marks().close(gone, budget))
+        } else {
+            let ask = |client: PeerServiceClient, cx| async move {
+                client.close(cx, gone, attests, closed).await
+            };
+            daemon.peers.call(&witness.address, timeout, ask).await.flatten()
+        };
+        let Some(opened) = opened else { continue };
+        let budget = budget.clone();
+        let request = Request::Reclaim { budget, holder: gone, witness: attests, opened };
+        let answer = ask_local_owner(daemon, request).await;
+        slog::info!(daemon.log, "grant reclaimed"; "holder" => %gone, "answer" => ?answer.reply);
+        return;
+    }
+}
+
 /// Gives every unspent token back to the store, for a planned stop. Returns
 /// whether the store has recorded all of it.
 pub async fn retire(daemon: &Arc<Daemon>) -> bool {
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -58,6 +58,7 @@
         "owners": daemon.budgets.dump_owners().await,
         "request_log": daemon.requests.dump().await,
         "servers": servers,
+        "marks_kept_for_others": daemon.budgets.marks().len(),
         "peer_connections": daemon.peers.len(),
     })
 }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -72,6 +72,12 @@
         received: Tokens,
         most: Tokens,
     ) -> GiveAnswer;
+    /// Asks the receiver as a witness to agree that `holder` opens its grant up
+    /// to this cumulative sum.
+    async fn open(holder: Incarnation, witness: Incarnation, budget: Name, opened: Tokens) -> bool;
+    /// Asks the receiver as a witness to agree to nothing further of `holder`;
+    /// answers what it had opened, or none when that witness is no more.
+    async fn close(holder: Incarnation, witness: Incarnation, budget: Name) -> Option<Tokens>;
     /// Appends to the request log by way of the receiver.
     async fn submit(entry: Entry) -> Outcome;
     /// Keeps a bill until the store takes it.
@@ -130,6 +136,13 @@
         }
     }
 
+    /// Whether the host at this address says that nobody listens there.
+    pub async fn is_refused(&self, address: &str, timeout: Duration) -> bool {
+        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
+        let refused = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
+        matches!(connecting, Ok(Err(e)) if refused(&e))
+    }
+
     /// How many connections are kept.
     pub fn len(&self) -> usize {
         self.clients.lock().len()
@@ -181,7 +194,30 @@
         if holder != self.daemon.incarnation {
             return GiveAnswer::OtherIncarnation;
         }
-        self.daemon.budgets.give(&budget, receiver, received, most)
+        budgets::give_all(&self.daemon, &budget, receiver, received, most).await
+    }
+
+    async fn open(
+        self,
+        _: Context,
+        holder: Incarnation,
+        witness: Incarnation,
+        budget: Name,
+        opened: Tokens,
+    ) -> bool {
+        let is_me = witness == self.daemon.incarnation;
+        is_me && self.daemon.budgets.marks().open(holder, &budget, opened)
+    }
+
+    async fn close(
+        self,
+        _: Context,
+        holder: Incarnation,
+        witness: Incarnation,
+        budget: Name,
+    ) -> Option<Tokens> {
+        let is_me = witness == self.daemon.incarnation;
+        is_me.then(|| self.daemon.budgets.marks().close(holder, &budget))
     }
 
     async fn submit(self, _: Context, entry: Entry) -> Outcome {
--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -43,7 +43,10 @@
     fleet.daemons[0].process.kill();
     let mut attempts = vec![sent.await.expect("the caller does not panic")];
     let second = [fleet.daemons[1].callers.clone()];
-    attempts.extend(Caller::default().ask_until_done(&second, &ask, 10).await);
+    // A caller that has its whole answer asks no more, and is billed all the same.
+    if !matches!(attempts[0].told, Told::Done { .. }) {
+        attempts.extend(Caller::default().ask_until_done(&second, &ask, 10).await);
+    }
     settle(&fleet, 1).await;
     assert!(matches!(attempts.last().map(|a| &a.told), Some(Told::Done { .. })), "{attempts:?}");
     let bills = check::bills(&segments(&fleet.writes().await));
@@ -220,3 +223,30 @@
     let bills = check::bills(&segments(&fleet.writes().await));
     assert_eq!(check::billed_once(&[warm, told], &bills, request_of), Ok(()));
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn what_a_killed_daemon_never_opened_is_spent_by_the_others() {
+    let mut fleet = Fleet::start(&Plan { daemons: 4, tokens: 2_000, ..Plan::default() }).await;
+    let targets = addresses(&fleet);
+    for (n, target) in targets.iter().enumerate() {
+        let told = Caller::default().ask(target, &Ask::new(format!("warm-{n}"))).await;
+        assert!(matches!(told.told, Told::Done { .. }), "{told:?}");
+    }
+    fleet.daemons[3].process.kill();
+    fleet.restart_daemon(3).await;
+    fleet.wait_for_status(3, |status| status["revision"].as_u64() >= Some(1)).await;
+    let mut attempts = Vec::new();
+    for n in 0..200 {
+        let ask = Ask::new(format!("rest-{n}")).max_tokens(40);
+        attempts.push(Caller::default().ask(&targets[n % 3], &ask).await);
+        if matches!(attempts[n].told, Told::NotRun { .. }) {
+            break;
+        }
+    }
+    settle(&fleet, 0).await;
+    let runs = fleet.live_runs().await;
+    let spent = check::spend_within(&runs, 0, 2_000).expect("no overspend");
+    // An equal share of four is 500: the killed daemon took far less along.
+    assert!(spent > 1_700, "{spent} of 2000 tokens were spent: {:?}", attempts.last());
+    assert_eq!(check::whole_answers(&attempts), Ok(attempts.len() - 1));
+}
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -310,7 +310,7 @@
                 }
             }
             if faults.misdirect {
-                let foreign = self::piece("another-run", &model, offset);
+                let foreign = self::piece("another-run", &model, offset + 1);
                 // A reader that left is noticed with the next own piece.
                 let _left = send(&tx, &foreign).await;
             }
