Slopes: a draw that takes a write

The bench had answered most draws from what was opened before; each now takes a write, which is the case that grows with the shard.

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -188,7 +188,8 @@
     for round in 0..ROUNDS {
         let now = u64::from(round) + 1;
         let mut draw = draw(&name);
-        draw.opened = 100_000;
+        // All that was granted is open and used: each draw takes a write.
+        draw.opened = 1 << 40;
         owner.handle(now, OwnerEvent::Asked(u64::from(round), Request::Draw(draw)));
         owner.handle(now, OwnerEvent::Written(now + 2));
     }
