Deadlines proved; calls of plain services are checked for 'not run' too

Cause: the mutant that tells 'not run' after a dispatch passed, since the scenario's killed engine takes its history along, and orders had no attempt to look for. A request past its deadline now shows it, with an engine that lives; posted calls carry their attempt into the check.

--- a/crates/proofs/src/caller.rs
+++ b/crates/proofs/src/caller.rs
@@ -146,8 +146,7 @@
             }
             Err(_) => return attempt,
         };
-        let header = res.headers().get("x-bankcove-attempt");
-        attempt.attempt = header.and_then(|value| value.to_str().ok()).map(str::to_owned);
+        attempt.attempt = attempt_of(&res);
         let is_ok = res.status().is_success();
         let Ok(body) = res.text().await else {
             attempt.told = lost("broken off");
@@ -186,7 +185,7 @@
         attempts
     }
 
-    /// Posts to a plain service; the status, and the body as JSON.
+    /// Posts to a plain service; none when no answer comes.
     pub async fn post(
         &self,
         daemon: &str,
@@ -194,15 +193,32 @@
         key: &str,
         body: &str,
         patience: Duration,
-    ) -> Option<(u16, Value)> {
+    ) -> Option<Posted> {
         let req = self.http.post(format!("http://{daemon}{path}")).bearer_auth(KEY);
         let req = req.header("idempotency-key", key).timeout(patience).body(body.to_owned());
         let res = req.send().await.ok()?;
         let status = res.status().as_u16();
-        Some((status, res.json().await.ok()?))
+        let attempt = attempt_of(&res);
+        Some(Posted { status, attempt, body: res.json().await.ok()? })
     }
 }
 
+/// The answer to a call of a plain service.
+#[derive(Debug, Clone)]
+pub struct Posted {
+    /// The status.
+    pub status: u16,
+    /// The daemon's name for the attempt.
+    pub attempt: Option<String>,
+    /// The body.
+    pub body: Value,
+}
+
+fn attempt_of(res: &reqwest::Response) -> Option<String> {
+    let header = res.headers().get("x-bankcove-attempt");
+    header.and_then(|value| value.to_str().ok()).map(str::to_owned)
+}
+
 fn lost(code: &str) -> Told {
     Told::Unknown { code: code.to_owned() }
 }
--- a/crates/proofs/src/scenario.rs
+++ b/crates/proofs/src/scenario.rs
@@ -8,7 +8,7 @@
 use rand::rngs::StdRng;
 use rand::{Rng, SeedableRng};
 
-use crate::caller::{Ask, Attempt, Caller, Told, read_problem};
+use crate::caller::{Ask, Attempt, Caller, Posted, Told, read_problem};
 use crate::check::{self, Violation};
 use crate::fleet::{Fleet, Plan, segments, shards};
 
@@ -213,13 +213,14 @@
     [one, two].into_iter().map(|answer| read_order(key, answer)).collect()
 }
 
-fn read_order(key: &str, answer: Option<(u16, serde_json::Value)>) -> Attempt {
-    let told = match answer {
+fn read_order(key: &str, posted: Option<Posted>) -> Attempt {
+    let told = match &posted {
         None => Told::Unknown { code: "no answer".to_owned() },
-        Some((201, _)) => Told::Unknown { code: "ordered".to_owned() },
-        Some((_, body)) => read_problem(&body),
+        Some(Posted { status: 201, .. }) => Told::Unknown { code: "ordered".to_owned() },
+        Some(posted) => read_problem(&posted.body),
     };
-    Attempt { key: key.to_owned(), attempt: None, run: None, told }
+    let attempt = posted.and_then(|posted| posted.attempt);
+    Attempt { key: key.to_owned(), attempt, run: None, told }
 }
 
 async fn begin(fleet: &mut Fleet, fault: Fault, daemon: usize) {
--- a/crates/proofs/tests/path.rs
+++ b/crates/proofs/tests/path.rs
@@ -76,8 +76,9 @@
     let daemon = &fleet.daemons[0].callers;
     let posted =
         Caller::default().post(daemon, "/orders/9?x=1", "o-9", "two seats", patience).await;
-    let (status, body) = posted.expect("the daemon answers");
-    assert_eq!((status, body["you"]["body"].as_str()), (201, Some("two seats")));
+    let posted = posted.expect("the daemon answers");
+    let echoed = posted.body["you"]["body"].as_str();
+    assert_eq!((posted.status, echoed), (201, Some("two seats")));
     let calls = fleet.calls().await;
     assert_eq!((calls.len(), calls[0].path.as_str()), (1, "/orders/9"));
 }
--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -141,7 +141,8 @@
         });
         let told: Vec<_> = futures::future::join_all(asks).await;
         let done = told.iter().filter(|(a, _)| matches!(a.told, Told::Done { .. })).count();
-        let ordered = told.iter().filter(|(_, p)| p.as_ref().is_some_and(|p| p.0 == 201)).count();
+        let ordered =
+            told.iter().filter(|(_, p)| p.as_ref().is_some_and(|p| p.status == 201)).count();
         assert_eq!((done, ordered), (1, 1), "{told:?}");
     }
     let runs = fleet.live_runs().await;
@@ -283,3 +284,25 @@
     let attempts = futures::future::join_all(asks).await;
     assert_eq!(check::whole_answers(&attempts), Ok(8), "{attempts:?}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_request_past_its_deadline_is_cancelled_billed_and_told_as_unknown() {
+    let plan = Plan { step_ms: 20, ..Plan::default() };
+    let mut fleet = Fleet::start_with(&plan, |table| {
+        table["routes"][0]["deadline_ms"] = serde_json::json!(400);
+    })
+    .await;
+    let target = &addresses(&fleet)[0];
+    let mut attempts = Vec::new();
+    for ask in [Ask::new("late").max_tokens(200), Ask::new("late-whole").max_tokens(200).whole()] {
+        attempts.push(Caller::default().ask(target, &ask).await);
+    }
+    for attempt in &attempts {
+        assert_eq!(attempt.told, Told::Unknown { code: "deadline".to_owned() });
+    }
+    settle(&fleet, 0).await;
+    let runs = fleet.live_runs().await;
+    assert!(runs.len() == 2 && runs.iter().all(|run| run.cancelled), "{runs:?}");
+    assert!(check::not_run_is_true(&attempts, &runs, &[]).is_ok());
+    assert_eq!(check::bills(&segments(&fleet.writes().await)).len(), 2);
+}
