--- /dev/null
+++ b/crates/core/src/owner/machine.rs
@@ -0,0 +1,485 @@
+//! The owner itself: one read or write under way, requests that wait.
+
+use std::collections::VecDeque;
+
+use serde::Serialize;
+
+use crate::holder::Draw;
+use crate::owner::draft::{Draft, grant_and_open, granted_reply, holders_of};
+use crate::owner::gather::{Gather, Gathers, Lookup};
+use crate::owner::message::{Command, Event, HolderRef, Reply, Request, Ticket};
+use crate::owner::{MAX_REQUEST_AGE_MS, RETRY_LATER_MS, RETRY_SOON_MS};
+use crate::shard::{Ledger, Shard};
+use crate::{Incarnation, Millis, Name, Tokens};
+
+/// Writes that may come at once after a quiet time, beyond the first.
+const WRITE_BURST: u64 = 3;
+
+/// A shard read longer ago than this is read again before a refusal.
+const RELOAD_AFTER_MS: Millis = 250;
+
+/// How long the store is left alone after it was away.
+const STORE_PAUSE_MS: Millis = 500;
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Phase {
+    Idle,
+    Loading,
+    Writing,
+}
+
+#[derive(Debug)]
+struct Pending {
+    ticket: Ticket,
+    request: Request,
+    arrived: Millis,
+}
+
+/// What a request is answered with once its write has succeeded.
+#[derive(Debug)]
+enum Outcome {
+    Reply(Reply),
+    Give { own: Option<(Tokens, Tokens)>, most: Tokens, need: Tokens, reply: Reply },
+}
+
+/// What is to become of one request in this round.
+enum Decision {
+    Answer(Outcome),
+    AfterWrite(Outcome),
+    Wait,
+}
+
+/// Figures that the owner keeps of itself.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
+pub struct OwnerCounts {
+    /// Reads of the store.
+    pub loads: u64,
+    /// Writes tried.
+    pub writes: u64,
+    /// Writes refused because the shard had changed.
+    pub conflicts: u64,
+    /// Collections from other holders.
+    pub gathers: u64,
+}
+
+/// The owner of one shard, as far as this daemon is concerned.
+#[derive(Debug)]
+pub struct Owner {
+    me: Incarnation,
+    address: String,
+    write_interval: Millis,
+    shard: Option<(u64, Shard)>,
+    loaded_at: Millis,
+    reload_wanted: bool,
+    phase: Phase,
+    pending: VecDeque<Pending>,
+    in_write: Vec<(Pending, Outcome)>,
+    written_shard: Shard,
+    gathers: Gathers,
+    /// Each write moves this on by one interval; it may run ahead by a burst.
+    writes_paid_until: Millis,
+    store_away_until: Millis,
+    next_wake: Option<Millis>,
+    counts: OwnerCounts,
+}
+
+impl Owner {
+    /// An owner that has read nothing yet; `address` is its peer port.
+    pub fn new(me: Incarnation, address: &str, write_interval: Millis) -> Self {
+        Owner {
+            me,
+            address: address.to_owned(),
+            write_interval,
+            shard: None,
+            loaded_at: 0,
+            reload_wanted: false,
+            phase: Phase::Idle,
+            pending: VecDeque::new(),
+            in_write: Vec::new(),
+            written_shard: Shard::default(),
+            gathers: Gathers::default(),
+            writes_paid_until: 0,
+            store_away_until: 0,
+            next_wake: None,
+            counts: OwnerCounts::default(),
+        }
+    }
+
+    /// The same owner without collecting from other holders: a baseline.
+    pub fn without_collecting(mut self) -> Self {
+        self.gathers = Gathers::none();
+        self
+    }
+
+    /// Figures of this owner.
+    pub fn counts(&self) -> OwnerCounts {
+        self.counts
+    }
+
+    /// The shard as last read or written.
+    pub fn shard(&self) -> Option<&Shard> {
+        self.shard.as_ref().map(|(_, shard)| shard)
+    }
+
+    /// Takes one event and says what is to be done.
+    pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Command> {
+        let mut commands = Vec::new();
+        match event {
+            Event::Asked(ticket, request) => {
+                self.pending.push_back(Pending { ticket, request, arrived: now });
+            }
+            Event::Loaded(version, shard) => self.loaded(now, version, shard),
+            Event::Written(version) => self.written(now, version, &mut commands),
+            Event::Conflict => {
+                self.counts.conflicts += 1;
+                self.write_failed();
+            }
+            Event::Ambiguous => self.write_failed(),
+            Event::StoreAway => self.store_away(now),
+            Event::Gathered { budget, free, more_may_come } => {
+                self.gathers.ended(budget, free, more_may_come);
+            }
+            Event::Tick => {}
+        }
+        self.advance(now, &mut commands);
+        commands
+    }
+
+    fn loaded(&mut self, now: Millis, version: u64, shard: Shard) {
+        self.phase = Phase::Idle;
+        self.shard = Some((version, shard));
+        self.loaded_at = now;
+        self.reload_wanted = false;
+        self.store_away_until = 0;
+    }
+
+    fn written(&mut self, now: Millis, version: u64, commands: &mut Vec<Command>) {
+        self.phase = Phase::Idle;
+        self.shard = Some((version, std::mem::take(&mut self.written_shard)));
+        self.loaded_at = now;
+        for (pending, outcome) in std::mem::take(&mut self.in_write) {
+            answer(pending, outcome, commands);
+        }
+    }
+
+    /// Whether a write is allowed now; asks to be woken when it is too early.
+    fn may_write(&mut self, now: Millis, commands: &mut Vec<Command>) -> bool {
+        let burst = WRITE_BURST * self.write_interval;
+        let write_at = self.writes_paid_until.saturating_sub(burst);
+        if now < write_at {
+            self.wake_at(write_at, now, commands);
+        }
+        now >= write_at
+    }
+
+    /// Asks to be woken, unless that is asked for already.
+    fn wake_at(&mut self, at: Millis, now: Millis, commands: &mut Vec<Command>) {
+        let is_asked = self.next_wake.is_some_and(|wake| now < wake && wake <= at);
+        if !is_asked {
+            self.next_wake = Some(at);
+            commands.push(Command::WakeAt(at));
+        }
+    }
+
+    /// The requests of the write go back to the front, in their order; the
+    /// shard is read again, and it tells whether the write took effect.
+    fn write_failed(&mut self) {
+        self.phase = Phase::Idle;
+        self.reload_wanted = true;
+        self.put_back();
+    }
+
+    fn store_away(&mut self, now: Millis) {
+        self.phase = Phase::Idle;
+        self.store_away_until = now + STORE_PAUSE_MS;
+        self.put_back();
+    }
+
+    fn put_back(&mut self) {
+        for (pending, _) in std::mem::take(&mut self.in_write).into_iter().rev() {
+            self.pending.push_front(pending);
+        }
+        // What they were to be given from collections was not given.
+        self.gathers.forget_ended();
+    }
+
+    fn advance(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        if self.phase != Phase::Idle {
+            return;
+        }
+        self.drop_old(now, commands);
+        if self.pending.is_empty() {
+            return;
+        }
+        let store_is_away = now < self.store_away_until;
+        let must_load = self.shard.is_none() || self.reload_wanted;
+        if must_load && !store_is_away {
+            self.phase = Phase::Loading;
+            self.counts.loads += 1;
+            commands.push(Command::Load);
+            return;
+        }
+        if store_is_away {
+            self.serve_without_store(now, commands);
+        } else {
+            self.serve(now, commands);
+        }
+    }
+
+    fn drop_old(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
+        self.pending.retain(|pending| {
+            let is_old = now > pending.arrived + MAX_REQUEST_AGE_MS;
+            if is_old {
+                commands.push(Command::Reply(pending.ticket, away));
+            }
+            !is_old
+        });
+    }
+
+    fn serve(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let Some((version, shard)) = self.shard.take() else { return };
+        let mut draft = Draft::new(&shard);
+        let mut waiting = VecDeque::new();
+        let mut to_write = Vec::new();
+        for pending in std::mem::take(&mut self.pending) {
+            match self.decide(now, &pending, &mut draft, commands) {
+                Decision::Answer(outcome) => answer(pending, outcome, commands),
+                Decision::AfterWrite(outcome) => to_write.push((pending, outcome)),
+                Decision::Wait => waiting.push_back(pending),
+            }
+        }
+        self.pending = waiting;
+        if to_write.is_empty() {
+            self.shard = Some((version, shard));
+            self.load_if_wanted(now, commands);
+            return;
+        }
+        let next = draft.finish();
+        self.shard = Some((version, shard));
+        self.phase = Phase::Writing;
+        self.counts.writes += 1;
+        self.writes_paid_until = self.writes_paid_until.max(now) + self.write_interval;
+        self.in_write = to_write;
+        self.written_shard = next.clone();
+        commands.push(Command::Write(version, next));
+    }
+
+    fn load_if_wanted(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        if self.reload_wanted && now >= self.store_away_until {
+            self.phase = Phase::Loading;
+            self.counts.loads += 1;
+            commands.push(Command::Load);
+        }
+    }
+
+    fn decide(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        draft: &mut Draft,
+        commands: &mut Vec<Command>,
+    ) -> Decision {
+        let ledger = draft.ledger(pending.request.budget());
+        match &pending.request {
+            Request::TopUp { id, tokens, .. } => {
+                if ledger.has_top_up(id) {
+                    return Decision::Answer(Outcome::Reply(Reply::Recorded));
+                }
+                if !self.may_write(now, commands) {
+                    return Decision::Wait;
+                }
+                ledger.top_up(id, *tokens);
+                Decision::AfterWrite(Outcome::Reply(Reply::Recorded))
+            }
+            Request::Retire { holder, kept, .. } => {
+                if ledger.has_retired(*holder) {
+                    return Decision::Answer(Outcome::Reply(Reply::Recorded));
+                }
+                if !self.may_write(now, commands) {
+                    return Decision::Wait;
+                }
+                ledger.retire(*holder, *kept);
+                Decision::AfterWrite(Outcome::Reply(Reply::Recorded))
+            }
+            Request::Reclaim { holder, witness, opened, .. } => {
+                if !ledger.grants.contains_key(holder) {
+                    return Decision::Answer(Outcome::Reply(Reply::Recorded));
+                }
+                if !self.may_write(now, commands) {
+                    return Decision::Wait;
+                }
+                if !ledger.reclaim(*holder, *witness, *opened) {
+                    let retry_after_ms = RETRY_SOON_MS;
+                    return Decision::Answer(Outcome::Reply(Reply::Short { retry_after_ms }));
+                }
+                Decision::AfterWrite(Outcome::Reply(Reply::Recorded))
+            }
+            Request::Draw(draw) => self.decide_draw(now, pending, draw, draft, commands),
+        }
+    }
+
+    fn decide_draw(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        draw: &Draw,
+        draft: &mut Draft,
+        commands: &mut Vec<Command>,
+    ) -> Decision {
+        let stored = draft.stored_grant(&draw.budget, draw.holder);
+        let ledger = draft.ledger(&draw.budget);
+        if ledger.has_retired(draw.holder) {
+            let retry_after_ms = RETRY_LATER_MS;
+            return Decision::Answer(Outcome::Reply(Reply::Short { retry_after_ms }));
+        }
+        ledger.adopt_row(draw.terms.tokens, draw.terms.version);
+        // What was opened but not told is told again, without a write.
+        let opened = ledger.opened_by(draw.holder);
+        let undelivered = opened.saturating_sub(draw.opened);
+        let is_ahead = draw.need == 0;
+        if undelivered >= draw.need && !(is_ahead && undelivered == 0) {
+            let outcome = Outcome::Reply(granted_reply(ledger, draw, false));
+            let in_this_write = stored != (ledger.granted_to(draw.holder), opened);
+            return if in_this_write {
+                Decision::AfterWrite(outcome)
+            } else {
+                Decision::Answer(outcome)
+            };
+        }
+        let need = draw.need - undelivered;
+        let opened = opened.max(draw.opened);
+        let sealed = ledger.granted_to(draw.holder).saturating_sub(opened);
+        let available = ledger.available();
+        if is_ahead && available + sealed == 0 {
+            return Decision::Answer(Outcome::Reply(granted_reply(ledger, draw, false)));
+        }
+        if available + sealed >= need {
+            if !self.may_write(now, commands) {
+                return Decision::Wait;
+            }
+            if ledger.is_full_for(draw.holder) {
+                // The owner takes the grant and sends the tokens on.
+                let amount = draw.terms.amount(draw.want, available).max(need);
+                let own = Some(self.grant_to_me(ledger, amount));
+                let reply = granted_reply(ledger, draw, false);
+                return Decision::AfterWrite(Outcome::Give { own, most: amount, need, reply });
+            }
+            grant_and_open(ledger, draw, need, opened);
+            return Decision::AfterWrite(Outcome::Reply(granted_reply(ledger, draw, true)));
+        }
+        if self.loaded_at < pending.arrived && now >= self.loaded_at + RELOAD_AFTER_MS {
+            self.reload_wanted = true;
+            return Decision::Wait;
+        }
+        let me = self.me;
+        let holders = || holders_of(ledger, me);
+        let Some(gather) = self.gathered(now, pending, &draw.budget, holders, commands) else {
+            return Decision::Wait;
+        };
+        // The collection took what the holder had free: it is given back too.
+        let need = need + draw.free;
+        if available + gather.free < need {
+            return Decision::Answer(Outcome::Reply(short(gather)));
+        }
+        if available == 0 {
+            let most = self.gathers.take(draw, need);
+            let reply = granted_reply(ledger, draw, false);
+            return Decision::Answer(Outcome::Give { own: None, most, need, reply });
+        }
+        if !self.may_write(now, commands) {
+            return Decision::Wait;
+        }
+        // What the store has left goes by way of the owner, all in one piece.
+        let own = Some(self.grant_to_me(ledger, available));
+        let most = self.gathers.take(draw, need.saturating_sub(available)) + available;
+        let reply = granted_reply(ledger, draw, false);
+        Decision::AfterWrite(Outcome::Give { own, most, need, reply })
+    }
+
+    /// Grants this daemon tokens that it will send on: they are open at once.
+    fn grant_to_me(&self, ledger: &mut Ledger, tokens: Tokens) -> (Tokens, Tokens) {
+        ledger.grant(self.me, &self.address, tokens);
+        ledger.open(self.me, Tokens::MAX);
+        (ledger.granted_to(self.me), ledger.opened_by(self.me))
+    }
+
+    /// The collection that this request may rely on; starts one when needed.
+    fn gathered(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        budget: &Name,
+        holders: impl FnOnce() -> Vec<HolderRef>,
+        commands: &mut Vec<Command>,
+    ) -> Option<Gather> {
+        match self.gathers.for_request(now, pending.arrived, budget, holders) {
+            Lookup::Ended(gather) => Some(gather),
+            Lookup::Running => None,
+            Lookup::Start(holders) => {
+                self.counts.gathers += 1;
+                commands.push(Command::Gather(budget.clone(), holders));
+                None
+            }
+        }
+    }
+
+    fn serve_without_store(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let mut waiting = VecDeque::new();
+        for pending in std::mem::take(&mut self.pending) {
+            match self.decide_without_store(now, &pending, commands) {
+                Decision::Answer(outcome) | Decision::AfterWrite(outcome) => {
+                    answer(pending, outcome, commands);
+                }
+                Decision::Wait => waiting.push_back(pending),
+            }
+        }
+        self.pending = waiting;
+    }
+
+    fn decide_without_store(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        commands: &mut Vec<Command>,
+    ) -> Decision {
+        let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
+        let Some(draw) = pending.request.draw_now() else {
+            return Decision::Answer(Outcome::Reply(away));
+        };
+        let shard = self.shard.take();
+        let ledger = shard.as_ref().and_then(|(_, shard)| shard.budgets.get(&draw.budget));
+        let me = self.me;
+        let holders = || ledger.map(|ledger| holders_of(ledger, me)).unwrap_or_default();
+        let gather = self.gathered(now, pending, &draw.budget, holders, commands);
+        self.shard = shard;
+        let Some(gather) = gather else {
+            return Decision::Wait;
+        };
+        let need = draw.need + draw.free;
+        if gather.free < need {
+            return Decision::Answer(Outcome::Reply(away));
+        }
+        let most = self.gathers.take(draw, need);
+        let (granted, opened) = (draw.known_granted, draw.opened);
+        let reply = Reply::Granted { granted, opened, recorded: false };
+        Decision::Answer(Outcome::Give { own: None, most, need, reply })
+    }
+}
+
+fn short(gather: Gather) -> Reply {
+    let retry_after_ms = if gather.more_may_come { RETRY_SOON_MS } else { RETRY_LATER_MS };
+    Reply::Short { retry_after_ms }
+}
+
+fn answer(pending: Pending, outcome: Outcome, commands: &mut Vec<Command>) {
+    let command = match (outcome, pending.request) {
+        (Outcome::Give { own, most, need, reply }, Request::Draw(draw)) => {
+            let (ticket, draw) = (pending.ticket, Box::new(Draw { need, ..draw }));
+            Command::Give { own, ticket, draw, most, reply }
+        }
+        (Outcome::Reply(reply), _) => Command::Reply(pending.ticket, reply),
+        (Outcome::Give { .. }, _) => return,
+    };
+    commands.push(command);
+}
--- /dev/null
+++ b/crates/daemon/src/budget_owner.rs
@@ -0,0 +1,209 @@
+//! Shell around the owners of budget shards: their tasks and the store.
+
+use std::collections::HashMap;
+use std::sync::{Arc, Weak};
+
+use bankcove_core::holder::Draw;
+use bankcove_core::owner::{Command, Event, Owner, OwnerCounts, RETRY_SOON_MS, Reply, Request};
+use bankcove_core::shard::{Shard, shard_of_budget};
+use bankcove_core::{Millis, Tokens};
+use bankcove_platform::{Kind, WriteOutcome};
+use parking_lot::Mutex;
+use serde::Serialize;
+use tokio::sync::{mpsc, oneshot};
+
+use crate::collect::gather;
+use crate::daemon::Daemon;
+use crate::mailbox::{Tickets, after, later};
+use crate::peer::OwnerAnswer;
+
+enum Mail {
+    Asked(Request, oneshot::Sender<OwnerAnswer>),
+    Event(Event),
+    Dump(oneshot::Sender<OwnerDump>),
+}
+
+/// What an owner tells of itself.
+#[derive(Debug, Clone, Serialize)]
+pub struct OwnerDump {
+    /// Its figures.
+    pub counts: OwnerCounts,
+    /// The shard as last read or written.
+    pub shard: Option<Shard>,
+}
+
+/// The shards that this daemon owns, or has acted as the owner of.
+#[derive(Debug, Default)]
+pub struct Owners {
+    tasks: Mutex<HashMap<u32, mpsc::UnboundedSender<Mail>>>,
+}
+
+impl Owners {
+    /// What the owners in this daemon tell of themselves, by shard.
+    pub async fn dump(&self) -> HashMap<u32, OwnerDump> {
+        let owners: Vec<_> = self.tasks.lock().iter().map(|(n, tx)| (*n, tx.clone())).collect();
+        let mut dumps = HashMap::new();
+        for (shard, owner) in owners {
+            let (tx, rx) = oneshot::channel();
+            if owner.send(Mail::Dump(tx)).is_ok()
+                && let Ok(dump) = rx.await
+            {
+                dumps.insert(shard, dump);
+            }
+        }
+        dumps
+    }
+}
+
+/// Asks this daemon as the owner.
+pub async fn ask_local_owner(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
+    let shard = shard_of_request(&request);
+    let (tx, rx) = oneshot::channel();
+    let owner = local_owner(daemon, shard);
+    let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
+    let away = OwnerAnswer { reply: away, sent: None };
+    if owner.send(Mail::Asked(request, tx)).is_err() {
+        return away;
+    }
+    rx.await.unwrap_or(away)
+}
+
+/// The shard that a request is about.
+pub fn shard_of_request(request: &Request) -> u32 {
+    match request {
+        Request::Draw(draw) => shard_of_budget(&draw.budget),
+        Request::TopUp { budget, .. }
+        | Request::Retire { budget, .. }
+        | Request::Reclaim { budget, .. } => shard_of_budget(budget),
+    }
+}
+
+fn local_owner(daemon: &Arc<Daemon>, shard: u32) -> mpsc::UnboundedSender<Mail> {
+    let mut owners = daemon.budgets.owners.tasks.lock();
+    let owner = owners.entry(shard).or_insert_with(|| {
+        let (tx, rx) = mpsc::unbounded_channel();
+        let task = OwnerTask {
+            shard,
+            daemon: Arc::downgrade(daemon),
+            tx: tx.downgrade(),
+            tickets: Tickets::default(),
+        };
+        let machine = Owner::new(
+            daemon.incarnation,
+            daemon.cfg.peer_address(),
+            daemon.cfg.limits.budget_write_ms,
+        );
+        tokio::spawn(task.run(machine, rx));
+        tx
+    });
+    owner.clone()
+}
+
+/// The task of one owned shard; it ends when its channel is closed.
+struct OwnerTask {
+    shard: u32,
+    daemon: Weak<Daemon>,
+    tx: mpsc::WeakUnboundedSender<Mail>,
+    tickets: Tickets<OwnerAnswer>,
+}
+
+impl OwnerTask {
+    async fn run(mut self, mut machine: Owner, mut rx: mpsc::UnboundedReceiver<Mail>) {
+        while let Some(mail) = rx.recv().await {
+            let Some(daemon) = self.daemon.upgrade() else { return };
+            let event = match mail {
+                Mail::Event(event) => event,
+                Mail::Asked(request, reply) => Event::Asked(self.tickets.add(reply), request),
+                Mail::Dump(reply) => {
+                    let dump =
+                        OwnerDump { counts: machine.counts(), shard: machine.shard().cloned() };
+                    // Whoever asked may have gone away.
+                    let _gone = reply.send(dump);
+                    continue;
+                }
+            };
+            let commands = machine.handle(daemon.clock.now(), event);
+            self.carry_out(&daemon, commands);
+        }
+    }
+
+    fn carry_out(&mut self, daemon: &Arc<Daemon>, commands: Vec<Command>) {
+        let mut wake_at: Option<Millis> = None;
+        for command in commands {
+            match command {
+                Command::Load => later(&self.tx, event(load(Arc::clone(daemon), self.shard))),
+                Command::Write(version, shard) => {
+                    later(&self.tx, event(write(Arc::clone(daemon), self.shard, version, shard)));
+                }
+                Command::Gather(budget, holders) => {
+                    later(&self.tx, event(gather(Arc::clone(daemon), budget, holders)));
+                }
+                Command::Reply(ticket, reply) => {
+                    self.tickets.answer(ticket, OwnerAnswer { reply, sent: None });
+                }
+                Command::Give { own, ticket, draw, most, reply } => {
+                    if let Some((granted, opened)) = own {
+                        let mut holder = daemon.budgets.holder();
+                        holder.granted(&draw.budget, granted);
+                        holder.opened(&draw.budget, opened);
+                    }
+                    let answer = give(daemon, &draw, most, reply);
+                    self.tickets.answer(ticket, answer);
+                }
+                Command::WakeAt(at) => {
+                    wake_at = Some(wake_at.map_or(at, |earlier| earlier.min(at)));
+                }
+            }
+        }
+        if let Some(at) = wake_at {
+            let wait = at.saturating_sub(daemon.clock.now());
+            after(&self.tx, wait, Mail::Event(Event::Tick));
+        }
+    }
+}
+
+fn shard_name(shard: u32) -> String {
+    format!("shard-{shard:02}")
+}
+
+async fn load(daemon: Arc<Daemon>, shard: u32) -> Event {
+    match daemon.store.read::<Shard>(Kind::Budgets, &shard_name(shard)).await {
+        Ok(Some(read)) => {
+            daemon.contact.store_heard(daemon.clock.now());
+            Event::Loaded(read.version, read.value)
+        }
+        Ok(None) => Event::Loaded(0, Shard::default()),
+        Err(e) => {
+            slog::warn!(daemon.log, "budget shard not read"; "shard" => shard, "error" => %e);
+            Event::StoreAway
+        }
+    }
+}
+
+async fn write(daemon: Arc<Daemon>, shard: u32, version: u64, value: Shard) -> Event {
+    let outcome = daemon.store.write(Kind::Budgets, &shard_name(shard), version, &value).await;
+    match outcome {
+        WriteOutcome::Written(version) => Event::Written(version),
+        WriteOutcome::Conflict => Event::Conflict,
+        WriteOutcome::Ambiguous => Event::Ambiguous,
+        WriteOutcome::NotSent => Event::StoreAway,
+    }
+}
+
+fn give(daemon: &Arc<Daemon>, draw: &Draw, most: Tokens, reply: Reply) -> OwnerAnswer {
+    if draw.holder == daemon.incarnation {
+        // The tokens are in this daemon's own holder already.
+        return OwnerAnswer { reply, sent: None };
+    }
+    let mut holder = daemon.budgets.holder();
+    if !holder.can_give(&draw.budget, draw.holder, draw.received, draw.need) {
+        let retry_after_ms = RETRY_SOON_MS;
+        return OwnerAnswer { reply: Reply::Short { retry_after_ms }, sent: None };
+    }
+    let cumulative = holder.give(&draw.budget, draw.holder, draw.received, most);
+    OwnerAnswer { reply, sent: Some((daemon.incarnation, cumulative)) }
+}
+
+async fn event(work: impl Future<Output = Event>) -> Mail {
+    Mail::Event(work.await)
+}
--- /dev/null
+++ b/crates/daemon/src/collect.rs
@@ -0,0 +1,173 @@
+//! Tokens in other daemons' hands: witnesses, collections, reclaiming.
+
+use std::collections::{HashMap, HashSet};
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::members::Peer;
+use bankcove_core::owner::{Event, HolderRef, Request};
+use bankcove_core::shard::shard_of_budget;
+use bankcove_core::witness::Witness;
+use bankcove_core::{Incarnation, Millis, Name, Tokens};
+use futures::future::join_all;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::budget_owner::ask_local_owner;
+use crate::budgets::OWNER_KEY;
+use crate::daemon::Daemon;
+use crate::peer::{GiveAnswer, PeerServiceClient};
+
+/// Daemons that attest what a holder opens.
+const WITNESSES: usize = 2;
+
+/// A holder that did not answer is left out of collections this long.
+const SILENT_HOLDER_MS: Millis = 2_000;
+
+/// Peers asked in a collection though no grant of theirs is known: those that
+/// come first as owners of the shard.
+const UNLISTED_HOLDERS_ASKED: usize = 32;
+
+/// Peers that are to attest what this daemon opens while the store is away.
+pub fn witnesses(daemon: &Daemon) -> Vec<Witness> {
+    let key = xxh3_64(daemon.cfg.name.as_str().as_bytes());
+    let ranked = daemon.members.lock().owners(key, WITNESSES + 1);
+    let peers = ranked.into_iter().flatten().take(WITNESSES);
+    let witness = |peer: Peer| {
+        Some(Witness { incarnation: peer.incarnation?, address: Arc::from(peer.address) })
+    };
+    peers.filter_map(witness).collect()
+}
+
+/// Opens `tokens` more of this daemon's grant, and some ahead, by its witnesses'
+/// word; false when nothing is sealed or they do not agree.
+pub async fn open(daemon: &Arc<Daemon>, budget: &Name, tokens: Tokens) -> bool {
+    let now = daemon.clock.now();
+    let Some(opening) = daemon.budgets.holder().opening(budget, tokens, now) else {
+        return false;
+    };
+    let (me, opened) = (daemon.incarnation, opening.opened);
+    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let asks = opening.witnesses.iter().map(|witness| {
+        let (budget, incarnation) = (budget.clone(), witness.incarnation);
+        let ask = move |client: PeerServiceClient, cx| async move {
+            client.open(cx, me, incarnation, budget, opened).await
+        };
+        daemon.peers.call(&witness.address, timeout, ask)
+    });
+    let agreed = join_all(asks).await.into_iter().all(|agreed| agreed == Some(true));
+    agreed && daemon.budgets.holder().opening_agreed(budget, &opening)
+}
+
+/// Sends a peer what is free and what is sealed, as far as it can be opened.
+pub async fn give_all(
+    daemon: &Arc<Daemon>,
+    budget: &Name,
+    receiver: Incarnation,
+    received: Tokens,
+    most: Tokens,
+) -> GiveAnswer {
+    if daemon.budgets.holder().sealed(budget) > 0 {
+        open(daemon, budget, Tokens::MAX).await;
+    }
+    let mut holder = daemon.budgets.holder();
+    let cumulative = holder.give(budget, receiver, received, most);
+    let more_later = holder.reserved(budget) + holder.sealed(budget);
+    GiveAnswer::Sent { cumulative, reserved: more_later }
+}
+
+/// Collects what other holders have free of a budget.
+pub async fn gather(daemon: Arc<Daemon>, budget: Name, listed: Vec<HolderRef>) -> Event {
+    let holders = with_unlisted(&daemon, &budget, listed);
+    if daemon.budgets.holder().sealed(&budget) > 0 {
+        open(&daemon, &budget, Tokens::MAX).await;
+    }
+    let now = daemon.clock.now();
+    let silent: HashSet<Incarnation> = {
+        let mut silent = daemon.budgets.silent.lock();
+        silent.retain(|_, until| *until > now);
+        silent.keys().copied().collect()
+    };
+    let skipped = holders.iter().any(|holder| silent.contains(&holder.incarnation));
+    let asked = holders.iter().filter(|holder| !silent.contains(&holder.incarnation));
+    let answers = join_all(asked.map(|holder| gather_from(&daemon, &budget, holder)));
+    let more_elsewhere = answers.await.into_iter().any(|more| more);
+    let holder = daemon.budgets.holder();
+    let more_may_come = skipped || more_elsewhere || holder.reserved(&budget) > 0;
+    Event::Gathered { free: holder.free(&budget), budget, more_may_come }
+}
+
+/// Adds those that may hold tokens without a grant: whom this daemon has sent
+/// some, and peers that may have collected as owners before it.
+fn with_unlisted(daemon: &Arc<Daemon>, budget: &Name, listed: Vec<HolderRef>) -> Vec<HolderRef> {
+    let receivers: HashSet<Incarnation> =
+        daemon.budgets.holder().receivers(budget).into_iter().collect();
+    let key = OWNER_KEY + u64::from(shard_of_budget(budget));
+    let members = daemon.members.lock();
+    let ranked = members.owners(key, UNLISTED_HOLDERS_ASKED).into_iter().flatten();
+    let sent_to = members.usable().filter(|peer| {
+        peer.incarnation.is_some_and(|incarnation| receivers.contains(&incarnation))
+    });
+    let unlisted = ranked.chain(sent_to.cloned()).filter_map(|peer| {
+        let (incarnation, address) = (peer.incarnation?, Arc::from(peer.address));
+        Some(HolderRef { incarnation, address, witnesses: Vec::new() })
+    });
+    let mut holders: HashMap<Incarnation, HolderRef> =
+        listed.into_iter().map(|holder| (holder.incarnation, holder)).collect();
+    for holder in unlisted {
+        holders.entry(holder.incarnation).or_insert(holder);
+    }
+    holders.into_values().collect()
+}
+
+/// Collects from one holder; returns whether more may come from it later.
+async fn gather_from(daemon: &Arc<Daemon>, budget: &Name, holder: &HolderRef) -> bool {
+    let (me, incarnation) = (daemon.incarnation, holder.incarnation);
+    let received = daemon.budgets.holder().received_from(budget, incarnation);
+    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let wanted = budget.clone();
+    let ask = |client: PeerServiceClient, cx| async move {
+        client.give(cx, wanted, incarnation, me, received, Tokens::MAX).await
+    };
+    match daemon.peers.call(&holder.address, timeout, ask).await {
+        Some(GiveAnswer::Sent { cumulative, reserved }) => {
+            daemon.budgets.holder().received(budget, incarnation, cumulative);
+            reserved > 0
+        }
+        Some(GiveAnswer::OtherIncarnation) => {
+            reclaim(daemon, budget, holder).await;
+            false
+        }
+        None if daemon.peers.is_refused(&holder.address, timeout).await => {
+            reclaim(daemon, budget, holder).await;
+            false
+        }
+        None => {
+            let until = daemon.clock.now() + SILENT_HOLDER_MS;
+            daemon.budgets.silent.lock().insert(incarnation, until);
+            true
+        }
+    }
+}
+
+/// Takes back what a holder that seems to be gone never opened. Should it live
+/// after all, its closed witness keeps it from opening any more.
+async fn reclaim(daemon: &Arc<Daemon>, budget: &Name, holder: &HolderRef) {
+    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    for witness in &holder.witnesses {
+        let (gone, attests, closed) = (holder.incarnation, witness.incarnation, budget.clone());
+        let opened = if attests == daemon.incarnation {
+            Some(daemon.budgets.marks().close(gone, budget))
+        } else {
+            let ask = |client: PeerServiceClient, cx| async move {
+                client.close(cx, gone, attests, closed).await
+            };
+            daemon.peers.call(&witness.address, timeout, ask).await.flatten()
+        };
+        let Some(opened) = opened else { continue };
+        let budget = budget.clone();
+        let request = Request::Reclaim { budget, holder: gone, witness: attests, opened };
+        let answer = ask_local_owner(daemon, request).await;
+        slog::info!(daemon.log, "grant reclaimed"; "holder" => %gone, "answer" => ?answer.reply);
+        return;
+    }
+}
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -55,7 +55,7 @@
         "table": table,
         "holder": holder,
         "free": free,
-        "owners": daemon.budgets.dump_owners().await,
+        "owners": daemon.budgets.owners.dump().await,
         "request_log": daemon.requests.dump().await,
         "servers": servers,
         "marks_kept_for_others": daemon.budgets.marks().len(),
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -21,7 +21,7 @@
 
 use crate::daemon::Daemon;
 use crate::error::Result;
-use crate::{budgets, request_log, tcp};
+use crate::{budget_owner, collect, request_log, tcp};
 
 /// Largest message; a whole table fits.
 const MAX_FRAME_BYTES: usize = 32 << 20;
@@ -179,7 +179,7 @@
     }
 
     async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
-        budgets::ask_local_owner(&self.daemon, request).await
+        budget_owner::ask_local_owner(&self.daemon, request).await
     }
 
     async fn give(
@@ -194,7 +194,7 @@
         if holder != self.daemon.incarnation {
             return GiveAnswer::OtherIncarnation;
         }
-        budgets::give_all(&self.daemon, &budget, receiver, received, most).await
+        collect::give_all(&self.daemon, &budget, receiver, received, most).await
     }
 
     async fn open(
--- a/crates/daemon/src/request_log.rs
+++ b/crates/daemon/src/request_log.rs
@@ -12,6 +12,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::daemon::Daemon;
+use crate::mailbox::{Tickets, after, later};
 
 /// Owners that are tried before this daemon appends itself.
 const OWNERS_TRIED: usize = 1;
@@ -101,8 +102,7 @@
             shard,
             daemon: Arc::downgrade(daemon),
             tx: tx.downgrade(),
-            tickets: HashMap::new(),
-            next_ticket: 0,
+            tickets: Tickets::default(),
         };
         tokio::spawn(task.run(RequestLog::new(daemon.cfg.limits.log_append_ms), rx));
         tx
@@ -115,8 +115,7 @@
     shard: u32,
     daemon: Weak<Daemon>,
     tx: mpsc::WeakUnboundedSender<Mail>,
-    tickets: HashMap<u64, oneshot::Sender<Outcome>>,
-    next_ticket: u64,
+    tickets: Tickets<Outcome>,
 }
 
 impl LogTask {
@@ -125,11 +124,7 @@
             let Some(daemon) = self.daemon.upgrade() else { return };
             let event = match mail {
                 Mail::Event(event) => event,
-                Mail::Submitted(entry, reply) => {
-                    self.next_ticket += 1;
-                    self.tickets.insert(self.next_ticket, reply);
-                    Event::Submitted(self.next_ticket, entry)
-                }
+                Mail::Submitted(entry, reply) => Event::Submitted(self.tickets.add(reply), entry),
                 Mail::Dump(reply) => {
                     let dump = LogDump {
                         remembered: machine.remembered(),
@@ -151,42 +146,30 @@
         let mut wake_at: Option<Millis> = None;
         for command in commands {
             match command {
-                Command::FindNewest => self.later(find_newest(Arc::clone(daemon), self.shard)),
-                Command::Read(number) => self.later(read(Arc::clone(daemon), self.shard, number)),
-                Command::Append(number, segment) => {
-                    self.later(append(Arc::clone(daemon), self.shard, number, segment));
+                Command::FindNewest => {
+                    later(&self.tx, event(find_newest(Arc::clone(daemon), self.shard)))
                 }
-                Command::Answer(ticket, outcome) => {
-                    if let Some(tx) = self.tickets.remove(&ticket) {
-                        // Whoever asked may have gone away and can ask again.
-                        let _gone = tx.send(outcome);
-                    }
+                Command::Read(number) => {
+                    later(&self.tx, event(read(Arc::clone(daemon), self.shard, number)))
+                }
+                Command::Append(number, segment) => {
+                    later(&self.tx, event(append(Arc::clone(daemon), self.shard, number, segment)));
                 }
+                Command::Answer(ticket, outcome) => self.tickets.answer(ticket, outcome),
                 Command::WakeAt(at) => {
                     wake_at = Some(wake_at.map_or(at, |earlier| earlier.min(at)));
                 }
             }
         }
         if let Some(at) = wake_at {
-            let wait = Duration::from_millis(at.saturating_sub(daemon.clock.unix_ms()));
-            self.later(async move {
-                tokio::time::sleep(wait).await;
-                Event::Tick
-            });
+            let wait = at.saturating_sub(daemon.clock.unix_ms());
+            after(&self.tx, wait, Mail::Event(Event::Tick));
         }
     }
+}
 
-    /// Sends the event that `work` ends in, unless the channel is closed then.
-    fn later(&self, work: impl Future<Output = Event> + Send + 'static) {
-        let tx = self.tx.clone();
-        tokio::spawn(async move {
-            let event = work.await;
-            if let Some(tx) = tx.upgrade() {
-                // A closed channel has ended the task that would read this.
-                let _closed = tx.send(Mail::Event(event));
-            }
-        });
-    }
+async fn event(work: impl Future<Output = Event>) -> Mail {
+    Mail::Event(work.await)
 }
 
 async fn find_newest(daemon: Arc<Daemon>, shard: u32) -> Event {
