Kills at each moment around the bill; exact counting and budget rows covered

Cause: the mutant that ends an answer before its bill still passed: the test's kills came at fixed times after the request, mostly before the runs had begun. They now come at moments after the runs' end.

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -18,6 +18,7 @@
 use bankcove_core::table::Table;
 use bankcove_core::witness::Witness;
 use bankcove_core::{AttemptId, Incarnation, Name, RequestHash};
+use serde_json::json;
 
 /// Counts the bytes that are allocated and not yet freed.
 struct Counting;
@@ -96,6 +97,18 @@
     Witness { incarnation: Incarnation(n * 104_729), address: "10.12.34.57:8081".into() }
 }
 
+/// A table with this many budgets of 620 workspaces.
+fn budget_table(budgets: usize) -> Table {
+    let budget = |n: usize| {
+        json!({
+            "name": format!("budget-{n}"), "workspace": format!("workspace-{}", n % 620),
+            "tokens": 1_000_000_000_u64,
+        })
+    };
+    let value = json!({"budgets": (0..budgets).map(budget).collect::<Vec<_>>()});
+    serde_json::from_value(value).expect("the value has the shape of a table")
+}
+
 fn shard(budgets: usize, holders: u64) -> Shard {
     let mut shard = Shard::default();
     for n in 0..budgets {
@@ -207,6 +220,7 @@
         })
     });
     slope("table: a server's row", "B", [16, 160, 1_600, 10_000], |n| held(|| table(n, 10)));
+    slope("table: a budget's row", "B", [100, 1_000, 10_000, 39_000], |n| held(|| budget_table(n)));
     slope("membership: a peer", "B", [10, 100, 500, 1_300], |n| held(|| members(n)));
     slope("holder: a budget drawn on", "B", [100, 1_000, 10_000, 39_000], |n| held(|| holder(n)));
     slope("owner: a grant in a shard", "B", [100, 500, 1_300, 5_000], |n| {
@@ -220,6 +234,9 @@
 fn stored() {
     println!("\n# Stored, bytes of JSON for each");
     slope("table: a server's row", "B", [16, 160, 1_600, 10_000], |n| json_bytes(&table(n, 10)));
+    slope("table: a budget's row", "B", [100, 1_000, 10_000, 39_000], |n| {
+        json_bytes(&budget_table(n))
+    });
     slope("budget shard: a budget without holders", "B", [10, 50, 150, 305], |n| {
         json_bytes(&shard(n, 0))
     });
--- a/crates/core/src/owner/machine.rs
+++ b/crates/core/src/owner/machine.rs
@@ -13,7 +13,7 @@
 use crate::{Incarnation, Millis, Name, Tokens};
 
 /// Writes that may come at once after a quiet time, beyond the first.
-const WRITE_BURST: u64 = 3;
+const WRITE_BURST: u64 = 7;
 
 /// A shard read longer ago than this is read again before a refusal.
 const RELOAD_AFTER_MS: Millis = 250;
--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -13,7 +13,7 @@
 const REQUESTS: usize = 6;
 
 /// How long their callers wait.
-const PATIENCE: Duration = Duration::from_secs(3);
+const PATIENCE: Duration = Duration::from_secs(5);
 
 fn request_of(key: &str) -> RequestHash {
     RequestHash::of(&Name::from("dispatch"), key)
@@ -30,15 +30,27 @@
     fleet.wait_for_status(daemon, idle).await;
 }
 
+async fn wait_until_runs_ended(fleet: &mut Fleet, count: usize) {
+    for _ in 0..2_000 {
+        let runs = fleet.live_runs().await;
+        if runs.iter().filter(|run| run.ended).count() >= count {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(5)).await;
+    }
+    panic!("the runs never ended");
+}
+
 #[parameterized(
-    before_the_bill = { 10 },
-    as_the_bill_is_sent = { 60 },
-    while_the_bill_is_written = { 200 },
-    as_the_bill_lands = { 330 },
-    after_the_bill = { 800 },
+    before_the_runs = { None },
+    as_the_runs_end = { Some(0) },
+    as_the_bills_are_sent = { Some(60) },
+    while_the_bills_are_written = { Some(400) },
+    as_the_bills_land = { Some(920) },
+    after_the_bills = { Some(1_500) },
 )]
 #[test_macro(tokio::test(flavor = "multi_thread"))]
-async fn a_request_is_billed_once_when_its_daemon_is_killed(after_ms: u64) {
+async fn a_request_is_billed_once_when_its_daemon_is_killed(after_runs_ms: Option<u64>) {
     let mut fleet = Fleet::start(&Plan { daemons: 2, ..Plan::default() }).await;
     fleet.store.faults(Faults { delay_ms: 300, ..Faults::default() }).await;
     // Several, so that either daemon owns the log shard of some.
@@ -49,7 +61,13 @@
         tokio::spawn(async move { Caller::default().ask(&first, &ask).await })
     });
     let sent: Vec<_> = sent.collect();
-    tokio::time::sleep(Duration::from_millis(after_ms)).await;
+    match after_runs_ms {
+        None => tokio::time::sleep(Duration::from_millis(100)).await,
+        Some(millis) => {
+            wait_until_runs_ended(&mut fleet, REQUESTS).await;
+            tokio::time::sleep(Duration::from_millis(millis)).await;
+        }
+    }
     fleet.daemons[0].process.kill();
     let second = [fleet.daemons[1].callers.clone()];
     let mut attempts = Vec::new();
@@ -306,3 +324,19 @@
     assert!(check::not_run_is_true(&attempts, &runs, &[]).is_ok());
     assert_eq!(check::bills(&segments(&fleet.writes().await)).len(), 2);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_prompt_is_counted_exactly_before_a_refusal_where_the_row_says_so() {
+    for (when_short, is_served) in [("refuse", false), ("count", true)] {
+        let plan = Plan { tokens: 60, ..Plan::default() };
+        let fleet = Fleet::start_with(&plan, |table| {
+            table["budgets"][0]["when_short"] = serde_json::json!(when_short);
+        })
+        .await;
+        // 100 bytes of prompt are 25 tokens; with 8 of output they fit, by bytes not.
+        let mut ask = Ask::new("long prompt");
+        ask.prompt = "x".repeat(100);
+        let told = Caller::default().ask(&addresses(&fleet)[0], &ask).await.told;
+        assert_eq!(matches!(told, Told::Done { .. }), is_served, "{told:?}");
+    }
+}
