Callers of the proofs take a stream as ended at its end mark

Cause: the mutant that ends an answer before its bill still passed, since the harness waited for the connection to close, which a killed daemon never did in order. Real callers stop at the mark. This makes every proof with streams stricter.

--- a/crates/proofs/src/caller.rs
+++ b/crates/proofs/src/caller.rs
@@ -6,6 +6,9 @@
 
 use crate::table::{KEY, MODEL};
 
+/// What ends a stream.
+const END_MARK: &[u8] = b"data: [DONE]\n\n";
+
 /// What became of one attempt, as its caller saw it.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Told {
@@ -148,7 +151,7 @@
         };
         attempt.attempt = attempt_of(&res);
         let is_ok = res.status().is_success();
-        let Ok(body) = res.text().await else {
+        let Some(body) = read_body(res).await else {
             attempt.told = lost("broken off");
             return attempt;
         };
@@ -203,6 +206,19 @@
     }
 }
 
+/// Reads an answer as callers do: a stream has ended at its end mark, whatever
+/// becomes of the connection afterwards. None when it breaks off before.
+async fn read_body(mut res: reqwest::Response) -> Option<String> {
+    let mut bytes = Vec::new();
+    while let Some(chunk) = res.chunk().await.ok()? {
+        bytes.extend_from_slice(&chunk);
+        if bytes.ends_with(END_MARK) {
+            break;
+        }
+    }
+    String::from_utf8(bytes).ok()
+}
+
 /// The answer to a call of a plain service.
 #[derive(Debug, Clone)]
 pub struct Posted {
