Deadlines and callers that leave interrupt a dispatch

Cause: a whole answer's headers come only at its end, so neither the deadline nor a caller that had gone was noticed before: the deadline test passed or failed by which of two ready branches was taken. A plain service that never answered held its request for ever. Found when the test for deadlines failed once. The dispatch is now interrupted; the run is cancelled and billed for what ran, a plain service's price counts as spent.

--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -9,6 +9,9 @@
 /// Columns that stand first, where a sheet has them.
 const FIRST_COLUMNS: [&str; 4] = ["name", "workspace", "hall", "to"];
 
+/// Items of a list that people are shown.
+const LISTED: usize = 4;
+
 /// Prints a value as JSON.
 pub fn json(value: &impl Serialize) {
     println!("{}", serde_json::to_string_pretty(value).unwrap_or_default());
@@ -42,7 +45,7 @@
     let mut table = comfy_table::Table::new();
     table.load_preset(NOTHING).set_header(columns);
     for row in rows {
-        table.add_row(columns.iter().map(|column| cell(row, column)));
+        table.add_row(columns.iter().map(|column| short_cell(row, column)));
     }
     println!("{table}");
 }
@@ -59,6 +62,17 @@
     }
 }
 
+/// A cell for people: of a long list only the beginning.
+fn short_cell(row: &Value, column: &str) -> String {
+    match row[column].as_array() {
+        Some(items) if items.len() > LISTED && items.iter().all(Value::is_string) => {
+            let first: Vec<&str> = items.iter().take(LISTED).filter_map(Value::as_str).collect();
+            format!("{} and {} more", first.join(" "), items.len() - LISTED)
+        }
+        _ => cell(row, column),
+    }
+}
+
 fn cell(row: &Value, column: &str) -> String {
     match &row[column] {
         Value::Null => String::new(),
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -20,7 +20,7 @@
 use crate::backend::{self, Outgoing};
 use crate::daemon::Daemon;
 use crate::http::{daemon, read_body};
-use crate::placement::{self, Need};
+use crate::placement::{self, Need, NotPlaced};
 use crate::pump::{self, Run};
 
 /// Bytes of a prompt that decide where it goes.
@@ -152,11 +152,17 @@
     daemon: Arc<Daemon>,
     chat: Chat,
     id: AttemptId,
-    tx: oneshot::Sender<Result<Answer, Problem>>,
+    mut tx: oneshot::Sender<Result<Answer, Problem>>,
 ) {
     let started = daemon.clock.now();
     let deadline = tokio::time::Instant::now() + chat.deadline;
-    let run = match start(&daemon, chat, id).await {
+    let interrupt = async {
+        tokio::select! {
+            () = tokio::time::sleep_until(deadline) => {}
+            () = tx.closed() => {}
+        }
+    };
+    let run = match start(&daemon, chat, id, interrupt).await {
         Ok(run) => run,
         Err(problem) => {
             daemon.metrics.count(problem.code());
@@ -177,7 +183,12 @@
 }
 
 /// Admits, claims and dispatches a request.
-async fn start(daemon: &Arc<Daemon>, chat: Chat, id: AttemptId) -> Result<Run, Problem> {
+async fn start(
+    daemon: &Arc<Daemon>,
+    chat: Chat,
+    id: AttemptId,
+    interrupt: impl Future<Output = ()>,
+) -> Result<Run, Problem> {
     let attempt = Attempt::new(chat.caller.request, id);
     let mut attempt = admit(daemon, &chat, attempt).await?;
     if !chat.repeatable {
@@ -187,7 +198,14 @@
         format!("{}-{:016x}", chat.caller.request, xxh3_64(chat.body.to_string().as_bytes()));
     let outgoing = outgoing(&chat, run_id.clone(), id);
     let need = need(&chat);
-    let placed = placement::place(daemon, attempt, &need, &outgoing).await?;
+    let placed = match placement::place(daemon, attempt, &need, &outgoing, interrupt).await {
+        Ok(placed) => placed,
+        Err(NotPlaced::Refused(problem)) => return Err(problem),
+        Err(NotPlaced::Interrupted(given_up)) => {
+            let budget = chat.caller.budget.name;
+            return Err(pump::interrupted(daemon, chat.log, budget, &run_id, given_up).await);
+        }
+    };
     slog::info!(chat.log, "dispatched"; "server" => %placed.choice.server);
     Ok(Run {
         log: chat.log,
--- a/crates/daemon/src/placement.rs
+++ b/crates/daemon/src/placement.rs
@@ -88,16 +88,37 @@
     daemon.router.lock().choose(daemon.clock.now(), &wanted)
 }
 
-/// Dispatches an attempt.
+/// Why no server has begun to answer.
+pub enum NotPlaced {
+    /// The answer for the caller.
+    Refused(Problem),
+    /// The interrupt came first; the request may run at that server.
+    Interrupted(Interrupted),
+}
+
+/// An attempt that was given up while a server had it.
+pub struct Interrupted {
+    /// The attempt.
+    pub attempt: Attempt<Dispatched>,
+    /// The server.
+    pub choice: Choice,
+    /// Ends the server's count of open requests.
+    pub open: OpenRequest,
+}
+
+/// Dispatches an attempt, unless `interrupt` ends before a server has begun to
+/// answer.
 ///
 /// # Errors
-/// The answer for the caller when no server has begun to answer.
+/// [`NotPlaced`] tells why no server has begun to answer.
 pub async fn place(
     daemon: &Arc<Daemon>,
     mut attempt: Attempt<Admitted>,
     need: &Need<'_>,
     outgoing: &Outgoing,
-) -> Result<Placed, Problem> {
+    interrupt: impl Future<Output = ()>,
+) -> Result<Placed, NotPlaced> {
+    tokio::pin!(interrupt);
     let mut tried = Vec::new();
     while tried.len() < daemon.cfg.limits.max_tries {
         let Ok(choice) = choose(daemon, need, &tried) else { break };
@@ -107,7 +128,15 @@
         }
         let mut open = OpenRequest::new(daemon, &choice.server);
         let dispatched = attempt.dispatch();
-        match backend::dispatch(daemon, &choice, outgoing.clone(), need.kind).await {
+        let dispatching = backend::dispatch(daemon, &choice, outgoing.clone(), need.kind);
+        let answer = tokio::select! {
+            answer = dispatching => answer,
+            () = &mut interrupt => {
+                let interrupted = Interrupted { attempt: dispatched, choice, open };
+                return Err(NotPlaced::Interrupted(interrupted));
+            }
+        };
+        match answer {
             Ok(res) => return Ok(Placed { attempt: dispatched, choice, res, open }),
             Err(DispatchError::NothingRan { proof, leaving }) => {
                 open.failed();
@@ -119,11 +148,11 @@
             }
             Err(DispatchError::Unknown) => {
                 open.failed();
-                return Err(lost(daemon, dispatched, &choice));
+                return Err(NotPlaced::Refused(lost(daemon, dispatched, &choice)));
             }
         }
     }
-    Err(nowhere(daemon, attempt, need))
+    Err(NotPlaced::Refused(nowhere(daemon, attempt, need)))
 }
 
 /// Whether new work may go to this server now, given what this daemon can
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -7,7 +7,7 @@
 use bankcove_core::bill::Bill;
 use bankcove_core::lifecycle::{Attempt, Dispatched};
 use bankcove_core::table::{Route, ServerKind};
-use bankcove_core::{AttemptId, Tokens};
+use bankcove_core::{AttemptId, Name, Tokens};
 use bytes::Bytes;
 use reqwest::Method;
 use reqwest::header::{HeaderMap, HeaderName};
@@ -22,7 +22,7 @@
 use crate::chat::put_header;
 use crate::daemon::Daemon;
 use crate::http::{daemon, read_body};
-use crate::placement::{self, Need};
+use crate::placement::{self, Need, NotPlaced, OpenRequest};
 
 /// Largest answer of a plain service, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -154,21 +154,39 @@
         request: caller.request,
         claimed: once,
     };
-    let placed = placement::place(daemon, attempt, &need, &outgoing).await?;
-    let mut open = placed.open;
+    let until = tokio::time::Instant::now() + deadline;
+    let interrupt = tokio::time::sleep_until(until);
+    let placed = match placement::place(daemon, attempt, &need, &outgoing, interrupt).await {
+        Ok(placed) => placed,
+        Err(NotPlaced::Refused(problem)) => return Err(problem),
+        Err(NotPlaced::Interrupted(given_up)) => {
+            return Err(lost(daemon, given_up.attempt, given_up.open, &given_up.choice.server));
+        }
+    };
+    let open = placed.open;
     let status = placed.res.status();
     let headers = placed.res.headers().clone();
-    let body = tokio::time::timeout(deadline, read_answer(placed.res)).await;
+    let body = tokio::time::timeout_at(until, read_answer(placed.res)).await;
     let Ok(Some(body)) = body else {
-        open.failed();
-        let _finished = placed.attempt.finish(&mut daemon.budgets.holder(), None);
-        let message = format!("service '{}' broke off", placed.choice.server);
-        return Err(Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS));
+        return Err(lost(daemon, placed.attempt, open, &placed.choice.server));
     };
     settle_and_bill(daemon, placed.attempt, &caller, price).await;
     Ok(Answer { status, headers, body })
 }
 
+/// The service may have done what it was asked: the price counts as spent.
+fn lost(
+    daemon: &Daemon,
+    attempt: Attempt<Dispatched>,
+    mut open: OpenRequest,
+    server: &Name,
+) -> Problem {
+    open.failed();
+    let _finished = attempt.finish(&mut daemon.budgets.holder(), None);
+    let message = format!("service '{server}' gave no whole answer in time");
+    Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
+}
+
 async fn read_answer(mut res: reqwest::Response) -> Option<Bytes> {
     let mut buf = bytes::BytesMut::new();
     while let Some(chunk) = res.chunk().await.ok()? {
--- a/crates/daemon/src/pump.rs
+++ b/crates/daemon/src/pump.rs
@@ -23,7 +23,7 @@
 use crate::billing::{self, Billed};
 use crate::chat::Answer;
 use crate::daemon::Daemon;
-use crate::placement::Placed;
+use crate::placement::{Interrupted, Placed};
 use crate::sse::{Event, Piece, Splitter, Usage};
 
 /// Text that ends a stream.
@@ -126,8 +126,7 @@
         Ending::CallerGone => cancel_and_bill(daemon, account, &choice, &run_id).await,
         Ending::Late => {
             cancel_and_bill(daemon, account, &choice, &run_id).await;
-            let problem = Problem::unknown("deadline", "the route's deadline has passed");
-            send_problem(&pieces, &problem).await;
+            send_problem(&pieces, &late()).await;
         }
         Ending::Cancelled | Ending::ServerLost => {
             open.failed();
@@ -149,6 +148,26 @@
     Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
 }
 
+/// Ends a run that was given up before its answer began; returns what the
+/// caller is told, if it still listens.
+pub async fn interrupted(
+    daemon: &Arc<Daemon>,
+    log: Logger,
+    budget: Name,
+    run_id: &str,
+    interrupted: Interrupted,
+) -> Problem {
+    let Interrupted { attempt, choice, open } = interrupted;
+    let account = Account { log, budget, attempt, attached: false };
+    cancel_and_bill(daemon, account, &choice, run_id).await;
+    drop(open);
+    late()
+}
+
+fn late() -> Problem {
+    Problem::unknown("deadline", "the route's deadline has passed")
+}
+
 /// Carries a whole answer to its caller.
 pub async fn whole(
     daemon: &Arc<Daemon>,
@@ -164,9 +183,8 @@
         () = tx.closed() => return cancel_and_bill(daemon, account, &choice, &run_id).await,
         () = tokio::time::sleep_until(deadline) => {
             cancel_and_bill(daemon, account, &choice, &run_id).await;
-            let problem = Problem::unknown("deadline", "the route's deadline has passed");
             // A caller that went away needs no answer.
-            let _gone = tx.send(Err(problem));
+            let _gone = tx.send(Err(late()));
             return;
         }
     };
--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -196,14 +196,20 @@
     let left = Caller::default().ask(&addresses(&fleet)[0], &ask).await;
     assert!(matches!(left.told, Told::Unknown { .. }), "{left:?}");
     settle(&fleet, 0).await;
+    let whole = Ask::new("left-whole").max_tokens(200).whole().patience(ask.patience);
+    let left = Caller::default().ask(&addresses(&fleet)[0], &whole).await;
+    assert!(matches!(left.told, Told::Unknown { .. }), "{left:?}");
+    settle(&fleet, 0).await;
     let runs = fleet.live_runs().await;
     let bills = check::bills(&segments(&fleet.writes().await));
-    assert_eq!((runs.len(), bills.len()), (1, 1));
-    assert!(runs[0].cancelled && runs[0].output_tokens < 200);
-    assert_eq!(bills[0].output_tokens, runs[0].output_tokens);
+    assert_eq!((runs.len(), bills.len()), (2, 2));
+    assert!(runs.iter().all(|run| run.cancelled && run.output_tokens < 200), "{runs:?}");
+    let ran: u64 = runs.iter().map(|run| run.prompt_tokens + run.output_tokens).sum();
+    let billed: u64 = bills.iter().map(|bill| bill.tokens()).sum();
+    assert_eq!(billed, ran);
     let dump = fleet.operator(0, "dump").await.expect("the daemon answers");
     let account = &dump["holder"]["accounts"]["main"];
-    assert_eq!(account["spent"].as_u64(), Some(bills[0].tokens()));
+    assert_eq!(account["spent"].as_u64(), Some(billed));
     assert_eq!(account["reserved"], 0);
 }
 
@@ -340,3 +346,19 @@
         assert_eq!(matches!(told, Told::Done { .. }), is_served, "{told:?}");
     }
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_plain_service_that_never_answers_is_told_as_unknown_at_the_deadline() {
+    let fleet = Fleet::start_with(&Plan { services: 1, ..Plan::default() }, |table| {
+        table["routes"][1]["deadline_ms"] = serde_json::json!(300);
+    })
+    .await;
+    fleet.services[0].faults(Faults { delay_ms: 60_000, ..Faults::default() }).await;
+    let target = &addresses(&fleet)[0];
+    let posted = Caller::default().post(target, "/orders/1", "slow", "one", PATIENCE).await;
+    let error = &posted.expect("the daemon answers").body["error"];
+    assert_eq!(
+        (error["code"].as_str(), error["outcome"].as_str()),
+        (Some("server_lost"), Some("unknown"))
+    );
+}
