--- a/crates/daemon/src/pump.rs
+++ b/crates/daemon/src/pump.rs
@@ -35,6 +35,9 @@
 /// Pause before a stream is resumed, longer with each try that brought nothing.
 const RESUME_PAUSE: Duration = Duration::from_millis(10);
 
+/// How long the end of an answer waits for a caller that does not read.
+const END_PATIENCE: Duration = Duration::from_secs(5);
+
 /// When to come back after an unknown outcome.
 const RETRY_UNKNOWN_MS: u64 = 500;
 
@@ -119,9 +122,7 @@
     match ending {
         Ending::Last(usage, last) => {
             settle_and_bill(daemon, account, usage).await;
-            // A caller that went away only now has been billed for a whole run.
-            let _gone = pieces.send(last).await;
-            let _gone = pieces.send(Bytes::from_static(END)).await;
+            send_end(&pieces, last).await;
         }
         Ending::CallerGone => cancel_and_bill(daemon, account, &choice, &run_id).await,
         Ending::Late => {
@@ -137,10 +138,20 @@
     drop(open);
 }
 
+/// Sends the held-back end of an answer. A caller that went away only now, or
+/// does not read on, has been billed for a whole run.
+async fn send_end(pieces: &mpsc::Sender<Bytes>, last: Bytes) {
+    let sending = async {
+        pieces.send(last).await?;
+        pieces.send(Bytes::from_static(END)).await
+    };
+    let _unread = tokio::time::timeout(END_PATIENCE, sending).await;
+}
+
 async fn send_problem(pieces: &mpsc::Sender<Bytes>, problem: &Problem) {
     let event = Bytes::from(format!("data: {}\n\n", problem.body()));
-    // A caller that went away needs no answer.
-    let _gone = pieces.send(event).await;
+    // A caller that went away, or does not read, needs no answer.
+    let _unread = tokio::time::timeout(END_PATIENCE, pieces.send(event)).await;
 }
 
 fn server_lost() -> Problem {
