A planned stop in an outage gives its tokens back once the store answers

Cause: a stopping daemon asked once; while the store was away its grants stayed in the ledger for good. It asks again for up to 30 s. Giving back twice counts once (the ledger remembers who retired).

--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -6,6 +6,7 @@
 use salvo::affix_state;
 use salvo::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
+use tokio::time::Instant;
 
 use crate::args::{Args, Command};
 use crate::config::Config;
@@ -19,6 +20,12 @@
 /// Pause between two looks while a planned stop waits.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
+/// How long a planned stop waits for a store that is away, to give tokens back.
+const RETIRE_PATIENCE: Duration = Duration::from_secs(30);
+
+/// Pause between two tries to give tokens back.
+const RETIRE_RETRY: Duration = Duration::from_millis(500);
+
 /// How long the sides may take to close their idle connections.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -90,17 +97,17 @@
     pub async fn stop(self) {
         let daemon = &self.daemon;
         let limit = Duration::from_millis(daemon.cfg.limits.stop_timeout_ms);
-        let deadline = tokio::time::Instant::now() + limit;
+        let deadline = Instant::now() + limit;
         slog::info!(daemon.log, "stopping"; "in_flight" => daemon.work.len());
         daemon.stopping.cancel();
         // Peers learn at once that this daemon takes nothing new.
         membership::beat(daemon).await;
         daemon.work.close();
         let finished = tokio::time::timeout_at(deadline, daemon.work.wait()).await.is_ok();
-        while daemon.billing.waiting() > 0 && tokio::time::Instant::now() < deadline {
+        while daemon.billing.waiting() > 0 && Instant::now() < deadline {
             tokio::time::sleep(STOP_POLL).await;
         }
-        let retired = budgets::retire(daemon).await;
+        let retired = retire(daemon, deadline).await;
         self.callers.handle.stop_graceful(CLOSE_TIMEOUT);
         self.operators.handle.stop_graceful(CLOSE_TIMEOUT);
         // The sides end by themselves; a failed task has ended as well.
@@ -111,6 +118,20 @@
     }
 }
 
+/// Gives everything held back to the store; again while the store is away.
+async fn retire(daemon: &Arc<Daemon>, deadline: Instant) -> bool {
+    let deadline = deadline.min(Instant::now() + RETIRE_PATIENCE);
+    loop {
+        if budgets::retire(daemon).await {
+            return true;
+        }
+        if Instant::now() >= deadline {
+            return false;
+        }
+        tokio::time::sleep(RETIRE_RETRY).await;
+    }
+}
+
 fn caller_router(daemon: Arc<Daemon>) -> Router {
     Router::new()
         .hoop(affix_state::inject(daemon))
--- a/crates/proofs/tests/operations.rs
+++ b/crates/proofs/tests/operations.rs
@@ -299,3 +299,28 @@
     }
     attempts
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_stop_during_an_outage_gives_back_what_it_held_once_the_store_is_there() {
+    let mut fleet = Fleet::start(&Plan { daemons: 2, ..Plan::default() }).await;
+    for target in addresses(&fleet) {
+        let told = Caller::default().ask(&target, &Ask::new(format!("held-{target}"))).await;
+        assert!(matches!(told.told, Told::Done { .. }), "{told:?}");
+    }
+    fleet.store.faults(Faults { down: true, ..Faults::default() }).await;
+    for daemon in &fleet.daemons {
+        daemon.process.terminate();
+    }
+    tokio::time::sleep(Duration::from_secs(1)).await;
+    fleet.store.faults(Faults::default()).await;
+    for daemon in &mut fleet.daemons {
+        assert!(daemon.process.wait(), "a planned stop ends well");
+    }
+    let shards = bankcove_proofs::fleet::shards(&fleet.writes().await);
+    let last = shards.last().and_then(|shard| shard.budgets.values().next());
+    let last = last.expect("the budget was written");
+    let runs = fleet.live_runs().await;
+    let ran: u64 = runs.iter().map(|run| run.prompt_tokens + run.output_tokens).sum();
+    assert!(last.grants.is_empty(), "{last:?}");
+    assert_eq!(last.retired, ran as i64);
+}
