SIGHUP reloads the settings instead of ending the daemon

Cause: the signal was not handled, so its default action killed the process, and with it every open request (a test with the old binary shows it: the answer was cut). What callers are served by is in force at once, the rest from the next start on; settings with faults are told and not taken.

--- a/crates/core/src/retry_budget.rs
+++ b/crates/core/src/retry_budget.rs
@@ -42,6 +42,11 @@
         RetryBudget { allowance, services: HashMap::new() }
     }
 
+    /// Puts another allowance in force; what is counted stays.
+    pub fn set_allowance(&mut self, allowance: Allowance) {
+        self.allowance = allowance;
+    }
+
     /// Takes in a request for `service`.
     pub fn request(&mut self, service: &Name, now: Millis) {
         let window_ms = self.allowance.window_ms;
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -1,5 +1,6 @@
 //! The life of a daemon: start, serve, planned stop.
 
+use std::path::Path;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -54,16 +55,18 @@
         println!("{}: no fault found", file.display());
         return Ok(());
     }
-    let cfg = Config::read(&args.config.unwrap_or_default())?;
+    let path = args.config.unwrap_or_default();
+    let cfg = Config::read(&path)?;
     let runtime = match cfg.adapter {
         Adapter::Own => tokio::runtime::Builder::new_multi_thread().enable_all().build(),
         // The users' hosts show one core, and wake-ups of more threads are paid for.
         Adapter::Objects => tokio::runtime::Builder::new_current_thread().enable_all().build(),
     };
-    runtime.map_err(Error::Setup)?.block_on(serve_until_signal(cfg))
+    runtime.map_err(Error::Setup)?.block_on(serve_until_signal(cfg, &path))
 }
 
-async fn serve_until_signal(cfg: Config) -> Result<()> {
+async fn serve_until_signal(cfg: Config, path: &Path) -> Result<()> {
+    let mut reload = signal(SignalKind::hangup()).map_err(Error::Setup)?;
     let mut terminate = signal(SignalKind::terminate()).map_err(Error::Setup)?;
     let mut interrupt = signal(SignalKind::interrupt()).map_err(Error::Setup)?;
     let log = logging::json(&cfg);
@@ -72,9 +75,12 @@
         Adapter::Objects => Store::new(ObjectStore::new(&cfg.store)),
     };
     let running = Running::start(Daemon::with_store(cfg, log, store)?).await?;
-    tokio::select! {
-        _ = terminate.recv() => {}
-        _ = interrupt.recv() => {}
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            _ = interrupt.recv() => break,
+            _ = reload.recv() => running.reload(path),
+        }
     }
     running.stop().await;
     Ok(())
@@ -84,6 +90,7 @@
 pub struct Running {
     /// Its state.
     pub daemon: Arc<Daemon>,
+    entry: Option<Arc<Entry>>,
     sides: Vec<Side>,
 }
 
@@ -95,6 +102,7 @@
     pub async fn start(daemon: Arc<Daemon>) -> Result<Self> {
         peer::serve(Arc::clone(&daemon)).await?;
         let mut sides = Vec::new();
+        let mut started = None;
         if let Some(address) = &daemon.cfg.operator_listen {
             sides.push(serve(address, operator::router(Arc::clone(&daemon))).await?);
         }
@@ -102,7 +110,8 @@
             Some(settings) => {
                 let wire = Arc::new(Headers);
                 let entry = Entry::new(Arc::clone(&daemon), wire, settings);
-                sides.extend(start_entry(entry).await?);
+                sides.extend(start_entry(Arc::clone(&entry)).await?);
+                started = Some(entry);
             }
             None => {
                 sides.push(
@@ -125,7 +134,27 @@
         tokio::spawn(async move { membership::greet_seed_peers(&greeter).await });
         slog::info!(daemon.log, "serving";
             "incarnation" => %daemon.incarnation, "callers" => &daemon.cfg.caller_listen);
-        Ok(Running { daemon, sides })
+        Ok(Running { daemon, entry: started, sides })
+    }
+
+    /// Reads the settings anew. What callers are served by is in force at once;
+    /// addresses and the rest are in force from the next start on.
+    fn reload(&self, path: &Path) {
+        let daemon = &self.daemon;
+        let cfg = match Config::read(path) {
+            Ok(cfg) => cfg,
+            Err(e) => {
+                // Faults are told one by one; the settings in force stay.
+                let report = format!("{:?}", miette::Report::new(e));
+                slog::error!(daemon.log, "settings not reloaded"; "why" => report);
+                return;
+            }
+        };
+        let is_changed = cfg != daemon.cfg;
+        if let (Some(entry), Some(settings)) = (&self.entry, cfg.entry) {
+            entry.reload(settings);
+        }
+        slog::info!(daemon.log, "settings reloaded"; "changed" => is_changed);
     }
 
     /// Stops as planned: nothing in flight is cut, and everything held is
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -42,6 +42,11 @@
 }
 
 impl Entry {
+    /// Puts the settings in force that may change while the daemon serves.
+    pub fn reload(&self, settings: EntrySettings) {
+        self.retries.lock().set_allowance(settings.retry_allowance());
+    }
+
     /// The entry side of `daemon`.
     pub fn new(daemon: Arc<Daemon>, wire: Arc<dyn Wire>, settings: EntrySettings) -> Arc<Self> {
         Arc::new(Entry {
