A daemon that the store turns away draws by way of peers; ended starts folded

The cap on what a holder keeps did not hold beyond eight holders, and starts that had ended counted as holders.

Change: a draw that finds the store away goes to two peers. A daemon's own draw ends the grants of earlier starts on its address; they count as spent. Load slack of the router 4 requests instead of 2: fewer spills to servers that have to read shared parts again.

--- a/crates/core/src/owner/machine.rs
+++ b/crates/core/src/owner/machine.rs
@@ -121,13 +121,17 @@
         self.shard.as_ref().map(|(_, shard)| shard)
     }
 
+    /// Takes in a request that comes together with others: nothing is done
+    /// until the next event, so that one write serves them all.
+    pub fn ask(&mut self, now: Millis, ticket: Ticket, request: Request) {
+        self.pending.push_back(Pending { ticket, request, arrived: now });
+    }
+
     /// Takes one event and says what is to be done.
     pub fn handle(&mut self, now: Millis, event: Event) -> Vec<Command> {
         let mut commands = Vec::new();
         match event {
-            Event::Asked(ticket, request) => {
-                self.pending.push_back(Pending { ticket, request, arrived: now });
-            }
+            Event::Asked(ticket, request) => self.ask(now, ticket, request),
             Event::Loaded(version, shard) => self.loaded(now, version, shard),
             Event::Written(version) => self.written(now, version, &mut commands),
             Event::Conflict => {
@@ -370,13 +374,19 @@
             if !self.may_write(now, commands) {
                 return Decision::Wait;
             }
-            if ledger.is_full_for(draw.holder) {
+            if !draw.witnesses.is_empty() && ledger.is_full_for(draw.holder) {
                 // The owner takes the grant and sends the tokens on.
                 let amount = draw.terms.amount(draw.want, available).max(need);
                 let own = Some(self.grant_to_me(ledger, amount));
                 let reply = granted_reply(ledger, draw, false);
                 return Decision::AfterWrite(Outcome::Give { own, most: amount, need, reply });
             }
+            if draw.witnesses.is_empty() && draw.holder == self.me {
+                // Only the later start's own draw: one that was handed on may be
+                // of the earlier start, and late. With witnesses, what an earlier
+                // start never opened is taken back instead.
+                ledger.end_earlier_starts(draw.holder, &draw.address);
+            }
             grant_and_open(ledger, draw, need, opened);
             return Decision::AfterWrite(Outcome::Reply(granted_reply(ledger, draw, true)));
         }
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -25,7 +25,7 @@
 const LOAD_BOUND: f64 = 1.25;
 
 /// Load that is allowed beyond the bound, so that idle halls keep affinity.
-const LOAD_SLACK: f64 = 2.0;
+const LOAD_SLACK: f64 = 4.0;
 
 /// Servers looked at along the ring before any usable one is taken.
 const LOOKS: usize = 16;
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -144,6 +144,20 @@
         self.grants.get(&holder).map_or(0, |grant| grant.opened)
     }
 
+    /// Ends the grants of earlier starts of the daemon at `address`: its port is
+    /// held for life, so a later start proves that they spend no more. What they
+    /// held counts as spent.
+    pub fn end_earlier_starts(&mut self, holder: Incarnation, address: &str) {
+        let earlier = |(other, grant): (&Incarnation, &Grant)| {
+            let is_earlier = *other != holder && &*grant.address == address;
+            is_earlier.then_some((*other, grant.granted as i64 - grant.returned as i64))
+        };
+        let ended: Vec<(Incarnation, i64)> = self.grants.iter().filter_map(earlier).collect();
+        for (earlier, kept) in ended {
+            self.retire(earlier, kept);
+        }
+    }
+
     /// Grants `tokens` more to `holder`; they are sealed at first.
     pub fn grant(&mut self, holder: Incarnation, address: &str, tokens: Tokens) {
         let entry = self.grants.entry(holder).or_insert_with(|| Grant {
--- a/crates/daemon/src/budget_owner.rs
+++ b/crates/daemon/src/budget_owner.rs
@@ -109,7 +109,14 @@
             let Some(daemon) = self.daemon.upgrade() else { return };
             let event = match mail {
                 Mail::Event(event) => event,
-                Mail::Asked(request, reply) => Event::Asked(self.tickets.add(reply), request),
+                Mail::Asked(request, reply) => {
+                    machine.ask(daemon.clock.now(), self.tickets.add(reply), request);
+                    if !rx.is_empty() {
+                        // What waits already is served by the same write.
+                        continue;
+                    }
+                    Event::Tick
+                }
                 Mail::Dump(reply) => {
                     let dump =
                         OwnerDump { counts: machine.counts(), shard: machine.shard().cloned() };
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -21,6 +21,9 @@
 /// another request takes first.
 const DRAWS: u32 = 8;
 
+/// Peers that are asked to write for a daemon that does not reach the store.
+const RELAYS: usize = 2;
+
 /// Shortest time between two draws ahead of one budget.
 const DRAW_AHEAD_MS: Millis = 1_000;
 
@@ -96,7 +99,9 @@
     let arrived = daemon.clock.now();
     let try_now = || daemon.budgets.holder.lock().reserve(&budget.name, tokens, arrived);
     if let Ok(reservation) = try_now() {
-        prepare(daemon, budget);
+        if daemon.cfg.limits.witnesses > 0 {
+            prepare(daemon, budget);
+        }
         return Ok(reservation);
     }
     let last = Arc::clone(daemon.budgets.draws.lock().entry(budget.name.clone()).or_default());
@@ -242,6 +247,9 @@
 /// Asks the owner of the budget's shard: the first that answers of the first
 /// few in rendezvous order, else this daemon itself.
 pub async fn ask_owner(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
+    if daemon.cfg.limits.owners_tried == 0 {
+        return ask_self_first(daemon, request).await;
+    }
     let shard = shard_of_request(daemon, &request);
     let owners =
         daemon.members.lock().owners(OWNER_KEY + u64::from(shard), daemon.cfg.limits.owners_tried);
@@ -265,6 +273,29 @@
     ask_local_owner(daemon, request).await
 }
 
+/// Writes the shard itself; when the store is out of reach, by way of peers
+/// that may reach it.
+async fn ask_self_first(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
+    let answer = ask_local_owner(daemon, request.clone()).await;
+    if !matches!(answer.reply, Reply::StoreAway { .. }) {
+        return answer;
+    }
+    let key = OWNER_KEY + u64::from(shard_of_request(daemon, &request));
+    let peers = daemon.members.lock().owners(key, RELAYS + 1);
+    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    for peer in peers.into_iter().flatten().take(RELAYS) {
+        let request = request.clone();
+        let ask =
+            |client: PeerServiceClient, cx| async move { client.ask_owner(cx, request).await };
+        match daemon.peers.call(&peer.address, timeout, ask).await {
+            Some(OwnerAnswer { reply: Reply::StoreAway { .. }, .. }) => {}
+            Some(answer) => return answer,
+            None => daemon.members.lock().failed(&peer.name),
+        }
+    }
+    answer
+}
+
 /// Gives every unspent token back to the store, for a planned stop. Returns
 /// whether the store has recorded all of it.
 pub async fn retire(daemon: &Arc<Daemon>) -> bool {
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -29,8 +29,9 @@
 /// is of little use to it.
 const BUDGET_WAIT: Duration = Duration::from_millis(150);
 
-/// When to come back after no tokens were in reach.
-const RETRY_OUT_OF_REACH: Duration = Duration::from_millis(500);
+/// When to come back after no tokens were in reach here: another daemon, which
+/// the next try most likely comes to, may hold some now.
+const RETRY_OUT_OF_REACH: Duration = Duration::from_millis(300);
 
 /// Routes of the callers' side: every path is looked up in the table.
 pub fn router(entry: Arc<Entry>) -> Router {
@@ -184,6 +185,7 @@
         Ok(Err(refusal)) => {
             let retry_after = Duration::from_millis(refusal.retry_after_ms);
             Err(if refusal.store_away {
+                let retry_after = RETRY_OUT_OF_REACH;
                 Refusal::BudgetOutOfReach { budget: name, tokens, retry_after }
             } else {
                 Refusal::BudgetShort { budget: name, tokens, retry_after }
