--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -24,6 +24,12 @@
 /// fleet: 305 budgets of 8 grants are some 600 KB.
 pub const MAX_GRANTS: usize = 8;
 
+/// Tokens left in the store for each one that holders keep ahead. What is held
+/// is lost when all hosts lose power at once, and must serve in a cut: 1 lost
+/// 27 % of all prepaid tokens on a recorded day, and more on that day's second
+/// half than was left in the store.
+pub const LEFT_PER_HELD: u64 = 2;
+
 /// How many top-ups a ledger remembers by identity.
 pub const REMEMBERED_TOP_UPS: usize = 128;
 
@@ -111,14 +117,14 @@
         left.max(0) as Tokens
     }
 
-    /// What one holder may keep ahead, so that as much is left here as all
-    /// holders have together: a holder that is lost takes little with it, and
-    /// one that runs out finds something.
+    /// What one holder may keep ahead, so that [`LEFT_PER_HELD`] times as much is
+    /// left here as all holders have together: holders that are lost take little
+    /// with them, and one that runs out finds something.
     ///
     /// `daemons` is how many there are: grants of daemons that are gone stay.
     pub fn share(&self, daemons: u64) -> Tokens {
         let holders = (self.grants.len() as u64).clamp(1, daemons.max(1));
-        self.available() / holders
+        self.available() / (holders * LEFT_PER_HELD)
     }
 
     /// Takes the row's terms, unless the ledger has seen a newer row.
--- a/crates/daemon/src/entry/backends.rs
+++ b/crates/daemon/src/entry/backends.rs
@@ -92,14 +92,20 @@
         *req.headers_mut() = outgoing.headers;
         self.client.request(req).await.map_err(|e| {
             if e.is_connect() {
-                SendError::NotConnected(e.to_string())
+                SendError::NotConnected(causes(&e))
             } else {
-                SendError::Broken(e.to_string())
+                SendError::Broken(causes(&e))
             }
         })
     }
 }
 
+/// An error with what lies below it, on one line.
+fn causes(e: &dyn std::error::Error) -> String {
+    let below = std::iter::successors(e.source(), |e| e.source());
+    below.fold(e.to_string(), |text, cause| format!("{text}: {cause}"))
+}
+
 impl Default for Backends {
     fn default() -> Self {
         Backends::new()
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -126,7 +126,9 @@
     if let Some(unrun) = head.unrun {
         charge.not_run(ran_before);
         if unrun == Unrun::OtherInstance {
-            open.failed();
+            // That start of the server is gone, whatever the lagging list says.
+            let now = entry.daemon.clock.now();
+            entry.daemon.router.lock().said_leaving(now, &choice.server);
         }
         log_try(call, &choice, unrun_text(unrun));
         return Tried::Unrun;
