--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -227,6 +227,11 @@
         Holder { incarnation, accounts: HashMap::new() }
     }
 
+    /// The start of the daemon that holds.
+    pub fn incarnation(&self) -> Incarnation {
+        self.incarnation
+    }
+
     /// The budgets that this daemon ever held tokens of.
     pub fn accounts(&self) -> &HashMap<Name, Account> {
         &self.accounts
--- /dev/null
+++ b/crates/core/tests/events.rs
@@ -0,0 +1,37 @@
+//! Events of a stream: where one ends, and which one comes next.
+
+use bankcove_core::events::{EventSplitter, Order, Verdict};
+use yare::parameterized;
+
+#[test]
+fn events_come_out_whole_however_the_bytes_arrive() {
+    let text = b"id: 4\ndata: a\n\nid: 5\r\ndata: b\r\n\r\n: comment\n\nid: 6\nda";
+    for size in 1..text.len() {
+        let mut splitter = EventSplitter::default();
+        let mut events = Vec::new();
+        for piece in text.chunks(size) {
+            splitter.push(piece);
+            events.extend(std::iter::from_fn(|| splitter.next_event()));
+        }
+        let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
+        assert_eq!(ids, [Some(4), Some(5), None]);
+        assert_eq!(events[0].raw, b"id: 4\ndata: a\n\n");
+        assert!(!splitter.is_empty(), "a torn event is left");
+    }
+}
+
+#[parameterized(
+    first = { None, Some(7), Verdict::Deliver },
+    next = { Some(7), Some(8), Verdict::Deliver },
+    repeat = { Some(7), Some(7), Verdict::Repeat },
+    older = { Some(7), Some(3), Verdict::Repeat },
+    gap = { Some(7), Some(9), Verdict::Gap },
+    unnumbered = { Some(7), None, Verdict::Deliver },
+)]
+fn an_event_is_delivered_once_and_in_order(last: Option<u64>, id: Option<u64>, expected: Verdict) {
+    let mut order = Order::after(last);
+    assert_eq!(order.accept(id), expected);
+    if expected != Verdict::Deliver {
+        assert_eq!(order.last(), last);
+    }
+}
--- /dev/null
+++ b/crates/core/tests/server_list.rs
@@ -0,0 +1,84 @@
+//! The platform's list of backend servers: changes, lapses, peers' lists.
+
+use bankcove_core::Name;
+use bankcove_core::server_list::{LAPSE_GRACE_MS, ListedServer, ServerChanges, ServerList};
+
+fn server(name: &str, draining: bool) -> ListedServer {
+    ListedServer {
+        name: Name::from(name),
+        service: Name::from("engines"),
+        address: "10.0.0.7:8000".to_owned(),
+        hall: Name::from("hall-1"),
+        slots: 8,
+        draining,
+    }
+}
+
+fn whole(at: u64, names: &[&str]) -> ServerChanges {
+    let put = names.iter().map(|name| server(name, false)).collect();
+    ServerChanges { at, whole: true, put, gone: Vec::new() }
+}
+
+fn gone(at: u64, name: &str) -> ServerChanges {
+    ServerChanges { at, gone: vec![Name::from(name)], ..ServerChanges::default() }
+}
+
+fn names(list: &ServerList) -> Vec<&str> {
+    list.servers().map(|server| server.name.as_str()).collect()
+}
+
+#[test]
+fn what_a_whole_list_lacks_is_gone() {
+    let mut list = ServerList::default();
+    assert!(list.apply(0, whole(5, &["a", "b"])));
+    assert!(list.apply(1, whole(6, &["b"])));
+    assert_eq!(names(&list), ["b"]);
+}
+
+#[test]
+fn an_entry_that_says_the_same_is_no_change() {
+    let mut list = ServerList::default();
+    list.apply(0, whole(5, &["a"]));
+    assert!(!list.apply(1, whole(9, &["a"])));
+    assert_eq!(list.version(), 5);
+}
+
+#[test]
+fn an_entry_that_lapsed_in_an_outage_stays_until_the_grace_is_over() {
+    let mut list = ServerList::default();
+    list.apply(0, whole(5, &["a", "b"]));
+    list.platform_returned(10_000);
+    list.apply(10_000, whole(9, &["b"]));
+    assert_eq!(names(&list), ["a", "b"]);
+    assert!(!list.drop_lapsed(10_000 + LAPSE_GRACE_MS - 1));
+    assert!(list.drop_lapsed(10_000 + LAPSE_GRACE_MS));
+    assert_eq!(names(&list), ["b"]);
+}
+
+#[test]
+fn an_entry_that_is_back_within_the_grace_stays() {
+    let mut list = ServerList::default();
+    list.apply(0, whole(5, &["a"]));
+    list.platform_returned(10_000);
+    list.apply(10_000, gone(9, "a"));
+    list.apply(10_500, ServerChanges { at: 10, put: vec![server("a", false)], ..gone(10, "x") });
+    assert!(!list.drop_lapsed(10_000 + LAPSE_GRACE_MS));
+    assert_eq!(names(&list), ["a"]);
+}
+
+#[test]
+fn outside_of_an_outage_a_removal_counts_at_once() {
+    let mut list = ServerList::default();
+    list.apply(0, whole(5, &["a"]));
+    assert!(list.apply(1, gone(6, "a")));
+    assert!(names(&list).is_empty());
+}
+
+#[test]
+fn a_peers_list_counts_only_when_it_is_newer() {
+    let mut list = ServerList::default();
+    list.apply(0, whole(5, &["a"]));
+    assert!(!list.adopt(5, vec![server("b", false)]));
+    assert!(list.adopt(6, vec![server("a", true)]));
+    assert!(list.servers().all(|server| server.draining));
+}
