--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -28,7 +28,7 @@
 const DRAW_AHEAD_MS: Millis = 1_000;
 
 /// Pause between two looks at what is held.
-const TEND: Duration = Duration::from_millis(500);
+const TEND: Duration = Duration::from_millis(1_000);
 
 /// Mixed into the shard's number, so that budget shards and log shards do not
 /// share owners.
