--- a/crates/core/src/server_list.rs
+++ b/crates/core/src/server_list.rs
@@ -108,11 +108,23 @@
         true
     }
 
-    /// Drops entries whose grace is over; returns whether there were any.
-    pub fn drop_lapsed(&mut self, now: Millis) -> bool {
+    /// Drops entries whose grace is over; returns whether there were any. `at`
+    /// is the version of the platform's list that they are missing from.
+    pub fn drop_lapsed(&mut self, now: Millis, at: u64) -> bool {
         let before = self.entries.len();
         self.entries.retain(|_, entry| entry.dropped_at.is_none_or(|at| now < at));
-        self.entries.len() < before
+        let dropped = self.entries.len() < before;
+        if dropped {
+            // Peers that have the list from this daemon have to hear of it.
+            self.version = self.version.max(at);
+        }
+        dropped
+    }
+
+    /// Time until the grace of the first missing entry is over.
+    pub fn next_drop(&self, now: Millis) -> Option<Millis> {
+        let drops = self.entries.values().filter_map(|entry| entry.dropped_at);
+        drops.min().map(|at| at.saturating_sub(now))
     }
 
     fn missing_from(&self, put: &[ListedServer]) -> Vec<Name> {
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -50,11 +50,23 @@
     list.platform_returned(10_000);
     list.apply(10_000, whole(9, &["b"]));
     assert_eq!(names(&list), ["a", "b"]);
-    assert!(!list.drop_lapsed(10_000 + LAPSE_GRACE_MS - 1));
-    assert!(list.drop_lapsed(10_000 + LAPSE_GRACE_MS));
+    assert!(!list.drop_lapsed(10_000 + LAPSE_GRACE_MS - 1, 9));
+    assert!(list.drop_lapsed(10_000 + LAPSE_GRACE_MS, 9));
     assert_eq!(names(&list), ["b"]);
 }
 
+#[test]
+fn peers_hear_of_an_entry_that_lapsed_for_good() {
+    let mut list = ServerList::default();
+    list.apply(0, whole(5, &["a", "b"]));
+    list.platform_returned(10_000);
+    list.apply(10_000, whole(9, &["b"]));
+    assert_eq!(list.version(), 5);
+    assert_eq!(list.next_drop(10_500), Some(LAPSE_GRACE_MS - 500));
+    list.drop_lapsed(10_000 + LAPSE_GRACE_MS, 9);
+    assert_eq!(list.version(), 9);
+}
+
 #[test]
 fn an_entry_that_is_back_within_the_grace_stays() {
     let mut list = ServerList::default();
@@ -62,7 +74,7 @@
     list.platform_returned(10_000);
     list.apply(10_000, gone(9, "a"));
     list.apply(10_500, ServerChanges { at: 10, put: vec![server("a", false)], ..gone(10, "x") });
-    assert!(!list.drop_lapsed(10_000 + LAPSE_GRACE_MS));
+    assert!(!list.drop_lapsed(10_000 + LAPSE_GRACE_MS, 9));
     assert_eq!(names(&list), ["a"]);
 }
 
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -90,6 +90,10 @@
     /// Backend servers asked for a load report at once: those with requests of
     /// this daemon first, the others in turn.
     pub load_reports_at_once: usize,
+    /// Daemons of each hall that read the store for all of it: what is asked of
+    /// the store grows with the halls, not with the fleet. The others learn from
+    /// peers, which may be cut off from the store while they are not.
+    pub store_readers: usize,
     /// Longest call of a peer, in milliseconds.
     pub peer_timeout_ms: u64,
     /// Longest wait for a peer's unspent tokens, in milliseconds.
@@ -129,6 +133,7 @@
             host_list_ms: 1_000,
             load_report_ms: 500,
             load_reports_at_once: 16,
+            store_readers: 2,
             peer_timeout_ms: 1_500,
             gather_timeout_ms: 200,
             witnesses: 2,
@@ -261,6 +266,7 @@
             ("limits.host_list_ms", self.host_list_ms),
             ("limits.load_report_ms", self.load_report_ms),
             ("limits.load_reports_at_once", self.load_reports_at_once as u64),
+            ("limits.store_readers", self.store_readers as u64),
             ("limits.peer_timeout_ms", self.peer_timeout_ms),
             ("limits.gather_timeout_ms", self.gather_timeout_ms),
             ("limits.isolation_ms", self.isolation_ms),
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -10,10 +10,6 @@
 use crate::daemon::Daemon;
 use crate::{server_sync, table_sync};
 
-/// Daemons of each hall that read the store for all of it: what is asked of
-/// the store grows with the halls, not with the fleet.
-pub const STORE_READERS: usize = 2;
-
 /// Takes in a heartbeat that was received or answered.
 pub fn heard(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
     let now = daemon.clock.now();
@@ -79,7 +75,7 @@
 /// Reads the platform's host list once: from the store when this daemon reads
 /// it for its hall, else from a peer that does.
 pub async fn read_host_list(daemon: &Arc<Daemon>) {
-    let readers = daemon.members.lock().reads_store_for(&daemon.cfg.hall, STORE_READERS);
+    let readers = store_readers(daemon);
     let hosts = match readers {
         Ok(()) => daemon.store.api().hosts().await.ok(),
         Err(peers) => host_list_of_peers(daemon, &peers).await,
@@ -90,6 +86,15 @@
     }
 }
 
+/// Whether this daemon reads the store for its hall; else the peers that do.
+///
+/// # Errors
+/// The peers to ask instead.
+pub fn store_readers(daemon: &Daemon) -> Result<(), Vec<Peer>> {
+    let count = daemon.cfg.limits.store_readers;
+    daemon.members.lock().reads_store_for(&daemon.cfg.hall, count)
+}
+
 /// The host list of the first of these peers that answers; none when it is the
 /// one known already.
 async fn host_list_of_peers(daemon: &Arc<Daemon>, peers: &[Peer]) -> Option<Vec<Host>> {
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -8,7 +8,7 @@
 use bankcove_core::table::{Server, ServerKind, ServerState, Table};
 
 use crate::daemon::Daemon;
-use crate::membership::STORE_READERS;
+use crate::membership;
 
 /// Longest watch of the list. A cut path shows only when an answer does not
 /// come, so this is also how long a cut may go unnoticed.
@@ -48,7 +48,7 @@
     let mut at = 0;
     let mut was_away = false;
     loop {
-        let readers = daemon.members.lock().reads_store_for(&daemon.cfg.hall, STORE_READERS);
+        let readers = membership::store_readers(&daemon);
         if readers.is_err() && daemon.servers.lock().version() > 0 {
             // Heartbeats tell of newer lists, and peers hand them over.
             at = 0;
@@ -57,8 +57,11 @@
                 () = daemon.ended.cancelled() => return,
             }
         }
+        // Entries that lapsed are dropped when their grace is over, not later.
+        let next_drop = daemon.servers.lock().next_drop(daemon.clock.now());
+        let wait = next_drop.map_or(WATCH, |millis| WATCH.min(Duration::from_millis(millis)));
         let watched = tokio::select! {
-            watched = daemon.store.api().watch_servers(at, WATCH) => watched,
+            watched = daemon.store.api().watch_servers(at, wait) => watched,
             () = daemon.ended.cancelled() => return,
         };
         match watched {
@@ -72,7 +75,7 @@
                     list.platform_returned(now);
                     slog::info!(daemon.log, "store regained"; "at" => at);
                 }
-                let changed = list.apply(now, changes) | list.drop_lapsed(now);
+                let changed = list.apply(now, changes) | list.drop_lapsed(now, at);
                 drop(list);
                 if changed {
                     refresh_router(&daemon);
@@ -124,5 +127,5 @@
 /// Others hear of the change at once, not at the next heartbeat.
 fn told_peers(daemon: &Arc<Daemon>) {
     let daemon = Arc::clone(daemon);
-    tokio::spawn(async move { crate::membership::beat(&daemon).await });
+    tokio::spawn(async move { membership::beat(&daemon).await });
 }
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -8,7 +8,7 @@
 use bankcove_ports::{Kind, WriteOutcome};
 
 use crate::daemon::Daemon;
-use crate::membership::STORE_READERS;
+use crate::membership;
 use crate::server_sync;
 
 /// Name of the one object that holds the table.
@@ -59,7 +59,7 @@
     daemon.metrics.count("table.adopted");
     let daemon = Arc::clone(daemon);
     // Others hear of the new revision at once, not at the next heartbeat.
-    tokio::spawn(async move { crate::membership::beat(&daemon).await });
+    tokio::spawn(async move { membership::beat(&daemon).await });
 }
 
 /// Watches the table in the store, as long as this daemon does so for its
@@ -67,7 +67,7 @@
 pub async fn watch(daemon: Arc<Daemon>) {
     let mut at = 0;
     loop {
-        let readers = daemon.members.lock().reads_store_for(&daemon.cfg.hall, STORE_READERS);
+        let readers = membership::store_readers(&daemon);
         if readers.is_err() && daemon.revision() > 0 {
             // Heartbeats tell of new revisions, and peers hand them over.
             tokio::select! {
