--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -164,7 +164,7 @@
         let limit = Duration::from_millis(daemon.cfg.limits.stop_timeout_ms);
         let deadline = Instant::now() + limit;
         if let Some(entry) = &daemon.cfg.entry {
-            entry::stop::drain(daemon, Duration::from_millis(entry.stop_grace_ms)).await;
+            entry::stop::drain(daemon, Duration::from_secs_f64(entry.stop_grace_s)).await;
         }
         slog::info!(daemon.log, "stopping"; "in_flight" => daemon.work.len());
         daemon.stopping.cancel();
--- a/crates/daemon/src/entry/settings.rs
+++ b/crates/daemon/src/entry/settings.rs
@@ -1,5 +1,6 @@
 //! Settings of the entry side.
 
+use bankcove_core::Millis;
 use bankcove_core::retry_budget::Allowance;
 use bankcove_core::table::{DrawPolicy, Table};
 use serde::{Deserialize, Serialize};
@@ -16,14 +17,18 @@
     /// Where metrics and the dump are read; none serves none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub metrics_listen: Option<String>,
-    /// Time between the signal to stop and the end, in milliseconds.
-    pub stop_grace_ms: u64,
+    /// Time between the signal to stop and the end, in seconds.
+    #[serde(default = "default_stop_grace_s")]
+    pub stop_grace_s: f64,
     /// Repeats for each request of the same service, for the whole fleet.
+    #[serde(default = "default_retry_ratio")]
     pub retry_ratio: f64,
     /// Repeats in a window beyond that.
+    #[serde(default)]
     pub retry_extra: f64,
-    /// The window, in milliseconds.
-    pub retry_window_ms: u64,
+    /// The window, in seconds.
+    #[serde(default = "default_retry_window_s")]
+    pub retry_window_s: f64,
     /// How far ahead to draw on a workspace's budget, in seconds of recent
     /// spending: what a daemon lives on while it is cut off from everybody.
     #[serde(default = "default_horizon_s")]
@@ -36,6 +41,24 @@
     pub held_ahead: f64,
 }
 
+/// Milliseconds of a second.
+const SECOND_MS: f64 = 1_000.0;
+
+/// The users' deployments give 8 s.
+fn default_stop_grace_s() -> f64 {
+    8.0
+}
+
+/// The users' deployments allow 0.2.
+fn default_retry_ratio() -> f64 {
+    0.2
+}
+
+/// The users' deployments count over 10 s.
+fn default_retry_window_s() -> f64 {
+    10.0
+}
+
 /// Cuts of 7 to 12 s were measured on the users' days.
 fn default_horizon_s() -> f64 {
     10.0
@@ -56,10 +79,10 @@
         EntrySettings {
             ready_listen: "127.0.0.1:8083".to_owned(),
             metrics_listen: Some("127.0.0.1:8084".to_owned()),
-            stop_grace_ms: 8_000,
-            retry_ratio: 0.2,
+            stop_grace_s: default_stop_grace_s(),
+            retry_ratio: default_retry_ratio(),
             retry_extra: 50.0,
-            retry_window_ms: 10_000,
+            retry_window_s: default_retry_window_s(),
             horizon_s: default_horizon_s(),
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
@@ -71,7 +94,7 @@
         Allowance {
             ratio: self.retry_ratio,
             extra: self.retry_extra,
-            window_ms: self.retry_window_ms,
+            window_ms: (self.retry_window_s * SECOND_MS) as Millis,
         }
     }
 
@@ -99,19 +122,19 @@
             }
         };
         let zero = "0 is not usable here";
-        check(self.stop_grace_ms == 0, "entry.stop_grace_ms", zero, "use for example 8000");
-        check(self.retry_window_ms == 0, "entry.retry_window_ms", zero, "use for example 10000");
         check(self.share_divisor == 0, "entry.share_divisor", zero, "use for example 4");
         let negative = "the figure is negative or no number";
         let is_usable = |figure: f64| figure.is_finite() && figure >= 0.0;
         check(!is_usable(self.retry_ratio), "entry.retry_ratio", negative, "use for example 0.2");
         check(!is_usable(self.retry_extra), "entry.retry_extra", negative, "use for example 50");
-        check(
-            !is_usable(self.horizon_s) || self.horizon_s == 0.0,
-            "entry.horizon_s",
-            "the horizon is not above 0 seconds",
-            "use for example 10",
-        );
+        for (path, seconds) in [
+            ("entry.stop_grace_s", self.stop_grace_s),
+            ("entry.retry_window_s", self.retry_window_s),
+            ("entry.horizon_s", self.horizon_s),
+        ] {
+            let is_wrong = !is_usable(seconds) || seconds == 0.0;
+            check(is_wrong, path, "the time is not above 0 seconds", "use for example 10");
+        }
         check(
             !(0.0..=1.0).contains(&self.held_ahead),
             "entry.held_ahead",
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -42,6 +42,10 @@
     bad_name = { "name", serde_json::json!("two words"), "'two words' is not a name" },
     short_token = { "operator_token", serde_json::json!("abc"), "shorter than 8 bytes" },
     wrong_type = { "hall", serde_json::json!(7), "setting 'hall': invalid type" },
+    bad_entry_address = { "entry", serde_json::json!({"ready_listen": "here"}), "'here' is no IP number and port" },
+    bad_horizon = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "horizon_s": 0}), "entry.horizon_s" },
+    bad_ratio = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "retry_ratio": -1}), "entry.retry_ratio" },
+    adapter_without_entry = { "adapter", serde_json::json!("objects"), "setting 'entry'" },
     zero_limit = { "limits", serde_json::json!({"heartbeat_ms": 0}), "limits.heartbeat_ms" },
 )]
 fn a_fault_is_named_with_its_setting(field: &str, value: serde_json::Value, expected: &str) {
