--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -4,20 +4,16 @@
 //! that is repeated, reordered or lost does no harm: the next one heals it.
 //! A debit is made before it is told, so a token is never in two places.
 
+mod rate;
+
 use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
+use crate::holder::rate::Rate;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Name, Tokens};
 
-/// Time constant of the spending rate, in milliseconds.
-const RATE_WINDOW_MS: f64 = 10_000.0;
-
-/// Spending is judged over this time at least, in milliseconds: one request
-/// alone says little of a rate.
-const SHORTEST_WINDOW_MS: f64 = 4_000.0;
-
 /// How much of a grant is opened at a time, in seconds of recent spending. This
 /// much is lost with a daemon that dies; the sealed rest is taken back.
 const OPEN_AHEAD_S: f64 = 2.0;
@@ -181,39 +177,6 @@
     }
 }
 
-/// An exponentially decaying rate.
-#[derive(Debug, Clone, Copy, Default, Serialize)]
-struct Rate {
-    sum: f64,
-    at: Millis,
-    since: Option<Millis>,
-}
-
-impl Rate {
-    fn add(&mut self, tokens: Tokens, now: Millis) {
-        self.sum = self.decayed(now) + tokens as f64;
-        self.at = now;
-        self.since.get_or_insert(now);
-    }
-
-    fn per_second(&self, now: Millis) -> f64 {
-        self.decayed(now) * 1000.0 / self.window(now)
-    }
-
-    fn decayed(&self, now: Millis) -> f64 {
-        let age = now.saturating_sub(self.at) as f64;
-        self.sum * (-age / RATE_WINDOW_MS).exp()
-    }
-
-    /// The time that the sum stands for: less than the whole window while the
-    /// first spending is not long past.
-    fn window(&self, now: Millis) -> f64 {
-        let age = now.saturating_sub(self.since.unwrap_or(now)) as f64;
-        let seen = RATE_WINDOW_MS * (1.0 - (-age / RATE_WINDOW_MS).exp());
-        seen.max(SHORTEST_WINDOW_MS)
-    }
-}
-
 /// All that this daemon holds.
 #[derive(Debug, Clone, Serialize)]
 pub struct Holder {
--- a/crates/daemon/src/entry/settings.rs
+++ b/crates/daemon/src/entry/settings.rs
@@ -2,7 +2,7 @@
 
 use bankcove_core::Millis;
 use bankcove_core::retry_budget::Allowance;
-use bankcove_core::table::{DrawPolicy, Table};
+use bankcove_core::table::Table;
 use serde::{Deserialize, Serialize};
 
 use crate::config::fault;
@@ -101,15 +101,10 @@
     /// Gives the budgets of a table, which say nothing of draws on this
     /// platform, the policy of these settings.
     pub fn put_draw_policy(&self, table: &mut Table) {
-        let DrawPolicy { horizon_s, share_divisor, held_ahead } = DrawPolicy {
-            horizon_s: self.horizon_s,
-            share_divisor: self.share_divisor,
-            held_ahead: self.held_ahead,
-        };
         for row in &mut table.budgets {
-            row.horizon_s = horizon_s;
-            row.share_divisor = share_divisor;
-            row.held_ahead = held_ahead;
+            row.horizon_s = self.horizon_s;
+            row.share_divisor = self.share_divisor;
+            row.held_ahead = self.held_ahead;
         }
     }
 
