One entry of the list that can't be read hides no other

Cause: found by reading the diff: a single malformed entry of a server failed the whole list, and with it every daemon's view. It is told in the log now, and what was known of that server stays. The router takes the table that is in force once it is locked, not one read before.

--- a/crates/core/src/server_list.rs
+++ b/crates/core/src/server_list.rs
@@ -5,7 +5,7 @@
 //! they are back soon after its return. An entry that is missing right after
 //! an outage is therefore kept for [`LAPSE_GRACE_MS`].
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
 
@@ -43,6 +43,17 @@
     pub put: Vec<ListedServer>,
     /// Entries that were removed.
     pub gone: Vec<Name>,
+    /// Entries that can't be read; what was known of them stays.
+    pub unreadable: Vec<Unreadable>,
+}
+
+/// An entry that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Unreadable {
+    /// The entry's name.
+    pub name: Name,
+    /// What is wrong, with the path of the field.
+    pub problem: String,
 }
 
 #[derive(Debug, Clone, Serialize)]
@@ -81,7 +92,7 @@
     pub fn apply(&mut self, now: Millis, changes: ServerChanges) -> bool {
         let mut changed = false;
         if changes.whole {
-            let missing: Vec<Name> = self.missing_from(&changes.put);
+            let missing: Vec<Name> = self.missing_from(&changes);
             missing.iter().for_each(|name| changed |= self.remove(now, name));
         }
         for name in &changes.gone {
@@ -127,9 +138,11 @@
         drops.min().map(|at| at.saturating_sub(now))
     }
 
-    fn missing_from(&self, put: &[ListedServer]) -> Vec<Name> {
-        let is_missing = |name: &&Name| !put.iter().any(|server| server.name == **name);
-        self.entries.keys().filter(is_missing).cloned().collect()
+    fn missing_from(&self, whole: &ServerChanges) -> Vec<Name> {
+        let put = whole.put.iter().map(|server| &server.name);
+        let named: BTreeSet<&Name> =
+            put.chain(whole.unreadable.iter().map(|entry| &entry.name)).collect();
+        self.entries.keys().filter(|name| !named.contains(name)).cloned().collect()
     }
 
     fn put(&mut self, server: ListedServer) -> bool {
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -1,7 +1,9 @@
 //! The platform's list of backend servers: changes, lapses, peers' lists.
 
 use bankcove_core::Name;
-use bankcove_core::server_list::{LAPSE_GRACE_MS, ListedServer, ServerChanges, ServerList};
+use bankcove_core::server_list::{
+    LAPSE_GRACE_MS, ListedServer, ServerChanges, ServerList, Unreadable,
+};
 
 fn server(name: &str, draining: bool) -> ListedServer {
     ListedServer {
@@ -16,7 +18,7 @@
 
 fn whole(at: u64, names: &[&str]) -> ServerChanges {
     let put = names.iter().map(|name| server(name, false)).collect();
-    ServerChanges { at, whole: true, put, gone: Vec::new() }
+    ServerChanges { at, whole: true, put, ..ServerChanges::default() }
 }
 
 fn gone(at: u64, name: &str) -> ServerChanges {
@@ -78,6 +80,15 @@
     assert_eq!(names(&list), ["a"]);
 }
 
+#[test]
+fn an_entry_that_cannot_be_read_keeps_what_was_known() {
+    let mut list = ServerList::default();
+    list.apply(0, whole(5, &["a", "b"]));
+    let broken = Unreadable { name: Name::from("a"), problem: "no address".to_owned() };
+    list.apply(1, ServerChanges { unreadable: vec![broken], ..whole(6, &["b"]) });
+    assert_eq!(names(&list), ["a", "b"]);
+}
+
 #[test]
 fn outside_of_an_outage_a_removal_counts_at_once() {
     let mut list = ServerList::default();
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -70,6 +70,10 @@
                 let now = daemon.clock.now();
                 daemon.contact.store_heard(now);
                 at = changes.at;
+                for entry in &changes.unreadable {
+                    slog::error!(daemon.log, "a server's entry can't be read";
+                        "server" => %entry.name, "problem" => &entry.problem);
+                }
                 let mut list = daemon.servers.lock();
                 if std::mem::take(&mut was_away) {
                     list.platform_returned(now);
@@ -115,8 +119,9 @@
 }
 
 fn refresh_router(daemon: &Arc<Daemon>) {
-    let Some(table) = daemon.table.load_full() else { return };
+    // The router's lock orders adoptions: a table read before it may be old.
     let mut router = daemon.router.lock();
+    let Some(table) = daemon.table.load_full() else { return };
     let list = daemon.servers.lock();
     router.adopt(&with_listed(&list, &table));
     let draining = list.servers().filter(|server| server.draining).count();
