--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -25,9 +25,9 @@
 pub const MAX_GRANTS: usize = 8;
 
 /// Tokens left in the store for each one that holders keep ahead. What is held
-/// is lost when all hosts lose power at once, and must serve in a cut: 1 lost
-/// 27 % of all prepaid tokens on a recorded day, and more on that day's second
-/// half than was left in the store.
+/// is lost when all hosts lose power at once, and must serve in a cut: with 1,
+/// 27 % of all prepaid tokens were held and 14 % left at that moment of a
+/// recorded day.
 pub const LEFT_PER_HELD: u64 = 2;
 
 /// How many top-ups a ledger remembers by identity.
