--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -177,6 +177,7 @@
         revision: 1_000_000,
         stopping: false,
         store_heard_ms: Some(120),
+        view_age_ms: Some(120),
     }
 }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod edit;
 pub mod error;
 pub mod events;
+pub mod freshness;
 pub mod holder;
 pub mod id;
 pub mod lifecycle;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -14,6 +14,10 @@
 /// A peer that was silent to this many heartbeats in a row is suspected.
 pub const SUSPECT_AFTER_FAILURES: u32 = 2;
 
+/// Up to this many rounds of heartbeats, each peer in turn is asked; beyond that
+/// a daemon keeps to its neighbours.
+const SMALL_FLEET_ROUNDS: usize = 4;
+
 /// State of a host in the platform's list.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
@@ -70,6 +74,8 @@
     pub stopping: bool,
     /// How long ago the store answered the sender or a peer in its contact.
     pub store_heard_ms: Option<Millis>,
+    /// How old the sender's table and list of servers may be, at most.
+    pub view_age_ms: Option<Millis>,
 }
 
 /// A peer as this daemon sees it.
@@ -163,6 +169,14 @@
         peer.heard_at = Some(now);
     }
 
+    /// Takes in that peers answer again after all of them were silent to this
+    /// daemon: what it suspects of others says nothing of them.
+    pub fn forgive(&mut self) {
+        for peer in self.peers.values_mut() {
+            peer.failures = 0;
+        }
+    }
+
     /// Takes in that a peer did not answer.
     pub fn failed(&mut self, name: &Name) {
         if let Some(peer) = self.peers.get_mut(name) {
@@ -170,25 +184,42 @@
         }
     }
 
-    /// Up to `count` peers for the next heartbeats, a different few each time.
+    /// Up to `count` peers for the next heartbeats: in a small fleet a different
+    /// few each time, in a large one always the same neighbours and one of those
+    /// that are suspected, so that the connections of a daemon do not grow with
+    /// the fleet.
     pub fn heartbeat_targets(&self, count: usize, seed: u64) -> Vec<Peer> {
-        let score = |peer: &&Peer| rendezvous_score(seed, name_key(&peer.name));
-        let mut peers: Vec<&Peer> = self.peers.values().filter(|peer| !peer.stopping).collect();
-        peers.sort_unstable_by_key(score);
-        peers.into_iter().take(count).cloned().collect()
+        let peers: Vec<&Peer> = self.peers.values().filter(|peer| !peer.stopping).collect();
+        if peers.len() <= count * SMALL_FLEET_ROUNDS {
+            return first_by_score(peers, seed, count);
+        }
+        let (suspected, well): (Vec<&Peer>, Vec<&Peer>) =
+            peers.into_iter().partition(|peer| peer.failures >= SUSPECT_AFTER_FAILURES);
+        let mut targets = first_by_score(well, name_key(&self.me), count);
+        targets.extend(first_by_score(suspected, seed, 1));
+        targets
     }
 
     /// Usable peers and this daemon (none) in the order of their claim to own
     /// `key`; every daemon with the same view comes to the same order.
     pub fn owners(&self, key: u64, most: usize) -> Vec<Option<Peer>> {
         let mine = (rendezvous_score(key, name_key(&self.me)), None);
-        let others = self.usable().filter(|peer| peer.incarnation.is_some());
-        let others = others.map(|peer| (rendezvous_score(key, name_key(&peer.name)), Some(peer)));
+        let score = |peer: &Peer| rendezvous_score(key, name_key(&peer.name));
+        let others = self.usable().map(|peer| (score(peer), Some(peer)));
         let mut ranked: Vec<(u64, Option<&Peer>)> = others.chain([mine]).collect();
         ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
         ranked.into_iter().take(most).map(|(_, peer)| peer.cloned()).collect()
     }
 
+    /// How many usable peers of the hall come before this daemon as readers of
+    /// the store.
+    pub fn reader_rank(&self, hall: &Name) -> usize {
+        let key = name_key(hall);
+        let mine = rendezvous_score(key, name_key(&self.me));
+        let in_hall = self.usable().filter(|peer| peer.hall == *hall);
+        in_hall.filter(|peer| rendezvous_score(key, name_key(&peer.name)) > mine).count()
+    }
+
     /// Whether this daemon is one of the `count` that read the store for their
     /// hall; else the peers of the hall that do, the first one first.
     ///
@@ -196,7 +227,7 @@
     /// The peers to ask instead.
     pub fn reads_store_for(&self, hall: &Name, count: usize) -> Result<(), Vec<Peer>> {
         let key = name_key(hall);
-        let in_hall = self.usable().filter(|peer| peer.hall == *hall && peer.incarnation.is_some());
+        let in_hall = self.usable().filter(|peer| peer.hall == *hall);
         let mine = rendezvous_score(key, name_key(&self.me));
         let score = |peer: &&Peer| rendezvous_score(key, name_key(&peer.name));
         let mut ahead: Vec<&Peer> = in_hall.filter(|peer| score(peer) > mine).collect();
@@ -222,6 +253,12 @@
     }
 }
 
+/// The first `count` peers in the order that `seed` gives them.
+fn first_by_score(mut peers: Vec<&Peer>, seed: u64, count: usize) -> Vec<Peer> {
+    peers.sort_unstable_by_key(|peer| rendezvous_score(seed, name_key(&peer.name)));
+    peers.into_iter().take(count).cloned().collect()
+}
+
 fn name_key(name: &Name) -> u64 {
     xxh3_64(name.as_str().as_bytes())
 }
--- a/crates/core/src/owner/machine.rs
+++ b/crates/core/src/owner/machine.rs
@@ -8,7 +8,7 @@
 use crate::owner::draft::{Draft, grant_and_open, granted_reply, holders_of};
 use crate::owner::gather::{Gather, Gathers, Lookup};
 use crate::owner::message::{Command, Event, HolderRef, Reply, Request, Ticket};
-use crate::owner::{MAX_REQUEST_AGE_MS, RETRY_LATER_MS, RETRY_SOON_MS};
+use crate::owner::{AHEAD_WAIT_MS, MAX_REQUEST_AGE_MS, RETRY_LATER_MS, RETRY_SOON_MS};
 use crate::shard::{Ledger, Shard};
 use crate::{Incarnation, Millis, Name, Tokens};
 
@@ -35,6 +35,14 @@
     arrived: Millis,
 }
 
+impl Pending {
+    /// Whether it does not wait for others any more.
+    fn is_due(&self, now: Millis) -> bool {
+        let is_ahead = matches!(&self.request, Request::Draw(draw) if draw.need == 0);
+        !is_ahead || now >= self.arrived + AHEAD_WAIT_MS
+    }
+}
+
 /// What a request is answered with once its write has succeeded.
 #[derive(Debug)]
 enum Outcome {
@@ -74,6 +82,8 @@
     phase: Phase,
     pending: VecDeque<Pending>,
     in_write: Vec<(Pending, Outcome)>,
+    /// Whether some request of this round can't wait for others.
+    is_write_due: bool,
     written_shard: Shard,
     gathers: Gathers,
     /// Each write moves this on by one interval; it may run ahead by a burst.
@@ -96,6 +106,7 @@
             phase: Phase::Idle,
             pending: VecDeque::new(),
             in_write: Vec::new(),
+            is_write_due: false,
             written_shard: Shard::default(),
             gathers: Gathers::default(),
             writes_paid_until: 0,
@@ -251,6 +262,7 @@
         let mut draft = Draft::new(&shard);
         let mut waiting = VecDeque::new();
         let mut to_write = Vec::new();
+        self.is_write_due = self.pending.iter().any(|pending| pending.is_due(now));
         for pending in std::mem::take(&mut self.pending) {
             match self.decide(now, &pending, &mut draft, commands) {
                 Decision::Answer(outcome) => answer(pending, outcome, commands),
@@ -328,6 +340,24 @@
         }
     }
 
+    /// Whether a draw ahead is to wait for others; asks to be woken at its end.
+    fn waits_for_others(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        draw: &Draw,
+        commands: &mut Vec<Command>,
+    ) -> bool {
+        if draw.need > 0 || !draw.witnesses.is_empty() || self.is_write_due {
+            return false;
+        }
+        let until = pending.arrived + AHEAD_WAIT_MS;
+        if now < until {
+            self.wake_at(until, now, commands);
+        }
+        now < until
+    }
+
     fn decide_draw(
         &mut self,
         now: Millis,
@@ -343,6 +373,9 @@
             return Decision::Answer(Outcome::Reply(Reply::Short { retry_after_ms }));
         }
         ledger.adopt_row(draw.terms.tokens, draw.terms.version);
+        if self.waits_for_others(now, pending, draw, commands) {
+            return Decision::Wait;
+        }
         let gives_back = ledger.take_back(draw.holder, draw.returned);
         // What was opened but not told is told again, without a write.
         let opened = ledger.opened_by(draw.holder);
--- a/crates/daemon/src/budget_owner.rs
+++ b/crates/daemon/src/budget_owner.rs
@@ -86,7 +86,9 @@
         let limits = &daemon.cfg.limits;
         let address = daemon.cfg.peer_address();
         let mut machine = Owner::new(daemon.incarnation, address, limits.budget_write_ms);
-        if limits.owners_tried == 0 {
+        if limits.witnesses == 0 {
+            // Without sealed grants each holder gives back by itself what it
+            // does not need.
             machine = machine.without_collecting();
         }
         tokio::spawn(task.run(machine, rx));
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bankcove_core::holder::{Draw, Holder, Reservation, Shortfall, Terms};
-use bankcove_core::owner::{RETRY_SOON_MS, Reply, Request};
+use bankcove_core::owner::{AHEAD_WAIT_MS, RETRY_SOON_MS, Reply, Request};
 use bankcove_core::table::Budget;
 use bankcove_core::witness::Marks;
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
@@ -49,7 +49,13 @@
     asked_at: Millis,
     need: Tokens,
     refusal: Option<Refusal>,
-    ahead_at: Millis,
+}
+
+/// The last draw ahead of one budget.
+#[derive(Debug, Default, Clone, Copy)]
+struct DrawAhead {
+    started_at: Option<Millis>,
+    running: bool,
 }
 
 /// Budgets of one daemon.
@@ -59,6 +65,9 @@
     /// The shards that this daemon owns.
     pub owners: Owners,
     draws: Mutex<HashMap<Name, Arc<tokio::sync::Mutex<LastShort>>>>,
+    /// Draws ahead have a place of their own: they wait for others at the owner,
+    /// and requests that need tokens now must not wait behind them.
+    ahead: Mutex<HashMap<Name, DrawAhead>>,
     /// Holders that did not answer a collection, and until when they are left out.
     pub silent: Mutex<HashMap<Incarnation, Millis>>,
     marks: Mutex<Marks>,
@@ -71,6 +80,7 @@
             holder: Mutex::new(Holder::new(incarnation)),
             owners: Owners::default(),
             draws: Mutex::new(HashMap::new()),
+            ahead: Mutex::new(HashMap::new()),
             silent: Mutex::new(HashMap::new()),
             marks: Mutex::new(Marks::default()),
         }
@@ -81,6 +91,25 @@
         self.holder.lock()
     }
 
+    /// Whether a draw ahead may begin now: none runs, whose tokens this one would
+    /// bring as well, and the last one is not too recent.
+    fn begin_ahead(&self, budget: &Name, now: Millis) -> bool {
+        let mut ahead = self.ahead.lock();
+        let last = ahead.entry(budget.clone()).or_default();
+        let is_recent = last.started_at.is_some_and(|at| now < at + DRAW_AHEAD_MS);
+        if last.running || is_recent {
+            return false;
+        }
+        *last = DrawAhead { started_at: Some(now), running: true };
+        true
+    }
+
+    fn end_ahead(&self, budget: &Name) {
+        if let Some(last) = self.ahead.lock().get_mut(budget) {
+            last.running = false;
+        }
+    }
+
     /// What this daemon attests for others.
     pub fn marks(&self) -> parking_lot::MutexGuard<'_, Marks> {
         self.marks.lock()
@@ -124,7 +153,7 @@
         }
         let asked_at = daemon.clock.now();
         if let Err(refusal) = draw(daemon, budget, missing).await {
-            *last = LastShort { asked_at, need: missing, refusal: Some(refusal), ..*last };
+            *last = LastShort { asked_at, need: missing, refusal: Some(refusal) };
             return Err(refusal);
         }
     }
@@ -154,20 +183,17 @@
     if !closes && !runs_low {
         return;
     }
-    let draws = Arc::clone(daemon.budgets.draws.lock().entry(budget.name.clone()).or_default());
+    if !daemon.budgets.begin_ahead(&budget.name, now) {
+        return;
+    }
     let (daemon, budget) = (Arc::clone(daemon), budget.clone());
     tokio::spawn(async move {
-        // A draw that runs already brings what this one would.
-        let Ok(mut last) = draws.try_lock() else { return };
-        if closes && open(&daemon, &budget.name, 0).await {
-            return;
-        }
-        if daemon.clock.now() < last.ahead_at + DRAW_AHEAD_MS {
-            return;
+        let is_opened = closes && open(&daemon, &budget.name, 0).await;
+        if !is_opened {
+            // Nobody waits for it: the next request finds out what came.
+            let _refused = draw(&daemon, &budget, 0).await;
         }
-        last.ahead_at = daemon.clock.now();
-        // Nobody waits for it: the next request finds out what came.
-        let _refused = draw(&daemon, &budget, 0).await;
+        daemon.budgets.end_ahead(&budget.name);
     });
 }
 
@@ -247,15 +273,20 @@
 /// Asks the owner of the budget's shard: the first that answers of the first
 /// few in rendezvous order, else this daemon itself.
 pub async fn ask_owner(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
-    if daemon.cfg.limits.owners_tried == 0 {
+    let daemons = 1 + daemon.members.lock().usable().count();
+    if daemons <= daemon.cfg.limits.direct_daemons {
         return ask_self_first(daemon, request).await;
     }
     let shard = shard_of_request(daemon, &request);
     let owners =
         daemon.members.lock().owners(OWNER_KEY + u64::from(shard), daemon.cfg.limits.owners_tried);
-    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+    let timeout = owner_timeout(daemon, &request);
     for owner in owners {
         let Some(owner) = owner else { break };
+        if daemon.contact.is_alone() {
+            // Nobody answers: each further peer would only take its time.
+            break;
+        }
         let mut request = request.clone();
         if let (Request::Draw(draw), Some(incarnation)) = (&mut request, owner.incarnation) {
             draw.received = daemon.budgets.holder.lock().received_from(&draw.budget, incarnation);
@@ -267,17 +298,29 @@
                 // The owner may be cut off from the store alone.
             }
             Some(answer) => return answer,
-            None => daemon.members.lock().failed(&owner.name),
+            None => {
+                daemon.contact.heartbeat(false);
+                daemon.members.lock().failed(&owner.name);
+            }
         }
     }
     ask_local_owner(daemon, request).await
 }
 
+/// How long an owner's answer is waited for: draws ahead wait there for others.
+fn owner_timeout(daemon: &Daemon, request: &Request) -> Duration {
+    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+    match request {
+        Request::Draw(draw) if draw.need == 0 => timeout + Duration::from_millis(AHEAD_WAIT_MS),
+        _ => timeout,
+    }
+}
+
 /// Writes the shard itself; when the store is out of reach, by way of peers
 /// that may reach it.
 async fn ask_self_first(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
     let answer = ask_local_owner(daemon, request.clone()).await;
-    if !matches!(answer.reply, Reply::StoreAway { .. }) {
+    if !matches!(answer.reply, Reply::StoreAway { .. }) || daemon.contact.is_alone() {
         return answer;
     }
     let key = OWNER_KEY + u64::from(shard_of_request(daemon, &request));
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -102,10 +102,11 @@
     /// away; with 0 a grant is open as a whole when it is recorded.
     pub witnesses: usize,
     /// Peers that are asked as the owner of a budget's shard before this daemon
-    /// writes the shard itself; with 0 each daemon writes by itself and nothing
-    /// is collected from others, which suits fleets so small that conflicts of
-    /// writes are rare.
+    /// writes the shard itself.
     pub owners_tried: usize,
+    /// Up to this many daemons each writes by itself first: conflicts of writes
+    /// are rare in so small a fleet, and an owner that is cut off delays nobody.
+    pub direct_daemons: usize,
     /// Objects that all budgets are spread over.
     pub budget_shards: u32,
     /// Shortest time between two writes of a budget shard, in milliseconds.
@@ -138,6 +139,7 @@
             gather_timeout_ms: 200,
             witnesses: 2,
             owners_tried: 2,
+            direct_daemons: 0,
             budget_shards: BUDGET_SHARDS,
             budget_write_ms: WRITE_INTERVAL_MS,
             log_append_ms: APPEND_INTERVAL_MS,
@@ -267,6 +269,7 @@
             ("limits.load_report_ms", self.load_report_ms),
             ("limits.load_reports_at_once", self.load_reports_at_once as u64),
             ("limits.store_readers", self.store_readers as u64),
+            ("limits.owners_tried", self.owners_tried as u64),
             ("limits.peer_timeout_ms", self.peer_timeout_ms),
             ("limits.gather_timeout_ms", self.gather_timeout_ms),
             ("limits.isolation_ms", self.isolation_ms),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,7 +21,7 @@
 use crate::config::Config;
 use crate::error::Result;
 use crate::health::Contact;
-use crate::membership::HostList;
+use crate::membership::{Fetches, HostList};
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
 use crate::request_log::RequestLogs;
@@ -62,6 +62,8 @@
     pub peers: PeerPool,
     /// Whom this daemon has heard of late.
     pub contact: Contact,
+    /// Fetches of what a peer knows newer.
+    pub fetches: Fetches,
     /// Cancelled when the platform's balancer is to send no new connections;
     /// requests are still taken then.
     pub leaving: CancellationToken,
@@ -113,6 +115,7 @@
             billing: Billing::default(),
             peers: PeerPool::default(),
             contact: Contact::default(),
+            fetches: Fetches::default(),
             leaving: CancellationToken::new(),
             last_end: Mutex::new(None),
             stopping: CancellationToken::new(),
@@ -147,6 +150,7 @@
             servers_version: self.servers.lock().version(),
             stopping: self.stopping.is_cancelled(),
             store_heard_ms: self.contact.store_age(self.clock.now()),
+            view_age_ms: self.contact.view_age(self.clock.now()),
         }
     }
 }
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -7,6 +7,7 @@
 use std::collections::VecDeque;
 
 use bankcove_core::Millis;
+use bankcove_core::freshness::Freshness;
 use parking_lot::Mutex;
 
 /// Heartbeats whose outcome is remembered.
@@ -15,6 +16,10 @@
 /// Fewest heartbeats that say anything.
 const ENOUGH: usize = 4;
 
+/// Calls of peers without an answer, one after the other, after which this daemon
+/// seems to be the one that is cut off.
+const ALONE_AFTER: usize = 4;
+
 /// How long the store is left alone after a single call failed, in milliseconds.
 const STORE_PAUSE_MS: Millis = 500;
 
@@ -24,6 +29,14 @@
     store_lost: bool,
     store_silent_until: Millis,
     heartbeats: VecDeque<bool>,
+    view: Freshness,
+}
+
+impl State {
+    fn is_alone(&self) -> bool {
+        let last = self.heartbeats.iter().rev().take(ALONE_AFTER);
+        self.heartbeats.len() >= ALONE_AFTER && last.into_iter().all(|answered| !answered)
+    }
 }
 
 /// Contact with the store and with peers.
@@ -41,12 +54,45 @@
         state.store_silent_until = 0;
     }
 
+    /// The store told the table in force.
+    pub fn table_read(&self, now: Millis) {
+        self.state.lock().view.table_read(now);
+        self.store_heard(now);
+    }
+
+    /// The store told the list of servers.
+    pub fn servers_read(&self, now: Millis) {
+        self.state.lock().view.servers_read(now);
+        self.store_heard(now);
+    }
+
+    /// This daemon knows all that a peer knew when its view was this old.
+    pub fn caught_up(&self, now: Millis, age: Millis) {
+        self.state.lock().view.caught_up(now, age);
+    }
+
+    /// How old the table and the list of servers may be.
+    pub fn view_age(&self, now: Millis) -> Option<Millis> {
+        self.state.lock().view.age(now)
+    }
+
+    /// Whether the table or the list of servers may be older than `limit`.
+    pub fn is_view_older_than(&self, limit: Millis, now: Millis) -> bool {
+        self.state.lock().view.is_older_than(limit, now)
+    }
+
     /// The watch of the store failed: until it answers again, only the watch
     /// asks it. Calls of a store that is away are paid for too.
     pub fn store_lost(&self) {
         self.state.lock().store_lost = true;
     }
 
+    /// This daemon learns of the store from peers now: whether the store is there
+    /// shows when it is asked.
+    pub fn store_not_watched(&self) {
+        self.state.lock().store_lost = false;
+    }
+
     /// A single call failed: the store is left alone for a moment.
     pub fn store_failed(&self, now: Millis) {
         self.state.lock().store_silent_until = now + STORE_PAUSE_MS;
@@ -70,13 +116,21 @@
         self.state.lock().store_heard.map(|at| now.saturating_sub(at))
     }
 
-    /// A heartbeat was answered, or not.
-    pub fn heartbeat(&self, answered: bool) {
+    /// A heartbeat was answered, or not. Returns whether this daemon seems to
+    /// have been cut off from all peers until now.
+    pub fn heartbeat(&self, answered: bool) -> bool {
         let mut state = self.state.lock();
+        let was_alone = state.is_alone();
         state.heartbeats.push_back(answered);
         if state.heartbeats.len() > REMEMBERED {
             state.heartbeats.pop_front();
         }
+        was_alone && answered
+    }
+
+    /// Whether no peer has answered of late.
+    pub fn is_alone(&self) -> bool {
+        self.state.lock().is_alone()
     }
 
     /// Whether this daemon may be cut off from where drains are accepted: no
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod metrics;
 pub mod operator;
 pub mod orders;
+pub mod packed_table;
 pub mod peer;
 pub mod placement;
 pub mod proxy;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -3,30 +3,98 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::Name;
 use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Peer};
+use bankcove_core::{Millis, Name};
+use tokio::sync::Semaphore;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::Daemon;
 use crate::{server_sync, table_sync};
 
+/// A daemon that learns of changes from peers asks the store itself once its view
+/// is older than this, in milliseconds: readers hear of the store each 1.5 s at
+/// least, heartbeats take another 0.5 to 1 s, and changes are to be in force
+/// everywhere within 2 to 3 s.
+const STALE_VIEW_MS: Millis = 2_500;
+
+/// Each daemon that stands further back in the order of readers waits this much
+/// longer, in milliseconds, so that a few step in for readers that are gone, not
+/// all at once.
+const STALE_VIEW_STEP_MS: Millis = 50;
+
+/// The most that all of those steps come to, in milliseconds.
+const STALE_VIEW_STEPS_MS: Millis = 500;
+
+/// Fetches of the table, or of the list, at once: a second peer is asked when the
+/// first is slow or gone.
+const FETCHES: usize = 2;
+
+/// Bounds how often the same news are fetched at once.
+#[derive(Debug)]
+pub struct Fetches {
+    table: Semaphore,
+    servers: Semaphore,
+}
+
+impl Default for Fetches {
+    fn default() -> Self {
+        Fetches { table: Semaphore::new(FETCHES), servers: Semaphore::new(FETCHES) }
+    }
+}
+
 /// Takes in a heartbeat that was received or answered.
 pub fn heard(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
     let now = daemon.clock.now();
     daemon.members.lock().heard(now, heartbeat);
     daemon.contact.store_heard_by_peer(now, heartbeat.store_heard_ms);
-    if heartbeat.revision > daemon.revision() {
-        let daemon = Arc::clone(daemon);
-        let address = heartbeat.address.clone();
-        tokio::spawn(async move { table_sync::fetch_from_peer(&daemon, &address).await });
+    if knows_all_of(daemon, heartbeat) {
+        caught_up(daemon, heartbeat, now);
+        return;
     }
-    if heartbeat.servers_version > daemon.servers.lock().version() {
-        let daemon = Arc::clone(daemon);
-        let address = heartbeat.address.clone();
-        tokio::spawn(async move { server_sync::fetch_from_peer(&daemon, &address).await });
+    let (daemon, heartbeat) = (Arc::clone(daemon), heartbeat.clone());
+    tokio::spawn(async move {
+        fetch_news(&daemon, &heartbeat).await;
+        if knows_all_of(&daemon, &heartbeat) {
+            caught_up(&daemon, &heartbeat, now);
+        }
+    });
+}
+
+/// Whether this daemon's table and list are no older than the sender's.
+fn knows_all_of(daemon: &Daemon, heartbeat: &Heartbeat) -> bool {
+    let servers_version = daemon.servers.lock().version();
+    heartbeat.revision <= daemon.revision() && heartbeat.servers_version <= servers_version
+}
+
+fn caught_up(daemon: &Daemon, heartbeat: &Heartbeat, told_at: Millis) {
+    if let Some(age) = heartbeat.view_age_ms {
+        daemon.contact.caught_up(told_at, age);
+    }
+}
+
+/// Fetches what the sender of a heartbeat knows newer.
+async fn fetch_news(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
+    if heartbeat.revision > daemon.revision()
+        && let Ok(_running) = daemon.fetches.table.try_acquire()
+    {
+        table_sync::fetch_from_peer(daemon, &heartbeat.address).await;
+    }
+    if heartbeat.servers_version > daemon.servers.lock().version()
+        && let Ok(_running) = daemon.fetches.servers.try_acquire()
+    {
+        server_sync::fetch_from_peer(daemon, &heartbeat.address).await;
     }
 }
 
+/// Whether peers tell this daemon of changes in the store, so that it need not
+/// ask itself: others of its hall do, and their word is recent.
+pub fn is_told_by_peers(daemon: &Daemon) -> bool {
+    let rank = daemon.members.lock().reader_rank(&daemon.cfg.hall);
+    let Some(behind) = rank.checked_sub(daemon.cfg.limits.store_readers) else { return false };
+    let steps = (behind as Millis * STALE_VIEW_STEP_MS).min(STALE_VIEW_STEPS_MS);
+    !daemon.contact.is_view_older_than(STALE_VIEW_MS + steps, daemon.clock.now())
+}
+
 /// Sends heartbeats until the daemon ends.
 pub async fn send_heartbeats(daemon: Arc<Daemon>) {
     let interval = Duration::from_millis(daemon.cfg.limits.heartbeat_ms);
@@ -53,7 +121,10 @@
         client.heartbeat(cx, mine).await
     };
     let answer = daemon.peers.call(&peer.address, timeout, beat).await;
-    daemon.contact.heartbeat(answer.is_some());
+    if daemon.contact.heartbeat(answer.is_some()) {
+        slog::info!(daemon.log, "peers regained"; "first" => %peer.name);
+        daemon.members.lock().forgive();
+    }
     match answer {
         Some(heartbeat) => heard(daemon, &heartbeat),
         None => daemon.members.lock().failed(&peer.name),
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -22,6 +22,7 @@
 
 use crate::daemon::Daemon;
 use crate::error::Result;
+use crate::packed_table::PackedTable;
 use crate::{budget_owner, collect, request_log, tcp};
 
 /// Largest message; a whole table fits.
@@ -30,6 +31,10 @@
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
+/// Longest fetch of a table or a list from a peer: 400 KB take 0.3 s on the
+/// narrowest link of the users' hosts, 10 Mbit/s, and a peer may serve three.
+pub const FETCH_TIMEOUT: Duration = Duration::from_millis(1_200);
+
 /// An owner's answer, with the tokens that it sent along.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct OwnerAnswer {
@@ -58,8 +63,8 @@
 pub trait PeerService {
     /// Tells of the sender and asks the same of the receiver.
     async fn heartbeat(from: Heartbeat) -> Heartbeat;
-    /// The table in force, as JSON, when its revision is above this one.
-    async fn table_above(revision: u64) -> Option<String>;
+    /// The table in force, when its revision is above this one.
+    async fn table_above(revision: u64) -> Option<PackedTable>;
     /// The receiver's list of backend servers and its version, when that is
     /// above this one.
     async fn servers_above(version: u64) -> Option<(u64, Vec<ListedServer>)>;
@@ -132,8 +137,9 @@
         let answer = tokio::time::timeout(timeout, call(client, cx)).await;
         match answer {
             Ok(Ok(answer)) => Some(answer),
-            Ok(Err(RpcError::DeadlineExceeded)) | Err(_) => None,
-            Ok(Err(_)) => {
+            // After a cut a connection that was kept waits for its retransmission,
+            // seconds longer than a new one takes.
+            Ok(Err(_)) | Err(_) => {
                 self.clients.lock().remove(address);
                 None
             }
@@ -169,12 +175,18 @@
         self.daemon.heartbeat()
     }
 
-    async fn table_above(self, _: Context, revision: u64) -> Option<String> {
+    async fn table_above(self, _: Context, revision: u64) -> Option<PackedTable> {
         let table = self.daemon.table.load_full()?;
         if table.revision <= revision {
             return None;
         }
-        serde_json::to_string(&*table).ok()
+        match PackedTable::pack(&table) {
+            Ok(packed) => Some(packed),
+            Err(e) => {
+                slog::error!(self.daemon.log, "the table can't be packed"; "error" => %e);
+                None
+            }
+        }
     }
 
     async fn servers_above(self, _: Context, version: u64) -> Option<(u64, Vec<ListedServer>)> {
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -9,10 +9,11 @@
 
 use crate::daemon::Daemon;
 use crate::membership;
+use crate::peer::FETCH_TIMEOUT;
 
 /// Longest watch of the list. A cut path shows only when an answer does not
 /// come, so this is also how long a cut may go unnoticed.
-const WATCH: Duration = Duration::from_secs(2);
+const WATCH: Duration = Duration::from_millis(1_500);
 
 /// Pause after the store did not answer: short, because what a server says of
 /// leaving is to be known within two seconds of the store's return.
@@ -48,10 +49,12 @@
     let mut at = 0;
     let mut was_away = false;
     loop {
-        let readers = membership::store_readers(&daemon);
-        if readers.is_err() && daemon.servers.lock().version() > 0 {
+        let known = daemon.servers.lock().version();
+        if known > 0 && membership::is_told_by_peers(&daemon) {
             // Heartbeats tell of newer lists, and peers hand them over.
-            at = 0;
+            at = known;
+            was_away = false;
+            daemon.contact.store_not_watched();
             tokio::select! {
                 () = tokio::time::sleep(STORE_PAUSE) => continue,
                 () = daemon.ended.cancelled() => return,
@@ -68,7 +71,7 @@
             Ok(None) => return,
             Ok(Some(changes)) => {
                 let now = daemon.clock.now();
-                daemon.contact.store_heard(now);
+                daemon.contact.servers_read(now);
                 at = changes.at;
                 for entry in &changes.unreadable {
                     slog::error!(daemon.log, "a server's entry can't be read";
@@ -106,11 +109,10 @@
 /// Fetches the list from a peer that has a newer one.
 pub async fn fetch_from_peer(daemon: &Arc<Daemon>, address: &str) {
     let version = daemon.servers.lock().version();
-    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
     let fetch = |client: crate::peer::PeerServiceClient, cx| async move {
         client.servers_above(cx, version).await
     };
-    let Some(Some((version, servers))) = daemon.peers.call(address, timeout, fetch).await else {
+    let Some(Some((version, servers))) = daemon.peers.call(address, FETCH_TIMEOUT, fetch).await else {
         return;
     };
     if daemon.servers.lock().adopt(version, servers) {
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -9,13 +9,14 @@
 
 use crate::daemon::Daemon;
 use crate::membership;
+use crate::peer::FETCH_TIMEOUT;
 use crate::server_sync;
 
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
 
 /// Longest watch of the table.
-const WATCH: Duration = Duration::from_secs(2);
+const WATCH: Duration = Duration::from_millis(1_500);
 
 /// Pause after the store did not answer.
 const STORE_PAUSE: Duration = Duration::from_millis(300);
@@ -67,8 +68,7 @@
 pub async fn watch(daemon: Arc<Daemon>) {
     let mut at = 0;
     loop {
-        let readers = membership::store_readers(&daemon);
-        if readers.is_err() && daemon.revision() > 0 {
+        if daemon.revision() > 0 && membership::is_told_by_peers(&daemon) {
             // Heartbeats tell of new revisions, and peers hand them over.
             tokio::select! {
                 () = tokio::time::sleep(STORE_PAUSE) => continue,
@@ -88,7 +88,7 @@
         };
         match watched {
             Ok(watched) => {
-                daemon.contact.store_heard(daemon.clock.now());
+                daemon.contact.table_read(daemon.clock.now());
                 let is_missing = watched.at == 0 && watched.changed.is_none();
                 at = watched.at;
                 if let Some(read) = watched.changed {
@@ -112,12 +112,13 @@
 /// Fetches the table from a peer that has a newer one.
 pub async fn fetch_from_peer(daemon: &Arc<Daemon>, address: &str) {
     let revision = daemon.revision();
-    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
     let fetch = |client: crate::peer::PeerServiceClient, cx| async move {
         client.table_above(cx, revision).await
     };
-    let Some(Some(text)) = daemon.peers.call(address, timeout, fetch).await else { return };
-    match serde_json::from_str(&text) {
+    let Some(Some(packed)) = daemon.peers.call(address, FETCH_TIMEOUT, fetch).await else {
+        return;
+    };
+    match packed.unpack() {
         Ok(table) => adopt(daemon, table),
         Err(e) => slog::warn!(daemon.log, "a peer's table can't be read"; "error" => %e),
     }
