--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -24,6 +24,10 @@
 /// More than this many times what a holder needs ahead is given back.
 const SURPLUS: f64 = 1.5;
 
+/// Less than this part of what a holder needs ahead calls for a draw. With 0.8 and a
+/// shorter horizon as much was refused in cuts and after losses of power.
+const LOW: f64 = 0.5;
+
 /// Terms of a budget's row that go along with a draw.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Terms {
@@ -282,7 +286,8 @@
     /// Whether so little is free that it is time to draw ahead.
     pub fn runs_low(&self, budget: &Name, terms: &Terms, now: Millis) -> bool {
         let Some(account) = self.accounts.get(budget) else { return false };
-        let lacks = account.free() + account.sealed() < account.ahead(terms, now) / 2;
+        let at_hand = account.free() + account.sealed();
+        let lacks = (at_hand as f64) < account.ahead(terms, now) as f64 * LOW;
         lacks || account.unmet > 0
     }
 
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -30,10 +30,14 @@
 /// is of little use to it.
 const BUDGET_WAIT: Duration = Duration::from_millis(150);
 
-/// When to come back after no tokens were in reach here: another daemon, which
-/// the next try most likely comes to, may hold some now.
+/// When to come back after tokens did not come in time: another daemon, which the
+/// next try most likely comes to, may hold some now.
 const RETRY_OUT_OF_REACH: Duration = Duration::from_millis(300);
 
+/// When to come back after neither the store nor a peer had tokens in an outage:
+/// those of the users' days last 7 to 9 s, and what is held lasts for 5 of them.
+const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(4_000);
+
 /// Routes of the callers' side: every path is looked up in the table.
 pub fn router(entry: Arc<Entry>) -> Router {
     Router::with_path("{**rest}").hoop(affix_state::inject(entry)).goal(serve)
@@ -192,7 +196,7 @@
         Ok(Err(refusal)) => {
             let retry_after = Duration::from_millis(refusal.retry_after_ms);
             Err(if refusal.store_away {
-                let retry_after = RETRY_OUT_OF_REACH;
+                let retry_after = RETRY_AFTER_OUTAGE;
                 Refusal::BudgetOutOfReach { budget: name, tokens, retry_after }
             } else {
                 Refusal::BudgetShort { budget: name, tokens, retry_after }
