--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -201,9 +201,9 @@
         targets
     }
 
-    /// The first `count` usable peers in an order of this daemon's own.
-    pub fn neighbours(&self, count: usize) -> Vec<Peer> {
-        first_by_score(self.usable().collect(), name_key(&self.me), count)
+    /// Up to `count` usable peers, drawn by `seed`.
+    pub fn some(&self, count: usize, seed: u64) -> Vec<Peer> {
+        first_by_score(self.usable().collect(), seed, count)
     }
 
     /// Usable peers and this daemon (none) in the order of their claim to own
--- a/crates/daemon/src/borrow.rs
+++ b/crates/daemon/src/borrow.rs
@@ -16,9 +16,9 @@
 use crate::daemon::Daemon;
 use crate::peer::PeerServiceClient;
 
-/// Peers asked at once: all others of a small fleet, the nearest neighbours in a
-/// large one.
-const LENDERS: usize = 8;
+/// Peers asked at once: all others of a small fleet, others each time in a large
+/// one, so that in the end any peer's tokens can be had.
+const LENDERS: usize = 10;
 
 /// Rounds of asking: first each for its part, then each for all that is missing.
 const ROUNDS: u32 = 2;
@@ -33,7 +33,7 @@
     if daemon.cfg.limits.witnesses > 0 || daemon.contact.is_alone() {
         return false;
     }
-    let lenders = daemon.members.lock().neighbours(LENDERS);
+    let lenders = daemon.members.lock().some(LENDERS, rand::random());
     let mut borrowed = 0;
     for round in 0..ROUNDS {
         if lenders.is_empty() || borrowed >= missing {
