What arrives after a holder's end is nobody's; asking and allotting in a file of their own

Cause, found by reading the diff: a planned stop retires a holder with what it has, and the ledger drops its grant. The answer of a draw that was written before may arrive later; its tokens are the ledger's again by then, but peers could have borrowed them, or been handed them on: spend beyond a budget. A retired account has nothing free now.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -165,6 +165,9 @@
     pub spent: Tokens,
     /// Tokens set aside for running attempts.
     pub reserved: Tokens,
+    /// Whether the store was told that this holder ends: what still arrives is not
+    /// the holder's any more, since the store may have granted it to others by then.
+    retired: bool,
     rate: Rate,
     handed_on: Rate,
     /// Tokens that other daemons wanted ahead since the last draw and did not get.
@@ -200,6 +203,9 @@
 
     /// Tokens that may be reserved now.
     pub fn free(&self) -> Tokens {
+        if self.retired {
+            return 0;
+        }
         let credits = self.opened + self.received.values().sum::<Tokens>();
         let debits = self.returned + self.sent.values().sum::<Tokens>();
         credits - debits - self.spent - self.reserved
@@ -476,6 +482,7 @@
         let kept = account.opened as i64 - account.free() as i64 - account.returned as i64;
         account.returned += account.free();
         account.granted = account.opened;
+        account.retired = true;
         kept
     }
 }
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -222,3 +222,20 @@
     assert_eq!(world.holders[1].free(&budget()), TOTAL / 2);
     assert_eq!(world.holders[OWNER].free(&budget()), TOTAL / 2);
 }
+
+#[test]
+fn what_arrives_after_the_end_of_a_holder_is_nobodys() {
+    let mut holder = Holder::new(Incarnation(1));
+    holder.granted(&budget(), 500);
+    holder.opened(&budget(), 500);
+    assert_eq!(holder.retire(&budget()), 0);
+    // The answer of a draw that was written before: the store has taken it back.
+    holder.granted(&budget(), 900);
+    holder.opened(&budget(), 900);
+    assert!(holder.reserve(&budget(), 1, 0).is_err());
+    let mut peer = Holder::new(Incarnation(2));
+    let mut ask = peer.ask(&budget(), Some(Incarnation(1)), 0, &terms(), 0);
+    ask.want = 300;
+    assert_eq!(holder.lend(&ask).cumulative, 0);
+    assert!(holder.allot(&Ask { need: 100, ..ask }, 0).is_err());
+}
--- /dev/null
+++ b/crates/daemon/src/allotment.rs
@@ -0,0 +1,101 @@
+//! Tokens handed on in a large fleet: asking the owner of a budget's shard, and
+//! answering as the owner.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::Tokens;
+use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::members::Peer;
+use bankcove_core::owner::RETRY_SOON_MS;
+use bankcove_core::shard::shard_of_budget;
+use bankcove_core::table::Budget;
+use serde::{Deserialize, Serialize};
+
+use crate::budgets::{OWNER_KEY, Refusal, Source, is_small_fleet, obtain, prepare, terms};
+use crate::daemon::Daemon;
+use crate::peer::PeerServiceClient;
+
+/// An owner's answer to a daemon that asks for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AllotAnswer {
+    /// Tokens were handed on.
+    Allotted(Allotted),
+    /// None were.
+    Refused(Refusal),
+}
+
+/// Hands tokens on to a daemon that takes this one for the owner.
+pub async fn allot(daemon: &Arc<Daemon>, ask: Ask) -> AllotAnswer {
+    let away = Refusal { retry_after_ms: RETRY_SOON_MS, store_away: true };
+    let table = daemon.table.load_full();
+    let Some(budget) = table.as_ref().and_then(|table| table.budget(&ask.budget)) else {
+        return AllotAnswer::Refused(away);
+    };
+    if daemon.stopping.is_cancelled() {
+        return AllotAnswer::Refused(away);
+    }
+    daemon.budgets.holder().asked(&ask);
+    let arrived = daemon.clock.now();
+    let try_now = || daemon.budgets.holder().allot(&ask, arrived);
+    let allotted = match try_now() {
+        Ok(allotted) => Ok(allotted),
+        Err(_) => {
+            // The next draw serves all that wait by then, not one after the other.
+            daemon.budgets.holder().owe(&ask);
+            obtain(daemon, budget, Source::Store, arrived, try_now).await
+        }
+    };
+    prepare(daemon, budget);
+    match allotted {
+        Ok(allotted) => AllotAnswer::Allotted(allotted),
+        Err(refusal) => AllotAnswer::Refused(refusal),
+    }
+}
+
+/// Peers to ask for tokens, the first one first; none when this daemon is the
+/// owner itself, or the fleet so small that each draws by itself.
+pub fn owners_to_ask(daemon: &Daemon, budget: &Budget) -> Vec<Peer> {
+    let limits = &daemon.cfg.limits;
+    // Sealed grants are drawn by the owner in the name of the holder.
+    if limits.witnesses > 0 || is_small_fleet(daemon) {
+        return Vec::new();
+    }
+    let key = OWNER_KEY + u64::from(shard_of_budget(&budget.name, limits.budget_shards));
+    let ranked = daemon.members.lock().owners(key, limits.owners_tried);
+    ranked.into_iter().map_while(|owner| owner).collect()
+}
+
+/// Asks one peer for tokens; none when it does not answer, or is cut off from
+/// the store itself.
+pub async fn ask_for_tokens(
+    daemon: &Arc<Daemon>,
+    budget: &Budget,
+    need: Tokens,
+    owner: &Peer,
+) -> Option<Result<(), Refusal>> {
+    if daemon.contact.is_alone() {
+        return None;
+    }
+    let terms = terms(daemon, budget);
+    let now = daemon.clock.now();
+    let ask = daemon.budgets.holder().ask(&budget.name, owner.incarnation, need, &terms, now);
+    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let call = |client: PeerServiceClient, cx| async move { client.allot(cx, ask).await };
+    let answer = daemon.peers.call(&owner.address, timeout, call).await;
+    slog::info!(daemon.log, "tokens asked for";
+        "budget" => %budget.name, "need" => need, "owner" => %owner.name, "answer" => ?answer,
+        "took_ms" => daemon.clock.now().saturating_sub(now));
+    match answer {
+        Some(AllotAnswer::Allotted(allotted)) => {
+            daemon.budgets.holder().allotted(&budget.name, allotted);
+            Some(Ok(()))
+        }
+        Some(AllotAnswer::Refused(refusal)) if refusal.store_away => None,
+        Some(AllotAnswer::Refused(refusal)) => Some(Err(refusal)),
+        None => {
+            daemon.members.lock().failed(&owner.name);
+            None
+        }
+    }
+}
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -4,8 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::holder::{Allotted, Ask, Draw, Holder, Reservation, Shortfall, Terms};
-use bankcove_core::members::Peer;
+use bankcove_core::holder::{Draw, Holder, Reservation, Shortfall, Terms};
 use bankcove_core::owner::{AHEAD_WAIT_MS, RETRY_SOON_MS, Reply, Request};
 use bankcove_core::table::Budget;
 use bankcove_core::witness::Marks;
@@ -14,8 +13,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use bankcove_core::shard::shard_of_budget;
-
+use crate::allotment::{ask_for_tokens, owners_to_ask};
 use crate::borrow;
 use crate::budget_owner::{Owners, ask_local_owner, shard_of_request};
 use crate::collect::{open, witnesses};
@@ -52,22 +50,13 @@
 
 /// Where more tokens come from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Source {
+pub(crate) enum Source {
     /// The owner of the shard, in a large fleet; else the store.
     Owner,
     /// The store: this daemon was asked as the owner, and asks no further.
     Store,
 }
 
-/// An owner's answer to a daemon that asks for tokens.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum AllotAnswer {
-    /// Tokens were handed on.
-    Allotted(Allotted),
-    /// None were.
-    Refused(Refusal),
-}
-
 /// Why tokens were refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Refusal {
@@ -171,7 +160,7 @@
 }
 
 /// Draws until `try_now` has what it takes.
-async fn obtain<T>(
+pub(crate) async fn obtain<T>(
     daemon: &Arc<Daemon>,
     budget: &Budget,
     source: Source,
@@ -210,34 +199,6 @@
     Err(Refusal { retry_after_ms: RETRY_SOON_MS, store_away: false })
 }
 
-/// Hands tokens on to a daemon that takes this one for the owner.
-pub async fn allot(daemon: &Arc<Daemon>, ask: Ask) -> AllotAnswer {
-    let away = Refusal { retry_after_ms: RETRY_SOON_MS, store_away: true };
-    let table = daemon.table.load_full();
-    let Some(budget) = table.as_ref().and_then(|table| table.budget(&ask.budget)) else {
-        return AllotAnswer::Refused(away);
-    };
-    if daemon.stopping.is_cancelled() {
-        return AllotAnswer::Refused(away);
-    }
-    daemon.budgets.holder.lock().asked(&ask);
-    let arrived = daemon.clock.now();
-    let try_now = || daemon.budgets.holder.lock().allot(&ask, arrived);
-    let allotted = match try_now() {
-        Ok(allotted) => Ok(allotted),
-        Err(_) => {
-            // The next draw serves all that wait by then, not one after the other.
-            daemon.budgets.holder.lock().owe(&ask);
-            obtain(daemon, budget, Source::Store, arrived, try_now).await
-        }
-    };
-    prepare(daemon, budget);
-    match allotted {
-        Ok(allotted) => AllotAnswer::Allotted(allotted),
-        Err(refusal) => AllotAnswer::Refused(refusal),
-    }
-}
-
 /// Brings `need` more tokens and some ahead.
 async fn refill(
     daemon: &Arc<Daemon>,
@@ -259,55 +220,8 @@
     draw(daemon, budget, need).await
 }
 
-/// Peers to ask for tokens, the first one first; none when this daemon is the
-/// owner itself, or the fleet so small that each draws by itself.
-fn owners_to_ask(daemon: &Daemon, budget: &Budget) -> Vec<Peer> {
-    let limits = &daemon.cfg.limits;
-    // Sealed grants are drawn by the owner in the name of the holder.
-    if limits.witnesses > 0 || is_small_fleet(daemon) {
-        return Vec::new();
-    }
-    let key = OWNER_KEY + u64::from(shard_of_budget(&budget.name, limits.budget_shards));
-    let ranked = daemon.members.lock().owners(key, limits.owners_tried);
-    ranked.into_iter().map_while(|owner| owner).collect()
-}
-
-/// Asks one peer for tokens; none when it does not answer, or is cut off from
-/// the store itself.
-async fn ask_for_tokens(
-    daemon: &Arc<Daemon>,
-    budget: &Budget,
-    need: Tokens,
-    owner: &Peer,
-) -> Option<Result<(), Refusal>> {
-    if daemon.contact.is_alone() {
-        return None;
-    }
-    let terms = terms(daemon, budget);
-    let now = daemon.clock.now();
-    let ask = daemon.budgets.holder().ask(&budget.name, owner.incarnation, need, &terms, now);
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
-    let call = |client: PeerServiceClient, cx| async move { client.allot(cx, ask).await };
-    let answer = daemon.peers.call(&owner.address, timeout, call).await;
-    slog::info!(daemon.log, "tokens asked for";
-        "budget" => %budget.name, "need" => need, "owner" => %owner.name, "answer" => ?answer,
-        "took_ms" => daemon.clock.now().saturating_sub(now));
-    match answer {
-        Some(AllotAnswer::Allotted(allotted)) => {
-            daemon.budgets.holder().allotted(&budget.name, allotted);
-            Some(Ok(()))
-        }
-        Some(AllotAnswer::Refused(refusal)) if refusal.store_away => None,
-        Some(AllotAnswer::Refused(refusal)) => Some(Err(refusal)),
-        None => {
-            daemon.members.lock().failed(&owner.name);
-            None
-        }
-    }
-}
-
 /// Whether each daemon writes by itself.
-fn is_small_fleet(daemon: &Daemon) -> bool {
+pub(crate) fn is_small_fleet(daemon: &Daemon) -> bool {
     let daemons = 1 + daemon.members.lock().usable().count();
     daemons <= daemon.cfg.limits.direct_daemons
 }
@@ -337,7 +251,7 @@
 }
 
 /// Opens and draws ahead when little is left, away from the path of any request.
-fn prepare(daemon: &Arc<Daemon>, budget: &Budget) {
+pub(crate) fn prepare(daemon: &Arc<Daemon>, budget: &Budget) {
     let terms = terms(daemon, budget);
     let now = daemon.clock.now();
     let (closes, runs_low) = {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -4,6 +4,7 @@
 //! of the store into events and carries out the commands that come back.
 
 pub mod admission;
+pub mod allotment;
 pub mod answer;
 pub mod args;
 pub mod backend;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -21,11 +21,11 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::budgets::AllotAnswer;
+use crate::allotment::{self, AllotAnswer};
 use crate::daemon::Daemon;
 use crate::error::Result;
 use crate::packed_table::PackedTable;
-use crate::{budget_owner, budgets, collect, request_log, tcp};
+use crate::{budget_owner, collect, request_log, tcp};
 
 /// Largest message; a whole table fits.
 const MAX_FRAME_BYTES: usize = 32 << 20;
@@ -217,7 +217,7 @@
     }
 
     async fn allot(self, _: Context, ask: Ask) -> AllotAnswer {
-        budgets::allot(&self.daemon, ask).await
+        allotment::allot(&self.daemon, ask).await
     }
 
     async fn lend(self, _: Context, ask: Ask) -> Allotted {
