A planned stop during an outage hands its tokens to a peer

Changed: when the store is known to be away, a stopping daemon debits all that is free and tells one peer the cumulative sum; told again it counts once.

--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -181,6 +181,12 @@
         Allotted { owner, cumulative: *sent, share: 0 }
     }
 
+    /// Debits all that is free, for a peer that goes on; returns the cumulative sum
+    /// sent to it, which may be told again.
+    pub fn hand_over(&mut self, budget: &Name, receiver: Incarnation) -> Tokens {
+        self.give(budget, receiver, 0, Tokens::MAX)
+    }
+
     /// Takes in what a peer has lent; returns how many tokens are new.
     pub fn lent(&mut self, budget: &Name, lent: Allotted) -> Tokens {
         let before = self.received_from(budget, lent.owner);
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -239,3 +239,18 @@
     assert_eq!(holder.lend(&ask).cumulative, 0);
     assert!(holder.allot(&Ask { need: 100, ..ask }, 0).is_err());
 }
+
+#[test]
+fn what_is_handed_over_counts_once_however_often_it_is_told() {
+    let mut world = World::new();
+    world.ask(1, OWNER, 400, Way::Both);
+    let (from, to) = (world.holders[1].incarnation(), world.holders[2].incarnation());
+    for _ in 0..3 {
+        let sum = world.holders[1].hand_over(&budget(), to);
+        world.holders[2].received(&budget(), from, sum);
+    }
+    assert_eq!(world.holders[1].free(&budget()), 0);
+    assert_eq!(world.holders[2].free(&budget()), 400);
+    assert_eq!(world.in_all(), TOTAL);
+    assert_eq!(world.holders[1].retire(&budget()), 0);
+}
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -18,6 +18,7 @@
 use crate::budget_owner::{Owners, ask_local_owner, shard_of_request};
 use crate::collect::{open, witnesses};
 use crate::daemon::Daemon;
+use crate::hand_over::hand_over;
 use crate::peer::{OwnerAnswer, PeerServiceClient};
 
 /// Draws for one request before it is refused: each may bring tokens that
@@ -431,6 +432,7 @@
 /// Gives every unspent token back to the store, for a planned stop. Returns
 /// whether the store has recorded all of it.
 pub async fn retire(daemon: &Arc<Daemon>) -> bool {
+    hand_over(daemon).await;
     let kept: Vec<(Name, i64)> = {
         let mut holder = daemon.budgets.holder.lock();
         let names: Vec<Name> = holder.accounts().keys().cloned().collect();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod dump;
 pub mod entry;
 pub mod error;
+pub mod hand_over;
 pub mod health;
 pub mod http;
 pub mod identity;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -81,6 +81,9 @@
     /// Asks the receiver for a part of what it has free, while no more can be
     /// drawn from the store.
     async fn lend(ask: Ask) -> Allotted;
+    /// Hands the receiver what `from`, which stops while the store is away, had free:
+    /// a cumulative sum. Whether the receiver is still this start of it.
+    async fn take(budget: Name, receiver: Incarnation, from: Incarnation, sum: Tokens) -> bool;
     /// Asks `holder` for up to `most` of what it has free of a budget.
     async fn give(
         budget: Name,
@@ -224,6 +227,21 @@
         self.daemon.budgets.holder().lend(&ask)
     }
 
+    async fn take(
+        self,
+        _: Context,
+        budget: Name,
+        receiver: Incarnation,
+        from: Incarnation,
+        sum: Tokens,
+    ) -> bool {
+        let is_me = receiver == self.daemon.incarnation;
+        if is_me {
+            self.daemon.budgets.holder().received(&budget, from, sum);
+        }
+        is_me
+    }
+
     async fn give(
         self,
         _: Context,
