--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -1,8 +1,11 @@
 //! Tokens that daemons hand on to each other: never in two places, whatever
 //! becomes of the messages, and spread by what each one spends.
 
+mod common;
+
 use bankcove_core::holder::{Allotted, Ask, Holder, Reservation, Terms};
-use bankcove_core::{Incarnation, Millis, Name, Tokens};
+use bankcove_core::{Incarnation, Millis, Tokens};
+use common::budget;
 use proptest::prelude::*;
 
 const TOTAL: Tokens = 10_000;
@@ -11,19 +14,8 @@
 /// The one that has the grant of the store; others ask it and each other.
 const OWNER: usize = 0;
 
-fn budget() -> Name {
-    Name::from("main")
-}
-
 fn terms() -> Terms {
-    Terms {
-        tokens: TOTAL,
-        version: 1,
-        horizon_s: 10.0,
-        share_divisor: 4,
-        held_ahead: 0.1,
-        daemons: HOLDERS as u64,
-    }
+    common::terms(TOTAL, HOLDERS as u64)
 }
 
 /// Which of the two messages of a call get through.
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -18,6 +18,11 @@
     Name::from(BUDGET)
 }
 
+/// Terms of a row of so many tokens, shared by so many daemons.
+pub fn terms(tokens: Tokens, daemons: u64) -> Terms {
+    Terms { tokens, version: 1, horizon_s: 10.0, share_divisor: 4, held_ahead: 0.1, daemons }
+}
+
 /// What became of one question.
 enum Answer {
     Granted,
--- a/crates/core/tests/direct_draws.rs
+++ b/crates/core/tests/direct_draws.rs
@@ -1,10 +1,13 @@
 //! Daemons that write a budget's shard by themselves: whatever becomes of writes
 //! and of daemons, no more is handed out than the budget holds.
 
+mod common;
+
 use bankcove_core::holder::{Holder, LEFT_PER_HELD, Reservation, Terms};
 use bankcove_core::owner::{Command, Event, Owner, Reply, Request};
 use bankcove_core::shard::Shard;
-use bankcove_core::{Incarnation, Millis, Name, Tokens};
+use bankcove_core::{Incarnation, Millis, Tokens};
+use common::budget;
 use proptest::prelude::*;
 
 const TOTAL: Tokens = 10_000;
@@ -13,19 +16,8 @@
 /// Writes that are refused in a row before the store takes one.
 const TRIES: u32 = 50;
 
-fn budget() -> Name {
-    Name::from("main")
-}
-
 fn terms() -> Terms {
-    Terms {
-        tokens: TOTAL,
-        version: 1,
-        horizon_s: 10.0,
-        share_divisor: 4,
-        held_ahead: 0.1,
-        daemons: DAEMONS as u64,
-    }
+    common::terms(TOTAL, DAEMONS as u64)
 }
 
 /// What becomes of the next call of the store.
