A planned stop gives its tokens back before the platform's kill

Cause: with a stream open when the grace time was nearly over, the drain gave up after 7 s, and the stop then waited for the same work until the platform killed it at 8 s; giving tokens back came after that and never ran.

Now the horizon of a daemon that leaves is a second, and none once it takes no more requests; what is free beyond it goes back at each of these moments and as streams end, and the grant ends 1 s before the kill with what is still reserved. While the store is away nothing is debited that can't be told. Streams log their time to the first event and their longest pause, so that late ones can be traced.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -257,6 +257,11 @@
         self.accounts.get(budget).map_or(0, |account| account.reserved)
     }
 
+    /// Tokens of all budgets set aside for running attempts.
+    pub fn reserved_in_all(&self) -> Tokens {
+        self.accounts.values().map(|account| account.reserved).sum()
+    }
+
     /// Whom this daemon ever sent tokens of `budget` to.
     pub fn receivers(&self, budget: &Name) -> Vec<Incarnation> {
         let account = self.accounts.get(budget);
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -45,6 +45,10 @@
 /// Pause between two looks at what is held.
 const TEND: Duration = Duration::from_millis(1_000);
 
+/// How far ahead a daemon draws that leaves, in seconds of recent spending: the
+/// store answers its draws, and callers come to it for 2.5 s more.
+const LEAVING_HORIZON_S: f64 = 1.0;
+
 /// Mixed into the shard's number, so that budget shards and log shards do not
 /// share owners.
 pub const OWNER_KEY: u64 = 0x6275_6467_6574_0000;
@@ -239,6 +243,12 @@
     if daemon.cfg.limits.witnesses > 0 {
         return terms;
     }
+    if daemon.leaving.is_cancelled() {
+        // What it holds goes back before the kill, and is drawn anew where it is needed.
+        let is_stopping = daemon.stopping.is_cancelled();
+        let horizon_s = if is_stopping { 0.0 } else { LEAVING_HORIZON_S };
+        return Terms { horizon_s, held_ahead: 0.0, ..terms };
+    }
     if daemon.clock.now() < MEMBERS_KNOWN_MS {
         // Alone as it seems, this daemon would take all shares for itself.
         return Terms { daemons: terms.daemons.max(UNKNOWN_FLEET), ..terms };
@@ -281,12 +291,14 @@
 
 /// Keeps what is held of each budget near what is needed ahead, until the
 /// daemon ends: what is held too much would be lost with this host, and is
-/// missing elsewhere; what is held too little is missing in a cut.
+/// missing elsewhere; what is held too little is missing in a cut. A daemon that
+/// stops needs next to nothing: what streams leave over goes back as they end.
 pub async fn tend(daemon: Arc<Daemon>) {
     loop {
         tokio::select! {
             () = tokio::time::sleep(TEND) => {}
-            () = daemon.stopping.cancelled() => return,
+            () = next_phase_of_stop(&daemon) => {}
+            () = daemon.ended.cancelled() => return,
         }
         let Some(table) = daemon.table.load_full() else { continue };
         for budget in &table.budgets {
@@ -295,16 +307,35 @@
     }
 }
 
+/// Waits until a planned stop begins, or enters its next phase; in the last one for
+/// ever.
+async fn next_phase_of_stop(daemon: &Daemon) {
+    if !daemon.leaving.is_cancelled() {
+        return daemon.leaving.cancelled().await;
+    }
+    if !daemon.stopping.is_cancelled() {
+        return daemon.stopping.cancelled().await;
+    }
+    std::future::pending().await
+}
+
 fn tend_one(daemon: &Arc<Daemon>, budget: &Budget) {
     let terms = terms(daemon, budget);
     let now = daemon.clock.now();
     let owner = owners_to_ask(daemon, budget).into_iter().next().and_then(|peer| peer.incarnation);
+    if owner.is_none() && daemon.contact.is_store_away(now) {
+        // Debited and not told, it would serve nobody until the store is back.
+        return;
+    }
     let returned = match owner {
         Some(owner) => daemon.budgets.holder().give_back_surplus(&budget.name, owner, &terms, now),
         None => daemon.budgets.holder().return_surplus(&budget.name, &terms, now),
     };
     if returned == 0 {
-        return prepare(daemon, budget);
+        if !daemon.stopping.is_cancelled() {
+            prepare(daemon, budget);
+        }
+        return;
     }
     slog::info!(daemon.log, "tokens given back"; "budget" => %budget.name, "tokens" => returned);
     let (daemon, budget) = (Arc::clone(daemon), budget.clone());
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -31,6 +31,10 @@
 /// How long a planned stop waits for a store that is away, to give tokens back.
 const RETIRE_PATIENCE: Duration = Duration::from_secs(30);
 
+/// Part of the time of a planned stop that is kept for what follows once tokens are
+/// given back: the host leaves the list, and the end is logged before the kill.
+const CLOSING: Duration = Duration::from_millis(300);
+
 /// Pause between two tries to give tokens back.
 const RETIRE_RETRY: Duration = Duration::from_millis(500);
 
@@ -158,37 +162,47 @@
     }
 
     /// Stops as planned: nothing in flight is cut, and everything held is
-    /// given back.
+    /// given back but for what requests in flight may still cost.
     pub async fn stop(self) {
         let daemon = &self.daemon;
-        let limit = Duration::from_millis(daemon.cfg.limits.stop_timeout_ms);
-        let deadline = Instant::now() + limit;
-        if let Some(entry) = &daemon.cfg.entry {
-            entry::stop::drain(daemon, Duration::from_secs_f64(entry.stop_grace_s)).await;
-        }
-        slog::info!(daemon.log, "stopping"; "in_flight" => daemon.work.len());
-        daemon.stopping.cancel();
+        let deadline = Instant::now() + Duration::from_millis(daemon.cfg.limits.stop_timeout_ms);
+        let finished = match &daemon.cfg.entry {
+            Some(entry) => {
+                entry::stop::drain(daemon, Duration::from_secs_f64(entry.stop_grace_s)).await
+            }
+            None => end_work(daemon, deadline).await,
+        };
         // Peers learn at once that this daemon takes nothing new.
-        membership::beat(daemon).await;
-        daemon.work.close();
-        let finished = tokio::time::timeout_at(deadline, daemon.work.wait()).await.is_ok();
-        while daemon.billing.waiting() > 0 && Instant::now() < deadline {
-            tokio::time::sleep(STOP_POLL).await;
-        }
-        let retired = retire(daemon, deadline).await;
+        let ((), retired) = tokio::join!(membership::beat(daemon), retire(daemon, deadline));
         if let Err(e) = daemon.store.api().withdraw(&own_host(daemon)).await {
             slog::warn!(daemon.log, "this host stays on the list"; "error" => %e);
         }
+        slog::info!(daemon.log, "stopped"; "finished" => finished, "retired" => retired,
+            "open" => daemon.work.len(), "reserved" => daemon.budgets.holder().reserved_in_all(),
+            "bills_waiting" => daemon.billing.waiting());
+        // What is open may go on until the platform's kill. Time over: the sides end.
+        let _over = tokio::time::timeout_at(deadline, daemon.work.wait()).await;
         self.sides.iter().for_each(|side| side.handle.stop_graceful(CLOSE_TIMEOUT));
         // The sides end by themselves; a failed task has ended as well.
         let ends = self.sides.into_iter().map(|side| side.task);
         let _ended = tokio::time::timeout(CLOSE_TIMEOUT * 2, futures::future::join_all(ends)).await;
         daemon.ended.cancel();
-        slog::info!(daemon.log, "stopped"; "finished" => finished, "retired" => retired,
-            "bills_waiting" => daemon.billing.waiting());
     }
 }
 
+/// Takes no more requests and waits until those in flight have ended and are
+/// billed; whether all have ended.
+async fn end_work(daemon: &Arc<Daemon>, deadline: Instant) -> bool {
+    slog::info!(daemon.log, "stopping"; "in_flight" => daemon.work.len());
+    daemon.stopping.cancel();
+    daemon.work.close();
+    let finished = tokio::time::timeout_at(deadline, daemon.work.wait()).await.is_ok();
+    while daemon.billing.waiting() > 0 && Instant::now() < deadline {
+        tokio::time::sleep(STOP_POLL).await;
+    }
+    finished
+}
+
 /// Starts the sides of a platform with a wire of its own.
 async fn start_entry(entry: Arc<Entry>) -> Result<Vec<Side>> {
     let mut sides = Vec::new();
@@ -226,7 +240,7 @@
 
 /// Gives everything held back to the store; again while the store is away.
 async fn retire(daemon: &Arc<Daemon>, deadline: Instant) -> bool {
-    let deadline = deadline.min(Instant::now() + RETIRE_PATIENCE);
+    let deadline = (deadline - CLOSING).min(Instant::now() + RETIRE_PATIENCE);
     loop {
         if budgets::retire(daemon).await {
             return true;
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -10,6 +10,7 @@
 pub mod charge;
 pub mod forward;
 pub mod link_use;
+pub mod pace;
 pub mod plan;
 pub mod ready;
 pub mod refusal;
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -18,6 +18,7 @@
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::forward::{Tried, attempt, log_end, log_try};
+use crate::entry::pace::Pace;
 use crate::placement::OpenRequest;
 
 /// A stream of events on its way to the caller.
@@ -29,6 +30,7 @@
     choice: Choice,
     splitter: EventSplitter,
     order: Order,
+    pace: Pace,
 }
 
 /// What one read of the server's stream has brought.
@@ -43,7 +45,9 @@
     /// A stream whose head has come.
     pub fn new(call: Call, charge: Charge, body: Body, open: OpenRequest, choice: Choice) -> Self {
         let order = Order::after(call.incoming.resume_after);
-        Relay { call, charge, body, open, choice, splitter: EventSplitter::default(), order }
+        let pace = Pace::since(call.arrived);
+        let splitter = EventSplitter::default();
+        Relay { call, charge, body, open, choice, splitter, order, pace }
     }
 
     /// The events as the body of an answer. An error breaks the answer off, so
@@ -65,6 +69,7 @@
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
                     self.charge.whole();
+                    self.log_pace();
                     log_end(&self.call, &self.charge, "stream ended", StatusCode::OK);
                     return None;
                 }
@@ -98,6 +103,7 @@
                 Err(problem) => return Read::Broken(problem),
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => {
+                    self.pace.event();
                     self.call.link.sent(events.len());
                     return Read::Events(events);
                 }
@@ -148,6 +154,20 @@
         false
     }
 
+    /// Whether the stream came late and by what: its first event or a pause.
+    fn log_pace(&self) {
+        let metrics = &self.call.entry.daemon.metrics;
+        let (first_ms, pause_ms) = (self.pace.first_ms(), self.pace.longest_pause_ms());
+        if let Some(first_ms) = first_ms {
+            metrics.time("stream.first_ms", first_ms);
+        }
+        metrics.time("stream.pause_ms", pause_ms);
+        slog::info!(self.call.log, "stream came";
+            "route" => %self.call.plan.route.name, "server" => %self.choice.server,
+            "first_ms" => first_ms, "longest_pause_ms" => pause_ms,
+            "prompt_tokens" => self.call.incoming.prompt.as_ref().map(|prompt| prompt.input_tokens));
+    }
+
     fn break_off(&self, problem: &'static str) -> io::Error {
         self.call.entry.daemon.metrics.count("stream.broken_off");
         slog::warn!(self.call.log, "stream broken off";
--- a/crates/daemon/src/entry/stop.rs
+++ b/crates/daemon/src/entry/stop.rs
@@ -21,9 +21,10 @@
 /// Longest pause between two looks whether all requests have ended.
 const POLL: Duration = Duration::from_millis(50);
 
-/// Leaves the platform's balancer and lets requests in flight end. Returns when
-/// none is left or the grace time is nearly over.
-pub async fn drain(daemon: &Arc<Daemon>, grace: Duration) {
+/// Leaves the platform's balancer and lets requests in flight end; whether all
+/// have ended before the grace time is nearly over. What is free of the budgets
+/// goes back meanwhile.
+pub async fn drain(daemon: &Arc<Daemon>, grace: Duration) -> bool {
     let started = Instant::now();
     let last = started + grace.saturating_sub(RESERVE);
     daemon.leaving.cancel();
@@ -43,4 +44,5 @@
     slog::info!(daemon.log, "drained";
         "all_ended" => ended, "open" => daemon.work.len(),
         "after_ms" => started.elapsed().as_millis() as u64);
+    ended
 }
