Long prompts pass by slower servers; what is unread bounds a server's part

The router knew neither the servers' speeds nor what they have to read.

Now streams that end tell a server's usual time between two events and what a prompt does to it; long prompts pass by servers that are slower than the pool's mean and would exceed the tightest pause of its routes, as long as others have no more than their part to read. Heartbeats tell 16 servers' paces, so that a daemon that has just started knows them. Another hall is tried before a server that does not fit.

Tests first, in crates/core/tests/router.rs.

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -178,6 +178,7 @@
         stopping: false,
         store_heard_ms: Some(120),
         view_age_ms: Some(120),
+        paces: Vec::new(),
     }
 }
 
--- a/crates/bench/src/routing_world.rs
+++ b/crates/bench/src/routing_world.rs
@@ -228,7 +228,7 @@
             let Some(server) = self.choose(&request, &tried) else { break };
             let name = Name::from(format!("server-{server}"));
             let router = &mut self.routers[request.daemon];
-            router.sent(&name);
+            router.sent(&name, 0);
             if self.refuses(server) {
                 self.routers[request.daemon].ended(self.now, &name, false);
                 self.outcome.sent_again += 1;
@@ -248,6 +248,7 @@
                 let wanted = Wanted {
                     pool: "m",
                     prefix: request.prefix.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                    prompt_tokens: 0,
                     hour: 0,
                     seed: self.rng.random(),
                     tried,
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -9,6 +9,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::id::rendezvous_score;
+use crate::router::ServerPace;
 use crate::server_list::ListVersion;
 use crate::{Incarnation, Millis, Name};
 
@@ -77,6 +78,9 @@
     pub store_heard_ms: Option<Millis>,
     /// How old the sender's table and list of servers may be, at most.
     pub view_age_ms: Option<Millis>,
+    /// How fast some of the backend servers are, others in each heartbeat.
+    #[serde(default)]
+    pub paces: Vec<ServerPace>,
 }
 
 /// A peer as this daemon sees it.
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -3,26 +3,26 @@
 //! Halls are taken by weighted rendezvous over the prompt's prefix, so equal
 //! prefixes go to the same hall and halls share work by their weights. Within
 //! a hall a ring of hashed points gives each prefix a first server; the load
-//! bound passes work on when that server has more than its part. A decision
+//! bound passes work on when that server has more than its part, and long
+//! prompts pass by servers whose streams would pause for too long. A decision
 //! costs a binary search and a few looks, whatever the number of servers.
 
-use std::collections::HashMap;
-
-use serde::{Deserialize, Serialize};
-use xxhash_rust::xxh3::xxh3_64;
-
-use crate::id::rendezvous_score;
-use crate::table::{HOURS, RouteTarget, Server, ServerKind, ServerState, Table};
-use crate::{Millis, Name};
+mod load;
+mod pool;
+mod reading;
+mod view;
 
-/// Points on a hall's ring for a server of weight 1.
-const POINTS_PER_SERVER: f64 = 32.0;
+pub use reading::{ServerPace, StreamPace};
+pub use view::{LoadReport, ServerView};
 
-/// Most points of one server, whatever its weight.
-const MAX_POINTS: u32 = 512;
+use std::collections::HashMap;
 
-/// A server may have this many times its hall's mean load.
-const LOAD_BOUND: f64 = 1.25;
+use crate::router::load::Load;
+use crate::router::pool::{HallPool, Pool};
+use crate::router::reading::{Reading, mean};
+use crate::router::view::{EJECT_AFTER, EJECT_MAX_MS, EJECT_MS, LEAVING_WORD_MS, SLOW_RETURN_MS};
+use crate::table::{HOURS, RouteTarget, Server, ServerKind, Table};
+use crate::{Millis, Name, Tokens};
 
 /// Load that is allowed beyond the bound, so that idle halls keep affinity.
 const LOAD_SLACK: f64 = 4.0;
@@ -30,33 +30,6 @@
 /// Servers looked at along the ring before any usable one is taken.
 const LOOKS: usize = 16;
 
-/// Failures in a row that eject a server.
-const EJECT_AFTER: u32 = 3;
-
-/// First ejection; each further one is twice as long.
-const EJECT_MS: Millis = 1_000;
-
-/// Longest ejection.
-const EJECT_MAX_MS: Millis = 30_000;
-
-/// After an ejection a server takes its full share again only after this long.
-const SLOW_RETURN_MS: Millis = 5_000;
-
-/// A server's own word that it leaves is believed this long.
-const LEAVING_WORD_MS: Millis = 10_000;
-
-/// A load report, as servers tell it.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LoadReport {
-    /// Requests that run.
-    pub running: u32,
-    /// Requests that wait.
-    pub waiting: u32,
-    /// Whether the server takes no new work.
-    #[serde(default)]
-    pub leaving: bool,
-}
-
 /// Why no server was found.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NoServer {
@@ -75,92 +48,6 @@
     pub address: String,
 }
 
-/// One server as this daemon sees it.
-#[derive(Debug, Clone, Serialize)]
-pub struct ServerView {
-    /// The row's name.
-    pub name: Name,
-    /// Its hall.
-    pub hall: Name,
-    /// Its address.
-    pub address: String,
-    limit: u32,
-    reports_load: bool,
-    row_draining: bool,
-    listed_leaving: bool,
-    leaving_until: Millis,
-    in_flight: u32,
-    reported: u32,
-    in_flight_at_report: u32,
-    failures: u32,
-    ejections: u32,
-    ejected_until: Millis,
-}
-
-impl ServerView {
-    fn new(row: &Server) -> Self {
-        ServerView {
-            name: row.name.clone(),
-            hall: row.hall.clone(),
-            address: row.address.clone(),
-            limit: row.limit,
-            reports_load: row.kind == ServerKind::Model,
-            row_draining: row.state == ServerState::Draining,
-            listed_leaving: false,
-            leaving_until: 0,
-            in_flight: 0,
-            reported: 0,
-            in_flight_at_report: 0,
-            failures: 0,
-            ejections: 0,
-            ejected_until: 0,
-        }
-    }
-
-    /// The late report, corrected by what this daemon has sent since.
-    pub fn load(&self) -> f64 {
-        let since = i64::from(self.in_flight) - i64::from(self.in_flight_at_report);
-        let load = i64::from(self.reported) + since;
-        load.max(i64::from(self.in_flight)) as f64
-    }
-
-    /// Whether it must not be given new work.
-    pub fn is_leaving(&self, now: Millis) -> bool {
-        self.row_draining || self.listed_leaving || now < self.leaving_until
-    }
-
-    fn is_usable(&self, now: Millis) -> bool {
-        !self.is_leaving(now) && now >= self.ejected_until && self.in_flight < self.limit
-    }
-
-    /// Whether a slow return passes this request on.
-    fn holds_back(&self, now: Millis, seed: u64) -> bool {
-        let since = now.saturating_sub(self.ejected_until);
-        if self.ejections == 0 || since >= SLOW_RETURN_MS {
-            return false;
-        }
-        seed % SLOW_RETURN_MS >= since
-    }
-}
-
-/// Servers of one hall that serve the same thing.
-#[derive(Debug, Clone)]
-struct HallPool {
-    hall: Name,
-    hall_key: u64,
-    weights: [f64; HOURS],
-    /// Hashed points in ascending order, each with an index into the servers.
-    ring: Vec<(u64, u32)>,
-    members: Vec<u32>,
-    load: f64,
-}
-
-/// Servers that serve the same thing, by hall.
-#[derive(Debug, Clone, Default)]
-struct Pool {
-    halls: Vec<HallPool>,
-}
-
 /// What a request asks the router for.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -168,6 +55,8 @@
     pub pool: &'a str,
     /// Hash of the prompt's prefix.
     pub prefix: u64,
+    /// Length of the prompt; 0 when that is not known.
+    pub prompt_tokens: Tokens,
     /// Hour of the day, UTC.
     pub hour: usize,
     /// A random number.
@@ -183,6 +72,8 @@
     by_name: HashMap<Name, u32>,
     pools: HashMap<Name, Pool>,
     pools_of_server: Vec<Vec<(Name, usize)>>,
+    /// What streams have shown, by pool; it outlives the table.
+    reading: HashMap<Name, Reading>,
 }
 
 impl Router {
@@ -256,9 +147,24 @@
         self.change_load(name, |view| view.leaving_until = now + LEAVING_WORD_MS);
     }
 
-    /// Takes in that a request was sent there.
-    pub fn sent(&mut self, name: &Name) {
-        self.change_load(name, |view| view.in_flight += 1);
+    /// Takes in that a request with a prompt of this length was sent there; 0 for
+    /// a request without a prompt.
+    pub fn sent(&mut self, name: &Name, prompt: Tokens) {
+        self.change_load(name, |view| {
+            view.in_flight += 1;
+            view.unread += prompt;
+        });
+        let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
+        if prompt > 0 {
+            for (pool, _) in &self.pools_of_server[index] {
+                self.reading.entry(pool.clone()).or_default().sent(prompt);
+            }
+        }
+    }
+
+    /// Takes in that a prompt of this length has been read there, or is given up.
+    pub fn read(&mut self, name: &Name, prompt: Tokens) {
+        self.change_load(name, |view| view.unread = view.unread.saturating_sub(prompt));
     }
 
     /// Takes in that a request there has ended, well or not.
@@ -282,6 +188,44 @@
         });
     }
 
+    /// Takes in how a stream came that has ended there.
+    pub fn streamed(&mut self, name: &Name, pace: StreamPace) {
+        let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
+        self.change_pace(index, pace.event_ms);
+        for (name, _) in &self.pools_of_server[index] {
+            let Some(pool) = self.pools.get(name) else { continue };
+            let reading = self.reading.entry(name.clone()).or_default();
+            reading.streamed(&self.servers[index], pace, &pool.mean_pace);
+        }
+    }
+
+    /// Up to `most` servers' paces to tell peers, from place `turn` on.
+    pub fn paces(&self, most: usize, turn: usize) -> Vec<ServerPace> {
+        let start = turn % self.servers.len().max(1);
+        let around = self.servers[start..].iter().chain(&self.servers[..start]);
+        around.filter_map(ServerPace::of).take(most).collect()
+    }
+
+    /// Takes in what a peer has told of servers.
+    pub fn heard_paces(&mut self, paces: &[ServerPace]) {
+        for pace in paces {
+            if let Some(index) = self.by_name.get(&pace.server).map(|index| *index as usize) {
+                self.change_pace(index, pace.event_ms());
+            }
+        }
+    }
+
+    fn change_pace(&mut self, index: usize, event_ms: f64) {
+        let before = self.servers[index].event_ms;
+        let after = Some(mean(before.unwrap_or(0.0), event_ms));
+        self.servers[index].event_ms = after;
+        for (name, _) in &self.pools_of_server[index] {
+            if let Some(pool) = self.pools.get_mut(name) {
+                pool.mean_pace.change(before, after);
+            }
+        }
+    }
+
     /// Chooses a server.
     ///
     /// # Errors
@@ -298,12 +242,21 @@
             .map(|hall| (failed.contains(&&hall.hall), hall.score(wanted), hall))
             .collect();
         halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
-        for (_, _, hall) in halls {
-            if let Some(view) = self.choose_in_hall(now, hall, wanted) {
-                return Ok(Choice { server: view.name.clone(), address: view.address.clone() });
-            }
-        }
-        Err(NoServer::NoneUsable)
+        let reading = self.reading.get(wanted.pool).copied().unwrap_or_default();
+        let is_long = reading.is_long(wanted.prompt_tokens);
+        let disturbs =
+            |view: &ServerView| is_long && reading.disturbs(view, pool.pause_goal, &pool.mean_pace);
+        let slack = Load { requests: LOAD_SLACK, unread: reading.unread_slack() };
+        // Another hall is nearer than a long wait, or than streams that are disturbed.
+        let fitting = halls.iter().find_map(|(_, _, hall)| {
+            let bound = hall.load.bound(hall.members.len(), slack);
+            let fits = |view: &ServerView| view.load_in_all().is_within(&bound) && !disturbs(view);
+            self.usable_near(now, hall, wanted)
+                .find(|view| fits(view) && !view.holds_back(now, wanted.seed))
+        });
+        let any = || halls.iter().find_map(|(_, _, hall)| self.least_loaded(now, hall, wanted));
+        let view = fitting.or_else(any).ok_or(NoServer::NoneUsable)?;
+        Ok(Choice { server: view.name.clone(), address: view.address.clone() })
     }
 
     fn hall_of(&self, server: &Name) -> Option<&Name> {
@@ -311,26 +264,29 @@
         self.servers.get(*index as usize).map(|view| &view.hall)
     }
 
-    fn choose_in_hall<'a>(
+    /// The usable servers of a hall among the first ones along its ring.
+    fn usable_near<'a>(
+        &'a self,
+        now: Millis,
+        hall: &'a HallPool,
+        wanted: &'a Wanted,
+    ) -> impl Iterator<Item = &'a ServerView> {
+        let is_usable =
+            move |view: &&ServerView| view.is_usable(now) && !wanted.tried.contains(&view.name);
+        self.looks(hall, wanted.prefix).filter(is_usable)
+    }
+
+    /// The least loaded of them; when there is none, any usable server of the hall.
+    fn least_loaded<'a>(
         &'a self,
         now: Millis,
         hall: &'a HallPool,
-        wanted: &Wanted,
+        wanted: &'a Wanted,
     ) -> Option<&'a ServerView> {
-        let bound = LOAD_BOUND * hall.load / hall.members.len().max(1) as f64 + LOAD_SLACK;
-        let mut least: Option<&ServerView> = None;
-        for view in self.looks(hall, wanted.prefix) {
-            if !view.is_usable(now) || wanted.tried.contains(&view.name) {
-                continue;
-            }
-            if view.load() <= bound && !view.holds_back(now, wanted.seed) {
-                return Some(view);
-            }
-            if least.is_none_or(|known| view.load() < known.load()) {
-                least = Some(view);
-            }
-        }
-        // Few servers are usable near the prefix: look at all from a random one.
+        let near = self.usable_near(now, hall, wanted);
+        let least = near.reduce(|least, view| {
+            if view.load_in_all().is_less(&least.load_in_all()) { view } else { least }
+        });
         least.or_else(|| {
             let start = wanted.seed as usize % hall.members.len().max(1);
             let around = hall.members[start..].iter().chain(&hall.members[..start]);
@@ -354,12 +310,12 @@
 
     fn change_load(&mut self, name: &Name, change: impl FnOnce(&mut ServerView)) {
         let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
-        let before = self.servers[index].load();
+        let before = self.servers[index].load_in_all();
         change(&mut self.servers[index]);
-        let difference = self.servers[index].load() - before;
+        let after = self.servers[index].load_in_all();
         for (pool, hall) in &self.pools_of_server[index] {
             if let Some(pool) = self.pools.get_mut(pool) {
-                pool.halls[*hall].load += difference;
+                pool.halls[*hall].load.change(&before, &after);
             }
         }
     }
@@ -388,6 +344,20 @@
                 hall.ring.sort_unstable();
             }
         }
+        self.take_pause_goals(table);
+    }
+
+    /// The tightest goal of the routes that lead to a pool holds for its streams.
+    fn take_pause_goals(&mut self, table: &Table) {
+        for route in &table.routes {
+            let RouteTarget::Host { split, .. } = &route.target else { continue };
+            let Some(goal) = route.pause_goal_ms else { continue };
+            for share in split {
+                if let Some(pool) = self.pools.get_mut(&share.service) {
+                    pool.pause_goal = pool.pause_goal.min(goal);
+                }
+            }
+        }
     }
 
     fn add_to_pool(&mut self, table: &Table, name: &Name, index: usize, row: &Server) {
@@ -400,42 +370,8 @@
             pool.halls.push(HallPool::new(table, &row.hall));
             pool.halls.len() - 1
         });
-        let hall = &mut pool.halls[place];
-        hall.members.push(index as u32);
-        hall.load += self.servers[index].load();
-        let key = xxh3_64(row.name.as_str().as_bytes());
-        let points = ((row.weight * POINTS_PER_SERVER).ceil() as u32).clamp(1, MAX_POINTS);
-        for point in 0..points {
-            hall.ring.push((rendezvous_score(u64::from(point), key), index as u32));
-        }
+        pool.mean_pace.change(None, self.servers[index].event_ms);
+        pool.halls[place].add(row, index as u32, self.servers[index].load_in_all());
         self.pools_of_server[index].push((name.clone(), place));
     }
 }
-
-impl HallPool {
-    fn new(table: &Table, hall: &Name) -> Self {
-        let row = table.halls.iter().find(|row| row.name == *hall);
-        let mut weights = [row.map_or(1.0, |row| row.weight); HOURS];
-        if let Some(row) = row {
-            for (weight, by_hour) in weights.iter_mut().zip(&row.weights_by_hour) {
-                *weight = *by_hour;
-            }
-        }
-        HallPool {
-            hall: hall.clone(),
-            hall_key: xxh3_64(hall.as_str().as_bytes()),
-            weights,
-            ring: Vec::new(),
-            members: Vec::new(),
-            load: 0.0,
-        }
-    }
-
-    /// Score in weighted rendezvous hashing: a hall wins in proportion to its
-    /// weight in this hour.
-    fn score(&self, wanted: &Wanted) -> f64 {
-        let hash = rendezvous_score(wanted.prefix, self.hall_key);
-        let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        -self.weights[wanted.hour % HOURS] / uniform.ln()
-    }
-}
--- /dev/null
+++ b/crates/core/src/router/pool.rs
@@ -0,0 +1,82 @@
+//! Servers that serve the same thing, by hall.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::id::rendezvous_score;
+use crate::router::Wanted;
+use crate::router::load::Load;
+use crate::router::reading::MeanPace;
+use crate::table::{HOURS, Server, Table};
+use crate::{Millis, Name};
+
+/// Points on a hall's ring for a server of weight 1.
+const POINTS_PER_SERVER: f64 = 32.0;
+
+/// Most points of one server, whatever its weight.
+const MAX_POINTS: u32 = 512;
+
+/// Servers of one hall that serve the same thing.
+#[derive(Debug, Clone)]
+pub(super) struct HallPool {
+    pub(super) hall: Name,
+    pub(super) hall_key: u64,
+    pub(super) weights: [f64; HOURS],
+    /// Hashed points in ascending order, each with an index into the servers.
+    pub(super) ring: Vec<(u64, u32)>,
+    pub(super) members: Vec<u32>,
+    pub(super) load: Load,
+}
+
+/// Servers that serve the same thing, by hall.
+#[derive(Debug, Clone)]
+pub(super) struct Pool {
+    pub(super) halls: Vec<HallPool>,
+    /// Longest pause of a stream that its callers accept.
+    pub(super) pause_goal: Millis,
+    pub(super) mean_pace: MeanPace,
+}
+
+impl Default for Pool {
+    fn default() -> Self {
+        Pool { halls: Vec::new(), pause_goal: Millis::MAX, mean_pace: MeanPace::default() }
+    }
+}
+
+impl HallPool {
+    pub(super) fn new(table: &Table, hall: &Name) -> Self {
+        let row = table.halls.iter().find(|row| row.name == *hall);
+        let mut weights = [row.map_or(1.0, |row| row.weight); HOURS];
+        if let Some(row) = row {
+            for (weight, by_hour) in weights.iter_mut().zip(&row.weights_by_hour) {
+                *weight = *by_hour;
+            }
+        }
+        HallPool {
+            hall: hall.clone(),
+            hall_key: xxh3_64(hall.as_str().as_bytes()),
+            weights,
+            ring: Vec::new(),
+            members: Vec::new(),
+            load: Load::default(),
+        }
+    }
+
+    /// Adds a server, which has this load now.
+    pub(super) fn add(&mut self, row: &Server, index: u32, load: Load) {
+        self.members.push(index);
+        self.load.change(&Load::default(), &load);
+        let key = xxh3_64(row.name.as_str().as_bytes());
+        let points = ((row.weight * POINTS_PER_SERVER).ceil() as u32).clamp(1, MAX_POINTS);
+        for point in 0..points {
+            self.ring.push((rendezvous_score(u64::from(point), key), index));
+        }
+    }
+
+    /// Score in weighted rendezvous hashing: a hall wins in proportion to its
+    /// weight in this hour.
+    pub(super) fn score(&self, wanted: &Wanted) -> f64 {
+        let hash = rendezvous_score(wanted.prefix, self.hall_key);
+        let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
+        -self.weights[wanted.hour % HOURS] / uniform.ln()
+    }
+}
--- /dev/null
+++ b/crates/core/src/router/view.rs
@@ -0,0 +1,113 @@
+//! One backend server as a daemon sees it: its load, and whether it is usable.
+
+use serde::{Deserialize, Serialize};
+
+use crate::router::load::Load;
+use crate::table::{Server, ServerKind, ServerState};
+use crate::{Millis, Name, Tokens};
+
+/// Failures in a row that eject a server.
+pub(super) const EJECT_AFTER: u32 = 3;
+
+/// First ejection; each further one is twice as long.
+pub(super) const EJECT_MS: Millis = 1_000;
+
+/// Longest ejection.
+pub(super) const EJECT_MAX_MS: Millis = 30_000;
+
+/// After an ejection a server takes its full share again only after this long.
+pub(super) const SLOW_RETURN_MS: Millis = 5_000;
+
+/// A server's own word that it leaves is believed this long.
+pub(super) const LEAVING_WORD_MS: Millis = 10_000;
+
+/// A load report, as servers tell it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that run.
+    pub running: u32,
+    /// Requests that wait.
+    pub waiting: u32,
+    /// Whether the server takes no new work.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// One server as this daemon sees it.
+#[derive(Debug, Clone, Serialize)]
+pub struct ServerView {
+    /// The row's name.
+    pub name: Name,
+    /// Its hall.
+    pub hall: Name,
+    /// Its address.
+    pub address: String,
+    pub(super) limit: u32,
+    pub(super) reports_load: bool,
+    pub(super) row_draining: bool,
+    pub(super) listed_leaving: bool,
+    pub(super) leaving_until: Millis,
+    pub(super) in_flight: u32,
+    /// Tokens of prompts that were sent there and of which no answer has begun.
+    pub(super) unread: Tokens,
+    pub(super) reported: u32,
+    pub(super) in_flight_at_report: u32,
+    pub(super) failures: u32,
+    pub(super) ejections: u32,
+    pub(super) ejected_until: Millis,
+    /// Usual time between two events of a stream there, in milliseconds.
+    pub(super) event_ms: Option<f64>,
+}
+
+impl ServerView {
+    pub(super) fn new(row: &Server) -> Self {
+        ServerView {
+            name: row.name.clone(),
+            hall: row.hall.clone(),
+            address: row.address.clone(),
+            limit: row.limit,
+            reports_load: row.kind == ServerKind::Model,
+            row_draining: row.state == ServerState::Draining,
+            listed_leaving: false,
+            leaving_until: 0,
+            in_flight: 0,
+            unread: 0,
+            reported: 0,
+            in_flight_at_report: 0,
+            failures: 0,
+            ejections: 0,
+            ejected_until: 0,
+            event_ms: None,
+        }
+    }
+
+    /// The late report, corrected by what this daemon has sent since.
+    pub fn load(&self) -> f64 {
+        let since = i64::from(self.in_flight) - i64::from(self.in_flight_at_report);
+        let load = i64::from(self.reported) + since;
+        load.max(i64::from(self.in_flight)) as f64
+    }
+
+    /// Requests and unread prompts, as far as this daemon knows.
+    pub(super) fn load_in_all(&self) -> Load {
+        Load { requests: self.load(), unread: self.unread as f64 }
+    }
+
+    /// Whether it must not be given new work.
+    pub fn is_leaving(&self, now: Millis) -> bool {
+        self.row_draining || self.listed_leaving || now < self.leaving_until
+    }
+
+    pub(super) fn is_usable(&self, now: Millis) -> bool {
+        !self.is_leaving(now) && now >= self.ejected_until && self.in_flight < self.limit
+    }
+
+    /// Whether a slow return passes this request on.
+    pub(super) fn holds_back(&self, now: Millis, seed: u64) -> bool {
+        let since = now.saturating_sub(self.ejected_until);
+        if self.ejections == 0 || since >= SLOW_RETURN_MS {
+            return false;
+        }
+        seed % SLOW_RETURN_MS >= since
+    }
+}
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -227,6 +227,10 @@
     /// use to the caller, in milliseconds; 0 when that is not known.
     #[serde(default)]
     pub goal_ms: u64,
+    /// Longest time between two events of a stream that is of full use to the
+    /// caller, in milliseconds; none when that is not known.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub pause_goal_ms: Option<u64>,
     /// Whether callers need no key.
     #[serde(default)]
     pub public: bool,
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -110,6 +110,7 @@
         stopping: false,
         store_heard_ms: None,
         view_age_ms: None,
+        paces: Vec::new(),
     };
     members.heard(1, &heartbeat);
     members.forgive();
--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use bankcove_core::Name;
-use bankcove_core::router::{LoadReport, NoServer, Router, Wanted};
+use bankcove_core::router::{LoadReport, NoServer, Router, StreamPace, Wanted};
 use bankcove_core::table::Table;
 use serde_json::json;
 
@@ -29,7 +29,7 @@
 
 fn wanted(prefix: u64, tried: &[Name]) -> Wanted<'_> {
     let prefix = prefix.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-    Wanted { pool: "m", prefix, hour: 0, seed: prefix.rotate_left(17), tried }
+    Wanted { pool: "m", prefix, prompt_tokens: 0, hour: 0, seed: prefix.rotate_left(17), tried }
 }
 
 fn choose(router: &Router, now: u64, prefix: u64, tried: &[Name]) -> Option<Name> {
@@ -91,7 +91,7 @@
     let name = Name::from("s1");
     let before = counts(&router, 0)["s1"];
     for _ in 0..3 {
-        router.sent(&name);
+        router.sent(&name, 0);
         router.ended(0, &name, false);
     }
     assert!(!counts(&router, 500).contains_key("s1"));
@@ -105,7 +105,7 @@
     let mut router = router(3, &[1.0]);
     let first = choose(&router, 0, 7, &[]).expect("a server");
     for _ in 0..20 {
-        router.sent(&first);
+        router.sent(&first, 0);
     }
     assert_ne!(choose(&router, 0, 7, &[]), Some(first));
 }
@@ -115,8 +115,8 @@
     let mut router = router(1, &[1.0]);
     let name = Name::from("s0");
     router.report(0, &name, LoadReport { running: 5, waiting: 1, leaving: false });
-    router.sent(&name);
-    router.sent(&name);
+    router.sent(&name, 0);
+    router.sent(&name, 0);
     assert!((router.servers()[0].load() - 8.0).abs() < 1e-9);
     router.ended(0, &name, true);
     assert!((router.servers()[0].load() - 7.0).abs() < 1e-9);
@@ -139,7 +139,7 @@
     full.servers[0].limit = 1;
     let mut router = Router::default();
     router.adopt(&full);
-    router.sent(&Name::from("s0"));
+    router.sent(&Name::from("s0"), 0);
     assert_eq!(router.choose(0, &wanted(1, &[])), Err(NoServer::NoneUsable));
     let unknown = Wanted { pool: "other", ..wanted(1, &[]) };
     assert_eq!(router.choose(0, &unknown), Err(NoServer::NoneInTable));
@@ -148,9 +148,140 @@
 #[test]
 fn a_new_table_keeps_what_is_known_of_servers_that_stay() {
     let mut router = router(2, &[1.0]);
-    router.sent(&Name::from("s0"));
+    router.sent(&Name::from("s0"), 0);
     router.adopt(&table(3, &[1.0]));
     assert!((router.servers()[0].load() - 1.0).abs() < 1e-9);
     router.ended(0, &Name::from("s0"), true);
     assert!(router.servers()[0].load().abs() < 1e-9);
 }
+
+/// Prompts of the tests that follow, in tokens: the mean lies between them.
+const SHORT: u64 = 500;
+const LONG: u64 = 9_000;
+
+/// Longest pause that the callers of [`listed`] accept, in milliseconds.
+const PAUSE_GOAL_MS: u64 = 300;
+
+/// A router of one pool whose route names a goal for pauses.
+fn listed(servers: usize) -> Router {
+    let mut table = table(servers, &[1.0]);
+    let route = json!({
+        "name": "r", "to": "host", "host": "h", "path_prefix": "/", "streams": true,
+        "split": [{"service": "m"}], "pause_goal_ms": PAUSE_GOAL_MS,
+    });
+    table.routes.push(serde_json::from_value(route).expect("a route"));
+    let mut router = Router::default();
+    router.adopt(&table);
+    router
+}
+
+fn server(n: usize) -> Name {
+    Name::from(format!("s{n}"))
+}
+
+/// Streams of every server, of which these are slower by 1.3; a prompt that is read
+/// beside a stream makes it pause for 13 times between two events.
+fn show_paces(router: &mut Router, servers: usize, slow: &[usize]) {
+    for n in 0..servers {
+        let event_ms = if slow.contains(&n) { 26.0 } else { 20.0 };
+        let pace = StreamPace { event_ms, longest_pause_ms: event_ms * 13.0 };
+        for _ in 0..40 {
+            router.streamed(&server(n), pace);
+            for prompt in [SHORT, SHORT, LONG] {
+                router.sent(&server(n), prompt);
+                router.read(&server(n), prompt);
+                router.ended(0, &server(n), true);
+            }
+        }
+    }
+}
+
+fn counts_of(router: &Router, prompt_tokens: u64) -> HashMap<String, u32> {
+    let mut counts = HashMap::new();
+    for prefix in 0..4_000 {
+        let wanted = Wanted { prompt_tokens, ..wanted(prefix, &[]) };
+        let choice = router.choose(0, &wanted).expect("a server");
+        *counts.entry(choice.server.to_string()).or_default() += 1;
+    }
+    counts
+}
+
+#[test]
+fn long_prompts_pass_by_the_servers_whose_streams_would_pause_too_long() {
+    let mut router = listed(4);
+    show_paces(&mut router, 4, &[1]);
+    assert!(!counts_of(&router, LONG).contains_key("s1"));
+    assert!(counts_of(&router, SHORT).contains_key("s1"));
+}
+
+#[test]
+fn long_prompts_go_anywhere_when_all_servers_are_alike_or_pauses_are_short() {
+    let mut alike = listed(4);
+    show_paces(&mut alike, 4, &[0, 1, 2, 3]);
+    assert_eq!(counts_of(&alike, LONG).len(), 4);
+    let mut without_goal = router(4, &[1.0]);
+    show_paces(&mut without_goal, 4, &[1]);
+    assert_eq!(counts_of(&without_goal, LONG).len(), 4);
+}
+
+#[test]
+fn long_prompts_go_to_a_slower_server_when_the_others_have_much_to_read() {
+    let mut router = listed(4);
+    show_paces(&mut router, 4, &[1, 2]);
+    assert!(!counts_of(&router, LONG).contains_key("s1"));
+    for n in [0, 3] {
+        for _ in 0..20 {
+            router.sent(&server(n), LONG);
+        }
+    }
+    assert!(counts_of(&router, LONG).contains_key("s1"));
+}
+
+#[test]
+fn a_slower_server_takes_long_prompts_when_the_others_are_gone() {
+    let mut router = listed(4);
+    show_paces(&mut router, 4, &[1]);
+    for n in [0, 2, 3] {
+        router.said_leaving(0, &server(n));
+    }
+    assert_eq!(counts_of(&router, LONG)["s1"], 4_000);
+}
+
+#[test]
+fn a_server_with_much_to_read_passes_prompts_on_until_it_has_read() {
+    let mut router = listed(3);
+    show_paces(&mut router, 3, &[]);
+    let first = choose(&router, 0, 7, &[]).expect("a server");
+    for _ in 0..8 {
+        router.sent(&first, LONG);
+    }
+    assert_ne!(choose(&router, 0, 7, &[]), Some(first.clone()));
+    for _ in 0..8 {
+        router.read(&first, LONG);
+        router.ended(0, &first, true);
+    }
+    assert_eq!(choose(&router, 0, 7, &[]), Some(first));
+}
+
+#[test]
+fn a_daemon_that_has_just_started_learns_the_servers_paces_from_peers() {
+    let mut old = listed(4);
+    show_paces(&mut old, 4, &[1]);
+    let mut young = listed(4);
+    young.heard_paces(&old.paces(16, 3));
+    // It has seen one stream of its own, and a few prompts.
+    young.streamed(&server(0), StreamPace { event_ms: 20.0, longest_pause_ms: 800.0 });
+    young.sent(&server(0), SHORT);
+    young.ended(0, &server(0), true);
+    assert!(!counts_of(&young, LONG).contains_key("s1"));
+}
+
+#[test]
+fn no_more_paces_are_told_at_once_than_asked_for_and_all_in_turn() {
+    let mut router = listed(5);
+    assert!(router.paces(2, 0).is_empty());
+    show_paces(&mut router, 5, &[]);
+    let told: std::collections::HashSet<String> =
+        (0..5).flat_map(|turn| router.paces(2, turn)).map(|pace| pace.server.to_string()).collect();
+    assert_eq!((router.paces(2, 1).len(), told.len()), (2, 5));
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,10 @@
 use crate::peer::PeerPool;
 use crate::request_log::RequestLogs;
 
+/// Servers whose pace one heartbeat tells: 16 are some 300 bytes, so that a daemon
+/// has sent 1,600 of them, 40 for each of 40 servers, in 17 s.
+const PACES_PER_HEARTBEAT: usize = 16;
+
 /// One daemon.
 pub struct Daemon {
     /// Its settings.
@@ -151,6 +155,7 @@
             stopping: self.stopping.is_cancelled(),
             store_heard_ms: self.contact.store_age(self.clock.now()),
             view_age_ms: self.contact.view_age(self.clock.now()),
+            paces: self.router.lock().paces(PACES_PER_HEARTBEAT, rand::random_range(0..usize::MAX)),
         }
     }
 }
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -3,9 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::Millis;
-use bankcove_core::Name;
 use bankcove_core::router::{Choice, NoServer, Wanted};
+use bankcove_core::{Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Incoming, Prompt};
 use bytes::Bytes;
 use salvo::http::uri::PathAndQuery;
@@ -57,6 +56,11 @@
         self.arrived.elapsed().as_millis() as Millis
     }
 
+    /// Length of its prompt; 0 when it has none.
+    pub fn prompt_tokens(&self) -> Tokens {
+        self.incoming.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens)
+    }
+
     /// Whether one more server may be tried: the route's tries, and the part
     /// of the fleet's repeats that this daemon may spend, are not used up.
     pub fn may_send(&self) -> bool {
@@ -81,6 +85,7 @@
         let wanted = Wanted {
             pool: self.plan.service.as_str(),
             prefix: self.incoming.prompt.as_ref().map_or(seed, affinity),
+            prompt_tokens: self.prompt_tokens(),
             hour: 0,
             seed,
             tried: &self.tried,
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -94,7 +94,7 @@
     resume_after: Option<u64>,
 ) -> Tried {
     let entry = Arc::clone(&call.entry);
-    let mut open = OpenRequest::new(&entry.daemon, &choice.server);
+    let mut open = OpenRequest::new(&entry.daemon, &choice.server, call.prompt_tokens());
     let outgoing = call.outgoing(&choice, resume_after);
     let ran_before = call.ran;
     charge.sent();
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -69,7 +69,7 @@
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
                     self.charge.whole();
-                    self.log_pace();
+                    self.tell_pace();
                     log_end(&self.call, &self.charge, "stream ended", StatusCode::OK);
                     return None;
                 }
@@ -104,6 +104,7 @@
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => {
                     self.pace.event();
+                    self.open.begun();
                     self.call.link.sent(events.len());
                     return Read::Events(events);
                 }
@@ -154,9 +155,13 @@
         false
     }
 
-    /// Whether the stream came late and by what: its first event or a pause.
-    fn log_pace(&self) {
-        let metrics = &self.call.entry.daemon.metrics;
+    /// Tells how the stream came: late by its first event, or by a pause.
+    fn tell_pace(&self) {
+        let daemon = &self.call.entry.daemon;
+        if let Some(pace) = self.pace.of_server() {
+            daemon.router.lock().streamed(&self.choice.server, pace);
+        }
+        let metrics = &daemon.metrics;
         let (first_ms, pause_ms) = (self.pace.first_ms(), self.pace.longest_pause_ms());
         if let Some(first_ms) = first_ms {
             metrics.time("stream.first_ms", first_ms);
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -50,6 +50,7 @@
 pub fn heard(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
     let now = daemon.clock.now();
     daemon.members.lock().heard(now, heartbeat);
+    daemon.router.lock().heard_paces(&heartbeat.paces);
     daemon.contact.store_heard_by_peer(now, heartbeat.store_heard_ms);
     if knows_all_of(daemon, heartbeat) {
         caught_up(daemon, heartbeat, now);
--- a/crates/daemon/src/placement.rs
+++ b/crates/daemon/src/placement.rs
@@ -7,7 +7,7 @@
 use bankcove_core::reqlog::Entry;
 use bankcove_core::router::{Choice, NoServer, Wanted};
 use bankcove_core::table::ServerKind;
-use bankcove_core::{Name, RequestHash};
+use bankcove_core::{Name, RequestHash, Tokens};
 use reqwest::Response;
 use salvo::http::StatusCode;
 
@@ -38,13 +38,28 @@
     daemon: Arc<Daemon>,
     server: Name,
     well: bool,
+    unread: Tokens,
 }
 
 impl OpenRequest {
-    /// Counts a request as open at `server`.
-    pub fn new(daemon: &Arc<Daemon>, server: &Name) -> Self {
-        daemon.router.lock().sent(server);
-        OpenRequest { daemon: Arc::clone(daemon), server: server.clone(), well: true }
+    /// Counts a request with a prompt of this length (0 without one) as open at
+    /// `server`.
+    pub fn new(daemon: &Arc<Daemon>, server: &Name, prompt: Tokens) -> Self {
+        daemon.router.lock().sent(server, prompt);
+        OpenRequest {
+            daemon: Arc::clone(daemon),
+            server: server.clone(),
+            well: true,
+            unread: prompt,
+        }
+    }
+
+    /// The server has read the prompt: its answer has begun.
+    pub fn begun(&mut self) {
+        let prompt = std::mem::take(&mut self.unread);
+        if prompt > 0 {
+            self.daemon.router.lock().read(&self.server, prompt);
+        }
     }
 
     /// The server has failed this request.
@@ -55,6 +70,7 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
+        self.begun();
         let now = self.daemon.clock.now();
         self.daemon.router.lock().ended(now, &self.server, self.well);
     }
@@ -82,6 +98,7 @@
     let wanted = Wanted {
         pool: need.pool,
         prefix: need.prefix,
+        prompt_tokens: 0,
         hour: daemon.clock.hour(),
         seed: rand::random(),
         tried,
@@ -127,7 +144,7 @@
             tried.push(choice.server);
             continue;
         }
-        let mut open = OpenRequest::new(daemon, &choice.server);
+        let mut open = OpenRequest::new(daemon, &choice.server, 0);
         let dispatched = attempt.dispatch();
         let dispatching = backend::dispatch(daemon, &choice, outgoing.clone(), need.kind);
         let answer = tokio::select! {
