--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -4,26 +4,22 @@
 //! that is repeated, reordered or lost does no harm: the next one heals it.
 //! A debit is made before it is told, so a token is never in two places.
 
+mod account;
 mod allot;
+mod draw;
 mod rate;
 
+pub use account::Account;
 pub use allot::{Allotted, Ask, LEFT_PER_HELD, held_part};
+pub use draw::{Draw, Terms};
 
 use std::collections::HashMap;
 
-use serde::{Deserialize, Serialize};
+use serde::Serialize;
 
-use crate::holder::rate::Rate;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Name, Tokens};
 
-/// How much of a grant is opened at a time, in seconds of recent spending. This
-/// much is lost with a daemon that dies; the sealed rest is taken back.
-const OPEN_AHEAD_S: f64 = 2.0;
-
-/// More than this many times what a holder needs ahead is given back.
-const SURPLUS: f64 = 1.5;
-
 /// Less than this part of what a holder needs ahead calls for a draw. With 0.8 and a
 /// shorter horizon as much was refused in cuts and after losses of power.
 const LOW: f64 = 0.5;
@@ -32,76 +28,6 @@
 /// milliseconds; it is the time constant of the rates.
 const LEARNING_MS: Millis = 10_000;
 
-/// Terms of a budget's row that go along with a draw.
-#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Terms {
-    /// Tokens that the row allows.
-    pub tokens: Tokens,
-    /// The row's version.
-    pub version: u64,
-    /// How far ahead to draw, in seconds of recent spending.
-    pub horizon_s: f64,
-    /// At most 1/`share_divisor` of what is available is drawn at once.
-    pub share_divisor: u64,
-    /// At least this part of an equal share, so that a daemon that spends
-    /// little has something in hand when the store is away.
-    pub held_ahead: f64,
-    /// Daemons that share the budget, as the drawing one knows.
-    pub daemons: u64,
-}
-
-impl Terms {
-    /// What to give a holder that wants `want` of `available` tokens.
-    pub fn amount(&self, want: Tokens, available: Tokens) -> Tokens {
-        want.min(available / self.share_divisor.max(1))
-    }
-
-    /// What a holder should have in hand, whatever it spends: a part of an
-    /// equal share of the whole budget, and never more than half of what is
-    /// still available.
-    pub fn floor(&self, total: Tokens, available: Tokens) -> Tokens {
-        let equal = total as f64 / self.daemons.max(1) as f64;
-        let floor = (equal * self.held_ahead) as Tokens;
-        floor.min(available / 2)
-    }
-}
-
-/// A holder's wish for more tokens.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Draw {
-    /// The budget.
-    pub budget: Name,
-    /// Who asks.
-    pub holder: Incarnation,
-    /// Where the holder's peer port listens.
-    pub address: String,
-    /// Cumulative grant that the holder knows of.
-    pub known_granted: Tokens,
-    /// Cumulative tokens that the holder had from the asked daemon itself.
-    pub received: Tokens,
-    /// Tokens that the holder has free already; `need` comes on top.
-    pub free: Tokens,
-    /// Cumulative tokens of its grant that the holder has opened.
-    pub opened: Tokens,
-    /// Who is to attest what the holder opens while the store is away.
-    pub witnesses: Vec<Witness>,
-    /// Counts the draws of this holder and budget.
-    pub number: u64,
-    /// Cumulative tokens that the holder has given back to the store; they are
-    /// debited at the holder already.
-    pub returned: Tokens,
-    /// Fewer tokens than these are of no use.
-    pub need: Tokens,
-    /// Tokens that would last for the horizon.
-    pub want: Tokens,
-    /// Tokens to open of them; the rest stays sealed.
-    pub open: Tokens,
-    /// Recent spending of the holder, in tokens a second.
-    pub rate: Tokens,
-    /// The budget's row as the holder knows it.
-    pub terms: Terms,
-}
-
 /// What `reserve` answers when the tokens at hand do not suffice.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Shortfall {
@@ -138,80 +64,6 @@
     pub witnesses: Vec<Witness>,
 }
 
-/// What this daemon holds of one budget.
-#[derive(Debug, Clone, Default, Serialize)]
-pub struct Account {
-    /// Cumulative grant by the store.
-    pub granted: Tokens,
-    /// What may be spent of it.
-    pub opened: Tokens,
-    /// Those that the store may have recorded as witnesses of this holder.
-    pub witnesses: Vec<Witness>,
-    /// Draws made.
-    pub draws: u64,
-    /// Tokens given back to the store.
-    pub returned: Tokens,
-    /// What a holder may keep ahead, as the store's ledger said last.
-    pub share: Option<Tokens>,
-    /// Tokens that the budget's row allowed at the last draw.
-    pub total: Tokens,
-    /// Tokens that nobody holds, as the store's ledger said last.
-    pub left: Option<Tokens>,
-    /// Cumulative tokens received, by sender.
-    pub received: HashMap<Incarnation, Tokens>,
-    /// Cumulative tokens sent, by receiver.
-    pub sent: HashMap<Incarnation, Tokens>,
-    /// Tokens spent by finished attempts.
-    pub spent: Tokens,
-    /// Tokens set aside for running attempts.
-    pub reserved: Tokens,
-    /// Whether the store was told that this holder ends: what still arrives is not
-    /// the holder's any more, since the store may have granted it to others by then.
-    retired: bool,
-    rate: Rate,
-    handed_on: Rate,
-    /// Tokens that other daemons wanted ahead since the last draw and did not get.
-    unmet: Tokens,
-}
-
-impl Account {
-    /// Tokens of the grant that have to be opened before they are spent.
-    pub fn sealed(&self) -> Tokens {
-        self.granted - self.opened
-    }
-
-    /// What to open beyond a need.
-    fn open_ahead(&self, now: Millis) -> Tokens {
-        (self.rate.per_second(now) * OPEN_AHEAD_S) as Tokens
-    }
-
-    /// What to have at hand: recent spending for the horizon, but no more than
-    /// a holder may keep.
-    fn ahead(&self, terms: &Terms, now: Millis) -> Tokens {
-        let own = (self.rate.per_second(now) * terms.horizon_s) as Tokens;
-        own.min(self.share.unwrap_or(own)) + self.reserve_for_others(now)
-    }
-
-    /// What is free beyond `SURPLUS` times what is needed ahead and the floor that
-    /// `terms` name.
-    fn surplus(&self, terms: &Terms, now: Millis) -> Tokens {
-        let floor = terms.floor(terms.tokens, Tokens::MAX);
-        let kept = self.ahead(terms, now).max(floor.min(self.share.unwrap_or(floor)));
-        let free = self.free();
-        if free as f64 <= kept as f64 * SURPLUS { 0 } else { free - kept }
-    }
-
-    /// Tokens that may be reserved now.
-    pub fn free(&self) -> Tokens {
-        if self.retired {
-            return 0;
-        }
-        let credits = self.opened + self.received.values().sum::<Tokens>();
-        let debits = self.returned + self.sent.values().sum::<Tokens>();
-        credits - debits - self.spent - self.reserved
-    }
-}
-
 /// All that this daemon holds.
 #[derive(Debug, Clone, Serialize)]
 pub struct Holder {
--- /dev/null
+++ b/crates/core/src/holder/account.rs
@@ -0,0 +1,91 @@
+//! What a daemon holds of one budget, and how much of it is enough.
+
+use std::collections::HashMap;
+
+use serde::Serialize;
+
+use crate::holder::draw::Terms;
+use crate::holder::rate::Rate;
+use crate::witness::Witness;
+use crate::{Incarnation, Millis, Tokens};
+
+/// How much of a grant is opened at a time, in seconds of recent spending. This
+/// much is lost with a daemon that dies; the sealed rest is taken back.
+const OPEN_AHEAD_S: f64 = 2.0;
+
+/// More than this many times what a holder needs ahead is given back.
+const SURPLUS: f64 = 1.5;
+
+/// What this daemon holds of one budget.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct Account {
+    /// Cumulative grant by the store.
+    pub granted: Tokens,
+    /// What may be spent of it.
+    pub opened: Tokens,
+    /// Those that the store may have recorded as witnesses of this holder.
+    pub witnesses: Vec<Witness>,
+    /// Draws made.
+    pub draws: u64,
+    /// Tokens given back to the store.
+    pub returned: Tokens,
+    /// What a holder may keep ahead, as the store's ledger said last.
+    pub share: Option<Tokens>,
+    /// Tokens that the budget's row allowed at the last draw.
+    pub total: Tokens,
+    /// Tokens that nobody holds, as the store's ledger said last.
+    pub left: Option<Tokens>,
+    /// Cumulative tokens received, by sender.
+    pub received: HashMap<Incarnation, Tokens>,
+    /// Cumulative tokens sent, by receiver.
+    pub sent: HashMap<Incarnation, Tokens>,
+    /// Tokens spent by finished attempts.
+    pub spent: Tokens,
+    /// Tokens set aside for running attempts.
+    pub reserved: Tokens,
+    /// Whether the store was told that this holder ends: what still arrives is not
+    /// the holder's any more, since the store may have granted it to others by then.
+    pub(super) retired: bool,
+    pub(super) rate: Rate,
+    pub(super) handed_on: Rate,
+    /// Tokens that other daemons wanted ahead since the last draw and did not get.
+    pub(super) unmet: Tokens,
+}
+
+impl Account {
+    /// Tokens of the grant that have to be opened before they are spent.
+    pub fn sealed(&self) -> Tokens {
+        self.granted - self.opened
+    }
+
+    /// What to open beyond a need.
+    pub(super) fn open_ahead(&self, now: Millis) -> Tokens {
+        (self.rate.per_second(now) * OPEN_AHEAD_S) as Tokens
+    }
+
+    /// What to have at hand: recent spending for the horizon, but no more than
+    /// a holder may keep.
+    pub(super) fn ahead(&self, terms: &Terms, now: Millis) -> Tokens {
+        let own = (self.rate.per_second(now) * terms.horizon_s) as Tokens;
+        own.min(self.share.unwrap_or(own)) + self.reserve_for_others(now)
+    }
+
+    /// What is free beyond `SURPLUS` times what is needed ahead and the floor that
+    /// `terms` name.
+    pub(super) fn surplus(&self, terms: &Terms, now: Millis) -> Tokens {
+        let floor = terms.floor(terms.tokens, Tokens::MAX);
+        let kept = self.ahead(terms, now).max(floor.min(self.share.unwrap_or(floor)));
+        let free = self.free();
+        if free as f64 <= kept as f64 * SURPLUS { 0 } else { free - kept }
+    }
+
+    /// Tokens that may be reserved now.
+    pub fn free(&self) -> Tokens {
+        if self.retired {
+            return 0;
+        }
+        let credits = self.opened + self.received.values().sum::<Tokens>();
+        let debits = self.returned + self.sent.values().sum::<Tokens>();
+        credits - debits - self.spent - self.reserved
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -27,9 +27,9 @@
 use crate::peer::PeerPool;
 use crate::request_log::RequestLogs;
 
-/// Servers whose pace one heartbeat tells: 16 are some 300 bytes, so that a daemon
-/// has sent 1,600 of them, 40 for each of 40 servers, in 17 s.
-const PACES_PER_HEARTBEAT: usize = 16;
+/// Servers whose pace one heartbeat tells: some 100 bytes. A daemon hears twelve
+/// heartbeats a second, so that one of 140 servers is told of every 3 s.
+const PACES_PER_HEARTBEAT: usize = 4;
 
 /// One daemon.
 pub struct Daemon {
