A stop asks whether the store answers before it debits what it gives back

The stop began before the daemon knew of the outage: what it gave back was debited, the draw that tells the store of it failed, and nothing was left for a peer; the last retirement debited the rest the same way. A debit can't be undone, since a write without an answer may have been done.

Now a leaving daemon that draws by itself reads one shard first, and again before it retires; without an answer it hands over what is free and debits nothing else. Ruled out: only a longer wait in the tests, since users' outages begin at any moment. Test first: a_stop_that_finds_the_store_away_hands_its_tokens_to_a_peer failed before.

--- a/crates/daemon/src/budget_owner.rs
+++ b/crates/daemon/src/budget_owner.rs
@@ -32,6 +32,9 @@
     pub shard: Option<Shard>,
 }
 
+/// The shard that there is in any number of them.
+const FIRST_SHARD: u32 = 0;
+
 /// The shards that this daemon owns, or has acted as the owner of.
 #[derive(Debug, Default)]
 pub struct Owners {
@@ -171,6 +174,11 @@
     format!("shard-{shard:02}")
 }
 
+/// Whether the store answers now: one read of it, unless it is known to be away.
+pub async fn store_answers(daemon: &Arc<Daemon>) -> bool {
+    !matches!(load(Arc::clone(daemon), FIRST_SHARD).await, Event::StoreAway)
+}
+
 async fn load(daemon: Arc<Daemon>, shard: u32) -> Event {
     if daemon.contact.is_store_away(daemon.clock.now()) {
         return Event::StoreAway;
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -15,7 +15,7 @@
 
 use crate::allotment::{ask_for_tokens, owners_to_ask};
 use crate::borrow;
-use crate::budget_owner::{Owners, ask_local_owner, shard_of_request};
+use crate::budget_owner::{Owners, ask_local_owner, shard_of_request, store_answers};
 use crate::collect::{open, witnesses};
 use crate::daemon::Daemon;
 use crate::hand_over::hand_over;
@@ -301,6 +301,11 @@
             () = daemon.ended.cancelled() => return,
         }
         let Some(table) = daemon.table.load_full() else { continue };
+        let draws = table.budgets.iter().any(|budget| owners_to_ask(&daemon, budget).is_empty());
+        if daemon.leaving.is_cancelled() && draws && !store_answers(&daemon).await {
+            // Debited before the outage is known, it could not be handed to a peer.
+            continue;
+        }
         for budget in &table.budgets {
             tend_one(&daemon, budget);
         }
@@ -463,7 +468,11 @@
 /// Gives every unspent token back to the store, for a planned stop. Returns
 /// whether the store has recorded all of it.
 pub async fn retire(daemon: &Arc<Daemon>) -> bool {
-    hand_over(daemon).await;
+    if !store_answers(daemon).await {
+        // What a peer has is not debited a second time should the store be back.
+        hand_over(daemon).await;
+        return false;
+    }
     let kept: Vec<(Name, i64)> = {
         let mut holder = daemon.budgets.holder.lock();
         let names: Vec<Name> = holder.accounts().keys().cloned().collect();
