The order of halls in a function of its own

A routing decision had grown to one long function; no behaviour changes. The doc comment of a long prompt says what it is: longer than the pool's mean.

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -27,7 +27,7 @@
 use crate::table::{HOURS, RouteTarget, Server, ServerKind, Table};
 use crate::{Millis, Name, Tokens};
 
-/// Load that is allowed beyond the bound, so that idle halls keep affinity.
+/// Requests that a server may have beyond its part, so that idle halls keep affinity.
 const LOAD_SLACK: f64 = 4.0;
 
 /// Servers looked at along the ring before any usable one is taken.
@@ -272,34 +272,25 @@
     /// [`NoServer`] tells whether the table has none or none is usable now.
     pub fn choose(&self, now: Millis, wanted: &Wanted) -> Result<Choice, NoServer> {
         let pool = self.pools.get(wanted.pool).ok_or(NoServer::NoneInTable)?;
-        // A hall where this request has failed already comes last: when one
-        // server does not answer, its neighbours may not either.
-        let failed: Vec<&Name> = wanted.tried.iter().filter_map(|n| self.hall_of(n)).collect();
-        let mut halls: Vec<(bool, f64, &HallPool)> = pool
-            .halls
-            .iter()
-            .filter(|hall| hall.weights[wanted.hour % HOURS] > 0.0)
-            .map(|hall| (failed.contains(&&hall.hall), hall.score(wanted), hall))
-            .collect();
-        halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        let halls = self.halls_in_order(pool, wanted);
         let reading = self.reading.get(wanted.pool).copied().unwrap_or_default();
         let is_long = reading.is_long(wanted.prompt_tokens);
         let disturbs =
             |view: &ServerView| is_long && reading.disturbs(view, pool.pause_goal, &pool.mean_pace);
         let slack = Load { requests: LOAD_SLACK, unread: reading.unread_slack() };
         // Another hall is nearer than a long wait, or than streams that are disturbed.
-        let fitting = halls.iter().find_map(|(_, _, hall)| {
+        let fitting = halls.iter().find_map(|hall| {
             let bound = hall.load.bound(hall.members.len(), slack);
             let fits = |view: &ServerView| view.load_in_all().is_within(&bound) && !disturbs(view);
             self.usable_near(now, hall, wanted)
                 .find(|view| fits(view) && !view.holds_back(now, wanted.seed))
         });
-        let any = || halls.iter().find_map(|(_, _, hall)| self.least_loaded(now, hall, wanted));
+        let any = || halls.iter().find_map(|hall| self.least_loaded(now, hall, wanted));
         let view = fitting.or_else(any).ok_or(NoServer::NoneUsable)?;
         // Equal prefixes go there unless it has too much to do.
-        let first = halls.iter().find_map(|(_, _, hall)| {
-            self.usable_near(now, hall, wanted).find(|view| !disturbs(view))
-        });
+        let first = halls
+            .iter()
+            .find_map(|hall| self.usable_near(now, hall, wanted).find(|view| !disturbs(view)));
         let other = first.filter(|first| first.name != view.name);
         Ok(Choice {
             server: view.name.clone(),
@@ -308,6 +299,21 @@
         })
     }
 
+    /// The pool's halls that take requests in this hour, the prefix's first hall first.
+    fn halls_in_order<'a>(&self, pool: &'a Pool, wanted: &Wanted) -> Vec<&'a HallPool> {
+        // A hall where this request has failed already comes last: when one
+        // server does not answer, its neighbours may not either.
+        let failed: Vec<&Name> = wanted.tried.iter().filter_map(|n| self.hall_of(n)).collect();
+        let mut halls: Vec<(bool, f64, &HallPool)> = pool
+            .halls
+            .iter()
+            .filter(|hall| hall.weights[wanted.hour % HOURS] > 0.0)
+            .map(|hall| (failed.contains(&&hall.hall), hall.score(wanted), hall))
+            .collect();
+        halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        halls.into_iter().map(|(_, _, hall)| hall).collect()
+    }
+
     fn hall_of(&self, server: &Name) -> Option<&Name> {
         let index = self.by_name.get(server)?;
         self.servers.get(*index as usize).map(|view| &view.hall)
--- a/crates/core/src/router/reading.rs
+++ b/crates/core/src/router/reading.rs
@@ -111,7 +111,7 @@
         self.stretch += (stretch - self.stretch) * weight;
     }
 
-    /// Whether most of what the pool's servers read are prompts no longer than this.
+    /// Whether a prompt of this length is longer than the pool's mean.
     pub(super) fn is_long(&self, prompt: Tokens) -> bool {
         prompt as f64 > self.mean_prompt
     }
