--- a/crates/core/src/router/reading.rs
+++ b/crates/core/src/router/reading.rs
@@ -30,7 +30,7 @@
 
 /// Unread prompts that a server may have beyond its part, in mean prompts. With 4 in
 /// place of 1.5 a tenth more of the long prompts came late, and 6 to 10 % less of shared
-/// parts was read again (days with faults of three deployments, three seeds).
+/// parts was read again (days with faults of two deployments, three seeds).
 const UNREAD_SLACK: f64 = 1.5;
 
 /// How the events of a stream came that has ended.
