Sight: where a daemon's tokens are, each second, and what failed requests cost

The logs could not tell whether tokens are lost with the hosts or gone to earlier callers: a process that dies tells nothing, and 'request ended' of a failed request logs no charge.

Added: 'tokens held' once a second with free, reserved (how many, how old), spent, granted, received, returned, sent, and the budgets of which most is held; 'request charged' for what failed or was given up; the budget on 'request ended'. No decision has changed.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -7,11 +7,13 @@
 mod account;
 mod allot;
 mod draw;
+mod holdings;
 mod rate;
 
 pub use account::Account;
 pub use allot::{Allotted, Ask, LEFT_PER_HELD, held_part};
 pub use draw::{Draw, Terms};
+pub use holdings::{Held, Holdings, Running};
 
 use std::collections::HashMap;
 
@@ -41,6 +43,7 @@
 pub struct Reservation {
     budget: Name,
     tokens: Tokens,
+    since: Millis,
 }
 
 impl Reservation {
@@ -142,9 +145,10 @@
             return Err(Shortfall { missing: tokens - free });
         }
         account.reserved += tokens;
+        account.running.begin(now);
         account.rate.add(tokens, now);
         self.spending_since.get_or_insert(now);
-        Ok(Reservation { budget: budget.clone(), tokens })
+        Ok(Reservation { budget: budget.clone(), tokens, since: now })
     }
 
     /// Ends a reservation: `used` tokens are spent, the others are free again.
@@ -152,6 +156,7 @@
     pub fn settle(&mut self, reservation: Reservation, used: Tokens) {
         let account = self.accounts.entry(reservation.budget).or_default();
         account.reserved -= reservation.tokens;
+        account.running.end(reservation.since);
         account.spent += used.min(reservation.tokens);
     }
 
--- a/crates/core/src/holder/account.rs
+++ b/crates/core/src/holder/account.rs
@@ -5,6 +5,7 @@
 use serde::Serialize;
 
 use crate::holder::draw::Terms;
+use crate::holder::holdings::Running;
 use crate::holder::rate::Rate;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Tokens};
@@ -43,6 +44,8 @@
     pub spent: Tokens,
     /// Tokens set aside for running attempts.
     pub reserved: Tokens,
+    /// Those attempts.
+    pub running: Running,
     /// Whether the store was told that this holder ends: what still arrives is not
     /// the holder's any more, since the store may have granted it to others by then.
     pub(super) retired: bool,
--- a/crates/core/tests/holder.rs
+++ b/crates/core/tests/holder.rs
@@ -74,3 +74,30 @@
     assert!(marks.open(Incarnation(1), &Name::from("other"), 50));
     assert!(marks.open(Incarnation(2), &budget(), 50));
 }
+
+#[test]
+fn holdings_tell_where_every_token_is() {
+    let (lender, me) = (Incarnation(2), Incarnation(1));
+    let mut holder = Holder::new(me);
+    let (main, other) = (budget(), Name::from("other"));
+    holder.granted(&main, 100);
+    holder.opened(&main, 90);
+    holder.received(&other, lender, 50);
+    let runs = holder.reserve(&main, 30, 1_000).expect("there is enough");
+    let ended = holder.reserve(&main, 20, 3_000).expect("there is enough");
+    let _runs_too = holder.reserve(&other, 7, 5_000).expect("there is enough");
+    holder.settle(ended, 15);
+    holder.give(&other, lender, 0, 3);
+    let held = holder.holdings();
+    assert_eq!((held.granted, held.received, held.returned, held.sent), (100, 50, 0, 3));
+    assert_eq!((held.spent, held.reserved, held.free, held.sealed), (15, 37, 85, 10));
+    let came = held.granted + held.received;
+    let went = held.returned + held.sent + held.spent;
+    assert_eq!(came, went + held.reserved + held.free + held.sealed);
+    // They began at 1 s and at 5 s.
+    assert_eq!((held.running.count, held.running.mean_age(9_000)), (2, 6_000));
+    let most: Vec<String> = holder.most_held(1).iter().map(ToString::to_string).collect();
+    assert_eq!(most, ["main 55+30"]);
+    holder.settle(runs, 30);
+    assert_eq!(holder.holdings().running.mean_age(9_000), 4_000);
+}
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -45,6 +45,9 @@
 /// Pause between two looks at what is held.
 const TEND: Duration = Duration::from_millis(1_000);
 
+/// Budgets told one by one each second, of those of which most is held: some 400 bytes.
+const BUDGETS_TOLD: usize = 16;
+
 /// How far ahead a daemon draws that leaves, in seconds of recent spending: the
 /// store answers its draws, and callers come to it for 2.5 s more.
 const LEAVING_HORIZON_S: f64 = 1.0;
@@ -300,6 +303,7 @@
             () = next_phase_of_stop(&daemon) => {}
             () = daemon.ended.cancelled() => return,
         }
+        log_holdings(&daemon);
         let Some(table) = daemon.table.load_full() else { continue };
         let draws = table.budgets.iter().any(|budget| owners_to_ask(&daemon, budget).is_empty());
         if daemon.leaving.is_cancelled() && draws && !store_answers(&daemon).await {
@@ -312,6 +316,22 @@
     }
 }
 
+/// Tells each second where the tokens are: the last of these lines before a loss of
+/// power is all that says what was lost with it.
+fn log_holdings(daemon: &Daemon) {
+    let now = daemon.clock.now();
+    let (held, most) = {
+        let holder = daemon.budgets.holder();
+        (holder.holdings(), holder.most_held(BUDGETS_TOLD))
+    };
+    let most: Vec<String> = most.iter().map(ToString::to_string).collect();
+    slog::info!(daemon.log, "tokens held";
+        "free" => held.free, "reserved" => held.reserved, "running" => held.running.count,
+        "running_mean_age_ms" => held.running.mean_age(now), "spent" => held.spent,
+        "granted" => held.granted, "received" => held.received, "returned" => held.returned,
+        "sent" => held.sent, "most" => most.join(", "), "store_heard_ms" => daemon.contact.store_age(now));
+}
+
 /// Waits until a planned stop begins, or enters its next phase; in the last one for
 /// ever.
 async fn next_phase_of_stop(daemon: &Daemon) {
--- a/crates/daemon/src/entry/charge.rs
+++ b/crates/daemon/src/entry/charge.rs
@@ -5,6 +5,7 @@
 
 use bankcove_core::Tokens;
 use bankcove_core::holder::Reservation;
+use slog::Logger;
 
 use crate::daemon::Daemon;
 
@@ -15,6 +16,7 @@
 /// The charge of one request; dropping it settles it.
 pub struct Charge {
     daemon: Arc<Daemon>,
+    log: Logger,
     reservation: Option<Reservation>,
     input_tokens: Tokens,
     tokens_per_event: Tokens,
@@ -24,15 +26,18 @@
 }
 
 impl Charge {
-    /// A charge of `reservation`; none for a request that costs nothing.
+    /// A charge of `reservation`; none for a request that costs nothing. `log` tells
+    /// the request.
     pub fn new(
         daemon: &Arc<Daemon>,
+        log: &Logger,
         reservation: Option<Reservation>,
         input_tokens: Tokens,
         tokens_per_event: Tokens,
     ) -> Self {
         Charge {
             daemon: Arc::clone(daemon),
+            log: log.clone(),
             reservation,
             input_tokens,
             tokens_per_event,
@@ -79,6 +84,11 @@
     fn drop(&mut self) {
         let tokens = self.tokens();
         if let Some(reservation) = self.reservation.take() {
+            if self.unseen {
+                // Nothing else says what a failed or abandoned request has cost.
+                slog::info!(self.log, "request charged";
+                    "budget" => %reservation.budget(), "tokens" => tokens, "reserved" => reservation.tokens(), "events" => self.events);
+            }
             self.daemon.budgets.holder().settle(reservation, tokens);
         }
     }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -204,5 +204,6 @@
     let server = call.tried.last().map(ToString::to_string);
     slog::info!(call.log, "request ended";
         "outcome" => outcome, "status" => status.as_u16(), "server" => server,
+        "budget" => call.plan.budget.as_ref().map(|budget| budget.name.to_string()),
         "sent" => call.sent, "tokens" => charge.tokens(), "age_ms" => age);
 }
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -174,13 +174,13 @@
 async fn charge(call: &Call) -> Result<Charge, Refusal> {
     let daemon = &call.entry.daemon;
     let (Some(prompt), Some(budget)) = (&call.incoming.prompt, &call.plan.budget) else {
-        return Ok(Charge::new(daemon, None, 0, 0));
+        return Ok(Charge::new(daemon, &call.log, None, 0, 0));
     };
     let per_event = call.plan.tokens_per_event;
     // The last event may hold fewer tokens than the limit leaves room for.
     let tokens = prompt.input_tokens + prompt.output_limit.next_multiple_of(per_event.max(1));
     let reservation = reserve(call, budget, tokens).await?;
-    Ok(Charge::new(daemon, Some(reservation), prompt.input_tokens, per_event))
+    Ok(Charge::new(daemon, &call.log, Some(reservation), prompt.input_tokens, per_event))
 }
 
 async fn reserve(
