--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -1,6 +1,8 @@
 //! A store, owners and holders in memory, driven one command at a time.
 #![allow(dead_code, reason = "each test file uses a part of it")]
 
+pub mod direct;
+
 use std::collections::VecDeque;
 
 use bankcove_core::holder::{Draw, Holder, Reservation, Terms};
