What is left of a budget is rationed: a request takes an equal part at most

Long prompts, a quarter of the requests, take three quarters of the tokens; after a loss of all hosts they emptied the ledgers in six seconds, and hardly anybody was served after that.

Changed: a request may take no more than an equal part of what is left, among those expected within ration_s (0.9 s), twice as long for each rank below the most urgent. How much is left comes with each read and write of the shard, and is looked up anew before a refusal when it is older than 1 s. What the fleet takes is seen from it. The first hold of a new start is a part of what is left in place of the whole budget.

The price is worth of quotes: large ones are refused some seconds earlier.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -9,11 +9,13 @@
 mod draw;
 mod holdings;
 mod rate;
+mod ration;
 
 pub use account::Account;
 pub use allot::{Allotted, Ask, LEFT_PER_HELD, held_part};
 pub use draw::{Draw, Terms};
 pub use holdings::{Held, Holdings, Running};
+pub use ration::Outlook;
 
 use std::collections::HashMap;
 
@@ -147,6 +149,7 @@
         account.reserved += tokens;
         account.running.begin(now);
         account.rate.add(tokens, now);
+        account.requests.add(1, now);
         self.spending_since.get_or_insert(now);
         Ok(Reservation { budget: budget.clone(), tokens, since: now })
     }
@@ -280,18 +283,6 @@
         account.opened = account.opened.max(cumulative).min(account.granted);
     }
 
-    /// Takes in how many tokens nobody holds.
-    pub fn known_left(&mut self, budget: &Name, left: Option<Tokens>) {
-        let account = self.accounts.entry(budget.clone()).or_default();
-        account.left = left.or(account.left);
-    }
-
-    /// Takes in what a holder may keep ahead.
-    pub fn known_share(&mut self, budget: &Name, share: Option<Tokens>) {
-        let account = self.accounts.entry(budget.clone()).or_default();
-        account.share = share.or(account.share);
-    }
-
     /// Takes in the store's cumulative grant.
     pub fn granted(&mut self, budget: &Name, cumulative: Tokens) {
         let account = self.accounts.entry(budget.clone()).or_default();
--- a/crates/core/src/holder/account.rs
+++ b/crates/core/src/holder/account.rs
@@ -7,6 +7,7 @@
 use crate::holder::draw::Terms;
 use crate::holder::holdings::Running;
 use crate::holder::rate::Rate;
+use crate::holder::ration::Outlook;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Tokens};
 
@@ -30,12 +31,13 @@
     pub draws: u64,
     /// Tokens given back to the store.
     pub returned: Tokens,
-    /// What a holder may keep ahead, as the store's ledger said last.
-    pub share: Option<Tokens>,
+    /// The budget as a whole, as the store's ledger or the shard's owner said last.
+    pub outlook: Option<Outlook>,
+    pub(super) known_at: Millis,
+    /// What the whole fleet took of what is left, as the outlooks show.
+    pub(super) taken: Rate,
     /// Tokens that the budget's row allowed at the last draw.
     pub total: Tokens,
-    /// Tokens that nobody holds, as the store's ledger said last.
-    pub left: Option<Tokens>,
     /// Cumulative tokens received, by sender.
     pub received: HashMap<Incarnation, Tokens>,
     /// Cumulative tokens sent, by receiver.
@@ -50,6 +52,8 @@
     /// the holder's any more, since the store may have granted it to others by then.
     pub(super) retired: bool,
     pub(super) rate: Rate,
+    /// Requests that tokens were set aside for.
+    pub(super) requests: Rate,
     pub(super) handed_on: Rate,
     /// Tokens that other daemons wanted ahead since the last draw and did not get.
     pub(super) unmet: Tokens,
@@ -61,6 +65,11 @@
         self.granted - self.opened
     }
 
+    /// What this holder may keep ahead; none while nothing is known.
+    fn share(&self) -> Option<Tokens> {
+        self.outlook.map(|outlook| outlook.share)
+    }
+
     /// What to open beyond a need.
     pub(super) fn open_ahead(&self, now: Millis) -> Tokens {
         (self.rate.per_second(now) * OPEN_AHEAD_S) as Tokens
@@ -70,14 +79,15 @@
     /// a holder may keep.
     pub(super) fn ahead(&self, terms: &Terms, now: Millis) -> Tokens {
         let own = (self.rate.per_second(now) * terms.horizon_s) as Tokens;
-        own.min(self.share.unwrap_or(own)) + self.reserve_for_others(now)
+        own.min(self.share().unwrap_or(own)) + self.reserve_for_others(now)
     }
 
     /// What is free beyond `SURPLUS` times what is needed ahead and the floor that
     /// `terms` name.
     pub(super) fn surplus(&self, terms: &Terms, now: Millis) -> Tokens {
-        let floor = terms.floor(terms.tokens, Tokens::MAX);
-        let kept = self.ahead(terms, now).max(floor.min(self.share.unwrap_or(floor)));
+        let left = self.outlook.map_or(terms.tokens, |outlook| outlook.left);
+        let floor = terms.floor(left, Tokens::MAX);
+        let kept = self.ahead(terms, now).max(floor.min(self.share().unwrap_or(floor)));
         let free = self.free();
         if free as f64 <= kept as f64 * SURPLUS { 0 } else { free - kept }
     }
--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::holder::{Account, Holder, Shortfall, Terms};
+use crate::holder::{Account, Holder, Outlook, Shortfall, Terms};
 use crate::{Incarnation, Millis, Name, Tokens};
 
 /// What an owner keeps in reserve for others, in seconds of what it handed on of
@@ -61,8 +61,8 @@
     pub owner: Incarnation,
     /// Cumulative tokens that it has sent the asker.
     pub cumulative: Tokens,
-    /// What the asker may keep ahead.
-    pub share: Tokens,
+    /// The budget as the owner sees it for the asker; none when it lends.
+    pub outlook: Option<Outlook>,
 }
 
 impl Account {
@@ -72,13 +72,14 @@
         (self.handed_on.per_second(now) * RESERVE_S) as Tokens + self.unmet
     }
 
-    /// What a holder that spends at `rate` may keep ahead: its part of what the
-    /// whole fleet spends, of what may be held.
-    fn share_of(&self, rate: Tokens, now: Millis) -> Tokens {
-        let left = self.left.unwrap_or(0) + self.free();
+    /// The budget for a holder that spends at `rate`: it may keep ahead its part of
+    /// what the whole fleet spends, of what may be held.
+    fn outlook_for(&self, rate: Tokens, now: Millis) -> Outlook {
+        let left = self.outlook.map_or(0, |outlook| outlook.left) + self.free();
         let fleet = self.rate.per_second(now) + self.handed_on.per_second(now);
         let part = (rate as f64 / fleet.max(1.0)).min(1.0);
-        (left as f64 * part * held_part(left, self.total)) as Tokens
+        let share = (left as f64 * part * held_part(left, self.total)) as Tokens;
+        Outlook { share, left }
     }
 }
 
@@ -137,8 +138,8 @@
         let received = if knows_me { ask.received } else { 0 };
         let owner = self.incarnation;
         let account = self.accounts.entry(ask.budget.clone()).or_default();
-        let share = account.share_of(ask.rate, now);
-        let ahead = share.saturating_sub(if ask.need == 0 { ask.free } else { 0 });
+        let outlook = account.outlook_for(ask.rate, now);
+        let ahead = outlook.share.saturating_sub(if ask.need == 0 { ask.free } else { 0 });
         let most = ask.want.min(ask.need.saturating_add(ahead));
         let free = account.free();
         let sent = account.sent.entry(ask.holder).or_default();
@@ -154,7 +155,7 @@
         // They ask again soon; the next draw counts what they lack now.
         account.unmet += most.saturating_sub(under_way).saturating_sub(more);
         account.handed_on.add(more, now);
-        Ok(Allotted { owner, cumulative, share })
+        Ok(Allotted { owner, cumulative, outlook: Some(outlook) })
     }
 
     /// Counts what an ask lacks in the next draw.
@@ -178,7 +179,7 @@
         let sent = account.sent.entry(ask.holder).or_default();
         let under_way = if knows_me { sent.saturating_sub(ask.received) } else { 0 };
         *sent += ask.want.saturating_sub(under_way).min(spare);
-        Allotted { owner, cumulative: *sent, share: 0 }
+        Allotted { owner, cumulative: *sent, outlook: None }
     }
 
     /// Debits all that is free, for a peer that goes on; returns the cumulative sum
@@ -195,9 +196,11 @@
     }
 
     /// Takes in what an owner has handed on.
-    pub fn allotted(&mut self, budget: &Name, allotted: Allotted) {
+    pub fn allotted(&mut self, budget: &Name, allotted: Allotted, now: Millis) {
         self.received(budget, allotted.owner, allotted.cumulative);
-        self.known_share(budget, Some(allotted.share));
+        if let Some(outlook) = allotted.outlook {
+            self.known(budget, outlook, now);
+        }
     }
 
     /// Debits what is free beyond need, to be given back to `owner` by the next
--- a/crates/core/src/holder/draw.rs
+++ b/crates/core/src/holder/draw.rs
@@ -30,10 +30,10 @@
     }
 
     /// What a holder should have in hand, whatever it spends: a part of an
-    /// equal share of the whole budget, and never more than half of what is
-    /// still available.
-    pub fn floor(&self, total: Tokens, available: Tokens) -> Tokens {
-        let equal = total as f64 / self.daemons.max(1) as f64;
+    /// equal share of `shared`, and never more than half of what is still
+    /// available.
+    pub fn floor(&self, shared: Tokens, available: Tokens) -> Tokens {
+        let equal = shared as f64 / self.daemons.max(1) as f64;
         let floor = (equal * self.held_ahead) as Tokens;
         floor.min(available / 2)
     }
--- a/crates/core/src/owner/draft.rs
+++ b/crates/core/src/owner/draft.rs
@@ -23,8 +23,8 @@
 pub(super) fn granted_reply(ledger: &Ledger, draw: &Draw, recorded: bool) -> Reply {
     let granted = ledger.granted_to(draw.holder);
     let opened = ledger.opened_by(draw.holder);
-    let share = Some(ledger.share(draw.holder, draw.terms.daemons));
-    Reply::Granted { granted, opened, recorded, share, left: Some(ledger.available()) }
+    let outlook = Some(ledger.outlook(draw.holder, draw.terms.daemons));
+    Reply::Granted { granted, opened, recorded, outlook }
 }
 
 /// Grants what a draw calls for and opens the part that it names; the rest
@@ -39,7 +39,11 @@
     let share = ledger.share(draw.holder, draw.terms.daemons);
     let ahead = if draw.witnesses.is_empty() { ahead.min(share) } else { ahead };
     let wanted = ahead.max(need);
-    let floor = draw.terms.floor(ledger.total(), available);
+    // Of what is left where nothing can be taken back: daemons that start anew near a
+    // budget's end would draw all of it. 0.807 and 0.827 of the requests were served, by
+    // the whole budget 0.795 and 0.816 (two deployments, 20 and 15 days with faults).
+    let shared = if draw.witnesses.is_empty() { available } else { ledger.total() };
+    let floor = draw.terms.floor(shared, available);
     let held = draw.free + sealed;
     let more = wanted.saturating_sub(sealed).max(floor.saturating_sub(held)).min(available);
     ledger.grant(draw.holder, &draw.address, more);
--- a/crates/core/src/owner/machine.rs
+++ b/crates/core/src/owner/machine.rs
@@ -129,7 +129,12 @@
 
     /// The shard as last read or written.
     pub fn shard(&self) -> Option<&Shard> {
-        self.shard.as_ref().map(|(_, shard)| shard)
+        self.stored().map(|(_, shard)| shard)
+    }
+
+    /// The same, with its version.
+    pub fn stored(&self) -> Option<(u64, &Shard)> {
+        self.shard.as_ref().map(|(version, shard)| (*version, shard))
     }
 
     /// Takes in a request that comes together with others: nothing is done
@@ -517,7 +522,7 @@
         }
         let most = self.gathers.take(draw, need);
         let (granted, opened) = (draw.known_granted, draw.opened);
-        let reply = Reply::Granted { granted, opened, recorded: false, share: None, left: None };
+        let reply = Reply::Granted { granted, opened, recorded: false, outlook: None };
         Decision::Answer(Outcome::Give { own: None, most, need, reply })
     }
 }
--- a/crates/core/src/owner/message.rs
+++ b/crates/core/src/owner/message.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::holder::Draw;
+use crate::holder::{Draw, Outlook};
 use crate::shard::Shard;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Name, Tokens};
@@ -79,11 +79,8 @@
         opened: Tokens,
         /// Whether the store has recorded the witnesses that the draw names.
         recorded: bool,
-        /// What one holder may keep ahead, so that as much is left in the store
-        /// as all holders have together; none when the owner does not know.
-        share: Option<Tokens>,
-        /// Tokens that nobody holds; none when the owner does not know.
-        left: Option<Tokens>,
+        /// The budget as the ledger has it; none when the owner does not know.
+        outlook: Option<Outlook>,
     },
     /// Too little is left, also after collecting.
     Short {
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::holder::{Draw, held_part};
+use crate::holder::{Draw, Outlook, held_part};
 use crate::id::shard_of_name;
 use crate::witness::Witness;
 use crate::{Incarnation, Name, Tokens};
@@ -135,6 +135,12 @@
         (left as f64 * part * held_part(left, self.total())) as Tokens
     }
 
+    /// The budget as `holder` is told of it; `daemons` is how many there are.
+    pub fn outlook(&self, holder: Incarnation, daemons: u64) -> Outlook {
+        let share = self.share(holder, daemons);
+        Outlook { share, left: self.available() }
+    }
+
     /// Takes in how fast `holder` spends.
     pub fn spends_at(&mut self, holder: Incarnation, rate: Tokens) {
         if let Some(grant) = self.grants.get_mut(&holder) {
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -3,7 +3,7 @@
 
 mod common;
 
-use bankcove_core::holder::{Allotted, Ask, Holder, Reservation, Terms};
+use bankcove_core::holder::{Allotted, Ask, Holder, Outlook, Reservation, Terms};
 use bankcove_core::{Incarnation, Millis, Tokens};
 use common::budget;
 use proptest::prelude::*;
@@ -18,6 +18,11 @@
     common::terms(TOTAL, HOLDERS as u64)
 }
 
+/// The budget as its owner knows it that holds all of it.
+fn whole_is_left() -> Outlook {
+    Outlook { share: TOTAL, left: TOTAL }
+}
+
 /// Which of the two messages of a call get through.
 #[derive(Debug, Clone, Copy)]
 enum Way {
@@ -52,7 +57,7 @@
             (0..HOLDERS).map(|n| Holder::new(Incarnation(n as u64 + 1))).collect();
         holders[OWNER].granted(&budget(), TOTAL);
         holders[OWNER].opened(&budget(), TOTAL);
-        holders[OWNER].known_left(&budget(), Some(TOTAL));
+        holders[OWNER].known(&budget(), whole_is_left(), 0);
         let open = (0..HOLDERS).map(|_| Vec::new()).collect();
         World { now: 0, starts: HOLDERS as u64, holders, open, gone: 0, last: None }
     }
@@ -71,7 +76,7 @@
         self.holders[to].asked(&ask);
         let allotted = self.holders[to].allot(&ask, self.now);
         if let (Ok(allotted), Way::Both) = (allotted, way) {
-            self.holders[from].allotted(&budget(), allotted);
+            self.holders[from].allotted(&budget(), allotted, self.now);
         }
     }
 
@@ -192,10 +197,11 @@
 #[test]
 fn an_owner_remembers_what_others_wanted_ahead() {
     let mut world = World::new();
-    let nothing = Allotted { owner: Incarnation(1), cumulative: 0, share: 5 * TOTAL };
+    let outlook = Some(Outlook { share: 5 * TOTAL, ..whole_is_left() });
+    let nothing = Allotted { owner: Incarnation(1), cumulative: 0, outlook };
     let mut owner = Holder::new(Incarnation(1));
-    owner.known_left(&budget(), Some(TOTAL));
-    world.holders[1].allotted(&budget(), nothing);
+    owner.known(&budget(), whole_is_left(), 0);
+    world.holders[1].allotted(&budget(), nothing, 0);
     world.ask(1, OWNER, 400, Way::Both);
     world.step(Step::Reserve { at: 1, tokens: 400 });
     let ask = world.holders[1].ask(&budget(), Some(Incarnation(1)), 0, &terms(), world.now);
--- a/crates/core/tests/common/direct.rs
+++ b/crates/core/tests/common/direct.rs
@@ -116,8 +116,8 @@
         let draw = holder.draw(&budget(), need, self.terms, &address(n), self.now);
         let reply = self.ask(n, Request::Draw(draw), fate);
         let holder = &mut self.daemons[n].holder;
-        if let Reply::Granted { granted, opened, share, .. } = reply {
-            holder.known_share(&budget(), share);
+        if let Reply::Granted { granted, opened, outlook, .. } = reply {
+            outlook.into_iter().for_each(|outlook| holder.known(&budget(), outlook, self.now));
             holder.granted(&budget(), granted);
             holder.opened(&budget(), opened);
         }
--- /dev/null
+++ b/crates/core/tests/ration.rs
@@ -0,0 +1,83 @@
+//! How much of what is left of a budget one request may take.
+
+mod common;
+
+use bankcove_core::holder::{Holder, Outlook};
+use bankcove_core::{Incarnation, Millis, Tokens};
+use common::budget;
+use yare::parameterized;
+
+/// How long the callers are expected for who share what is left.
+const RATION_S: f64 = 0.9;
+
+/// Ten requests a second, each of so many tokens.
+const PAUSE: Millis = 100;
+const SIZE: Tokens = 1_000;
+
+/// A holder that spent alone for 20 s, of a budget of which `left` tokens are left.
+fn holder_before(left: Tokens) -> (Holder, Millis) {
+    let mut holder = Holder::new(Incarnation(1));
+    let end = 20_000;
+    holder.granted(&budget(), Tokens::MAX / 4);
+    holder.opened(&budget(), SIZE * end / PAUSE);
+    for now in (0..end).step_by(PAUSE as usize) {
+        let reservation = holder.reserve(&budget(), SIZE, now).expect("it is open");
+        holder.settle(reservation, SIZE);
+    }
+    holder.known(&budget(), Outlook { share: 0, left }, end);
+    (holder, end)
+}
+
+#[test]
+fn without_word_of_a_budget_nothing_is_rationed() {
+    let mut holder = Holder::new(Incarnation(1));
+    assert_eq!(holder.ration(&budget(), RATION_S, 0, 0), Tokens::MAX);
+    holder.granted(&budget(), 100);
+    assert_eq!(holder.ration(&budget(), RATION_S, 0, 0), Tokens::MAX);
+}
+
+#[test]
+fn a_lone_caller_may_take_all_that_is_left() {
+    let mut holder = Holder::new(Incarnation(1));
+    holder.known(&budget(), Outlook { share: 0, left: 50_000 }, 0);
+    assert_eq!(holder.ration(&budget(), RATION_S, 3, 0), 50_000);
+}
+
+#[parameterized(
+    most_urgent = { 0, 9.0 },
+    next = { 1, 18.0 },
+    third = { 2, 36.0 },
+    lowest = { 3, 72.0 },
+    none_is_kept_from_all_that_is_left = { 200, 72.0 },
+)]
+fn what_is_left_is_shared_with_the_callers_expected(rank: u32, expected_callers: f64) {
+    let left = 100_000;
+    let (holder, now) = holder_before(left);
+    let part = holder.ration(&budget(), RATION_S, rank, now) as f64 / left as f64;
+    // Rates forget slowly: they are right to a tenth after two time constants.
+    let off = part * expected_callers;
+    assert!((0.9..1.1).contains(&off), "{part} among {expected_callers}");
+}
+
+#[test]
+fn what_others_take_counts_as_callers_too() {
+    let (mut holder, end) = holder_before(1_000_000);
+    let alone = holder.ration(&budget(), RATION_S, 0, end);
+    // In the next ten seconds others take nine times as much as this daemon.
+    let mut left = 1_000_000;
+    for second in 1..=10 {
+        left -= 9 * SIZE * 1_000 / PAUSE;
+        holder.known(&budget(), Outlook { share: 0, left }, end + second * 1_000);
+    }
+    let shared = holder.ration(&budget(), RATION_S, 0, end + 10_000);
+    assert!(shared * 2 < alone, "{shared} of {left}, {alone} alone");
+}
+
+#[test]
+fn a_top_up_is_known_at_once() {
+    let (mut holder, now) = holder_before(10_000);
+    let before = holder.ration(&budget(), RATION_S, 0, now);
+    holder.known(&budget(), Outlook { share: 0, left: 10_000_000 }, now + 1);
+    assert!(holder.ration(&budget(), RATION_S, 0, now + 1) > before * 900);
+    assert_eq!(holder.outlook_age(&budget(), now + 501), Some(500));
+}
--- a/crates/core/tests/recovery.rs
+++ b/crates/core/tests/recovery.rs
@@ -47,6 +47,10 @@
 /// calls it (0 first).
 const KINDS: [(f64, Tokens, u32); 3] = [(0.25, 12_000, 0), (0.4, 1_000, 1), (0.35, 2_000, 2)];
 
+/// How long the callers are expected for who share what is left, as in the daemon's
+/// settings.
+const RATION_S: f64 = 0.9;
+
 /// Mean tokens asked for in a second.
 const DEMAND: Tokens = 41_000;
 
@@ -164,9 +168,11 @@
         self.world.terms.tokens - self.spent - open.sum::<Tokens>()
     }
 
-    /// `_rank` is how urgent the table calls the request; nothing asks for it yet.
-    fn reserve(&mut self, n: usize, tokens: Tokens, _rank: u32) -> Option<Reservation> {
+    fn reserve(&mut self, n: usize, tokens: Tokens, rank: u32) -> Option<Reservation> {
         let now = self.world.now;
+        if tokens > self.world.daemons[n].holder.ration(&budget(), RATION_S, rank, now) {
+            return None;
+        }
         let short = match self.world.daemons[n].holder.reserve(&budget(), tokens, now) {
             Ok(reservation) => return Some(reservation),
             Err(short) => short,
--- a/crates/daemon/src/allotment.rs
+++ b/crates/daemon/src/allotment.rs
@@ -88,7 +88,7 @@
         "took_ms" => daemon.clock.now().saturating_sub(now));
     match answer {
         Some(AllotAnswer::Allotted(allotted)) => {
-            daemon.budgets.holder().allotted(&budget.name, allotted);
+            daemon.budgets.holder().allotted(&budget.name, allotted, now);
             Some(Ok(()))
         }
         Some(AllotAnswer::Refused(refusal)) if refusal.store_away => None,
--- a/crates/daemon/src/budget_owner.rs
+++ b/crates/daemon/src/budget_owner.rs
@@ -6,7 +6,7 @@
 use bankcove_core::holder::Draw;
 use bankcove_core::owner::{Command, Event, Owner, OwnerCounts, RETRY_SOON_MS, Reply, Request};
 use bankcove_core::shard::{Shard, shard_of_budget};
-use bankcove_core::{Millis, Tokens};
+use bankcove_core::{Millis, Name, Tokens};
 use bankcove_ports::{Kind, Versioned, WriteOutcome};
 use parking_lot::Mutex;
 use serde::Serialize;
@@ -85,6 +85,7 @@
             daemon: Arc::downgrade(daemon),
             tx: tx.downgrade(),
             tickets: Tickets::default(),
+            told: None,
         };
         let limits = &daemon.cfg.limits;
         let address = daemon.cfg.peer_address();
@@ -106,6 +107,8 @@
     daemon: Weak<Daemon>,
     tx: mpsc::WeakUnboundedSender<Mail>,
     tickets: Tickets<OwnerAnswer>,
+    /// Version of the shard that the holder was told of last.
+    told: Option<u64>,
 }
 
 impl OwnerTask {
@@ -131,10 +134,21 @@
                 }
             };
             let commands = machine.handle(daemon.clock.now(), event);
+            self.tell_holder(&daemon, &machine);
             self.carry_out(&daemon, commands);
         }
     }
 
+    /// Tells this daemon's holder what any read or write of the shard shows.
+    fn tell_holder(&mut self, daemon: &Daemon, machine: &Owner) {
+        let Some((version, shard)) = machine.stored() else { return };
+        if daemon.cfg.limits.witnesses > 0 || self.told == Some(version) {
+            return;
+        }
+        self.told = Some(version);
+        tell_holder(daemon, shard);
+    }
+
     fn carry_out(&mut self, daemon: &Arc<Daemon>, commands: Vec<Command>) {
         let mut wake_at: Option<Millis> = None;
         for command in commands {
@@ -170,6 +184,35 @@
     }
 }
 
+/// Tells this daemon's holder what the shard shows of each budget: its own last draw may
+/// be seconds old, in which others have spent.
+fn tell_holder(daemon: &Daemon, shard: &Shard) {
+    let daemons = 1 + daemon.members.lock().usable().count() as u64;
+    let now = daemon.clock.now();
+    let table = daemon.table.load();
+    let mut holder = daemon.budgets.holder();
+    let me = holder.incarnation();
+    for (budget, ledger) in &shard.budgets {
+        if !holder.accounts().contains_key(budget) {
+            continue;
+        }
+        let mut ledger = ledger.clone();
+        if let Some(row) = table.as_ref().and_then(|table| table.budget(budget)) {
+            // The next draw writes it; until then nobody is refused what was topped up.
+            ledger.adopt_row(row.tokens, row.version);
+        }
+        holder.known(budget, ledger.outlook(me, daemons), now);
+    }
+}
+
+/// Reads the shard of a budget, to know how much is left of it.
+pub async fn look_at_store(daemon: &Arc<Daemon>, budget: &Name) {
+    let shard = shard_of_budget(budget, daemon.cfg.limits.budget_shards);
+    if let Event::Loaded(_, shard) = load(Arc::clone(daemon), shard).await {
+        tell_holder(daemon, &shard);
+    }
+}
+
 fn shard_name(shard: u32) -> String {
     format!("shard-{shard:02}")
 }
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -15,7 +15,9 @@
 
 use crate::allotment::{ask_for_tokens, owners_to_ask};
 use crate::borrow;
-use crate::budget_owner::{Owners, ask_local_owner, shard_of_request, store_answers};
+use crate::budget_owner::{
+    Owners, ask_local_owner, look_at_store, shard_of_request, store_answers,
+};
 use crate::collect::{open, witnesses};
 use crate::daemon::Daemon;
 use crate::hand_over::hand_over;
@@ -42,6 +44,10 @@
 /// Shortest time between two draws ahead of one budget.
 const DRAW_AHEAD_MS: Millis = 500;
 
+/// What is known of the rest of a budget is looked up anew before a request is refused
+/// by it, when it is older than this: a top-up or other daemons' tokens may be there.
+const LOOK_AGAIN_MS: Millis = 1_000;
+
 /// Pause between two looks at what is held.
 const TEND: Duration = Duration::from_millis(1_000);
 
@@ -167,6 +173,36 @@
     obtain(daemon, budget, Source::Owner, arrived, try_now).await
 }
 
+/// The most that one request of this rank may take of the rest of a budget. What is
+/// known of the rest is looked up anew when it is old and would refuse the request.
+pub async fn ration(
+    daemon: &Arc<Daemon>,
+    budget: &Budget,
+    tokens: Tokens,
+    ration_s: f64,
+    rank: u32,
+) -> Tokens {
+    let ration = || {
+        let now = daemon.clock.now();
+        daemon.budgets.holder().ration(&budget.name, ration_s, rank, now)
+    };
+    let now = daemon.clock.now();
+    let age = daemon.budgets.holder().outlook_age(&budget.name, now);
+    let is_old = age.is_some_and(|age| age > LOOK_AGAIN_MS);
+    if tokens <= ration() || !is_old || !daemon.budgets.begin_ahead(&budget.name, now) {
+        return ration();
+    }
+    match owners_to_ask(daemon, budget).first() {
+        Some(owner) => {
+            // What it hands on is what it answers with besides.
+            let _outcome = ask_for_tokens(daemon, budget, 0, owner).await;
+        }
+        None => look_at_store(daemon, &budget.name).await,
+    }
+    daemon.budgets.end_ahead(&budget.name);
+    ration()
+}
+
 /// Draws until `try_now` has what it takes.
 pub(crate) async fn obtain<T>(
     daemon: &Arc<Daemon>,
@@ -392,9 +428,10 @@
         holder.received(&budget.name, owner, cumulative);
     }
     match answer.reply {
-        Reply::Granted { granted, opened, recorded, share, left } => {
-            holder.known_share(&budget.name, share);
-            holder.known_left(&budget.name, left);
+        Reply::Granted { granted, opened, recorded, outlook } => {
+            if let Some(outlook) = outlook {
+                holder.known(&budget.name, outlook, now);
+            }
             holder.granted(&budget.name, granted);
             holder.opened(&budget.name, opened);
             if recorded {
--- a/crates/daemon/src/entry/link_use.rs
+++ b/crates/daemon/src/entry/link_use.rs
@@ -38,7 +38,7 @@
         body: usize,
     ) -> Option<Self> {
         let expected = expected(plan, incoming, body);
-        let rank = plan.route.priority.min(0).unsigned_abs();
+        let rank = plan.rank();
         let now = entry.daemon.clock.now();
         let mut link = entry.link.lock();
         let is_promised = link.as_mut().is_none_or(|link| link.promise(expected, rank, now));
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -65,6 +65,11 @@
         })
     }
 
+    /// How urgent the table calls the route: 0 is the most urgent.
+    pub fn rank(&self) -> u32 {
+        self.route.priority.min(0).unsigned_abs()
+    }
+
     /// How long the request is expected to take, rather more than less.
     pub fn expected_time(&self, incoming: &Incoming) -> Duration {
         let begin = Duration::from_millis(self.route.goal_ms * GOALS);
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -53,6 +53,20 @@
         /// When it is worth asking again.
         retry_after: Duration,
     },
+    /// The request is larger than what one may take of the rest of the budget.
+    #[error(
+        "{tokens} tokens are more than one request may take of the rest of budget '{budget}': {ration}"
+    )]
+    BudgetRationed {
+        /// The budget.
+        budget: String,
+        /// Tokens that the request may cost.
+        tokens: u64,
+        /// The most that one request may take now.
+        ration: u64,
+        /// When it is worth asking again.
+        retry_after: Duration,
+    },
     /// Tokens may be left, but none are in reach of this daemon now.
     #[error("{tokens} tokens of budget '{budget}' are not in reach now")]
     BudgetOutOfReach {
@@ -92,7 +106,9 @@
             Refusal::Malformed(_) => StatusCode::BAD_REQUEST,
             Refusal::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BodyTooSlow(_) => StatusCode::REQUEST_TIMEOUT,
-            Refusal::BudgetShort { .. } => StatusCode::TOO_MANY_REQUESTS,
+            Refusal::BudgetShort { .. } | Refusal::BudgetRationed { .. } => {
+                StatusCode::TOO_MANY_REQUESTS
+            }
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
         }
@@ -110,6 +126,7 @@
             Refusal::BodyTooLarge(_) => "body_too_large",
             Refusal::BodyTooSlow(_) => "body_too_slow",
             Refusal::BudgetShort { .. } => "budget_short",
+            Refusal::BudgetRationed { .. } => "budget_rationed",
             Refusal::BudgetOutOfReach { .. } => "budget_out_of_reach",
             Refusal::NoServer => "no_server",
             Refusal::TooLate => "too_late",
@@ -125,6 +142,7 @@
             Refusal::NoTable | Refusal::Stopping | Refusal::LinkFull => Some(RETRY_ELSEWHERE),
             Refusal::NoServer => Some(RETRY_NO_SERVER),
             Refusal::BudgetShort { retry_after, .. }
+            | Refusal::BudgetRationed { retry_after, .. }
             | Refusal::BudgetOutOfReach { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -6,6 +6,7 @@
 
 use bankcove_core::Tokens;
 use bankcove_core::holder::Reservation;
+use bankcove_core::owner::RETRY_LATER_MS;
 use bankcove_core::table::CallerLimits;
 use bankcove_ports::wire::Incoming;
 use salvo::affix_state;
@@ -190,6 +191,12 @@
 ) -> Result<Reservation, Refusal> {
     let daemon = &call.entry.daemon;
     let name = budget.name.to_string();
+    let (ration_s, rank) = (call.entry.settings.ration_s, call.plan.rank());
+    let ration = budgets::ration(daemon, budget, tokens, ration_s, rank).await;
+    if tokens > ration {
+        let retry_after = Duration::from_millis(RETRY_LATER_MS);
+        return Err(Refusal::BudgetRationed { budget: name, tokens, ration, retry_after });
+    }
     let reserving = budgets::reserve(daemon, budget, tokens);
     match tokio::time::timeout(BUDGET_WAIT, reserving).await {
         Ok(Ok(reservation)) => Ok(reservation),
--- a/crates/daemon/src/entry/settings.rs
+++ b/crates/daemon/src/entry/settings.rs
@@ -43,6 +43,11 @@
     /// Part of an equal share that is drawn at least, 0 to 1.
     #[serde(default = "default_held_ahead")]
     pub held_ahead: f64,
+    /// One request of the most urgent rank may take no more than an equal part of what
+    /// is left of its budget, among the requests that are expected within so many
+    /// seconds, and of each lower rank within twice as many. 0 lets it take all.
+    #[serde(default = "default_ration_s")]
+    pub ration_s: f64,
 }
 
 /// Milliseconds of a second.
@@ -77,6 +82,14 @@
     0.1
 }
 
+/// Measured on three deployments, five days of faults with three or four seeds each:
+/// of the callers from 12 s after a loss of all daemons 0.75, 0.80 and 0.75 are served
+/// in the mean and 0.49, 0.64 and 0.47 on the worst day; without 0.59, 0.65 and 0.68, and
+/// 0.32, 0.43 and 0.50. The worth of the whole day changes by -0.013, 0.002 and -0.015.
+fn default_ration_s() -> f64 {
+    0.9
+}
+
 impl EntrySettings {
     /// Settings for a first look.
     pub fn example() -> Self {
@@ -91,6 +104,7 @@
             horizon_s: default_horizon_s(),
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
+            ration_s: default_ration_s(),
         }
     }
 
@@ -141,6 +155,7 @@
             "the width is not above 0 megabits a second",
             "use the link's, for example 1000, or leave it out",
         );
+        check(!is_usable(self.ration_s), "entry.ration_s", negative, "use for example 0.9");
         check(
             !(0.0..=1.0).contains(&self.held_ahead),
             "entry.held_ahead",
