--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -15,9 +15,7 @@
 
 use crate::allotment::{ask_for_tokens, owners_to_ask};
 use crate::borrow;
-use crate::budget_owner::{
-    Owners, ask_local_owner, look_at_store, shard_of_request, store_answers,
-};
+use crate::budget_owner::{Owners, ask_local_owner, shard_of_request, store_answers};
 use crate::collect::{open, witnesses};
 use crate::daemon::Daemon;
 use crate::hand_over::hand_over;
@@ -44,16 +42,6 @@
 /// Shortest time between two draws ahead of one budget.
 const DRAW_AHEAD_MS: Millis = 500;
 
-/// What is known of the rest of a budget is looked up anew before a request is refused
-/// by it, when it is older than this: a top-up or other daemons' tokens may be there.
-const LOOK_AGAIN_MS: Millis = 1_000;
-
-/// Pause between two looks at what is held.
-const TEND: Duration = Duration::from_millis(1_000);
-
-/// Budgets told one by one each second, of those of which most is held: some 400 bytes.
-const BUDGETS_TOLD: usize = 16;
-
 /// How far ahead a daemon draws that leaves, in seconds of recent spending: the
 /// store answers its draws, and callers come to it for 2.5 s more.
 const LEAVING_HORIZON_S: f64 = 1.0;
@@ -130,7 +118,7 @@
 
     /// Whether a draw ahead may begin now: none runs, whose tokens this one would
     /// bring as well, and the last one is not too recent.
-    fn begin_ahead(&self, budget: &Name, now: Millis) -> bool {
+    pub(crate) fn begin_ahead(&self, budget: &Name, now: Millis) -> bool {
         let mut ahead = self.ahead.lock();
         let last = ahead.entry(budget.clone()).or_default();
         let is_recent = last.started_at.is_some_and(|at| now < at + DRAW_AHEAD_MS);
@@ -141,7 +129,7 @@
         true
     }
 
-    fn end_ahead(&self, budget: &Name) {
+    pub(crate) fn end_ahead(&self, budget: &Name) {
         if let Some(last) = self.ahead.lock().get_mut(budget) {
             last.running = false;
         }
@@ -173,36 +161,6 @@
     obtain(daemon, budget, Source::Owner, arrived, try_now).await
 }
 
-/// The most that one request of this rank may take of the rest of a budget. What is
-/// known of the rest is looked up anew when it is old and would refuse the request.
-pub async fn ration(
-    daemon: &Arc<Daemon>,
-    budget: &Budget,
-    tokens: Tokens,
-    ration_s: f64,
-    rank: u32,
-) -> Tokens {
-    let ration = || {
-        let now = daemon.clock.now();
-        daemon.budgets.holder().ration(&budget.name, ration_s, rank, now)
-    };
-    let now = daemon.clock.now();
-    let age = daemon.budgets.holder().outlook_age(&budget.name, now);
-    let is_old = age.is_some_and(|age| age > LOOK_AGAIN_MS);
-    if tokens <= ration() || !is_old || !daemon.budgets.begin_ahead(&budget.name, now) {
-        return ration();
-    }
-    match owners_to_ask(daemon, budget).first() {
-        Some(owner) => {
-            // What it hands on is what it answers with besides.
-            let _outcome = ask_for_tokens(daemon, budget, 0, owner).await;
-        }
-        None => look_at_store(daemon, &budget.name).await,
-    }
-    daemon.budgets.end_ahead(&budget.name);
-    ration()
-}
-
 /// Draws until `try_now` has what it takes.
 pub(crate) async fn obtain<T>(
     daemon: &Arc<Daemon>,
@@ -244,7 +202,7 @@
 }
 
 /// Brings `need` more tokens and some ahead.
-async fn refill(
+pub(crate) async fn refill(
     daemon: &Arc<Daemon>,
     budget: &Budget,
     need: Tokens,
@@ -328,82 +286,6 @@
     });
 }
 
-/// Keeps what is held of each budget near what is needed ahead, until the
-/// daemon ends: what is held too much would be lost with this host, and is
-/// missing elsewhere; what is held too little is missing in a cut. A daemon that
-/// stops needs next to nothing: what streams leave over goes back as they end.
-pub async fn tend(daemon: Arc<Daemon>) {
-    loop {
-        tokio::select! {
-            () = tokio::time::sleep(TEND) => {}
-            () = next_phase_of_stop(&daemon) => {}
-            () = daemon.ended.cancelled() => return,
-        }
-        log_holdings(&daemon);
-        let Some(table) = daemon.table.load_full() else { continue };
-        let draws = table.budgets.iter().any(|budget| owners_to_ask(&daemon, budget).is_empty());
-        if daemon.leaving.is_cancelled() && draws && !store_answers(&daemon).await {
-            // Debited before the outage is known, it could not be handed to a peer.
-            continue;
-        }
-        for budget in &table.budgets {
-            tend_one(&daemon, budget);
-        }
-    }
-}
-
-/// Tells each second where the tokens are: the last of these lines before a loss of
-/// power is all that says what was lost with it.
-fn log_holdings(daemon: &Daemon) {
-    let now = daemon.clock.now();
-    let (held, most) = {
-        let holder = daemon.budgets.holder();
-        (holder.holdings(), holder.most_held(BUDGETS_TOLD))
-    };
-    let most: Vec<String> = most.iter().map(ToString::to_string).collect();
-    slog::info!(daemon.log, "tokens held";
-        "free" => held.free, "reserved" => held.reserved, "running" => held.running.count,
-        "running_mean_age_ms" => held.running.mean_age(now), "spent" => held.spent,
-        "granted" => held.granted, "received" => held.received, "returned" => held.returned,
-        "sent" => held.sent, "most" => most.join(", "), "store_heard_ms" => daemon.contact.store_age(now));
-}
-
-/// Waits until a planned stop begins, or enters its next phase; in the last one for
-/// ever.
-async fn next_phase_of_stop(daemon: &Daemon) {
-    if !daemon.leaving.is_cancelled() {
-        return daemon.leaving.cancelled().await;
-    }
-    if !daemon.stopping.is_cancelled() {
-        return daemon.stopping.cancelled().await;
-    }
-    std::future::pending().await
-}
-
-fn tend_one(daemon: &Arc<Daemon>, budget: &Budget) {
-    let terms = terms(daemon, budget);
-    let now = daemon.clock.now();
-    let owner = owners_to_ask(daemon, budget).into_iter().next().and_then(|peer| peer.incarnation);
-    if owner.is_none() && daemon.contact.is_store_away(now) {
-        // Debited and not told, it would serve nobody until the store is back.
-        return;
-    }
-    let returned = match owner {
-        Some(owner) => daemon.budgets.holder().give_back_surplus(&budget.name, owner, &terms, now),
-        None => daemon.budgets.holder().return_surplus(&budget.name, &terms, now),
-    };
-    if returned == 0 {
-        if !daemon.stopping.is_cancelled() {
-            prepare(daemon, budget);
-        }
-        return;
-    }
-    slog::info!(daemon.log, "tokens given back"; "budget" => %budget.name, "tokens" => returned);
-    let (daemon, budget) = (Arc::clone(daemon), budget.clone());
-    // Debited already: a draw that is lost is told again by the next one.
-    tokio::spawn(async move { refill(&daemon, &budget, 0, Source::Owner).await });
-}
-
 async fn draw(daemon: &Arc<Daemon>, budget: &Budget, need: Tokens) -> Result<(), Refusal> {
     let terms = terms(daemon, budget);
     let now = daemon.clock.now();
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -22,7 +22,7 @@
 use crate::http::{Side, serve};
 use crate::{
     backend, billing, budgets, chat, logging, membership, operator, peer, proxy, server_sync,
-    table_sync, unread_news,
+    table_sync, tend, unread_news,
 };
 
 /// Pause between two looks while a planned stop waits.
@@ -127,7 +127,7 @@
         }
         if daemon.cfg.limits.witnesses == 0 {
             // Without sealed grants all that is held is lost with its holder.
-            tokio::spawn(budgets::tend(Arc::clone(&daemon)));
+            tokio::spawn(tend::tend(Arc::clone(&daemon)));
         }
         tokio::spawn(announce(Arc::clone(&daemon)));
         tokio::spawn(membership::follow_host_list(Arc::clone(&daemon)));
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -25,6 +25,7 @@
 use crate::entry::plan::Plan;
 use crate::entry::ready::entry;
 use crate::entry::refusal::Refusal;
+use crate::ration::{Wish, ration};
 
 /// Longest wait for tokens of a budget: a draw takes two calls of the store at
 /// some 4 ms, and a refusal that comes later than a quarter of a caller's goal
@@ -192,7 +193,7 @@
     let daemon = &call.entry.daemon;
     let name = budget.name.to_string();
     let (ration_s, rank) = (call.entry.settings.ration_s, call.plan.rank());
-    let ration = budgets::ration(daemon, budget, tokens, ration_s, rank).await;
+    let ration = ration(daemon, budget, Wish { tokens, rank, ration_s }).await;
     if tokens > ration {
         let retry_after = Duration::from_millis(RETRY_LATER_MS);
         return Err(Refusal::BudgetRationed { budget: name, tokens, ration, retry_after });
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -36,11 +36,13 @@
 pub mod placement;
 pub mod proxy;
 pub mod pump;
+pub mod ration;
 pub mod request_log;
 pub mod server_sync;
 pub mod sse;
 pub mod table_sync;
 pub mod tcp;
+pub mod tend;
 pub mod unread_news;
 
 pub use error::{Error, Result};
--- /dev/null
+++ b/crates/daemon/src/ration.rs
@@ -0,0 +1,68 @@
+//! How much of what is left of a budget one request may take.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::table::Budget;
+use bankcove_core::{Millis, Tokens};
+
+use crate::allotment::{ask_for_tokens, owners_to_ask};
+use crate::budget_owner::look_at_store;
+use crate::daemon::Daemon;
+
+/// What is known of the rest of a budget is looked up anew before a request is refused
+/// by it, when it is older than this: a top-up or other daemons' tokens may be there.
+const LOOK_AGAIN_MS: Millis = 1_000;
+
+/// Longest wait for that: a read of the store takes some 4 ms, and a refusal that comes
+/// later than a quarter of a caller's goal is of little use to it.
+const LOOK_WAIT: Duration = Duration::from_millis(150);
+
+/// What a request is, as far as its ration goes.
+#[derive(Debug, Clone, Copy)]
+pub struct Wish {
+    /// The most that it may cost.
+    pub tokens: Tokens,
+    /// How urgent the table calls it: 0 is the most urgent.
+    pub rank: u32,
+    /// How long the callers are expected for who share what is left, in seconds.
+    pub ration_s: f64,
+}
+
+/// The most that a request may take of the rest of a budget. What is known of the rest
+/// is looked up anew when it is old and would refuse the request.
+pub async fn ration(daemon: &Arc<Daemon>, budget: &Budget, wish: Wish) -> Tokens {
+    let by_last_word = known_ration(daemon, budget, wish);
+    if wish.tokens <= by_last_word || !is_word_old(daemon, budget) {
+        return by_last_word;
+    }
+    if !daemon.budgets.begin_ahead(&budget.name, daemon.clock.now()) {
+        return by_last_word;
+    }
+    // In a task of its own, so that it ends also when the caller goes away meanwhile.
+    let looking = tokio::spawn(look_again(Arc::clone(daemon), budget.clone()));
+    // Without an answer in time the last word stands.
+    let _outcome = tokio::time::timeout(LOOK_WAIT, looking).await;
+    known_ration(daemon, budget, wish)
+}
+
+fn known_ration(daemon: &Daemon, budget: &Budget, wish: Wish) -> Tokens {
+    let now = daemon.clock.now();
+    daemon.budgets.holder().ration(&budget.name, wish.ration_s, wish.rank, now)
+}
+
+fn is_word_old(daemon: &Daemon, budget: &Budget) -> bool {
+    let age = daemon.budgets.holder().outlook_age(&budget.name, daemon.clock.now());
+    age.is_some_and(|age| age > LOOK_AGAIN_MS)
+}
+
+async fn look_again(daemon: Arc<Daemon>, budget: Budget) {
+    match owners_to_ask(&daemon, &budget).first() {
+        Some(owner) => {
+            // It tells how much is left with whatever it hands on, and logs its answer.
+            let _outcome = ask_for_tokens(&daemon, &budget, 0, owner).await;
+        }
+        None => look_at_store(&daemon, &budget.name).await,
+    }
+    daemon.budgets.end_ahead(&budget.name);
+}
--- /dev/null
+++ b/crates/daemon/src/tend.rs
@@ -0,0 +1,93 @@
+//! Looks once a second at what this daemon holds of each budget.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::table::Budget;
+
+use crate::allotment::owners_to_ask;
+use crate::budget_owner::store_answers;
+use crate::budgets::{Source, prepare, refill, terms};
+use crate::daemon::Daemon;
+
+/// Pause between two looks at what is held.
+const TEND: Duration = Duration::from_millis(1_000);
+
+/// Budgets told one by one each second, of those of which most is held: some 400 bytes.
+const BUDGETS_TOLD: usize = 16;
+
+/// Keeps what is held of each budget near what is needed ahead, until the
+/// daemon ends: what is held too much would be lost with this host, and is
+/// missing elsewhere; what is held too little is missing in a cut. A daemon that
+/// stops needs next to nothing: what streams leave over goes back as they end.
+pub async fn tend(daemon: Arc<Daemon>) {
+    loop {
+        tokio::select! {
+            () = tokio::time::sleep(TEND) => {}
+            () = next_phase_of_stop(&daemon) => {}
+            () = daemon.ended.cancelled() => return,
+        }
+        log_holdings(&daemon);
+        let Some(table) = daemon.table.load_full() else { continue };
+        let draws = table.budgets.iter().any(|budget| owners_to_ask(&daemon, budget).is_empty());
+        if daemon.leaving.is_cancelled() && draws && !store_answers(&daemon).await {
+            // Debited before the outage is known, it could not be handed to a peer.
+            continue;
+        }
+        for budget in &table.budgets {
+            tend_one(&daemon, budget);
+        }
+    }
+}
+
+/// Tells each second where the tokens are: the last of these lines before a loss of
+/// power is all that says what was lost with it.
+fn log_holdings(daemon: &Daemon) {
+    let now = daemon.clock.now();
+    let (held, most) = {
+        let holder = daemon.budgets.holder();
+        (holder.holdings(), holder.most_held(BUDGETS_TOLD))
+    };
+    let most: Vec<String> = most.iter().map(ToString::to_string).collect();
+    slog::info!(daemon.log, "tokens held";
+        "free" => held.free, "reserved" => held.reserved, "running" => held.running.count,
+        "running_mean_age_ms" => held.running.mean_age(now), "spent" => held.spent,
+        "granted" => held.granted, "received" => held.received, "returned" => held.returned,
+        "sent" => held.sent, "most" => most.join(", "), "store_heard_ms" => daemon.contact.store_age(now));
+}
+
+/// Waits until a planned stop begins, or enters its next phase; in the last one for
+/// ever.
+async fn next_phase_of_stop(daemon: &Daemon) {
+    if !daemon.leaving.is_cancelled() {
+        return daemon.leaving.cancelled().await;
+    }
+    if !daemon.stopping.is_cancelled() {
+        return daemon.stopping.cancelled().await;
+    }
+    std::future::pending().await
+}
+
+fn tend_one(daemon: &Arc<Daemon>, budget: &Budget) {
+    let terms = terms(daemon, budget);
+    let now = daemon.clock.now();
+    let owner = owners_to_ask(daemon, budget).into_iter().next().and_then(|peer| peer.incarnation);
+    if owner.is_none() && daemon.contact.is_store_away(now) {
+        // Debited and not told, it would serve nobody until the store is back.
+        return;
+    }
+    let returned = match owner {
+        Some(owner) => daemon.budgets.holder().give_back_surplus(&budget.name, owner, &terms, now),
+        None => daemon.budgets.holder().return_surplus(&budget.name, &terms, now),
+    };
+    if returned == 0 {
+        if !daemon.stopping.is_cancelled() {
+            prepare(daemon, budget);
+        }
+        return;
+    }
+    slog::info!(daemon.log, "tokens given back"; "budget" => %budget.name, "tokens" => returned);
+    let (daemon, budget) = (Arc::clone(daemon), budget.clone());
+    // Debited already: a draw that is lost is told again by the next one.
+    tokio::spawn(async move { refill(&daemon, &budget, 0, Source::Owner).await });
+}
