--- a/crates/core/src/holder/holdings.rs
+++ b/crates/core/src/holder/holdings.rs
@@ -92,8 +92,13 @@
             reserved: account.reserved,
         });
         let mut held: Vec<Held> = held.filter(|held| held.unspent + held.reserved > 0).collect();
-        held.sort_by_key(|held| (Reverse(held.unspent + held.reserved), held.budget.clone()));
-        held.truncate(count);
+        let most_first = |held: &Held| Reverse(held.unspent + held.reserved);
+        if count < held.len() {
+            // A daemon may have 39,000 budgets: only those that are told get sorted.
+            held.select_nth_unstable_by_key(count, most_first);
+            held.truncate(count);
+        }
+        held.sort_by_key(most_first);
         held
     }
 
--- a/crates/core/src/holder/ration.rs
+++ b/crates/core/src/holder/ration.rs
@@ -9,7 +9,8 @@
 use crate::holder::{Account, Holder};
 use crate::{Millis, Name, Tokens};
 
-/// Ranks below this one count as this one: none is kept from all that is left.
+/// Ranks below this one count as this one, eight times the window: by doubling further,
+/// the least urgent of ten ranks would be refused while most of a budget is left.
 const LOWEST_RANK: u32 = 3;
 
 /// A budget as its ledger, or its shard's owner, saw it last.
