A stricter test that what others take counts as callers of a budget

The mutant others-not-counted passed the first form: less was left there, which alone made the ration smaller.

--- a/crates/core/tests/ration.rs
+++ b/crates/core/tests/ration.rs
@@ -14,8 +14,8 @@
 const PAUSE: Millis = 100;
 const SIZE: Tokens = 1_000;
 
-/// A holder that spent alone for 20 s, of a budget of which `left` tokens are left.
-fn holder_before(left: Tokens) -> (Holder, Millis) {
+/// A holder that spent for 20 s, and knows nothing of the budget as a whole.
+fn spender() -> (Holder, Millis) {
     let mut holder = Holder::new(Incarnation(1));
     let end = 20_000;
     holder.granted(&budget(), Tokens::MAX / 4);
@@ -24,10 +24,16 @@
         let reservation = holder.reserve(&budget(), SIZE, now).expect("it is open");
         holder.settle(reservation, SIZE);
     }
-    holder.known(&budget(), Outlook { share: 0, left }, end);
     (holder, end)
 }
 
+/// The same, which was told now that `left` tokens are left.
+fn holder_before(left: Tokens) -> (Holder, Millis) {
+    let (mut holder, now) = spender();
+    holder.known(&budget(), Outlook { share: 0, left }, now);
+    (holder, now)
+}
+
 #[test]
 fn without_word_of_a_budget_nothing_is_rationed() {
     let mut holder = Holder::new(Incarnation(1));
@@ -62,15 +68,17 @@
 #[test]
 fn what_others_take_counts_as_callers_too() {
     let (mut holder, end) = holder_before(1_000_000);
-    let alone = holder.ration(&budget(), RATION_S, 0, end);
-    // In the next ten seconds others take nine times as much as this daemon.
+    let (mut alone, _) = spender();
+    // In the next ten seconds others take nine times as much as this daemon did.
     let mut left = 1_000_000;
     for second in 1..=10 {
         left -= 9 * SIZE * 1_000 / PAUSE;
         holder.known(&budget(), Outlook { share: 0, left }, end + second * 1_000);
     }
-    let shared = holder.ration(&budget(), RATION_S, 0, end + 10_000);
-    assert!(shared * 2 < alone, "{shared} of {left}, {alone} alone");
+    // The same is left, by a first word of it.
+    alone.known(&budget(), Outlook { share: 0, left }, end + 10_000);
+    let part = |holder: &Holder| holder.ration(&budget(), RATION_S, 0, end + 10_000);
+    assert!(part(&holder) * 2 < part(&alone), "{} and {}", part(&holder), part(&alone));
 }
 
 #[test]
