The ration counts what is taken for good, and is off in large fleets

Two faults of it: what daemons draw ahead and give back counted as taken, and the mean request of one budget was judged by the few that one daemon of 75 sees.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -21,6 +21,7 @@
 
 use serde::Serialize;
 
+use crate::holder::rate::Rate;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Name, Tokens};
 
@@ -74,6 +75,9 @@
 pub struct Holder {
     incarnation: Incarnation,
     accounts: HashMap<Name, Account>,
+    /// Tokens set aside of all budgets, and the requests that they were for.
+    asked_for: Rate,
+    requests: Rate,
     /// When the first tokens of any budget were set aside here.
     spending_since: Option<Millis>,
 }
@@ -81,7 +85,13 @@
 impl Holder {
     /// A holder that has nothing yet.
     pub fn new(incarnation: Incarnation) -> Self {
-        Holder { incarnation, accounts: HashMap::new(), spending_since: None }
+        Holder {
+            incarnation,
+            accounts: HashMap::new(),
+            asked_for: Rate::default(),
+            requests: Rate::default(),
+            spending_since: None,
+        }
     }
 
     /// The start of the daemon that holds.
@@ -149,7 +159,8 @@
         account.reserved += tokens;
         account.running.begin(now);
         account.rate.add(tokens, now);
-        account.requests.add(1, now);
+        self.asked_for.add(tokens, now);
+        self.requests.add(1, now);
         self.spending_since.get_or_insert(now);
         Ok(Reservation { budget: budget.clone(), tokens, since: now })
     }
--- a/crates/core/src/holder/account.rs
+++ b/crates/core/src/holder/account.rs
@@ -34,7 +34,7 @@
     /// The budget as a whole, as the store's ledger or the shard's owner said last.
     pub outlook: Option<Outlook>,
     pub(super) known_at: Millis,
-    /// What the whole fleet took of what is left, as the outlooks show.
+    /// What the whole fleet takes of what is left, as the outlooks show.
     pub(super) taken: Rate,
     /// Tokens that the budget's row allowed at the last draw.
     pub total: Tokens,
@@ -52,8 +52,6 @@
     /// the holder's any more, since the store may have granted it to others by then.
     pub(super) retired: bool,
     pub(super) rate: Rate,
-    /// Requests that tokens were set aside for.
-    pub(super) requests: Rate,
     pub(super) handed_on: Rate,
     /// Tokens that other daemons wanted ahead since the last draw and did not get.
     pub(super) unmet: Tokens,
--- a/crates/core/src/holder/rate.rs
+++ b/crates/core/src/holder/rate.rs
@@ -27,6 +27,12 @@
         self.since.get_or_insert(now);
     }
 
+    /// Counts what a level fell by, or takes off what it rose by.
+    pub(super) fn fell(&mut self, before: Tokens, level: Tokens, now: Millis) {
+        self.add(before.saturating_sub(level), now);
+        self.sum = (self.sum - level.saturating_sub(before) as f64).max(0.0);
+    }
+
     /// Tokens a second, of late.
     pub(super) fn per_second(&self, now: Millis) -> f64 {
         self.decayed(now) * 1000.0 / self.window(now)
--- a/crates/core/src/holder/ration.rs
+++ b/crates/core/src/holder/ration.rs
@@ -22,20 +22,18 @@
     pub left: Tokens,
 }
 
-impl Account {
-    /// Requests a second that the whole fleet lets in: this holder's, scaled by what
-    /// the fleet spends. Callers are taken to ask for the same sizes everywhere.
-    fn fleet_requests_per_second(&self, now: Millis) -> f64 {
-        let own_rate = self.rate.per_second(now);
-        if own_rate == 0.0 {
+impl Holder {
+    /// Requests a second of one budget that the whole fleet lets in: what it takes, by the
+    /// mean request here. Of one budget alone a daemon of a large fleet sees too few.
+    fn fleet_requests_per_second(&self, account: &Account, now: Millis) -> f64 {
+        let fleet_rate = account.taken.per_second(now).max(account.rate.per_second(now));
+        let asked_for = self.asked_for.per_second(now);
+        if asked_for == 0.0 {
             return 0.0;
         }
-        let fleet_rate = self.taken.per_second(now).max(own_rate);
-        self.requests.per_second(now) * fleet_rate / own_rate
+        fleet_rate * self.requests.per_second(now) / asked_for
     }
-}
 
-impl Holder {
     /// The most that one request may set aside: an equal part of what is left, among the
     /// requests that are expected within `ration_s` seconds, and within twice as long
     /// for each `rank` below the most urgent (0). Without limit while nothing is known.
@@ -45,7 +43,7 @@
             return Tokens::MAX;
         };
         let window_s = ration_s * f64::from(rank.min(LOWEST_RANK)).exp2();
-        let expected = account.fleet_requests_per_second(now) * window_s;
+        let expected = self.fleet_requests_per_second(account, now) * window_s;
         let left = outlook.left.saturating_add(account.free());
         (left as f64 / expected.max(1.0)) as Tokens
     }
@@ -53,8 +51,9 @@
     /// Takes in what is known of a budget as a whole.
     pub fn known(&mut self, budget: &Name, outlook: Outlook, now: Millis) {
         let account = self.accounts.entry(budget.clone()).or_default();
-        let left_before = account.outlook.map_or(0, |before| before.left);
-        account.taken.add(left_before.saturating_sub(outlook.left), now);
+        // What daemons draw ahead and give back again is not taken.
+        let before = account.outlook.map_or(outlook.left, |before| before.left);
+        account.taken.fell(before, outlook.left, now);
         account.outlook = Some(outlook);
         account.known_at = now;
     }
--- a/crates/core/tests/ration.rs
+++ b/crates/core/tests/ration.rs
@@ -89,3 +89,35 @@
     assert!(holder.ration(&budget(), RATION_S, 0, now + 1) > before * 900);
     assert_eq!(holder.outlook_age(&budget(), now + 501), Some(500));
 }
+
+#[test]
+fn what_is_drawn_ahead_and_given_back_is_not_taken() {
+    let left = 1_000_000;
+    let (mut holder, end) = holder_before(left);
+    for second in 1..=10 {
+        let now = end + second * 1_000;
+        holder.known(&budget(), Outlook { share: 0, left: left / 2 }, now);
+        holder.known(&budget(), Outlook { share: 0, left }, now + 500);
+    }
+    let (mut still, _) = spender();
+    still.known(&budget(), Outlook { share: 0, left }, end);
+    let part = |holder: &Holder| holder.ration(&budget(), RATION_S, 0, end + 10_500);
+    assert_eq!(part(&holder), part(&still));
+}
+
+/// Small requests of one budget say nothing of the callers of another.
+#[test]
+fn a_request_is_judged_by_the_mean_of_all_that_come_here() {
+    let (mut holder, end) = holder_before(100_000);
+    let before = holder.ration(&budget(), RATION_S, 0, end);
+    let other = "other".into();
+    holder.granted(&other, Tokens::MAX / 4);
+    holder.opened(&other, Tokens::MAX / 4);
+    for _ in 0..200 {
+        let reservation = holder.reserve(&other, 3 * SIZE, end).expect("it is open");
+        holder.settle(reservation, SIZE);
+    }
+    // The mean has doubled, so that half as many callers are expected.
+    let after = holder.ration(&budget(), RATION_S, 0, end);
+    assert!(after > before + before / 2, "{before}, then {after}");
+}
--- a/crates/daemon/src/ration.rs
+++ b/crates/daemon/src/ration.rs
@@ -6,8 +6,8 @@
 use bankcove_core::table::Budget;
 use bankcove_core::{Millis, Tokens};
 
-use crate::allotment::{ask_for_tokens, owners_to_ask};
 use crate::budget_owner::look_at_store;
+use crate::budgets::is_small_fleet;
 use crate::daemon::Daemon;
 
 /// What is known of the rest of a budget is looked up anew before a request is refused
@@ -31,7 +31,14 @@
 
 /// The most that a request may take of the rest of a budget. What is known of the rest
 /// is looked up anew when it is old and would refuse the request.
+///
+/// Without limit in a large fleet, where a daemon knows the rest by what an owner told it
+/// with its last tokens: rationed by that, 0.79 of the requests of three days were served
+/// in place of 0.83.
 pub async fn ration(daemon: &Arc<Daemon>, budget: &Budget, wish: Wish) -> Tokens {
+    if !is_small_fleet(daemon) {
+        return Tokens::MAX;
+    }
     let by_last_word = known_ration(daemon, budget, wish);
     if wish.tokens <= by_last_word || !is_word_old(daemon, budget) {
         return by_last_word;
@@ -57,12 +64,6 @@
 }
 
 async fn look_again(daemon: Arc<Daemon>, budget: Budget) {
-    match owners_to_ask(&daemon, &budget).first() {
-        Some(owner) => {
-            // It tells how much is left with whatever it hands on, and logs its answer.
-            let _outcome = ask_for_tokens(&daemon, &budget, 0, owner).await;
-        }
-        None => look_at_store(&daemon, &budget.name).await,
-    }
+    look_at_store(&daemon, &budget.name).await;
     daemon.budgets.end_ahead(&budget.name);
 }
