An owner that does not know what is left says so

An unknown was turned into a zero; it is told as unknown now. Test: an_owner_that_does_not_know_what_is_left_says_so, which fails without the change.

--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -61,7 +61,8 @@
     pub owner: Incarnation,
     /// Cumulative tokens that it has sent the asker.
     pub cumulative: Tokens,
-    /// The budget as the owner sees it for the asker; none when it lends.
+    /// The budget as the owner sees it for the asker; none when it lends, or has not
+    /// drawn on the budget yet and does not know.
     pub outlook: Option<Outlook>,
 }
 
@@ -138,6 +139,7 @@
         let received = if knows_me { ask.received } else { 0 };
         let owner = self.incarnation;
         let account = self.accounts.entry(ask.budget.clone()).or_default();
+        let is_known = account.outlook.is_some();
         let outlook = account.outlook_for(ask.rate, now);
         let ahead = outlook.share.saturating_sub(if ask.need == 0 { ask.free } else { 0 });
         let most = ask.want.min(ask.need.saturating_add(ahead));
@@ -155,7 +157,7 @@
         // They ask again soon; the next draw counts what they lack now.
         account.unmet += most.saturating_sub(under_way).saturating_sub(more);
         account.handed_on.add(more, now);
-        Ok(Allotted { owner, cumulative, outlook: Some(outlook) })
+        Ok(Allotted { owner, cumulative, outlook: is_known.then_some(outlook) })
     }
 
     /// Counts what an ask lacks in the next draw.
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -252,3 +252,17 @@
     assert_eq!(world.in_all(), TOTAL);
     assert_eq!(world.holders[1].retire(&budget()), 0);
 }
+
+/// Told as "nothing is left", it would have callers refused while all of it is left.
+#[test]
+fn an_owner_that_does_not_know_what_is_left_says_so() {
+    let (mut owner, mut asker) = (Holder::new(Incarnation(1)), Holder::new(Incarnation(2)));
+    owner.granted(&budget(), 100);
+    owner.opened(&budget(), 100);
+    let ask = asker.ask(&budget(), Some(Incarnation(1)), 40, &terms(), 0);
+    let allotted = owner.allot(&ask, 0).expect("it holds enough");
+    assert_eq!((allotted.cumulative, allotted.outlook), (40, None));
+    owner.known(&budget(), whole_is_left(), 0);
+    let told = owner.allot(&ask, 0).expect("it holds enough").outlook;
+    assert_eq!(told.map(|outlook| outlook.left), Some(TOTAL + 60));
+}
