An owner gives itself only what is still there

An owner that draws for itself was told 'granted' by a recent collection without a look at what it holds; another owner may have collected it meanwhile.

--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -245,6 +245,9 @@
 
     fn give(&mut self, owner: usize, draw: &Draw, most: Tokens, reply: Reply) -> Answer {
         let holder = draw.holder.0 as usize;
+        if holder == owner && self.holders[owner].free(&draw.budget) < draw.need {
+            return Answer::Refused;
+        }
         if holder != owner {
             let from = &mut self.holders[owner];
             if !from.can_give(&draw.budget, draw.holder, draw.received, draw.need) {
--- a/crates/daemon/src/budget_owner.rs
+++ b/crates/daemon/src/budget_owner.rs
@@ -270,15 +270,22 @@
 }
 
 fn give(daemon: &Arc<Daemon>, draw: &Draw, most: Tokens, reply: Reply) -> OwnerAnswer {
-    if draw.holder == daemon.incarnation {
-        // The tokens are in this daemon's own holder already.
-        return OwnerAnswer { reply, sent: None };
-    }
     let mut holder = daemon.budgets.holder();
-    if !holder.can_give(&draw.budget, draw.holder, draw.received, draw.need) {
+    let is_own = draw.holder == daemon.incarnation;
+    let is_there = if is_own {
+        // Another owner may have collected them meanwhile: told "granted", this daemon
+        // would ask for them again and again.
+        holder.free(&draw.budget) >= draw.need
+    } else {
+        holder.can_give(&draw.budget, draw.holder, draw.received, draw.need)
+    };
+    if !is_there {
         let retry_after_ms = RETRY_SOON_MS;
         return OwnerAnswer { reply: Reply::Short { retry_after_ms }, sent: None };
     }
+    if is_own {
+        return OwnerAnswer { reply, sent: None };
+    }
     let cumulative = holder.give(&draw.budget, draw.holder, draw.received, most);
     OwnerAnswer { reply, sent: Some((daemon.incarnation, cumulative)) }
 }
