A list that lags hides peers that speak: failing test

A failed proof now shows the end of each daemon's log and whether the process runs, and a collection logs whom it asked. Ruled out: a peer's answer that came too late (the whole draw took 3 ms) and the owner's gift to itself (none was tried).

--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -34,6 +34,54 @@
     }
 }
 
+fn speaks(members: &mut Members, n: usize, start: u64) {
+    let Host { name, hall, address, .. } = host(n);
+    let heartbeat = Heartbeat {
+        name,
+        hall,
+        incarnation: Incarnation(start),
+        address,
+        revision: 1,
+        servers_version: Default::default(),
+        stopping: false,
+        store_heard_ms: None,
+        view_age_ms: None,
+        paces: Vec::new(),
+    };
+    members.heard(0, &heartbeat);
+}
+
+fn usable(members: &Members) -> Vec<Name> {
+    members.usable().map(|peer| peer.name.clone()).collect()
+}
+
+#[test]
+fn a_list_that_has_not_caught_up_hides_no_peer_that_speaks() {
+    let mut members = fleet(0, 1);
+    speaks(&mut members, 1, 1);
+    members.host_list(&[host(0)]);
+    assert_eq!(usable(&members), [host(1).name]);
+}
+
+#[test]
+fn a_list_that_has_not_caught_up_with_a_new_start_hides_it_neither() {
+    let mut members = fleet(0, 2);
+    speaks(&mut members, 1, 1);
+    members.host_list(&[host(0), host(1)]);
+    speaks(&mut members, 1, 2);
+    members.host_list(&[host(0)]);
+    assert_eq!(usable(&members), [host(1).name]);
+}
+
+#[test]
+fn a_peer_that_the_list_no_longer_has_is_not_asked() {
+    let mut members = fleet(0, 2);
+    speaks(&mut members, 1, 1);
+    members.host_list(&[host(0), host(1)]);
+    members.host_list(&[host(0)]);
+    assert_eq!(usable(&members), [] as [Name; 0]);
+}
+
 #[test]
 fn a_small_fleet_asks_each_peer_in_turn() {
     let members = fleet(0, 8);
--- a/crates/daemon/src/collect.rs
+++ b/crates/daemon/src/collect.rs
@@ -88,10 +88,16 @@
     let skipped = holders.iter().any(|holder| silent.contains(&holder.incarnation));
     let asked = holders.iter().filter(|holder| !silent.contains(&holder.incarnation));
     let answers = join_all(asked.map(|holder| gather_from(&daemon, &budget, holder)));
-    let more_elsewhere = answers.await.into_iter().any(|more| more);
+    let answers = answers.await;
+    let more_elsewhere = answers.iter().any(|more| *more);
     let holder = daemon.budgets.holder();
+    let free = holder.free(&budget);
+    slog::info!(daemon.log, "tokens collected";
+        "budget" => %budget, "free" => free, "holders" => holders.len(),
+        "asked" => answers.len(), "peers" => daemon.members.lock().usable().count(),
+        "took_ms" => daemon.clock.now().saturating_sub(now));
     let more_may_come = skipped || more_elsewhere || holder.reserved(&budget) > 0;
-    Event::Gathered { free: holder.free(&budget), budget, more_may_come }
+    Event::Gathered { free, budget, more_may_come }
 }
 
 /// Adds those that may hold tokens without a grant: whom this daemon has sent
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -29,6 +29,9 @@
 /// Pause between two looks.
 const POLL: Duration = Duration::from_millis(50);
 
+/// Lines of each daemon's log that a failed proof shows: some two seconds of them.
+const LAST_LINES: usize = 100;
+
 /// A daemon process and the links to and from it.
 pub struct DaemonProcess {
     /// The process.
@@ -286,7 +289,8 @@
             }
             if tokio::time::Instant::now() >= deadline {
                 let dump = self.operator(index, "dump").await.unwrap_or_default();
-                panic!("waited in vain; last: {status:?}; dump: {dump}");
+                let name = &self.daemons[index].name;
+                panic!("waited in vain for {name}; last: {status:?}; dump: {dump}");
             }
             tokio::time::sleep(POLL).await;
         }
@@ -323,6 +327,16 @@
         get(&self.store.address.to_string(), "counts").await
     }
 
+    /// A daemon's process and the end of its log.
+    fn last_words(&self, index: usize) -> String {
+        let daemon = &self.daemons[index];
+        let log = self.log(index);
+        let lines: Vec<&str> = log.lines().collect();
+        let tail = lines[lines.len().saturating_sub(LAST_LINES)..].join("\n");
+        let state = daemon.process.state();
+        format!("{} ({state}), {} lines of log, the last:\n{tail}", daemon.name, lines.len())
+    }
+
     /// The text of a daemon's log.
     pub fn log(&self, index: usize) -> String {
         std::fs::read_to_string(&self.daemons[index].log).unwrap_or_default()
@@ -351,6 +365,19 @@
     budgets.filter_map(|write| serde_json::from_value(write["value"].clone()).ok()).collect()
 }
 
+impl Drop for Fleet {
+    /// A proof that fails shows what its daemons did: the folder with their logs goes
+    /// with it, and a failure seen once in fifty runs is not seen again when wanted.
+    fn drop(&mut self) {
+        if !std::thread::panicking() {
+            return;
+        }
+        for index in 0..self.daemons.len() {
+            eprintln!("{}", self.last_words(index));
+        }
+    }
+}
+
 fn start_daemon(config: &Path, log: &Path) -> Process {
     Process::start("bankcoved", &["--config", &config.to_string_lossy()], log)
 }
--- a/crates/proofs/src/process.rs
+++ b/crates/proofs/src/process.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 
 use nix::sys::signal::{Signal, kill};
+use nix::sys::wait::{Id, WaitPidFlag, WaitStatus, waitid};
 use nix::unistd::Pid;
 use serde_json::Value;
 
@@ -135,6 +136,17 @@
         matches!(self.child.try_wait(), Ok(Some(_)))
     }
 
+    /// What the system tells of it, in words; it can still be waited for.
+    pub fn state(&self) -> String {
+        let pid = Pid::from_raw(self.child.id() as i32);
+        let look = WaitPidFlag::WEXITED | WaitPidFlag::WNOHANG | WaitPidFlag::WNOWAIT;
+        match waitid(Id::Pid(pid), look) {
+            Ok(WaitStatus::StillAlive) => "running".to_owned(),
+            Ok(status) => format!("{status:?}"),
+            Err(e) => format!("not known: {e}"),
+        }
+    }
+
     fn signal(&self, signal: Signal) {
         let pid = Pid::from_raw(self.child.id() as i32);
         // A process that has ended needs no signal.
