--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -95,8 +95,10 @@
     pub incarnation: Option<Incarnation>,
     /// Revision of the table that it last told.
     pub revision: u64,
-    /// Whether the platform's list has it as live.
+    /// Whether it is there, by the platform's list or by its own word.
     pub listed: bool,
+    /// Whether the platform's list has had it since this start of it.
+    pub was_on_list: bool,
     /// Whether it is stopping, by the list or by its own word.
     pub stopping: bool,
     /// Heartbeats in a row that it did not answer.
@@ -138,7 +140,9 @@
     /// Takes in the platform's list.
     pub fn host_list(&mut self, hosts: &[Host]) {
         for peer in self.peers.values_mut() {
-            peer.listed = false;
+            // One that spoke before the list had it is new there, not gone: taken for
+            // gone until its next heartbeat, nobody was asked for tokens meanwhile.
+            peer.listed &= !peer.was_on_list;
         }
         let daemons = hosts.iter().filter(|host| host.role == HostRole::Daemon);
         for host in daemons {
@@ -147,11 +151,15 @@
             }
             let peer = self.entry(&host.name, &host.hall, &host.address);
             peer.listed = true;
+            peer.was_on_list = true;
             if host.state == HostState::Leaving {
                 peer.stopping = true;
             }
         }
-        self.peers.retain(|_, peer| peer.listed || peer.failures < SUSPECT_AFTER_FAILURES);
+        self.peers.retain(|_, peer| {
+            let is_on_list = peer.listed && peer.was_on_list;
+            is_on_list || peer.failures < SUSPECT_AFTER_FAILURES
+        });
     }
 
     /// Takes in a heartbeat, received or answered.
@@ -161,6 +169,8 @@
         }
         let peer = self.entry(&heartbeat.name, &heartbeat.hall, &heartbeat.address);
         if peer.incarnation != Some(heartbeat.incarnation) {
+            let has_restarted = peer.incarnation.is_some();
+            peer.was_on_list &= !has_restarted;
             peer.incarnation = Some(heartbeat.incarnation);
             peer.revision = 0;
         }
@@ -255,6 +265,7 @@
             incarnation: None,
             revision: 0,
             listed: false,
+            was_on_list: false,
             stopping: false,
             failures: 0,
             heard_at: None,
