--- a/crates/proofs/tests/operations.rs
+++ b/crates/proofs/tests/operations.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
+use bankcove_core::Name;
 use bankcove_core::members::{Host, HostRole, HostState};
 use bankcove_core::table::Table;
 use bankcove_proofs::caller::{Ask, Attempt, Caller, Told};
@@ -17,6 +18,19 @@
 /// Exit code of the operators' client: not known whether it was done.
 const UNKNOWN: i32 = 4;
 
+/// Looks at a daemon's list of hosts, in some of which it has read it anew.
+const LISTS_READ: usize = 20;
+
+/// Pause between two of them: a quarter of the time between two reads.
+const LIST_PAUSE: Duration = Duration::from_millis(50);
+
+fn has_peer(status: &Value, name: &str) -> bool {
+    let peers = status["peers"].as_array();
+    peers.is_some_and(|peers| {
+        peers.iter().any(|peer| peer["name"] == name && peer["usable"] == true)
+    })
+}
+
 fn addresses(fleet: &Fleet) -> Vec<String> {
     fleet.daemons.iter().map(|daemon| daemon.callers.clone()).collect()
 }
@@ -324,3 +338,26 @@
     assert!(last.grants.is_empty(), "{last:?}");
     assert_eq!(last.retired, ran as i64);
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn a_peers_older_host_list_does_not_replace_a_newer_one() {
+    let mut fleet = Fleet::start(&Plan { daemons: 3, ..Plan::default() }).await;
+    // The first two read the list for their hall, and do not see it change.
+    for reader in &fleet.daemons[..2] {
+        reader.store_link.cut();
+    }
+    let mut hosts = fleet.hosts();
+    let newcomer = Host { name: Name::from("entry-9"), ..hosts[0].clone() };
+    hosts.push(newcomer);
+    fleet.put_hosts(&hosts).await;
+    // Until it knows its peers, the third one reads the store itself.
+    fleet.daemons[2].process.kill();
+    fleet.restart_daemon(2).await;
+    let knows_newcomer = |status: &Value| has_peer(status, "entry-9");
+    fleet.wait_for_status(2, knows_newcomer).await;
+    for _ in 0..LISTS_READ {
+        tokio::time::sleep(LIST_PAUSE).await;
+        let status = fleet.operator(2, "status").await.expect("the daemon answers");
+        assert!(knows_newcomer(&status), "{status}");
+    }
+}
