A host list has an age; an older one replaces none

Cause: a daemon that takes the list from a peer took it whatever its age. A reader that had lost the store told the empty list of its start; hosts that were there since then counted as gone, nobody was asked for tokens, and requests were refused (budget_out_of_reach) with tokens one call away. In the same way a host that was leaving would have been taken for live again.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -5,6 +5,7 @@
 
 use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Peer};
 use bankcove_core::{Millis, Name};
+use serde::{Deserialize, Serialize};
 use tokio::sync::Semaphore;
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -154,13 +155,16 @@
 /// Reads the platform's host list once: from the store when this daemon reads
 /// it for its hall, else from a peer that does.
 pub async fn read_host_list(daemon: &Arc<Daemon>) {
-    let readers = store_readers(daemon);
-    let hosts = match readers {
-        Ok(()) => daemon.store.api().hosts().await.ok(),
+    let asked_at = daemon.clock.now() as i64;
+    let list = match store_readers(daemon) {
+        Ok(()) => {
+            let hosts = daemon.store.api().hosts().await.ok();
+            hosts.map(|hosts| HostList::new(hosts, asked_at))
+        }
         Err(peers) => host_list_of_peers(daemon, &peers).await,
     };
-    match hosts {
-        Some(hosts) => take_host_list(daemon, hosts),
+    match list {
+        Some(list) => take_host_list(daemon, list),
         None => slog::debug!(daemon.log, "host list not read"),
     }
 }
@@ -176,30 +180,43 @@
 
 /// The host list of the first of these peers that answers; none when it is the
 /// one known already.
-async fn host_list_of_peers(daemon: &Arc<Daemon>, peers: &[Peer]) -> Option<Vec<Host>> {
+async fn host_list_of_peers(daemon: &Arc<Daemon>, peers: &[Peer]) -> Option<HostList> {
     let known = daemon.hosts.load().hash;
     let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
     for peer in peers {
         let ask = |client: crate::peer::PeerServiceClient, cx| async move {
             client.hosts_unless(cx, known).await
         };
+        let asked_at = daemon.clock.now() as i64;
         match daemon.peers.call(&peer.address, timeout, ask).await {
-            Some(hosts) => return hosts,
+            Some(told) => {
+                let told = told?;
+                return Some(HostList::new(told.hosts, asked_at - told.age_ms));
+            }
             None => daemon.members.lock().failed(&peer.name),
         }
     }
     None
 }
 
-fn take_host_list(daemon: &Arc<Daemon>, hosts: Vec<Host>) {
+/// Takes a list, unless it is older than the one that is known: a peer that has lost the
+/// store still tells the list that it read last, and hosts that are there since then
+/// would be taken for gone.
+fn take_host_list(daemon: &Arc<Daemon>, list: HostList) {
+    let known = daemon.hosts.load();
+    if known.is_read() && list.read_at < known.read_at {
+        slog::info!(daemon.log, "older host list not taken"; "hosts" => list.hosts.len());
+        return;
+    }
+    let hosts = &list.hosts;
     let leaving: Vec<Name> = hosts
         .iter()
         .filter(|host| host.role == HostRole::Server && host.state == HostState::Leaving)
         .map(|host| host.name.clone())
         .collect();
-    daemon.members.lock().host_list(&hosts);
+    daemon.members.lock().host_list(hosts);
     daemon.router.lock().listed_leaving(&leaving);
-    daemon.hosts.store(Arc::new(HostList::new(hosts)));
+    daemon.hosts.store(Arc::new(list));
 }
 
 /// The platform's host list as last read.
@@ -209,13 +226,35 @@
     pub hash: u64,
     /// The lines.
     pub hosts: Vec<Host>,
+    /// When the store was asked for them, by this daemon's clock, in milliseconds; below
+    /// 0 when that was before this daemon started.
+    read_at: i64,
 }
 
 impl HostList {
-    fn new(hosts: Vec<Host>) -> Self {
+    fn new(hosts: Vec<Host>, read_at: i64) -> Self {
         let text = serde_json::to_vec(&hosts).unwrap_or_default();
-        HostList { hash: xxh3_64(&text), hosts }
+        HostList { hash: xxh3_64(&text), hosts, read_at }
+    }
+
+    fn is_read(&self) -> bool {
+        self.hash != 0
     }
+
+    /// The list for a peer that knows the one with `hash`; none when it is the same, or
+    /// none was read yet.
+    pub fn unless(&self, hash: u64, now: Millis) -> Option<HostsTold> {
+        let is_news = self.is_read() && self.hash != hash;
+        is_news.then(|| HostsTold { hosts: self.hosts.clone(), age_ms: now as i64 - self.read_at })
+    }
+}
+
+/// The platform's host list, as a peer tells it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HostsTold {
+    hosts: Vec<Host>,
+    /// How long ago the store was asked for it, in milliseconds.
+    age_ms: i64,
 }
 
 /// Makes the peers of the settings known, for a start without the platform.
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -6,7 +6,7 @@
 
 use bankcove_core::bill::Bill;
 use bankcove_core::holder::{Allotted, Ask};
-use bankcove_core::members::{Heartbeat, Host};
+use bankcove_core::members::Heartbeat;
 use bankcove_core::owner::{Reply, Request};
 use bankcove_core::reqlog::{Entry, Outcome};
 use bankcove_core::router::UnreadNews;
@@ -25,6 +25,7 @@
 use crate::allotment::{self, AllotAnswer};
 use crate::daemon::Daemon;
 use crate::error::Result;
+use crate::membership::HostsTold;
 use crate::packed_table::PackedTable;
 use crate::{budget_owner, collect, request_log, tcp};
 
@@ -75,7 +76,7 @@
     async fn servers_above(version: ListVersion) -> Option<(ListVersion, Vec<SharedServer>)>;
     /// The platform's host list as the receiver knows it, unless its hash is
     /// this one.
-    async fn hosts_unless(hash: u64) -> Option<Vec<Host>>;
+    async fn hosts_unless(hash: u64) -> Option<HostsTold>;
     /// Asks the receiver as the owner of a budget shard.
     async fn ask_owner(request: Request) -> OwnerAnswer;
     /// Asks the receiver, as the owner of a budget's shard, for tokens that it
@@ -218,9 +219,8 @@
         (list.version() > version).then(|| (list.version(), list.shared(now)))
     }
 
-    async fn hosts_unless(self, _: Context, hash: u64) -> Option<Vec<Host>> {
-        let known = self.daemon.hosts.load();
-        (known.hash != hash && known.hash != 0).then(|| known.hosts.clone())
+    async fn hosts_unless(self, _: Context, hash: u64) -> Option<HostsTold> {
+        self.daemon.hosts.load().unless(hash, self.daemon.clock.now())
     }
 
     async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
