A heartbeat takes one lock after the other

Looked for the same elsewhere: every statement of the daemon that holds a guard was read; the new log line of a collection held the budgets' lock over the members' (never taken the other way round) and does not any more; no other two are nested but the router's and the list's, in this order.

--- a/crates/daemon/src/collect.rs
+++ b/crates/daemon/src/collect.rs
@@ -90,13 +90,15 @@
     let answers = join_all(asked.map(|holder| gather_from(&daemon, &budget, holder)));
     let answers = answers.await;
     let more_elsewhere = answers.iter().any(|more| *more);
-    let holder = daemon.budgets.holder();
-    let free = holder.free(&budget);
+    let (free, reserved) = {
+        let holder = daemon.budgets.holder();
+        (holder.free(&budget), holder.reserved(&budget))
+    };
     slog::info!(daemon.log, "tokens collected";
         "budget" => %budget, "free" => free, "holders" => holders.len(),
         "asked" => answers.len(), "peers" => daemon.members.lock().usable().count(),
         "took_ms" => daemon.clock.now().saturating_sub(now));
-    let more_may_come = skipped || more_elsewhere || holder.reserved(&budget) > 0;
+    let more_may_come = skipped || more_elsewhere || reserved > 0;
     Event::Gathered { free, budget, more_may_come }
 }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -152,17 +152,23 @@
 
     /// What this daemon says of itself.
     pub fn heartbeat(&self) -> Heartbeat {
+        // One lock after the other: a guard within the value below would be kept until
+        // its end, and an adoption, which takes these two the other way round, would wait
+        // for this heartbeat as it waits for the adoption.
+        let servers_version = self.servers.lock().version();
+        let first_pace = rand::random_range(0..usize::MAX);
+        let paces = self.router.lock().paces(PACES_PER_HEARTBEAT, first_pace);
         Heartbeat {
             name: self.cfg.name.clone(),
             hall: self.cfg.hall.clone(),
             incarnation: self.incarnation,
             address: self.cfg.peer_address().to_owned(),
             revision: self.revision(),
-            servers_version: self.servers.lock().version(),
+            servers_version,
             stopping: self.stopping.is_cancelled(),
             store_heard_ms: self.contact.store_age(self.clock.now()),
             view_age_ms: self.contact.view_age(self.clock.now()),
-            paces: self.router.lock().paces(PACES_PER_HEARTBEAT, rand::random_range(0..usize::MAX)),
+            paces,
         }
     }
 }
