The choice of a server, an owner's draws and the budgets' world in files of their own

No behaviour changes but one pass in place of two: the walk that finds a server that fits has met the prefix's first server on its way, so it is not looked for again.

--- /dev/null
+++ b/crates/bench/src/budget_world/owner.rs
@@ -0,0 +1,188 @@
+//! What daemons do as owners of shards, and as holders whom owners ask.
+
+use bankcove_core::holder::Draw;
+use bankcove_core::owner::{Command, Event, HolderRef, Owner, Reply, Request, WRITE_INTERVAL_MS};
+use bankcove_core::shard::Shard;
+use bankcove_core::witness::Witness;
+use bankcove_core::{Incarnation, Millis, Name, Tokens};
+
+use crate::budget_policy::Policy;
+use crate::budget_world::{Happening, LINK_MS, STORE_MS, World};
+
+/// Wait for a peer that does not answer.
+const SILENT_MS: Millis = 200;
+
+impl World {
+    /// The first daemon in reach, from a place that the shard decides.
+    pub(super) fn owner_of(&self, shard: u32, daemon: usize) -> usize {
+        let first = shard as usize * 7 % self.load.daemons;
+        let ranked = (0..self.load.daemons).map(|n| (first + n) % self.load.daemons);
+        let mut usable = ranked.filter(|owner| self.linked(daemon, *owner));
+        usable.next().unwrap_or(daemon)
+    }
+
+    pub(super) fn owner_event(&mut self, daemon: usize, shard: u32, event: Event) {
+        if self.is_dead(daemon) {
+            return;
+        }
+        let collects = self.policy == Policy::Design;
+        let owner = self.owners.entry((daemon, shard)).or_insert_with(|| {
+            let owner =
+                Owner::new(Incarnation(daemon as u64), "127.0.0.1:20001", WRITE_INTERVAL_MS);
+            if collects { owner } else { owner.without_collecting() }
+        });
+        let commands = owner.handle(self.now, event);
+        for command in commands {
+            self.carry_out(daemon, shard, command);
+        }
+    }
+
+    pub(super) fn carry_out(&mut self, daemon: usize, shard: u32, command: Command) {
+        let later = |event| Happening::OwnerEvent { daemon, shard, event };
+        match command {
+            Command::Load => {
+                self.outcome.reads += 1;
+                let event = if self.store_answers(daemon) {
+                    let (version, value) = self.stored.get(&shard).cloned().unwrap_or_default();
+                    Event::Loaded(version, value)
+                } else {
+                    Event::StoreAway
+                };
+                self.schedule.at(self.now + STORE_MS, later(event));
+            }
+            Command::Write(version, value) => {
+                let event = self.store_write(daemon, shard, version, value);
+                self.schedule.at(self.now + STORE_MS, later(event));
+            }
+            Command::Gather(budget, listed) => {
+                let (event, took) = self.gather(daemon, shard, budget, &listed);
+                self.schedule.at(self.now + took, later(event));
+            }
+            Command::Reply(ticket, reply) => self.reply(ticket, reply, None),
+            Command::Give { own, ticket, draw, most, reply } => {
+                if let Some((granted, opened)) = own {
+                    self.holders[daemon].granted(&draw.budget, granted);
+                    self.holders[daemon].opened(&draw.budget, opened);
+                }
+                self.give(daemon, ticket, &draw, most, reply);
+            }
+            Command::WakeAt(at) => self.schedule.at(at, later(Event::Tick)),
+        }
+    }
+
+    /// The next two daemons in reach.
+    pub(super) fn witnesses(&self, daemon: usize) -> Vec<Witness> {
+        let count = self.load.daemons;
+        let others = (1..count).map(|n| (daemon + n) % count);
+        let linked = others.filter(|other| self.linked(daemon, *other));
+        let witness = |n: usize| Witness {
+            incarnation: Incarnation(n as u64),
+            address: "127.0.0.1:20001".into(),
+        };
+        linked.take(2).map(witness).collect()
+    }
+
+    pub(super) fn open(&mut self, daemon: usize, budget: &Name, tokens: Tokens) -> bool {
+        let Some(opening) = self.holders[daemon].opening(budget, tokens, self.now) else {
+            return false;
+        };
+        let me = Incarnation(daemon as u64);
+        self.outcome.messages += 2 * opening.witnesses.len() as u64;
+        let agreed = opening.witnesses.iter().all(|witness| {
+            let n = witness.incarnation.0 as usize;
+            self.linked(daemon, n) && self.marks[n].open(me, budget, opening.opened)
+        });
+        agreed && self.holders[daemon].opening_agreed(budget, &opening)
+    }
+
+    pub(super) fn reclaim(&mut self, daemon: usize, shard: u32, budget: &Name, gone: &HolderRef) {
+        let live = gone.witnesses.iter().map(|witness| witness.incarnation);
+        let live = live.into_iter().find(|n| self.linked(daemon, n.0 as usize));
+        let Some(witness) = live else { return };
+        self.outcome.messages += 2;
+        let opened = self.marks[witness.0 as usize].close(gone.incarnation, budget);
+        let (budget, holder) = (budget.clone(), gone.incarnation);
+        let request = Request::Reclaim { budget, holder, witness, opened };
+        let event = Event::Asked(0, request);
+        self.schedule.at(self.now, Happening::OwnerEvent { daemon, shard, event });
+    }
+
+    pub(super) fn store_write(
+        &mut self,
+        daemon: usize,
+        shard: u32,
+        version: u64,
+        value: Shard,
+    ) -> Event {
+        self.outcome.writes += 1;
+        if !self.store_answers(daemon) {
+            return Event::StoreAway;
+        }
+        let found = self.stored.get(&shard).map_or(0, |(version, _)| *version);
+        if found != version {
+            return Event::Conflict;
+        }
+        self.stored.insert(shard, (version + 1, value));
+        Event::Written(version + 1)
+    }
+
+    pub(super) fn gather(
+        &mut self,
+        daemon: usize,
+        shard: u32,
+        budget: Name,
+        listed: &[HolderRef],
+    ) -> (Event, Millis) {
+        for holder in listed {
+            if self.is_dead(holder.incarnation.0 as usize) {
+                self.reclaim(daemon, shard, &budget, holder);
+            }
+        }
+        self.open(daemon, &budget, Tokens::MAX);
+        let me = Incarnation(daemon as u64);
+        let mut took = 2 * LINK_MS;
+        for holder in 0..self.load.daemons {
+            let knows = self.holders[holder].accounts().contains_key(&budget);
+            if holder == daemon || !knows {
+                continue;
+            }
+            self.outcome.messages += 2;
+            if !self.linked(daemon, holder) {
+                took = SILENT_MS;
+                continue;
+            }
+            self.open(holder, &budget, Tokens::MAX);
+            let sender = Incarnation(holder as u64);
+            let received = self.holders[daemon].received_from(&budget, sender);
+            let sent = self.holders[holder].give(&budget, me, received, Tokens::MAX);
+            self.holders[daemon].received(&budget, sender, sent);
+        }
+        let free = self.holders[daemon].free(&budget);
+        (Event::Gathered { budget, free, more_may_come: true }, took)
+    }
+
+    pub(super) fn give(
+        &mut self,
+        owner: usize,
+        ticket: u64,
+        draw: &Draw,
+        most: Tokens,
+        reply: Reply,
+    ) {
+        if draw.holder.0 as usize == owner {
+            return self.reply(ticket, reply, None);
+        }
+        let from = &mut self.holders[owner];
+        if !from.can_give(&draw.budget, draw.holder, draw.received, draw.need) {
+            return self.reply(ticket, Reply::Short { retry_after_ms: 1_000 }, None);
+        }
+        let sent = from.give(&draw.budget, draw.holder, draw.received, most);
+        self.reply(ticket, reply, Some((Incarnation(owner as u64), sent)));
+    }
+
+    pub(super) fn reply(&mut self, ticket: u64, reply: Reply, sent: Option<(Incarnation, Tokens)>) {
+        let Some(asked) = self.tickets.remove(&ticket) else { return };
+        let way = if asked.owner == asked.daemon { 0 } else { LINK_MS };
+        self.schedule.at(self.now + way, Happening::Drawn { asked, reply, sent });
+    }
+}
--- /dev/null
+++ b/crates/core/src/owner/machine/without_store.rs
@@ -0,0 +1,54 @@
+//! What becomes of requests while the store is away: what holders have free can
+//! still be moved, nothing can be granted.
+
+use std::collections::VecDeque;
+
+use crate::Millis;
+use crate::owner::RETRY_SOON_MS;
+use crate::owner::draft::holders_of;
+use crate::owner::machine::{Decision, Outcome, Owner, Pending, answer};
+use crate::owner::message::{Command, Reply};
+
+impl Owner {
+    pub(super) fn serve_without_store(&mut self, now: Millis, commands: &mut Vec<Command>) {
+        let mut waiting = VecDeque::new();
+        for pending in std::mem::take(&mut self.pending) {
+            match self.decide_without_store(now, &pending, commands) {
+                Decision::Answer(outcome) | Decision::AfterWrite(outcome) => {
+                    answer(pending, outcome, commands);
+                }
+                Decision::Wait => waiting.push_back(pending),
+            }
+        }
+        self.pending = waiting;
+    }
+
+    fn decide_without_store(
+        &mut self,
+        now: Millis,
+        pending: &Pending,
+        commands: &mut Vec<Command>,
+    ) -> Decision {
+        let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
+        let Some(draw) = pending.request.draw_now() else {
+            return Decision::Answer(Outcome::Reply(away));
+        };
+        let shard = self.shard.take();
+        let ledger = shard.as_ref().and_then(|(_, shard)| shard.budgets.get(&draw.budget));
+        let me = self.me;
+        let holders = || ledger.map(|ledger| holders_of(ledger, me)).unwrap_or_default();
+        let gather = self.gathered(now, pending, &draw.budget, holders, commands);
+        self.shard = shard;
+        let Some(gather) = gather else {
+            return Decision::Wait;
+        };
+        let need = draw.need + draw.free;
+        if gather.free < need {
+            return Decision::Answer(Outcome::Reply(away));
+        }
+        let most = self.gathers.take(draw, need);
+        let (granted, opened) = (draw.known_granted, draw.opened);
+        let reply = Reply::Granted { granted, opened, recorded: false, outlook: None };
+        Decision::Answer(Outcome::Give { own: None, most, need, reply })
+    }
+}
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -7,12 +7,14 @@
 //! prompts pass by servers whose streams would pause for too long. A decision
 //! costs a binary search and a few looks, whatever the number of servers.
 
+mod choose;
 mod elsewhere;
 mod load;
 mod pool;
 mod reading;
 mod view;
 
+pub use choose::{Choice, NoServer, Wanted};
 pub use elsewhere::{Unread, UnreadNews};
 pub use reading::{ServerPace, StreamPace};
 pub use view::{LoadReport, ServerView};
@@ -20,57 +22,12 @@
 use std::collections::HashMap;
 
 use crate::router::elsewhere::Elsewhere;
-use crate::router::load::Load;
 use crate::router::pool::{HallPool, Pool};
 use crate::router::reading::{Reading, mean};
 use crate::router::view::{EJECT_AFTER, EJECT_MAX_MS, EJECT_MS, LEAVING_WORD_MS, SLOW_RETURN_MS};
-use crate::table::{HOURS, RouteTarget, Server, ServerKind, Table};
+use crate::table::{RouteTarget, Server, ServerKind, Table};
 use crate::{Millis, Name, Tokens};
 
-/// Requests that a server may have beyond its part, so that idle halls keep affinity.
-const LOAD_SLACK: f64 = 4.0;
-
-/// Servers looked at along the ring before any usable one is taken.
-const LOOKS: usize = 16;
-
-/// Why no server was found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum NoServer {
-    /// No row of the table serves this.
-    NoneInTable,
-    /// Servers exist, but all of them are leaving, ejected or full.
-    NoneUsable,
-}
-
-/// A server that was chosen.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Choice {
-    /// The server's name.
-    pub server: Name,
-    /// Its address.
-    pub address: String,
-    /// Address of the server that has read the prompt's shared parts, as far as this
-    /// daemon can tell, when it is another one.
-    pub copy_from: Option<String>,
-}
-
-/// What a request asks the router for.
-#[derive(Debug, Clone, Copy)]
-pub struct Wanted<'a> {
-    /// The pool: a model's name, or a service route's name.
-    pub pool: &'a str,
-    /// Hash of the prompt's prefix.
-    pub prefix: u64,
-    /// Length of the prompt; 0 when that is not known.
-    pub prompt_tokens: Tokens,
-    /// Hour of the day, UTC.
-    pub hour: usize,
-    /// A random number.
-    pub seed: u64,
-    /// Servers that this request has tried already.
-    pub tried: &'a [Name],
-}
-
 /// The routing state of one daemon.
 #[derive(Debug, Clone, Default)]
 pub struct Router {
@@ -266,103 +223,6 @@
         }
     }
 
-    /// Chooses a server.
-    ///
-    /// # Errors
-    /// [`NoServer`] tells whether the table has none or none is usable now.
-    pub fn choose(&self, now: Millis, wanted: &Wanted) -> Result<Choice, NoServer> {
-        let pool = self.pools.get(wanted.pool).ok_or(NoServer::NoneInTable)?;
-        let halls = self.halls_in_order(pool, wanted);
-        let reading = self.reading.get(wanted.pool).copied().unwrap_or_default();
-        let is_long = reading.is_long(wanted.prompt_tokens);
-        let disturbs =
-            |view: &ServerView| is_long && reading.disturbs(view, pool.pause_goal, &pool.mean_pace);
-        let slack = Load { requests: LOAD_SLACK, unread: reading.unread_slack() };
-        // Another hall is nearer than a long wait, or than streams that are disturbed.
-        let fitting = halls.iter().find_map(|hall| {
-            let bound = hall.load.bound(hall.members.len(), slack);
-            let fits = |view: &ServerView| view.load_in_all().is_within(&bound) && !disturbs(view);
-            self.usable_near(now, hall, wanted)
-                .find(|view| fits(view) && !view.holds_back(now, wanted.seed))
-        });
-        let any = || halls.iter().find_map(|hall| self.least_loaded(now, hall, wanted));
-        let view = fitting.or_else(any).ok_or(NoServer::NoneUsable)?;
-        // Equal prefixes go there unless it has too much to do.
-        let first = halls
-            .iter()
-            .find_map(|hall| self.usable_near(now, hall, wanted).find(|view| !disturbs(view)));
-        let other = first.filter(|first| first.name != view.name);
-        Ok(Choice {
-            server: view.name.clone(),
-            address: view.address.clone(),
-            copy_from: other.map(|first| first.address.clone()),
-        })
-    }
-
-    /// The pool's halls that take requests in this hour, the prefix's first hall first.
-    fn halls_in_order<'a>(&self, pool: &'a Pool, wanted: &Wanted) -> Vec<&'a HallPool> {
-        // A hall where this request has failed already comes last: when one
-        // server does not answer, its neighbours may not either.
-        let failed: Vec<&Name> = wanted.tried.iter().filter_map(|n| self.hall_of(n)).collect();
-        let mut halls: Vec<(bool, f64, &HallPool)> = pool
-            .halls
-            .iter()
-            .filter(|hall| hall.weights[wanted.hour % HOURS] > 0.0)
-            .map(|hall| (failed.contains(&&hall.hall), hall.score(wanted), hall))
-            .collect();
-        halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
-        halls.into_iter().map(|(_, _, hall)| hall).collect()
-    }
-
-    fn hall_of(&self, server: &Name) -> Option<&Name> {
-        let index = self.by_name.get(server)?;
-        self.servers.get(*index as usize).map(|view| &view.hall)
-    }
-
-    /// The usable servers of a hall among the first ones along its ring.
-    fn usable_near<'a>(
-        &'a self,
-        now: Millis,
-        hall: &'a HallPool,
-        wanted: &'a Wanted,
-    ) -> impl Iterator<Item = &'a ServerView> {
-        let is_usable =
-            move |view: &&ServerView| view.is_usable(now) && !wanted.tried.contains(&view.name);
-        self.looks(hall, wanted.prefix).filter(is_usable)
-    }
-
-    /// The least loaded of them; when there is none, any usable server of the hall.
-    fn least_loaded<'a>(
-        &'a self,
-        now: Millis,
-        hall: &'a HallPool,
-        wanted: &'a Wanted,
-    ) -> Option<&'a ServerView> {
-        let near = self.usable_near(now, hall, wanted);
-        let least = near.reduce(|least, view| {
-            if view.load_in_all().is_less(&least.load_in_all()) { view } else { least }
-        });
-        least.or_else(|| {
-            let start = wanted.seed as usize % hall.members.len().max(1);
-            let around = hall.members[start..].iter().chain(&hall.members[..start]);
-            let mut views = around.map(|index| &self.servers[*index as usize]);
-            views.find(|view| view.is_usable(now) && !wanted.tried.contains(&view.name))
-        })
-    }
-
-    fn looks<'a>(
-        &'a self,
-        hall: &'a HallPool,
-        prefix: u64,
-    ) -> impl Iterator<Item = &'a ServerView> {
-        let start = hall.ring.partition_point(|(point, _)| *point < prefix);
-        let around = hall.ring[start..].iter().chain(&hall.ring[..start]);
-        let mut last = u32::MAX;
-        let distinct =
-            around.filter(move |(_, index)| std::mem::replace(&mut last, *index) != *index);
-        distinct.take(LOOKS).map(|(_, index)| &self.servers[*index as usize])
-    }
-
     fn change_load(&mut self, name: &Name, change: impl FnOnce(&mut ServerView)) {
         let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
         let before = self.servers[index].load_in_all();
--- /dev/null
+++ b/crates/core/src/router/choose.rs
@@ -0,0 +1,177 @@
+//! The choice of a server for one request.
+
+use crate::router::Router;
+use crate::router::load::Load;
+use crate::router::pool::{HallPool, Pool};
+use crate::router::view::ServerView;
+use crate::table::HOURS;
+use crate::{Millis, Name, Tokens};
+
+/// Requests that a server may have beyond its part, so that idle halls keep affinity.
+const LOAD_SLACK: f64 = 4.0;
+
+/// Servers looked at along the ring before any usable one is taken.
+const LOOKS: usize = 16;
+
+/// Why no server was found.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NoServer {
+    /// No row of the table serves this.
+    NoneInTable,
+    /// Servers exist, but all of them are leaving, ejected or full.
+    NoneUsable,
+}
+
+/// A server that was chosen.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// The server's name.
+    pub server: Name,
+    /// Its address.
+    pub address: String,
+    /// Address of the server that has read the prompt's shared parts, as far as this
+    /// daemon can tell, when it is another one.
+    pub copy_from: Option<String>,
+}
+
+/// What a request asks the router for.
+#[derive(Debug, Clone, Copy)]
+pub struct Wanted<'a> {
+    /// The pool: a model's name, or a service route's name.
+    pub pool: &'a str,
+    /// Hash of the prompt's prefix.
+    pub prefix: u64,
+    /// Length of the prompt; 0 when that is not known.
+    pub prompt_tokens: Tokens,
+    /// Hour of the day, UTC.
+    pub hour: usize,
+    /// A random number.
+    pub seed: u64,
+    /// Servers that this request has tried already.
+    pub tried: &'a [Name],
+}
+
+/// What a walk along the halls has come to.
+#[derive(Debug, Default)]
+struct Walk<'a> {
+    /// The first server whose streams would not be disturbed: equal prefixes go there
+    /// unless it has too much to do.
+    first: Option<&'a ServerView>,
+    /// The first of those that have room too.
+    fitting: Option<&'a ServerView>,
+}
+
+impl Router {
+    /// Chooses a server.
+    ///
+    /// # Errors
+    /// [`NoServer`] tells whether the table has none or none is usable now.
+    pub fn choose(&self, now: Millis, wanted: &Wanted) -> Result<Choice, NoServer> {
+        let pool = self.pools.get(wanted.pool).ok_or(NoServer::NoneInTable)?;
+        let halls = self.halls_in_order(pool, wanted);
+        let walk = self.walk(now, pool, &halls, wanted);
+        let any = || halls.iter().find_map(|hall| self.least_loaded(now, hall, wanted));
+        let view = walk.fitting.or_else(any).ok_or(NoServer::NoneUsable)?;
+        let other = walk.first.filter(|first| first.name != view.name);
+        Ok(Choice {
+            server: view.name.clone(),
+            address: view.address.clone(),
+            copy_from: other.map(|first| first.address.clone()),
+        })
+    }
+
+    /// Goes along the halls until a server fits: another hall is nearer than a long
+    /// wait, or than streams that are disturbed.
+    fn walk<'a>(
+        &'a self,
+        now: Millis,
+        pool: &Pool,
+        halls: &[&'a HallPool],
+        wanted: &'a Wanted,
+    ) -> Walk<'a> {
+        let reading = self.reading.get(wanted.pool).copied().unwrap_or_default();
+        let is_long = reading.is_long(wanted.prompt_tokens);
+        let disturbs =
+            |view: &ServerView| is_long && reading.disturbs(view, pool.pause_goal, &pool.mean_pace);
+        let slack = Load { requests: LOAD_SLACK, unread: reading.unread_slack() };
+        let mut walk = Walk::default();
+        for hall in halls {
+            let bound = hall.load.bound(hall.members.len(), slack);
+            let has_room = |view: &ServerView| {
+                view.load_in_all().is_within(&bound) && !view.holds_back(now, wanted.seed)
+            };
+            for view in self.usable_near(now, hall, wanted).filter(|view| !disturbs(view)) {
+                walk.first.get_or_insert(view);
+                if has_room(view) {
+                    walk.fitting = Some(view);
+                    return walk;
+                }
+            }
+        }
+        walk
+    }
+
+    /// The pool's halls that take requests in this hour, the prefix's first hall first.
+    fn halls_in_order<'a>(&self, pool: &'a Pool, wanted: &Wanted) -> Vec<&'a HallPool> {
+        // A hall where this request has failed already comes last: when one
+        // server does not answer, its neighbours may not either.
+        let failed: Vec<&Name> = wanted.tried.iter().filter_map(|n| self.hall_of(n)).collect();
+        let mut halls: Vec<(bool, f64, &HallPool)> = pool
+            .halls
+            .iter()
+            .filter(|hall| hall.weights[wanted.hour % HOURS] > 0.0)
+            .map(|hall| (failed.contains(&&hall.hall), hall.score(wanted), hall))
+            .collect();
+        halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
+        halls.into_iter().map(|(_, _, hall)| hall).collect()
+    }
+
+    fn hall_of(&self, server: &Name) -> Option<&Name> {
+        let index = self.by_name.get(server)?;
+        self.servers.get(*index as usize).map(|view| &view.hall)
+    }
+
+    /// The usable servers of a hall among the first ones along its ring.
+    fn usable_near<'a>(
+        &'a self,
+        now: Millis,
+        hall: &'a HallPool,
+        wanted: &'a Wanted,
+    ) -> impl Iterator<Item = &'a ServerView> {
+        let is_usable =
+            move |view: &&ServerView| view.is_usable(now) && !wanted.tried.contains(&view.name);
+        self.looks(hall, wanted.prefix).filter(is_usable)
+    }
+
+    /// The least loaded of them; when there is none, any usable server of the hall.
+    fn least_loaded<'a>(
+        &'a self,
+        now: Millis,
+        hall: &'a HallPool,
+        wanted: &'a Wanted,
+    ) -> Option<&'a ServerView> {
+        let near = self.usable_near(now, hall, wanted);
+        let least = near.reduce(|least, view| {
+            if view.load_in_all().is_less(&least.load_in_all()) { view } else { least }
+        });
+        least.or_else(|| {
+            let start = wanted.seed as usize % hall.members.len().max(1);
+            let around = hall.members[start..].iter().chain(&hall.members[..start]);
+            let mut views = around.map(|index| &self.servers[*index as usize]);
+            views.find(|view| view.is_usable(now) && !wanted.tried.contains(&view.name))
+        })
+    }
+
+    fn looks<'a>(
+        &'a self,
+        hall: &'a HallPool,
+        prefix: u64,
+    ) -> impl Iterator<Item = &'a ServerView> {
+        let start = hall.ring.partition_point(|(point, _)| *point < prefix);
+        let around = hall.ring[start..].iter().chain(&hall.ring[..start]);
+        let mut last = u32::MAX;
+        let distinct =
+            around.filter(move |(_, index)| std::mem::replace(&mut last, *index) != *index);
+        distinct.take(LOOKS).map(|(_, index)| &self.servers[*index as usize])
+    }
+}
