A daemon learns an owner's start from its answers

Without it what is not needed did not go back, and a lost answer of the owner was not told again, because both count in sums with that start.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -183,6 +183,15 @@
         peer.heard_at = Some(now);
     }
 
+    /// Takes in which start of a peer has answered: in a large fleet most peers are never
+    /// heard in heartbeats, and what is to go back to one has to name its start.
+    pub fn answered(&mut self, name: &Name, start: Incarnation) {
+        if let Some(peer) = self.peers.get_mut(name) {
+            peer.incarnation = Some(start);
+            peer.failures = 0;
+        }
+    }
+
     /// Takes in that peers answer again after all of them were silent to this
     /// daemon: what it suspects of others says nothing of them.
     pub fn forgive(&mut self) {
--- a/crates/daemon/src/allotment.rs
+++ b/crates/daemon/src/allotment.rs
@@ -88,6 +88,7 @@
         "took_ms" => daemon.clock.now().saturating_sub(now));
     match answer {
         Some(AllotAnswer::Allotted(allotted)) => {
+            daemon.members.lock().answered(&owner.name, allotted.owner);
             daemon.budgets.holder().allotted(&budget.name, allotted, now);
             Some(Ok(()))
         }
--- a/crates/daemon/src/tend.rs
+++ b/crates/daemon/src/tend.rs
@@ -72,13 +72,16 @@
 fn tend_one(daemon: &Arc<Daemon>, budget: &Budget) {
     let terms = terms(daemon, budget);
     let now = daemon.clock.now();
-    let owner = owners_to_ask(daemon, budget).into_iter().next().and_then(|peer| peer.incarnation);
+    let owner = owners_to_ask(daemon, budget).into_iter().next();
     if owner.is_none() && daemon.contact.is_store_away(now) {
         // Debited and not told, it would serve nobody until the store is back.
         return;
     }
     let returned = match owner {
-        Some(owner) => daemon.budgets.holder().give_back_surplus(&budget.name, owner, &terms, now),
+        // Without word of its start the owner would not take in what goes back to it.
+        Some(owner) => owner.incarnation.map_or(0, |owner| {
+            daemon.budgets.holder().give_back_surplus(&budget.name, owner, &terms, now)
+        }),
         None => daemon.budgets.holder().return_surplus(&budget.name, &terms, now),
     };
     if returned == 0 {
