Owners keep some of each budget for others until spending is known

The owner of a shard in a large fleet holds 0.2 of what all may hold of a budget, from the time when the list of hosts is known until 10 s after its first spending; it serves needs, nothing ahead; after that it goes back as all surplus does. Fleets of few daemons decide as before.

--- a/crates/core/src/holder/draw.rs
+++ b/crates/core/src/holder/draw.rs
@@ -39,7 +39,7 @@
     pub fn floor(&self, shared: Tokens, available: Tokens) -> Tokens {
         let equal = shared as f64 / self.daemons.max(1) as f64;
         let for_others = shared as f64 * held_part(shared, self.tokens) * self.kept_for_others;
-        let floor = (equal * self.held_ahead).max(0.0 * for_others) as Tokens;
+        let floor = (equal * self.held_ahead).max(for_others) as Tokens;
         floor.min(available / 2)
     }
 }
