--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -112,6 +112,17 @@
     pub fn is_usable(&self) -> bool {
         self.listed && !self.stopping && self.failures < SUSPECT_AFTER_FAILURES
     }
+
+    /// Takes in which start of it runs; what was known of another one counts no more.
+    fn speaks_as(&mut self, start: Incarnation) {
+        if self.incarnation == Some(start) {
+            return;
+        }
+        let has_restarted = self.incarnation.is_some();
+        self.was_on_list &= !has_restarted;
+        self.incarnation = Some(start);
+        self.revision = 0;
+    }
 }
 
 /// The view of this daemon.
@@ -168,12 +179,7 @@
             return;
         }
         let peer = self.entry(&heartbeat.name, &heartbeat.hall, &heartbeat.address);
-        if peer.incarnation != Some(heartbeat.incarnation) {
-            let has_restarted = peer.incarnation.is_some();
-            peer.was_on_list &= !has_restarted;
-            peer.incarnation = Some(heartbeat.incarnation);
-            peer.revision = 0;
-        }
+        peer.speaks_as(heartbeat.incarnation);
         peer.address.clone_from(&heartbeat.address);
         peer.revision = peer.revision.max(heartbeat.revision);
         peer.stopping = heartbeat.stopping;
@@ -187,7 +193,7 @@
     /// heard in heartbeats, and what is to go back to one has to name its start.
     pub fn answered(&mut self, name: &Name, start: Incarnation) {
         if let Some(peer) = self.peers.get_mut(name) {
-            peer.incarnation = Some(start);
+            peer.speaks_as(start);
             peer.failures = 0;
         }
     }
