--- a/crates/core/tests/direct_draws.rs
+++ b/crates/core/tests/direct_draws.rs
@@ -108,8 +108,12 @@
 
 proptest! {
     #[test]
-    fn no_more_is_promised_than_the_budget_holds(steps in prop::collection::vec(step(), 1..120)) {
+    fn no_more_is_promised_than_the_budget_holds(
+        steps in prop::collection::vec(step(), 1..120),
+        kept_for_others in prop_oneof![Just(0.0), Just(0.2), Just(1.0)],
+    ) {
         let mut world = World::new();
+        world.fleet.terms.kept_for_others = kept_for_others;
         for step in steps {
             world.step(step);
             prop_assert!(world.promised() <= TOTAL, "{} of {TOTAL}", world.promised());
