--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -80,3 +80,32 @@
     }
     panic!("{} tokens stay with the asker", asker.budgets.holder().free(&budget.name));
 }
+
+/// Symptom: 3,252,788 tokens of the largest budget, an eighth of it, lay with one host of
+/// 295 all day. Sequence: while the fleet started, hosts that saw a part of it took
+/// themselves for owners and drew; then others were the owners. Cause: a daemon gives
+/// back to an owner whose start it knows, and it never had to ask this one.
+#[tokio::test]
+async fn what_a_former_owner_holds_goes_back_to_one_that_it_never_asked() {
+    let budget = Budget::of_workspace(Name::from("main"), 1_000_000, 1);
+    let (one, two) = (daemon("entry-2", 20_003), daemon("entry-3", 20_004));
+    lists(&one, &two);
+    lists(&two, &one);
+    let (former, owner) =
+        if owners_to_ask(&one, &budget).is_empty() { (two, one) } else { (one, two) };
+    for daemon in [&former, &owner] {
+        let table = Table { revision: 1, budgets: vec![budget.clone()], ..Table::default() };
+        daemon.table.store(Some(Arc::new(table)));
+    }
+    former.budgets.holder().granted(&budget.name, HELD);
+    former.budgets.holder().opened(&budget.name, HELD);
+    peer::serve(Arc::clone(&owner)).await.expect("the port is free");
+    tokio::spawn(tend::tend(Arc::clone(&former)));
+    for _ in 0..LOOKS {
+        if owner.budgets.holder().free(&budget.name) > HELD / 2 {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("{} tokens stay with the former owner", former.budgets.holder().free(&budget.name));
+}
