In a large fleet the owner of each budget keeps for all

In an outage of 8 s 2,083 requests were refused while 9 to 43 million tokens lay free in parts smaller than a request; 120,242 asks for 38,626 requests, 82,073 of them ahead, 16,143 unanswered right after the start. Four hosts answered three quarters of the asks; one of them was the host with 7,905 requests, and 100 ms were lost at it by each. Owners that had nothing worked on an ask for longer than the asker waits (relays, lending), and each refusal cost 20 calls of lending.

Ruled out: cut peers (asks are answered in outages); the length of the wait.

Change: Keeps. The owner of a budget keeps the horizon for the whole fleet, all others 2 s of their own spending, and nothing where that is less than a request. Owners by budget, not by shard; their draws go by way of the shard's owner, whose writes serve all of its budgets. What requests leave over goes back after 3 s. An owner that knows the store to be away says so at once. How large the fleet is comes from the host list that names this daemon, never from peers that answer; an owner that was never heard is met before tokens go back to it. A draw names the earlier start that its answer told of, so that ledgers stay small. Calls of the store are counted by purpose.

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -9,7 +9,7 @@
 
 use bankcove_bench::routing_world::table;
 use bankcove_core::bill::Bill;
-use bankcove_core::holder::{Draw, Holder, Terms};
+use bankcove_core::holder::{Draw, Holder, Keeps, Terms};
 use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Members};
 use bankcove_core::owner::{Event as OwnerEvent, Owner, Request};
 use bankcove_core::reqlog::{Entry, Event, RequestLog, Segment};
@@ -150,6 +150,7 @@
         share_divisor: 4,
         held_ahead: 0.5,
         kept_for_others: 0.0,
+        keeps: Keeps::ForItself,
         daemons: 1_300,
     }
 }
--- a/crates/bench/src/budget_world/caller.rs
+++ b/crates/bench/src/budget_world/caller.rs
@@ -1,6 +1,6 @@
 //! What daemons do for callers: admissions, refusals, draws.
 
-use bankcove_core::holder::{Reservation, Terms};
+use bankcove_core::holder::{Keeps, Reservation, Terms};
 use bankcove_core::owner::{Event, Reply, Request};
 use bankcove_core::shard::{BUDGET_SHARDS, shard_of_budget};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
@@ -110,6 +110,7 @@
             share_divisor: self.load.share_divisor,
             held_ahead: self.load.held_ahead,
             kept_for_others: 0.0,
+            keeps: Keeps::ForItself,
             daemons: self.load.daemons as u64,
         }
     }
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -8,6 +8,7 @@
 mod allot;
 mod draw;
 mod holdings;
+mod keeps;
 mod rate;
 mod ration;
 
@@ -15,6 +16,7 @@
 pub use allot::{Allotted, Ask, LEFT_PER_HELD, held_part};
 pub use draw::{Draw, Terms};
 pub use holdings::{Held, Holdings, Running};
+pub use keeps::Keeps;
 pub use ration::Outlook;
 
 use std::collections::HashMap;
@@ -174,6 +176,12 @@
         account.spent += used.min(reservation.tokens);
     }
 
+    /// What a request costs at its most, of late; 0 while none has come.
+    fn usual_request(&self, now: Millis) -> Tokens {
+        let requests = self.requests.per_second(now);
+        if requests > 0.0 { (self.asked_for.per_second(now) / requests) as Tokens } else { 0 }
+    }
+
     /// The terms without what is held ahead whatever is spent, once spending is
     /// known: it would only be lost with the host.
     fn in_force(&self, terms: &Terms, now: Millis) -> Terms {
@@ -188,7 +196,7 @@
             return self.in_force(terms, now).floor(terms.tokens, Tokens::MAX) > 0;
         };
         let at_hand = account.free() + account.sealed();
-        let mut wanted = account.ahead(terms, now);
+        let mut wanted = account.ahead(terms, self.usual_request(now), now);
         let terms = self.in_force(terms, now);
         if terms.kept_for_others > 0.0 {
             wanted = wanted.max(account.floor(&terms));
@@ -200,12 +208,13 @@
     /// that `terms` name; returns how much. The next draw tells the store.
     pub fn return_surplus(&mut self, budget: &Name, terms: &Terms, now: Millis) -> Tokens {
         let terms = self.in_force(terms, now);
+        let usual = self.usual_request(now);
         let Some(account) = self.accounts.get_mut(budget) else { return 0 };
         account.kept_for_needs =
             if terms.kept_for_others > 0.0 { account.floor(&terms) } else { 0 };
         // Only tokens of the own grant go back, and no more than it holds.
         let of_grant = account.opened.saturating_sub(account.returned);
-        let surplus = account.surplus(&terms, now).min(of_grant);
+        let surplus = account.surplus(&terms, usual, now).min(of_grant);
         account.returned += surplus;
         surplus
     }
@@ -226,8 +235,9 @@
         now: Millis,
     ) -> Draw {
         let terms = self.in_force(&terms, now);
+        let usual = self.usual_request(now);
         let account = self.accounts.entry(budget.clone()).or_default();
-        let ahead = account.ahead(&terms, now);
+        let ahead = account.ahead(&terms, usual, now);
         // A need is what is missing when all that is free is taken, so the whole
         // horizon comes on top of it.
         let at_hand = if need == 0 { account.free() + account.sealed() } else { 0 };
@@ -244,12 +254,13 @@
             free: account.free(),
             opened: account.opened,
             witnesses: Vec::new(),
+            ends: account.earlier_start,
             number: account.draws,
             returned: account.returned,
             need,
             want: need.saturating_add(ahead),
             open: need.saturating_add(account.open_ahead(now)),
-            rate: account.rate.with(need, now) as Tokens,
+            rate: account.spending(need, &terms, now),
             terms,
         }
     }
@@ -294,6 +305,12 @@
         agreed
     }
 
+    /// Takes in which other start at this daemon's address the ledger names. It was told
+    /// to this one, so it ran before it.
+    pub fn told_earlier_start(&mut self, budget: &Name, start: Option<Incarnation>) {
+        self.accounts.entry(budget.clone()).or_default().earlier_start = start;
+    }
+
     /// Takes in what may be spent of the grant, as a cumulative sum.
     pub fn opened(&mut self, budget: &Name, cumulative: Tokens) {
         let account = self.accounts.entry(budget.clone()).or_default();
--- a/crates/core/src/holder/account.rs
+++ b/crates/core/src/holder/account.rs
@@ -6,6 +6,7 @@
 
 use crate::holder::draw::Terms;
 use crate::holder::holdings::Running;
+use crate::holder::keeps::Keeps;
 use crate::holder::rate::Rate;
 use crate::holder::ration::Outlook;
 use crate::witness::Witness;
@@ -16,7 +17,7 @@
 const OPEN_AHEAD_S: f64 = 2.0;
 
 /// More than this many times what a holder needs ahead is given back.
-const SURPLUS: f64 = 1.5;
+pub(super) const SURPLUS: f64 = 1.5;
 
 /// What this daemon holds of one budget.
 #[derive(Debug, Clone, Default, Serialize)]
@@ -36,6 +37,8 @@
     pub(super) known_at: Millis,
     /// What the whole fleet takes of what is left, as the outlooks show.
     pub(super) taken: Rate,
+    /// An earlier start at this daemon's address that the ledger still names.
+    pub(super) earlier_start: Option<Incarnation>,
     /// Tokens that the budget's row allowed at the last draw.
     pub total: Tokens,
     /// Cumulative tokens received, by sender.
@@ -67,7 +70,7 @@
     }
 
     /// What this holder may keep ahead; none while nothing is known.
-    fn share(&self) -> Option<Tokens> {
+    pub(super) fn share(&self) -> Option<Tokens> {
         self.outlook.map(|outlook| outlook.share)
     }
 
@@ -76,23 +79,13 @@
         (self.rate.per_second(now) * OPEN_AHEAD_S) as Tokens
     }
 
-    /// What to have at hand: recent spending for the horizon, but no more than
-    /// a holder may keep.
-    pub(super) fn ahead(&self, terms: &Terms, now: Millis) -> Tokens {
-        let own = (self.rate.per_second(now) * terms.horizon_s) as Tokens;
-        own.min(self.share().unwrap_or(own)) + self.reserve_for_others(now)
-    }
-
-    /// What is free beyond `SURPLUS` times what is needed ahead and the floor that
-    /// `terms` name.
-    pub(super) fn surplus(&self, terms: &Terms, now: Millis) -> Tokens {
-        let floor = self.floor(terms);
-        // A share is one holder's; what an owner keeps for others is theirs.
-        let is_for_others = terms.kept_for_others > 0.0;
-        let most = if is_for_others { floor } else { self.share().unwrap_or(floor) };
-        let kept = self.ahead(terms, now).max(floor.min(most));
-        let free = self.free();
-        if free as f64 <= kept as f64 * SURPLUS { 0 } else { free - kept }
+    /// Spending once `need` tokens are spent now, in tokens a second: for the whole fleet
+    /// where this holder keeps for it.
+    pub(super) fn spending(&self, need: Tokens, terms: &Terms, now: Millis) -> Tokens {
+        let own = self.rate.with(need, now);
+        let is_for_fleet = terms.keeps == Keeps::ForFleet;
+        let others = if is_for_fleet { self.handed_on.per_second(now) } else { 0.0 };
+        (own + others) as Tokens
     }
 
     /// What to keep whatever is spent.
--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -88,9 +88,14 @@
 /// as the budget nears its end: what is lost with the hosts then is missed for the
 /// rest of its time, while a caller that is refused in a cut may come back.
 pub fn held_part(left: Tokens, total: Tokens) -> f64 {
+    plenty(left, total) / LEFT_PER_HELD as f64
+}
+
+/// 1 while more is left of a budget than its last part; from there on it falls to 0 with
+/// what is left.
+pub(super) fn plenty(left: Tokens, total: Tokens) -> f64 {
     let near_end = total as f64 * TAPER_BELOW;
-    let taper = if near_end > 0.0 { (left as f64 / near_end).min(1.0) } else { 1.0 };
-    taper / LEFT_PER_HELD as f64
+    if near_end > 0.0 { (left as f64 / near_end).min(1.0) } else { 1.0 }
 }
 
 impl Holder {
@@ -104,9 +109,10 @@
         now: Millis,
     ) -> Ask {
         let holder = self.incarnation;
+        let usual = self.usual_request(now);
         let account = self.accounts.entry(budget.clone()).or_default();
         let at_hand = if need == 0 { account.free() } else { 0 };
-        let ahead = account.ahead(terms, now).saturating_sub(at_hand);
+        let ahead = account.ahead(terms, usual, now).saturating_sub(at_hand);
         let sum = |sums: &HashMap<Incarnation, Tokens>| {
             owner.and_then(|owner| sums.get(&owner)).copied().unwrap_or(0)
         };
@@ -124,10 +130,15 @@
     }
 
     /// Takes in what the asker has given back.
-    pub fn asked(&mut self, ask: &Ask) {
-        if ask.owner == Some(self.incarnation) {
-            self.received(&ask.budget, ask.holder, ask.given_back);
+    pub fn asked(&mut self, ask: &Ask, now: Millis) {
+        if ask.owner != Some(self.incarnation) {
+            return;
         }
+        let known = self.received_from(&ask.budget, ask.holder);
+        self.received(&ask.budget, ask.holder, ask.given_back);
+        let account = self.accounts.entry(ask.budget.clone()).or_default();
+        // What comes back was not spent.
+        account.handed_on.fell(known, ask.given_back.max(known), now);
     }
 
     /// Hands on what `ask` needs, and what it wants as far as there is some.
@@ -138,6 +149,7 @@
         let knows_me = ask.owner == Some(self.incarnation);
         let received = if knows_me { ask.received } else { 0 };
         let owner = self.incarnation;
+        self.spending_since.get_or_insert(now);
         let account = self.accounts.entry(ask.budget.clone()).or_default();
         let is_known = account.outlook.is_some();
         let outlook = account.outlook_for(ask.rate, now);
@@ -160,6 +172,11 @@
         // They ask again soon; the next draw counts what they lack now.
         account.unmet += most.saturating_sub(under_way).saturating_sub(more);
         account.handed_on.add(more, now);
+        if ask.need > 0 {
+            // What a request of the asker lacks is what it costs, mostly.
+            self.asked_for.add(ask.need, now);
+            self.requests.add(1, now);
+        }
         Ok(Allotted { owner, cumulative, outlook: is_known.then_some(outlook) })
     }
 
@@ -218,10 +235,11 @@
         now: Millis,
     ) -> Tokens {
         let terms = self.in_force(terms, now);
+        let usual = self.usual_request(now);
         let Some(account) = self.accounts.get_mut(budget) else { return 0 };
         // The owner keeps for needs, and that is another one now.
         account.kept_for_needs = 0;
-        let surplus = account.surplus(&terms, now);
+        let surplus = account.surplus(&terms, usual, now);
         if surplus > 0 {
             *account.sent.entry(owner).or_default() += surplus;
         }
--- a/crates/core/src/holder/draw.rs
+++ b/crates/core/src/holder/draw.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::holder::allot::held_part;
+use crate::holder::keeps::Keeps;
 use crate::witness::Witness;
 use crate::{Incarnation, Name, Tokens};
 
@@ -23,6 +24,8 @@
     /// Part of what all holders together may keep ([`held_part`]) that an owner in a
     /// large fleet keeps for the others before any spending is known; 0 for the others.
     pub kept_for_others: f64,
+    /// For whom the holder keeps tokens ahead.
+    pub keeps: Keeps,
     /// Daemons that share the budget, as the drawing one knows.
     pub daemons: u64,
 }
@@ -63,6 +66,8 @@
     pub opened: Tokens,
     /// Who is to attest what the holder opens while the store is away.
     pub witnesses: Vec<Witness>,
+    /// An earlier start at that address, by the holder's word, which ends with this draw.
+    pub ends: Option<Incarnation>,
     /// Counts the draws of this holder and budget.
     pub number: u64,
     /// Cumulative tokens that the holder has given back to the store; they are
--- a/crates/core/src/holder/rate.rs
+++ b/crates/core/src/holder/rate.rs
@@ -33,6 +33,11 @@
         self.sum = (self.sum - level.saturating_sub(before) as f64).max(0.0);
     }
 
+    /// Time since something was counted last, in milliseconds.
+    pub(super) fn idle_ms(&self, now: Millis) -> Millis {
+        now.saturating_sub(self.at)
+    }
+
     /// Tokens a second, of late.
     pub(super) fn per_second(&self, now: Millis) -> f64 {
         self.decayed(now) * 1000.0 / self.window(now)
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -87,6 +87,8 @@
 pub struct Peer {
     /// The peer's name.
     pub name: Name,
+    /// Hash of its name, by which it is chosen as an owner, reader or neighbour.
+    key: u64,
     /// The peer's hall.
     pub hall: Name,
     /// Its peer port.
@@ -129,13 +131,39 @@
 #[derive(Debug, Clone, Serialize)]
 pub struct Members {
     me: Name,
+    my_key: u64,
     peers: BTreeMap<Name, Peer>,
+    /// What the platform's list said of this start of the daemon.
+    list: ListSeen,
+}
+
+/// What the platform's list has told a daemon since it started.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+enum ListSeen {
+    /// It was not seen yet.
+    Not,
+    /// This daemon is not on it: the fleet may be starting, and others are missing too.
+    WithoutMe,
+    /// It names this daemon, from an earlier start of it or from this one.
+    WithMe,
+}
+
+/// How many daemons a fleet has, by the platform's list.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum FleetSize {
+    /// The list was not seen since the start.
+    Unknown,
+    /// At least so many: the list may be that of a fleet which is still starting.
+    AtLeast(usize),
+    /// So many.
+    Listed(usize),
 }
 
 impl Members {
     /// A view that knows nobody yet.
     pub fn new(me: Name) -> Self {
-        Members { me, peers: BTreeMap::new() }
+        let my_key = name_key(&me);
+        Members { me, my_key, peers: BTreeMap::new(), list: ListSeen::Not }
     }
 
     /// Every peer that is known.
@@ -148,8 +176,25 @@
         self.peers.values().filter(|peer| peer.is_usable())
     }
 
+    /// How many daemons the fleet has, this one included. Peers that don't answer count: a
+    /// fleet is no smaller in a cut, nor right after all of it has started anew and nobody
+    /// was heard yet.
+    pub fn fleet_size(&self) -> FleetSize {
+        let there = self.peers.values().filter(|peer| peer.listed && !peer.stopping);
+        let size = 1 + there.count();
+        match self.list {
+            ListSeen::Not => FleetSize::Unknown,
+            ListSeen::WithoutMe => FleetSize::AtLeast(size),
+            ListSeen::WithMe => FleetSize::Listed(size),
+        }
+    }
+
     /// Takes in the platform's list.
     pub fn host_list(&mut self, hosts: &[Host]) {
+        let names_me = hosts.iter().any(|host| host.name == self.me);
+        if names_me || self.list == ListSeen::Not {
+            self.list = if names_me { ListSeen::WithMe } else { ListSeen::WithoutMe };
+        }
         for peer in self.peers.values_mut() {
             // One that spoke before the list had it is new there, not gone: taken for
             // gone until its next heartbeat, nobody was asked for tokens meanwhile.
@@ -224,7 +269,7 @@
         }
         let (suspected, well): (Vec<&Peer>, Vec<&Peer>) =
             peers.into_iter().partition(|peer| peer.failures >= SUSPECT_AFTER_FAILURES);
-        let mut targets = first_by_score(well, name_key(&self.me), count);
+        let mut targets = first_by_score(well, self.my_key, count);
         targets.extend(first_by_score(suspected, seed, 1));
         targets
     }
@@ -237,21 +282,26 @@
     /// Usable peers and this daemon (none) in the order of their claim to own
     /// `key`; every daemon with the same view comes to the same order.
     pub fn owners(&self, key: u64, most: usize) -> Vec<Option<Peer>> {
-        let mine = (rendezvous_score(key, name_key(&self.me)), None);
-        let score = |peer: &Peer| rendezvous_score(key, name_key(&peer.name));
-        let others = self.usable().map(|peer| (score(peer), Some(peer)));
+        let mine = (rendezvous_score(key, self.my_key), None);
+        let others = self.usable().map(|peer| (rendezvous_score(key, peer.key), Some(peer)));
         let mut ranked: Vec<(u64, Option<&Peer>)> = others.chain([mine]).collect();
-        ranked.sort_unstable_by_key(|(score, _)| std::cmp::Reverse(*score));
-        ranked.into_iter().take(most).map(|(_, peer)| peer.cloned()).collect()
+        let highest_first = |(score, _): &(u64, Option<&Peer>)| std::cmp::Reverse(*score);
+        if most < ranked.len() {
+            // Hundreds of peers, of whom a few are asked.
+            ranked.select_nth_unstable_by_key(most, highest_first);
+            ranked.truncate(most);
+        }
+        ranked.sort_unstable_by_key(highest_first);
+        ranked.into_iter().map(|(_, peer)| peer.cloned()).collect()
     }
 
     /// How many usable peers of the hall come before this daemon as readers of
     /// the store.
     pub fn reader_rank(&self, hall: &Name) -> usize {
         let key = name_key(hall);
-        let mine = rendezvous_score(key, name_key(&self.me));
+        let mine = rendezvous_score(key, self.my_key);
         let in_hall = self.usable().filter(|peer| peer.hall == *hall);
-        in_hall.filter(|peer| rendezvous_score(key, name_key(&peer.name)) > mine).count()
+        in_hall.filter(|peer| rendezvous_score(key, peer.key) > mine).count()
     }
 
     /// Whether this daemon is one of the `count` that read the store for their
@@ -262,8 +312,8 @@
     pub fn reads_store_for(&self, hall: &Name, count: usize) -> Result<(), Vec<Peer>> {
         let key = name_key(hall);
         let in_hall = self.usable().filter(|peer| peer.hall == *hall);
-        let mine = rendezvous_score(key, name_key(&self.me));
-        let score = |peer: &&Peer| rendezvous_score(key, name_key(&peer.name));
+        let mine = rendezvous_score(key, self.my_key);
+        let score = |peer: &&Peer| rendezvous_score(key, peer.key);
         let mut ahead: Vec<&Peer> = in_hall.filter(|peer| score(peer) > mine).collect();
         if ahead.len() < count {
             return Ok(());
@@ -275,6 +325,7 @@
     fn entry(&mut self, name: &Name, hall: &Name, address: &str) -> &mut Peer {
         self.peers.entry(name.clone()).or_insert_with(|| Peer {
             name: name.clone(),
+            key: name_key(name),
             hall: hall.clone(),
             address: address.to_owned(),
             incarnation: None,
@@ -290,7 +341,7 @@
 
 /// The first `count` peers in the order that `seed` gives them.
 fn first_by_score(mut peers: Vec<&Peer>, seed: u64, count: usize) -> Vec<Peer> {
-    peers.sort_unstable_by_key(|peer| rendezvous_score(seed, name_key(&peer.name)));
+    peers.sort_unstable_by_key(|peer| rendezvous_score(seed, peer.key));
     peers.into_iter().take(count).cloned().collect()
 }
 
--- a/crates/core/src/owner/draft.rs
+++ b/crates/core/src/owner/draft.rs
@@ -23,8 +23,9 @@
 pub(super) fn granted_reply(ledger: &Ledger, draw: &Draw, recorded: bool) -> Reply {
     let granted = ledger.granted_to(draw.holder);
     let opened = ledger.opened_by(draw.holder);
-    let outlook = Some(ledger.outlook(draw.holder, draw.terms.daemons));
-    Reply::Granted { granted, opened, recorded, outlook }
+    let outlook = Some(ledger.outlook(draw.holder, &draw.terms));
+    let earlier_start = ledger.other_start_at(&draw.address, draw.holder);
+    Reply::Granted { granted, opened, recorded, outlook, earlier_start }
 }
 
 /// Grants what a draw calls for and opens the part that it names; the rest
@@ -36,7 +37,7 @@
     ledger.spends_at(draw.holder, draw.rate);
     let sealed = ledger.granted_to(draw.holder).saturating_sub(opened);
     let ahead = draw.terms.amount(draw.want, available + sealed);
-    let share = ledger.share(draw.holder, draw.terms.daemons);
+    let share = ledger.share(draw.holder, &draw.terms);
     let ahead = if draw.witnesses.is_empty() { ahead.min(share) } else { ahead };
     let wanted = ahead.max(need);
     // Of what is left where nothing can be taken back: daemons that start anew near a
--- a/crates/core/src/owner/machine/draw.rs
+++ b/crates/core/src/owner/machine/draw.rs
@@ -88,6 +88,10 @@
             // of the earlier start, and late. With witnesses, what an earlier
             // start never opened is taken back instead.
             ledger.end_earlier_starts(draw.holder, &draw.address);
+        } else if let Some(earlier) = draw.ends
+            && draw.witnesses.is_empty()
+        {
+            ledger.end_earlier_start(earlier, draw.holder, &draw.address);
         }
         grant_and_open(ledger, draw, need, opened);
         Decision::AfterWrite(Outcome::Reply(granted_reply(ledger, draw, true)))
--- a/crates/core/src/owner/machine/without_store.rs
+++ b/crates/core/src/owner/machine/without_store.rs
@@ -48,7 +48,8 @@
         }
         let most = self.gathers.take(draw, need);
         let (granted, opened) = (draw.known_granted, draw.opened);
-        let reply = Reply::Granted { granted, opened, recorded: false, outlook: None };
+        let reply =
+            Reply::Granted { granted, opened, recorded: false, outlook: None, earlier_start: None };
         Decision::Answer(Outcome::Give { own: None, most, need, reply })
     }
 }
--- a/crates/core/src/owner/message.rs
+++ b/crates/core/src/owner/message.rs
@@ -81,6 +81,9 @@
         recorded: bool,
         /// The budget as the ledger has it; none when the owner does not know.
         outlook: Option<Outlook>,
+        /// Another start at the holder's address that the ledger names: an earlier one,
+        /// since the address is held for life.
+        earlier_start: Option<Incarnation>,
     },
     /// Too little is left, also after collecting.
     Short {
@@ -98,6 +101,7 @@
 
 /// What happens to an owner.
 #[derive(Debug, Clone, PartialEq)]
+#[expect(clippy::large_enum_variant, reason = "made once a call and moved twice")]
 pub enum Event {
     /// Somebody asks.
     Asked(Ticket, Request),
--- a/crates/core/src/shard.rs
+++ b/crates/core/src/shard.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::holder::{Draw, Outlook, held_part};
+use crate::holder::{Draw, Keeps, Outlook, Terms, held_part};
 use crate::id::shard_of_name;
 use crate::witness::Witness;
 use crate::{Incarnation, Name, Tokens};
@@ -122,22 +122,26 @@
     /// with them, and one that runs out finds something. Who spends more may keep
     /// more: callers are not spread evenly over daemons.
     ///
-    /// `daemons` is how many there are: grants of daemons that are gone stay.
-    pub fn share(&self, holder: Incarnation, daemons: u64) -> Tokens {
-        let holders = (self.grants.len() as u64).clamp(1, daemons.max(1));
+    /// `terms` tell how many daemons there are: grants of daemons that are gone stay. One
+    /// that keeps for the whole fleet may keep what all may.
+    pub fn share(&self, holder: Incarnation, terms: &Terms) -> Tokens {
+        let left = self.available();
+        if terms.keeps == Keeps::ForFleet {
+            return (left as f64 * held_part(left, self.total())) as Tokens;
+        }
+        let holders = (self.grants.len() as u64).clamp(1, terms.daemons.max(1));
         let fleet: u64 = self.grants.values().map(|grant| grant.rate).sum();
         let rate = self.grants.get(&holder).map_or(0, |grant| grant.rate);
         let equal = 1.0 / holders as f64;
         let part = if fleet == 0 { equal } else { rate as f64 / fleet as f64 };
         // A holder that has been quiet may have its callers back at any time.
         let part = part.max(equal * QUIET_PART);
-        let left = self.available();
         (left as f64 * part * held_part(left, self.total())) as Tokens
     }
 
-    /// The budget as `holder` is told of it; `daemons` is how many there are.
-    pub fn outlook(&self, holder: Incarnation, daemons: u64) -> Outlook {
-        let share = self.share(holder, daemons);
+    /// The budget as `holder` is told of it.
+    pub fn outlook(&self, holder: Incarnation, terms: &Terms) -> Outlook {
+        let share = self.share(holder, terms);
         Outlook { share, left: self.available() }
     }
 
@@ -185,6 +189,22 @@
         }
     }
 
+    /// A start other than `holder` that the ledger names at `address`.
+    pub fn other_start_at(&self, address: &str, holder: Incarnation) -> Option<Incarnation> {
+        let mut others = self.grants.iter().filter(|(other, _)| **other != holder);
+        others.find(|(_, grant)| &*grant.address == address).map(|(other, _)| *other)
+    }
+
+    /// Ends the grant of `earlier`, a start that `holder` says ran before it at `address`.
+    /// What it held counts as spent.
+    pub fn end_earlier_start(&mut self, earlier: Incarnation, holder: Incarnation, address: &str) {
+        let Some(grant) = self.grants.get(&earlier) else { return };
+        if earlier != holder && &*grant.address == address {
+            let kept = grant.granted as i64 - grant.returned as i64;
+            self.retire(earlier, kept);
+        }
+    }
+
     /// Grants `tokens` more to `holder`; they are sealed at first.
     pub fn grant(&mut self, holder: Incarnation, address: &str, tokens: Tokens) {
         let entry = self.grants.entry(holder).or_insert_with(|| Grant {
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -73,7 +73,7 @@
             return;
         }
         self.last = Some(ask.clone());
-        self.holders[to].asked(&ask);
+        self.holders[to].asked(&ask, self.now);
         let allotted = self.holders[to].allot(&ask, self.now);
         if let (Ok(allotted), Way::Both) = (allotted, way) {
             self.holders[from].allotted(&budget(), allotted, self.now);
@@ -121,7 +121,7 @@
             Step::Repeat => {
                 // An old message comes once more, to the owner of now.
                 if let Some(ask) = self.last.clone() {
-                    self.holders[OWNER].asked(&ask);
+                    self.holders[OWNER].asked(&ask, self.now);
                 }
             }
             Step::Restart { at } if at != OWNER => {
--- a/crates/core/tests/common/mod.rs
+++ b/crates/core/tests/common/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 
-use bankcove_core::holder::{Draw, Holder, Reservation, Terms};
+use bankcove_core::holder::{Draw, Holder, Keeps, Reservation, Terms};
 use bankcove_core::owner::{Command, Event, HolderRef, Owner, Reply, Request, WRITE_INTERVAL_MS};
 use bankcove_core::shard::Shard;
 use bankcove_core::witness::{Marks, Witness};
@@ -29,6 +29,7 @@
         share_divisor: 4,
         held_ahead: 0.1,
         kept_for_others: 0.0,
+        keeps: Keeps::ForItself,
         daemons,
     }
 }
@@ -84,6 +85,7 @@
             share_divisor: 4,
             held_ahead: 0.25,
             kept_for_others: 0.0,
+            keeps: Keeps::ForItself,
             daemons: self.holders.len() as u64,
         };
         let witnesses = self.witnesses(holder);
--- a/crates/daemon/src/allotment.rs
+++ b/crates/daemon/src/allotment.rs
@@ -6,11 +6,11 @@
 
 use bankcove_core::Tokens;
 use bankcove_core::holder::{Allotted, Ask};
-use bankcove_core::members::Peer;
+use bankcove_core::members::{FleetSize, Peer};
 use bankcove_core::owner::RETRY_SOON_MS;
-use bankcove_core::shard::shard_of_budget;
 use bankcove_core::table::Budget;
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budgets::{OWNER_KEY, Refusal, Source, is_small_fleet, obtain, prepare, terms};
 use crate::daemon::Daemon;
@@ -35,11 +35,17 @@
     if daemon.stopping.is_cancelled() {
         return AllotAnswer::Refused(away);
     }
-    daemon.budgets.holder().asked(&ask);
     let arrived = daemon.clock.now();
+    daemon.budgets.holder().asked(&ask, arrived);
     let try_now = || daemon.budgets.holder().allot(&ask, arrived);
     let allotted = match try_now() {
         Ok(allotted) => Ok(allotted),
+        Err(_) if daemon.contact.is_store_away(arrived) => {
+            // Known to be hopeless here: the asker turns to the next owner at once, and
+            // a peer that reaches the store draws for this one meanwhile.
+            daemon.budgets.holder().owe(&ask);
+            Err(away)
+        }
         Err(_) => {
             // The next draw serves all that wait by then, not one after the other.
             daemon.budgets.holder().owe(&ask);
@@ -53,17 +59,32 @@
     }
 }
 
-/// Peers to ask for tokens, the first one first; none when this daemon is the
-/// owner itself, or the fleet so small that each draws by itself.
-pub fn owners_to_ask(daemon: &Daemon, budget: &Budget) -> Vec<Peer> {
+/// The owners of a budget in a large fleet, the first one first; none stands for this
+/// daemon. Nobody in a small fleet, where each draws by itself.
+///
+/// Each budget has owners of its own: with one owner for all budgets of a shard, four of
+/// 295 daemons answered all asks, and one that was busy with callers failed them all.
+pub fn owners(daemon: &Daemon, budget: &Budget) -> Vec<Option<Peer>> {
     let limits = &daemon.cfg.limits;
     // Sealed grants are drawn by the owner in the name of the holder.
     if limits.witnesses > 0 || is_small_fleet(daemon) {
         return Vec::new();
     }
-    let key = OWNER_KEY + u64::from(shard_of_budget(&budget.name, limits.budget_shards));
-    let ranked = daemon.members.lock().owners(key, limits.owners_tried);
-    ranked.into_iter().map_while(|owner| owner).collect()
+    let key = OWNER_KEY.wrapping_add(xxh3_64(budget.name.as_str().as_bytes()));
+    let members = daemon.members.lock();
+    let mut ranked = members.owners(key, limits.owners_tried);
+    if members.fleet_size() == FleetSize::Unknown {
+        // Of the few peers that are known before the list each daemon would be an owner,
+        // and all of a fleet that starts anew would write the same shards.
+        ranked.retain(Option::is_some);
+    }
+    ranked
+}
+
+/// Peers to ask for tokens, the first one first; none when this daemon is the first
+/// owner itself, or the fleet so small that each draws by itself.
+pub fn owners_to_ask(daemon: &Daemon, budget: &Budget) -> Vec<Peer> {
+    owners(daemon, budget).into_iter().map_while(|owner| owner).collect()
 }
 
 /// Asks one peer for tokens; none when it does not answer, or is cut off from
--- a/crates/daemon/src/budget_owner.rs
+++ b/crates/daemon/src/budget_owner.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::budgets::terms;
 use crate::collect::gather;
 use crate::daemon::Daemon;
 use crate::mailbox::{Tickets, after, later};
@@ -187,21 +188,20 @@
 /// Tells this daemon's holder what the shard shows of each budget: its own last draw may
 /// be seconds old, in which others have spent.
 fn tell_holder(daemon: &Daemon, shard: &Shard) {
-    let daemons = 1 + daemon.members.lock().usable().count() as u64;
     let now = daemon.clock.now();
     let table = daemon.table.load();
-    let mut holder = daemon.budgets.holder();
-    let me = holder.incarnation();
+    let Some(table) = table.as_ref() else { return };
     for (budget, ledger) in &shard.budgets {
-        if !holder.accounts().contains_key(budget) {
+        let Some(row) = table.budget(budget) else { continue };
+        if !daemon.budgets.holder().accounts().contains_key(budget) {
             continue;
         }
         let mut ledger = ledger.clone();
-        if let Some(row) = table.as_ref().and_then(|table| table.budget(budget)) {
-            // The next draw writes it; until then nobody is refused what was topped up.
-            ledger.adopt_row(row.tokens, row.version);
-        }
-        holder.known(budget, ledger.outlook(me, daemons), now);
+        // The next draw writes it; until then nobody is refused what was topped up.
+        ledger.adopt_row(row.tokens, row.version);
+        let terms = terms(daemon, row);
+        let outlook = ledger.outlook(daemon.incarnation, &terms);
+        daemon.budgets.holder().known(budget, outlook, now);
     }
 }
 
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -4,7 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::holder::{Draw, Holder, Reservation, Shortfall, Terms};
+use bankcove_core::holder::{Draw, Holder, Keeps, Reservation, Shortfall, Terms};
+use bankcove_core::members::FleetSize;
 use bankcove_core::owner::{AHEAD_WAIT_MS, RETRY_SOON_MS, Reply, Request};
 use bankcove_core::table::Budget;
 use bankcove_core::witness::Marks;
@@ -13,7 +14,7 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::allotment::{ask_for_tokens, owners_to_ask};
+use crate::allotment::{ask_for_tokens, owners, owners_to_ask};
 use crate::borrow;
 use crate::budget_owner::{Owners, ask_local_owner, shard_of_request, store_answers};
 use crate::collect::{open, witnesses};
@@ -34,7 +35,7 @@
 const MEMBERS_KNOWN_MS: Millis = 3_000;
 
 /// Daemons that a budget is taken to be shared by until they are known.
-const UNKNOWN_FLEET: u64 = 100;
+pub(crate) const UNKNOWN_FLEET: u64 = 100;
 
 /// Peers that are asked to write for a daemon that does not reach the store.
 const RELAYS: usize = 2;
@@ -196,7 +197,8 @@
         }
         let asked_at = daemon.clock.now();
         let Err(refusal) = refill(daemon, budget, missing, source).await else { continue };
-        if borrow::borrow(daemon, budget, missing).await {
+        // In a large fleet owners hold what there is, and they have been asked.
+        if is_small_fleet(daemon) && borrow::borrow(daemon, budget, missing).await {
             continue;
         }
         *last = LastShort { asked_at, need: missing, refusal: Some(refusal) };
@@ -213,13 +215,16 @@
     need: Tokens,
     source: Source,
 ) -> Result<(), Refusal> {
-    let owners = if source == Source::Owner { owners_to_ask(daemon, budget) } else { Vec::new() };
-    for owner in &owners {
-        if let Some(outcome) = ask_for_tokens(daemon, budget, need, owner).await {
+    let owners = if source == Source::Owner { owners(daemon, budget) } else { Vec::new() };
+    let has_owners = !owners.is_empty();
+    for owner in owners {
+        let Some(owner) = owner else { return draw(daemon, budget, need).await };
+        if let Some(outcome) = ask_for_tokens(daemon, budget, need, &owner).await {
             return outcome;
         }
     }
-    if !owners.is_empty() && !daemon.contact.is_alone() {
+    let is_unknown = daemon.cfg.limits.witnesses == 0 && fleet_size(daemon).is_none();
+    if (has_owners || is_unknown) && !daemon.contact.is_alone() {
         // Were all that get no answer to write themselves, they would stand in
         // each other's way, and in the owners'.
         return Err(Refusal { retry_after_ms: RETRY_SOON_MS, store_away: true });
@@ -227,10 +232,22 @@
     draw(daemon, budget, need).await
 }
 
-/// Whether each daemon writes by itself.
+/// How many daemons the fleet has, by the platform's list; none while the list that is
+/// known may be that of a fleet which is still starting.
+pub(crate) fn fleet_size(daemon: &Daemon) -> Option<usize> {
+    match daemon.members.lock().fleet_size() {
+        FleetSize::Listed(size) => Some(size),
+        // Settings that name nobody else are those of no fleet that starts as a whole.
+        FleetSize::AtLeast(size) => (!daemon.cfg.has_other_seeds()).then_some(size),
+        FleetSize::Unknown => None,
+    }
+}
+
+/// Whether each daemon writes by itself. Never by how many peers answer now: hundreds of
+/// daemons that had all started anew took themselves for a small fleet, and fought over
+/// four ledgers for 15 s.
 pub(crate) fn is_small_fleet(daemon: &Daemon) -> bool {
-    let daemons = 1 + daemon.members.lock().usable().count();
-    daemons <= daemon.cfg.limits.direct_daemons
+    fleet_size(daemon).is_some_and(|size| size <= daemon.cfg.limits.direct_daemons)
 }
 
 pub(crate) fn terms(daemon: &Daemon, budget: &Budget) -> Terms {
@@ -241,10 +258,12 @@
         share_divisor: budget.share_divisor,
         held_ahead: budget.held_ahead,
         kept_for_others: 0.0,
-        daemons: 1 + daemon.members.lock().usable().count() as u64,
+        keeps: Keeps::ForItself,
+        daemons: fleet_size(daemon).map_or(UNKNOWN_FLEET, |size| size as u64),
     };
     if daemon.cfg.limits.witnesses > 0 {
-        return terms;
+        let daemons = 1 + daemon.members.lock().usable().count() as u64;
+        return Terms { daemons, ..terms };
     }
     if daemon.leaving.is_cancelled() {
         // What it holds goes back before the kill, and is drawn anew where it is needed.
@@ -252,20 +271,21 @@
         let horizon_s = if is_stopping { 0.0 } else { LEAVING_HORIZON_S };
         return Terms { horizon_s, held_ahead: 0.0, ..terms };
     }
-    if daemon.clock.now() < MEMBERS_KNOWN_MS {
-        // Alone as it seems, this daemon would take all shares for itself.
-        return Terms { daemons: terms.daemons.max(UNKNOWN_FLEET), ..terms };
-    }
     if is_small_fleet(daemon) {
-        return terms;
+        // Alone as it seems at first, this daemon would take all shares for itself.
+        let is_new = daemon.clock.now() < MEMBERS_KNOWN_MS;
+        let daemons = if is_new { terms.daemons.max(UNKNOWN_FLEET) } else { terms.daemons };
+        return Terms { daemons, ..terms };
     }
-    // In a large fleet an equal share is less than one request; kept by the owner
-    // for all, it was lost with the power, and too little was left after that. Until
-    // spending is known the owner keeps some: with the store away as callers came, nobody
+    // In a large fleet an equal share is less than one request: the owner keeps for all.
+    // Until spending is known it keeps some: with the store away as callers came, nobody
     // had anything to hand on, and two thirds of them were refused for 12 s.
-    let is_owner = owners_to_ask(daemon, budget).is_empty();
-    let kept_for_others = if is_owner { KEPT_FOR_OTHERS } else { 0.0 };
-    Terms { held_ahead: 0.0, kept_for_others, ..terms }
+    let is_owner = fleet_size(daemon).is_some() && owners_to_ask(daemon, budget).is_empty();
+    if is_owner {
+        let kept_for_others = KEPT_FOR_OTHERS;
+        return Terms { held_ahead: 0.0, kept_for_others, keeps: Keeps::ForFleet, ..terms };
+    }
+    Terms { held_ahead: 0.0, keeps: Keeps::LeftToOwner, ..terms }
 }
 
 /// Opens and draws ahead when little is left, away from the path of any request.
@@ -309,18 +329,17 @@
         Draw { witnesses: witnesses.clone(), ..draw }
     };
     let request = Request::Draw(draw);
-    let answer = if daemon.cfg.limits.witnesses == 0 {
-        ask_self_first(daemon, request).await
-    } else {
-        ask_owner(daemon, request).await
-    };
+    // In a large fleet each budget has an owner of its own and the shard another one,
+    // whose writes serve all budgets in it.
+    let answer = ask_owner(daemon, request).await;
     log_draw(daemon, budget, need, &answer.reply, now);
     let mut holder = daemon.budgets.holder.lock();
     if let Some((owner, cumulative)) = answer.sent {
         holder.received(&budget.name, owner, cumulative);
     }
     match answer.reply {
-        Reply::Granted { granted, opened, recorded, outlook } => {
+        Reply::Granted { granted, opened, recorded, outlook, earlier_start } => {
+            holder.told_earlier_start(&budget.name, earlier_start);
             if let Some(outlook) = outlook {
                 holder.known(&budget.name, outlook, now);
             }
@@ -350,7 +369,7 @@
 /// Asks the owner of the budget's shard: the first that answers of the first
 /// few in rendezvous order, else this daemon itself.
 pub async fn ask_owner(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
-    if is_small_fleet(daemon) {
+    if is_small_fleet(daemon) || daemon.contact.is_alone() {
         return ask_self_first(daemon, request).await;
     }
     let shard = shard_of_request(daemon, &request);
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -175,6 +175,11 @@
         self.peer_advertise.as_deref().unwrap_or(&self.peer_listen)
     }
 
+    /// Whether the settings name a daemon besides this one that may be asked at a start.
+    pub fn has_other_seeds(&self) -> bool {
+        self.seed_peers.iter().any(|seed| seed != self.peer_address())
+    }
+
     /// Reads and checks a file.
     ///
     /// # Errors
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -22,7 +22,7 @@
 use crate::http::{Side, serve};
 use crate::{
     backend, billing, budgets, chat, logging, membership, operator, peer, proxy, server_sync,
-    table_sync, tend, unread_news,
+    store_calls, table_sync, tend, unread_news,
 };
 
 /// Pause between two looks while a planned stop waits.
@@ -129,6 +129,7 @@
             // Without sealed grants all that is held is lost with its holder.
             tokio::spawn(tend::tend(Arc::clone(&daemon)));
         }
+        tokio::spawn(store_calls::tell(Arc::clone(&daemon)));
         tokio::spawn(announce(Arc::clone(&daemon)));
         tokio::spawn(membership::follow_host_list(Arc::clone(&daemon)));
         tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon)));
@@ -175,7 +176,7 @@
         };
         // Peers learn at once that this daemon takes nothing new.
         let ((), retired) = tokio::join!(membership::beat(daemon), retire(daemon, deadline));
-        if let Err(e) = daemon.store.api().withdraw(&own_host(daemon)).await {
+        if let Err(e) = daemon.store.withdraw(&own_host(daemon)).await {
             slog::warn!(daemon.log, "this host stays on the list"; "error" => %e);
         }
         slog::info!(daemon.log, "stopped"; "finished" => finished, "retired" => retired,
@@ -230,7 +231,7 @@
 /// Puts this host on the platform's list, trying until it is there.
 async fn announce(daemon: Arc<Daemon>) {
     let host = own_host(&daemon);
-    while let Err(e) = daemon.store.api().announce(&host).await {
+    while let Err(e) = daemon.store.announce(&host).await {
         slog::warn!(daemon.log, "this host is not on the list yet"; "error" => %e);
         tokio::select! {
             () = tokio::time::sleep(ANNOUNCE_RETRY) => {}
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -13,6 +13,7 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::budgets::fleet_size;
 use crate::entry::Entry;
 use crate::entry::backends::Outgoing;
 use crate::entry::link_use::LinkUse;
@@ -81,7 +82,8 @@
             return false;
         }
         let daemon = &self.entry.daemon;
-        let daemons = 1 + daemon.members.lock().usable().count();
+        // Of a fleet that is not known yet no part of what all may repeat is this one's.
+        let daemons = fleet_size(daemon).unwrap_or(usize::MAX);
         let now = daemon.clock.now();
         self.entry.retries.lock().repeat(&self.plan.service, daemons, now)
     }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod request_log;
 pub mod server_sync;
 pub mod sse;
+pub mod store_calls;
 pub mod table_sync;
 pub mod tcp;
 pub mod tend;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -158,7 +158,7 @@
     let asked_at = daemon.clock.now() as i64;
     let list = match store_readers(daemon) {
         Ok(()) => {
-            let hosts = daemon.store.api().hosts().await.ok();
+            let hosts = daemon.store.hosts().await.ok();
             hosts.map(|hosts| HostList::new(hosts, asked_at))
         }
         Err(peers) => host_list_of_peers(daemon, &peers).await,
--- a/crates/daemon/src/metrics.rs
+++ b/crates/daemon/src/metrics.rs
@@ -66,6 +66,15 @@
         }
     }
 
+    /// Counts so many events.
+    pub fn add(&self, name: &str, events: u64) {
+        self.0.counters.get_or_create(&Event { event: name.to_owned() }).inc_by(events);
+        if let Some(statsd) = &self.0.statsd {
+            // As above.
+            let _unsent = statsd.count(name, events);
+        }
+    }
+
     /// Records a duration in milliseconds.
     pub fn time(&self, name: &str, millis: u64) {
         let event = Event { event: name.to_owned() };
--- a/crates/daemon/src/request_log.rs
+++ b/crates/daemon/src/request_log.rs
@@ -173,7 +173,7 @@
 }
 
 async fn find_newest(daemon: Arc<Daemon>, shard: u32) -> Event {
-    match daemon.store.api().last_name(Kind::RequestLog(shard)).await {
+    match daemon.store.last_name(Kind::RequestLog(shard)).await {
         Ok(name) => Event::Newest(name.and_then(|name| name.parse().ok())),
         Err(e) => away(&daemon, shard, &e),
     }
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -69,7 +69,7 @@
         let next_drop = daemon.servers.lock().next_drop(daemon.clock.now());
         let wait = next_drop.map_or(WATCH, |millis| WATCH.min(Duration::from_millis(millis)));
         let watched = tokio::select! {
-            watched = daemon.store.api().watch_servers(at, wait) => watched,
+            watched = daemon.store.watch_servers(at, wait) => watched,
             () = daemon.ended.cancelled() => return,
         };
         match watched {
--- a/crates/daemon/src/tend.rs
+++ b/crates/daemon/src/tend.rs
@@ -3,9 +3,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bankcove_core::members::Peer;
 use bankcove_core::table::Budget;
 
-use crate::allotment::owners_to_ask;
+use crate::allotment::{ask_for_tokens, owners_to_ask};
 use crate::budget_owner::store_answers;
 use crate::budgets::{Source, prepare, refill, terms};
 use crate::daemon::Daemon;
@@ -77,11 +78,15 @@
         // Debited and not told, it would serve nobody until the store is back.
         return;
     }
-    let returned = match owner {
+    let returned = match &owner {
+        Some(Peer { incarnation: Some(owner), .. }) => {
+            daemon.budgets.holder().give_back_surplus(&budget.name, *owner, &terms, now)
+        }
         // Without word of its start the owner would not take in what goes back to it.
-        Some(owner) => owner.incarnation.map_or(0, |owner| {
-            daemon.budgets.holder().give_back_surplus(&budget.name, owner, &terms, now)
-        }),
+        Some(owner) => {
+            meet_owner(daemon, budget, owner);
+            0
+        }
         None => daemon.budgets.holder().return_surplus(&budget.name, &terms, now),
     };
     if returned == 0 {
@@ -95,3 +100,15 @@
     // Debited already: a draw that is lost is told again by the next one.
     tokio::spawn(async move { refill(&daemon, &budget, 0, Source::Owner).await });
 }
+
+/// Asks an owner that was never heard for nothing, if there is something to give back to
+/// it: its answer tells its start. Hosts that were owners while a fleet was starting kept
+/// a tenth of the largest budget all day without it.
+fn meet_owner(daemon: &Arc<Daemon>, budget: &Budget, owner: &Peer) {
+    if daemon.budgets.holder().free(&budget.name) == 0 {
+        return;
+    }
+    let (daemon, budget, owner) = (Arc::clone(daemon), budget.clone(), owner.clone());
+    // The next look gives back, or meets the owner again.
+    tokio::spawn(async move { ask_for_tokens(&daemon, &budget, 0, &owner).await });
+}
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -7,6 +7,7 @@
 //! An answer that was lost after the write took effect is a value of its own,
 //! [`WriteOutcome::Ambiguous`]: the caller settles it by reading the object.
 
+pub mod calls;
 mod client;
 mod error;
 mod objects;
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -15,6 +15,7 @@
 use serde::de::DeserializeOwned;
 use serde_json::Value;
 
+use crate::calls::{Calls, Purpose};
 use crate::error::{Error, Result};
 use crate::objects::{Kind, Version, Versioned, WriteOutcome};
 
@@ -86,17 +87,68 @@
 #[derive(Clone)]
 pub struct Store {
     api: Arc<dyn StoreApi>,
+    calls: Arc<Calls>,
 }
 
 impl Store {
     /// A store whose calls go by way of `api`.
     pub fn new(api: impl StoreApi + 'static) -> Self {
-        Store { api: Arc::new(api) }
+        Store { api: Arc::new(api), calls: Arc::default() }
     }
 
-    /// Calls that carry no value of the daemon's own types.
-    pub fn api(&self) -> &dyn StoreApi {
-        &*self.api
+    /// Calls made so far.
+    pub fn calls(&self) -> &Calls {
+        &self.calls
+    }
+
+    /// The greatest name of a kind, if there is any.
+    ///
+    /// # Errors
+    /// [`Error::Away`].
+    pub async fn last_name(&self, kind: Kind) -> Result<Option<String>> {
+        self.calls.count(Purpose::of_read(kind));
+        self.api.last_name(kind).await
+    }
+
+    /// The hosts that run daemons, as [`StoreApi::hosts`] tells them.
+    ///
+    /// # Errors
+    /// [`Error::Away`] or [`Error::Value`].
+    pub async fn hosts(&self) -> Result<Vec<Host>> {
+        self.calls.count(Purpose::Hosts);
+        self.api.hosts().await
+    }
+
+    /// Puts this daemon's host on the list, as [`StoreApi::announce`] does.
+    ///
+    /// # Errors
+    /// [`Error::Away`].
+    pub async fn announce(&self, host: &Host) -> Result<()> {
+        self.calls.count(Purpose::Announce);
+        self.api.announce(host).await
+    }
+
+    /// Takes this daemon's host off the list, as [`StoreApi::withdraw`] does.
+    ///
+    /// # Errors
+    /// [`Error::Away`].
+    pub async fn withdraw(&self, host: &Host) -> Result<()> {
+        self.calls.count(Purpose::Announce);
+        self.api.withdraw(host).await
+    }
+
+    /// Waits for a change of the list of backend servers, as
+    /// [`StoreApi::watch_servers`] does.
+    ///
+    /// # Errors
+    /// [`Error::Away`] or [`Error::HistoryGone`].
+    pub async fn watch_servers(
+        &self,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<ServerChanges>> {
+        self.calls.count(Purpose::Servers);
+        self.api.watch_servers(after, wait).await
     }
 
     /// Reads an object; none when there is no such object.
@@ -108,6 +160,7 @@
         kind: Kind,
         name: &str,
     ) -> Result<Option<Versioned<T>>> {
+        self.calls.count(Purpose::of_read(kind));
         let read = self.api.read(kind, name).await?;
         read.map(|read| typed(kind, name, read)).transpose()
     }
@@ -123,6 +176,7 @@
         after: Version,
         wait: Duration,
     ) -> Result<Watched<T>> {
+        self.calls.count(Purpose::of_read(kind));
         let watched = self.api.watch(kind, name, after, wait).await?;
         let changed = watched.changed.map(|read| typed(kind, name, read)).transpose()?;
         Ok(Watched { at: watched.at, changed })
@@ -137,7 +191,10 @@
         value: &T,
     ) -> WriteOutcome {
         match serde_json::to_value(value) {
-            Ok(value) => self.api.write(kind, name, expect, value).await,
+            Ok(value) => {
+                self.calls.count(Purpose::of_write(kind));
+                self.api.write(kind, name, expect, value).await
+            }
             Err(e) => {
                 // Only a map with keys that are no text fails, which no kind has.
                 debug_assert!(false, "{} can't be written: {e}", kind.path());
