Owners ration what they hand on; callers come back by the age of an outage

Change: an ask tells the request behind it (size, rank); the owner, which sees what is left and how fast it goes, lets in no more than an equal part among the requests expected in ration_s. While the store is away that is what it holds, twice, since an outage is as likely as not to be over in as long again. Callers whose tokens are out of reach come back after twice the age of the outage, spread by a quarter; at once where the store seems to be there.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -17,7 +17,7 @@
 pub use draw::{Draw, Terms};
 pub use holdings::{Held, Holdings, Running};
 pub use keeps::Keeps;
-pub use ration::Outlook;
+pub use ration::{Outlook, Wish};
 
 use std::collections::HashMap;
 
--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -10,7 +10,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::holder::{Account, Holder, Outlook, Shortfall, Terms};
+use crate::holder::{Account, Holder, Outlook, Shortfall, Terms, Wish};
 use crate::{Incarnation, Millis, Name, Tokens};
 
 /// What an owner keeps in reserve for others, in seconds of what it handed on of
@@ -48,6 +48,8 @@
     pub free: Tokens,
     /// Fewer tokens than these are of no use.
     pub need: Tokens,
+    /// The request that needs them; none for an ask ahead.
+    pub wish: Option<Wish>,
     /// Tokens that would last for the horizon.
     pub want: Tokens,
     /// Recent spending of the asker, in tokens a second.
@@ -124,6 +126,7 @@
             given_back: sum(&account.sent),
             free: account.free(),
             need,
+            wish: None,
             want: need.saturating_add(ahead),
             rate: account.rate.with(need, now) as Tokens,
         }
--- a/crates/core/src/holder/ration.rs
+++ b/crates/core/src/holder/ration.rs
@@ -22,11 +22,50 @@
     pub left: Tokens,
 }
 
+/// What a request asks of its budget.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Wish {
+    /// The most that it may cost, in tokens.
+    pub tokens: Tokens,
+    /// How urgent the table calls it: 0 is the most urgent.
+    pub rank: u32,
+    /// How long the callers are expected for who share what is left, in seconds.
+    pub ration_s: f64,
+}
+
+/// An outage is as likely as not to be over within the time that it has lasted, so that
+/// what is in reach counts so many times in it: more is refused otherwise than is missing
+/// at the end.
+const OUTAGE_FACTOR: Tokens = 2;
+
 impl Holder {
+    /// The most that the request behind an ask may take, as the owner sees the budget
+    /// ([`Holder::ration`]); what the store has left is out of reach while it is away.
+    pub fn ration_of(
+        &self,
+        budget: &Name,
+        wish: &Wish,
+        is_store_away: bool,
+        now: Millis,
+    ) -> Tokens {
+        let Some(account) = self.accounts.get(budget) else { return Tokens::MAX };
+        let Some(outlook) = account.outlook else { return Tokens::MAX };
+        let free = account.free();
+        let left = if is_store_away { free * OUTAGE_FACTOR } else { outlook.left + free };
+        self.equal_part(account, left, wish, now)
+    }
+
+    fn equal_part(&self, account: &Account, left: Tokens, wish: &Wish, now: Millis) -> Tokens {
+        let window_s = wish.ration_s * f64::from(wish.rank.min(LOWEST_RANK)).exp2();
+        let expected = self.fleet_requests_per_second(account, now) * window_s;
+        (left as f64 / expected.max(1.0)) as Tokens
+    }
+
     /// Requests a second of one budget that the whole fleet lets in: what it takes, by the
     /// mean request here. Of one budget alone a daemon of a large fleet sees too few.
     fn fleet_requests_per_second(&self, account: &Account, now: Millis) -> f64 {
-        let fleet_rate = account.taken.per_second(now).max(account.rate.per_second(now));
+        let through_here = account.rate.per_second(now) + account.handed_on.per_second(now);
+        let fleet_rate = account.taken.per_second(now).max(through_here);
         let asked_for = self.asked_for.per_second(now);
         if asked_for == 0.0 {
             return 0.0;
@@ -38,14 +77,8 @@
     /// requests that are expected within `ration_s` seconds, and within twice as long
     /// for each `rank` below the most urgent (0). Without limit while nothing is known.
     pub fn ration(&self, budget: &Name, ration_s: f64, rank: u32, now: Millis) -> Tokens {
-        let account = self.accounts.get(budget);
-        let Some((account, outlook)) = account.and_then(|a| Some((a, a.outlook?))) else {
-            return Tokens::MAX;
-        };
-        let window_s = ration_s * f64::from(rank.min(LOWEST_RANK)).exp2();
-        let expected = self.fleet_requests_per_second(account, now) * window_s;
-        let left = outlook.left.saturating_add(account.free());
-        (left as f64 / expected.max(1.0)) as Tokens
+        let wish = Wish { tokens: 0, rank, ration_s };
+        self.ration_of(budget, &wish, false, now)
     }
 
     /// Takes in what is known of a budget as a whole.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod link;
 pub mod members;
 pub mod name;
+pub mod outage;
 pub mod owner;
 pub mod reqlog;
 pub mod retry_budget;
--- /dev/null
+++ b/crates/core/src/outage.rs
@@ -0,0 +1,35 @@
+//! When callers are told to come back while the store is away.
+//!
+//! Load pattern: the store is away from all daemons, what owners keep of a budget is used
+//! up, and each caller comes back once. Nobody knows how long it lasts: of outages that
+//! have lasted for some time, half are over in as long again, two of three in twice as
+//! long. A caller that comes back too early has used up its retry.
+
+use crate::Millis;
+
+/// Word of the store is as old as this though it is there, in milliseconds: readers hear
+/// of it each 1.5 s, heartbeats take another 0.5 to 1 s.
+const USUAL_AGE_MS: Millis = 2_500;
+
+/// When to come back while the store seems to be there, in milliseconds: another daemon,
+/// which the next try comes to, reaches an owner that this one did not.
+const ELSEWHERE_MS: Millis = 300;
+
+/// Times the age of an outage after which two of three are over.
+const AGES: f64 = 2.0;
+
+/// Callers that are refused together come back within this part of the time to each
+/// other, so that what has come free by then is not asked for at once.
+const SPREAD: f64 = 0.25;
+
+/// Longest time to come back, in milliseconds: callers with a deadline of 15 s wait for a
+/// third of it at most.
+const LONGEST_MS: f64 = 10_000.0;
+
+/// When to come back after tokens were out of reach, in milliseconds; the store was heard
+/// `store_age_ms` ago. `spread` is drawn from 0 to 1.
+pub fn retry_after_outage(store_age_ms: Option<Millis>, spread: f64) -> Millis {
+    let Some(age_ms) = store_age_ms.filter(|age| *age > USUAL_AGE_MS) else { return ELSEWHERE_MS };
+    let mean = (age_ms as f64 * AGES).min(LONGEST_MS);
+    (mean * (1.0 + SPREAD * (spread - 0.5))) as Millis
+}
--- a/crates/core/tests/owners_reserve.rs
+++ b/crates/core/tests/owners_reserve.rs
@@ -36,7 +36,18 @@
 fn ask(need: Tokens, want: Tokens) -> Ask {
     let budget = budget();
     let (owner, rate) = (Some(OWNER), 10 * need);
-    Ask { budget, holder: ASKER, owner, received: 0, given_back: 0, free: 0, need, want, rate }
+    Ask {
+        budget,
+        holder: ASKER,
+        owner,
+        received: 0,
+        given_back: 0,
+        free: 0,
+        need,
+        wish: None,
+        want,
+        rate,
+    }
 }
 
 #[test]
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -3,6 +3,7 @@
 
 use std::sync::Arc;
 
+use bankcove_core::holder::Wish;
 use bankcove_core::lifecycle::{Admitted, Attempt, NotRun, Received};
 use bankcove_core::reqlog::{Entry, Outcome};
 use bankcove_core::table::{Budget, Table, Workspace};
@@ -112,7 +113,9 @@
     attempt: Attempt<Received>,
     tokens: Tokens,
 ) -> Result<Attempt<Admitted>, (Refusal, Attempt<Received>)> {
-    match budgets::reserve(daemon, &caller.budget, tokens).await {
+    // Nothing is rationed here: requests of this interface have no ranks.
+    let wish = Wish { tokens, rank: 0, ration_s: 0.0 };
+    match budgets::reserve(daemon, &caller.budget, wish).await {
         Ok(reservation) => Ok(attempt.admit(reservation)),
         Err(refusal) => Err((refusal, attempt)),
     }
--- a/crates/daemon/src/allotment.rs
+++ b/crates/daemon/src/allotment.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bankcove_core::Tokens;
-use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::holder::{Allotted, Ask, Wish};
 use bankcove_core::members::{FleetSize, Peer};
 use bankcove_core::owner::RETRY_SOON_MS;
 use bankcove_core::table::Budget;
@@ -27,7 +27,7 @@
 
 /// Hands tokens on to a daemon that takes this one for the owner.
 pub async fn allot(daemon: &Arc<Daemon>, ask: Ask) -> AllotAnswer {
-    let away = Refusal { retry_after_ms: RETRY_SOON_MS, store_away: true };
+    let away = Refusal::out_of_reach(RETRY_SOON_MS);
     let table = daemon.table.load_full();
     let Some(budget) = table.as_ref().and_then(|table| table.budget(&ask.budget)) else {
         return AllotAnswer::Refused(away);
@@ -37,6 +37,9 @@
     }
     let arrived = daemon.clock.now();
     daemon.budgets.holder().asked(&ask, arrived);
+    if let Some(ration) = exceeded_ration(daemon, &ask) {
+        return AllotAnswer::Refused(Refusal::rationed(ration));
+    }
     let try_now = || daemon.budgets.holder().allot(&ask, arrived);
     let allotted = match try_now() {
         Ok(allotted) => Ok(allotted),
@@ -59,6 +62,17 @@
     }
 }
 
+/// What the request behind an ask may take of the rest of its budget, if that is less than
+/// it needs. Handed on by arrival, what was left after a loss of all daemons went to the
+/// large requests within seconds, and nobody else was served.
+fn exceeded_ration(daemon: &Daemon, ask: &Ask) -> Option<Tokens> {
+    let wish = ask.wish?;
+    let now = daemon.clock.now();
+    let is_away = daemon.contact.is_store_away(now);
+    let ration = daemon.budgets.holder().ration_of(&ask.budget, &wish, is_away, now);
+    (wish.tokens > ration).then_some(ration)
+}
+
 /// The owners of a budget in a large fleet, the first one first; none stands for this
 /// daemon. Nobody in a small fleet, where each draws by itself.
 ///
@@ -87,12 +101,13 @@
     owners(daemon, budget).into_iter().map_while(|owner| owner).collect()
 }
 
-/// Asks one peer for tokens; none when it does not answer, or is cut off from
+/// Asks one peer for tokens, for a request or ahead; none when it does not answer, or is cut off from
 /// the store itself.
 pub async fn ask_for_tokens(
     daemon: &Arc<Daemon>,
     budget: &Budget,
     need: Tokens,
+    wish: Option<Wish>,
     owner: &Peer,
 ) -> Option<Result<(), Refusal>> {
     if daemon.contact.is_alone() {
@@ -101,6 +116,7 @@
     let terms = terms(daemon, budget);
     let now = daemon.clock.now();
     let ask = daemon.budgets.holder().ask(&budget.name, owner.incarnation, need, &terms, now);
+    let ask = Ask { wish, ..ask };
     let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
     let call = |client: PeerServiceClient, cx| async move { client.allot(cx, ask).await };
     let answer = daemon.peers.call(&owner.address, timeout, call).await;
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -4,9 +4,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::holder::{Draw, Holder, Keeps, Reservation, Shortfall, Terms};
+use bankcove_core::holder::{Draw, Holder, Keeps, Reservation, Shortfall, Terms, Wish};
 use bankcove_core::members::FleetSize;
-use bankcove_core::owner::{AHEAD_WAIT_MS, RETRY_SOON_MS, Reply, Request};
+use bankcove_core::owner::{AHEAD_WAIT_MS, RETRY_LATER_MS, RETRY_SOON_MS, Reply, Request};
 use bankcove_core::table::Budget;
 use bankcove_core::witness::Marks;
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
@@ -57,10 +57,10 @@
 pub const OWNER_KEY: u64 = 0x6275_6467_6574_0000;
 
 /// Where more tokens come from.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Source {
-    /// The owner of the shard, in a large fleet; else the store.
-    Owner,
+    /// The budget's owner, in a large fleet; else the store.
+    Owner(Option<Wish>),
     /// The store: this daemon was asked as the owner, and asks no further.
     Store,
 }
@@ -72,6 +72,25 @@
     pub retry_after_ms: Millis,
     /// Whether the store was away, so that more may be there.
     pub store_away: bool,
+    /// What the request may take at most of the rest of the budget, when that is why.
+    pub ration: Option<Tokens>,
+}
+
+impl Refusal {
+    /// Too little is left of the budget.
+    pub(crate) fn short(retry_after_ms: Millis) -> Self {
+        Refusal { retry_after_ms, store_away: false, ration: None }
+    }
+
+    /// More may be left, but out of reach.
+    pub(crate) fn out_of_reach(retry_after_ms: Millis) -> Self {
+        Refusal { retry_after_ms, store_away: true, ration: None }
+    }
+
+    /// Too little is left for a request of this size.
+    pub(crate) fn rationed(ration: Tokens) -> Self {
+        Refusal { retry_after_ms: RETRY_LATER_MS, store_away: false, ration: Some(ration) }
+    }
 }
 
 /// The outcome of the last draw that brought too little.
@@ -147,24 +166,24 @@
     }
 }
 
-/// Sets `tokens` of a budget aside, drawing more when too few are at hand.
+/// Sets what a request may cost aside, drawing more when too little is at hand.
 ///
 /// # Errors
-/// [`Refusal`] when too few can be had anywhere in reach.
+/// [`Refusal`] when too little can be had anywhere in reach.
 pub async fn reserve(
     daemon: &Arc<Daemon>,
     budget: &Budget,
-    tokens: Tokens,
+    wish: Wish,
 ) -> Result<Reservation, Refusal> {
     let arrived = daemon.clock.now();
-    let try_now = || daemon.budgets.holder.lock().reserve(&budget.name, tokens, arrived);
+    let try_now = || daemon.budgets.holder.lock().reserve(&budget.name, wish.tokens, arrived);
     if let Ok(reservation) = try_now() {
         if daemon.cfg.limits.witnesses > 0 {
             prepare(daemon, budget);
         }
         return Ok(reservation);
     }
-    obtain(daemon, budget, Source::Owner, arrived, try_now).await
+    obtain(daemon, budget, Source::Owner(Some(wish)), arrived, try_now).await
 }
 
 /// Draws until `try_now` has what it takes.
@@ -186,6 +205,7 @@
         // answered for it too.
         let is_recent = last.asked_at + REFUSAL_HOLDS_MS > arrived;
         if let Some(refusal) = last.refusal
+            && refusal.ration.is_none()
             && is_recent
             && missing >= last.need
         {
@@ -205,7 +225,7 @@
         return Err(refusal);
     }
     // Others were faster each time.
-    Err(Refusal { retry_after_ms: RETRY_SOON_MS, store_away: false })
+    Err(Refusal::short(RETRY_SOON_MS))
 }
 
 /// Brings `need` more tokens and some ahead.
@@ -215,11 +235,14 @@
     need: Tokens,
     source: Source,
 ) -> Result<(), Refusal> {
-    let owners = if source == Source::Owner { owners(daemon, budget) } else { Vec::new() };
+    let (owners, wish) = match source {
+        Source::Owner(wish) => (owners(daemon, budget), wish),
+        Source::Store => (Vec::new(), None),
+    };
     let has_owners = !owners.is_empty();
     for owner in owners {
         let Some(owner) = owner else { return draw(daemon, budget, need).await };
-        if let Some(outcome) = ask_for_tokens(daemon, budget, need, &owner).await {
+        if let Some(outcome) = ask_for_tokens(daemon, budget, need, wish, &owner).await {
             return outcome;
         }
     }
@@ -227,7 +250,7 @@
     if (has_owners || is_unknown) && !daemon.contact.is_alone() {
         // Were all that get no answer to write themselves, they would stand in
         // each other's way, and in the owners'.
-        return Err(Refusal { retry_after_ms: RETRY_SOON_MS, store_away: true });
+        return Err(Refusal::out_of_reach(RETRY_SOON_MS));
     }
     draw(daemon, budget, need).await
 }
@@ -307,7 +330,7 @@
         let is_opened = closes && open(&daemon, &budget.name, 0).await;
         if !is_opened {
             // Nobody waits for it: the next request finds out what came.
-            let _refused = refill(&daemon, &budget, 0, Source::Owner).await;
+            let _refused = refill(&daemon, &budget, 0, Source::Owner(None)).await;
         }
         daemon.budgets.end_ahead(&budget.name);
         if daemon.budgets.holder().owes(&budget.name) {
@@ -350,8 +373,8 @@
             }
             Ok(())
         }
-        Reply::Short { retry_after_ms } => Err(Refusal { retry_after_ms, store_away: false }),
-        Reply::StoreAway { retry_after_ms } => Err(Refusal { retry_after_ms, store_away: true }),
+        Reply::Short { retry_after_ms } => Err(Refusal::short(retry_after_ms)),
+        Reply::StoreAway { retry_after_ms } => Err(Refusal::out_of_reach(retry_after_ms)),
         Reply::Recorded => Ok(()),
     }
 }
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -5,7 +5,8 @@
 use std::time::Duration;
 
 use bankcove_core::Tokens;
-use bankcove_core::holder::Reservation;
+use bankcove_core::holder::{Reservation, Wish};
+use bankcove_core::outage::retry_after_outage;
 use bankcove_core::owner::RETRY_LATER_MS;
 use bankcove_core::table::CallerLimits;
 use bankcove_ports::wire::Incoming;
@@ -17,6 +18,7 @@
 use tokio::time::Instant;
 
 use crate::budgets;
+use crate::daemon::Daemon;
 use crate::entry::Entry;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
@@ -25,7 +27,7 @@
 use crate::entry::plan::Plan;
 use crate::entry::ready::entry;
 use crate::entry::refusal::Refusal;
-use crate::ration::{Wish, ration};
+use crate::ration::ration;
 
 /// Longest wait for tokens of a budget: a draw takes two calls of the store at
 /// some 4 ms, and a refusal that comes later than a quarter of a caller's goal
@@ -36,10 +38,6 @@
 /// next try most likely comes to, may hold some now.
 const RETRY_OUT_OF_REACH: Duration = Duration::from_millis(300);
 
-/// When to come back after neither the store nor a peer had tokens in an outage:
-/// those of the users' days last 7 to 9 s, and what is held lasts for 5 of them.
-const RETRY_AFTER_OUTAGE: Duration = Duration::from_millis(4_000);
-
 /// Routes of the callers' side: every path is looked up in the table.
 pub fn router(entry: Arc<Entry>) -> Router {
     Router::with_path("{**rest}").hoop(affix_state::inject(entry)).goal(serve)
@@ -193,18 +191,24 @@
     let daemon = &call.entry.daemon;
     let name = budget.name.to_string();
     let (ration_s, rank) = (call.entry.settings.ration_s, call.plan.rank());
-    let ration = ration(daemon, budget, Wish { tokens, rank, ration_s }).await;
-    if tokens > ration {
+    let wish = Wish { tokens, rank, ration_s };
+    let rationed = |ration: Tokens| {
         let retry_after = Duration::from_millis(RETRY_LATER_MS);
-        return Err(Refusal::BudgetRationed { budget: name, tokens, ration, retry_after });
+        Refusal::BudgetRationed { budget: budget.name.to_string(), tokens, ration, retry_after }
+    };
+    let ration = ration(daemon, budget, wish).await;
+    if tokens > ration {
+        return Err(rationed(ration));
     }
-    let reserving = budgets::reserve(daemon, budget, tokens);
+    let reserving = budgets::reserve(daemon, budget, wish);
     match tokio::time::timeout(BUDGET_WAIT, reserving).await {
         Ok(Ok(reservation)) => Ok(reservation),
         Ok(Err(refusal)) => {
             let retry_after = Duration::from_millis(refusal.retry_after_ms);
-            Err(if refusal.store_away {
-                let retry_after = RETRY_AFTER_OUTAGE;
+            Err(if let Some(ration) = refusal.ration {
+                rationed(ration)
+            } else if refusal.store_away {
+                let retry_after = retry_in_outage(daemon);
                 Refusal::BudgetOutOfReach { budget: name, tokens, retry_after }
             } else {
                 Refusal::BudgetShort { budget: name, tokens, retry_after }
@@ -216,3 +220,9 @@
         }
     }
 }
+
+/// When to come back after neither the store nor an owner had tokens.
+fn retry_in_outage(daemon: &Daemon) -> Duration {
+    let outage_ms = daemon.contact.store_age(daemon.clock.now());
+    Duration::from_millis(retry_after_outage(outage_ms, rand::random()))
+}
--- a/crates/daemon/src/ration.rs
+++ b/crates/daemon/src/ration.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bankcove_core::holder::Wish;
 use bankcove_core::table::Budget;
 use bankcove_core::{Millis, Tokens};
 
@@ -18,23 +19,12 @@
 /// later than a quarter of a caller's goal is of little use to it.
 const LOOK_WAIT: Duration = Duration::from_millis(150);
 
-/// What a request is, as far as its ration goes.
-#[derive(Debug, Clone, Copy)]
-pub struct Wish {
-    /// The most that it may cost.
-    pub tokens: Tokens,
-    /// How urgent the table calls it: 0 is the most urgent.
-    pub rank: u32,
-    /// How long the callers are expected for who share what is left, in seconds.
-    pub ration_s: f64,
-}
-
 /// The most that a request may take of the rest of a budget. What is known of the rest
 /// is looked up anew when it is old and would refuse the request.
 ///
-/// Without limit in a large fleet, where a daemon knows the rest by what an owner told it
-/// with its last tokens: rationed by that, 0.79 of the requests of three days were served
-/// in place of 0.83.
+/// Without limit in a large fleet, where the budget's owner rations what it hands on: by
+/// what the owner told a daemon with its last tokens, 0.79 of the requests of three days
+/// were served in place of 0.83.
 pub async fn ration(daemon: &Arc<Daemon>, budget: &Budget, wish: Wish) -> Tokens {
     if !is_small_fleet(daemon) {
         return Tokens::MAX;
--- a/crates/daemon/src/tend.rs
+++ b/crates/daemon/src/tend.rs
@@ -98,7 +98,7 @@
     slog::info!(daemon.log, "tokens given back"; "budget" => %budget.name, "tokens" => returned);
     let (daemon, budget) = (Arc::clone(daemon), budget.clone());
     // Debited already: a draw that is lost is told again by the next one.
-    tokio::spawn(async move { refill(&daemon, &budget, 0, Source::Owner).await });
+    tokio::spawn(async move { refill(&daemon, &budget, 0, Source::Owner(None)).await });
 }
 
 /// Asks an owner that was never heard for nothing, if there is something to give back to
@@ -110,5 +110,5 @@
     }
     let (daemon, budget, owner) = (Arc::clone(daemon), budget.clone(), owner.clone());
     // The next look gives back, or meets the owner again.
-    tokio::spawn(async move { ask_for_tokens(&daemon, &budget, 0, &owner).await });
+    tokio::spawn(async move { ask_for_tokens(&daemon, &budget, 0, None, &owner).await });
 }
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -68,7 +68,7 @@
     owner.budgets.holder().opened(&budget.name, HELD);
     peer::serve(Arc::clone(&owner)).await.expect("the port is free");
     let peer = owners_to_ask(&asker, &budget).remove(0);
-    let answer = ask_for_tokens(&asker, &budget, ASKED, &peer).await;
+    let answer = ask_for_tokens(&asker, &budget, ASKED, None, &peer).await;
     assert_eq!(answer, Some(Ok(())));
     assert!(owner.budgets.holder().free(&budget.name) <= HELD - ASKED);
     tokio::spawn(tend::tend(Arc::clone(&asker)));
