Fleet size, host list, draws and tries in files of their own; two rings less

The rings of two files are gone (chat and pump, forward and relay), config and entry are out of the large one: 17 files in it, as before, with two of them new by splitting.

--- a/crates/core/tests/owners_ration.rs
+++ b/crates/core/tests/owners_ration.rs
@@ -34,7 +34,7 @@
     owner.opened(&budget(), plenty);
     for n in 0..1_000 {
         let (tokens, _) = REQUESTS[n as usize % REQUESTS.len()];
-        let ask = ask(n as u64, tokens, None, n * PAUSE_MS);
+        let ask = ask(n, tokens, None, n * PAUSE_MS);
         owner.allot(&ask, n * PAUSE_MS).expect("there is plenty");
     }
     let spent = owner.free(&budget()) - LEFT;
--- a/crates/daemon/src/answer.rs
+++ b/crates/daemon/src/answer.rs
@@ -4,9 +4,11 @@
 
 use bankcove_core::Millis;
 use bankcove_core::lifecycle::NotRun;
+use bytes::Bytes;
 use salvo::http::header::{HeaderValue, RETRY_AFTER};
 use salvo::prelude::*;
 use serde_json::{Value, json};
+use tokio::sync::mpsc;
 
 /// Header with the name of the attempt that served a request.
 pub const ATTEMPT_HEADER: &str = "x-bankcove-attempt";
@@ -113,3 +115,11 @@
         res.render(Json(self.body()));
     }
 }
+
+/// The beginning of an answer.
+pub enum Answer {
+    /// Pieces as they come.
+    Stream(mpsc::Receiver<Bytes>),
+    /// The whole answer.
+    Whole(Bytes),
+}
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -16,7 +16,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::admission::{self, Caller, identify};
-use crate::answer::{ATTEMPT_HEADER, KEY_HEADER, Problem};
+use crate::answer::{ATTEMPT_HEADER, Answer, KEY_HEADER, Problem};
 use crate::backend::{self, Outgoing};
 use crate::daemon::Daemon;
 use crate::http::{daemon, read_body};
@@ -45,14 +45,6 @@
     deadline: Duration,
 }
 
-/// The beginning of an answer.
-pub enum Answer {
-    /// Pieces as they come.
-    Stream(mpsc::Receiver<Bytes>),
-    /// The whole answer.
-    Whole(Bytes),
-}
-
 /// Serves a chat request.
 #[handler]
 pub async fn complete(req: &mut Request, depot: &mut Depot, res: &mut Response) {
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -1,5 +1,7 @@
 //! Settings of a daemon: one JSON file, checked as a whole at start.
 
+pub mod entry;
+
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -10,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::entry::settings::EntrySettings;
+use crate::config::entry::EntrySettings;
 use crate::error::{ConfigFault, Error, Result};
 
 /// Shortest operators' token, in bytes.
@@ -195,8 +197,9 @@
     /// # Errors
     /// [`Error::Config`] with every fault found.
     pub fn parse(text: &str) -> Result<Self> {
-        let mut value: Value = serde_json::from_str(text)
-            .map_err(|e| faults(vec![fault("", &e.to_string(), "mend the JSON at that place")]))?;
+        let mut value: Value = serde_json::from_str(text).map_err(|e| {
+            faults(vec![ConfigFault::new("", &e.to_string(), "mend the JSON at that place")])
+        })?;
         let mut found = take_unknown_keys(&mut value);
         match serde_path_to_error::deserialize::<_, Config>(&value) {
             Ok(cfg) => {
@@ -205,7 +208,7 @@
             }
             Err(e) => {
                 let (path, problem) = (e.path().to_string(), e.inner().to_string());
-                found.push(fault(&path, &problem, "see 'bankcoved --print-defaults'"));
+                found.push(ConfigFault::new(&path, &problem, "see 'bankcoved --print-defaults'"));
                 Err(faults(found))
             }
         }
@@ -231,19 +234,23 @@
         for (path, address) in addresses {
             if address.parse::<SocketAddr>().is_err() {
                 let problem = format!("'{address}' is no IP number and port");
-                found.push(fault(path, &problem, "write it like 10.0.0.7:8080"));
+                found.push(ConfigFault::new(path, &problem, "write it like 10.0.0.7:8080"));
             }
         }
         for (path, name) in [("name", &self.name), ("hall", &self.hall)] {
             if !name.is_well_formed() {
                 let problem = format!("'{name}' is not a name");
-                found.push(fault(path, &problem, "use 1 to 64 of a-z, A-Z, 0-9, '.', '-', '_'"));
+                found.push(ConfigFault::new(
+                    path,
+                    &problem,
+                    "use 1 to 64 of a-z, A-Z, 0-9, '.', '-', '_'",
+                ));
             }
         }
         found.extend(self.operator_faults());
         if self.adapter == Adapter::Objects && self.entry.is_none() {
             let problem = "this adapter serves callers by the 'entry' settings, which are missing";
-            found.push(fault("entry", problem, "add them, see docs/OPERATIONS.md"));
+            found.push(ConfigFault::new("entry", problem, "add them, see docs/OPERATIONS.md"));
         }
         found.extend(self.entry.iter().flat_map(EntrySettings::faults));
         found.extend(self.limits.faults());
@@ -258,7 +265,7 @@
         let is_needed = self.operator_listen.is_some() || self.operator_token.is_some();
         (is_needed && is_short).then(|| {
             let problem = "the token is shorter than 8 bytes";
-            fault("operator_token", problem, "use a long random token")
+            ConfigFault::new("operator_token", problem, "use a long random token")
         })
     }
 }
@@ -282,14 +289,11 @@
             ("limits.max_tries", self.max_tries as u64),
         ];
         let zero = positive.into_iter().filter(|(_, value)| *value == 0);
-        zero.map(|(path, _)| fault(path, "0 is not usable here", "use 1 or more")).collect()
+        zero.map(|(path, _)| ConfigFault::new(path, "0 is not usable here", "use 1 or more"))
+            .collect()
     }
 }
 
-pub(crate) fn fault(path: &str, problem: &str, fix: &str) -> ConfigFault {
-    ConfigFault { path: path.to_owned(), problem: problem.to_owned(), fix: fix.to_owned() }
-}
-
 fn faults(found: Vec<ConfigFault>) -> Error {
     Error::Config(found)
 }
@@ -318,7 +322,11 @@
         let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
         match known.get(key) {
             Some(known) => take_unknown_keys_below(inner, known, &path, found),
-            None => found.push(fault(&path, "there is no such setting", "remove or rename it")),
+            None => found.push(ConfigFault::new(
+                &path,
+                "there is no such setting",
+                "remove or rename it",
+            )),
         }
         known.contains_key(key)
     });
--- a/crates/daemon/src/entry/settings.rs
+++ b/crates/daemon/src/config/entry.rs
@@ -5,7 +5,6 @@
 use bankcove_core::table::Table;
 use serde::{Deserialize, Serialize};
 
-use crate::config::fault;
 use crate::error::ConfigFault;
 
 /// Settings of the entry side.
@@ -132,7 +131,7 @@
         let mut found = Vec::new();
         let mut check = |is_wrong: bool, path: &str, problem: &str, fix: &str| {
             if is_wrong {
-                found.push(fault(path, problem, fix));
+                found.push(ConfigFault::new(path, problem, fix));
             }
         };
         let zero = "0 is not usable here";
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -21,8 +21,8 @@
 use crate::error::{Error, Result};
 use crate::http::{Side, serve};
 use crate::{
-    backend, billing, budgets, chat, logging, membership, operator, peer, proxy, server_sync,
-    store_calls, table_sync, tend, unread_news,
+    backend, billing, chat, draws, host_list, logging, membership, operator, peer, proxy,
+    server_sync, store_calls, table_sync, tend, unread_news,
 };
 
 /// Pause between two looks while a planned stop waits.
@@ -140,7 +140,7 @@
         }
         tokio::spawn(store_calls::tell(Arc::clone(&daemon)));
         tokio::spawn(announce(Arc::clone(&daemon)));
-        tokio::spawn(membership::follow_host_list(Arc::clone(&daemon)));
+        tokio::spawn(host_list::follow_host_list(Arc::clone(&daemon)));
         tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon)));
         tokio::spawn(unread_news::tell(Arc::clone(&daemon)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
@@ -246,7 +246,7 @@
     let mut known_since = -EARLIER_START_MS;
     let mut is_announced = false;
     // Either is good: the list, or no answer in time.
-    let _unread = tokio::time::timeout(LIST_PATIENCE, membership::host_list_read(&daemon)).await;
+    let _unread = tokio::time::timeout(LIST_PATIENCE, host_list::host_list_read(&daemon)).await;
     loop {
         let list = daemon.hosts.load_full();
         let is_known_missing = list.is_read_since(known_since);
@@ -279,7 +279,7 @@
 async fn retire(daemon: &Arc<Daemon>, deadline: Instant) -> bool {
     let deadline = (deadline - CLOSING).min(Instant::now() + RETIRE_PATIENCE);
     loop {
-        if budgets::retire(daemon).await {
+        if draws::retire(daemon).await {
             return true;
         }
         if Instant::now() >= deadline {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -5,6 +5,7 @@
 //! caller to a listed server and back. What the wire looks like is the
 //! [`Wire`]'s matter.
 
+pub mod attempt;
 pub mod backends;
 pub mod call;
 pub mod charge;
@@ -16,7 +17,6 @@
 pub mod refusal;
 pub mod relay;
 pub mod serve;
-pub mod settings;
 pub mod stop;
 
 use std::sync::Arc;
@@ -26,9 +26,9 @@
 use bankcove_ports::wire::Wire;
 use parking_lot::Mutex;
 
+use crate::config::entry::EntrySettings;
 use crate::daemon::Daemon;
 use crate::entry::backends::Backends;
-use crate::entry::settings::EntrySettings;
 
 /// What the parts of the entry side share.
 pub struct Entry {
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -13,11 +13,11 @@
 use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::budgets::fleet_size;
 use crate::entry::Entry;
 use crate::entry::backends::Outgoing;
 use crate::entry::link_use::LinkUse;
 use crate::entry::plan::Plan;
+use crate::fleet::fleet_size;
 
 /// Fewer shared tokens are read anew rather than copied from another server: setting
 /// up a copy takes some 4 ms, in which an engine reads 130 to 230 tokens.
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -1,25 +1,14 @@
 //! The tries of one request: a server, and another one for as long as the
 //! first has provably not run it or the request may repeat.
 
-use std::sync::Arc;
-
-use bankcove_core::router::Choice;
-use bankcove_ports::wire::Unrun;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
-use hyper::body::Incoming as Body;
-use hyper::{HeaderMap, Response, StatusCode};
-use tokio::time::timeout_at;
+use hyper::{HeaderMap, StatusCode};
 
-use crate::entry::backends::SendError;
+use crate::entry::attempt::{Tried, attempt, log_end};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::refusal::Refusal;
 use crate::entry::relay::Relay;
-use crate::placement::OpenRequest;
-
-/// Largest answer that is no stream, in bytes.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// A backend server's answer, as it goes to the caller.
 pub enum Answer {
@@ -29,20 +18,6 @@
     Stream(StatusCode, HeaderMap, Box<Relay>),
 }
 
-/// What a try has come to.
-pub enum Tried {
-    /// The server has begun a stream.
-    Begun(Response<Body>, OpenRequest, Choice),
-    /// The server has answered.
-    Answered(StatusCode, HeaderMap, Bytes),
-    /// Nothing ran there; others may be tried.
-    Unrun,
-    /// It may have run there, and no answer came.
-    Lost,
-    /// The time is over.
-    Late,
-}
-
 /// Brings a request to a server and returns its answer.
 ///
 /// # Errors
@@ -85,125 +60,3 @@
     }
     Err(if call.ran { Refusal::AnswerLost } else { Refusal::NoServer })
 }
-
-/// One try at one server.
-pub async fn attempt(
-    call: &mut Call,
-    charge: &mut Charge,
-    choice: Choice,
-    resume_after: Option<u64>,
-) -> Tried {
-    let entry = Arc::clone(&call.entry);
-    let mut open = OpenRequest::new(&entry.daemon, &choice.server, call.prompt_tokens());
-    let outgoing = call.outgoing(&choice, resume_after);
-    let ran_before = call.ran;
-    charge.sent();
-    call.tried.push(choice.server.clone());
-    call.link.sent(call.body.len());
-    call.link.sent_head();
-    let sent = timeout_at(call.deadline, entry.backends.send(&choice.address, outgoing)).await;
-    let res = match sent {
-        Err(_) => {
-            call.ran = true;
-            open.failed();
-            log_try(call, &choice, "no answer in time");
-            return Tried::Late;
-        }
-        Ok(Err(SendError::NotConnected(problem))) => {
-            charge.not_run(ran_before);
-            open.failed();
-            log_try(call, &choice, &problem);
-            return Tried::Unrun;
-        }
-        Ok(Err(SendError::Broken(problem))) => {
-            call.sent += 1;
-            call.ran = true;
-            open.failed();
-            log_try(call, &choice, &problem);
-            return Tried::Lost;
-        }
-        Ok(Ok(res)) => res,
-    };
-    call.sent += 1;
-    let head = entry.wire.read_answer(res.status(), res.headers());
-    if let Some(unrun) = head.unrun {
-        charge.not_run(ran_before);
-        if unrun == Unrun::OtherInstance {
-            // That start of the server is gone, whatever the lagging list says.
-            let now = entry.daemon.clock.now();
-            entry.daemon.router.lock().said_leaving(now, &choice.server);
-        }
-        log_try(call, &choice, unrun_text(unrun));
-        return Tried::Unrun;
-    }
-    call.ran = true;
-    let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.incoming.id);
-    let promises_unrun = matches!(res.status().as_u16(), 408 | 421 | 429 | 503);
-    if is_foreign || head.is_encoded || !head.is_signed || promises_unrun {
-        open.failed();
-        log_try(call, &choice, "the answer is not the server's answer to this request");
-        return Tried::Lost;
-    }
-    if res.status().is_success() && call.plan.route.streams {
-        return Tried::Begun(res, open, choice);
-    }
-    read_whole(call, res, open, &choice).await
-}
-
-async fn read_whole(
-    call: &Call,
-    res: Response<Body>,
-    mut open: OpenRequest,
-    choice: &Choice,
-) -> Tried {
-    let status = res.status();
-    let headers = call.entry.wire.answer_headers(res.headers());
-    let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect();
-    match timeout_at(call.deadline, body).await {
-        Ok(Ok(body)) => {
-            if status.is_server_error() {
-                open.failed();
-                log_try(call, choice, "the server failed");
-            }
-            Tried::Answered(status, headers, body.to_bytes())
-        }
-        Ok(Err(e)) => {
-            open.failed();
-            let is_large = e.downcast_ref::<LengthLimitError>().is_some();
-            log_try(call, choice, if is_large { "the answer is too large" } else { "cut short" });
-            Tried::Lost
-        }
-        Err(_) => {
-            open.failed();
-            log_try(call, choice, "the answer did not end in time");
-            Tried::Late
-        }
-    }
-}
-
-fn unrun_text(unrun: Unrun) -> &'static str {
-    match unrun {
-        Unrun::Full => "the server has no room",
-        Unrun::OtherInstance => "another server has the address",
-    }
-}
-
-/// One line for a try that brought no answer.
-pub fn log_try(call: &Call, choice: &Choice, problem: &str) {
-    call.entry.daemon.metrics.count("try.failed");
-    slog::info!(call.log, "try failed";
-        "server" => %choice.server, "address" => &choice.address, "problem" => problem,
-        "sent" => call.sent, "ran" => call.ran, "age_ms" => call.age_ms());
-}
-
-/// One line for a request that has ended with a server's answer.
-pub fn log_end(call: &Call, charge: &Charge, outcome: &str, status: StatusCode) {
-    let age = call.age_ms();
-    call.entry.daemon.metrics.time("request.ms", age);
-    call.entry.daemon.metrics.count("request.answered");
-    let server = call.tried.last().map(ToString::to_string);
-    slog::info!(call.log, "request ended";
-        "outcome" => outcome, "status" => status.as_u16(), "server" => server,
-        "budget" => call.plan.budget.as_ref().map(|budget| budget.name.to_string()),
-        "sent" => call.sent, "tokens" => charge.tokens(), "age_ms" => age);
-}
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -15,9 +15,9 @@
 use salvo::http::StatusCode;
 use tokio::time::timeout_at;
 
+use crate::entry::attempt::{Tried, attempt, log_end, log_try};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
-use crate::entry::forward::{Tried, attempt, log_end, log_try};
 use crate::entry::pace::Pace;
 use crate::placement::OpenRequest;
 
--- a/crates/daemon/src/error.rs
+++ b/crates/daemon/src/error.rs
@@ -17,6 +17,13 @@
     pub fix: String,
 }
 
+impl ConfigFault {
+    /// A fault of the setting at `path`.
+    pub fn new(path: &str, problem: &str, fix: &str) -> Self {
+        ConfigFault { path: path.to_owned(), problem: problem.to_owned(), fix: fix.to_owned() }
+    }
+}
+
 /// An error of this layer.
 #[derive(Debug, thiserror::Error, Diagnostic)]
 pub enum Error {
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -13,8 +13,8 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
-use crate::budgets::ask_owner;
 use crate::daemon::Daemon;
+use crate::draws::ask_owner;
 use crate::http::daemon;
 use crate::identity::tokens_match;
 use crate::table_sync::{self, EditError};
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -25,7 +25,7 @@
 use crate::allotment::{self, AllotAnswer};
 use crate::daemon::Daemon;
 use crate::error::Result;
-use crate::membership::HostsTold;
+use crate::host_list::HostsTold;
 use crate::packed_table::PackedTable;
 use crate::{budget_owner, collect, request_log, tcp};
 
--- a/crates/daemon/src/pump.rs
+++ b/crates/daemon/src/pump.rs
@@ -18,10 +18,9 @@
 use tokio::sync::{mpsc, oneshot};
 use tokio::time::Instant;
 
-use crate::answer::Problem;
+use crate::answer::{Answer, Problem};
 use crate::backend;
 use crate::billing::{self, Billed};
-use crate::chat::Answer;
 use crate::daemon::Daemon;
 use crate::placement::{Interrupted, Placed};
 use crate::sse::{Event, Piece, Splitter, Usage};
--- a/crates/daemon/src/ration.rs
+++ b/crates/daemon/src/ration.rs
@@ -8,8 +8,8 @@
 use bankcove_core::{Millis, Tokens};
 
 use crate::budget_owner::look_at_store;
-use crate::budgets::is_small_fleet;
 use crate::daemon::Daemon;
+use crate::fleet::is_small_fleet;
 
 /// What is known of the rest of a budget is looked up anew before a request is refused
 /// by it, when it is older than this: a top-up or other daemons' tokens may be there.
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -8,8 +8,8 @@
 use bankcove_core::table::{Server, ServerKind, ServerState, Table};
 
 use crate::daemon::Daemon;
-use crate::membership;
 use crate::peer::FETCH_TIMEOUT;
+use crate::{fleet, membership};
 
 /// Longest watch of the list. A cut path shows only when an answer does not
 /// come, so this is also how long a cut may go unnoticed.
@@ -56,7 +56,7 @@
     let mut was_away = false;
     loop {
         let known = daemon.servers.lock().version();
-        if known.is_some() && membership::is_told_by_peers(&daemon) {
+        if known.is_some() && fleet::is_told_by_peers(&daemon) {
             // Heartbeats tell of newer lists, and peers hand them over.
             at = known.at;
             was_away = false;
@@ -67,7 +67,7 @@
                 () = daemon.ended.cancelled() => return,
             }
         }
-        if membership::awaits_peers(&daemon) {
+        if fleet::awaits_peers(&daemon) {
             tokio::time::sleep(START_POLL).await;
             continue;
         }
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -8,9 +8,9 @@
 use bankcove_ports::{Kind, WriteOutcome};
 
 use crate::daemon::Daemon;
-use crate::membership;
 use crate::peer::FETCH_TIMEOUT;
 use crate::server_sync;
+use crate::{fleet, membership};
 
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
@@ -68,14 +68,14 @@
 pub async fn watch(daemon: Arc<Daemon>) {
     let mut at = 0;
     loop {
-        if daemon.revision() > 0 && membership::is_told_by_peers(&daemon) {
+        if daemon.revision() > 0 && fleet::is_told_by_peers(&daemon) {
             // Heartbeats tell of new revisions, and peers hand them over.
             tokio::select! {
                 () = tokio::time::sleep(STORE_PAUSE) => continue,
                 () = daemon.ended.cancelled() => return,
             }
         }
-        if membership::awaits_peers(&daemon) {
+        if fleet::awaits_peers(&daemon) {
             tokio::time::sleep(server_sync::START_POLL).await;
             continue;
         }
--- a/crates/daemon/src/unread_news.rs
+++ b/crates/daemon/src/unread_news.rs
@@ -11,8 +11,8 @@
 use bankcove_core::Tokens;
 use bankcove_core::router::UnreadNews;
 
-use crate::budgets::is_small_fleet;
 use crate::daemon::Daemon;
+use crate::fleet::is_small_fleet;
 use crate::peer::PeerServiceClient;
 
 /// Shorter prompts are not told: they are read in some 30 to 60 ms, and by the time
