--- a/crates/core/tests/standing.rs
+++ b/crates/core/tests/standing.rs
@@ -55,9 +55,12 @@
     assert!(standing(READERS - 1).probe_pause(1.0) <= 200);
 }
 
+/// Symptom: on a day of 87 hosts one that reached the store all the time refused a request
+/// by a table that had been replaced 6.4 s before. Cause: after a look that failed it
+/// waited for up to 3 s, on top of the 3 s after which it looks at all; hosts have 3 s.
 #[test]
-fn who_is_told_by_nobody_looks_again_within_three_seconds() {
-    assert!(standing(HALL_SIZE).probe_pause(1.0) <= 3_000);
+fn who_is_told_by_nobody_looks_again_within_half_of_the_time_that_hosts_have() {
+    assert!(standing(HALL_SIZE).probe_pause(1.0) <= 1_500);
 }
 
 #[test]
