A look that fails is tried again at once; pauses fit the time that hosts have

Ruled out: peers that tell an age which is too small (ages are those of reads, also when they come back); the watch of the table (it follows the list's within 0.1 s).

Change: the first failure in a row is followed by another look after 0.2 s, further ones after 0.5 to 1.5 s (1 to 3 s before); word of peers ends the row.

--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -99,9 +99,10 @@
     }
 }
 
-/// Waits until it is time to look whether the store is back, or peers tell of it.
-pub async fn pause_without_store(daemon: &Daemon) {
-    let pause = Duration::from_millis(standing(daemon).probe_pause(rand::random()));
+/// Waits, after so many `failures` in a row, until it is time to look whether the store is
+/// back, or peers tell of it.
+pub async fn pause_without_store(daemon: &Daemon, failures: u32) {
+    let pause = Duration::from_millis(standing(daemon).probe_pause(failures, rand::random()));
     let until = Instant::now() + pause;
     loop {
         let left = until.saturating_duration_since(Instant::now());
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -54,12 +54,15 @@
 pub async fn watch(daemon: Arc<Daemon>) {
     let mut at = 0;
     let mut was_away = false;
+    let mut failures = 0;
     loop {
         let known = daemon.servers.lock().version();
         if known.is_some() && fleet::is_told_by_peers(&daemon) {
             // Heartbeats tell of newer lists, and peers hand them over.
             at = known.at;
             was_away = false;
+            // Peers reach the store: a look that fails from here on is the first.
+            failures = 0;
             drop_lapsed(&daemon);
             daemon.contact.store_not_watched();
             tokio::select! {
@@ -81,6 +84,7 @@
         match watched {
             Ok(None) => return,
             Ok(Some(changes)) => {
+                failures = 0;
                 at = changes.at;
                 if take_changes(&daemon, changes, std::mem::take(&mut was_away)) {
                     tokio::time::sleep(CHANGE_PAUSE).await;
@@ -97,7 +101,8 @@
                 }
                 // What was missed meanwhile is read as a whole list.
                 at = 0;
-                membership::pause_without_store(&daemon).await;
+                failures += 1;
+                membership::pause_without_store(&daemon, failures).await;
             }
         }
     }
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -100,7 +100,7 @@
                 if let Some(read) = watched.changed {
                     adopt(&daemon, read.value);
                 } else if is_missing {
-                    membership::pause_without_store(&daemon).await;
+                    membership::pause_without_store(&daemon, u32::MAX).await;
                 }
             }
             Err(bankcove_ports::Error::HistoryGone { after }) => {
