--- a/crates/core/tests/common/direct.rs
+++ b/crates/core/tests/common/direct.rs
@@ -1,6 +1,6 @@
 //! Daemons that write the shard of one budget by themselves, before a store in memory.
 
-use bankcove_core::holder::{Holder, Reservation, Terms};
+use bankcove_core::holder::{Draw, Holder, Reservation, Terms};
 use bankcove_core::owner::{Command, Event, Owner, Reply, Request};
 use bankcove_core::shard::{Ledger, Shard};
 use bankcove_core::{Incarnation, Millis, Tokens};
@@ -112,15 +112,22 @@
 
     /// Daemon `n` draws what lets it reserve `need` more.
     pub fn draw(&mut self, n: usize, need: Tokens, fate: Fate) {
+        self.draw_by(n, n, need, fate);
+    }
+
+    /// Daemon `n` draws by way of daemon `owner`; returns the draw.
+    pub fn draw_by(&mut self, n: usize, owner: usize, need: Tokens, fate: Fate) -> Draw {
         let holder = &mut self.daemons[n].holder;
         let draw = holder.draw(&budget(), need, self.terms, &address(n), self.now);
-        let reply = self.ask(n, Request::Draw(draw), fate);
+        let reply = self.ask(owner, Request::Draw(draw.clone()), fate);
         let holder = &mut self.daemons[n].holder;
-        if let Reply::Granted { granted, opened, outlook, .. } = reply {
+        if let Reply::Granted { granted, opened, outlook, earlier_start, .. } = reply {
             outlook.into_iter().for_each(|outlook| holder.known(&budget(), outlook, self.now));
+            holder.told_earlier_start(&budget(), earlier_start);
             holder.granted(&budget(), granted);
             holder.opened(&budget(), opened);
         }
+        draw
     }
 }
 
