Ages of views count from when a peer was asked; an unasked heartbeat tells none

A daemon that learns from peers took the age in a heartbeat as of the moment at which it was taken in. The time under way, 10 to 300 ms on busy hosts, went to the view at each step, and of many words the youngest counts: cut from the store, a fleet went on telling itself that it was current.

Change: the age in an answer counts from when it was asked for, so that it is never younger than it was; a heartbeat that came by itself says nothing of ages, but its sender is asked at once when it seems current and this daemon is not. The store's last word, by which callers are told when to come back, is counted the same way. A planned stop ends the look at the host list, so that a host that leaves is not put on it again.

--- a/crates/core/src/holder/keeps.rs
+++ b/crates/core/src/holder/keeps.rs
@@ -7,15 +7,14 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::Tokens;
-use crate::holder::Account;
 use crate::holder::account::SURPLUS;
 use crate::holder::draw::Terms;
-use crate::{Millis, holder::allot};
+use crate::holder::{Account, allot};
+use crate::{Millis, Tokens};
 
-/// How long a daemon that leaves keeping to owners draws ahead, in seconds of recent
-/// spending: an ask for each request costs two daemons some 0.1 ms of processor time, and
-/// the busiest hosts would make hundreds a second.
+/// How far ahead a daemon asks that leaves it to owners to keep tokens, in seconds of its
+/// own spending: the busiest of the users' hosts would otherwise ask for each of some 200
+/// requests a second.
 const BATCH_S: f64 = 2.0;
 
 /// Usual requests that an owner keeps of a budget that is hardly spent, so that its
@@ -56,7 +55,7 @@
             }
             Keeps::LeftToOwner => {
                 let batch = (own_rate * BATCH_S.min(terms.horizon_s)) as Tokens;
-                // Less than a request would wait here for one that is longer.
+                // Less than a request needs would lie idle here, and be missed elsewhere.
                 let is_of_use = batch >= usual;
                 self.unmet + if is_of_use { within_share(batch) } else { 0 }
             }
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -262,6 +262,8 @@
         }
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
+            // A planned stop takes the host off the list; it is not to come back.
+            () = daemon.leaving.cancelled() => return,
             () = daemon.ended.cancelled() => return,
         }
     }
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -36,35 +36,58 @@
     }
 }
 
-/// Takes in a heartbeat that was received or answered.
+/// Takes in a heartbeat that a peer sent by itself. How long it was under way is not known,
+/// so that the ages in it say nothing: counted from when they are taken in they grew by less
+/// than time passes, and a fleet that was cut from the store never noticed. A sender that
+/// seems to be current when this daemon is not is asked.
 pub fn heard(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
-    let now = daemon.clock.now();
-    daemon.members.lock().heard(now, heartbeat);
-    daemon.router.lock().heard_paces(&heartbeat.paces);
-    daemon.contact.store_heard_by_peer(now, heartbeat.store_heard_ms);
+    take_in(daemon, heartbeat);
+    let seems_current = heartbeat.view_age_ms.is_some_and(|age| age < STALE_VIEW_MS);
+    let (daemon, heartbeat) = (Arc::clone(daemon), heartbeat.clone());
+    if knows_all_of(&daemon, &heartbeat) && (!seems_current || is_current(&daemon)) {
+        return;
+    }
+    tokio::spawn(async move {
+        fetch_news(&daemon, &heartbeat).await;
+        if seems_current && !is_current(&daemon) {
+            greet(&daemon, &heartbeat.address).await;
+        }
+    });
+}
+
+/// Takes in a peer's answer to a heartbeat that was sent at `asked_at`: no age in it is
+/// younger than from then.
+fn answered(daemon: &Arc<Daemon>, heartbeat: &Heartbeat, asked_at: Millis) {
+    take_in(daemon, heartbeat);
+    daemon.contact.store_heard_by_peer(asked_at, heartbeat.store_heard_ms);
     if knows_all_of(daemon, heartbeat) {
-        caught_up(daemon, heartbeat, now);
+        caught_up(daemon, heartbeat, asked_at);
         return;
     }
     let (daemon, heartbeat) = (Arc::clone(daemon), heartbeat.clone());
     tokio::spawn(async move {
         fetch_news(&daemon, &heartbeat).await;
         if knows_all_of(&daemon, &heartbeat) {
-            caught_up(&daemon, &heartbeat, now);
+            caught_up(&daemon, &heartbeat, asked_at);
         }
     });
 }
 
+fn take_in(daemon: &Daemon, heartbeat: &Heartbeat) {
+    daemon.members.lock().heard(daemon.clock.now(), heartbeat);
+    daemon.router.lock().heard_paces(&heartbeat.paces);
+}
+
 /// Whether this daemon's table and list are no older than the sender's.
 fn knows_all_of(daemon: &Daemon, heartbeat: &Heartbeat) -> bool {
     let servers_version = daemon.servers.lock().version();
     heartbeat.revision <= daemon.revision() && heartbeat.servers_version <= servers_version
 }
 
-fn caught_up(daemon: &Arc<Daemon>, heartbeat: &Heartbeat, told_at: Millis) {
+fn caught_up(daemon: &Arc<Daemon>, heartbeat: &Heartbeat, asked_at: Millis) {
     let Some(age) = heartbeat.view_age_ms else { return };
     let was_current = is_current(daemon);
-    daemon.contact.caught_up(told_at, age);
+    daemon.contact.caught_up(asked_at, age);
     pass_on_return(daemon, was_current);
 }
 
@@ -142,13 +165,14 @@
     let beat = |client: crate::peer::PeerServiceClient, cx| async move {
         client.heartbeat(cx, mine).await
     };
+    let asked_at = daemon.clock.now();
     let answer = daemon.peers.call(&peer.address, timeout, beat).await;
     if daemon.contact.heartbeat(answer.is_some()) {
         slog::info!(daemon.log, "peers regained"; "first" => %peer.name);
         daemon.members.lock().forgive();
     }
     match answer {
-        Some(heartbeat) => heard(daemon, &heartbeat),
+        Some(heartbeat) => answered(daemon, &heartbeat, asked_at),
         None => daemon.members.lock().failed(&peer.name),
     }
 }
@@ -177,8 +201,9 @@
     let beat = |client: crate::peer::PeerServiceClient, cx| async move {
         client.heartbeat(cx, mine).await
     };
+    let asked_at = daemon.clock.now();
     // Peers of the settings may be gone; the list tells of others.
     if let Some(heartbeat) = daemon.peers.call(address, timeout, beat).await {
-        heard(daemon, &heartbeat);
+        answered(daemon, &heartbeat, asked_at);
     }
 }
