--- a/crates/daemon/src/allotment.rs
+++ b/crates/daemon/src/allotment.rs
@@ -1,5 +1,5 @@
-//! Tokens handed on in a large fleet: asking the owner of a budget's shard, and
-//! answering as the owner.
+//! Tokens handed on in a large fleet: who owns a budget, asking its owner, and answering
+//! as the owner.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -102,8 +102,8 @@
     owners(daemon, budget).into_iter().map_while(|owner| owner).collect()
 }
 
-/// Asks one peer for tokens, for a request or ahead; none when it does not answer, or is cut off from
-/// the store itself.
+/// Asks one peer for tokens, for the request that `wish` tells of or ahead; none when it
+/// does not answer, or has none and is cut off from the store itself.
 pub async fn ask_for_tokens(
     daemon: &Arc<Daemon>,
     budget: &Budget,
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budgets.rs
@@ -249,6 +249,8 @@
     draw(daemon, budget, need).await
 }
 
+/// The terms of a budget's row for this daemon now: how far ahead it draws, and for whom,
+/// follows from the size of the fleet, from who owns the budget, and from a planned stop.
 pub(crate) fn terms(daemon: &Daemon, budget: &Budget) -> Terms {
     let terms = Terms {
         tokens: budget.tokens,
