--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -176,6 +176,7 @@
         incarnation: Incarnation(7_919),
         address: "10.12.34.56:8081".to_owned(),
         servers_version: Default::default(),
+        evacuated: Default::default(),
         revision: 1_000_000,
         stopping: false,
         store_heard_ms: Some(120),
--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -1,4 +1,4 @@
-//! How current a daemon's table and server list are.
+//! How current a daemon's table, server list and list of evacuated halls are.
 //!
 //! A daemon that watches the store knows both up to its last answer. One that
 //! learns from peers is as current as the peer whose versions it has caught up
@@ -9,14 +9,22 @@
 
 use crate::Millis;
 
-/// Until when the table and the server list are known to be complete.
+/// Until when the table and the lists are known to be complete.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub struct Freshness {
     table_at: Option<Millis>,
     servers_at: Option<Millis>,
+    halls_at: Option<Millis>,
+    follows_halls: bool,
 }
 
 impl Freshness {
+    /// Nothing is known yet. `follows_halls` tells whether the list of halls that take no
+    /// new work counts too.
+    pub fn new(follows_halls: bool) -> Self {
+        Freshness { follows_halls, ..Freshness::default() }
+    }
+
     /// The store told the table as it stood at `at`.
     pub fn table_read(&mut self, at: Millis) {
         self.table_at = self.table_at.max(Some(at));
@@ -27,16 +35,25 @@
         self.servers_at = self.servers_at.max(Some(at));
     }
 
+    /// The store told the list of halls as it stood at `at`.
+    pub fn halls_read(&mut self, at: Millis) {
+        self.halls_at = self.halls_at.max(Some(at));
+    }
+
     /// A peer that knows nothing newer is this current.
     pub fn caught_up(&mut self, now: Millis, age: Millis) {
         let at = now.saturating_sub(age);
         self.table_read(at);
         self.servers_read(at);
+        self.halls_read(at);
     }
 
-    /// Age of the older of the two; none before both were told once.
+    /// Age of the oldest of them; none before all were told once.
     pub fn age(&self, now: Millis) -> Option<Millis> {
-        let at = self.table_at?.min(self.servers_at?);
+        let mut at = self.table_at?.min(self.servers_at?);
+        if self.follows_halls {
+            at = at.min(self.halls_at?);
+        }
         Some(now.saturating_sub(at))
     }
 
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod error;
 pub mod events;
 pub mod freshness;
+pub mod hall_list;
 pub mod holder;
 pub mod id;
 pub mod lifecycle;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -8,9 +8,10 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::hall_list::EvacuatedHalls;
 use crate::id::rendezvous_score;
 use crate::router::ServerPace;
-use crate::server_list::ListVersion;
+use crate::server_list::{ListVersion, Unreadable};
 use crate::{Incarnation, Millis, Name};
 
 /// A peer that was silent to this many heartbeats in a row is suspected.
@@ -57,6 +58,15 @@
     pub state: HostState,
 }
 
+/// The platform's host list as it was read.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub struct Hosts {
+    /// The lines.
+    pub hosts: Vec<Host>,
+    /// Lines that can't be read: they name no host.
+    pub unreadable: Vec<Unreadable>,
+}
+
 /// What a daemon says of itself in a heartbeat.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Heartbeat {
@@ -72,6 +82,8 @@
     pub revision: u64,
     /// Version of the sender's list of backend servers.
     pub servers_version: ListVersion,
+    /// Halls that take no new work, as the sender knows them.
+    pub evacuated: EvacuatedHalls,
     /// Whether the sender is stopping.
     pub stopping: bool,
     /// How long ago the store answered the sender or a peer in its contact.
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -14,7 +14,7 @@
 mod reading;
 mod view;
 
-pub use choose::{Choice, NoServer, Wanted};
+pub use choose::{Choice, Homes, NoServer, Wanted};
 pub use elsewhere::{Unread, UnreadNews};
 pub use reading::{ServerPace, StreamPace};
 pub use view::{LoadReport, ServerView};
@@ -47,9 +47,14 @@
         let mut servers: Vec<ServerView> = table.servers.iter().map(ServerView::new).collect();
         for view in &mut servers {
             let old = self.by_name.get(&view.name).map(|index| &self.servers[*index as usize]);
-            if let Some(old) = old.filter(|old| old.address == view.address) {
+            // Another start knows and holds nothing of the one before.
+            let is_same = |old: &&ServerView| {
+                old.address == view.address && old.started_ms == view.started_ms
+            };
+            if let Some(old) = old.filter(is_same) {
                 let row = view.clone();
                 *view = ServerView {
+                    cold_until: row.cold_until,
                     limit: row.limit,
                     hall: row.hall,
                     row_draining: row.row_draining,
@@ -74,6 +79,7 @@
         let count = self.servers.len();
         let choice = |view: &ServerView| Choice {
             server: view.name.clone(),
+            started_ms: view.started_ms,
             address: view.address.clone(),
             copy_from: None,
         };
@@ -115,14 +121,14 @@
         self.change_load(name, |view| view.leaving_until = now + LEAVING_WORD_MS);
     }
 
-    /// Takes in that a request with a prompt of this length was sent there; 0 for
-    /// a request without a prompt.
-    pub fn sent(&mut self, name: &Name, prompt: Tokens) {
+    /// Takes in that a request with a prompt of this length was sent to this start of a
+    /// server; 0 for a request without a prompt.
+    pub fn sent(&mut self, name: &Name, start: Millis, prompt: Tokens) {
+        let Some(index) = self.index_of_start(name, start) else { return };
         self.change_load(name, |view| {
             view.in_flight += 1;
             view.unread += prompt;
         });
-        let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
         if prompt > 0 {
             for (pool, _) in &self.pools_of_server[index] {
                 self.reading.entry(pool.clone()).or_default().sent(prompt);
@@ -131,12 +137,18 @@
     }
 
     /// Takes in that a prompt of this length has been read there, or is given up.
-    pub fn read(&mut self, name: &Name, prompt: Tokens) {
+    pub fn read(&mut self, name: &Name, start: Millis, prompt: Tokens) {
+        if self.index_of_start(name, start).is_none() {
+            return;
+        }
         self.change_load(name, |view| view.unread = view.unread.saturating_sub(prompt));
     }
 
     /// Takes in that a request there has ended, well or not.
-    pub fn ended(&mut self, now: Millis, name: &Name, well: bool) {
+    pub fn ended(&mut self, now: Millis, name: &Name, start: Millis, well: bool) {
+        if self.index_of_start(name, start).is_none() {
+            return;
+        }
         self.change_load(name, |view| {
             view.in_flight = view.in_flight.saturating_sub(1);
             if well {
@@ -159,7 +171,12 @@
     /// What this daemon has sent that is still to be read, by server.
     pub fn unread(&self) -> Vec<Unread> {
         let unread = self.servers.iter().filter(|view| view.unread > 0);
-        unread.map(|view| Unread { server: view.name.clone(), tokens: view.unread }).collect()
+        let news = |view: &ServerView| Unread {
+            server: view.name.clone(),
+            started_ms: view.started_ms,
+            tokens: view.unread,
+        };
+        unread.map(news).collect()
     }
 
     /// Takes in what a peer has sent that is still to be read.
@@ -169,6 +186,9 @@
             self.take_off(part);
         }
         for part in &news.unread {
+            if self.index_of_start(&part.server, part.started_ms).is_none() {
+                continue;
+            }
             self.change_load(&part.server, |view| view.unread_elsewhere += part.tokens);
         }
     }
@@ -181,13 +201,16 @@
     }
 
     fn take_off(&mut self, part: &Unread) {
+        if self.index_of_start(&part.server, part.started_ms).is_none() {
+            return;
+        }
         let less = |tokens: Tokens| tokens.saturating_sub(part.tokens);
         self.change_load(&part.server, |view| view.unread_elsewhere = less(view.unread_elsewhere));
     }
 
     /// Takes in how a stream came that has ended there.
-    pub fn streamed(&mut self, name: &Name, pace: StreamPace) {
-        let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
+    pub fn streamed(&mut self, name: &Name, start: Millis, pace: StreamPace) {
+        let Some(index) = self.index_of_start(name, start) else { return };
         self.change_pace(index, pace.event_ms);
         for (name, _) in &self.pools_of_server[index] {
             let Some(pool) = self.pools.get(name) else { continue };
@@ -206,7 +229,7 @@
     /// Takes in what a peer has told of servers.
     pub fn heard_paces(&mut self, paces: &[ServerPace]) {
         for pace in paces {
-            if let Some(index) = self.by_name.get(&pace.server).map(|index| *index as usize) {
+            if let Some(index) = self.index_of_start(&pace.server, pace.started_ms) {
                 self.change_pace(index, pace.event_ms());
             }
         }
@@ -223,6 +246,12 @@
         }
     }
 
+    /// Where this start of a server stands; none when it is not the one that is known.
+    fn index_of_start(&self, name: &Name, start: Millis) -> Option<usize> {
+        let index = *self.by_name.get(name)? as usize;
+        (self.servers[index].started_ms == start).then_some(index)
+    }
+
     fn change_load(&mut self, name: &Name, change: impl FnOnce(&mut ServerView)) {
         let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
         let before = self.servers[index].load_in_all();
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -20,6 +20,30 @@
     NoneInTable,
     /// Servers exist, but all of them are leaving, ejected or full.
     NoneUsable,
+    /// All halls that may serve this are evacuated, or lie outside its homes.
+    NoHall,
+    /// All that are left are cold; the first of them is warm after so many milliseconds.
+    OnlyCold(Millis),
+}
+
+/// Regions that may serve a request; where there are none all may.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Homes<'a> {
+    /// Those of its route.
+    pub route: &'a [Name],
+    /// Those of its workspace.
+    pub workspace: &'a [Name],
+}
+
+impl Homes<'_> {
+    /// Whether a hall in this region may serve it: both bind. A hall whose region is not
+    /// known is in none of them.
+    pub fn allow(&self, region: Option<&Name>) -> bool {
+        let is_in = |homes: &[Name]| {
+            homes.is_empty() || region.is_some_and(|region| homes.contains(region))
+        };
+        is_in(self.route) && is_in(self.workspace)
+    }
 }
 
 /// A server that was chosen.
@@ -27,6 +51,8 @@
 pub struct Choice {
     /// The server's name.
     pub server: Name,
+    /// The start of it that was chosen, as [`ServerView::started_ms`].
+    pub started_ms: Millis,
     /// Its address.
     pub address: String,
     /// Address of the server that has read the prompt's shared parts, as far as this
@@ -49,6 +75,8 @@
     pub seed: u64,
     /// Servers that this request has tried already.
     pub tried: &'a [Name],
+    /// Regions that may serve it.
+    pub homes: Homes<'a>,
 }
 
 /// What a walk along the halls has come to.
@@ -69,17 +97,32 @@
     pub fn choose(&self, now: Millis, wanted: &Wanted) -> Result<Choice, NoServer> {
         let pool = self.pools.get(wanted.pool).ok_or(NoServer::NoneInTable)?;
         let halls = self.halls_in_order(pool, wanted);
+        if halls.is_empty() {
+            return Err(NoServer::NoHall);
+        }
         let walk = self.walk(now, pool, &halls, wanted);
         let any = || halls.iter().find_map(|hall| self.least_loaded(now, hall, wanted));
-        let view = walk.fitting.or_else(any).ok_or(NoServer::NoneUsable)?;
+        let view = walk.fitting.or_else(any).ok_or_else(|| self.why_none(now, &halls, wanted))?;
         let other = walk.first.filter(|first| first.name != view.name);
         Ok(Choice {
             server: view.name.clone(),
+            started_ms: view.started_ms,
             address: view.address.clone(),
             copy_from: other.map(|first| first.address.clone()),
         })
     }
 
+    /// Why no server of these halls is usable.
+    fn why_none(&self, now: Millis, halls: &[&HallPool], wanted: &Wanted) -> NoServer {
+        let members = halls.iter().flat_map(|hall| &hall.members);
+        let views = members.map(|index| &self.servers[*index as usize]);
+        let cold = views.filter(|view| {
+            view.could_serve(now) && view.is_cold(now) && !wanted.tried.contains(&view.name)
+        });
+        let warm_at = cold.map(|view| view.cold_until).min();
+        warm_at.map_or(NoServer::NoneUsable, |at| NoServer::OnlyCold(at - now))
+    }
+
     /// Goes along the halls until a server fits: another hall is nearer than a long
     /// wait, or than streams that are disturbed.
     fn walk<'a>(
@@ -120,6 +163,7 @@
             .halls
             .iter()
             .filter(|hall| hall.weights[wanted.hour % HOURS] > 0.0)
+            .filter(|hall| hall.may_serve(&wanted.homes))
             .map(|hall| (failed.contains(&&hall.hall), hall.score(wanted), hall))
             .collect();
         halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
--- a/crates/core/src/router/elsewhere.rs
+++ b/crates/core/src/router/elsewhere.rs
@@ -19,6 +19,8 @@
 pub struct Unread {
     /// The server.
     pub server: Name,
+    /// The start of it, as [`crate::server_list::ListedServer::started_ms`].
+    pub started_ms: Millis,
     /// The tokens.
     pub tokens: Tokens,
 }
--- a/crates/core/src/router/pool.rs
+++ b/crates/core/src/router/pool.rs
@@ -3,9 +3,9 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::id::rendezvous_score;
-use crate::router::Wanted;
 use crate::router::load::Load;
 use crate::router::reading::MeanPace;
+use crate::router::{Homes, Wanted};
 use crate::table::{HOURS, Server, Table};
 use crate::{Millis, Name};
 
@@ -20,6 +20,9 @@
 pub(super) struct HallPool {
     pub(super) hall: Name,
     pub(super) hall_key: u64,
+    /// Whether it takes new work.
+    pub(super) is_open: bool,
+    pub(super) region: Option<Name>,
     pub(super) weights: [f64; HOURS],
     /// Hashed points in ascending order, each with an index into the servers.
     pub(super) ring: Vec<(u64, u32)>,
@@ -54,6 +57,8 @@
         HallPool {
             hall: hall.clone(),
             hall_key: xxh3_64(hall.as_str().as_bytes()),
+            is_open: row.is_none_or(|row| row.state.is_serving()),
+            region: row.and_then(|row| row.region.clone()),
             weights,
             ring: Vec::new(),
             members: Vec::new(),
@@ -61,6 +66,11 @@
         }
     }
 
+    /// Whether requests with these homes may go there.
+    pub(super) fn may_serve(&self, homes: &Homes) -> bool {
+        self.is_open && homes.allow(self.region.as_ref())
+    }
+
     /// Adds a server, which has this load now.
     pub(super) fn add(&mut self, row: &Server, index: u32, load: Load) {
         self.members.push(index);
--- a/crates/core/src/router/reading.rs
+++ b/crates/core/src/router/reading.rs
@@ -47,6 +47,8 @@
 pub struct ServerPace {
     /// The server.
     pub server: Name,
+    /// The start of it, as [`crate::server_list::ListedServer::started_ms`].
+    pub started_ms: Millis,
     /// The time, in microseconds.
     pub event_us: u32,
 }
@@ -55,7 +57,8 @@
     /// What is known of a server's pace, if anything is.
     pub(super) fn of(view: &ServerView) -> Option<Self> {
         let event_us = (view.event_ms? * 1000.0) as u32;
-        Some(ServerPace { server: view.name.clone(), event_us })
+        let (server, started_ms) = (view.name.clone(), view.started_ms);
+        Some(ServerPace { server, started_ms, event_us })
     }
 
     /// The time, in milliseconds.
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -42,6 +42,9 @@
     pub hall: Name,
     /// Its address.
     pub address: String,
+    /// When this start of it began, in milliseconds since 1970; 0 where nobody tells.
+    pub started_ms: Millis,
+    pub(super) cold_until: Millis,
     pub(super) limit: u32,
     pub(super) reports_load: bool,
     pub(super) row_draining: bool,
@@ -67,6 +70,8 @@
             name: row.name.clone(),
             hall: row.hall.clone(),
             address: row.address.clone(),
+            started_ms: row.listed.started_ms,
+            cold_until: row.listed.cold_until,
             limit: row.limit,
             reports_load: row.kind == ServerKind::Model,
             row_draining: row.state == ServerState::Draining,
@@ -102,6 +107,16 @@
     }
 
     pub(super) fn is_usable(&self, now: Millis) -> bool {
+        self.could_serve(now) && !self.is_cold(now)
+    }
+
+    /// Whether it is slow after its start, and collapses under more than a few requests.
+    pub(super) fn is_cold(&self, now: Millis) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether it would be usable if it were not cold.
+    pub(super) fn could_serve(&self, now: Millis) -> bool {
         !self.is_leaving(now) && now >= self.ejected_until && self.in_flight < self.limit
     }
 
--- a/crates/core/src/server_list.rs
+++ b/crates/core/src/server_list.rs
@@ -15,11 +15,14 @@
 /// milliseconds: servers that live write their entry anew within two seconds.
 pub const LAPSE_GRACE_MS: Millis = 2_000;
 
-/// One backend server, by one start of it.
+/// One backend server.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ListedServer {
-    /// Names this start of the server; another start has another name.
+    /// The server's name; another start may have the same one.
     pub name: Name,
+    /// When this start began, in milliseconds since 1970; 0 where nobody tells.
+    #[serde(default)]
+    pub started_ms: Millis,
     /// The service that it belongs to.
     pub service: Name,
     /// Its address, IP number and port.
@@ -30,6 +33,9 @@
     pub slots: u32,
     /// Whether it is leaving.
     pub draining: bool,
+    /// How much longer it was cold when it said so, in milliseconds.
+    #[serde(default)]
+    pub cold_for_ms: Millis,
 }
 
 /// What the platform says of its list.
@@ -42,16 +48,25 @@
     /// Entries that are new or have changed.
     pub put: Vec<ListedServer>,
     /// Entries that were removed.
-    pub gone: Vec<Name>,
-    /// Entries that can't be read; what was known of them stays.
+    pub gone: Vec<Gone>,
+    /// Entries that can't be read: they name no server to use.
     pub unreadable: Vec<Unreadable>,
 }
 
-/// An entry that can't be read.
+/// An entry that was removed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Unreadable {
-    /// The entry's name.
+pub struct Gone {
+    /// The server.
     pub name: Name,
+    /// The start of it that the entry told of, as [`ListedServer::started_ms`].
+    pub started_ms: Millis,
+}
+
+/// An entry that can't be read.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Unreadable {
+    /// The entry's name, if that can be read.
+    pub name: Option<Name>,
     /// What is wrong, with the path of the field.
     pub problem: String,
 }
@@ -84,11 +99,15 @@
     /// Time until it is dropped, for one whose entry is missing after an outage.
     /// It is there for those who still have it; to others it is gone.
     pub dropped_in: Option<Millis>,
+    /// How much longer it is cold.
+    pub cold_in: Millis,
 }
 
 #[derive(Debug, Clone, Serialize)]
 struct Entry {
     server: ListedServer,
+    /// Until when it is cold, by this daemon's clock.
+    cold_until: Millis,
     /// When it is dropped, if it does not come back before.
     dropped_at: Option<Millis>,
 }
@@ -112,6 +131,11 @@
         self.entries.values().map(|entry| &entry.server)
     }
 
+    /// Every server that may still be there, and until when it is cold.
+    pub fn servers_with_cold(&self) -> impl Iterator<Item = (&ListedServer, Millis)> {
+        self.entries.values().map(|entry| (&entry.server, entry.cold_until))
+    }
+
     /// Takes in that the platform answers again after it was away.
     pub fn platform_returned(&mut self, now: Millis) {
         self.grace_until = now + LAPSE_GRACE_MS;
@@ -125,11 +149,17 @@
             let missing: Vec<Name> = self.missing_from(&changes);
             missing.iter().for_each(|name| changed |= self.remove(now, name));
         }
-        for name in &changes.gone {
-            changed |= self.remove(now, name);
+        for gone in &changes.gone {
+            if self.started_ms(&gone.name).is_none_or(|known| known <= gone.started_ms) {
+                changed |= self.remove(now, &gone.name);
+            }
+        }
+        for name in changes.unreadable.iter().filter_map(|entry| entry.name.as_ref()) {
+            // No grace: the platform has an entry, and it names no server.
+            changed |= self.entries.remove(name).is_some();
         }
         for server in changes.put {
-            changed |= self.put(server);
+            changed |= self.put(now, server);
         }
         if changed || !self.version.is_some() {
             self.version = self.version.max(ListVersion { at: changes.at, drops: 0 });
@@ -142,6 +172,7 @@
         let shared = |entry: &Entry| SharedServer {
             server: entry.server.clone(),
             dropped_in: entry.dropped_at.map(|at| at.saturating_sub(now)),
+            cold_in: entry.cold_until.saturating_sub(now),
         };
         self.entries.values().map(shared).collect()
     }
@@ -161,7 +192,12 @@
         };
         let entry = |shared: SharedServer| {
             let dropped_at = shared.dropped_in.map(|left| now + left);
-            (shared.server.name.clone(), Entry { server: shared.server, dropped_at })
+            let told =
+                Entry { cold_until: now + shared.cold_in, dropped_at, server: shared.server };
+            let known = old.get(&told.server.name);
+            let is_later = |known: &&Entry| known.server.started_ms > told.server.started_ms;
+            let entry = known.filter(is_later).cloned().unwrap_or(told);
+            (entry.server.name.clone(), entry)
         };
         self.entries = servers.into_iter().filter(is_known).map(entry).collect();
         true
@@ -185,16 +221,28 @@
 
     fn missing_from(&self, whole: &ServerChanges) -> Vec<Name> {
         let put = whole.put.iter().map(|server| &server.name);
-        let named: BTreeSet<&Name> =
-            put.chain(whole.unreadable.iter().map(|entry| &entry.name)).collect();
+        let unreadable = whole.unreadable.iter().filter_map(|entry| entry.name.as_ref());
+        let named: BTreeSet<&Name> = put.chain(unreadable).collect();
         self.entries.keys().filter(|name| !named.contains(name)).cloned().collect()
     }
 
-    fn put(&mut self, server: ListedServer) -> bool {
-        let entry = Entry { server, dropped_at: None };
-        let name = entry.server.name.clone();
-        let old = self.entries.insert(name, entry.clone());
-        old.is_none_or(|old| old.server != entry.server)
+    fn started_ms(&self, name: &Name) -> Option<Millis> {
+        self.entries.get(name).map(|entry| entry.server.started_ms)
+    }
+
+    fn put(&mut self, now: Millis, server: ListedServer) -> bool {
+        if self.started_ms(&server.name).is_some_and(|known| known > server.started_ms) {
+            return false;
+        }
+        if let Some(known) = self.entries.get_mut(&server.name)
+            && known.server == server
+        {
+            known.dropped_at = None;
+            return false;
+        }
+        let cold_until = now + server.cold_for_ms;
+        self.entries.insert(server.name.clone(), Entry { server, cold_until, dropped_at: None });
+        true
     }
 
     fn remove(&mut self, now: Millis, name: &Name) -> bool {
--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -4,9 +4,9 @@
 
 use serde::{Deserialize, Serialize};
 
-pub use service::{CallerLimits, Engine, Service};
+pub use service::{CallerLimits, ColdStart, Engine, Service};
 
-use crate::{Name, Tokens};
+use crate::{Millis, Name, Tokens};
 
 /// Hours of a day, for weights that follow the sun.
 pub const HOURS: usize = 24;
@@ -26,11 +26,31 @@
     /// Weight in each hour of the day (UTC), in place of `weight`; 24 numbers.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub weights_by_hour: Vec<f64>,
+    /// Whether its servers take new work; what runs there goes on in any case.
+    #[serde(default, skip_serializing_if = "ServerState::is_serving")]
+    pub state: ServerState,
+    /// The region that it lies in, for homes of routes and workspaces.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub region: Option<Name>,
     /// Revision of the table that wrote this row last; written by the system.
     #[serde(default)]
     pub version: u64,
 }
 
+impl Hall {
+    /// A hall that only the platform names.
+    pub fn of_platform(name: Name) -> Self {
+        Hall {
+            name,
+            weight: one_weight(),
+            weights_by_hour: Vec::new(),
+            state: ServerState::Serving,
+            region: None,
+            version: 0,
+        }
+    }
+}
+
 /// A customer, with the keys that its callers show.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -44,6 +64,9 @@
     /// Higher goes first at the engine, before the priority of the route.
     #[serde(default)]
     pub priority: i32,
+    /// Regions whose servers may serve it; with none all may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<Name>,
     /// Revision of the table that wrote this row last; written by the system.
     #[serde(default)]
     pub version: u64,
@@ -126,6 +149,22 @@
     Draining,
 }
 
+impl ServerState {
+    /// Whether it takes new work.
+    pub fn is_serving(&self) -> bool {
+        *self == ServerState::Serving
+    }
+}
+
+/// What the platform's list tells of a server besides its row.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub struct ListedState {
+    /// When this start of it began, in milliseconds since 1970; 0 where nobody tells.
+    pub started_ms: Millis,
+    /// Until when it is cold, by this daemon's clock.
+    pub cold_until: Millis,
+}
+
 /// A backend server.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -153,6 +192,9 @@
     /// Whether it checks the epoch of orders and refuses work by itself.
     #[serde(default)]
     pub checks_orders: bool,
+    /// What the platform's list tells of it; nothing for a row of the operators.
+    #[serde(skip)]
+    pub listed: ListedState,
     /// Revision of the table that wrote this row last; written by the system.
     #[serde(default)]
     pub version: u64,
@@ -240,6 +282,9 @@
     /// Whether a broken stream may go on at another server.
     #[serde(default)]
     pub resumable: bool,
+    /// Regions whose servers may serve it; with none all may.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub homes: Vec<Name>,
     /// Revision of the table that wrote this row last; written by the system.
     #[serde(default)]
     pub version: u64,
--- a/crates/core/src/table/service.rs
+++ b/crates/core/src/table/service.rs
@@ -2,7 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::{Name, Tokens};
+use crate::{Millis, Name, Tokens};
 
 /// What a service's model engines have in common.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -16,6 +16,17 @@
     pub tokens_per_event: Tokens,
 }
 
+/// How the servers of a service begin: for some time they carry little, and collapse
+/// under more.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct ColdStart {
+    /// How long a server stays cold after its start, in milliseconds.
+    pub lasts_ms: Millis,
+    /// Requests a second that a cold server carries.
+    pub requests_per_s: f64,
+}
+
 /// A service whose servers the platform lists.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
@@ -29,6 +40,9 @@
     /// What its engines have in common; none for a plain service.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub engine: Option<Engine>,
+    /// How its servers begin; none where they are as fast as ever from the first request.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub cold_start: Option<ColdStart>,
     /// Revision of the table that wrote this row last; written by the system.
     #[serde(default)]
     pub version: u64,
--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/admission.rs
@@ -35,6 +35,8 @@
     pub table: Arc<Table>,
     /// The workspace.
     pub workspace: Name,
+    /// Regions that may serve the workspace; with none all may.
+    pub homes: Vec<Name>,
     /// The budget.
     pub budget: Budget,
     /// The idempotency key, made when the caller sent none.
@@ -72,7 +74,8 @@
     };
     let once = header(req, "x-bankcove-repeatable") == Some("false");
     let request = RequestHash::of(&workspace.name, &key);
-    Ok(Caller { table, workspace: workspace.name, budget, key, request, once })
+    let (homes, workspace) = (workspace.homes, workspace.name);
+    Ok(Caller { table, workspace, homes, budget, key, request, once })
 }
 
 fn workspace_of<'a>(table: &'a Table, req: &Request) -> Result<&'a Workspace, Problem> {
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -3,7 +3,9 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bankcove_core::Name;
 use bankcove_core::lifecycle::{Admitted, Attempt, Received};
+use bankcove_core::router::Homes;
 use bankcove_core::table::{RouteTarget, ServerKind, WhenShort};
 use bankcove_core::{AttemptId, Tokens};
 use bytes::Bytes;
@@ -37,6 +39,7 @@
     pub log: Logger,
     body: Value,
     model: String,
+    route_homes: Vec<Name>,
     max_tokens: Tokens,
     prompt_bytes: usize,
     prefix: u64,
@@ -132,6 +135,7 @@
         prompt_bytes: messages.len(),
         stream: body["stream"].as_bool().unwrap_or(false),
         repeatable: route.repeatable && !caller.once,
+        route_homes: route.homes.clone(),
         deadline: Duration::from_millis(route.deadline_ms),
         caller,
         body,
@@ -216,6 +220,7 @@
         prefix: chat.prefix,
         kind: ServerKind::Model,
         request: chat.caller.request,
+        homes: Homes { route: &chat.route_homes, workspace: &chat.caller.homes },
         claimed: !chat.repeatable,
     }
 }
--- a/crates/daemon/src/config.rs
+++ b/crates/daemon/src/config.rs
@@ -153,6 +153,11 @@
 }
 
 impl Config {
+    /// Whether halls are evacuated by the platform.
+    pub fn follows_evacuations(&self) -> bool {
+        self.entry.as_ref().is_some_and(|entry| entry.follow_evacuations)
+    }
+
     /// Settings for a first look, with every default written out.
     pub fn example() -> Self {
         Config {
@@ -298,6 +303,9 @@
     Error::Config(found)
 }
 
+/// The setting whose keys are the operators' to choose.
+const HALL_REGIONS: &str = "entry.hall_regions";
+
 /// Removes every key that the settings do not have and names it: serde would
 /// stop at the first.
 fn take_unknown_keys(value: &mut Value) -> Vec<ConfigFault> {
@@ -321,6 +329,8 @@
     value.retain(|key, inner| {
         let path = if path.is_empty() { key.clone() } else { format!("{path}.{key}") };
         match known.get(key) {
+            // Its keys are names of halls.
+            Some(_) if path == HALL_REGIONS => {}
             Some(known) => take_unknown_keys_below(inner, known, &path, found),
             None => found.push(ConfigFault::new(
                 &path,
--- a/crates/daemon/src/config/entry.rs
+++ b/crates/daemon/src/config/entry.rs
@@ -1,8 +1,10 @@
 //! Settings of the entry side.
 
-use bankcove_core::Millis;
+use std::collections::BTreeMap;
+
 use bankcove_core::retry_budget::Allowance;
 use bankcove_core::table::Table;
+use bankcove_core::{Millis, Name};
 use serde::{Deserialize, Serialize};
 
 use crate::error::ConfigFault;
@@ -47,6 +49,13 @@
     /// seconds, and of each lower rank within twice as many. 0 lets it take all.
     #[serde(default = "default_ration_s")]
     pub ration_s: f64,
+    /// Whether operators evacuate halls by the platform: it is watched for that, and what
+    /// is known of it must be recent.
+    #[serde(default)]
+    pub follow_evacuations: bool,
+    /// The region of each hall, for requests that may be served in some alone.
+    #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
+    pub hall_regions: BTreeMap<Name, Name>,
 }
 
 /// Milliseconds of a second.
@@ -104,6 +113,8 @@
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
             ration_s: default_ration_s(),
+            follow_evacuations: true,
+            hall_regions: BTreeMap::from([(Name::from("hall-1"), Name::from("region-1"))]),
         }
     }
 
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -21,8 +21,8 @@
 use crate::error::{Error, Result};
 use crate::http::{Side, serve};
 use crate::{
-    backend, billing, chat, draws, host_list, logging, membership, operator, peer, proxy,
-    server_sync, store_calls, table_sync, tend, unread_news,
+    backend, billing, chat, draws, hall_sync, host_list, logging, membership, operator, peer,
+    proxy, server_sync, store_calls, table_sync, tend, unread_news,
 };
 
 /// Pause between two looks while a planned stop waits.
@@ -145,6 +145,9 @@
         tokio::spawn(unread_news::tell(Arc::clone(&daemon)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
         tokio::spawn(server_sync::watch(Arc::clone(&daemon)));
+        if daemon.cfg.follows_evacuations() {
+            tokio::spawn(hall_sync::watch(Arc::clone(&daemon)));
+        }
         let greeter = Arc::clone(&daemon);
         tokio::spawn(async move { membership::greet_seed_peers(&greeter).await });
         slog::info!(daemon.log, "serving";
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -4,6 +4,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::{ArcSwap, ArcSwapOption};
+use bankcove_core::hall_list::HallList;
 use bankcove_core::members::{Heartbeat, Members};
 use bankcove_core::router::Router;
 use bankcove_core::server_list::ServerList;
@@ -27,6 +28,7 @@
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
 use crate::request_log::RequestLogs;
+use crate::unreadable::UnreadableEntries;
 
 /// Servers whose pace one heartbeat tells: some 100 bytes. A daemon hears twelve
 /// heartbeats a second, so that one of 140 servers is told of every 3 s.
@@ -54,6 +56,10 @@
     pub router: Mutex<Router>,
     /// The backend servers that the platform lists.
     pub servers: Mutex<ServerList>,
+    /// Halls that take no new work.
+    pub halls: Mutex<HallList>,
+    /// Entries of the store that can't be read, each told once.
+    pub unreadable: UnreadableEntries,
     /// The other daemons.
     pub members: Mutex<Members>,
     /// The platform's host list as last read.
@@ -118,13 +124,15 @@
             table: ArcSwapOption::empty(),
             router: Mutex::new(Router::default()),
             servers: Mutex::new(ServerList::default()),
+            halls: Mutex::new(HallList::default()),
+            unreadable: UnreadableEntries::default(),
             members: Mutex::new(Members::new(cfg.name.clone())),
             hosts: ArcSwap::from_pointee(HostList::default()),
             budgets: Budgets::new(incarnation),
             requests: RequestLogs::default(),
             billing: Billing::default(),
             peers: PeerPool::default(),
-            contact: Contact::default(),
+            contact: Contact::new(cfg.follows_evacuations()),
             fetches: Fetches::default(),
             unread_changed: Notify::new(),
             news_told: AtomicU64::new(0),
@@ -157,6 +165,7 @@
         // its end, and an adoption, which takes these two the other way round, would wait
         // for this heartbeat as it waits for the adoption.
         let servers_version = self.servers.lock().version();
+        let evacuated = self.halls.lock().told().clone();
         let first_pace = rand::random_range(0..usize::MAX);
         let paces = self.router.lock().paces(PACES_PER_HEARTBEAT, first_pace);
         Heartbeat {
@@ -166,6 +175,7 @@
             address: self.cfg.peer_address().to_owned(),
             revision: self.revision(),
             servers_version,
+            evacuated,
             stopping: self.stopping.is_cancelled(),
             store_heard_ms: self.contact.store_age(self.clock.now()),
             view_age_ms: self.contact.view_age(self.clock.now()),
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -40,14 +40,14 @@
     resume_after: Option<u64>,
 ) -> Tried {
     let entry = Arc::clone(&call.entry);
-    let mut open = OpenRequest::new(&entry.daemon, &choice.server, call.prompt_tokens());
+    let mut open = OpenRequest::new(&entry.daemon, &choice, call.prompt_tokens());
     let outgoing = call.outgoing(&choice, resume_after);
     let ran_before = call.ran;
     charge.sent();
     call.tried.push(choice.server.clone());
     call.link.sent(call.body.len());
     call.link.sent_head();
-    let sent = timeout_at(call.deadline, entry.backends.send(&choice.address, outgoing)).await;
+    let sent = timeout_at(call.deadline, entry.backends.send(&choice, outgoing)).await;
     let res = match sent {
         Err(_) => {
             call.ran = true;
--- a/crates/daemon/src/entry/backends.rs
+++ b/crates/daemon/src/entry/backends.rs
@@ -3,8 +3,11 @@
 //! hyper's client, on which reqwest rests too: reqwest rewrites some paths
 //! (dots, escapes), and a path must reach the server as the caller wrote it.
 
+use std::collections::HashMap;
 use std::time::Duration;
 
+use bankcove_core::Millis;
+use bankcove_core::router::Choice;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -13,6 +16,7 @@
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::TokioExecutor;
+use parking_lot::Mutex;
 
 /// Longest wait for a connection: a server in reach answers within 2 ms, and a
 /// silent one must not use up the 300 ms that callers of plain services allow.
@@ -49,26 +53,59 @@
     Broken(String),
 }
 
+/// Connections to the servers at one or more addresses.
+type Connections = Client<HttpConnector, Full<Bytes>>;
+
 /// The client.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Backends {
-    client: Client<HttpConnector, Full<Bytes>>,
+    /// For servers of which one start alone was seen.
+    shared: Connections,
+    starts: Mutex<HashMap<String, Start>>,
+}
+
+/// The start of a server that is sent to.
+#[derive(Debug)]
+struct Start {
+    started_ms: Millis,
+    /// Its own connections, when an earlier start was sent to at that address: what is
+    /// kept to that one may hang for [`UNACKNOWLEDGED`], if its host lost power.
+    own: Option<Connections>,
+}
+
+fn connections() -> Connections {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
+    connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
+    // A request that never left because its connection had closed before is
+    // sent on another one; one that has left in part is not.
+    Client::builder(TokioExecutor::new())
+        .pool_idle_timeout(IDLE_TIMEOUT)
+        .retry_canceled_requests(true)
+        .build(connector)
 }
 
 impl Backends {
     /// A client without connections.
     pub fn new() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
-        connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
-        // A request that never left because its connection had closed before is
-        // sent on another one; one that has left in part is not.
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .retry_canceled_requests(true)
-            .build(connector);
-        Backends { client }
+        Backends { shared: connections(), starts: Mutex::default() }
+    }
+
+    /// Connections to this start of a server.
+    fn connections_to(&self, address: &str, started_ms: Millis) -> Connections {
+        if started_ms == 0 {
+            return self.shared.clone();
+        }
+        let mut starts = self.starts.lock();
+        if let Some(known) = starts.get_mut(address) {
+            if known.started_ms != started_ms {
+                *known = Start { started_ms, own: Some(connections()) };
+            }
+            return known.own.clone().unwrap_or_else(|| self.shared.clone());
+        }
+        starts.insert(address.to_owned(), Start { started_ms, own: None });
+        self.shared.clone()
     }
 
     /// Sends a request and returns once the head of the answer is there.
@@ -77,12 +114,12 @@
     /// [`SendError`] tells whether anything was sent.
     pub async fn send(
         &self,
-        address: &str,
+        choice: &Choice,
         outgoing: Outgoing,
     ) -> Result<Response<Incoming>, SendError> {
         let uri = Uri::builder()
             .scheme(Scheme::HTTP)
-            .authority(address)
+            .authority(choice.address.as_str())
             .path_and_query(outgoing.path)
             .build()
             .map_err(|e| SendError::NotConnected(e.to_string()))?;
@@ -90,7 +127,8 @@
         *req.method_mut() = outgoing.method;
         *req.uri_mut() = uri;
         *req.headers_mut() = outgoing.headers;
-        self.client.request(req).await.map_err(|e| {
+        let connections = self.connections_to(&choice.address, choice.started_ms);
+        connections.request(req).await.map_err(|e| {
             if e.is_connect() {
                 SendError::NotConnected(causes(&e))
             } else {
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::router::{Choice, NoServer, Wanted};
+use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
 use bankcove_core::{Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Incoming, Prompt};
 use bytes::Bytes;
@@ -101,6 +101,7 @@
             hour: 0,
             seed,
             tried: &self.tried,
+            homes: Homes { route: &self.plan.route.homes, workspace: &self.plan.workspace_homes },
         };
         let daemon = &self.entry.daemon;
         daemon.router.lock().choose(daemon.clock.now(), &wanted)
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -1,6 +1,7 @@
 //! The tries of one request: a server, and another one for as long as the
 //! first has provably not run it or the request may repeat.
 
+use bankcove_core::router::NoServer;
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
@@ -24,11 +25,18 @@
 /// What the caller is told instead.
 pub async fn forward(mut call: Call, mut charge: Charge) -> Result<Answer, Refusal> {
     let mut failure = None;
+    let mut none = NoServer::NoneUsable;
     loop {
         if !call.may_send() {
             break;
         }
-        let Ok(choice) = call.choose() else { break };
+        let choice = match call.choose() {
+            Ok(choice) => choice,
+            Err(why) => {
+                none = why;
+                break;
+            }
+        };
         let resume_after = call.incoming.resume_after;
         match attempt(&mut call, &mut charge, choice, resume_after).await {
             Tried::Begun(res, open, choice) => {
@@ -58,5 +66,5 @@
         log_end(&call, &charge, "server failed", status);
         return Ok(Answer::Whole(status, headers, body));
     }
-    Err(if call.ran { Refusal::AnswerLost } else { Refusal::NoServer })
+    Err(if call.ran { Refusal::AnswerLost } else { Refusal::no_server(none) })
 }
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -32,6 +32,8 @@
     pub tokens_per_event: Tokens,
     /// Who calls; none on a public route without a key.
     pub workspace: Option<Name>,
+    /// Regions that may serve the workspace.
+    pub workspace_homes: Vec<Name>,
     /// What pays, when the table holds a budget of the workspace.
     pub budget: Option<Budget>,
 }
@@ -61,6 +63,7 @@
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
             service,
             workspace: workspace.map(|row| row.name.clone()),
+            workspace_homes: workspace.map(|row| row.homes.clone()).unwrap_or_default(),
             budget: budget.cloned(),
         })
     }
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -5,6 +5,7 @@
 
 use std::time::Duration;
 
+use bankcove_core::router::NoServer;
 use bankcove_ports::wire::Malformed;
 use salvo::http::StatusCode;
 
@@ -16,6 +17,9 @@
 /// service is free again in about the 60 ms that a call takes.
 const RETRY_NO_SERVER: Duration = Duration::from_millis(150);
 
+/// When to come back while no hall takes work: operators end that, not the fleet.
+const RETRY_NO_HALL: Duration = Duration::from_secs(2);
+
 /// Why a caller gets no answer of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -80,6 +84,12 @@
     /// No server has taken the request.
     #[error("no backend server takes the request now")]
     NoServer,
+    /// Every hall that may serve the request takes no new work.
+    #[error("every hall that may serve the request is evacuated or outside its homes")]
+    NoHall,
+    /// All servers that are left have just started and bear nothing yet.
+    #[error("every backend server that is left is cold for {} ms", .0.as_millis())]
+    OnlyCold(Duration),
     /// The time was over before any server had the request.
     #[error("the time was over before a backend server had the request")]
     TooLate,
@@ -92,6 +102,15 @@
 }
 
 impl Refusal {
+    /// What a caller is told when the router finds no server.
+    pub fn no_server(why: NoServer) -> Self {
+        match why {
+            NoServer::NoneInTable | NoServer::NoneUsable => Refusal::NoServer,
+            NoServer::NoHall => Refusal::NoHall,
+            NoServer::OnlyCold(left_ms) => Refusal::OnlyCold(Duration::from_millis(left_ms)),
+        }
+    }
+
     /// The status of the answer.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -100,6 +119,8 @@
             | Refusal::LinkFull
             | Refusal::BudgetOutOfReach { .. }
             | Refusal::NoServer
+            | Refusal::NoHall
+            | Refusal::OnlyCold(_)
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -129,6 +150,8 @@
             Refusal::BudgetRationed { .. } => "budget_rationed",
             Refusal::BudgetOutOfReach { .. } => "budget_out_of_reach",
             Refusal::NoServer => "no_server",
+            Refusal::NoHall => "no_hall",
+            Refusal::OnlyCold(_) => "only_cold",
             Refusal::TooLate => "too_late",
             Refusal::TimedOut => "timed_out",
             Refusal::AnswerLost => "answer_lost",
@@ -141,6 +164,8 @@
         match self {
             Refusal::NoTable | Refusal::Stopping | Refusal::LinkFull => Some(RETRY_ELSEWHERE),
             Refusal::NoServer => Some(RETRY_NO_SERVER),
+            Refusal::NoHall => Some(RETRY_NO_HALL),
+            Refusal::OnlyCold(left) => Some(*left),
             Refusal::BudgetShort { retry_after, .. }
             | Refusal::BudgetRationed { retry_after, .. }
             | Refusal::BudgetOutOfReach { retry_after, .. } => Some(*retry_after),
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -159,7 +159,7 @@
     fn tell_pace(&self) {
         let daemon = &self.call.entry.daemon;
         if let Some(pace) = self.pace.of_server() {
-            daemon.router.lock().streamed(&self.choice.server, pace);
+            daemon.router.lock().streamed(&self.choice.server, self.choice.started_ms, pace);
         }
         let metrics = &daemon.metrics;
         let (first_ms, pause_ms) = (self.pace.first_ms(), self.pace.longest_pause_ms());
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,10 +1,21 @@
 //! How large the fleet is, and where this daemon stands in it.
 
+use std::time::Duration;
+
 use bankcove_core::members::FleetSize;
 use bankcove_core::standing::Standing;
 
 use crate::daemon::Daemon;
 
+/// Pause between two looks whether peers still tell of changes.
+const TOLD_POLL: Duration = Duration::from_millis(300);
+
+/// Pause between two looks while a start waits to be handed by peers what they know.
+pub const START_POLL: Duration = Duration::from_millis(20);
+
+/// Pause between two looks whether the store is back.
+const AWAY_POLL: Duration = Duration::from_millis(100);
+
 /// How many daemons the fleet has, by the platform's list; none while the list that is
 /// known may be that of a fleet which is still starting.
 pub fn fleet_size(daemon: &Daemon) -> Option<usize> {
@@ -45,6 +56,35 @@
     stale_after.is_some_and(|limit| !daemon.contact.is_view_older_than(limit, now))
 }
 
+/// What a daemon that follows something in the store does next.
+pub enum Turn {
+    /// It asks the store.
+    Ask,
+    /// Peers tell it, or the store is away: it looks again.
+    Wait,
+    /// The daemon ends.
+    End,
+}
+
+/// Waits for a moment when the store need not be asked: peers tell of it, will do so soon,
+/// or it is away, which the watch of the servers finds out. `is_known` tells whether what
+/// is followed was told once.
+pub async fn next_turn(daemon: &Daemon, is_known: bool) -> Turn {
+    let pause = if is_known && is_told_by_peers(daemon) {
+        TOLD_POLL
+    } else if awaits_peers(daemon) {
+        START_POLL
+    } else if daemon.contact.is_store_away(daemon.clock.now()) {
+        AWAY_POLL
+    } else {
+        return Turn::Ask;
+    };
+    tokio::select! {
+        () = tokio::time::sleep(pause) => Turn::Wait,
+        () = daemon.ended.cancelled() => Turn::End,
+    }
+}
+
 /// Whether this start still waits to be handed by peers what the store would tell.
 pub fn awaits_peers(daemon: &Daemon) -> bool {
     daemon.clock.now() < standing(daemon).start_patience()
--- a/crates/daemon/src/health.rs
+++ b/crates/daemon/src/health.rs
@@ -46,6 +46,12 @@
 }
 
 impl Contact {
+    /// Nobody was heard yet. `follows_halls` as in [`Freshness::new`].
+    pub fn new(follows_halls: bool) -> Self {
+        let state = State { view: Freshness::new(follows_halls), ..State::default() };
+        Contact { state: Mutex::new(state) }
+    }
+
     /// The store answered.
     pub fn store_heard(&self, now: Millis) {
         let mut state = self.state.lock();
@@ -66,6 +72,12 @@
         self.store_heard(now);
     }
 
+    /// The store told the halls that take no new work.
+    pub fn halls_read(&self, now: Millis) {
+        self.state.lock().view.halls_read(now);
+        self.store_heard(now);
+    }
+
     /// This daemon knows all that a peer knew when its view was this old.
     pub fn caught_up(&self, now: Millis, age: Millis) {
         self.state.lock().view.caught_up(now, age);
--- a/crates/daemon/src/host_list.rs
+++ b/crates/daemon/src/host_list.rs
@@ -10,9 +10,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::Daemon;
-use crate::fleet::{fleet_size, standing};
+use crate::fleet::{START_POLL, fleet_size, standing};
 use crate::membership::beat;
-use crate::server_sync;
 
 /// All hosts of a fleet start, and are listed, within this time: the users' do so
 /// within 0.3 s, and write for some 0.1 s.
@@ -48,7 +47,7 @@
 /// Waits until this start has read a host list.
 pub async fn host_list_read(daemon: &Daemon) {
     while !daemon.hosts.load().is_read() {
-        tokio::time::sleep(server_sync::START_POLL).await;
+        tokio::time::sleep(START_POLL).await;
     }
 }
 
@@ -87,7 +86,10 @@
         }
     }
     match daemon.store.hosts().await {
-        Ok(hosts) => Some(HostList::new(hosts, asked_at as i64)),
+        Ok(read) => {
+            daemon.unreadable.tell(&daemon.log, "hosts", &read.unreadable);
+            Some(HostList::new(read.hosts, asked_at as i64))
+        }
         Err(e) => {
             slog::info!(daemon.log, "host list not read"; "error" => %e);
             // Peers of the settings are asked until the watch finds the store, or they do.
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod entry;
 pub mod error;
 pub mod fleet;
+pub mod hall_sync;
 pub mod hand_over;
 pub mod health;
 pub mod host_list;
@@ -48,5 +49,6 @@
 pub mod tcp;
 pub mod tend;
 pub mod unread_news;
+pub mod unreadable;
 
 pub use error::{Error, Result};
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -11,7 +11,7 @@
 
 use crate::daemon::Daemon;
 use crate::fleet::{awaits_peers, is_told_by_peers, standing};
-use crate::{server_sync, table_sync};
+use crate::{hall_sync, server_sync, table_sync};
 
 /// Longest time until a daemon that waits for the store notices that peers tell of it.
 const TOLD_POLL: Duration = Duration::from_millis(200);
@@ -73,7 +73,8 @@
     });
 }
 
-fn take_in(daemon: &Daemon, heartbeat: &Heartbeat) {
+fn take_in(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
+    hall_sync::heard(daemon, &heartbeat.evacuated);
     daemon.members.lock().heard(daemon.clock.now(), heartbeat);
     daemon.router.lock().heard_paces(&heartbeat.paces);
 }
--- a/crates/daemon/src/placement.rs
+++ b/crates/daemon/src/placement.rs
@@ -5,9 +5,9 @@
 
 use bankcove_core::lifecycle::{Admitted, Attempt, Dispatched};
 use bankcove_core::reqlog::Entry;
-use bankcove_core::router::{Choice, NoServer, Wanted};
+use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
 use bankcove_core::table::ServerKind;
-use bankcove_core::{Name, RequestHash, Tokens};
+use bankcove_core::{Millis, Name, RequestHash, Tokens};
 use reqwest::Response;
 use salvo::http::StatusCode;
 
@@ -38,21 +38,23 @@
 pub struct OpenRequest {
     daemon: Arc<Daemon>,
     server: Name,
+    started_ms: Millis,
     well: bool,
     unread: Tokens,
 }
 
 impl OpenRequest {
     /// Counts a request with a prompt of this length (0 without one) as open at
-    /// `server`.
-    pub fn new(daemon: &Arc<Daemon>, server: &Name, prompt: Tokens) -> Self {
-        daemon.router.lock().sent(server, prompt);
+    /// the server of this choice.
+    pub fn new(daemon: &Arc<Daemon>, choice: &Choice, prompt: Tokens) -> Self {
+        daemon.router.lock().sent(&choice.server, choice.started_ms, prompt);
         if prompt >= MIN_TOLD_TOKENS {
             daemon.unread_changed.notify_one();
         }
         OpenRequest {
             daemon: Arc::clone(daemon),
-            server: server.clone(),
+            server: choice.server.clone(),
+            started_ms: choice.started_ms,
             well: true,
             unread: prompt,
         }
@@ -62,7 +64,7 @@
     pub fn begun(&mut self) {
         let prompt = std::mem::take(&mut self.unread);
         if prompt > 0 {
-            self.daemon.router.lock().read(&self.server, prompt);
+            self.daemon.router.lock().read(&self.server, self.started_ms, prompt);
         }
         if prompt >= MIN_TOLD_TOKENS {
             self.daemon.unread_changed.notify_one();
@@ -79,7 +81,7 @@
     fn drop(&mut self) {
         self.begun();
         let now = self.daemon.clock.now();
-        self.daemon.router.lock().ended(now, &self.server, self.well);
+        self.daemon.router.lock().ended(now, &self.server, self.started_ms, self.well);
     }
 }
 
@@ -93,6 +95,8 @@
     pub kind: ServerKind,
     /// The request.
     pub request: RequestHash,
+    /// Regions that may serve it.
+    pub homes: Homes<'a>,
     /// Whether a claim has to be given up when nothing ran.
     pub claimed: bool,
 }
@@ -109,6 +113,7 @@
         hour: daemon.clock.hour(),
         seed: rand::random(),
         tried,
+        homes: need.homes,
     };
     daemon.router.lock().choose(daemon.clock.now(), &wanted)
 }
@@ -151,7 +156,7 @@
             tried.push(choice.server);
             continue;
         }
-        let mut open = OpenRequest::new(daemon, &choice.server, 0);
+        let mut open = OpenRequest::new(daemon, &choice, 0);
         let dispatched = attempt.dispatch();
         let dispatching = backend::dispatch(daemon, &choice, outgoing.clone(), need.kind);
         let answer = tokio::select! {
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -6,6 +6,7 @@
 
 use bankcove_core::bill::Bill;
 use bankcove_core::lifecycle::{Attempt, Dispatched};
+use bankcove_core::router::Homes;
 use bankcove_core::table::{Route, ServerKind};
 use bankcove_core::{AttemptId, Name, Tokens};
 use bytes::Bytes;
@@ -152,6 +153,7 @@
         prefix: xxh3_64(outgoing.path.as_bytes()),
         kind: ServerKind::Service,
         request: caller.request,
+        homes: Homes { route: &route.homes, workspace: &caller.homes },
         claimed: once,
     };
     let until = tokio::time::Instant::now() + deadline;
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::server_list::{ListedServer, ServerChanges, ServerList};
-use bankcove_core::table::{Server, ServerKind, ServerState, Table};
+use bankcove_core::hall_list::HallList;
+use bankcove_core::server_list::{ListedServer, ServerChanges};
+use bankcove_core::table::{Hall, ListedState, Server, ServerKind, ServerState, Table};
+use bankcove_core::{Millis, Name};
 
 use crate::daemon::Daemon;
 use crate::peer::FETCH_TIMEOUT;
@@ -18,22 +20,60 @@
 /// Pause between two looks whether peers still tell of changes.
 const TOLD_POLL: Duration = Duration::from_millis(200);
 
-/// Pause between two looks while a start waits to be handed the list by peers.
-pub(crate) const START_POLL: Duration = Duration::from_millis(20);
-
 /// Pause after a change, so that one call brings those that follow: at a start all
 /// servers write their entries within a second, in a release tens of them do.
 const CHANGE_PAUSE: Duration = Duration::from_millis(200);
 
-/// The table with the listed servers as rows of it, for the router.
+/// The table with what the platform's lists say as rows of it, for the router: servers,
+/// and halls that take no new work.
 ///
 /// A listed server's pool is its service; its weight in the pool is one.
-pub fn with_listed(list: &ServerList, table: &Table) -> Table {
+pub fn with_listed(daemon: &Daemon, table: &Table) -> Table {
     let mut table = table.clone();
-    table.servers.extend(list.servers().map(row_of));
+    put_halls(daemon, &mut table);
+    let halls = daemon.halls.lock().clone();
+    let list = daemon.servers.lock();
+    for (listed, cold_until) in list.servers_with_cold() {
+        let mut row = row_of(listed);
+        row.listed.cold_until = cold_until_of(&table, &halls, listed, cold_until);
+        table.servers.push(row);
+    }
     table
 }
 
+/// Until when a listed server is taken for cold: only where its service knows of that. The
+/// servers of a hall that takes work again may have turned cold while they had none, and
+/// their entries say so later than the hall is opened: 30 of them got 21 requests a second
+/// each where they bear 19.
+fn cold_until_of(table: &Table, halls: &HallList, listed: &ListedServer, told: Millis) -> Millis {
+    let Some(cold) = table.service(&listed.service).and_then(|row| row.cold_start) else {
+        return 0;
+    };
+    let reopened = halls.reopened_at(&listed.hall).map_or(0, |at| at + cold.lasts_ms);
+    told.max(reopened)
+}
+
+/// Puts the regions of the settings and the platform's evacuated halls to the rows of halls.
+fn put_halls(daemon: &Daemon, table: &mut Table) {
+    let evacuated = daemon.halls.lock().told().halls.clone();
+    let regions = daemon.cfg.entry.iter().flat_map(|entry| &entry.hall_regions);
+    for (hall, region) in regions {
+        hall_row(table, hall).region.get_or_insert_with(|| region.clone());
+    }
+    for hall in &evacuated {
+        hall_row(table, hall).state = ServerState::Draining;
+    }
+}
+
+fn hall_row<'a>(table: &'a mut Table, name: &Name) -> &'a mut Hall {
+    let place = table.halls.iter().position(|row| row.name == *name);
+    let place = place.unwrap_or_else(|| {
+        table.halls.push(Hall::of_platform(name.clone()));
+        table.halls.len() - 1
+    });
+    &mut table.halls[place]
+}
+
 fn row_of(listed: &ListedServer) -> Server {
     Server {
         name: listed.name.clone(),
@@ -45,6 +85,7 @@
         limit: u32::MAX,
         state: if listed.draining { ServerState::Draining } else { ServerState::Serving },
         checks_orders: false,
+        listed: ListedState { started_ms: listed.started_ms, cold_until: 0 },
         version: 0,
     }
 }
@@ -71,7 +112,7 @@
             }
         }
         if fleet::awaits_peers(&daemon) {
-            tokio::time::sleep(START_POLL).await;
+            tokio::time::sleep(fleet::START_POLL).await;
             continue;
         }
         // Entries that lapsed are dropped when their grace is over, not later.
@@ -114,10 +155,7 @@
     let was_current = membership::is_current(daemon);
     daemon.contact.servers_read(now);
     membership::pass_on_return(daemon, was_current);
-    for entry in &changes.unreadable {
-        slog::error!(daemon.log, "a server's entry can't be read";
-            "server" => %entry.name, "problem" => &entry.problem);
-    }
+    daemon.unreadable.tell(&daemon.log, "servers", &changes.unreadable);
     let mut list = daemon.servers.lock();
     if is_back {
         list.platform_returned(now);
@@ -127,7 +165,7 @@
     drop(list);
     if changed {
         refresh_router(daemon);
-        told_peers(daemon);
+        tell_peers(daemon);
     }
     changed
 }
@@ -137,7 +175,7 @@
     let dropped = daemon.servers.lock().drop_lapsed(daemon.clock.now());
     if dropped {
         refresh_router(daemon);
-        told_peers(daemon);
+        tell_peers(daemon);
     }
 }
 
@@ -157,19 +195,20 @@
     }
 }
 
-fn refresh_router(daemon: &Arc<Daemon>) {
+/// Gives the router what the table and the lists say now.
+pub fn refresh_router(daemon: &Daemon) {
     // The router's lock orders adoptions: a table read before it may be old.
     let mut router = daemon.router.lock();
     let Some(table) = daemon.table.load_full() else { return };
+    router.adopt(&with_listed(daemon, &table));
     let list = daemon.servers.lock();
-    router.adopt(&with_listed(&list, &table));
     let draining = list.servers().filter(|server| server.draining).count();
     slog::info!(daemon.log, "servers changed";
         "version" => list.version().at, "drops" => list.version().drops, "servers" => list.servers().count(), "draining" => draining);
 }
 
 /// Others hear of the change at once, not at the next heartbeat.
-fn told_peers(daemon: &Arc<Daemon>) {
+pub fn tell_peers(daemon: &Arc<Daemon>) {
     let daemon = Arc::clone(daemon);
     tokio::spawn(async move { membership::beat(&daemon).await });
 }
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -3,14 +3,17 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bankcove_core::Name;
 use bankcove_core::edit::{Edit, apply};
+use bankcove_core::server_list::Unreadable;
 use bankcove_core::table::Table;
 use bankcove_ports::{Kind, WriteOutcome};
 
 use crate::daemon::Daemon;
+use crate::fleet::{Turn, next_turn};
+use crate::membership;
 use crate::peer::FETCH_TIMEOUT;
 use crate::server_sync;
-use crate::{fleet, membership};
 
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
@@ -21,9 +24,6 @@
 /// Pause after the store did not answer.
 const STORE_PAUSE: Duration = Duration::from_millis(300);
 
-/// Pause between two looks whether the store is back.
-const AWAY_POLL: Duration = Duration::from_millis(100);
-
 /// Tries of an edit against racing ones and lost answers.
 const EDIT_TRIES: usize = 8;
 
@@ -51,7 +51,7 @@
         if table.revision <= daemon.revision() {
             return;
         }
-        router.adopt(&server_sync::with_listed(&daemon.servers.lock(), &table));
+        router.adopt(&server_sync::with_listed(daemon, &table));
         let old = daemon.table.load_full();
         crate::orders::send_changed(daemon, old.as_deref(), &table);
         slog::info!(daemon.log, "table adopted"; "revision" => table.revision);
@@ -68,23 +68,11 @@
 pub async fn watch(daemon: Arc<Daemon>) {
     let mut at = 0;
     loop {
-        if daemon.revision() > 0 && fleet::is_told_by_peers(&daemon) {
-            // Heartbeats tell of new revisions, and peers hand them over.
-            tokio::select! {
-                () = tokio::time::sleep(STORE_PAUSE) => continue,
-                () = daemon.ended.cancelled() => return,
-            }
-        }
-        if fleet::awaits_peers(&daemon) {
-            tokio::time::sleep(server_sync::START_POLL).await;
-            continue;
-        }
-        if daemon.contact.is_store_away(daemon.clock.now()) {
-            // The watch of the servers tells when it is back.
-            tokio::select! {
-                () = tokio::time::sleep(AWAY_POLL) => continue,
-                () = daemon.ended.cancelled() => return,
-            }
+        // Heartbeats tell of new revisions, and peers hand them over.
+        match next_turn(&daemon, daemon.revision() > 0).await {
+            Turn::Ask => {}
+            Turn::Wait => continue,
+            Turn::End => return,
         }
         let watched = tokio::select! {
             watched = daemon.store.watch::<Table>(Kind::Table, TABLE_NAME, at, WATCH) => watched,
@@ -108,6 +96,13 @@
                 at = 0;
             }
             Err(e) => {
+                if let bankcove_ports::Error::Value { name, problem, .. } = &e {
+                    let entry = Unreadable {
+                        name: Some(Name::from(name.as_str())),
+                        problem: problem.clone(),
+                    };
+                    daemon.unreadable.tell(&daemon.log, "table", &[entry]);
+                }
                 slog::debug!(daemon.log, "table not watched"; "error" => %e);
                 tokio::time::sleep(STORE_PAUSE).await;
             }
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -36,6 +36,7 @@
         address: format!("127.0.0.1:{}", 20_000 + n),
         revision: 1,
         servers_version: Default::default(),
+        evacuated: Default::default(),
         stopping: false,
         store_heard_ms: None,
         view_age_ms: None,
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -19,6 +19,7 @@
         address: NOBODY.to_owned(),
         revision: 0,
         servers_version: Default::default(),
+        evacuated: Default::default(),
         stopping: false,
         store_heard_ms: Some(0),
         view_age_ms: Some(0),
--- a/crates/ports/src/calls.rs
+++ b/crates/ports/src/calls.rs
@@ -14,6 +14,8 @@
     Table,
     /// To read or watch the list of backend servers.
     Servers,
+    /// To read or watch the list of halls that take no new work.
+    Halls,
     /// To read the list of hosts.
     Hosts,
     /// To put this host on that list, or take it off.
@@ -27,9 +29,10 @@
 }
 
 /// Purposes in the order in which they are counted.
-const PURPOSES: [(Purpose, &str); 7] = [
+const PURPOSES: [(Purpose, &str); 8] = [
     (Purpose::Table, "table"),
     (Purpose::Servers, "servers"),
+    (Purpose::Halls, "halls"),
     (Purpose::Hosts, "hosts"),
     (Purpose::Announce, "announce"),
     (Purpose::BudgetsRead, "budgets_read"),
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -2,7 +2,8 @@
 
 use std::time::Duration;
 
-use bankcove_core::members::Host;
+use bankcove_core::hall_list::HallChanges;
+use bankcove_core::members::{Host, Hosts};
 use bankcove_core::server_list::ServerChanges;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -123,10 +124,10 @@
         Ok(page.names.into_iter().next())
     }
 
-    async fn list_hosts(&self) -> Result<Vec<Host>> {
+    async fn list_hosts(&self) -> Result<Hosts> {
         let req = self.http.get(format!("http://{}/v1/hosts", self.address));
         let answer: HostsAnswer = self.json(req).await?;
-        Ok(answer.hosts)
+        Ok(Hosts { hosts: answer.hosts, unreadable: Vec::new() })
     }
 
     async fn json<T: DeserializeOwned>(&self, req: reqwest::RequestBuilder) -> Result<T> {
@@ -186,7 +187,7 @@
         self.greatest_name(kind).boxed()
     }
 
-    fn hosts(&self) -> BoxFuture<'_, Result<Vec<Host>>> {
+    fn hosts(&self) -> BoxFuture<'_, Result<Hosts>> {
         self.list_hosts().boxed()
     }
 
@@ -207,4 +208,9 @@
         // The table's rows say which servers there are.
         async { Ok(None) }.boxed()
     }
+
+    fn watch_halls(&self, _: Version, _: Duration) -> BoxFuture<'_, Result<Option<HallChanges>>> {
+        // The table's rows say which halls take work.
+        async { Ok(None) }.boxed()
+    }
 }
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -8,7 +8,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::members::Host;
+use bankcove_core::hall_list::HallChanges;
+use bankcove_core::members::{Host, Hosts};
 use bankcove_core::server_list::ServerChanges;
 use futures::future::BoxFuture;
 use serde::Serialize;
@@ -64,7 +65,7 @@
 
     /// The hosts that run daemons, and those backend servers that are listed
     /// as hosts.
-    fn hosts(&self) -> BoxFuture<'_, Result<Vec<Host>>>;
+    fn hosts(&self) -> BoxFuture<'_, Result<Hosts>>;
 
     /// Puts this daemon's host on the list. Nothing to do where the platform
     /// keeps the list by itself.
@@ -81,6 +82,14 @@
         after: Version,
         wait: Duration,
     ) -> BoxFuture<'_, Result<Option<ServerChanges>>>;
+
+    /// Waits until the list of halls that take no new work has changed, like
+    /// [`StoreApi::watch_servers`]. None when the table's rows say all.
+    fn watch_halls(
+        &self,
+        after: Version,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Option<HallChanges>>>;
 }
 
 /// The platform's store as the daemon uses it; copies share the connections.
@@ -114,7 +123,7 @@
     ///
     /// # Errors
     /// [`Error::Away`] or [`Error::Value`].
-    pub async fn hosts(&self) -> Result<Vec<Host>> {
+    pub async fn hosts(&self) -> Result<Hosts> {
         self.calls.count(Purpose::Hosts);
         self.api.hosts().await
     }
@@ -151,6 +160,16 @@
         self.api.watch_servers(after, wait).await
     }
 
+    /// Waits for a change of the list of halls that take no new work, as
+    /// [`StoreApi::watch_halls`] does.
+    ///
+    /// # Errors
+    /// [`Error::Away`] or [`Error::HistoryGone`].
+    pub async fn watch_halls(&self, after: Version, wait: Duration) -> Result<Option<HallChanges>> {
+        self.calls.count(Purpose::Halls);
+        self.api.watch_halls(after, wait).await
+    }
+
     /// Reads an object; none when there is no such object.
     ///
     /// # Errors
