A host in trouble of its own ejects every server: failing tests

Its connections time out while packets wait (155 from 16 to 22 s), so that each server in turn has three failures in a row, and is left out for up to 30 s.

--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -357,3 +357,30 @@
     let other = router.choose(0, &wanted(7, &[])).expect("a server");
     assert_eq!(other.copy_from, None);
 }
+
+/// Load pattern: the link of this host is full, so that calls of every server fail, one
+/// server after the other.
+#[test]
+fn a_host_in_trouble_of_its_own_keeps_servers_to_call() {
+    let mut router = router(4, &[1.0, 1.0]);
+    for n in 0..4 {
+        let name = Name::from(format!("s{n}").as_str());
+        for _ in 0..30 {
+            router.sent(&name, 0, 0);
+            router.ended(0, &name, 0, false);
+        }
+    }
+    let left = counts(&router, 1);
+    assert!(left.len() >= 2, "half of the servers stay: {left:?}");
+}
+
+#[test]
+fn the_only_server_is_never_ejected() {
+    let mut router = router(1, &[1.0]);
+    let name = Name::from("s0");
+    for _ in 0..10 {
+        router.sent(&name, 0, 0);
+        router.ended(0, &name, 0, false);
+    }
+    assert!(choose(&router, 1, 7, &[]).is_some());
+}
