--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -85,6 +85,18 @@
         #[arg(value_name = "SERVER")]
         name: String,
     },
+    /// Give the servers of a hall nothing new; what runs there goes on.
+    Evacuate {
+        /// The hall's name.
+        #[arg(value_name = "HALL")]
+        name: String,
+    },
+    /// Let the servers of an evacuated hall take work again.
+    Reopen {
+        /// The hall's name.
+        #[arg(value_name = "HALL")]
+        name: String,
+    },
     /// Show a daemon and its peers, and who is behind with the table.
     Status,
     /// Print everything that a daemon knows, as JSON.
--- a/crates/cli/src/controller.rs
+++ b/crates/cli/src/controller.rs
@@ -28,8 +28,10 @@
         Command::Row(command) => table::run_row(cfg, command).await,
         Command::Budget(command) => budget::run(cfg, command).await,
         Command::Key(command) => key(command),
-        Command::Drain { name } => drain::run(cfg, &name, true).await,
-        Command::Undrain { name } => drain::run(cfg, &name, false).await,
+        Command::Drain { name } => drain::run(cfg, "servers", &name, true).await,
+        Command::Undrain { name } => drain::run(cfg, "servers", &name, false).await,
+        Command::Evacuate { name } => drain::run(cfg, "halls", &name, true).await,
+        Command::Reopen { name } => drain::run(cfg, "halls", &name, false).await,
         Command::Status => status(cfg).await,
         Command::Dump => {
             output::json(&Client::new(cfg)?.dump().await?);
--- a/crates/cli/src/drain.rs
+++ b/crates/cli/src/drain.rs
@@ -1,4 +1,4 @@
-//! Draining a backend server, and taking it back.
+//! Draining a backend server, or all of a hall, and taking it back.
 
 use serde_json::json;
 
@@ -7,12 +7,12 @@
 use crate::error::Result;
 use crate::table;
 
-/// Sets whether a server takes new work.
+/// Sets whether a row of this sheet, a server or a hall, takes new work.
 ///
 /// # Errors
 /// What the operator has to be told.
-pub async fn run(cfg: &Config, server: &str, drain: bool) -> Result<()> {
+pub async fn run(cfg: &Config, sheet: &str, name: &str, drain: bool) -> Result<()> {
     let state = if drain { "draining" } else { "serving" };
     let fields = vec![("state".to_owned(), json!(state))];
-    table::set(&Client::new(cfg)?, "servers", server, fields, None, None).await
+    table::set(&Client::new(cfg)?, sheet, name, fields, None, None).await
 }
--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -42,6 +42,20 @@
     }
 }
 
+#[test]
+fn a_home_where_no_hall_lies_is_told() {
+    let table = json!({
+        "halls": [{"name": "hall-1", "region": "north"}],
+        "workspaces": [
+            {"name": "w", "keys_sha256": [], "default_budget": "b", "homes": ["north", "west"]},
+        ],
+        "budgets": [{"name": "b", "workspace": "w", "tokens": 1}],
+    });
+    let stderr = stderr(&check_table(&table));
+    assert!(stderr.contains("'west'") && stderr.contains("give a hall that region"), "{stderr}");
+    assert!(!stderr.contains("'north'"), "{stderr}");
+}
+
 #[test]
 fn a_misspelt_field_is_told_with_its_path() {
     let output = check_table(&json!({"halls": [{"name": "hall-1", "wieght": 2}]}));
--- a/crates/core/src/table_check.rs
+++ b/crates/core/src/table_check.rs
@@ -42,6 +42,7 @@
     check_budgets(table, &mut faults);
     check_servers(table, &mut faults);
     check_routes(table, &mut faults);
+    check_homes(table, &mut faults);
     if faults.0.is_empty() {
         return Ok(());
     }
@@ -192,6 +193,29 @@
     }
 }
 
+/// A home where no hall lies is served by nobody. Where the platform alone names the halls
+/// nothing is known of their regions.
+fn check_homes(table: &Table, faults: &mut Faults) {
+    if table.halls.is_empty() {
+        return;
+    }
+    let regions: HashSet<&Name> =
+        table.halls.iter().filter_map(|row| row.region.as_ref()).collect();
+    for row in &table.routes {
+        check_homes_of(row, &row.homes, &regions, faults);
+    }
+    for row in &table.workspaces {
+        check_homes_of(row, &row.homes, &regions, faults);
+    }
+}
+
+fn check_homes_of<R: Row>(row: &R, homes: &[Name], regions: &HashSet<&Name>, faults: &mut Faults) {
+    for home in homes.iter().filter(|home| !regions.contains(home)) {
+        let problem = format!("no hall lies in region '{home}'");
+        faults.add(row, "homes", problem, "give a hall that region, or name another");
+    }
+}
+
 fn check_model_route(table: &Table, row: &Route, model: &Name, faults: &mut Faults) {
     if row.max_tokens == 0 {
         let problem = "an output limit of 0 lets nothing through".to_owned();
--- a/crates/proofs/tests/operations.rs
+++ b/crates/proofs/tests/operations.rs
@@ -177,6 +177,31 @@
     accepted(&fleet, 1, &["undrain", "engine-0"]);
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn an_evacuated_hall_gets_no_new_work_and_its_streams_end_whole() {
+    let fleet =
+        Fleet::start(&Plan { daemons: 2, engines: 2, step_ms: 20, ..Plan::default() }).await;
+    accepted(&fleet, 0, &["row", "set", "halls", "hall-2", "weight=1"]);
+    accepted(&fleet, 0, &["row", "set", "servers", "engine-1", "hall=hall-2"]);
+    let target = addresses(&fleet)[0].clone();
+    let long = tokio::spawn(async move {
+        Caller::default().ask(&target, &Ask::new("long".to_owned()).max_tokens(60)).await
+    });
+    tokio::time::sleep(Duration::from_millis(300)).await;
+    accepted(&fleet, 0, &["evacuate", "hall-1"]);
+    wait_for_revision(&fleet, 1, revision(&fleet, 0).await).await;
+    let before = runs_at(&fleet, 0).await;
+    let attempts = ask_all(&fleet, "evacuated", 20).await;
+    assert_eq!(check::whole_answers(&attempts), Ok(20), "{attempts:?}");
+    assert_eq!(runs_at(&fleet, 0).await, before);
+    let stream = long.await.expect("the caller does not panic");
+    assert_eq!(check::whole_answers(&[stream]), Ok(1));
+    accepted(&fleet, 1, &["reopen", "hall-1"]);
+    wait_for_revision(&fleet, 0, revision(&fleet, 1).await).await;
+    let attempts = ask_all(&fleet, "reopened", 40).await;
+    assert_eq!(check::whole_answers(&attempts), Ok(40), "{attempts:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_server_listed_as_leaving_gets_no_new_work() {
     let fleet = Fleet::start(&Plan { daemons: 2, engines: 2, ..Plan::default() }).await;
