--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -1,12 +1,16 @@
 //! The operators' table: halls, workspaces, budgets, backend servers, routes.
 
+mod route;
+mod server;
 mod service;
 
 use serde::{Deserialize, Serialize};
 
+pub use route::{Route, RouteTarget, Share};
+pub use server::{ListedState, Server, ServerKind, ServerState};
 pub use service::{CallerLimits, ColdStart, Engine, Service};
 
-use crate::{Millis, Name, Tokens};
+use crate::{Name, Tokens};
 
 /// Hours of a day, for weights that follow the sun.
 pub const HOURS: usize = 24;
@@ -128,168 +132,6 @@
     }
 }
 
-/// What kind of work a backend server does.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ServerKind {
-    /// A language-model runner with the chat-completions interface.
-    Model,
-    /// A plain HTTP service.
-    Service,
-}
-
-/// Whether a backend server takes new work.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Serialize, Deserialize)]
-#[serde(rename_all = "snake_case")]
-pub enum ServerState {
-    /// It takes new work.
-    #[default]
-    Serving,
-    /// It finishes what it has and takes nothing new.
-    Draining,
-}
-
-impl ServerState {
-    /// Whether it takes new work.
-    pub fn is_serving(&self) -> bool {
-        *self == ServerState::Serving
-    }
-}
-
-/// What the platform's list tells of a server besides its row.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
-pub struct ListedState {
-    /// When this start of it began, in milliseconds since 1970; 0 where nobody tells.
-    pub started_ms: Millis,
-    /// Until when it is cold, by this daemon's clock.
-    pub cold_until: Millis,
-}
-
-/// A backend server.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Server {
-    /// The row's name.
-    pub name: Name,
-    /// The hall that it stands in.
-    pub hall: Name,
-    /// Its address, IP number and port.
-    pub address: String,
-    /// What kind of work it does.
-    pub kind: ServerKind,
-    /// Models that it serves; only for model servers.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub models: Vec<Name>,
-    /// Share of its hall's work, against the hall's other servers.
-    #[serde(default = "one_weight")]
-    pub weight: f64,
-    /// Requests that one daemon may have open there at once.
-    #[serde(default = "default_limit")]
-    pub limit: u32,
-    /// Whether it takes new work.
-    #[serde(default)]
-    pub state: ServerState,
-    /// Whether it checks the epoch of orders and refuses work by itself.
-    #[serde(default)]
-    pub checks_orders: bool,
-    /// What the platform's list tells of it; nothing for a row of the operators.
-    #[serde(skip)]
-    pub listed: ListedState,
-    /// Revision of the table that wrote this row last; written by the system.
-    #[serde(default)]
-    pub version: u64,
-}
-
-/// A part of a route's requests.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(deny_unknown_fields)]
-pub struct Share {
-    /// The service that takes this part.
-    pub service: Name,
-    /// Its part, against the route's other shares.
-    #[serde(default = "one_weight")]
-    pub weight: f64,
-}
-
-/// What a route leads to.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-#[serde(tag = "to", rename_all = "snake_case")]
-pub enum RouteTarget {
-    /// Servers that serve this model, by the chat-completions interface.
-    Model {
-        /// The model that callers ask for.
-        model: Name,
-    },
-    /// Plain services, by the first part of the path.
-    Service {
-        /// Paths that begin so are led to `servers`.
-        path_prefix: String,
-        /// The plain services.
-        servers: Vec<Name>,
-    },
-    /// Services whose servers the platform lists, by the caller's `Host` header
-    /// and the first part of the path.
-    Host {
-        /// The host that callers name.
-        host: String,
-        /// Paths that begin so are led to `split`; the longest one wins.
-        path_prefix: String,
-        /// The services, each with its part.
-        split: Vec<Share>,
-    },
-}
-
-/// A way from a caller's request to backend servers.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Route {
-    /// The row's name.
-    pub name: Name,
-    /// What it leads to.
-    #[serde(flatten)]
-    pub target: RouteTarget,
-    /// Output limit of callers that give none, and the most that one may ask.
-    #[serde(default = "default_max_tokens")]
-    pub max_tokens: u64,
-    /// Price of one call of a plain service, in tokens.
-    #[serde(default)]
-    pub call_tokens: Tokens,
-    /// Higher goes first at the engine.
-    #[serde(default)]
-    pub priority: i32,
-    /// Whether a request may run again when its outcome is not known.
-    #[serde(default = "yes")]
-    pub repeatable: bool,
-    /// Longest time for the whole request, in milliseconds.
-    #[serde(default = "default_deadline_ms")]
-    pub deadline_ms: u64,
-    /// Servers that one request may be sent to, at most.
-    #[serde(default = "default_max_tries")]
-    pub max_tries: u32,
-    /// Time within which an answer (of a stream its first event) is of full
-    /// use to the caller, in milliseconds; 0 when that is not known.
-    #[serde(default)]
-    pub goal_ms: u64,
-    /// Longest time between two events of a stream that is of full use to the
-    /// caller, in milliseconds; none when that is not known.
-    #[serde(default, skip_serializing_if = "Option::is_none")]
-    pub pause_goal_ms: Option<u64>,
-    /// Whether callers need no key.
-    #[serde(default)]
-    pub public: bool,
-    /// Whether the answer is a stream of events.
-    #[serde(default)]
-    pub streams: bool,
-    /// Whether a broken stream may go on at another server.
-    #[serde(default)]
-    pub resumable: bool,
-    /// Regions whose servers may serve it; with none all may.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub homes: Vec<Name>,
-    /// Revision of the table that wrote this row last; written by the system.
-    #[serde(default)]
-    pub version: u64,
-}
-
 /// Something with a name and a version: a row of any sheet.
 pub trait Row: Clone + Serialize {
     /// The sheet's name as operators write it.
@@ -439,6 +281,7 @@
     }
 }
 
+/// Rows weigh the same unless they say otherwise.
 fn one_weight() -> f64 {
     1.0
 }
@@ -454,23 +297,3 @@
 fn default_held_ahead() -> f64 {
     1.0
 }
-
-fn default_limit() -> u32 {
-    64
-}
-
-fn default_max_tokens() -> u64 {
-    512
-}
-
-fn default_deadline_ms() -> u64 {
-    60_000
-}
-
-fn default_max_tries() -> u32 {
-    3
-}
-
-fn yes() -> bool {
-    true
-}
--- a/crates/daemon/src/hall_sync.rs
+++ b/crates/daemon/src/hall_sync.rs
@@ -8,7 +8,7 @@
 
 use crate::daemon::Daemon;
 use crate::fleet::{Turn, next_turn};
-use crate::{membership, server_sync};
+use crate::{membership, routing_table, server_sync};
 
 /// Longest watch of the list, as of the list of servers.
 const WATCH: Duration = Duration::from_millis(1_500);
@@ -72,7 +72,7 @@
 
 /// No new work goes there from here on, and others hear of it at once.
 fn changed(daemon: &Arc<Daemon>) {
-    server_sync::refresh_router(daemon);
+    routing_table::refresh(daemon);
     let told = daemon.halls.lock().told().clone();
     let names: Vec<String> = told.halls.iter().map(ToString::to_string).collect();
     slog::info!(daemon.log, "evacuated halls changed"; "version" => told.at, "halls" => names.join(", "));
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod pump;
 pub mod ration;
 pub mod request_log;
+pub mod routing_table;
 pub mod server_sync;
 pub mod sse;
 pub mod store_calls;
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -13,7 +13,7 @@
 use crate::fleet::{Turn, next_turn};
 use crate::membership;
 use crate::peer::FETCH_TIMEOUT;
-use crate::server_sync;
+use crate::routing_table;
 
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
@@ -51,7 +51,7 @@
         if table.revision <= daemon.revision() {
             return;
         }
-        router.adopt(&server_sync::with_listed(daemon, &table));
+        router.adopt(&routing_table::with_listed(daemon, &table));
         let old = daemon.table.load_full();
         crate::orders::send_changed(daemon, old.as_deref(), &table);
         slog::info!(daemon.log, "table adopted"; "revision" => table.revision);
