--- a/crates/core/tests/places.rs
+++ b/crates/core/tests/places.rs
@@ -188,6 +188,22 @@
     assert_eq!(until(&list), Some(5_000));
 }
 
+/// Load pattern: thousands of servers start, and each entry counts down how long its server
+/// is cold. Each version of the list goes whole to every daemon.
+#[test]
+fn a_cold_server_that_turns_warm_as_it_said_makes_no_version() {
+    let mut list = ServerList::default();
+    let cold = |cold_for_ms| ListedServer { cold_for_ms, ..listed(1) };
+    assert!(list.apply(0, put(1, cold(3_000))));
+    assert!(!list.apply(1_300, put(2, cold(1_800))), "it counts down");
+    assert!(!list.apply(3_700, put(3, cold(0))), "it is warm, which was known");
+    assert_eq!(list.version().at, 1);
+    assert!(list.apply(9_000, put(4, cold(3_000))), "it has turned cold again");
+    assert!(list.apply(9_500, put(5, cold(0))), "it is warm earlier than it said");
+    assert_eq!(list.servers_with_cold().map(|(_, until)| until).next(), Some(9_500));
+    assert!(list.apply(9_600, put(6, ListedServer { draining: true, ..cold(0) })));
+}
+
 fn with_start(started_ms: Millis) -> Table {
     let mut table = table();
     table.servers[0].listed.started_ms = started_ms;
