An earlier start's word of leaving does not hold for the next; unreadable evacuations are told

Found in reading the diff: a 421 that answers a request to an earlier start may come after the next one is known, which then got nothing for 10 s. The word names the start now. Spoilt entries of the list of evacuated halls were passed over without a line in the log; they are told like the others.

--- a/crates/core/src/hall_list.rs
+++ b/crates/core/src/hall_list.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::server_list::Unreadable;
 use crate::{Millis, Name};
 
 /// What the platform says of halls that take no new work.
@@ -20,6 +21,8 @@
     pub evacuated: Vec<Name>,
     /// Halls that take work again.
     pub reopened: Vec<Name>,
+    /// Entries that can't be read; one with a name evacuates that hall all the same.
+    pub unreadable: Vec<Unreadable>,
 }
 
 /// The list as daemons tell each other.
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -118,8 +118,11 @@
         });
     }
 
-    /// Takes in that a server refused work because it is leaving.
-    pub fn said_leaving(&mut self, now: Millis, name: &Name) {
+    /// Takes in that this start of a server refused work because it is leaving.
+    pub fn said_leaving(&mut self, now: Millis, name: &Name, start: Millis) {
+        if self.index_of_start(name, start).is_none() {
+            return;
+        }
         self.change_load(name, |view| view.leaving_until = now + LEAVING_WORD_MS);
     }
 
--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -81,7 +81,7 @@
     let mut by_list = router(3, &[1.0]);
     by_list.listed_leaving(&[Name::from("s1")]);
     let mut by_word = router(3, &[1.0]);
-    by_word.said_leaving(0, &Name::from("s1"));
+    by_word.said_leaving(0, &Name::from("s1"), 0);
     let mut by_report = router(3, &[1.0]);
     let report = LoadReport { running: 0, waiting: 0, leaving: true };
     by_report.report(0, &Name::from("s1"), report);
@@ -255,7 +255,7 @@
     let mut router = listed(4);
     show_paces(&mut router, 4, &[1]);
     for n in [0, 2, 3] {
-        router.said_leaving(0, &server(n));
+        router.said_leaving(0, &server(n), 0);
     }
     assert_eq!(counts_of(&router, LONG)["s1"], 4_000);
 }
@@ -353,7 +353,7 @@
     let other = router.choose(0, &wanted(7, &[])).expect("a server");
     assert_eq!(other.copy_from, Some(first.address));
     // Who leaves may be gone before its memory is copied.
-    router.said_leaving(0, &first.server);
+    router.said_leaving(0, &first.server, 0);
     let other = router.choose(0, &wanted(7, &[])).expect("a server");
     assert_eq!(other.copy_from, None);
 }
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -77,7 +77,7 @@
         if unrun == Unrun::OtherInstance {
             // That start of the server is gone, whatever the lagging list says.
             let now = entry.daemon.clock.now();
-            entry.daemon.router.lock().said_leaving(now, &choice.server);
+            entry.daemon.router.lock().said_leaving(now, &choice.server, choice.started_ms);
         }
         log_try(call, &choice, unrun_text(unrun));
         return Tried::Unrun;
--- a/crates/daemon/src/hall_sync.rs
+++ b/crates/daemon/src/hall_sync.rs
@@ -55,6 +55,7 @@
     let now = daemon.clock.now();
     let was_current = membership::is_current(daemon);
     daemon.contact.halls_read(now);
+    daemon.unreadable.tell(&daemon.log, "evacuations", &changes.unreadable);
     let is_changed = daemon.halls.lock().apply(now, changes);
     if is_changed {
         changed(daemon);
--- a/crates/daemon/src/placement.rs
+++ b/crates/daemon/src/placement.rs
@@ -171,7 +171,8 @@
             Err(DispatchError::NothingRan { proof, leaving }) => {
                 open.failed();
                 if leaving {
-                    daemon.router.lock().said_leaving(daemon.clock.now(), &choice.server);
+                    let now = daemon.clock.now();
+                    daemon.router.lock().said_leaving(now, &choice.server, choice.started_ms);
                 }
                 attempt = dispatched.back_out(proof);
                 tried.push(choice.server);
