--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -13,6 +13,13 @@
 /// Pause between two looks while a start waits to be handed by peers what they know.
 pub const START_POLL: Duration = Duration::from_millis(20);
 
+/// Longest watch of anything in the store. A cut path shows only when an answer does not
+/// come, so this is also how long a cut may go unnoticed.
+pub const WATCH: Duration = Duration::from_millis(1_500);
+
+/// Pause of a watch after the store did not answer it.
+pub const STORE_PAUSE: Duration = Duration::from_millis(300);
+
 /// Pause between two looks whether the store is back.
 const AWAY_POLL: Duration = Duration::from_millis(100);
 
--- a/crates/daemon/src/hall_sync.rs
+++ b/crates/daemon/src/hall_sync.rs
@@ -7,15 +7,9 @@
 use bankcove_core::hall_list::{EvacuatedHalls, HallChanges};
 
 use crate::daemon::Daemon;
-use crate::fleet::{Turn, next_turn};
+use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn};
 use crate::{membership, routing_table, server_sync};
 
-/// Longest watch of the list, as of the list of servers.
-const WATCH: Duration = Duration::from_millis(1_500);
-
-/// Pause after the store did not answer.
-const STORE_PAUSE: Duration = Duration::from_millis(300);
-
 /// Watches the list in the store, as long as this daemon does so for its hall, until the
 /// daemon ends.
 pub async fn watch(daemon: Arc<Daemon>) {
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -7,13 +7,10 @@
 use bankcove_core::server_list::ServerChanges;
 
 use crate::daemon::Daemon;
+use crate::fleet::WATCH;
 use crate::peer::FETCH_TIMEOUT;
 use crate::{fleet, membership, routing_table};
 
-/// Longest watch of the list. A cut path shows only when an answer does not
-/// come, so this is also how long a cut may go unnoticed.
-const WATCH: Duration = Duration::from_millis(1_500);
-
 /// Pause between two looks whether peers still tell of changes.
 const TOLD_POLL: Duration = Duration::from_millis(200);
 
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -10,7 +10,7 @@
 use bankcove_ports::{Kind, WriteOutcome};
 
 use crate::daemon::Daemon;
-use crate::fleet::{Turn, next_turn};
+use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn};
 use crate::membership;
 use crate::peer::FETCH_TIMEOUT;
 use crate::routing_table;
@@ -18,12 +18,6 @@
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
 
-/// Longest watch of the table.
-const WATCH: Duration = Duration::from_millis(1_500);
-
-/// Pause after the store did not answer.
-const STORE_PAUSE: Duration = Duration::from_millis(300);
-
 /// Tries of an edit against racing ones and lost answers.
 const EDIT_TRIES: usize = 8;
 
