--- a/crates/daemon/src/hall_sync.rs
+++ b/crates/daemon/src/hall_sync.rs
@@ -2,7 +2,6 @@
 //! others in heartbeats.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bankcove_core::hall_list::{EvacuatedHalls, HallChanges};
 
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -1,7 +1,6 @@
 //! The table in force: watched in the store, fetched from peers, never older.
 
 use std::sync::Arc;
-use std::time::Duration;
 
 use bankcove_core::Name;
 use bankcove_core::edit::{Edit, apply};
