Sight: which request fails, in the lines of failed tries and broken streams

Cause: each attempt of a caller has an id of its own, so that no two lines could be told to be of the same request. No decision changes.

--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -4,6 +4,7 @@
 use std::str::FromStr;
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de};
+use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_128};
 
 use crate::Name;
@@ -16,6 +17,13 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestHash(pub u128);
 
+/// What a request asks for, the same for each attempt of its caller at whatever host:
+/// the first 128 bits of a SHA-256 over host, path with query, workspace and body. Headers
+/// and the attempt's own id don't count. A hash that can't be forged keeps one caller from
+/// having another's request taken for its own.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Fingerprint(pub u128);
+
 /// One attempt of one daemon to serve a request.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct AttemptId {
@@ -46,6 +54,27 @@
     }
 }
 
+impl Fingerprint {
+    /// Hashes what is asked for: host, path with query, the caller's workspace (empty where
+    /// nobody has to show a key), body.
+    pub fn of(host: &str, path: &str, workspace: &str, body: &[u8]) -> Self {
+        let mut hasher = Sha256::new();
+        // Lengths first, so that no two parts can run into each other.
+        for part in [host.as_bytes(), path.as_bytes(), workspace.as_bytes(), body] {
+            hasher.update((part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
+        let digest = hasher.finalize();
+        let first = digest.iter().take(size_of::<u128>());
+        Fingerprint(first.fold(0, |bits, byte| bits << 8 | u128::from(*byte)))
+    }
+
+    /// A key for rendezvous hashing.
+    pub fn key(self) -> u64 {
+        self.0 as u64
+    }
+}
+
 /// The one of `count` shards that holds what is called `name`.
 pub fn shard_of_name(name: &Name, count: u32) -> u32 {
     (xxh3_64(name.as_str().as_bytes()) % u64::from(count)) as u32
@@ -106,6 +135,7 @@
 
 hex_identity!(Incarnation, u64, "16");
 hex_identity!(RequestHash, u128, "32");
+hex_identity!(Fingerprint, u128, "32");
 
 impl fmt::Display for AttemptId {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -31,7 +31,7 @@
 pub mod witness;
 
 pub use error::{Error, Result};
-pub use id::{AttemptId, Incarnation, RequestHash};
+pub use id::{AttemptId, Fingerprint, Incarnation, RequestHash};
 pub use name::Name;
 
 /// Milliseconds since some fixed start, as the shell's clock counts them.
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -139,6 +139,7 @@
     call.entry.daemon.metrics.count("try.failed");
     slog::info!(call.log, "try failed";
         "server" => %choice.server, "address" => &choice.address, "problem" => problem,
+        "fingerprint" => %call.fingerprint(),
         "sent" => call.sent, "ran" => call.ran, "age_ms" => call.age_ms());
 }
 
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -1,10 +1,10 @@
 //! One request of a caller on its way.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
 use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
-use bankcove_core::{Millis, Name, Tokens};
+use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Incoming, Prompt};
 use bytes::Bytes;
 use salvo::http::uri::PathAndQuery;
@@ -35,6 +35,8 @@
     pub plan: Plan,
     /// The method.
     pub method: Method,
+    /// The host that the caller named, without a port.
+    pub host: Name,
     /// Path and query as the caller wrote them.
     pub path: PathAndQuery,
     /// The caller's headers.
@@ -53,6 +55,8 @@
     pub ran: bool,
     /// What it sends over this host's link.
     pub link: LinkUse,
+    /// See [`Call::fingerprint`].
+    pub fingerprint: OnceLock<Fingerprint>,
 }
 
 impl Call {
@@ -61,6 +65,15 @@
         self.arrived.elapsed().as_millis() as Millis
     }
 
+    /// What it asks for, hashed when it is first needed: no request pays for it but those
+    /// that fail, and all while some request is known to crash servers.
+    pub fn fingerprint(&self) -> Fingerprint {
+        *self.fingerprint.get_or_init(|| {
+            let workspace = self.plan.workspace.as_ref().map_or("", Name::as_str);
+            Fingerprint::of(self.host.as_str(), self.path.as_str(), workspace, &self.body)
+        })
+    }
+
     /// Length of its prompt; 0 when it has none.
     pub fn prompt_tokens(&self) -> Tokens {
         self.incoming.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens)
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -176,6 +176,7 @@
     fn break_off(&self, problem: &'static str) -> io::Error {
         self.call.entry.daemon.metrics.count("stream.broken_off");
         slog::warn!(self.call.log, "stream broken off";
+            "fingerprint" => %self.call.fingerprint(),
             "problem" => problem, "after" => self.order.last(), "server" => %self.choice.server,
             "sent" => self.call.sent, "tokens" => self.charge.tokens(),
             "age_ms" => self.call.age_ms());
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -1,14 +1,14 @@
 //! Serves callers: reads a request, sets its cost aside, has it forwarded, and
 //! writes the answer.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bankcove_core::Tokens;
 use bankcove_core::holder::{Reservation, Wish};
 use bankcove_core::outage;
 use bankcove_core::owner::RETRY_LATER_MS;
 use bankcove_core::table::CallerLimits;
+use bankcove_core::{Name, Tokens};
 use bankcove_ports::wire::Incoming;
 use salvo::affix_state;
 use salvo::http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
@@ -133,6 +133,7 @@
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let plan = Plan::find(&table, host, req.uri().path(), &incoming)?;
+    let host = Name::from(host);
     let ends = Instant::now() + plan.expected_time(&incoming);
     if daemon.last_end.lock().is_some_and(|last_end| ends > last_end) {
         return Err(Refusal::Stopping);
@@ -146,6 +147,7 @@
         entry: Arc::clone(entry),
         log: daemon.log.new(o!("request" => incoming.id.clone())),
         method: req.method().clone(),
+        host,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
         headers: req.headers().clone(),
         body,
@@ -157,6 +159,7 @@
         sent: 0,
         ran: false,
         link,
+        fingerprint: OnceLock::new(),
     })
 }
 
