A request under which three servers crashed runs nowhere any more, fleet-wide

Cause: what became of a request was forgotten when its arrival ended, and no host told another of it: per-arrival memory where the promise is per request and per fleet. Ruled out: repeats of our own (one of 133 ids at two servers). Change: daemons tell each other facts, which server crashed with which requests aboard (core crashes); each draws the same verdict from them. Evidence is a connection that broke off and a server that refuses connections, or whose entry goes; not a reset or a cut. Success clears, servers lost together count once, who was aboard with a condemned request is not condemned for it. Sentences are kept in the store.

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -182,6 +182,7 @@
         store_heard_ms: Some(120),
         view_age_ms: Some(120),
         paces: Vec::new(),
+        crashes_digest: 0,
     }
 }
 
--- /dev/null
+++ b/crates/core/src/crashes.rs
@@ -0,0 +1,19 @@
+//! Requests that crash the servers which run them.
+//!
+//! A caller may send such a request again and again, by way of any host; no host sees more
+//! than a part of it. So daemons tell each other facts: that a start of a server crashed, and
+//! which requests it was running. Facts only add up, each crash once however many tell it,
+//! and from the same facts every daemon draws the same verdict: a request under which
+//! [`CONDEMNED_AFTER`] servers have crashed runs nowhere any more.
+//!
+//! A crash takes along all that its server was running, so that most requests aboard are
+//! innocent. What tells them apart: they succeed the next time ([`CrashBook::succeeded`]);
+//! many servers that crash at the same moment have a cause of their own, and count once; and
+//! a crash under a request that is condemned already is explained by that one.
+
+mod book;
+mod facts;
+mod record;
+
+pub use book::{CONDEMNED_AFTER, CrashBook, Gauge, HOLD_MS, Verdict};
+pub use facts::{Cleared, Crash, CrashFacts, Sentence, ServerStart};
--- /dev/null
+++ b/crates/core/src/crashes/book.rs
@@ -0,0 +1,368 @@
+//! What one daemon knows of crashes, and what follows for a request.
+
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use super::facts::{Cleared, Crash, CrashFacts, Sentence, ServerStart};
+use super::record::{Evidence, Record};
+use crate::{Fingerprint, Millis, Name};
+
+/// Servers that may crash under one request: one crash has any cause, two happen to a caller
+/// that comes again at a bad moment, three with no success in between hardly do.
+pub const CONDEMNED_AFTER: usize = 3;
+
+/// Moments in which they crash at the least: what a caller repeats on all servers of a pool
+/// that is lost at once has crashed none of them.
+const MOMENTS: usize = 2;
+
+/// How long a request stays condemned, in milliseconds: a caller that nobody stops costs
+/// three servers a day, and one whose cause was mended is served the next day at the latest.
+pub const HOLD_MS: Millis = 24 * 3_600_000;
+
+/// Requests condemned at most: 1,000 of some 150 bytes each.
+const MOST_SENTENCES: usize = 1_000;
+
+/// Requests remembered as cleared at most: those aboard of some hundred crashes.
+const MOST_CLEARED: usize = 4_000;
+
+/// Two words of the same success differ by what they were under way, in milliseconds.
+const SAME_WORD_MS: Millis = 1_000;
+
+/// What follows for a request that is to run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Verdict {
+    /// Nothing is known against it, or one crash.
+    Free,
+    /// One more crash condemns it: it is to run where it harms least.
+    Suspect,
+    /// It is condemned if servers that broke off have crashed, which is being found out.
+    Held,
+    /// It runs nowhere any more.
+    Condemned,
+}
+
+/// How much is remembered.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
+pub struct Gauge {
+    /// Crashes.
+    pub crashes: usize,
+    /// Requests condemned.
+    pub sentences: usize,
+    /// Facts that gave way to newer ones.
+    pub dropped: u64,
+}
+
+/// A request that runs nowhere any more.
+#[derive(Debug, Clone)]
+struct Condemned {
+    at: Millis,
+    servers: Vec<Name>,
+}
+
+/// Until when crashes don't speak against a request.
+#[derive(Debug, Clone, Copy, Default)]
+struct Clearance {
+    at: Millis,
+    /// Up to when others were told.
+    told_at: Option<Millis>,
+}
+
+fn is_enough(crashes: usize, moments: usize) -> bool {
+    crashes >= CONDEMNED_AFTER && moments >= MOMENTS
+}
+
+/// What one daemon knows of crashes.
+#[derive(Debug, Clone, Default)]
+pub struct CrashBook {
+    record: Record,
+    /// Servers that broke off and may have crashed, and what they were running.
+    unsure: BTreeMap<ServerStart, BTreeSet<Fingerprint>>,
+    cleared: HashMap<Fingerprint, Clearance>,
+    condemned: BTreeMap<Fingerprint, Condemned>,
+    dropped: u64,
+}
+
+impl CrashBook {
+    /// Whether nothing is known, so that no request need be looked up.
+    pub fn is_empty(&self) -> bool {
+        self.record.len() == 0 && self.unsure.is_empty() && self.condemned.is_empty()
+    }
+
+    /// How much is remembered.
+    pub fn gauge(&self) -> Gauge {
+        Gauge {
+            crashes: self.record.len(),
+            sentences: self.condemned.len(),
+            dropped: self.dropped + self.record.dropped(),
+        }
+    }
+
+    /// What follows for a request that is to run now.
+    pub fn verdict(&self, request: Fingerprint) -> Verdict {
+        if self.condemned.contains_key(&request) {
+            return Verdict::Condemned;
+        }
+        let unsure = self.unsure.values().filter(|aboard| aboard.contains(&request)).count();
+        let sure = self.against(request);
+        let crashes = sure.servers.len() + unsure;
+        if is_enough(crashes, sure.moments + usize::from(unsure > 0)) {
+            return Verdict::Held;
+        }
+        if crashes + 1 >= CONDEMNED_AFTER { Verdict::Suspect } else { Verdict::Free }
+    }
+
+    /// Takes in that the connection over which this server was running a request broke.
+    /// Returns whether it is to be found out if the server has crashed, which then comes back
+    /// by [`CrashBook::crashed`] or [`CrashBook::lives`], and news for peers.
+    pub fn broke_off(
+        &mut self,
+        now: Millis,
+        server: &ServerStart,
+        request: Fingerprint,
+    ) -> (bool, CrashFacts) {
+        if self.record.has(server) {
+            return (false, self.add_crash(now, now, server, [request]));
+        }
+        let is_new = !self.unsure.contains_key(server);
+        self.unsure.entry(server.clone()).or_default().insert(request);
+        (is_new, CrashFacts::default())
+    }
+
+    /// The server that broke off has crashed; returns news for peers.
+    pub fn crashed(&mut self, now: Millis, server: &ServerStart) -> CrashFacts {
+        let aboard = self.unsure.remove(server).unwrap_or_default();
+        self.add_crash(now, now, server, aboard)
+    }
+
+    /// The server that broke off is there: a reset or a cut, and no crash.
+    pub fn lives(&mut self, server: &ServerStart) {
+        self.unsure.remove(server);
+    }
+
+    /// A request has ended well. Returns news for peers: of a request that two crashes speak
+    /// against, so that no third one condemns it where nobody saw it succeed.
+    pub fn succeeded(&mut self, now: Millis, request: Fingerprint) -> CrashFacts {
+        if self.record.aboard_of(request) == 0 && !self.condemned.contains_key(&request) {
+            return CrashFacts::default();
+        }
+        self.clear(now, request);
+        self.tell_clearance(now, request)
+    }
+
+    /// An operator lets the request run again; returns news for peers.
+    pub fn lift(&mut self, now: Millis, request: Fingerprint) -> CrashFacts {
+        self.clear(now, request);
+        self.cleared.entry(request).and_modify(|clearance| clearance.told_at = Some(now));
+        CrashFacts { cleared: vec![Cleared { request, age_ms: 0 }], ..CrashFacts::default() }
+    }
+
+    /// Whether crashes up to `at` speak no more against the request.
+    pub fn is_cleared_since(&self, request: Fingerprint, at: Millis) -> bool {
+        self.cleared.get(&request).is_some_and(|clearance| clearance.at >= at)
+    }
+
+    /// Takes in what a peer, or the store, has told; returns what was new, for other peers.
+    pub fn told(&mut self, now: Millis, facts: CrashFacts) -> CrashFacts {
+        let mut news = CrashFacts::default();
+        for cleared in facts.cleared {
+            let at = now.saturating_sub(cleared.age_ms);
+            let known = self.cleared.get(&cleared.request).and_then(|known| known.told_at);
+            if known.is_some_and(|known| at <= known + SAME_WORD_MS) {
+                continue;
+            }
+            self.clear(at, cleared.request);
+            let told = |clearance: &mut Clearance| clearance.told_at = Some(at);
+            self.cleared.entry(cleared.request).and_modify(told);
+            news.cleared.push(cleared);
+        }
+        for crash in facts.crashes.into_iter().filter(|crash| Record::is_told_at(crash.age_ms)) {
+            // What this daemon has not yet found out by itself is told by a peer.
+            let mut aboard = self.unsure.remove(&crash.server).unwrap_or_default();
+            aboard.extend(crash.aboard);
+            let at = now.saturating_sub(crash.age_ms);
+            let new = self.add_crash(now, at, &crash.server, aboard);
+            news.crashes.extend(new.crashes);
+            news.cleared.extend(new.cleared);
+            news.sentences.extend(new.sentences);
+        }
+        for sentence in facts.sentences {
+            if self.take_sentence(now, &sentence) {
+                news.sentences.push(sentence);
+            }
+        }
+        news
+    }
+
+    /// All that is known, for a peer that knows something else.
+    pub fn facts(&self, now: Millis) -> CrashFacts {
+        let told = self.cleared.iter().filter(|(_, clearance)| clearance.told_at.is_some());
+        CrashFacts {
+            crashes: self.record.told(now).collect(),
+            cleared: told
+                .map(|(request, clearance)| Cleared {
+                    request: *request,
+                    age_ms: now.saturating_sub(clearance.at),
+                })
+                .collect(),
+            sentences: self.sentences(now),
+        }
+    }
+
+    /// Requests that run nowhere any more.
+    pub fn sentences(&self, now: Millis) -> Vec<Sentence> {
+        let sentence = |(request, condemned): (&Fingerprint, &Condemned)| Sentence {
+            request: *request,
+            age_ms: now.saturating_sub(condemned.at),
+            servers: condemned.servers.clone(),
+        };
+        self.condemned.iter().map(sentence).collect()
+    }
+
+    /// Hash of all that is told: two daemons with the same one need not tell each other. 0
+    /// when nothing is known.
+    pub fn digest(&self, now: Millis) -> u64 {
+        let mut sum = 0_u64;
+        let mut add = |bytes: &[u8]| sum = sum.wrapping_add(xxh3_64(bytes));
+        for crash in self.record.told(now) {
+            let server = crash.server.name.as_str().as_bytes();
+            for request in &crash.aboard {
+                add(&[server, &crash.server.started_ms.to_le_bytes(), &request.0.to_le_bytes()]
+                    .concat());
+            }
+        }
+        self.condemned.keys().for_each(|request| add(&request.0.to_le_bytes()));
+        let told = self.cleared.iter().filter(|(_, clearance)| clearance.told_at.is_some());
+        told.for_each(|(request, _)| add(&[&[1], &request.0.to_le_bytes()[..]].concat()));
+        sum
+    }
+
+    /// Forgets what is too long ago.
+    pub fn forget_old(&mut self, now: Millis) {
+        self.record.forget_old(now);
+        self.condemned.retain(|_, condemned| now.saturating_sub(condemned.at) < HOLD_MS);
+        let record = &self.record;
+        self.cleared.retain(|request, clearance| {
+            let age_ms = now.saturating_sub(clearance.at);
+            age_ms < HOLD_MS && (clearance.told_at.is_some() || record.aboard_of(*request) > 0)
+        });
+    }
+
+    fn add_crash(
+        &mut self,
+        now: Millis,
+        at: Millis,
+        server: &ServerStart,
+        aboard: impl IntoIterator<Item = Fingerprint>,
+    ) -> CrashFacts {
+        let new = self.record.add(at, server, aboard);
+        if new.is_empty() {
+            return CrashFacts::default();
+        }
+        let mut news = CrashFacts::default();
+        for request in &new {
+            news.cleared.extend(self.tell_clearance(now, *request).cleared);
+        }
+        news.sentences = self.condemn(now, &new);
+        let age_ms = now.saturating_sub(at);
+        let aboard = new.into_iter().collect();
+        news.crashes.push(Crash { server: server.clone(), age_ms, aboard });
+        news
+    }
+
+    /// Condemns those of `requests` against whom enough crashes speak; of several those with
+    /// the most, who explain the crashes of the others.
+    fn condemn(&mut self, now: Millis, requests: &[Fingerprint]) -> Vec<Sentence> {
+        let mut sentences = Vec::new();
+        loop {
+            let free = requests.iter().filter(|request| !self.condemned.contains_key(request));
+            let counts: Vec<(Fingerprint, usize)> =
+                free.map(|request| (*request, self.count_against(*request))).collect();
+            let most = counts.iter().map(|(_, count)| *count).max().unwrap_or(0);
+            if most < CONDEMNED_AFTER {
+                return sentences;
+            }
+            for (request, _) in counts.iter().filter(|(_, count)| *count == most) {
+                sentences.push(self.condemn_one(now, *request));
+            }
+        }
+    }
+
+    fn condemn_one(&mut self, now: Millis, request: Fingerprint) -> Sentence {
+        let against = self.against(request).servers;
+        let servers: Vec<Name> = against.iter().map(|server| server.name.clone()).collect();
+        let sentence = Sentence { request, age_ms: 0, servers };
+        self.take_sentence(now, &sentence);
+        sentence
+    }
+
+    /// Takes a sentence; returns whether it is new and in force.
+    fn take_sentence(&mut self, now: Millis, sentence: &Sentence) -> bool {
+        let request = sentence.request;
+        let at = now.saturating_sub(sentence.age_ms);
+        let is_lifted = self.cleared.get(&request).is_some_and(|clearance| clearance.at >= at);
+        let is_over = sentence.age_ms >= HOLD_MS;
+        if is_lifted || is_over || self.condemned.contains_key(&request) {
+            return false;
+        }
+        let condemned = Condemned { at, servers: sentence.servers.clone() };
+        self.condemned.insert(request, condemned);
+        if self.condemned.len() > MOST_SENTENCES {
+            let oldest = self.condemned.iter().min_by_key(|(_, condemned)| condemned.at);
+            let oldest = oldest.map(|(request, _)| *request);
+            oldest.map(|request| self.condemned.remove(&request));
+            self.dropped += 1;
+        }
+        true
+    }
+
+    /// Crashes before `at` speak no more against the request.
+    fn clear(&mut self, at: Millis, request: Fingerprint) {
+        let clearance = self.cleared.entry(request).or_default();
+        clearance.at = clearance.at.max(at);
+        let Some(condemned) = self.condemned.get(&request) else { return };
+        // Word of a success may come after the sentence that it makes void.
+        let has_evidence = self.record.aboard_of(request) >= CONDEMNED_AFTER;
+        let is_void = has_evidence && self.count_against(request) < CONDEMNED_AFTER;
+        if is_void || at >= condemned.at {
+            self.condemned.remove(&request);
+        }
+        self.make_room_for_clearances();
+    }
+
+    fn make_room_for_clearances(&mut self) {
+        if self.cleared.len() <= MOST_CLEARED {
+            return;
+        }
+        let oldest = self.cleared.iter().min_by_key(|(_, clearance)| clearance.at);
+        let oldest = oldest.map(|(request, _)| *request);
+        oldest.map(|request| self.cleared.remove(&request));
+        self.dropped += 1;
+    }
+
+    /// The word that clears a request, when others need it: a crash before it may count there.
+    fn tell_clearance(&mut self, now: Millis, request: Fingerprint) -> CrashFacts {
+        let mut news = CrashFacts::default();
+        let Some(clearance) = self.cleared.get_mut(&request) else { return news };
+        let told_at = clearance.told_at.unwrap_or(0);
+        let matters = self.record.was_aboard_between(request, told_at, clearance.at);
+        if matters && self.record.aboard_of(request) + 1 >= CONDEMNED_AFTER {
+            clearance.told_at = Some(clearance.at);
+            news.cleared.push(Cleared { request, age_ms: now.saturating_sub(clearance.at) });
+        }
+        news
+    }
+
+    /// Crashes against the request; 0 while they are not enough.
+    fn count_against(&self, request: Fingerprint) -> usize {
+        let against = self.against(request);
+        let crashes = against.servers.len();
+        if is_enough(crashes, against.moments) { crashes } else { 0 }
+    }
+
+    fn against(&self, request: Fingerprint) -> Evidence<'_> {
+        let since = self.cleared.get(&request).map(|clearance| clearance.at);
+        self.record.against(request, since, |other| self.condemned.contains_key(other))
+    }
+}
--- /dev/null
+++ b/crates/core/src/crashes/facts.rs
@@ -0,0 +1,66 @@
+//! What daemons tell each other of crashes. Times are told as ages: no two hosts have the
+//! same clock.
+
+use std::collections::BTreeSet;
+
+use serde::{Deserialize, Serialize};
+
+use crate::{Fingerprint, Millis, Name};
+
+/// One start of a backend server.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct ServerStart {
+    /// The server.
+    pub name: Name,
+    /// When this start began, in milliseconds since 1970; 0 where nobody tells.
+    pub started_ms: Millis,
+}
+
+/// A server that has crashed.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Crash {
+    /// The start of it that is gone.
+    pub server: ServerStart,
+    /// How long ago its connections broke, in milliseconds.
+    pub age_ms: Millis,
+    /// Requests that it was running, as far as the teller knows.
+    pub aboard: BTreeSet<Fingerprint>,
+}
+
+/// Word that a request does not crash its servers: crashes before it don't count.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Cleared {
+    /// The request.
+    pub request: Fingerprint,
+    /// How long ago it ended well, or an operator lifted its sentence, in milliseconds.
+    pub age_ms: Millis,
+}
+
+/// A request that runs nowhere any more.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Sentence {
+    /// The request.
+    pub request: Fingerprint,
+    /// How long ago it was condemned, in milliseconds.
+    pub age_ms: Millis,
+    /// Servers that crashed under it.
+    pub servers: Vec<Name>,
+}
+
+/// Facts for a peer.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct CrashFacts {
+    /// Servers that have crashed.
+    pub crashes: Vec<Crash>,
+    /// Requests that don't crash their servers.
+    pub cleared: Vec<Cleared>,
+    /// Requests that run nowhere any more.
+    pub sentences: Vec<Sentence>,
+}
+
+impl CrashFacts {
+    /// Whether there is nothing to tell.
+    pub fn is_empty(&self) -> bool {
+        self.crashes.is_empty() && self.cleared.is_empty() && self.sentences.is_empty()
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! around these machines; tests and benches drive the same code directly.
 
 pub mod bill;
+pub mod crashes;
 pub mod edit;
 pub mod error;
 pub mod events;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -92,6 +92,8 @@
     pub view_age_ms: Option<Millis>,
     /// How fast some of the backend servers are, others in each heartbeat.
     pub paces: Vec<ServerPace>,
+    /// Hash of what the sender knows of crashes, as [`crate::crashes::CrashBook::digest`].
+    pub crashes_digest: u64,
 }
 
 /// A peer as this daemon sees it.
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -118,6 +118,17 @@
         });
     }
 
+    /// Whether this start of a server is the one that is known.
+    pub fn knows_start(&self, name: &Name, start: Millis) -> bool {
+        self.index_of_start(name, start).is_some()
+    }
+
+    /// Whether this start of a server is known and does not leave.
+    pub fn is_staying(&self, now: Millis, name: &Name, start: Millis) -> bool {
+        let index = self.index_of_start(name, start);
+        index.is_some_and(|index| !self.servers[index].is_leaving(now))
+    }
+
     /// Takes in that this start of a server refused work because it is leaving.
     pub fn said_leaving(&mut self, now: Millis, name: &Name, start: Millis) {
         if self.index_of_start(name, start).is_none() {
--- /dev/null
+++ b/crates/core/tests/crashes.rs
@@ -0,0 +1,230 @@
+//! What follows from crashes for a request, one daemon's view at a time.
+
+use bankcove_core::crashes::{
+    CONDEMNED_AFTER, CrashBook, CrashFacts, HOLD_MS, Sentence, ServerStart, Verdict,
+};
+use bankcove_core::{Fingerprint, Millis, Name};
+use yare::parameterized;
+
+const FATAL: Fingerprint = Fingerprint(1);
+const HONEST: Fingerprint = Fingerprint(2);
+
+fn server(number: u32) -> ServerStart {
+    ServerStart { name: Name::from(format!("i-{number}")), started_ms: 0 }
+}
+
+/// A server crashes with these requests aboard, seen by this daemon; the news.
+fn crash(book: &mut CrashBook, now: Millis, number: u32, aboard: &[Fingerprint]) -> CrashFacts {
+    let start = server(number);
+    for request in aboard {
+        book.broke_off(now, &start, *request);
+    }
+    book.crashed(now, &start)
+}
+
+#[test]
+fn three_crashes_condemn_a_request() {
+    let mut book = CrashBook::default();
+    assert_eq!(book.verdict(FATAL), Verdict::Free);
+    crash(&mut book, 1_000, 1, &[FATAL]);
+    assert_eq!(book.verdict(FATAL), Verdict::Free);
+    crash(&mut book, 2_000, 2, &[FATAL]);
+    assert_eq!(book.verdict(FATAL), Verdict::Suspect);
+    let news = crash(&mut book, 3_000, 3, &[FATAL]);
+    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+    assert_eq!(news.sentences.len(), 1);
+    assert_eq!(news.sentences[0].servers.len(), CONDEMNED_AFTER);
+}
+
+#[test]
+fn one_crash_each_at_three_daemons_are_three_and_each_counts_once() {
+    let mut books = vec![CrashBook::default(); 3];
+    let news: Vec<CrashFacts> =
+        (0..3).map(|n| crash(&mut books[n], 1_000 * n as Millis, n as u32, &[FATAL])).collect();
+    for book in &mut books {
+        for _ in 0..5 {
+            book.told(4_000, news[0].clone());
+            book.told(4_000, news[1].clone());
+        }
+    }
+    assert_eq!(books[0].verdict(FATAL), Verdict::Suspect);
+    assert_eq!(books[1].verdict(FATAL), Verdict::Suspect);
+    assert_eq!(books[2].verdict(FATAL), Verdict::Condemned);
+    // What was known is not passed on again.
+    assert!(books[0].told(4_000, news[1].clone()).is_empty());
+}
+
+#[test]
+fn another_start_of_a_server_is_another_crash() {
+    let mut book = CrashBook::default();
+    for started_ms in 1..=3 {
+        let start = ServerStart { name: Name::from("i-1"), started_ms };
+        book.broke_off(started_ms * 1_000, &start, FATAL);
+        book.crashed(started_ms * 1_000, &start);
+    }
+    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+}
+
+#[test]
+fn a_request_is_held_while_it_is_not_known_if_servers_crashed() {
+    let mut book = CrashBook::default();
+    crash(&mut book, 1_000, 1, &[FATAL]);
+    crash(&mut book, 2_000, 2, &[FATAL]);
+    let (is_unsure, news) = book.broke_off(3_000, &server(3), FATAL);
+    assert!(is_unsure && news.is_empty());
+    assert_eq!(book.verdict(FATAL), Verdict::Held);
+    book.lives(&server(3));
+    assert_eq!(book.verdict(FATAL), Verdict::Suspect);
+}
+
+#[test]
+fn a_server_that_broke_off_is_looked_at_once() {
+    let mut book = CrashBook::default();
+    assert!(book.broke_off(1_000, &server(1), FATAL).0);
+    assert!(!book.broke_off(1_001, &server(1), HONEST).0);
+    let news = book.crashed(1_002, &server(1));
+    assert_eq!(news.crashes[0].aboard.len(), 2);
+    // A connection that is found broken later was aboard as well.
+    let (is_unsure, news) = book.broke_off(1_100, &server(1), Fingerprint(3));
+    assert!(!is_unsure && news.crashes.len() == 1);
+}
+
+#[test]
+fn a_request_that_succeeds_between_crashes_is_not_condemned() {
+    let mut book = CrashBook::default();
+    for n in 0..20 {
+        crash(&mut book, 1_000 * Millis::from(n), n, &[HONEST]);
+        book.succeeded(1_000 * Millis::from(n) + 500, HONEST);
+    }
+    assert_eq!(book.verdict(HONEST), Verdict::Free);
+}
+
+#[test]
+fn a_success_that_another_daemon_saw_counts() {
+    let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
+    let first = crash(&mut here, 1_000, 1, &[HONEST]);
+    there.told(1_010, first);
+    there.succeeded(1_500, HONEST);
+    for n in 2..6 {
+        let now = 1_000 * Millis::from(n);
+        let news = crash(&mut here, now, n, &[HONEST]);
+        let answer = there.told(now + 10, news);
+        here.told(now + 20, answer);
+        let word = there.succeeded(now + 500, HONEST);
+        here.told(now + 510, word);
+    }
+    assert_eq!(here.verdict(HONEST), Verdict::Free);
+    assert_eq!(there.verdict(HONEST), Verdict::Free);
+}
+
+#[test]
+fn word_of_a_success_lifts_a_sentence_that_came_before_it() {
+    let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
+    let first = crash(&mut here, 1_000, 1, &[HONEST]);
+    there.told(1_000, first);
+    there.succeeded(1_500, HONEST);
+    let second = crash(&mut here, 2_000, 2, &[HONEST]);
+    crash(&mut here, 2_010, 3, &[HONEST]);
+    assert_eq!(here.verdict(HONEST), Verdict::Condemned);
+    let word = there.told(2_020, second);
+    here.told(2_030, word);
+    assert_eq!(here.verdict(HONEST), Verdict::Suspect);
+}
+
+#[test]
+fn servers_that_crash_at_one_moment_with_others_count_once() {
+    let mut book = CrashBook::default();
+    // A rack is lost, on some servers of which copies of a request were running.
+    for n in 0..6 {
+        let aboard = if n < 3 { HONEST } else { Fingerprint(100 + u128::from(n)) };
+        crash(&mut book, 1_000 + Millis::from(n), n, &[aboard]);
+    }
+    assert_eq!(book.verdict(HONEST), Verdict::Free);
+}
+
+#[test]
+fn copies_that_crash_all_servers_at_one_moment_are_condemned_by_the_next_crash() {
+    let mut book = CrashBook::default();
+    for n in 0..4 {
+        crash(&mut book, 1_000 + Millis::from(n), n, &[FATAL]);
+    }
+    // A pool that was lost at once looks the same.
+    assert_eq!(book.verdict(FATAL), Verdict::Suspect);
+    crash(&mut book, 1_500, 5, &[FATAL]);
+    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+}
+
+#[test]
+fn who_was_aboard_with_a_condemned_request_is_not_condemned_for_it() {
+    let mut book = CrashBook::default();
+    crash(&mut book, 1_000, 1, &[FATAL]);
+    crash(&mut book, 2_000, 2, &[FATAL, HONEST]);
+    crash(&mut book, 3_000, 3, &[FATAL, HONEST]);
+    // A copy that was under way when the third server crashed.
+    crash(&mut book, 3_500, 4, &[FATAL, HONEST]);
+    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+    assert_eq!(book.verdict(HONEST), Verdict::Free);
+}
+
+#[test]
+fn an_operator_lifts_a_sentence_everywhere_and_later_crashes_count_anew() {
+    let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
+    for n in 0..3 {
+        crash(&mut here, 1_000 * Millis::from(n), n, &[FATAL]);
+    }
+    there.told(3_000, here.facts(3_000));
+    let word = there.lift(4_000, FATAL);
+    here.told(4_010, word);
+    // What was told before the word does not bring the sentence back.
+    let stale = CrashFacts {
+        sentences: vec![Sentence { request: FATAL, age_ms: 2_100, servers: Vec::new() }],
+        ..CrashFacts::default()
+    };
+    here.told(4_100, stale);
+    assert_eq!((here.verdict(FATAL), there.verdict(FATAL)), (Verdict::Free, Verdict::Free));
+    for n in 3..6 {
+        crash(&mut here, 5_000 + 1_000 * Millis::from(n), n, &[FATAL]);
+    }
+    assert_eq!(here.verdict(FATAL), Verdict::Condemned);
+}
+
+#[parameterized(
+    yesterday = { HOLD_MS - 1, Verdict::Condemned },
+    before = { HOLD_MS, Verdict::Free },
+)]
+fn a_sentence_holds_for_a_day(age_ms: Millis, expected: Verdict) {
+    let mut book = CrashBook::default();
+    let sentence = Sentence { request: FATAL, age_ms, servers: vec![Name::from("i-1")] };
+    book.told(HOLD_MS + 5, CrashFacts { sentences: vec![sentence], ..CrashFacts::default() });
+    assert_eq!(book.verdict(FATAL), expected);
+}
+
+#[test]
+fn what_was_forgotten_does_not_come_back_and_equal_views_have_equal_digests() {
+    let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
+    crash(&mut here, 1_000, 1, &[FATAL, HONEST]);
+    assert_ne!(here.digest(1_000), there.digest(1_000));
+    there.told(1_010, here.facts(1_010));
+    assert_eq!(here.digest(1_020), there.digest(1_020));
+    let later = 1_000 + 299_000;
+    here.forget_old(later);
+    assert_eq!(here.digest(later), 0);
+    there.forget_old(later + 2_000);
+    assert!(there.is_empty());
+    there.told(later + 2_000, here.facts(later + 2_000));
+    assert!(there.is_empty());
+}
+
+#[test]
+fn thousands_of_requests_that_crash_servers_are_remembered_within_bounds() {
+    let mut book = CrashBook::default();
+    for n in 0..6_000_u32 {
+        let request = Fingerprint(u128::from(n / 3));
+        crash(&mut book, 400 * Millis::from(n), n, &[request]);
+    }
+    let gauge = book.gauge();
+    assert!(gauge.crashes <= 256 && gauge.sentences <= 1_000, "{gauge:?}");
+    assert!(gauge.dropped > 0);
+    // The newest ones are still condemned.
+    assert_eq!(book.verdict(Fingerprint(1_999)), Verdict::Condemned);
+}
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -48,6 +48,7 @@
         store_heard_ms: None,
         view_age_ms: None,
         paces: Vec::new(),
+        crashes_digest: 0,
     };
     members.heard(0, &heartbeat);
 }
@@ -161,6 +162,7 @@
         store_heard_ms: None,
         view_age_ms: None,
         paces: Vec::new(),
+        crashes_digest: 0,
     };
     members.heard(1, &heartbeat);
     members.forgive();
--- a/crates/daemon/src/collect.rs
+++ b/crates/daemon/src/collect.rs
@@ -16,6 +16,7 @@
 use crate::budgets::OWNER_KEY;
 use crate::daemon::Daemon;
 use crate::peer::{GiveAnswer, PeerServiceClient};
+use crate::tcp::{Reach, reach};
 
 /// A holder that did not answer is left out of collections this long.
 const SILENT_HOLDER_MS: Millis = 2_000;
@@ -143,7 +144,7 @@
             reclaim(daemon, budget, holder).await;
             false
         }
-        None if daemon.peers.is_refused(&holder.address, timeout).await => {
+        None if reach(&holder.address, timeout).await == Reach::Refused => {
             reclaim(daemon, budget, holder).await;
             false
         }
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -16,6 +16,7 @@
 
 use crate::args::{Args, Command};
 use crate::config::{Adapter, Config};
+use crate::crashes::keep;
 use crate::daemon::Daemon;
 use crate::entry::{self, Entry};
 use crate::error::{Error, Result};
@@ -143,6 +144,7 @@
         tokio::spawn(host_list::follow_host_list(Arc::clone(&daemon)));
         tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon)));
         tokio::spawn(unread_news::tell(Arc::clone(&daemon)));
+        tokio::spawn(keep::keep(Arc::clone(&daemon)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
         tokio::spawn(server_sync::watch(Arc::clone(&daemon)));
         if daemon.cfg.follows_evacuations() {
--- /dev/null
+++ b/crates/daemon/src/crashes.rs
@@ -0,0 +1,144 @@
+//! Shell around what is known of requests that crash their servers (core `crashes`).
+//!
+//! `verify` finds out whether a server that broke off has crashed, `spread` tells peers, `keep`
+//! writes sentences where the loss of all daemons does not reach. The entry side asks for a
+//! verdict before each try and says how each try ended.
+
+pub mod keep;
+pub mod spread;
+mod verify;
+
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+
+use bankcove_core::Fingerprint;
+use bankcove_core::crashes::{CrashBook, CrashFacts, ServerStart, Verdict};
+use bankcove_core::router::Choice;
+use parking_lot::Mutex;
+use std::sync::Arc;
+use tokio::sync::Notify;
+
+use crate::daemon::Daemon;
+
+/// What this daemon knows of crashes.
+#[derive(Debug, Default)]
+pub struct Crashes {
+    book: Mutex<CrashBook>,
+    /// Whether anything is known: while nothing is, no request is hashed or looked up.
+    is_active: AtomicBool,
+    /// Told when a sentence is to be kept in the store.
+    to_keep: Notify,
+    /// When the facts of a peer were last asked for.
+    asked_at: AtomicU64,
+}
+
+impl Crashes {
+    /// Changes the book by `change`.
+    fn change<T>(&self, change: impl FnOnce(&mut CrashBook) -> T) -> T {
+        let mut book = self.book.lock();
+        let changed = change(&mut book);
+        self.is_active.store(!book.is_empty(), Ordering::Relaxed);
+        changed
+    }
+
+    /// Reads the book by `read`; none while nothing is known.
+    fn read<T>(&self, read: impl FnOnce(&CrashBook) -> T) -> Option<T> {
+        let is_active = self.is_active.load(Ordering::Relaxed);
+        is_active.then(|| read(&self.book.lock()))
+    }
+
+    /// What follows for a request that is to run now.
+    pub fn verdict(&self, request: impl FnOnce() -> Fingerprint) -> Verdict {
+        self.read(|book| book.verdict(request())).unwrap_or(Verdict::Free)
+    }
+}
+
+/// The connection over which a server was running this request broke.
+pub fn broke_off(daemon: &Arc<Daemon>, choice: &Choice, request: Fingerprint) {
+    let now = daemon.clock.now();
+    // One that leaves ends what it still runs: that is no crash.
+    if !daemon.router.lock().is_staying(now, &choice.server, choice.started_ms) {
+        return;
+    }
+    let server = ServerStart { name: choice.server.clone(), started_ms: choice.started_ms };
+    let broke = daemon.crashes.change(|book| book.broke_off(now, &server, request));
+    let (is_unsure, news) = broke;
+    take_news(daemon, &news, Origin::Here);
+    if is_unsure {
+        tokio::spawn(verify::verify(Arc::clone(daemon), server, choice.address.clone()));
+    }
+}
+
+/// A request has ended well.
+pub fn succeeded(daemon: &Arc<Daemon>, request: impl FnOnce() -> Fingerprint) {
+    if !daemon.crashes.is_active.load(Ordering::Relaxed) {
+        return;
+    }
+    let (now, request) = (daemon.clock.now(), request());
+    let news = daemon.crashes.change(|book| book.succeeded(now, request));
+    take_news(daemon, &news, Origin::Here);
+}
+
+/// Lets a condemned request run again, here and at all peers.
+pub fn lift(daemon: &Arc<Daemon>, request: Fingerprint) {
+    let now = daemon.clock.now();
+    let news = daemon.crashes.change(|book| book.lift(now, request));
+    slog::info!(daemon.log, "sentence lifted"; "fingerprint" => %request);
+    daemon.crashes.to_keep.notify_one();
+    take_news(daemon, &news, Origin::Here);
+}
+
+/// Who found out what is new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// This daemon.
+    Here,
+    /// A peer, or the store.
+    Told,
+}
+
+/// Logs what is new, tells peers, and has sentences kept.
+fn take_news(daemon: &Arc<Daemon>, news: &CrashFacts, origin: Origin) {
+    if news.is_empty() {
+        return;
+    }
+    let is_own = origin == Origin::Here;
+    for crash in &news.crashes {
+        daemon.metrics.count("server.crashed");
+        slog::info!(daemon.log, "server crashed";
+            "server" => %crash.server.name, "started_ms" => crash.server.started_ms,
+            "age_ms" => crash.age_ms, "aboard" => list(&crash.aboard), "found_here" => is_own);
+    }
+    for cleared in &news.cleared {
+        slog::info!(daemon.log, "request cleared";
+            "fingerprint" => %cleared.request, "age_ms" => cleared.age_ms, "found_here" => is_own);
+    }
+    for sentence in &news.sentences {
+        daemon.metrics.count("request.condemned");
+        slog::warn!(daemon.log, "request condemned";
+            "fingerprint" => %sentence.request, "servers" => list(&sentence.servers),
+            "age_ms" => sentence.age_ms, "found_here" => is_own);
+    }
+    if !news.sentences.is_empty() && (is_own || is_keeper(daemon, news)) {
+        daemon.crashes.to_keep.notify_one();
+    }
+    spread::tell(daemon, news);
+}
+
+/// Whether this daemon writes these sentences although another one found them: one of those
+/// that may have passed them does, since the finder may be lost or cut off from the store.
+fn is_keeper(daemon: &Daemon, news: &CrashFacts) -> bool {
+    let members = daemon.members.lock();
+    let owns = |request: Fingerprint| {
+        let owners = members.owners(request.key(), KEEPERS);
+        owners.iter().any(Option::is_none)
+    };
+    news.sentences.iter().any(|sentence| owns(sentence.request))
+}
+
+/// Daemons that write a sentence which was told to them.
+const KEEPERS: usize = 1;
+
+fn list<T: std::fmt::Display>(items: impl IntoIterator<Item = T>) -> String {
+    let items: Vec<String> = items.into_iter().map(|item| item.to_string()).collect();
+    items.join(", ")
+}
--- /dev/null
+++ b/crates/daemon/src/crashes/verify.rs
@@ -0,0 +1,54 @@
+//! Finds out whether a server that broke off has crashed: the evidence against a request must
+//! not be a reset connection, a cut, or a host in trouble of its own.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::Millis;
+use bankcove_core::crashes::ServerStart;
+
+use crate::crashes::{Origin, take_news};
+use crate::daemon::Daemon;
+use crate::tcp::{Reach, reach};
+
+/// Longest wait for a connection: a host in reach accepts or refuses within 2 ms.
+const REACH_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Pause between two tries to reach a server that is silent.
+const PAUSE: Duration = Duration::from_millis(250);
+
+/// How long a server that neither accepts nor refuses is in doubt, in milliseconds: the entry
+/// of one that is lost with its host goes after three heartbeats, some 3 to 4 s.
+const DOUBT_MS: Millis = 5_000;
+
+/// Finds it out, and takes in the answer.
+pub(super) async fn verify(daemon: Arc<Daemon>, server: ServerStart, address: String) {
+    let has_crashed = has_crashed(&daemon, &server, &address).await;
+    let now = daemon.clock.now();
+    if has_crashed {
+        let news = daemon.crashes.change(|book| book.crashed(now, &server));
+        take_news(&daemon, &news, Origin::Here);
+    } else {
+        slog::info!(daemon.log, "server broke off and has not crashed"; "server" => %server.name);
+        daemon.crashes.change(|book| book.lives(&server));
+    }
+}
+
+async fn has_crashed(daemon: &Daemon, server: &ServerStart, address: &str) -> bool {
+    let doubted_until = daemon.clock.now() + DOUBT_MS;
+    loop {
+        match reach(address, REACH_TIMEOUT).await {
+            Reach::Refused => return true,
+            Reach::Accepted => return false,
+            Reach::Silent => {}
+        }
+        // Gone from the list, or another start has its name.
+        if !daemon.router.lock().knows_start(&server.name, server.started_ms) {
+            return true;
+        }
+        if daemon.clock.now() >= doubted_until || daemon.ended.is_cancelled() {
+            return false;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -21,6 +21,7 @@
 use crate::budgets::Budgets;
 use crate::clock::Clock;
 use crate::config::Config;
+use crate::crashes::{Crashes, spread};
 use crate::error::Result;
 use crate::health::Contact;
 use crate::host_list::HostList;
@@ -74,6 +75,8 @@
     pub peers: PeerPool,
     /// Whom this daemon has heard of late.
     pub contact: Contact,
+    /// What is known of servers that crashed, and under which requests.
+    pub crashes: Crashes,
     /// Fetches of what a peer knows newer.
     pub fetches: Fetches,
     /// Told when what servers have to read for this daemon has changed.
@@ -133,6 +136,7 @@
             billing: Billing::default(),
             peers: PeerPool::default(),
             contact: Contact::new(cfg.follows_evacuations()),
+            crashes: Crashes::default(),
             fetches: Fetches::default(),
             unread_changed: Notify::new(),
             news_told: AtomicU64::new(0),
@@ -180,6 +184,7 @@
             store_heard_ms: self.contact.store_age(self.clock.now()),
             view_age_ms: self.contact.view_age(self.clock.now()),
             paces,
+            crashes_digest: spread::digest(self),
         }
     }
 }
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -10,6 +10,7 @@
 use hyper::{HeaderMap, Response, StatusCode};
 use tokio::time::timeout_at;
 
+use crate::crashes;
 use crate::entry::backends::SendError;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
@@ -66,6 +67,7 @@
             call.ran = true;
             open.failed();
             log_try(call, &choice, &problem);
+            crashes::broke_off(&entry.daemon, &choice, call.fingerprint());
             return Tried::Lost;
         }
         Ok(Ok(res)) => res,
@@ -117,6 +119,9 @@
             open.failed();
             let is_large = e.downcast_ref::<LengthLimitError>().is_some();
             log_try(call, choice, if is_large { "the answer is too large" } else { "cut short" });
+            if !is_large {
+                crashes::broke_off(&call.entry.daemon, choice, call.fingerprint());
+            }
             Tried::Lost
         }
         Err(_) => {
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -3,6 +3,7 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bankcove_core::crashes::Verdict;
 use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Incoming, Prompt};
@@ -17,6 +18,7 @@
 use crate::entry::backends::Outgoing;
 use crate::entry::link_use::LinkUse;
 use crate::entry::plan::Plan;
+use crate::entry::refusal::Refusal;
 use crate::fleet::fleet_size;
 
 /// Fewer shared tokens are read anew rather than copied from another server: setting
@@ -85,6 +87,27 @@
         shared >= MIN_COPIED_TOKENS
     }
 
+    /// What is known of it as one that crashes its servers.
+    pub fn verdict(&self) -> Verdict {
+        self.entry.daemon.crashes.verdict(|| self.fingerprint())
+    }
+
+    /// Passes a request that is not known to crash its servers.
+    ///
+    /// # Errors
+    /// What the caller of another one is told.
+    pub fn check_crashes(&self) -> Result<(), Refusal> {
+        let refusal = match self.verdict() {
+            Verdict::Free | Verdict::Suspect => return Ok(()),
+            Verdict::Held => Refusal::CrashesInDoubt,
+            Verdict::Condemned => Refusal::CrashesServers,
+        };
+        slog::info!(self.log, "not sent for its crashes";
+            "fingerprint" => %self.fingerprint(), "code" => refusal.code());
+        // What has run once gets no status that says it has not.
+        Err(if self.ran { Refusal::AnswerLost } else { refusal })
+    }
+
     /// Whether one more server may be tried: the route's tries, and the part
     /// of the fleet's repeats that this daemon may spend, are not used up.
     pub fn may_send(&self) -> bool {
@@ -94,6 +117,10 @@
         if self.sent >= self.plan.route.max_tries {
             return false;
         }
+        // A suspect's repeats would crash a server each, and use up those of honest requests.
+        if self.verdict() != Verdict::Free {
+            return false;
+        }
         let daemon = &self.entry.daemon;
         // Of a fleet that is not known yet no part of what all may repeat is this one's.
         let daemons = fleet_size(daemon).unwrap_or(usize::MAX);
@@ -109,7 +136,7 @@
         let seed = rand::random();
         let wanted = Wanted {
             pool: self.plan.service.as_str(),
-            prefix: self.incoming.prompt.as_ref().map_or(seed, affinity),
+            prefix: self.prefix(seed),
             prompt_tokens: self.prompt_tokens(),
             hour: 0,
             seed,
@@ -120,6 +147,15 @@
         daemon.router.lock().choose(daemon.clock.now(), &wanted)
     }
 
+    /// What decides which server comes first: a suspect's copies go to the same one from all
+    /// hosts, so that the next crash is one server's and not one for each host.
+    fn prefix(&self, seed: u64) -> u64 {
+        if self.verdict() == Verdict::Suspect {
+            return self.fingerprint().key();
+        }
+        self.incoming.prompt.as_ref().map_or(seed, affinity)
+    }
+
     /// The request as it goes to this server. `resume_after` is the last event
     /// that the caller has.
     pub fn outgoing(&self, choice: &Choice, resume_after: Option<u64>) -> Outgoing {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -5,6 +5,7 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
+use crate::crashes;
 use crate::entry::attempt::{Tried, attempt, log_end};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
@@ -30,6 +31,8 @@
         if !call.may_send() {
             break;
         }
+        // It may have been condemned since it came, while it waited for tokens.
+        call.check_crashes()?;
         let choice = match call.choose() {
             Ok(choice) => choice,
             Err(why) => {
@@ -49,6 +52,7 @@
                 let is_failure = status.is_server_error() && call.plan.may_repeat();
                 if !is_failure {
                     charge.whole();
+                    crashes::succeeded(&call.entry.daemon, || call.fingerprint());
                     call.link.sent(body.len());
                     log_end(&call, &charge, "answered", status);
                     return Ok(Answer::Whole(status, headers, body));
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -24,6 +24,10 @@
 /// When to come back while no hall takes work: operators end that, not the fleet.
 const RETRY_NO_HALL: Duration = Duration::from_secs(2);
 
+/// When to come back while it is found out if servers that broke off have crashed: nearly
+/// always one refuses a connection within 2 ms, and a silent one is given 5 s.
+const RETRY_IN_DOUBT: Duration = Duration::from_secs(1);
+
 /// Why a caller gets no answer of a backend server.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
@@ -100,6 +104,12 @@
     /// The time was over before any server had the request.
     #[error("the time was over before a backend server had the request")]
     TooLate,
+    /// Servers that ran the request have crashed, and it runs nowhere any more.
+    #[error("the backend servers that ran this request before have crashed; do not repeat it")]
+    CrashesServers,
+    /// Servers that ran the request broke off, and may have crashed.
+    #[error("backend servers that ran this request before broke off; the cause is not known yet")]
+    CrashesInDoubt,
     /// A server had the request and did not answer in time.
     #[error("the time was over before the answer came")]
     TimedOut,
@@ -130,10 +140,12 @@
             | Refusal::NoneListed
             | Refusal::NoHall
             | Refusal::OnlyCold(_)
+            | Refusal::CrashesInDoubt
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
-            Refusal::Malformed(_) => StatusCode::BAD_REQUEST,
+            // The request is at fault, and callers don't repeat it after this status.
+            Refusal::Malformed(_) | Refusal::CrashesServers => StatusCode::BAD_REQUEST,
             Refusal::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BodyTooSlow(_) => StatusCode::REQUEST_TIMEOUT,
             Refusal::BudgetShort { .. } | Refusal::BudgetRationed { .. } => {
@@ -162,6 +174,8 @@
             Refusal::NoneListed => "none_listed",
             Refusal::NoHall => "no_hall",
             Refusal::OnlyCold(_) => "only_cold",
+            Refusal::CrashesServers => "crashes_servers",
+            Refusal::CrashesInDoubt => "crashes_in_doubt",
             Refusal::TooLate => "too_late",
             Refusal::TimedOut => "timed_out",
             Refusal::AnswerLost => "answer_lost",
@@ -178,6 +192,7 @@
             Refusal::NoTable(retry_after) => Some(*retry_after),
             Refusal::NoHall => Some(RETRY_NO_HALL),
             Refusal::OnlyCold(left) => Some(*left),
+            Refusal::CrashesInDoubt => Some(RETRY_IN_DOUBT),
             Refusal::BudgetShort { retry_after, .. }
             | Refusal::BudgetRationed { retry_after, .. }
             | Refusal::BudgetOutOfReach { retry_after, .. } => Some(*retry_after),
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -15,6 +15,7 @@
 use salvo::http::StatusCode;
 use tokio::time::timeout_at;
 
+use crate::crashes;
 use crate::entry::attempt::{Tried, attempt, log_end, log_try};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
@@ -69,6 +70,7 @@
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
                     self.charge.whole();
+                    crashes::succeeded(&self.call.entry.daemon, || self.call.fingerprint());
                     self.tell_pace();
                     log_end(&self.call, &self.charge, "stream ended", StatusCode::OK);
                     return None;
@@ -81,6 +83,7 @@
             };
             self.open.failed();
             log_try(&self.call, &self.choice, problem);
+            crashes::broke_off(&self.call.entry.daemon, &self.choice, self.call.fingerprint());
             if !self.resume().await {
                 return Some(Err(self.break_off(problem)));
             }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod collect;
 pub mod config;
 pub mod controller;
+pub mod crashes;
 pub mod daemon;
 pub mod draws;
 pub mod dump;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -5,6 +5,7 @@
 use std::time::{Duration, Instant};
 
 use bankcove_core::bill::Bill;
+use bankcove_core::crashes::CrashFacts;
 use bankcove_core::holder::{Allotted, Ask};
 use bankcove_core::members::Heartbeat;
 use bankcove_core::owner::{Reply, Request};
@@ -23,6 +24,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 use crate::allotment::{self, AllotAnswer};
+use crate::crashes::spread;
 use crate::daemon::Daemon;
 use crate::error::Result;
 use crate::host_list::HostsTold;
@@ -104,6 +106,10 @@
     async fn close(holder: Incarnation, witness: Incarnation, budget: Name) -> Option<Tokens>;
     /// Appends to the request log by way of the receiver.
     async fn submit(entry: Entry) -> Outcome;
+    /// Tells of crashes that are new to the sender.
+    async fn told_crashes(facts: CrashFacts);
+    /// All that the receiver knows of crashes.
+    async fn crash_facts() -> CrashFacts;
     /// Keeps a bill until the store takes it.
     async fn keep_bill(bill: Bill);
 }
@@ -161,13 +167,6 @@
         }
     }
 
-    /// Whether the host at this address says that nobody listens there.
-    pub async fn is_refused(&self, address: &str, timeout: Duration) -> bool {
-        let connecting = tokio::time::timeout(timeout, TcpStream::connect(address)).await;
-        let refused = |e: &std::io::Error| e.kind() == std::io::ErrorKind::ConnectionRefused;
-        matches!(connecting, Ok(Err(e)) if refused(&e))
-    }
-
     /// How many connections are kept.
     pub fn len(&self) -> usize {
         self.clients.lock().len()
@@ -292,6 +291,14 @@
         request_log::submit_here(&self.daemon, entry).await
     }
 
+    async fn told_crashes(self, _: Context, facts: CrashFacts) {
+        spread::told(&self.daemon, facts);
+    }
+
+    async fn crash_facts(self, _: Context) -> CrashFacts {
+        spread::facts(&self.daemon)
+    }
+
     async fn keep_bill(self, _: Context, bill: Bill) {
         self.daemon.billing.keep(Entry::Bill(bill));
     }
--- a/crates/daemon/src/tcp.rs
+++ b/crates/daemon/src/tcp.rs
@@ -1,8 +1,10 @@
-//! Listening sockets that send small pieces at once.
+//! Listening sockets that send small pieces at once, and whether somebody listens elsewhere.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
+use std::time::Duration;
 
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, TcpStream};
 
 use crate::error::{Error, Result};
 
@@ -27,3 +29,23 @@
     socket.bind(address)?;
     socket.listen(BACKLOG)
 }
+
+/// What a host says to a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// Somebody listens at the address.
+    Accepted,
+    /// The host is there, and nobody listens.
+    Refused,
+    /// No word in time, or no way there.
+    Silent,
+}
+
+/// Tries to connect to `address`.
+pub async fn reach(address: &str, timeout: Duration) -> Reach {
+    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reach::Accepted,
+        Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Reach::Refused,
+        Ok(Err(_)) | Err(_) => Reach::Silent,
+    }
+}
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -41,6 +41,7 @@
         store_heard_ms: None,
         view_age_ms: None,
         paces: Vec::new(),
+        crashes_digest: 0,
     };
     daemon.members.lock().heard(0, &heartbeat);
 }
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -24,6 +24,7 @@
         store_heard_ms: Some(0),
         view_age_ms: Some(0),
         paces: Vec::new(),
+        crashes_digest: 0,
     }
 }
 
--- a/crates/ports/src/objects.rs
+++ b/crates/ports/src/objects.rs
@@ -17,6 +17,8 @@
     RequestLog(u32),
     /// Epochs of fenced orders.
     Epochs,
+    /// Requests that run nowhere any more.
+    Condemned,
 }
 
 impl Kind {
@@ -27,6 +29,7 @@
             Kind::Budgets => "budgets".to_owned(),
             Kind::RequestLog(shard) => format!("log-{shard:02}"),
             Kind::Epochs => "epochs".to_owned(),
+            Kind::Condemned => "condemned".to_owned(),
         }
     }
 }
