--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -9,6 +9,13 @@
 
 use crate::Millis;
 
+/// When an answer of the store was true at the latest: as it came, or as it was asked for if
+/// it took longer than `longest_ms`. A host that stood still meanwhile finds answers waiting
+/// that are as old as its sleep, and took them for new.
+pub fn answer_time(asked_at: Millis, came_at: Millis, longest_ms: Millis) -> Millis {
+    if came_at.saturating_sub(asked_at) > longest_ms { asked_at } else { came_at }
+}
+
 /// Until when the table and the lists are known to be complete.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub struct Freshness {
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -7,7 +7,7 @@
 use bankcove_core::lifecycle::{Admitted, Attempt, Received};
 use bankcove_core::router::Homes;
 use bankcove_core::table::{RouteTarget, ServerKind, WhenShort};
-use bankcove_core::{AttemptId, Tokens};
+use bankcove_core::{AttemptId, Millis, Tokens};
 use bytes::Bytes;
 use reqwest::Method;
 use salvo::http::header::{CONTENT_TYPE, HeaderValue};
@@ -151,10 +151,10 @@
     mut tx: oneshot::Sender<Result<Answer, Problem>>,
 ) {
     let started = daemon.clock.now();
-    let deadline = tokio::time::Instant::now() + chat.deadline;
+    let deadline = started + chat.deadline.as_millis() as Millis;
     let interrupt = async {
         tokio::select! {
-            () = tokio::time::sleep_until(deadline) => {}
+            () = daemon.clock.sleep_until(deadline) => {}
             () = tx.closed() => {}
         }
     };
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -7,8 +7,8 @@
 use salvo::affix_state;
 use salvo::prelude::*;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::time::Instant;
 
+use bankcove_core::Millis;
 use bankcove_core::members::{Host, HostRole, HostState};
 use bankcove_platform::headers::Headers;
 use bankcove_platform::store::ObjectStore;
@@ -23,18 +23,20 @@
 use crate::http::{Side, serve};
 use crate::{
     backend, billing, chat, draws, hall_sync, host_list, logging, membership, operator, peer,
-    proxy, server_sync, store_calls, table_sync, tend, unread_news,
+    proxy, server_sync, store_calls, suspension, table_sync, tend, unread_news,
 };
 
 /// Pause between two looks while a planned stop waits.
 const STOP_POLL: Duration = Duration::from_millis(50);
 
-/// How long a planned stop waits for a store that is away, to give tokens back.
-const RETIRE_PATIENCE: Duration = Duration::from_secs(30);
+/// How long a planned stop waits for a store that is away, to give tokens back, in
+/// milliseconds.
+const RETIRE_PATIENCE_MS: Millis = 30_000;
 
 /// Part of the time of a planned stop that is kept for what follows once tokens are
-/// given back: the host leaves the list, and the end is logged before the kill.
-const CLOSING: Duration = Duration::from_millis(300);
+/// given back, in milliseconds: the host leaves the list, and the end is logged before the
+/// kill.
+const CLOSING_MS: Millis = 300;
 
 /// Pause between two tries to give tokens back.
 const RETIRE_RETRY: Duration = Duration::from_millis(500);
@@ -145,6 +147,7 @@
         tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon)));
         tokio::spawn(unread_news::tell(Arc::clone(&daemon)));
         tokio::spawn(keep::keep(Arc::clone(&daemon)));
+        tokio::spawn(suspension::watch(Arc::clone(&daemon)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
         tokio::spawn(server_sync::watch(Arc::clone(&daemon)));
         if daemon.cfg.follows_evacuations() {
@@ -181,7 +184,7 @@
     /// given back but for what requests in flight may still cost.
     pub async fn stop(self) {
         let daemon = &self.daemon;
-        let deadline = Instant::now() + Duration::from_millis(daemon.cfg.limits.stop_timeout_ms);
+        let deadline = daemon.clock.now() + daemon.cfg.limits.stop_timeout_ms;
         let finished = match &daemon.cfg.entry {
             Some(entry) => {
                 entry::stop::drain(daemon, Duration::from_secs_f64(entry.stop_grace_s)).await
@@ -197,7 +200,7 @@
             "open" => daemon.work.len(), "reserved" => daemon.budgets.holder().reserved_in_all(),
             "bills_waiting" => daemon.billing.waiting());
         // What is open may go on until the platform's kill. Time over: the sides end.
-        let _over = tokio::time::timeout_at(deadline, daemon.work.wait()).await;
+        let _over = daemon.clock.before(deadline, daemon.work.wait()).await;
         self.sides.iter().for_each(|side| side.handle.stop_graceful(CLOSE_TIMEOUT));
         // The sides end by themselves; a failed task has ended as well.
         let ends = self.sides.into_iter().map(|side| side.task);
@@ -208,12 +211,12 @@
 
 /// Takes no more requests and waits until those in flight have ended and are
 /// billed; whether all have ended.
-async fn end_work(daemon: &Arc<Daemon>, deadline: Instant) -> bool {
+async fn end_work(daemon: &Arc<Daemon>, deadline: Millis) -> bool {
     slog::info!(daemon.log, "stopping"; "in_flight" => daemon.work.len());
     daemon.stopping.cancel();
     daemon.work.close();
-    let finished = tokio::time::timeout_at(deadline, daemon.work.wait()).await.is_ok();
-    while daemon.billing.waiting() > 0 && Instant::now() < deadline {
+    let finished = daemon.clock.before(deadline, daemon.work.wait()).await.is_some();
+    while daemon.billing.waiting() > 0 && daemon.clock.now() < deadline {
         tokio::time::sleep(STOP_POLL).await;
     }
     finished
@@ -283,13 +286,13 @@
 }
 
 /// Gives everything held back to the store; again while the store is away.
-async fn retire(daemon: &Arc<Daemon>, deadline: Instant) -> bool {
-    let deadline = (deadline - CLOSING).min(Instant::now() + RETIRE_PATIENCE);
+async fn retire(daemon: &Arc<Daemon>, deadline: Millis) -> bool {
+    let deadline = deadline.saturating_sub(CLOSING_MS).min(daemon.clock.now() + RETIRE_PATIENCE_MS);
     loop {
         if draws::retire(daemon).await {
             return true;
         }
-        if Instant::now() >= deadline {
+        if daemon.clock.now() >= deadline {
             return false;
         }
         tokio::time::sleep(RETIRE_RETRY).await;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -9,7 +9,7 @@
 use bankcove_core::router::Router;
 use bankcove_core::server_list::ServerList;
 use bankcove_core::table::Table;
-use bankcove_core::{AttemptId, Incarnation};
+use bankcove_core::{AttemptId, Incarnation, Millis};
 use bankcove_ports::{Client, Store};
 use parking_lot::Mutex;
 use slog::Logger;
@@ -88,7 +88,7 @@
     pub leaving: CancellationToken,
     /// In a planned stop, the time by which a request that is still taken has
     /// to be expected to end.
-    pub last_end: Mutex<Option<tokio::time::Instant>>,
+    pub last_end: Mutex<Option<Millis>>,
     /// Cancelled when a planned stop takes no more requests.
     pub stopping: CancellationToken,
     /// Cancelled when background tasks are to end.
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -8,7 +8,6 @@
 use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::body::Incoming as Body;
 use hyper::{HeaderMap, Response, StatusCode};
-use tokio::time::timeout_at;
 
 use crate::crashes;
 use crate::entry::backends::SendError;
@@ -48,21 +47,22 @@
     call.tried.push(choice.server.clone());
     call.link.sent(call.body.len());
     call.link.sent_head();
-    let sent = timeout_at(call.deadline, entry.backends.send(&choice, outgoing)).await;
+    let clock = &entry.daemon.clock;
+    let sent = clock.before(call.deadline, entry.backends.send(&choice, outgoing)).await;
     let res = match sent {
-        Err(_) => {
+        None => {
             call.ran = true;
             open.failed();
             log_try(call, &choice, "no answer in time");
             return Tried::Late;
         }
-        Ok(Err(SendError::NotConnected(problem))) => {
+        Some(Err(SendError::NotConnected(problem))) => {
             charge.not_run(ran_before);
             open.failed();
             log_try(call, &choice, &problem);
             return Tried::Unrun;
         }
-        Ok(Err(SendError::Broken(problem))) => {
+        Some(Err(SendError::Broken(problem))) => {
             call.sent += 1;
             call.ran = true;
             open.failed();
@@ -70,7 +70,7 @@
             crashes::broke_off(&entry.daemon, &choice, call.fingerprint());
             return Tried::Lost;
         }
-        Ok(Ok(res)) => res,
+        Some(Ok(res)) => res,
     };
     call.sent += 1;
     let head = entry.wire.read_answer(res.status(), res.headers());
@@ -107,15 +107,15 @@
     let status = res.status();
     let headers = call.entry.wire.answer_headers(res.headers());
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect();
-    match timeout_at(call.deadline, body).await {
-        Ok(Ok(body)) => {
+    match call.entry.daemon.clock.before(call.deadline, body).await {
+        Some(Ok(body)) => {
             if status.is_server_error() {
                 open.failed();
                 log_try(call, choice, "the server failed");
             }
             Tried::Answered(status, headers, body.to_bytes())
         }
-        Ok(Err(e)) => {
+        Some(Err(e)) => {
             open.failed();
             let is_large = e.downcast_ref::<LengthLimitError>().is_some();
             log_try(call, choice, if is_large { "the answer is too large" } else { "cut short" });
@@ -124,7 +124,7 @@
             }
             Tried::Lost
         }
-        Err(_) => {
+        None => {
             open.failed();
             log_try(call, choice, "the answer did not end in time");
             Tried::Late
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -11,7 +11,6 @@
 use salvo::http::uri::PathAndQuery;
 use salvo::http::{HeaderMap, Method};
 use slog::Logger;
-use tokio::time::Instant;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::entry::Entry;
@@ -46,9 +45,9 @@
     /// The body.
     pub body: Bytes,
     /// When it came.
-    pub arrived: Instant,
+    pub arrived: Millis,
     /// When the caller or the route has waited long enough.
-    pub deadline: Instant,
+    pub deadline: Millis,
     /// Servers that are not to be tried any more.
     pub tried: Vec<Name>,
     /// Tries that reached a server.
@@ -64,7 +63,12 @@
 impl Call {
     /// Milliseconds since it came.
     pub fn age_ms(&self) -> Millis {
-        self.arrived.elapsed().as_millis() as Millis
+        self.entry.daemon.clock.now().saturating_sub(self.arrived)
+    }
+
+    /// Whether its caller waits no longer.
+    pub fn is_late(&self) -> bool {
+        self.entry.daemon.clock.left(self.deadline).is_zero()
     }
 
     /// What it asks for, hashed when it is first needed: no request pays for it but those
@@ -159,7 +163,7 @@
     /// The request as it goes to this server. `resume_after` is the last event
     /// that the caller has.
     pub fn outgoing(&self, choice: &Choice, resume_after: Option<u64>) -> Outgoing {
-        let left = self.deadline.saturating_duration_since(Instant::now());
+        let left = self.entry.daemon.clock.left(self.deadline);
         let dispatch = Dispatch {
             server: &choice.server,
             workspace: self.plan.workspace.as_ref(),
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -33,6 +33,10 @@
         }
         // It may have been condemned since it came, while it waited for tokens.
         call.check_crashes()?;
+        // A host that was suspended wakes with requests whose callers have long gone.
+        if call.is_late() {
+            return Err(if call.ran { Refusal::TimedOut } else { Refusal::TooLate });
+        }
         let choice = match call.choose() {
             Ok(choice) => choice,
             Err(why) => {
--- a/crates/daemon/src/entry/pace.rs
+++ b/crates/daemon/src/entry/pace.rs
@@ -29,8 +29,10 @@
 }
 
 impl Pace {
-    /// The pace of a stream that was asked for at `arrived`.
-    pub fn since(arrived: Instant) -> Self {
+    /// The pace of a stream that was asked for this long ago.
+    pub fn since(age: Duration) -> Self {
+        let now = Instant::now();
+        let arrived = now.checked_sub(age).unwrap_or(now);
         let times = Box::new([0; STEPS]);
         let longest_pause = Duration::ZERO;
         Pace { arrived, first: None, last: arrived, longest_pause, times, count: 0 }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -5,6 +5,7 @@
 //! last event that the caller has.
 
 use std::io;
+use std::time::Duration;
 
 use bankcove_core::events::{EventSplitter, Order, Verdict};
 use bankcove_core::router::Choice;
@@ -13,7 +14,6 @@
 use http_body_util::BodyExt;
 use hyper::body::Incoming as Body;
 use salvo::http::StatusCode;
-use tokio::time::timeout_at;
 
 use crate::crashes;
 use crate::entry::attempt::{Tried, attempt, log_end, log_try};
@@ -46,7 +46,7 @@
     /// A stream whose head has come.
     pub fn new(call: Call, charge: Charge, body: Body, open: OpenRequest, choice: Choice) -> Self {
         let order = Order::after(call.incoming.resume_after);
-        let pace = Pace::since(call.arrived);
+        let pace = Pace::since(Duration::from_millis(call.age_ms()));
         let splitter = EventSplitter::default();
         Relay { call, charge, body, open, choice, splitter, order, pace }
     }
@@ -93,12 +93,13 @@
     /// Reads until there is a whole event, or the stream has ended in some way.
     async fn read(&mut self) -> Read {
         loop {
-            let frame = match timeout_at(self.call.deadline, self.body.frame()).await {
-                Err(_) => return Read::Late,
-                Ok(None) if self.splitter.is_empty() => return Read::End,
-                Ok(None) => return Read::Broken("the stream ended within an event"),
-                Ok(Some(Err(_))) => return Read::Broken("the stream broke off"),
-                Ok(Some(Ok(frame))) => frame,
+            let clock = &self.call.entry.daemon.clock;
+            let frame = match clock.before(self.call.deadline, self.body.frame()).await {
+                None => return Read::Late,
+                Some(None) if self.splitter.is_empty() => return Read::End,
+                Some(None) => return Read::Broken("the stream ended within an event"),
+                Some(Some(Err(_))) => return Read::Broken("the stream broke off"),
+                Some(Some(Ok(frame))) => frame,
             };
             let Ok(data) = frame.into_data() else { continue };
             self.splitter.push(&data);
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -8,14 +8,13 @@
 use bankcove_core::outage;
 use bankcove_core::owner::RETRY_LATER_MS;
 use bankcove_core::table::CallerLimits;
-use bankcove_core::{Name, Tokens};
+use bankcove_core::{Millis, Name, Tokens};
 use bankcove_ports::wire::Incoming;
 use salvo::affix_state;
 use salvo::http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
 use salvo::http::uri::PathAndQuery;
 use salvo::prelude::*;
 use slog::o;
-use tokio::time::Instant;
 
 use crate::budgets;
 use crate::daemon::Daemon;
@@ -94,8 +93,8 @@
 }
 
 async fn handle(entry: &Arc<Entry>, req: &mut Request) -> Result<Answer, Refusal> {
-    let arrived = Instant::now();
     let daemon = &entry.daemon;
+    let arrived = daemon.clock.now();
     let path = req.uri().path().to_owned();
     let refused = |refusal: Refusal, incoming: Option<&Incoming>| {
         daemon.metrics.count(&format!("refused.{}", refusal.code()));
@@ -106,7 +105,7 @@
             "path" => &path, "tokens" => incoming.and_then(|incoming| incoming.prompt.as_ref())
                 .map(|prompt| prompt.input_tokens + prompt.output_limit),
             "store_heard_ms" => daemon.contact.store_age(daemon.clock.now()),
-            "age_ms" => arrived.elapsed().as_millis() as u64);
+            "age_ms" => daemon.clock.now() - arrived);
         refusal
     };
     let incoming = entry.wire.read_request(req.headers());
@@ -123,7 +122,7 @@
     entry: &Arc<Entry>,
     req: &mut Request,
     incoming: Incoming,
-    arrived: Instant,
+    arrived: Millis,
 ) -> Result<Call, Refusal> {
     let daemon = &entry.daemon;
     if daemon.stopping.is_cancelled() {
@@ -135,7 +134,7 @@
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let plan = Plan::find(&table, host, req.uri().path(), &incoming)?;
     let host = Name::from(host);
-    let ends = Instant::now() + plan.expected_time(&incoming);
+    let ends = daemon.clock.now() + plan.expected_time(&incoming).as_millis() as Millis;
     if daemon.last_end.lock().is_some_and(|last_end| ends > last_end) {
         return Err(Refusal::Stopping);
     }
@@ -153,7 +152,7 @@
         headers: req.headers().clone(),
         body,
         arrived,
-        deadline: arrived + patience.min(longest),
+        deadline: arrived + patience.min(longest).as_millis() as Millis,
         incoming,
         plan,
         tried: Vec::new(),
--- a/crates/daemon/src/entry/stop.rs
+++ b/crates/daemon/src/entry/stop.rs
@@ -3,7 +3,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use tokio::time::{Instant, sleep, timeout_at};
+use bankcove_core::Millis;
+use tokio::time::sleep;
 
 use crate::daemon::Daemon;
 
@@ -25,24 +26,26 @@
 /// have ended before the grace time is nearly over. What is free of the budgets
 /// goes back meanwhile.
 pub async fn drain(daemon: &Arc<Daemon>, grace: Duration) -> bool {
-    let started = Instant::now();
-    let last = started + grace.saturating_sub(RESERVE);
+    let clock = &daemon.clock;
+    let started = clock.now();
+    let moment = |after: Duration| started + after.as_millis() as Millis;
+    let last = moment(grace.saturating_sub(RESERVE));
     daemon.leaving.cancel();
     slog::info!(daemon.log, "leaving"; "in_flight" => daemon.work.len());
-    sleep(NOTICE.min(grace / 3)).await;
+    clock.sleep_until(moment(NOTICE.min(grace / 3))).await;
     // When most daemons of a hall leave, the platform goes on using all of them:
     // what is sure to end in time is taken for as long as others are open.
-    let last_end = started + grace.saturating_sub(SLACK);
+    let last_end = moment(grace.saturating_sub(SLACK));
     *daemon.last_end.lock() = Some(last_end);
-    while !daemon.work.is_empty() && Instant::now() < last_end {
+    while !daemon.work.is_empty() && clock.now() < last_end {
         sleep(POLL).await;
     }
     daemon.stopping.cancel();
     daemon.work.close();
     // What is still open then is cut by the platform's kill, and logged here.
-    let ended = timeout_at(last, daemon.work.wait()).await.is_ok();
+    let ended = clock.before(last, daemon.work.wait()).await.is_some();
     slog::info!(daemon.log, "drained";
         "all_ended" => ended, "open" => daemon.work.len(),
-        "after_ms" => started.elapsed().as_millis() as u64);
+        "after_ms" => clock.now() - started);
     ended
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use bankcove_core::Millis;
+use bankcove_core::freshness::answer_time;
 use bankcove_core::members::FleetSize;
 use bankcove_core::standing::Standing;
 
@@ -17,12 +19,21 @@
 /// come, so this is also how long a cut may go unnoticed.
 pub const WATCH: Duration = Duration::from_millis(1_500);
 
+/// Longest time from asking for a watch to its answer, in milliseconds: what the adapter
+/// waits beyond it is 0.7 s, and 0.3 s more for a connection.
+const WATCH_ANSWERED_MS: Millis = WATCH.as_millis() as Millis + 1_000;
+
 /// Pause of a watch after the store did not answer it.
 pub const STORE_PAUSE: Duration = Duration::from_millis(300);
 
 /// Pause between two looks whether the store is back.
 const AWAY_POLL: Duration = Duration::from_millis(100);
 
+/// When the answer that has just come to a watch was true at the latest.
+pub fn watched_at(daemon: &Daemon, asked_at: Millis) -> Millis {
+    answer_time(asked_at, daemon.clock.now(), WATCH_ANSWERED_MS)
+}
+
 /// How many daemons the fleet has, by the platform's list; none while the list that is
 /// known may be that of a fleet which is still starting.
 pub fn fleet_size(daemon: &Daemon) -> Option<usize> {
--- a/crates/daemon/src/hall_sync.rs
+++ b/crates/daemon/src/hall_sync.rs
@@ -3,10 +3,11 @@
 
 use std::sync::Arc;
 
+use bankcove_core::Millis;
 use bankcove_core::hall_list::{EvacuatedHalls, HallChanges};
 
 use crate::daemon::Daemon;
-use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn};
+use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn, watched_at};
 use crate::{membership, routing_table, server_sync};
 
 /// Watches the list in the store, as long as this daemon does so for its hall, until the
@@ -20,6 +21,7 @@
             Turn::Wait => continue,
             Turn::End => return,
         }
+        let asked_at = daemon.clock.now();
         let watched = tokio::select! {
             watched = daemon.store.watch_halls(at, WATCH) => watched,
             () = daemon.ended.cancelled() => return,
@@ -28,7 +30,7 @@
             Ok(None) => return,
             Ok(Some(changes)) => {
                 at = changes.at;
-                take_changes(&daemon, changes);
+                take_changes(&daemon, asked_at, changes);
             }
             Err(bankcove_ports::Error::HistoryGone { after }) => {
                 slog::info!(daemon.log, "evacuated halls read anew: the store forgot its history"; "after" => after);
@@ -44,10 +46,10 @@
     }
 }
 
-fn take_changes(daemon: &Arc<Daemon>, changes: HallChanges) {
+fn take_changes(daemon: &Arc<Daemon>, asked_at: Millis, changes: HallChanges) {
     let now = daemon.clock.now();
     let was_current = membership::is_current(daemon);
-    daemon.contact.halls_read(now);
+    daemon.contact.halls_read(watched_at(daemon, asked_at));
     daemon.unreadable.tell(&daemon.log, "evacuations", &changes.unreadable);
     let is_changed = daemon.halls.lock().apply(now, changes);
     if is_changed {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -47,6 +47,7 @@
 pub mod server_sync;
 pub mod sse;
 pub mod store_calls;
+pub mod suspension;
 pub mod table_sync;
 pub mod tcp;
 pub mod tend;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -7,7 +7,6 @@
 use bankcove_core::members::{Heartbeat, Peer};
 use bankcove_core::standing::STALE_VIEW_MS;
 use tokio::sync::Semaphore;
-use tokio::time::Instant;
 
 use crate::crashes::spread;
 use crate::daemon::Daemon;
@@ -128,15 +127,15 @@
 /// Waits, after so many `failures` in a row, until it is time to look whether the store is
 /// back, or peers tell of it.
 pub async fn pause_without_store(daemon: &Daemon, failures: u32) {
-    let pause = Duration::from_millis(standing(daemon).probe_pause(failures, rand::random()));
-    let until = Instant::now() + pause;
+    let pause = standing(daemon).probe_pause(failures, rand::random());
+    let until = daemon.clock.now() + pause;
     loop {
-        let left = until.saturating_duration_since(Instant::now());
+        let left = daemon.clock.left(until);
         tokio::select! {
             () = tokio::time::sleep(left.min(TOLD_POLL)) => {}
             () = daemon.ended.cancelled() => return,
         }
-        if Instant::now() >= until || is_told_by_peers(daemon) {
+        if daemon.clock.now() >= until || is_told_by_peers(daemon) {
             return;
         }
     }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -8,7 +8,7 @@
 use bankcove_core::lifecycle::{Attempt, Dispatched};
 use bankcove_core::router::Homes;
 use bankcove_core::table::{Route, ServerKind};
-use bankcove_core::{AttemptId, Name, Tokens};
+use bankcove_core::{AttemptId, Millis, Name, Tokens};
 use bytes::Bytes;
 use reqwest::Method;
 use reqwest::header::{HeaderMap, HeaderName};
@@ -156,8 +156,8 @@
         homes: Homes { route: &route.homes, workspace: &caller.homes },
         claimed: once,
     };
-    let until = tokio::time::Instant::now() + deadline;
-    let interrupt = tokio::time::sleep_until(until);
+    let until = daemon.clock.now() + deadline.as_millis() as Millis;
+    let interrupt = daemon.clock.sleep_until(until);
     let placed = match placement::place(daemon, attempt, &need, &outgoing, interrupt).await {
         Ok(placed) => placed,
         Err(NotPlaced::Refused(problem)) => return Err(problem),
@@ -168,8 +168,8 @@
     let open = placed.open;
     let status = placed.res.status();
     let headers = placed.res.headers().clone();
-    let body = tokio::time::timeout_at(until, read_answer(placed.res)).await;
-    let Ok(Some(body)) = body else {
+    let body = daemon.clock.before(until, read_answer(placed.res)).await;
+    let Some(Some(body)) = body else {
         return Err(lost(daemon, placed.attempt, open, &placed.choice.server));
     };
     settle_and_bill(daemon, placed.attempt, &caller, price).await;
--- a/crates/daemon/src/pump.rs
+++ b/crates/daemon/src/pump.rs
@@ -10,13 +10,12 @@
 use bankcove_core::bill::Bill;
 use bankcove_core::lifecycle::{Attempt, Dispatched};
 use bankcove_core::stream::{Sequence, Verdict};
-use bankcove_core::{Name, Tokens};
+use bankcove_core::{Millis, Name, Tokens};
 use bytes::Bytes;
 use reqwest::Response;
 use serde::Deserialize;
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
-use tokio::time::Instant;
 
 use crate::answer::{Answer, Problem};
 use crate::backend;
@@ -95,12 +94,7 @@
 }
 
 /// Carries a stream to its caller.
-pub async fn stream(
-    daemon: &Arc<Daemon>,
-    run: Run,
-    pieces: mpsc::Sender<Bytes>,
-    deadline: Instant,
-) {
+pub async fn stream(daemon: &Arc<Daemon>, run: Run, pieces: mpsc::Sender<Bytes>, deadline: Millis) {
     let Run { log, budget, model, run_id, max_tokens, placed, .. } = run;
     let Placed { attempt, choice, res, mut open } = placed;
     let account = Account { log, budget, attempt, attached: is_attached(&res) };
@@ -116,7 +110,7 @@
     };
     let ending = tokio::select! {
         ending = carrier.carry(res) => ending,
-        () = tokio::time::sleep_until(deadline) => Ending::Late,
+        () = daemon.clock.sleep_until(deadline) => Ending::Late,
     };
     match ending {
         Ending::Last(usage, last) => {
@@ -183,7 +177,7 @@
     daemon: &Arc<Daemon>,
     run: Run,
     mut tx: oneshot::Sender<Result<Answer, Problem>>,
-    deadline: Instant,
+    deadline: Millis,
 ) {
     let Run { log, budget, run_id, placed, .. } = run;
     let Placed { attempt, choice, res, mut open } = placed;
@@ -191,7 +185,7 @@
     let body = tokio::select! {
         body = res.bytes() => body.ok(),
         () = tx.closed() => return cancel_and_bill(daemon, account, &choice, &run_id).await,
-        () = tokio::time::sleep_until(deadline) => {
+        () = daemon.clock.sleep_until(deadline) => {
             cancel_and_bill(daemon, account, &choice, &run_id).await;
             // A caller that went away needs no answer.
             let _gone = tx.send(Err(late()));
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bankcove_core::Millis;
 use bankcove_core::server_list::ServerChanges;
 
 use crate::daemon::Daemon;
@@ -46,6 +47,7 @@
         // Entries that lapsed are dropped when their grace is over, not later.
         let next_drop = daemon.servers.lock().next_drop(daemon.clock.now());
         let wait = next_drop.map_or(WATCH, |millis| WATCH.min(Duration::from_millis(millis)));
+        let asked_at = daemon.clock.now();
         let watched = tokio::select! {
             watched = daemon.store.watch_servers(at, wait) => watched,
             () = daemon.ended.cancelled() => return,
@@ -55,7 +57,7 @@
             Ok(Some(changes)) => {
                 failures = 0;
                 at = changes.at;
-                if take_changes(&daemon, changes, std::mem::take(&mut was_away)) {
+                if take_changes(&daemon, asked_at, changes, std::mem::take(&mut was_away)) {
                     tokio::time::sleep(CHANGE_PAUSE).await;
                 }
             }
@@ -78,10 +80,15 @@
 }
 
 /// Takes in what the store told; returns whether any server has changed.
-fn take_changes(daemon: &Arc<Daemon>, changes: ServerChanges, is_back: bool) -> bool {
+fn take_changes(
+    daemon: &Arc<Daemon>,
+    asked_at: Millis,
+    changes: ServerChanges,
+    is_back: bool,
+) -> bool {
     let now = daemon.clock.now();
     let was_current = membership::is_current(daemon);
-    daemon.contact.servers_read(now);
+    daemon.contact.servers_read(fleet::watched_at(daemon, asked_at));
     membership::pass_on_return(daemon, was_current);
     daemon.unreadable.tell(&daemon.log, "servers", &changes.unreadable);
     let mut list = daemon.servers.lock();
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/table_sync.rs
@@ -9,7 +9,7 @@
 use bankcove_ports::{Kind, WriteOutcome};
 
 use crate::daemon::Daemon;
-use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn};
+use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn, watched_at};
 use crate::membership;
 use crate::peer::FETCH_TIMEOUT;
 use crate::routing_table;
@@ -67,6 +67,7 @@
             Turn::Wait => continue,
             Turn::End => return,
         }
+        let asked_at = daemon.clock.now();
         let watched = tokio::select! {
             watched = daemon.store.watch::<Table>(Kind::Table, TABLE_NAME, at, WATCH) => watched,
             () = daemon.ended.cancelled() => return,
@@ -74,7 +75,7 @@
         match watched {
             Ok(watched) => {
                 let was_current = membership::is_current(&daemon);
-                daemon.contact.table_read(daemon.clock.now());
+                daemon.contact.table_read(watched_at(&daemon, asked_at));
                 membership::pass_on_return(&daemon, was_current);
                 let is_missing = watched.at == 0 && watched.changed.is_none();
                 at = watched.at;
--- /dev/null
+++ b/crates/daemon/tests/clock.rs
@@ -0,0 +1,90 @@
+//! The clock of ages and deadlines on a host that is suspended: the steady clock, and tokio's
+//! timers with it, stand still meanwhile, and the other goes on.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::freshness::{Freshness, answer_time};
+use bankcoved::clock::{Clock, TimeSource};
+use parking_lot::Mutex;
+use yare::parameterized;
+
+#[derive(Debug, Default)]
+struct Host {
+    awake: Mutex<Duration>,
+    suspended: Mutex<Duration>,
+}
+
+impl Host {
+    fn run(&self, time: Duration) {
+        *self.awake.lock() += time;
+    }
+
+    fn suspend(&self, time: Duration) {
+        *self.suspended.lock() += time;
+    }
+}
+
+impl TimeSource for Host {
+    fn passed(&self) -> Duration {
+        *self.awake.lock() + *self.suspended.lock()
+    }
+
+    fn awake(&self) -> Duration {
+        *self.awake.lock()
+    }
+}
+
+const SECOND: Duration = Duration::from_secs(1);
+
+fn host() -> (Arc<Host>, Clock) {
+    let host = Arc::new(Host::default());
+    (Arc::clone(&host), Clock::of(host))
+}
+
+#[test]
+fn what_was_known_before_a_suspension_is_as_old_as_it() {
+    let (host, clock) = host();
+    let mut view = Freshness::new(false);
+    view.table_read(clock.now());
+    view.servers_read(clock.now());
+    host.run(SECOND);
+    host.suspend(8 * SECOND);
+    assert_eq!(view.age(clock.now()), Some(9_000));
+    assert_eq!(clock.suspended(), 8 * SECOND);
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wait_that_a_suspension_has_outlasted_ends_when_the_host_wakes() {
+    let (host, clock) = host();
+    let deadline = clock.now() + 15_000;
+    let waiting = clock.clone();
+    let wait =
+        tokio::spawn(async move { waiting.before(deadline, std::future::pending::<()>()).await });
+    tokio::task::yield_now().await;
+    host.suspend(20 * SECOND);
+    clock.wake();
+    // tokio's clock has not moved: only the wake can end it.
+    assert_eq!(wait.await.expect("it ends"), None);
+    assert!(clock.left(deadline).is_zero());
+}
+
+#[tokio::test(start_paused = true)]
+async fn a_wait_goes_on_after_a_suspension_that_it_outlasts() {
+    let (host, clock) = host();
+    let deadline = clock.now() + 15_000;
+    host.suspend(5 * SECOND);
+    clock.wake();
+    let waited = clock.before(deadline, async { 1 }).await;
+    assert_eq!(waited, Some(1));
+    assert_eq!(clock.left(deadline), 10 * SECOND);
+}
+
+#[parameterized(
+    at_once = { 1_010, 1_010 },
+    after_the_whole_wait = { 3_500, 3_500 },
+    after_a_sleep = { 9_000, 1_000 },
+)]
+fn an_answer_that_waited_for_a_host_to_wake_is_as_old_as_its_question(came_at: u64, true_at: u64) {
+    assert_eq!(answer_time(1_000, came_at, 2_500), true_at);
+}
