Own interface, operators' list and lift of condemned requests; a caller that comes at once is stopped too

Cause: three crashes 70 ms apart were counted as one moment, since moments were chained; found by the new path tests, which waited for a sentence in vain. Change: a moment is 100 ms from its first crash; chat and plain routes of the own interface ask for the verdict and tell how runs ended; 'bankcove condemned list|lift', the dump's section.

--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -2,6 +2,7 @@
 
 use std::path::PathBuf;
 
+use bankcove_core::Fingerprint;
 use clap::{Args as ClapArgs, Parser, Subcommand, ValueEnum};
 
 /// Runs a fleet of bankcove daemons: their table, budgets and drains.
@@ -70,6 +71,9 @@
     /// Look at budgets and add to them.
     #[command(subcommand)]
     Budget(BudgetCommand),
+    /// Look at requests that crashed their servers and run nowhere any more.
+    #[command(subcommand)]
+    Condemned(CondemnedCommand),
     /// Make keys for callers.
     #[command(subcommand)]
     Key(KeyCommand),
@@ -202,6 +206,18 @@
     },
 }
 
+/// What to do with condemned requests.
+#[derive(Debug, Subcommand)]
+pub enum CondemnedCommand {
+    /// Show them, with the servers that crashed under each.
+    List,
+    /// Let one run again, at all daemons.
+    Lift {
+        /// Its fingerprint, 32 hexadecimal digits, as in the list and in logs.
+        fingerprint: Fingerprint,
+    },
+}
+
 /// What to do with keys.
 #[derive(Debug, Subcommand)]
 pub enum KeyCommand {
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,5 +1,7 @@
 //! Calls of a daemon's operator port.
 
+use bankcove_core::Fingerprint;
+use bankcove_core::crashes::Sentence;
 use bankcove_core::edit::Edit;
 use bankcove_core::error::RowFault;
 use bankcove_core::table::Table;
@@ -87,6 +89,24 @@
         Ok(())
     }
 
+    /// Requests that run nowhere any more.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] or [`Error::Refused`].
+    pub async fn condemned(&self) -> Result<Vec<Sentence>> {
+        self.call(self.request(Method::GET, "condemned")).await
+    }
+
+    /// Lets a condemned request run again.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] or [`Error::Refused`].
+    pub async fn lift(&self, request: Fingerprint) -> Result<()> {
+        let req = self.request(Method::DELETE, &format!("condemned/{request}"));
+        let _lifted: Value = self.call(req).await?;
+        Ok(())
+    }
+
     /// The daemon's state in a few lines.
     ///
     /// # Errors
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,6 +3,7 @@
 mod args;
 mod budget;
 mod client;
+mod condemned;
 mod config;
 mod controller;
 mod demo;
--- a/crates/core/src/crashes/record.rs
+++ b/crates/core/src/crashes/record.rs
@@ -20,9 +20,9 @@
 /// Requests remembered of one crash at most: twice what an engine runs at once.
 const MOST_ABOARD: usize = 128;
 
-/// Crashes within this of each other may have one cause, in milliseconds: hosts see those of
-/// a rack within some 10 ms, and a word between hosts takes up to some 100 ms.
-const SAME_MOMENT_MS: Millis = 200;
+/// Crashes within this of the first one may have one cause, in milliseconds: hosts see those
+/// of a rack within some 10 ms, and a word between hosts is under way for some 10 ms more.
+const SAME_MOMENT_MS: Millis = 100;
 
 /// Crashes that speak against a request.
 #[derive(Debug, Clone, Default)]
@@ -138,10 +138,12 @@
         crashes.sort_by_key(|(_, crash)| crash.at);
         crashes.dedup_by(|(_, later), (_, first)| self.is_one_cause(request, first, later));
         let mut moments = 0;
-        let mut last = None;
+        let mut began = None;
         for (_, crash) in &crashes {
-            moments += usize::from(last.is_none_or(|last| crash.at - last > SAME_MOMENT_MS));
-            last = Some(crash.at);
+            if began.is_none_or(|began| crash.at - began > SAME_MOMENT_MS) {
+                began = Some(crash.at);
+                moments += 1;
+            }
         }
         Evidence { servers: crashes.into_iter().map(|(server, _)| server).collect(), moments }
     }
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -154,6 +154,16 @@
     assert_eq!(book.verdict(FATAL), Verdict::Condemned);
 }
 
+#[test]
+fn crashes_one_right_after_the_other_are_several_moments() {
+    let mut book = CrashBook::default();
+    // A caller that comes again at once, and servers that crash 60 ms after they began.
+    for n in 0..3 {
+        crash(&mut book, 1_000 + 70 * Millis::from(n), n, &[FATAL]);
+    }
+    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+}
+
 #[test]
 fn who_was_aboard_with_a_condemned_request_is_not_condemned_for_it() {
     let mut book = CrashBook::default();
--- a/crates/daemon/src/backend.rs
+++ b/crates/daemon/src/backend.rs
@@ -6,7 +6,7 @@
 use bankcove_core::lifecycle::NothingRan;
 use bankcove_core::router::{Choice, LoadReport};
 use bankcove_core::table::ServerKind;
-use bankcove_core::{AttemptId, Tokens};
+use bankcove_core::{AttemptId, Fingerprint, Name, Tokens};
 use bytes::Bytes;
 use reqwest::{Method, Response, StatusCode};
 use serde::Deserialize;
@@ -48,6 +48,14 @@
     pub attempt: AttemptId,
 }
 
+impl Outgoing {
+    /// What is asked for, as [`Fingerprint::of`] a workspace's request; the name of a run,
+    /// which differs between attempts, does not count.
+    pub fn fingerprint(&self, workspace: &Name) -> Fingerprint {
+        Fingerprint::of("", &self.path, workspace.as_str(), &self.body)
+    }
+}
+
 #[derive(Deserialize)]
 struct Refusal {
     error: RefusalBody,
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/chat.rs
@@ -220,6 +220,7 @@
         prefix: chat.prefix,
         kind: ServerKind::Model,
         request: chat.caller.request,
+        workspace: &chat.caller.workspace,
         homes: Homes { route: &chat.route_homes, workspace: &chat.caller.homes },
         claimed: !chat.repeatable,
     }
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -11,7 +11,7 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bankcove_core::Fingerprint;
-use bankcove_core::crashes::{CrashBook, CrashFacts, ServerStart, Verdict};
+use bankcove_core::crashes::{CrashBook, CrashFacts, Gauge, Sentence, ServerStart, Verdict};
 use bankcove_core::router::Choice;
 use parking_lot::Mutex;
 use std::sync::Arc;
@@ -46,6 +46,11 @@
         is_active.then(|| read(&self.book.lock()))
     }
 
+    /// How much is remembered.
+    pub fn gauge(&self) -> Gauge {
+        self.book.lock().gauge()
+    }
+
     /// What follows for a request that is to run now.
     pub fn verdict(&self, request: impl FnOnce() -> Fingerprint) -> Verdict {
         self.read(|book| book.verdict(request())).unwrap_or(Verdict::Free)
@@ -78,6 +83,17 @@
     take_news(daemon, &news, Origin::Here);
 }
 
+/// Requests that run nowhere any more.
+pub fn sentences(daemon: &Daemon) -> Vec<Sentence> {
+    let now = daemon.clock.now();
+    daemon.crashes.read(|book| book.sentences(now)).unwrap_or_default()
+}
+
+/// Whether the request runs nowhere any more.
+pub fn is_condemned(daemon: &Daemon, request: Fingerprint) -> bool {
+    daemon.crashes.verdict(|| request) == Verdict::Condemned
+}
+
 /// Lets a condemned request run again, here and at all peers.
 pub fn lift(daemon: &Arc<Daemon>, request: Fingerprint) {
     let now = daemon.clock.now();
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -6,6 +6,7 @@
 use bankcove_core::Tokens;
 use serde_json::{Value, json};
 
+use crate::crashes::spread;
 use crate::daemon::Daemon;
 
 /// State of this daemon in a few lines.
@@ -58,6 +59,8 @@
         "owners": daemon.budgets.owners.dump().await,
         "request_log": daemon.requests.dump().await,
         "servers": servers,
+        "crashes": spread::facts(daemon),
+        "crashes_remembered": daemon.crashes.gauge(),
         "marks_kept_for_others": daemon.budgets.marks().len(),
         "peer_connections": daemon.peers.len(),
     })
--- a/crates/daemon/src/placement.rs
+++ b/crates/daemon/src/placement.rs
@@ -3,16 +3,18 @@
 
 use std::sync::Arc;
 
-use bankcove_core::lifecycle::{Admitted, Attempt, Dispatched};
+use bankcove_core::crashes::Verdict;
+use bankcove_core::lifecycle::{Admitted, Attempt, Dispatched, NotRun};
 use bankcove_core::reqlog::Entry;
 use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
 use bankcove_core::table::ServerKind;
-use bankcove_core::{Millis, Name, RequestHash, Tokens};
+use bankcove_core::{Fingerprint, Millis, Name, RequestHash, Tokens};
 use reqwest::Response;
 use salvo::http::StatusCode;
 
 use crate::answer::Problem;
 use crate::backend::{self, DispatchError, Outgoing};
+use crate::crashes;
 use crate::daemon::Daemon;
 use crate::unread_news::MIN_TOLD_TOKENS;
 
@@ -32,6 +34,8 @@
     pub res: Response,
     /// Ends the server's count of open requests.
     pub open: OpenRequest,
+    /// What was asked for.
+    pub fingerprint: Fingerprint,
 }
 
 /// A request that is open at a server; dropping it counts it as ended.
@@ -95,6 +99,8 @@
     pub kind: ServerKind,
     /// The request.
     pub request: RequestHash,
+    /// Who asks.
+    pub workspace: &'a Name,
     /// Regions that may serve it.
     pub homes: Homes<'a>,
     /// Whether a claim has to be given up when nothing ran.
@@ -143,12 +149,15 @@
 /// [`NotPlaced`] tells why no server has begun to answer.
 pub async fn place(
     daemon: &Arc<Daemon>,
-    mut attempt: Attempt<Admitted>,
+    attempt: Attempt<Admitted>,
     need: &Need<'_>,
     outgoing: &Outgoing,
     interrupt: impl Future<Output = ()>,
 ) -> Result<Placed, NotPlaced> {
     tokio::pin!(interrupt);
+    let fingerprint = outgoing.fingerprint(need.workspace);
+    let mut attempt =
+        check_crashes(daemon, attempt, need, fingerprint).map_err(NotPlaced::Refused)?;
     let mut tried = Vec::new();
     while tried.len() < daemon.cfg.limits.max_tries {
         let Ok(choice) = choose(daemon, need, &tried) else { break };
@@ -167,7 +176,9 @@
             }
         };
         match answer {
-            Ok(res) => return Ok(Placed { attempt: dispatched, choice, res, open }),
+            Ok(res) => {
+                return Ok(Placed { attempt: dispatched, choice, res, open, fingerprint });
+            }
             Err(DispatchError::NothingRan { proof, leaving }) => {
                 open.failed();
                 if leaving {
@@ -179,6 +190,7 @@
             }
             Err(DispatchError::Unknown) => {
                 open.failed();
+                crashes::broke_off(daemon, &choice, fingerprint);
                 return Err(NotPlaced::Refused(lost(daemon, dispatched, &choice)));
             }
         }
@@ -207,13 +219,45 @@
 }
 
 fn nowhere(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>) -> Problem {
+    let not_run = give_back(daemon, attempt, need);
+    daemon.metrics.count("refused.no_server");
+    let status = StatusCode::SERVICE_UNAVAILABLE;
+    let message = "no backend server takes the request now";
+    Problem::not_run(&not_run, status, "no_server", message).retry_after(RETRY_NO_SERVER_MS)
+}
+
+/// Gives back what was set aside and claimed for an attempt that runs nowhere.
+fn give_back(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>) -> NotRun {
     let id = attempt.id;
     let not_run = attempt.not_run(&mut daemon.budgets.holder());
     if need.claimed {
         daemon.billing.keep(Entry::Release { request: need.request, attempt: id });
     }
-    daemon.metrics.count("refused.no_server");
-    let status = StatusCode::SERVICE_UNAVAILABLE;
-    let message = "no backend server takes the request now";
-    Problem::not_run(&not_run, status, "no_server", message).retry_after(RETRY_NO_SERVER_MS)
+    not_run
+}
+
+/// Passes a request that is not known to crash its servers.
+fn check_crashes(
+    daemon: &Daemon,
+    attempt: Attempt<Admitted>,
+    need: &Need<'_>,
+    fingerprint: Fingerprint,
+) -> Result<Attempt<Admitted>, Problem> {
+    let verdict = daemon.crashes.verdict(|| fingerprint);
+    if matches!(verdict, Verdict::Free | Verdict::Suspect) {
+        return Ok(attempt);
+    }
+    let not_run = give_back(daemon, attempt, need);
+    daemon.metrics.count("refused.crashes_servers");
+    slog::info!(daemon.log, "not sent for its crashes";
+        "request" => %need.request, "fingerprint" => %fingerprint);
+    Err(if verdict == Verdict::Held {
+        let message = "backend servers that ran this request before broke off";
+        let status = StatusCode::SERVICE_UNAVAILABLE;
+        Problem::not_run(&not_run, status, "crashes_in_doubt", message)
+            .retry_after(RETRY_NO_SERVER_MS)
+    } else {
+        let message = "the backend servers that ran this request before have crashed";
+        Problem::not_run(&not_run, StatusCode::BAD_REQUEST, "crashes_servers", message)
+    })
 }
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -21,6 +21,7 @@
 use crate::backend::Outgoing;
 use crate::billing;
 use crate::chat::put_header;
+use crate::crashes;
 use crate::daemon::Daemon;
 use crate::http::{daemon, read_body};
 use crate::placement::{self, Need, NotPlaced, OpenRequest};
@@ -153,6 +154,7 @@
         prefix: xxh3_64(outgoing.path.as_bytes()),
         kind: ServerKind::Service,
         request: caller.request,
+        workspace: &caller.workspace,
         homes: Homes { route: &route.homes, workspace: &caller.homes },
         claimed: once,
     };
@@ -170,8 +172,12 @@
     let headers = placed.res.headers().clone();
     let body = daemon.clock.before(until, read_answer(placed.res)).await;
     let Some(Some(body)) = body else {
+        crashes::broke_off(daemon, &placed.choice, placed.fingerprint);
         return Err(lost(daemon, placed.attempt, open, &placed.choice.server));
     };
+    if !status.is_server_error() {
+        crashes::succeeded(daemon, || placed.fingerprint);
+    }
     settle_and_bill(daemon, placed.attempt, &caller, price).await;
     Ok(Answer { status, headers, body })
 }
--- a/crates/daemon/src/pump.rs
+++ b/crates/daemon/src/pump.rs
@@ -20,6 +20,7 @@
 use crate::answer::{Answer, Problem};
 use crate::backend;
 use crate::billing::{self, Billed};
+use crate::crashes;
 use crate::daemon::Daemon;
 use crate::placement::{Interrupted, Placed};
 use crate::sse::{Event, Piece, Splitter, Usage};
@@ -96,7 +97,7 @@
 /// Carries a stream to its caller.
 pub async fn stream(daemon: &Arc<Daemon>, run: Run, pieces: mpsc::Sender<Bytes>, deadline: Millis) {
     let Run { log, budget, model, run_id, max_tokens, placed, .. } = run;
-    let Placed { attempt, choice, res, mut open } = placed;
+    let Placed { attempt, choice, res, mut open, fingerprint } = placed;
     let account = Account { log, budget, attempt, attached: is_attached(&res) };
     let mut carrier = Carrier {
         daemon,
@@ -114,6 +115,7 @@
     };
     match ending {
         Ending::Last(usage, last) => {
+            crashes::succeeded(daemon, || fingerprint);
             settle_and_bill(daemon, account, usage).await;
             send_end(&pieces, last).await;
         }
@@ -124,6 +126,8 @@
         }
         Ending::Cancelled | Ending::ServerLost => {
             open.failed();
+            // A server that did not keep to its protocol is there, which is found out.
+            crashes::broke_off(daemon, &choice, fingerprint);
             give_up(daemon, account);
             send_problem(&pieces, &server_lost()).await;
         }
@@ -180,7 +184,7 @@
     deadline: Millis,
 ) {
     let Run { log, budget, run_id, placed, .. } = run;
-    let Placed { attempt, choice, res, mut open } = placed;
+    let Placed { attempt, choice, res, mut open, fingerprint } = placed;
     let account = Account { log, budget, attempt, attached: is_attached(&res) };
     let body = tokio::select! {
         body = res.bytes() => body.ok(),
@@ -198,12 +202,14 @@
     };
     match (answer, body) {
         (Some(answer), Some(body)) if answer.id == run_id && !cancelled(&answer) => {
+            crashes::succeeded(daemon, || fingerprint);
             settle_and_bill(daemon, account, answer.usage).await;
             // A caller that went away only now has been billed for a whole run.
             let _gone = tx.send(Ok(Answer::Whole(body)));
         }
         _ => {
             open.failed();
+            crashes::broke_off(daemon, &choice, fingerprint);
             give_up(daemon, account);
             // A caller that went away needs no answer.
             let _gone = tx.send(Err(server_lost()));
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -296,6 +296,23 @@
         }
     }
 
+    /// Waits until a daemon holds so many requests for condemned.
+    ///
+    /// # Panics
+    /// When it does not for a long time.
+    pub async fn wait_for_condemned(&self, index: usize, count: usize) {
+        let deadline = tokio::time::Instant::now() + PATIENCE;
+        loop {
+            let condemned = self.operator(index, "condemned").await;
+            if condemned.as_ref().and_then(Value::as_array).is_some_and(|all| all.len() == count) {
+                return;
+            }
+            let name = &self.daemons[index].name;
+            assert!(tokio::time::Instant::now() < deadline, "{name} has {condemned:?}");
+            tokio::time::sleep(POLL).await;
+        }
+    }
+
     /// Everything that ran at the engines that still live. What a killed
     /// engine ran is gone with it; checks of it can only be too lenient.
     pub async fn live_runs(&mut self) -> Vec<RunRecord> {
