--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -250,6 +250,9 @@
         /// Whether it ignores orders.
         #[arg(long)]
         ignores_orders: bool,
+        /// A prompt with this in it crashes the process.
+        #[arg(long, value_name = "TEXT")]
+        crash_on: Option<String>,
     },
     /// A plain service.
     Service {
@@ -286,6 +289,12 @@
     /// Share of requests that ask for a stream.
     #[arg(long, default_value_t = 0.8)]
     pub streams: f64,
+    /// Prompt of a caller that sends the same request again and again.
+    #[arg(long, value_name = "TEXT")]
+    pub repeated_prompt: Option<String>,
+    /// Share of requests that are this caller's.
+    #[arg(long, default_value_t = 0.1)]
+    pub repeated_share: f64,
     /// Retries of a request that was not done, as a caller would.
     #[arg(long, default_value_t = 2)]
     pub retries: u32,
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -127,13 +127,17 @@
 fn draw(args: &LoadArgs, rng: &mut StdRng, number: u64, start: Instant) -> Request {
     let turn = number as usize;
     let length = rng.random_range(1..=args.prompt_bytes.max(1));
+    let prompt = "ramp ".chars().cycle().take(length).collect();
+    // Nothing is drawn for a load without such a caller, so that its seeds stay what they are.
+    let repeated = args.repeated_prompt.as_ref();
+    let repeated = repeated.filter(|_| rng.random_bool(args.repeated_share.clamp(0.0, 1.0)));
     Request {
         number,
         due: start + Duration::from_secs_f64(number as f64 / args.rate),
         target: args.targets[turn % args.targets.len()].clone(),
         key: args.keys[turn % args.keys.len()].clone(),
         model: args.models[rng.random_range(0..args.models.len())].clone(),
-        prompt: "ramp ".chars().cycle().take(length).collect(),
+        prompt: repeated.cloned().unwrap_or(prompt),
         max_tokens: args.max_tokens,
         stream: rng.random_bool(args.streams.clamp(0.0, 1.0)),
         retries: args.retries,
--- a/crates/cli/src/standin.rs
+++ b/crates/cli/src/standin.rs
@@ -24,9 +24,9 @@
     match command {
         StandinCommand::Store { listen } => store::start(&listen).await,
         StandinCommand::Service { listen } => service::start(&listen).await,
-        StandinCommand::Engine { listen, step_ms, slots, ignores_orders } => {
+        StandinCommand::Engine { listen, step_ms, slots, ignores_orders, crash_on } => {
             let step = Duration::from_millis(step_ms);
-            let settings = Settings { step, slots, checks_orders: !ignores_orders };
+            let settings = Settings { step, slots, checks_orders: !ignores_orders, crash_on };
             engine::start(&listen, settings).await
         }
     }
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -90,6 +90,8 @@
     pub step_ms: u64,
     /// Whether engines ignore orders.
     pub ignores_orders: bool,
+    /// A prompt with this in it crashes the engine that runs it.
+    pub crash_on: Option<&'static str>,
     /// Bounds and intervals of the daemons.
     pub limits: Value,
 }
@@ -103,6 +105,7 @@
             tokens: 1_000_000,
             step_ms: 2,
             ignores_orders: false,
+            crash_on: None,
             limits: json!({
                 "heartbeat_ms": 100, "host_list_ms": 200, "load_report_ms": 200,
                 "budget_write_ms": 20, "log_append_ms": 10, "peer_timeout_ms": 500,
@@ -143,6 +146,9 @@
         if plan.ignores_orders {
             engine_args.push("--ignores-orders");
         }
+        if let Some(text) = plan.crash_on {
+            engine_args.extend(["--crash-on", text]);
+        }
         let engines: Vec<StandIn> =
             (0..plan.engines).map(|_| StandIn::start(&engine_args)).collect();
         let services: Vec<StandIn> =
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -31,11 +31,14 @@
 /// Output limit of callers that give none.
 const DEFAULT_MAX_TOKENS: u64 = 16;
 
+/// Tokens after which a run that crashes the engine does so.
+const CRASH_TOKENS: u64 = 2;
+
 /// Pieces that may wait for a slow reader.
 const STREAM_BUFFER: usize = 64;
 
 /// How the engine behaves.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone)]
 pub struct Settings {
     /// Time between two tokens.
     pub step: Duration,
@@ -43,11 +46,13 @@
     pub slots: usize,
     /// Whether it checks orders and refuses work once ordered to leave.
     pub checks_orders: bool,
+    /// A prompt with this in it ends the process once two tokens are generated.
+    pub crash_on: Option<String>,
 }
 
 impl Default for Settings {
     fn default() -> Self {
-        Settings { step: Duration::from_millis(4), slots: 32, checks_orders: true }
+        Settings { step: Duration::from_millis(4), slots: 32, checks_orders: true, crash_on: None }
     }
 }
 
@@ -75,6 +80,8 @@
 struct Run {
     record: Mutex<RunRecord>,
     limit: u64,
+    /// Whether it crashes the engine.
+    crashes: bool,
     changed: Notify,
 }
 
@@ -116,6 +123,7 @@
 /// # Errors
 /// When the port can't be listened on.
 pub async fn start(listen: &str, settings: Settings) -> std::io::Result<Running> {
+    let slots = Semaphore::new(settings.slots);
     let engine = Arc::new(Engine {
         settings,
         state: Mutex::new(State {
@@ -127,7 +135,7 @@
             running: 0,
             waiting: 0,
         }),
-        slots: Semaphore::new(settings.slots),
+        slots,
     });
     Running::start(listen, routes(engine)).await
 }
@@ -248,7 +256,12 @@
             at_ms: unix_ms(),
         };
         let limit = body.max_tokens.unwrap_or(DEFAULT_MAX_TOKENS);
-        let run = Arc::new(Run { record: Mutex::new(record), limit, changed: Notify::new() });
+        let crashes = self.settings.crash_on.as_ref().is_some_and(|text| {
+            let said = |message: &Value| message["content"].as_str().unwrap_or("").contains(text);
+            body.messages.iter().any(said)
+        });
+        let record = Mutex::new(record);
+        let run = Arc::new(Run { record, limit, crashes, changed: Notify::new() });
         state.runs.insert(run_name, Arc::clone(&run));
         state.history.push(Arc::clone(&run));
         state.waiting += 1;
@@ -291,6 +304,10 @@
         }
         run.record.lock().output_tokens += 1;
         run.changed.notify_waiters();
+        if run.crashes && run.record.lock().output_tokens >= CRASH_TOKENS {
+            // As an engine that runs out of memory: nothing is told to anybody.
+            std::process::abort();
+        }
     }
     run.record.lock().ended = true;
     run.changed.notify_waiters();
