--- /dev/null
+++ b/crates/bench/benches/crashes.rs
@@ -0,0 +1,68 @@
+//! What it costs to know which requests crash their servers: the hash of a request, a verdict,
+//! the digest in a heartbeat, and what one daemon tells another.
+//!
+//! `cargo bench -p bankcove-bench --bench crashes`
+
+use std::hint::black_box;
+
+use bankcove_core::crashes::{CrashBook, ServerStart};
+use bankcove_core::{Fingerprint, Millis, Name};
+use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
+
+/// Crashes that a book remembers at most.
+const CRASHES: usize = 256;
+
+/// Requests aboard of a server in a pool that is half full.
+const ABOARD: usize = 32;
+
+/// A book after so many crashes, with as many requests aboard of each, all of them different
+/// but for one that three crashes speak against.
+fn book(crashes: usize) -> CrashBook {
+    let mut book = CrashBook::default();
+    for crash in 0..crashes {
+        let server = ServerStart { name: Name::from(format!("i-{crash:010}")), started_ms: 0 };
+        let now = 500 * crash as Millis;
+        for place in 0..ABOARD {
+            let request = Fingerprint(1_000 + (crash * ABOARD + place) as u128);
+            book.broke_off(now, &server, request);
+        }
+        if crash < 3 {
+            book.broke_off(now, &server, Fingerprint(1));
+        }
+        book.crashed(now, &server);
+    }
+    book
+}
+
+fn costs(c: &mut Criterion) {
+    for bytes in [1_000, 12_000, 100_000] {
+        let body = vec![b'x'; bytes];
+        c.bench_function(&format!("fingerprint of {bytes} bytes"), |b| {
+            b.iter(|| Fingerprint::of("calls.example", "/a/b", "dispatch", black_box(&body)));
+        });
+    }
+    for crashes in [3, CRASHES] {
+        let known = book(crashes);
+        let now = 500 * crashes as Millis;
+        let told = bincode::serialize(&known.facts(now)).expect("facts can be written");
+        println!("facts of {crashes} crashes, {ABOARD} aboard each: {} bytes", told.len());
+        c.bench_function(&format!("verdict of an unknown request, {crashes} crashes"), |b| {
+            b.iter(|| known.verdict(black_box(Fingerprint(7))));
+        });
+        c.bench_function(&format!("verdict of one aboard, {crashes} crashes"), |b| {
+            b.iter(|| known.verdict(black_box(Fingerprint(1_000))));
+        });
+        c.bench_function(&format!("digest, {crashes} crashes"), |b| {
+            b.iter(|| known.digest(black_box(now)));
+        });
+        let facts = known.facts(now);
+        c.bench_function(&format!("taking in the facts of {crashes} crashes"), |b| {
+            let fresh = || (CrashBook::default(), facts.clone());
+            let take = |(mut book, facts): (CrashBook, _)| book.told(now, facts);
+            b.iter_batched(fresh, take, BatchSize::SmallInput);
+        });
+    }
+}
+
+criterion_group!(benches, costs);
+criterion_main!(benches);
--- a/crates/core/src/crashes/book.rs
+++ b/crates/core/src/crashes/book.rs
@@ -67,6 +67,8 @@
     at: Millis,
     /// Up to when others were told.
     told_at: Option<Millis>,
+    /// Whether it made a sentence void, which a host that was cut off may still bring back.
+    is_lift: bool,
 }
 
 fn is_enough(crashes: usize, moments: usize) -> bool {
@@ -87,7 +89,8 @@
 impl CrashBook {
     /// Whether nothing is known, so that no request need be looked up.
     pub fn is_empty(&self) -> bool {
-        self.record.len() == 0 && self.unsure.is_empty() && self.condemned.is_empty()
+        let knows_crashes = self.record.len() > 0 || !self.unsure.is_empty();
+        !knows_crashes && self.condemned.is_empty() && self.cleared.is_empty()
     }
 
     /// How much is remembered.
@@ -154,7 +157,10 @@
     /// An operator lets the request run again; returns news for peers.
     pub fn lift(&mut self, now: Millis, request: Fingerprint) -> CrashFacts {
         self.clear(now, request);
-        self.cleared.entry(request).and_modify(|clearance| clearance.told_at = Some(now));
+        self.cleared.entry(request).and_modify(|clearance| {
+            clearance.told_at = Some(now);
+            clearance.is_lift = true;
+        });
         CrashFacts { cleared: vec![Cleared { request, age_ms: 0 }], ..CrashFacts::default() }
     }
 
@@ -245,7 +251,7 @@
         let record = &self.record;
         self.cleared.retain(|request, clearance| {
             let age_ms = now.saturating_sub(clearance.at);
-            age_ms < HOLD_MS && (clearance.told_at.is_some() || record.aboard_of(*request) > 0)
+            age_ms < HOLD_MS && (clearance.is_lift || record.aboard_of(*request) > 0)
         });
     }
 
@@ -327,6 +333,7 @@
         let is_void = has_evidence && self.count_against(request) < CONDEMNED_AFTER;
         if is_void || at >= condemned.at {
             self.condemned.remove(&request);
+            self.cleared.entry(request).and_modify(|clearance| clearance.is_lift = true);
         }
         self.make_room_for_clearances();
     }
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -238,3 +238,25 @@
     // The newest ones are still condemned.
     assert_eq!(book.verdict(Fingerprint(1_999)), Verdict::Condemned);
 }
+
+#[test]
+fn word_that_lifted_a_sentence_outlives_the_crashes_and_other_word_does_not() {
+    let mut book = CrashBook::default();
+    for n in 0..3 {
+        crash(&mut book, 1_000 * Millis::from(n), n, &[FATAL]);
+    }
+    crash(&mut book, 3_000, 4, &[HONEST]);
+    book.succeeded(3_500, HONEST);
+    book.lift(4_000, FATAL);
+    let later = 400_000;
+    book.forget_old(later);
+    let facts = book.facts(later);
+    assert!(facts.crashes.is_empty());
+    assert_eq!(facts.cleared.len(), 1);
+    // A host that was cut off brings the sentence back, and is told better.
+    let stale = Sentence { request: FATAL, age_ms: later - 2_000, servers: Vec::new() };
+    book.told(later, CrashFacts { sentences: vec![stale], ..CrashFacts::default() });
+    assert_eq!(book.verdict(FATAL), Verdict::Free);
+    book.forget_old(HOLD_MS + later);
+    assert!(book.is_empty());
+}
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -8,13 +8,13 @@
 pub mod spread;
 mod verify;
 
+use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
-use bankcove_core::Fingerprint;
 use bankcove_core::crashes::{CrashBook, CrashFacts, Gauge, Sentence, ServerStart, Verdict};
 use bankcove_core::router::Choice;
+use bankcove_core::{Fingerprint, Millis};
 use parking_lot::Mutex;
-use std::sync::Arc;
 use tokio::sync::Notify;
 
 use crate::daemon::Daemon;
@@ -25,6 +25,9 @@
     book: Mutex<CrashBook>,
     /// Whether anything is known: while nothing is, no request is hashed or looked up.
     is_active: AtomicBool,
+    /// [`CrashBook::digest`] after the last change: at most 0.6 ms to compute, and read by
+    /// each of twelve heartbeats a second.
+    digest: AtomicU64,
     /// Told when a sentence is to be kept in the store.
     to_keep: Notify,
     /// When the facts of a peer were last asked for.
@@ -33,9 +36,10 @@
 
 impl Crashes {
     /// Changes the book by `change`.
-    fn change<T>(&self, change: impl FnOnce(&mut CrashBook) -> T) -> T {
+    fn change<T>(&self, now: Millis, change: impl FnOnce(&mut CrashBook) -> T) -> T {
         let mut book = self.book.lock();
         let changed = change(&mut book);
+        self.digest.store(book.digest(now), Ordering::Relaxed);
         self.is_active.store(!book.is_empty(), Ordering::Relaxed);
         changed
     }
@@ -65,7 +69,7 @@
         return;
     }
     let server = ServerStart { name: choice.server.clone(), started_ms: choice.started_ms };
-    let broke = daemon.crashes.change(|book| book.broke_off(now, &server, request));
+    let broke = daemon.crashes.change(now, |book| book.broke_off(now, &server, request));
     let (is_unsure, news) = broke;
     take_news(daemon, &news, Origin::Here);
     if is_unsure {
@@ -79,7 +83,7 @@
         return;
     }
     let (now, request) = (daemon.clock.now(), request());
-    let news = daemon.crashes.change(|book| book.succeeded(now, request));
+    let news = daemon.crashes.change(now, |book| book.succeeded(now, request));
     take_news(daemon, &news, Origin::Here);
 }
 
@@ -97,7 +101,7 @@
 /// Lets a condemned request run again, here and at all peers.
 pub fn lift(daemon: &Arc<Daemon>, request: Fingerprint) {
     let now = daemon.clock.now();
-    let news = daemon.crashes.change(|book| book.lift(now, request));
+    let news = daemon.crashes.change(now, |book| book.lift(now, request));
     slog::info!(daemon.log, "sentence lifted"; "fingerprint" => %request);
     daemon.crashes.to_keep.notify_one();
     take_news(daemon, &news, Origin::Here);
--- a/crates/daemon/src/crashes/spread.rs
+++ b/crates/daemon/src/crashes/spread.rs
@@ -39,7 +39,7 @@
 /// Takes in what a peer has told.
 pub fn told(daemon: &Arc<Daemon>, facts: CrashFacts) {
     let now = daemon.clock.now();
-    let news = daemon.crashes.change(|book| book.told(now, facts));
+    let news = daemon.crashes.change(now, |book| book.told(now, facts));
     take_news(daemon, &news, Origin::Told);
 }
 
@@ -51,15 +51,14 @@
 
 /// Hash of all that is known here; 0 while nothing is.
 pub fn digest(daemon: &Daemon) -> u64 {
-    let now = daemon.clock.now();
-    daemon.crashes.read(|book| book.digest(now)).unwrap_or(0)
+    daemon.crashes.digest.load(Ordering::Relaxed)
 }
 
 /// Forgets what is too long ago.
 pub fn forget_old(daemon: &Daemon) {
     let now = daemon.clock.now();
     if daemon.crashes.is_active.load(Ordering::Relaxed) {
-        daemon.crashes.change(|book| book.forget_old(now));
+        daemon.crashes.change(now, |book| book.forget_old(now));
     }
 }
 
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -26,11 +26,11 @@
     let has_crashed = has_crashed(&daemon, &server, &address).await;
     let now = daemon.clock.now();
     if has_crashed {
-        let news = daemon.crashes.change(|book| book.crashed(now, &server));
+        let news = daemon.crashes.change(now, |book| book.crashed(now, &server));
         take_news(&daemon, &news, Origin::Here);
     } else {
         slog::info!(daemon.log, "server broke off and has not crashed"; "server" => %server.name);
-        daemon.crashes.change(|book| book.lives(&server));
+        daemon.crashes.change(now, |book| book.lives(&server));
     }
 }
 
