A server is alive when a connection to it stays open; an answer without a length proves no success

Change: a connection that is made in the look must stay open for 100 ms, else the look is repeated; answers that tell no end of their own are looked into in place of counted as successes; a success of a request that no crash concerns changes nothing and costs no digest.

--- a/crates/core/src/crashes/book.rs
+++ b/crates/core/src/crashes/book.rs
@@ -116,6 +116,11 @@
         if crashes + 1 >= CONDEMNED_AFTER { Verdict::Suspect } else { Verdict::Free }
     }
 
+    /// Whether a success of this request would change anything.
+    pub fn concerns(&self, request: Fingerprint) -> bool {
+        self.record.aboard_of(request) > 0 || self.condemned.contains_key(&request)
+    }
+
     /// Takes in that the connection over which this server was running a request broke.
     /// Returns whether it is to be found out if the server has crashed, which then comes back
     /// by [`CrashBook::crashed`] or [`CrashBook::lives`], and news for peers.
@@ -147,7 +152,7 @@
     /// A request has ended well. Returns news for peers: of a request that two crashes speak
     /// against, so that no third one condemns it where nobody saw it succeed.
     pub fn succeeded(&mut self, now: Millis, request: Fingerprint) -> CrashFacts {
-        if self.record.aboard_of(request) == 0 && !self.condemned.contains_key(&request) {
+        if !self.concerns(request) {
             return CrashFacts::default();
         }
         self.clear(now, request);
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -14,6 +14,8 @@
 use bankcove_core::crashes::{CrashBook, CrashFacts, Gauge, Sentence, ServerStart, Verdict};
 use bankcove_core::router::Choice;
 use bankcove_core::{Fingerprint, Millis};
+use hyper::HeaderMap;
+use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
@@ -77,12 +79,35 @@
     }
 }
 
+/// An answer has ended. One that nothing but the end of its connection ends looks whole
+/// as well when its server has crashed, so that it proves no success.
+pub fn ended(
+    daemon: &Arc<Daemon>,
+    choice: &Choice,
+    is_framed: bool,
+    request: impl FnOnce() -> Fingerprint,
+) {
+    if is_framed {
+        succeeded(daemon, request);
+    } else {
+        broke_off(daemon, choice, request());
+    }
+}
+
+/// Whether an answer with these headers tells its own end.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
+}
+
 /// A request has ended well.
 pub fn succeeded(daemon: &Arc<Daemon>, request: impl FnOnce() -> Fingerprint) {
-    if !daemon.crashes.is_active.load(Ordering::Relaxed) {
-        return;
-    }
-    let (now, request) = (daemon.clock.now(), request());
+    // Nearly all requests are aboard of no crash, and end here.
+    let concerned = daemon.crashes.read(|book| {
+        let request = request();
+        book.concerns(request).then_some(request)
+    });
+    let Some(request) = concerned.flatten() else { return };
+    let now = daemon.clock.now();
     let news = daemon.crashes.change(now, |book| book.succeeded(now, request));
     take_news(daemon, &news, Origin::Here);
 }
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -9,13 +9,17 @@
 
 use crate::crashes::{Origin, take_news};
 use crate::daemon::Daemon;
-use crate::tcp::{Reach, reach};
+use crate::tcp::{Reach, reach_and_hold};
 
 /// Longest wait for a connection: a host in reach accepts or refuses within 2 ms.
 const REACH_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// How long a connection to a server that lives stays open at the least: a port that is open
+/// longer than its process by more than this was not seen.
+const HOLD: Duration = Duration::from_millis(100);
+
 /// Pause between two tries to reach a server that is silent.
-const PAUSE: Duration = Duration::from_millis(250);
+const PAUSE: Duration = Duration::from_millis(100);
 
 /// How long a server that neither accepts nor refuses is in doubt, in milliseconds: the entry
 /// of one that is lost with its host goes after three heartbeats, some 3 to 4 s.
@@ -37,7 +41,7 @@
 async fn has_crashed(daemon: &Daemon, server: &ServerStart, address: &str) -> bool {
     let doubted_until = daemon.clock.now() + DOUBT_MS;
     loop {
-        match reach(address, REACH_TIMEOUT).await {
+        match reach_and_hold(address, REACH_TIMEOUT, HOLD).await {
             Reach::Refused => return true,
             Reach::Accepted => return false,
             Reach::Silent => {}
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -23,7 +23,7 @@
     /// The server has begun a stream.
     Begun(Response<Body>, OpenRequest, Choice),
     /// The server has answered.
-    Answered(StatusCode, HeaderMap, Bytes),
+    Answered(Answered),
     /// Nothing ran there; others may be tried.
     Unrun,
     /// It may have run there, and no answer came.
@@ -32,6 +32,20 @@
     Late,
 }
 
+/// A whole answer of a server.
+pub struct Answered {
+    /// Its status.
+    pub status: StatusCode,
+    /// Headers for the caller.
+    pub headers: HeaderMap,
+    /// Its body.
+    pub body: Bytes,
+    /// The server.
+    pub choice: Choice,
+    /// Whether it told its own end.
+    pub is_framed: bool,
+}
+
 /// One try at one server.
 pub async fn attempt(
     call: &mut Call,
@@ -95,15 +109,16 @@
     if res.status().is_success() && call.plan.route.streams {
         return Tried::Begun(res, open, choice);
     }
-    read_whole(call, res, open, &choice).await
+    read_whole(call, res, open, choice).await
 }
 
 async fn read_whole(
     call: &Call,
     res: Response<Body>,
     mut open: OpenRequest,
-    choice: &Choice,
+    choice: Choice,
 ) -> Tried {
+    let is_framed = crashes::is_framed(res.headers());
     let status = res.status();
     let headers = call.entry.wire.answer_headers(res.headers());
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect();
@@ -111,22 +126,22 @@
         Some(Ok(body)) => {
             if status.is_server_error() {
                 open.failed();
-                log_try(call, choice, "the server failed");
+                log_try(call, &choice, "the server failed");
             }
-            Tried::Answered(status, headers, body.to_bytes())
+            Tried::Answered(Answered { status, headers, body: body.to_bytes(), choice, is_framed })
         }
         Some(Err(e)) => {
             open.failed();
             let is_large = e.downcast_ref::<LengthLimitError>().is_some();
-            log_try(call, choice, if is_large { "the answer is too large" } else { "cut short" });
+            log_try(call, &choice, if is_large { "the answer is too large" } else { "cut short" });
             if !is_large {
-                crashes::broke_off(&call.entry.daemon, choice, call.fingerprint());
+                crashes::broke_off(&call.entry.daemon, &choice, call.fingerprint());
             }
             Tried::Lost
         }
         None => {
             open.failed();
-            log_try(call, choice, "the answer did not end in time");
+            log_try(call, &choice, "the answer did not end in time");
             Tried::Late
         }
     }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -6,7 +6,7 @@
 use hyper::{HeaderMap, StatusCode};
 
 use crate::crashes;
-use crate::entry::attempt::{Tried, attempt, log_end};
+use crate::entry::attempt::{Answered, Tried, attempt, log_end};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::refusal::Refusal;
@@ -49,14 +49,16 @@
             Tried::Begun(res, open, choice) => {
                 let status = res.status();
                 let headers = call.entry.wire.answer_headers(res.headers());
-                let relay = Relay::new(call, charge, res.into_body(), open, choice);
+                let relay = Relay::new(call, charge, res, open, choice);
                 return Ok(Answer::Stream(status, headers, Box::new(relay)));
             }
-            Tried::Answered(status, headers, body) => {
+            Tried::Answered(answered) => {
+                let Answered { status, headers, body, choice, is_framed } = answered;
                 let is_failure = status.is_server_error() && call.plan.may_repeat();
                 if !is_failure {
                     charge.whole();
-                    crashes::succeeded(&call.entry.daemon, || call.fingerprint());
+                    let daemon = &call.entry.daemon;
+                    crashes::ended(daemon, &choice, is_framed, || call.fingerprint());
                     call.link.sent(body.len());
                     log_end(&call, &charge, "answered", status);
                     return Ok(Answer::Whole(status, headers, body));
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -12,6 +12,7 @@
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use http_body_util::BodyExt;
+use hyper::Response;
 use hyper::body::Incoming as Body;
 use salvo::http::StatusCode;
 
@@ -27,6 +28,8 @@
     call: Call,
     charge: Charge,
     body: Body,
+    /// Whether the answer tells its own end.
+    is_framed: bool,
     open: OpenRequest,
     choice: Choice,
     splitter: EventSplitter,
@@ -44,11 +47,19 @@
 
 impl Relay {
     /// A stream whose head has come.
-    pub fn new(call: Call, charge: Charge, body: Body, open: OpenRequest, choice: Choice) -> Self {
+    pub fn new(
+        call: Call,
+        charge: Charge,
+        res: Response<Body>,
+        open: OpenRequest,
+        choice: Choice,
+    ) -> Self {
+        let is_framed = crashes::is_framed(res.headers());
+        let body = res.into_body();
         let order = Order::after(call.incoming.resume_after);
         let pace = Pace::since(Duration::from_millis(call.age_ms()));
         let splitter = EventSplitter::default();
-        Relay { call, charge, body, open, choice, splitter, order, pace }
+        Relay { call, charge, body, is_framed, open, choice, splitter, order, pace }
     }
 
     /// The events as the body of an answer. An error breaks the answer off, so
@@ -70,7 +81,9 @@
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
                     self.charge.whole();
-                    crashes::succeeded(&self.call.entry.daemon, || self.call.fingerprint());
+                    let daemon = &self.call.entry.daemon;
+                    let request = || self.call.fingerprint();
+                    crashes::ended(daemon, &self.choice, self.is_framed, request);
                     self.tell_pace();
                     log_end(&self.call, &self.charge, "stream ended", StatusCode::OK);
                     return None;
@@ -146,6 +159,7 @@
                     slog::info!(self.call.log, "stream resumed";
                         "server" => %choice.server, "after" => after);
                     self.call.entry.daemon.metrics.count("stream.resumed");
+                    self.is_framed = crashes::is_framed(res.headers());
                     self.body = res.into_body();
                     self.open = open;
                     self.choice = choice;
@@ -153,7 +167,7 @@
                     return true;
                 }
                 Tried::Unrun | Tried::Lost => {}
-                Tried::Answered(..) | Tried::Late => return false,
+                Tried::Answered(_) | Tried::Late => return false,
             }
         }
         false
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/proxy.rs
@@ -175,9 +175,8 @@
         crashes::broke_off(daemon, &placed.choice, placed.fingerprint);
         return Err(lost(daemon, placed.attempt, open, &placed.choice.server));
     };
-    if !status.is_server_error() {
-        crashes::succeeded(daemon, || placed.fingerprint);
-    }
+    let is_framed = crashes::is_framed(&headers);
+    crashes::ended(daemon, &placed.choice, is_framed, || placed.fingerprint);
     settle_and_bill(daemon, placed.attempt, &caller, price).await;
     Ok(Answer { status, headers, body })
 }
--- a/crates/daemon/src/tcp.rs
+++ b/crates/daemon/src/tcp.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
+use tokio::time::error::Elapsed;
 
 use crate::error::{Error, Result};
 
@@ -41,9 +42,27 @@
     Silent,
 }
 
+/// Tries to connect to `address`, and whether the connection then stays open for `hold`. The
+/// port of a process that has just ended may be open a little longer than its connections;
+/// what connects to it then is reset at once. Such a connection counts as silence.
+pub async fn reach_and_hold(address: &str, timeout: Duration, hold: Duration) -> Reach {
+    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+        Ok(Ok(stream)) => {
+            // Nobody was asked anything: whatever there is to read is an end or an error.
+            let ended = tokio::time::timeout(hold, stream.readable()).await;
+            if ended.is_ok() { Reach::Silent } else { Reach::Accepted }
+        }
+        other => of_connection(&other),
+    }
+}
+
 /// Tries to connect to `address`.
 pub async fn reach(address: &str, timeout: Duration) -> Reach {
-    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+    of_connection(&tokio::time::timeout(timeout, TcpStream::connect(address)).await)
+}
+
+fn of_connection(connected: &Result<std::io::Result<TcpStream>, Elapsed>) -> Reach {
+    match connected {
         Ok(Ok(_)) => Reach::Accepted,
         Ok(Err(e)) if e.kind() == ErrorKind::ConnectionRefused => Reach::Refused,
         Ok(Err(_)) | Err(_) => Reach::Silent,
