--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -21,6 +21,9 @@
 
 use crate::daemon::Daemon;
 
+/// Daemons that write a sentence which was told to them.
+const KEEPERS: usize = 1;
+
 /// What this daemon knows of crashes.
 #[derive(Debug, Default)]
 pub struct Crashes {
@@ -147,6 +150,14 @@
         return;
     }
     let is_own = origin == Origin::Here;
+    log_news(daemon, news, is_own);
+    if !news.sentences.is_empty() && (is_own || is_keeper(daemon, news)) {
+        daemon.crashes.to_keep.notify_one();
+    }
+    spread::tell(daemon, news);
+}
+
+fn log_news(daemon: &Daemon, news: &CrashFacts, is_own: bool) {
     for crash in &news.crashes {
         daemon.metrics.count("server.crashed");
         slog::info!(daemon.log, "server crashed";
@@ -163,14 +174,10 @@
             "fingerprint" => %sentence.request, "servers" => list(&sentence.servers),
             "age_ms" => sentence.age_ms, "found_here" => is_own);
     }
-    if !news.sentences.is_empty() && (is_own || is_keeper(daemon, news)) {
-        daemon.crashes.to_keep.notify_one();
-    }
-    spread::tell(daemon, news);
 }
 
-/// Whether this daemon writes these sentences although another one found them: one of those
-/// that may have passed them does, since the finder may be lost or cut off from the store.
+/// Whether this daemon writes these sentences although another one found them: the finder may
+/// be lost, or cut off from the store, before it has.
 fn is_keeper(daemon: &Daemon, news: &CrashFacts) -> bool {
     let members = daemon.members.lock();
     let owns = |request: Fingerprint| {
@@ -180,9 +187,6 @@
     news.sentences.iter().any(|sentence| owns(sentence.request))
 }
 
-/// Daemons that write a sentence which was told to them.
-const KEEPERS: usize = 1;
-
 fn list<T: std::fmt::Display>(items: impl IntoIterator<Item = T>) -> String {
     let items: Vec<String> = items.into_iter().map(|item| item.to_string()).collect();
     items.join(", ")
