News of crashes are gathered for 50 ms before peers are told

A crash shows at each of its connections one after the other, and each was told by itself to six peers by each of 87 hosts: some 10,000 calls for 20 requests aboard (computed). Change: news are gathered for 50 ms, those of one crash as one.

--- a/crates/core/src/crashes/facts.rs
+++ b/crates/core/src/crashes/facts.rs
@@ -63,4 +63,16 @@
     pub fn is_empty(&self) -> bool {
         self.crashes.is_empty() && self.cleared.is_empty() && self.sentences.is_empty()
     }
+
+    /// Adds other facts; what is new of one crash is told as one.
+    pub fn add(&mut self, other: &CrashFacts) {
+        for crash in &other.crashes {
+            match self.crashes.iter_mut().find(|known| known.server == crash.server) {
+                Some(known) => known.aboard.extend(&crash.aboard),
+                None => self.crashes.push(crash.clone()),
+            }
+        }
+        self.cleared.extend(&other.cleared);
+        self.sentences.extend(other.sentences.iter().cloned());
+    }
 }
--- a/crates/daemon/src/crashes/spread.rs
+++ b/crates/daemon/src/crashes/spread.rs
@@ -16,12 +16,34 @@
 /// a crash after some five rounds; heartbeats reach those that were left out.
 const TOLD_AT_ONCE: usize = 6;
 
+/// How long news are gathered: a crash shows at each of its connections, one after the other, at
+/// many hosts. Told one by one, 20 requests aboard are 10,000 calls in a fleet of 87 (computed).
+const GATHER: Duration = Duration::from_millis(50);
+
 /// Shortest time between two questions for all that a peer knows, in milliseconds: up to some
 /// 500 kB under a flood of such requests.
 const ASK_PAUSE_MS: Millis = 1_000;
 
-/// Tells some peers what is new.
-pub(super) fn tell(daemon: &Arc<Daemon>, news: &CrashFacts) {
+/// Peers are to be told this, with what else is new by then.
+pub(super) fn tell(daemon: &Daemon, news: &CrashFacts) {
+    daemon.crashes.news.lock().add(news);
+    daemon.crashes.to_tell.notify_one();
+}
+
+/// Tells some peers what is new, until the daemon ends.
+pub async fn tell_news(daemon: Arc<Daemon>) {
+    loop {
+        tokio::select! {
+            () = daemon.crashes.to_tell.notified() => {}
+            () = daemon.ended.cancelled() => return,
+        }
+        tokio::time::sleep(GATHER).await;
+        let news = std::mem::take(&mut *daemon.crashes.news.lock());
+        tell_some(&daemon, &news);
+    }
+}
+
+fn tell_some(daemon: &Arc<Daemon>, news: &CrashFacts) {
     let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
     let peers = daemon.members.lock().some(TOLD_AT_ONCE, rand::random());
     for peer in peers {
