--- a/crates/core/src/crashes/book.rs
+++ b/crates/core/src/crashes/book.rs
@@ -287,7 +287,11 @@
     fn condemn(&mut self, now: Millis, requests: &[Fingerprint]) -> Vec<Sentence> {
         let mut sentences = Vec::new();
         loop {
-            let free = requests.iter().filter(|request| !self.condemned.contains_key(request));
+            let is_judged = |request: &&Fingerprint| {
+                let new = |sentence: &Sentence| sentence.request == **request;
+                self.condemned.contains_key(request) || sentences.iter().any(new)
+            };
+            let free = requests.iter().filter(|request| !is_judged(request));
             let counts: Vec<(Fingerprint, usize)> =
                 free.map(|request| (*request, self.count_against(*request))).collect();
             let most = counts.iter().map(|(_, count)| *count).max().unwrap_or(0);
--- a/crates/core/src/crashes/facts.rs
+++ b/crates/core/src/crashes/facts.rs
@@ -64,6 +64,15 @@
         self.crashes.is_empty() && self.cleared.is_empty() && self.sentences.is_empty()
     }
 
+    /// The same facts, told so much later.
+    #[must_use]
+    pub fn aged(mut self, by: Millis) -> Self {
+        self.crashes.iter_mut().for_each(|crash| crash.age_ms += by);
+        self.cleared.iter_mut().for_each(|cleared| cleared.age_ms += by);
+        self.sentences.iter_mut().for_each(|sentence| sentence.age_ms += by);
+        self
+    }
+
     /// Adds other facts; what is new of one crash is told as one.
     pub fn add(&mut self, other: &CrashFacts) {
         for crash in &other.crashes {
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -260,3 +260,20 @@
     book.forget_old(HOLD_MS + later);
     assert!(book.is_empty());
 }
+
+/// News are gathered before they are told. A sentence that was told as young as when it was
+/// gathered came back 50 ms after an operator had lifted it ("is not condemned" was expected of
+/// a second lift, which was done).
+#[test]
+fn a_sentence_that_waited_to_be_told_does_not_outlive_the_word_that_lifted_it() {
+    let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
+    let mut news = CrashFacts::default();
+    for n in 0..3 {
+        news.add(&crash(&mut here, 1_000 * Millis::from(n), n, &[FATAL]).aged(0));
+    }
+    let (condemned_at, told_at) = (2_000, 2_050);
+    let sentences = CrashFacts { sentences: news.sentences, ..CrashFacts::default() };
+    there.lift(2_040, FATAL);
+    there.told(told_at, sentences.aged(told_at - condemned_at));
+    assert_eq!(there.verdict(FATAL), Verdict::Free);
+}
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -33,8 +33,8 @@
     /// [`CrashBook::digest`] after the last change: at most 0.6 ms to compute, and read by
     /// each of twelve heartbeats a second.
     digest: AtomicU64,
-    /// News that peers are to be told next.
-    news: Mutex<CrashFacts>,
+    /// News that peers are to be told next, and when each was taken in.
+    news: Mutex<Vec<(Millis, CrashFacts)>>,
     /// Told when there are some.
     to_tell: Notify,
     /// Told when a sentence is to be kept in the store.
--- a/crates/daemon/src/crashes/spread.rs
+++ b/crates/daemon/src/crashes/spread.rs
@@ -26,7 +26,7 @@
 
 /// Peers are to be told this, with what else is new by then.
 pub(super) fn tell(daemon: &Daemon, news: &CrashFacts) {
-    daemon.crashes.news.lock().add(news);
+    daemon.crashes.news.lock().push((daemon.clock.now(), news.clone()));
     daemon.crashes.to_tell.notify_one();
 }
 
@@ -38,7 +38,13 @@
             () = daemon.ended.cancelled() => return,
         }
         tokio::time::sleep(GATHER).await;
-        let news = std::mem::take(&mut *daemon.crashes.news.lock());
+        let gathered = std::mem::take(&mut *daemon.crashes.news.lock());
+        let now = daemon.clock.now();
+        let mut news = CrashFacts::default();
+        for (at, facts) in gathered {
+            // A sentence that seems younger than it is would outlive the word that lifted it.
+            news.add(&facts.aged(now.saturating_sub(at)));
+        }
         tell_some(&daemon, &news);
     }
 }
