A daemon whose readers are cut off reads a change 2.75 s after their last word at the latest

Cause: the word of peers held for up to 3.0 s, and whether it still did was looked at 0.3 s apart, which is more than the 3 s in which a change is to be in force. Now the steps by rank end at 0.25 s, and the next look comes when the word becomes too old. Starts keep their steps. Before: the test failed (rank 8: 2,850 ms and 200 to read); after: it passes.

--- a/crates/core/src/standing.rs
+++ b/crates/core/src/standing.rs
@@ -19,10 +19,16 @@
 /// Each daemon that stands further back in the order of readers waits this much
 /// longer, in milliseconds, so that a few step in for readers that are gone, not
 /// all at once.
-const STEP_MS: Millis = 50;
+const STEP_MS: Millis = 25;
 
-/// The most that all of those steps come to, in milliseconds.
-const STEPS_MS: Millis = 500;
+/// The most that all of those steps come to, in milliseconds: a change that comes right after
+/// the last word of readers that are cut off is then read 2.75 s later, and in force in 3 s.
+const STEPS_MS: Millis = 250;
+
+/// The same for daemons that start, which would all read at once, and the most of that, in
+/// milliseconds.
+const START_STEP_MS: Millis = 50;
+const START_STEPS_MS: Millis = 500;
 
 /// Pause of a reader between two looks whether the store is back, in milliseconds: what a
 /// server says of leaving is to be known within two seconds of the store's return.
@@ -72,16 +78,21 @@
         if self.fleet.is_none() && self.has_seeds { self.is_seed } else { is_first }
     }
 
-    fn steps(&self) -> Millis {
-        let behind = (self.rank + 1).saturating_sub(self.readers) as Millis;
-        (behind * STEP_MS).min(STEPS_MS)
+    /// How many daemons of the hall come before it that are no readers, and itself.
+    fn behind(&self) -> Millis {
+        (self.rank + 1).saturating_sub(self.readers) as Millis
+    }
+
+    fn start_steps(&self) -> Millis {
+        (self.behind() * START_STEP_MS).min(START_STEPS_MS)
     }
 
     /// The age of what it knows up to which it leaves the store to others, in
     /// milliseconds; none for a reader, which watches the store itself.
     pub fn stale_after(&self) -> Option<Millis> {
         let is_first = self.rank < self.readers;
-        (!is_first).then(|| STALE_VIEW_MS + self.steps())
+        let steps = (self.behind() * STEP_MS).min(STEPS_MS);
+        (!is_first).then_some(STALE_VIEW_MS + steps)
     }
 
     /// How much longer, in milliseconds, it leaves the store to others when what it knows is
@@ -98,9 +109,9 @@
             return 0;
         }
         match self.fleet {
-            None => FIRST_START_PATIENCE_MS + self.steps(),
+            None => FIRST_START_PATIENCE_MS + self.start_steps(),
             Some(daemons) if daemons <= self.small_fleet || self.is_reader() => 0,
-            Some(_) => RESTART_PATIENCE_MS + self.steps(),
+            Some(_) => RESTART_PATIENCE_MS + self.start_steps(),
         }
     }
 
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -10,7 +10,7 @@
 use crate::daemon::Daemon;
 
 /// Pause between two looks whether peers still tell of changes.
-const TOLD_POLL: Duration = Duration::from_millis(300);
+const TOLD_POLL: Duration = Duration::from_millis(200);
 
 /// Pause between two looks while a start waits to be handed by peers what they know.
 pub const START_POLL: Duration = Duration::from_millis(20);
@@ -69,9 +69,20 @@
 /// Whether peers tell this daemon of changes in the store, so that it need not
 /// ask itself: others of its hall do, and their word is recent.
 pub fn is_told_by_peers(daemon: &Daemon) -> bool {
-    let stale_after = standing(daemon).stale_after();
-    let now = daemon.clock.now();
-    stale_after.is_some_and(|limit| !daemon.contact.is_view_older_than(limit, now))
+    told_for(daemon).is_some()
+}
+
+/// How much longer the word of peers is recent enough; none when this daemon asks the store
+/// itself.
+fn told_for(daemon: &Daemon) -> Option<Duration> {
+    let view_age = daemon.contact.view_age(daemon.clock.now());
+    standing(daemon).told_for(view_age).map(Duration::from_millis)
+}
+
+/// Pause before it looks again whether peers still tell this daemon of changes, and no longer
+/// than their word is recent; none when it asks the store itself.
+pub fn told_pause(daemon: &Daemon) -> Option<Duration> {
+    told_for(daemon).map(|left| left.min(TOLD_POLL))
 }
 
 /// What a daemon that follows something in the store does next.
@@ -88,8 +99,9 @@
 /// or it is away, which the watch of the servers finds out. `is_known` tells whether what
 /// is followed was told once.
 pub async fn next_turn(daemon: &Daemon, is_known: bool) -> Turn {
-    let pause = if is_known && is_told_by_peers(daemon) {
-        TOLD_POLL
+    let told_pause = told_pause(daemon).filter(|_| is_known);
+    let pause = if let Some(pause) = told_pause {
+        pause
     } else if awaits_peers(daemon) {
         START_POLL
     } else if daemon.contact.is_store_away(daemon.clock.now()) {
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/server_sync.rs
@@ -12,9 +12,6 @@
 use crate::peer::FETCH_TIMEOUT;
 use crate::{fleet, membership, routing_table};
 
-/// Pause between two looks whether peers still tell of changes.
-const TOLD_POLL: Duration = Duration::from_millis(200);
-
 /// Pause after a change, so that one call brings those that follow: at a start all
 /// servers write their entries within a second, in a release tens of them do.
 const CHANGE_PAUSE: Duration = Duration::from_millis(200);
@@ -27,7 +24,8 @@
     let mut failures = 0;
     loop {
         let known = daemon.servers.lock().version();
-        if known.is_some() && fleet::is_told_by_peers(&daemon) {
+        let told_pause = fleet::told_pause(&daemon);
+        if let Some(pause) = told_pause.filter(|_| known.is_some()) {
             // Heartbeats tell of newer lists, and peers hand them over.
             at = known.at;
             was_away = false;
@@ -36,7 +34,7 @@
             drop_lapsed(&daemon);
             daemon.contact.store_not_watched();
             tokio::select! {
-                () = tokio::time::sleep(TOLD_POLL) => continue,
+                () = tokio::time::sleep(pause) => continue,
                 () = daemon.ended.cancelled() => return,
             }
         }
