The daemon's state in layers: budget, bill, view, fleet, and its own interface in a folder

Ruled out for now: taking apart the struct that every part receives whole, and the protocol of peers from its handlers.

--- a/crates/daemon/src/admission.rs
+++ b/crates/daemon/src/api/admission.rs
@@ -10,11 +10,11 @@
 use bankcove_core::{Name, RequestHash, Tokens};
 use salvo::prelude::*;
 
-use crate::answer::{Fate, Problem};
-use crate::budgets::{self, Refusal};
+use crate::api::answer::{Fate, Problem};
+use crate::bill::request_log;
+use crate::budget::budgets::{self, Refusal};
 use crate::daemon::Daemon;
 use crate::identity::hash_key;
-use crate::request_log;
 
 /// Header that names a budget other than the workspace's own.
 const BUDGET_HEADER: &str = "x-bankcove-budget";
--- a/crates/daemon/src/chat.rs
+++ b/crates/daemon/src/api/chat.rs
@@ -17,13 +17,13 @@
 use tokio::sync::{mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::{self, Caller, identify};
-use crate::answer::{ATTEMPT_HEADER, Answer, KEY_HEADER, Problem};
-use crate::backend::{self, Outgoing};
+use crate::api::admission::{self, Caller, identify};
+use crate::api::answer::{ATTEMPT_HEADER, Answer, KEY_HEADER, Problem};
+use crate::api::backend::{self, Outgoing};
+use crate::api::placement::{self, Need, NotPlaced};
+use crate::api::pump::{self, Run};
 use crate::daemon::Daemon;
 use crate::http::{daemon, read_body};
-use crate::placement::{self, Need, NotPlaced};
-use crate::pump::{self, Run};
 
 /// Bytes of a prompt that decide where it goes.
 const PREFIX_BYTES: usize = 512;
--- a/crates/daemon/src/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -8,16 +8,16 @@
 use bankcove_core::reqlog::Entry;
 use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
 use bankcove_core::table::ServerKind;
-use bankcove_core::{Fingerprint, Millis, Name, RequestHash, Tokens};
+use bankcove_core::{Fingerprint, Millis, Name, RequestHash};
 use reqwest::Response;
 use salvo::http::StatusCode;
 
-use crate::answer::Problem;
-use crate::backend::{self, DispatchError, Outgoing};
+use crate::api::answer::Problem;
+use crate::api::backend::{self, DispatchError, Outgoing};
 use crate::crashes;
 use crate::crashes::gate::{self, RunApart};
 use crate::daemon::Daemon;
-use crate::unread_news::MIN_TOLD_TOKENS;
+use crate::open_request::OpenRequest;
 
 /// When to come back when no server is usable.
 const RETRY_NO_SERVER_MS: u64 = 1_000;
@@ -39,60 +39,6 @@
     pub fingerprint: Fingerprint,
 }
 
-/// A request that is open at a server; dropping it counts it as ended.
-pub struct OpenRequest {
-    daemon: Arc<Daemon>,
-    server: Name,
-    started_ms: Millis,
-    well: bool,
-    unread: Tokens,
-    /// Its one further run, when it has the same crashes as another request.
-    apart: Option<RunApart>,
-}
-
-impl OpenRequest {
-    /// Counts a request with a prompt of this length (0 without one) as open at
-    /// the server of this choice.
-    pub fn new(daemon: &Arc<Daemon>, choice: &Choice, prompt: Tokens) -> Self {
-        daemon.router.lock().sent(&choice.server, choice.started_ms, prompt);
-        if prompt >= MIN_TOLD_TOKENS {
-            daemon.unread_changed.notify_one();
-        }
-        OpenRequest {
-            daemon: Arc::clone(daemon),
-            server: choice.server.clone(),
-            started_ms: choice.started_ms,
-            well: true,
-            unread: prompt,
-            apart: None,
-        }
-    }
-
-    /// The server has read the prompt: its answer has begun.
-    pub fn begun(&mut self) {
-        let prompt = std::mem::take(&mut self.unread);
-        if prompt > 0 {
-            self.daemon.router.lock().read(&self.server, self.started_ms, prompt);
-        }
-        if prompt >= MIN_TOLD_TOKENS {
-            self.daemon.unread_changed.notify_one();
-        }
-    }
-
-    /// The server has failed this request.
-    pub fn failed(&mut self) {
-        self.well = false;
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.begun();
-        let now = self.daemon.clock.now();
-        self.daemon.router.lock().ended(now, &self.server, self.started_ms, self.well);
-    }
-}
-
 /// What a request needs of a server.
 pub struct Need<'a> {
     /// The router's pool.
--- a/crates/daemon/src/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -16,15 +16,16 @@
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::admission::{self, Caller, identify};
-use crate::answer::{ATTEMPT_HEADER, KEY_HEADER, Problem};
-use crate::backend::Outgoing;
-use crate::billing;
-use crate::chat::put_header;
+use crate::api::admission::{self, Caller, identify};
+use crate::api::answer::{ATTEMPT_HEADER, KEY_HEADER, Problem};
+use crate::api::backend::Outgoing;
+use crate::api::chat::put_header;
+use crate::api::placement::{self, Need, NotPlaced};
+use crate::bill::billing;
 use crate::crashes;
 use crate::daemon::Daemon;
 use crate::http::{daemon, read_body};
-use crate::placement::{self, Need, NotPlaced, OpenRequest};
+use crate::open_request::OpenRequest;
 
 /// Largest answer of a plain service, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
--- a/crates/daemon/src/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -17,13 +17,13 @@
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::answer::{Answer, Problem};
-use crate::backend;
-use crate::billing::{self, Billed};
+use crate::api::answer::{Answer, Problem};
+use crate::api::backend;
+use crate::api::placement::{Interrupted, Placed};
+use crate::api::sse::{Event, Piece, Splitter, Usage};
+use crate::bill::billing::{self, Billed};
 use crate::crashes;
 use crate::daemon::Daemon;
-use crate::placement::{Interrupted, Placed};
-use crate::sse::{Event, Piece, Splitter, Usage};
 
 /// Text that ends a stream.
 const END: &[u8] = b"data: [DONE]\n\n";
@@ -87,7 +87,7 @@
     id: String,
     usage: Usage,
     #[serde(default)]
-    choices: Vec<crate::sse::Choice>,
+    choices: Vec<crate::api::sse::Choice>,
 }
 
 fn is_attached(res: &Response) -> bool {
--- a/crates/daemon/src/billing.rs
+++ b/crates/daemon/src/bill/billing.rs
@@ -8,8 +8,8 @@
 use bankcove_core::reqlog::{Entry, Outcome};
 use parking_lot::Mutex;
 
+use crate::bill::request_log;
 use crate::daemon::Daemon;
-use crate::request_log;
 
 /// Peers that keep a copy of a bill while the store is away.
 const COPIES: usize = 2;
--- a/crates/daemon/src/allotment.rs
+++ b/crates/daemon/src/budget/allotment.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::budgets::{OWNER_KEY, Refusal, Source, obtain, prepare, terms};
+use crate::budget::budgets::{OWNER_KEY, Refusal, Source, obtain, prepare, terms};
 use crate::daemon::Daemon;
 use crate::fleet::is_small_fleet;
 use crate::peer::PeerServiceClient;
--- a/crates/daemon/src/borrow.rs
+++ b/crates/daemon/src/budget/borrow.rs
@@ -12,7 +12,7 @@
 use bankcove_core::table::Budget;
 use futures::future::join_all;
 
-use crate::budgets::terms;
+use crate::budget::budgets::terms;
 use crate::daemon::Daemon;
 use crate::peer::PeerServiceClient;
 
--- a/crates/daemon/src/budgets.rs
+++ b/crates/daemon/src/budget/budgets.rs
@@ -11,12 +11,12 @@
 use parking_lot::Mutex;
 use serde::{Deserialize, Serialize};
 
-use crate::allotment::{ask_for_tokens, owners, owners_to_ask};
-use crate::borrow;
-use crate::budget_owner::Owners;
-use crate::collect::open;
+use crate::budget::allotment::{ask_for_tokens, owners, owners_to_ask};
+use crate::budget::borrow;
+use crate::budget::collect::open;
+use crate::budget::draws::draw;
+use crate::budget::owner::Owners;
 use crate::daemon::Daemon;
-use crate::draws::draw;
 use crate::fleet::{fleet_size, is_small_fleet};
 
 /// Draws for one request before it is refused: each may bring tokens that
--- a/crates/daemon/src/collect.rs
+++ b/crates/daemon/src/budget/collect.rs
@@ -12,8 +12,8 @@
 use futures::future::join_all;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::budget_owner::ask_local_owner;
-use crate::budgets::OWNER_KEY;
+use crate::budget::budgets::OWNER_KEY;
+use crate::budget::owner::ask_local_owner;
 use crate::daemon::Daemon;
 use crate::peer::{GiveAnswer, PeerServiceClient};
 use crate::tcp::{Reach, reach};
--- a/crates/daemon/src/draws.rs
+++ b/crates/daemon/src/budget/draws.rs
@@ -9,12 +9,12 @@
 use bankcove_core::{Millis, Name, Tokens};
 use futures::future::join_all;
 
-use crate::budget_owner::{ask_local_owner, shard_of_request, store_answers};
-use crate::budgets::{OWNER_KEY, Refusal, terms};
-use crate::collect::witnesses;
+use crate::budget::budgets::{OWNER_KEY, Refusal, terms};
+use crate::budget::collect::witnesses;
+use crate::budget::hand_over::hand_over;
+use crate::budget::owner::{ask_local_owner, shard_of_request, store_answers};
 use crate::daemon::Daemon;
 use crate::fleet::is_small_fleet;
-use crate::hand_over::hand_over;
 use crate::peer::{OwnerAnswer, PeerServiceClient};
 
 /// Peers that are asked to write for a daemon that does not reach the store.
--- a/crates/daemon/src/budget_owner.rs
+++ b/crates/daemon/src/budget/owner.rs
@@ -12,8 +12,8 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::budgets::terms;
-use crate::collect::gather;
+use crate::budget::budgets::terms;
+use crate::budget::collect::gather;
 use crate::daemon::Daemon;
 use crate::mailbox::{Tickets, after, later};
 use crate::peer::OwnerAnswer;
--- a/crates/daemon/src/ration.rs
+++ b/crates/daemon/src/budget/ration.rs
@@ -7,7 +7,7 @@
 use bankcove_core::table::Budget;
 use bankcove_core::{Millis, Tokens};
 
-use crate::budget_owner::look_at_store;
+use crate::budget::owner::look_at_store;
 use crate::daemon::Daemon;
 use crate::fleet::is_small_fleet;
 
--- a/crates/daemon/src/tend.rs
+++ b/crates/daemon/src/budget/tend.rs
@@ -6,9 +6,9 @@
 use bankcove_core::members::Peer;
 use bankcove_core::table::Budget;
 
-use crate::allotment::{ask_for_tokens, owners_to_ask};
-use crate::budget_owner::store_answers;
-use crate::budgets::{Source, prepare, refill, terms};
+use crate::budget::allotment::{ask_for_tokens, owners_to_ask};
+use crate::budget::budgets::{Source, prepare, refill, terms};
+use crate::budget::owner::store_answers;
 use crate::daemon::Daemon;
 
 /// Pause between two looks at what is held.
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -14,17 +14,19 @@
 use bankcove_platform::store::ObjectStore;
 use bankcove_ports::{Client, Store};
 
+use crate::api::{backend, chat, proxy};
 use crate::args::{Args, Command};
+use crate::bill::billing;
+use crate::budget::{draws, tend};
 use crate::config::{Adapter, Config};
 use crate::crashes::{self, keep, spread};
 use crate::daemon::Daemon;
 use crate::entry::{self, Entry};
 use crate::error::{Error, Result};
+use crate::fleet::{membership, unread_news};
 use crate::http::{Side, serve};
-use crate::{
-    backend, billing, chat, draws, hall_sync, host_list, logging, membership, operator, peer,
-    proxy, server_sync, store_calls, suspension, table_sync, tend, unread_news,
-};
+use crate::view::{hall_sync, host_list, server_sync, table_sync};
+use crate::{logging, operator, peer, store_calls, suspension};
 
 /// Pause between two looks while a planned stop waits.
 const STOP_POLL: Duration = Duration::from_millis(50);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,19 +17,19 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-use crate::billing::Billing;
-use crate::budgets::Budgets;
+use crate::bill::billing::Billing;
+use crate::bill::request_log::RequestLogs;
+use crate::budget::budgets::Budgets;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::crashes::{Crashes, spread};
 use crate::error::Result;
-use crate::health::Contact;
-use crate::host_list::HostList;
-use crate::membership::Fetches;
+use crate::fleet::health::Contact;
+use crate::fleet::membership::Fetches;
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
-use crate::request_log::RequestLogs;
-use crate::unreadable::UnreadableEntries;
+use crate::view::host_list::HostList;
+use crate::view::unreadable::UnreadableEntries;
 
 /// Servers whose pace one heartbeat tells: some 100 bytes. A daemon hears twelve
 /// heartbeats a second, so that one of 140 servers is told of every 3 s.
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -13,7 +13,7 @@
 use crate::entry::backends::SendError;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
-use crate::placement::OpenRequest;
+use crate::open_request::OpenRequest;
 
 /// Largest answer that is no stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -21,7 +21,7 @@
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::pace::Pace;
-use crate::placement::OpenRequest;
+use crate::open_request::OpenRequest;
 
 /// A stream of events on its way to the caller.
 pub struct Relay {
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -16,7 +16,8 @@
 use salvo::prelude::*;
 use slog::o;
 
-use crate::budgets;
+use crate::budget::budgets;
+use crate::budget::ration::ration;
 use crate::daemon::Daemon;
 use crate::entry::Entry;
 use crate::entry::call::Call;
@@ -26,7 +27,6 @@
 use crate::entry::plan::Plan;
 use crate::entry::ready::entry;
 use crate::entry::refusal::Refusal;
-use crate::ration::ration;
 
 /// Longest wait for tokens of a budget: a draw takes two calls of the store at
 /// some 4 ms, and a refusal that comes later than a quarter of a caller's goal
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -1,4 +1,13 @@
-//! How large the fleet is, and where this daemon stands in it.
+//! The other daemons: how many there are, where this one stands among them, and who asks the
+//! store.
+//!
+//! Owns heartbeats (`membership`), whom this daemon has heard of late (`health`) and what peers
+//! have under way (`unread_news`). May call `view`, `crashes` and peers; called by all that
+//! follow the store, and by `peer`.
+
+pub mod health;
+pub mod membership;
+pub mod unread_news;
 
 use std::time::Duration;
 
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -11,7 +11,7 @@
 use crate::crashes::spread;
 use crate::daemon::Daemon;
 use crate::fleet::{awaits_peers, is_told_by_peers, standing};
-use crate::{hall_sync, server_sync, table_sync};
+use crate::view::{hall_sync, server_sync, table_sync};
 
 /// Longest time until a daemon that waits for the store notices that peers tell of it.
 const TOLD_POLL: Duration = Duration::from_millis(200);
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -9,7 +9,7 @@
 use salvo::server::ServerHandle;
 use tokio::task::JoinHandle;
 
-use crate::answer::Problem;
+use crate::api::answer::Problem;
 use crate::daemon::Daemon;
 use crate::error::{Error, Result};
 use crate::tcp;
--- /dev/null
+++ b/crates/daemon/src/open_request.rs
@@ -0,0 +1,64 @@
+//! A request that is open at a backend server, on either side for callers.
+
+use std::sync::Arc;
+
+use bankcove_core::router::Choice;
+use bankcove_core::{Millis, Name, Tokens};
+
+use crate::crashes::gate::RunApart;
+use crate::daemon::Daemon;
+use crate::fleet::unread_news::MIN_TOLD_TOKENS;
+
+/// A request that is open at a server; dropping it counts it as ended.
+pub struct OpenRequest {
+    daemon: Arc<Daemon>,
+    server: Name,
+    started_ms: Millis,
+    well: bool,
+    unread: Tokens,
+    /// Its one further run, when it has the same crashes as another request.
+    pub apart: Option<RunApart>,
+}
+
+impl OpenRequest {
+    /// Counts a request with a prompt of this length (0 without one) as open at
+    /// the server of this choice.
+    pub fn new(daemon: &Arc<Daemon>, choice: &Choice, prompt: Tokens) -> Self {
+        daemon.router.lock().sent(&choice.server, choice.started_ms, prompt);
+        if prompt >= MIN_TOLD_TOKENS {
+            daemon.unread_changed.notify_one();
+        }
+        OpenRequest {
+            daemon: Arc::clone(daemon),
+            server: choice.server.clone(),
+            started_ms: choice.started_ms,
+            well: true,
+            unread: prompt,
+            apart: None,
+        }
+    }
+
+    /// The server has read the prompt: its answer has begun.
+    pub fn begun(&mut self) {
+        let prompt = std::mem::take(&mut self.unread);
+        if prompt > 0 {
+            self.daemon.router.lock().read(&self.server, self.started_ms, prompt);
+        }
+        if prompt >= MIN_TOLD_TOKENS {
+            self.daemon.unread_changed.notify_one();
+        }
+    }
+
+    /// The server has failed this request.
+    pub fn failed(&mut self) {
+        self.well = false;
+    }
+}
+
+impl Drop for OpenRequest {
+    fn drop(&mut self) {
+        self.begun();
+        let now = self.daemon.clock.now();
+        self.daemon.router.lock().ended(now, &self.server, self.started_ms, self.well);
+    }
+}
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -13,12 +13,13 @@
 use serde::{Deserialize, Serialize};
 use serde_json::json;
 
+use crate::api::admission;
+use crate::budget::draws::ask_owner;
 use crate::daemon::Daemon;
-use crate::draws::ask_owner;
 use crate::http::daemon;
 use crate::identity::tokens_match;
-use crate::table_sync::{self, EditError};
-use crate::{admission, crashes, dump};
+use crate::view::table_sync::{self, EditError};
+use crate::{crashes, dump};
 
 /// Largest body that operators may send, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -23,13 +23,15 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-use crate::allotment::{self, AllotAnswer};
+use crate::bill::request_log;
+use crate::budget::allotment::{self, AllotAnswer};
+use crate::budget::{collect, owner};
 use crate::crashes::spread;
 use crate::daemon::Daemon;
 use crate::error::Result;
-use crate::host_list::HostsTold;
-use crate::packed_table::PackedTable;
-use crate::{budget_owner, collect, request_log, tcp};
+use crate::tcp;
+use crate::view::host_list::HostsTold;
+use crate::view::packed_table::PackedTable;
 
 /// Largest message; a whole table fits.
 const MAX_FRAME_BYTES: usize = 32 << 20;
@@ -185,7 +187,7 @@
 
 impl PeerService for Server {
     async fn heartbeat(self, _: Context, from: Heartbeat) -> Heartbeat {
-        crate::membership::heard(&self.daemon, &from);
+        crate::fleet::membership::heard(&self.daemon, &from);
         self.daemon.heartbeat()
     }
 
@@ -223,7 +225,7 @@
     }
 
     async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
-        budget_owner::ask_local_owner(&self.daemon, request).await
+        owner::ask_local_owner(&self.daemon, request).await
     }
 
     async fn allot(self, _: Context, ask: Ask) -> AllotAnswer {
--- a/crates/daemon/src/hall_sync.rs
+++ b/crates/daemon/src/view/hall_sync.rs
@@ -7,8 +7,9 @@
 use bankcove_core::hall_list::{EvacuatedHalls, HallChanges};
 
 use crate::daemon::Daemon;
+use crate::fleet::membership;
 use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn, watched_at};
-use crate::{membership, routing_table, server_sync};
+use crate::view::{routing_table, server_sync};
 
 /// Watches the list in the store, as long as this daemon does so for its hall, until the
 /// daemon ends.
--- a/crates/daemon/src/host_list.rs
+++ b/crates/daemon/src/view/host_list.rs
@@ -10,8 +10,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::daemon::Daemon;
+use crate::fleet::membership::beat;
 use crate::fleet::{START_POLL, fleet_size, standing};
-use crate::membership::beat;
 
 /// All hosts of a fleet start, and are listed, within this time: the users' do so
 /// within 0.3 s, and write for some 0.1 s.
--- a/crates/daemon/src/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -8,9 +8,11 @@
 use bankcove_core::server_list::ServerChanges;
 
 use crate::daemon::Daemon;
+use crate::fleet;
 use crate::fleet::WATCH;
+use crate::fleet::membership;
 use crate::peer::FETCH_TIMEOUT;
-use crate::{fleet, membership, routing_table};
+use crate::view::routing_table;
 
 /// Pause after a change, so that one call brings those that follow: at a start all
 /// servers write their entries within a second, in a release tens of them do.
--- a/crates/daemon/src/table_sync.rs
+++ b/crates/daemon/src/view/table_sync.rs
@@ -9,10 +9,10 @@
 use bankcove_ports::{Kind, WriteOutcome};
 
 use crate::daemon::Daemon;
+use crate::fleet::membership;
 use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn, watched_at};
-use crate::membership;
 use crate::peer::FETCH_TIMEOUT;
-use crate::routing_table;
+use crate::view::routing_table;
 
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -12,7 +12,7 @@
 use bankcove_core::members::Heartbeat;
 use bankcove_core::table::Budget;
 use bankcove_core::{Incarnation, Name};
-use bankcoved::allotment::owners_to_ask;
+use bankcoved::budget::allotment::owners_to_ask;
 use bankcoved::config::Config;
 use bankcoved::daemon::Daemon;
 use bankcoved::logging;
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -6,7 +6,8 @@
 use bankcove_core::{Incarnation, Name};
 use bankcoved::config::Config;
 use bankcoved::daemon::Daemon;
-use bankcoved::{logging, membership};
+use bankcoved::fleet::membership;
+use bankcoved::logging;
 
 /// An address at which nobody answers.
 const NOBODY: &str = "127.0.0.1:9";
--- a/crates/daemon/tests/locks.rs
+++ b/crates/daemon/tests/locks.rs
@@ -12,7 +12,8 @@
 use bankcove_core::table::Table;
 use bankcoved::config::Config;
 use bankcoved::daemon::Daemon;
-use bankcoved::{logging, table_sync};
+use bankcoved::logging;
+use bankcoved::view::table_sync;
 
 /// Times that both are done: where they can stop each other, they do so within the first
 /// few thousand.
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -12,10 +12,11 @@
 use bankcove_core::members::{Host, HostRole, HostState};
 use bankcove_core::table::{Budget, Table};
 use bankcove_core::{Name, Tokens};
-use bankcoved::allotment::{ask_for_tokens, owners_to_ask};
+use bankcoved::budget::allotment::{ask_for_tokens, owners_to_ask};
+use bankcoved::budget::tend;
 use bankcoved::config::Config;
 use bankcoved::daemon::Daemon;
-use bankcoved::{logging, peer, tend};
+use bankcoved::{logging, peer};
 
 /// What the owner holds at first.
 const HELD: Tokens = 10_000;
