--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -26,7 +26,7 @@
 use crate::fleet::{membership, unread_news};
 use crate::http::{Side, serve};
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
-use crate::{logging, operator, peer, store_calls, suspension};
+use crate::{logging, operator, peer_server, store_calls, suspension};
 
 /// Pause between two looks while a planned stop waits.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -118,7 +118,7 @@
     /// # Errors
     /// [`Error::Listen`] when a port can't be listened on.
     pub async fn start(daemon: Arc<Daemon>) -> Result<Self> {
-        peer::serve(Arc::clone(&daemon)).await?;
+        peer_server::serve(Arc::clone(&daemon)).await?;
         let mut sides = Vec::new();
         let mut started = None;
         if let Some(address) = &daemon.cfg.operator_listen {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod operator;
 pub mod orders;
 pub mod peer;
+pub mod peer_server;
 pub mod store_calls;
 pub mod suspension;
 pub mod tcp;
--- /dev/null
+++ b/crates/daemon/src/peer/protocol.rs
@@ -0,0 +1,89 @@
+//! What daemons ask of each other.
+
+use bankcove_core::bill::Bill;
+use bankcove_core::crashes::CrashFacts;
+use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::members::Heartbeat;
+use bankcove_core::owner::{Reply, Request};
+use bankcove_core::reqlog::{Entry, Outcome};
+use bankcove_core::router::UnreadNews;
+use bankcove_core::server_list::{ListVersion, SharedServer};
+use bankcove_core::{Incarnation, Name, Tokens};
+use serde::{Deserialize, Serialize};
+
+use crate::budget::allotment::AllotAnswer;
+use crate::view::host_list::HostsTold;
+use crate::view::packed_table::PackedTable;
+
+/// An owner's answer, with the tokens that it sent along.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerAnswer {
+    /// The answer.
+    pub reply: Reply,
+    /// The owner and its cumulative sum sent to the asker, when it sent any.
+    pub sent: Option<(Incarnation, Tokens)>,
+}
+
+/// Answer to a request for unspent tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum GiveAnswer {
+    /// Tokens were sent.
+    Sent {
+        /// Cumulative sum sent to the asker.
+        cumulative: Tokens,
+        /// Tokens still set aside for running attempts.
+        reserved: Tokens,
+    },
+    /// The asked incarnation does not run here any more.
+    OtherIncarnation,
+}
+
+/// What daemons ask of each other.
+#[tarpc::service]
+pub trait PeerService {
+    /// Tells of the sender and asks the same of the receiver.
+    async fn heartbeat(from: Heartbeat) -> Heartbeat;
+    /// Tells what the sender has sent to servers that is still to be read there.
+    async fn told_unread(news: UnreadNews);
+    /// The table in force, when its revision is above this one.
+    async fn table_above(revision: u64) -> Option<PackedTable>;
+    /// The receiver's list of backend servers and its version, when that is
+    /// above this one.
+    async fn servers_above(version: ListVersion) -> Option<(ListVersion, Vec<SharedServer>)>;
+    /// The platform's host list as the receiver knows it, unless its hash is
+    /// this one.
+    async fn hosts_unless(hash: u64) -> Option<HostsTold>;
+    /// Asks the receiver as the owner of a budget shard.
+    async fn ask_owner(request: Request) -> OwnerAnswer;
+    /// Asks the receiver, as the owner of a budget's shard, for tokens that it
+    /// holds itself or draws.
+    async fn allot(ask: Ask) -> AllotAnswer;
+    /// Asks the receiver for a part of what it has free, while no more can be
+    /// drawn from the store.
+    async fn lend(ask: Ask) -> Allotted;
+    /// Hands the receiver what `from`, which stops while the store is away, had free:
+    /// a cumulative sum. Whether the receiver is still this start of it.
+    async fn take(budget: Name, receiver: Incarnation, from: Incarnation, sum: Tokens) -> bool;
+    /// Asks `holder` for up to `most` of what it has free of a budget.
+    async fn give(
+        budget: Name,
+        holder: Incarnation,
+        receiver: Incarnation,
+        received: Tokens,
+        most: Tokens,
+    ) -> GiveAnswer;
+    /// Asks the receiver as a witness to agree that `holder` opens its grant up
+    /// to this cumulative sum.
+    async fn open(holder: Incarnation, witness: Incarnation, budget: Name, opened: Tokens) -> bool;
+    /// Asks the receiver as a witness to agree to nothing further of `holder`;
+    /// answers what it had opened, or none when that witness is no more.
+    async fn close(holder: Incarnation, witness: Incarnation, budget: Name) -> Option<Tokens>;
+    /// Appends to the request log by way of the receiver.
+    async fn submit(entry: Entry) -> Outcome;
+    /// Tells of crashes that are new to the sender.
+    async fn told_crashes(facts: CrashFacts);
+    /// All that the receiver knows of crashes.
+    async fn crash_facts() -> CrashFacts;
+    /// Keeps a bill until the store takes it.
+    async fn keep_bill(bill: Bill);
+}
--- /dev/null
+++ b/crates/daemon/src/peer_server.rs
@@ -0,0 +1,202 @@
+//! Answers the calls of peers, each by the layer that it concerns.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::bill::Bill;
+use bankcove_core::crashes::CrashFacts;
+use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::members::Heartbeat;
+use bankcove_core::owner::Request;
+use bankcove_core::reqlog::{Entry, Outcome};
+use bankcove_core::router::UnreadNews;
+use bankcove_core::server_list::{ListVersion, SharedServer};
+use bankcove_core::{Incarnation, Name, Tokens};
+use futures::StreamExt;
+use tarpc::context::Context;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::{TcpListener, TcpStream};
+
+use crate::bill::request_log;
+use crate::budget::allotment::{self, AllotAnswer};
+use crate::budget::{collect, owner};
+use crate::crashes::spread;
+use crate::daemon::Daemon;
+use crate::error::Result;
+use crate::fleet::membership;
+use crate::peer::{GiveAnswer, OwnerAnswer, PeerService, framed};
+use crate::tcp;
+use crate::view::host_list::HostsTold;
+use crate::view::packed_table::PackedTable;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Clone)]
+struct Server {
+    daemon: Arc<Daemon>,
+}
+
+impl PeerService for Server {
+    async fn heartbeat(self, _: Context, from: Heartbeat) -> Heartbeat {
+        membership::heard(&self.daemon, &from);
+        self.daemon.heartbeat()
+    }
+
+    async fn told_unread(self, _: Context, news: UnreadNews) {
+        let now = self.daemon.clock.now();
+        self.daemon.router.lock().told_unread(now, &news);
+    }
+
+    async fn table_above(self, _: Context, revision: u64) -> Option<PackedTable> {
+        let table = self.daemon.table.load_full()?;
+        if table.revision <= revision {
+            return None;
+        }
+        match PackedTable::pack(&table) {
+            Ok(packed) => Some(packed),
+            Err(e) => {
+                slog::error!(self.daemon.log, "the table can't be packed"; "error" => %e);
+                None
+            }
+        }
+    }
+
+    async fn servers_above(
+        self,
+        _: Context,
+        version: ListVersion,
+    ) -> Option<(ListVersion, Vec<SharedServer>)> {
+        let now = self.daemon.clock.now();
+        let list = self.daemon.servers.lock();
+        (list.version() > version).then(|| (list.version(), list.shared(now)))
+    }
+
+    async fn hosts_unless(self, _: Context, hash: u64) -> Option<HostsTold> {
+        self.daemon.hosts.load().unless(hash, self.daemon.clock.now())
+    }
+
+    async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
+        owner::ask_local_owner(&self.daemon, request).await
+    }
+
+    async fn allot(self, _: Context, ask: Ask) -> AllotAnswer {
+        allotment::allot(&self.daemon, ask).await
+    }
+
+    async fn lend(self, _: Context, ask: Ask) -> Allotted {
+        self.daemon.budgets.holder().lend(&ask)
+    }
+
+    async fn take(
+        self,
+        _: Context,
+        budget: Name,
+        receiver: Incarnation,
+        from: Incarnation,
+        sum: Tokens,
+    ) -> bool {
+        let is_me = receiver == self.daemon.incarnation;
+        if is_me {
+            self.daemon.budgets.holder().received(&budget, from, sum);
+        }
+        is_me
+    }
+
+    async fn give(
+        self,
+        _: Context,
+        budget: Name,
+        holder: Incarnation,
+        receiver: Incarnation,
+        received: Tokens,
+        most: Tokens,
+    ) -> GiveAnswer {
+        if holder != self.daemon.incarnation {
+            return GiveAnswer::OtherIncarnation;
+        }
+        collect::give_all(&self.daemon, &budget, receiver, received, most).await
+    }
+
+    async fn open(
+        self,
+        _: Context,
+        holder: Incarnation,
+        witness: Incarnation,
+        budget: Name,
+        opened: Tokens,
+    ) -> bool {
+        let is_me = witness == self.daemon.incarnation;
+        is_me && self.daemon.budgets.marks().open(holder, &budget, opened)
+    }
+
+    async fn close(
+        self,
+        _: Context,
+        holder: Incarnation,
+        witness: Incarnation,
+        budget: Name,
+    ) -> Option<Tokens> {
+        let is_me = witness == self.daemon.incarnation;
+        is_me.then(|| self.daemon.budgets.marks().close(holder, &budget))
+    }
+
+    async fn submit(self, _: Context, entry: Entry) -> Outcome {
+        request_log::submit_here(&self.daemon, entry).await
+    }
+
+    async fn told_crashes(self, _: Context, facts: CrashFacts) {
+        spread::told(&self.daemon, facts);
+    }
+
+    async fn crash_facts(self, _: Context) -> CrashFacts {
+        spread::facts(&self.daemon)
+    }
+
+    async fn keep_bill(self, _: Context, bill: Bill) {
+        self.daemon.billing.keep(Entry::Bill(bill));
+    }
+}
+
+/// Serves peers until the daemon ends.
+///
+/// # Errors
+/// [`crate::Error::Listen`] when the port can't be listened on.
+pub async fn serve(daemon: Arc<Daemon>) -> Result<()> {
+    let listener = tcp::listen(&daemon.cfg.peer_listen)?;
+    tokio::spawn(async move {
+        let ended = daemon.ended.clone();
+        tokio::select! {
+            () = accept(&daemon, listener) => {}
+            () = ended.cancelled() => {}
+        }
+    });
+    Ok(())
+}
+
+async fn accept(daemon: &Arc<Daemon>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => drop(tokio::spawn(answer(Arc::clone(daemon), stream))),
+            Err(e) => {
+                slog::warn!(daemon.log, "a peer was not accepted"; "error" => %e);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// Answers one peer until it leaves or the daemon ends.
+async fn answer(daemon: Arc<Daemon>, stream: TcpStream) {
+    let ended = daemon.ended.clone();
+    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    let channel = BaseChannel::with_defaults(transport);
+    let requests = channel.execute(Server { daemon }.serve()).for_each(|response| async {
+        tokio::spawn(response);
+    });
+    tokio::select! {
+        () = requests => {}
+        () = ended.cancelled() => {}
+    }
+}
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -5,10 +5,10 @@
 use std::path::{Path, PathBuf};
 
 /// Layers that hold state.
-const LOWER: [&str; 5] = ["budget", "bill", "view", "fleet", "crashes"];
+const LOWER: [&str; 6] = ["peer", "budget", "bill", "view", "fleet", "crashes"];
 
 /// What stands above them.
-const UPPER: [&str; 4] = ["api", "entry", "operator", "controller"];
+const UPPER: [&str; 5] = ["api", "entry", "operator", "peer_server", "controller"];
 
 fn files_below(folder: &Path, files: &mut Vec<PathBuf>) {
     for entry in fs::read_dir(folder).expect("a layer is a folder") {
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -16,7 +16,7 @@
 use bankcoved::budget::tend;
 use bankcoved::config::Config;
 use bankcoved::daemon::Daemon;
-use bankcoved::{logging, peer};
+use bankcoved::{logging, peer_server};
 
 /// What the owner holds at first.
 const HELD: Tokens = 10_000;
@@ -67,7 +67,7 @@
     }
     owner.budgets.holder().granted(&budget.name, HELD);
     owner.budgets.holder().opened(&budget.name, HELD);
-    peer::serve(Arc::clone(&owner)).await.expect("the port is free");
+    peer_server::serve(Arc::clone(&owner)).await.expect("the port is free");
     let peer = owners_to_ask(&asker, &budget).remove(0);
     let answer = ask_for_tokens(&asker, &budget, ASKED, None, &peer).await;
     assert_eq!(answer, Some(Ok(())));
@@ -100,7 +100,7 @@
     }
     former.budgets.holder().granted(&budget.name, HELD);
     former.budgets.holder().opened(&budget.name, HELD);
-    peer::serve(Arc::clone(&owner)).await.expect("the port is free");
+    peer_server::serve(Arc::clone(&owner)).await.expect("the port is free");
     tokio::spawn(tend::tend(Arc::clone(&former)));
     for _ in 0..LOOKS {
         if owner.budgets.holder().free(&budget.name) > HELD / 2 {
