Only requests with enough crashes are to be judged; what a judgement costs

Cause: whoever was aboard of any crash was put up for judgement, and a rival was looked for before it was known whether there were enough crashes: in a storm hundreds of requests each 0.6 s, each beside 128 others. Behaviour is the same. Ruled out: an index of rivals (a judgement is rare once only those with three crashes come to it). Tests of crashes and crash_fleet pass.

--- a/crates/bench/benches/crashes.rs
+++ b/crates/bench/benches/crashes.rs
@@ -1,11 +1,11 @@
 //! What it costs to know which requests crash their servers: the hash of a request, a verdict,
-//! the digest in a heartbeat, and what one daemon tells another.
+//! the digest in a heartbeat, what one daemon tells another, and a judgement.
 //!
 //! `cargo bench -p bankcove-bench --bench crashes`
 
 use std::hint::black_box;
 
-use bankcove_core::crashes::{CrashBook, ServerStart};
+use bankcove_core::crashes::{CrashBook, SETTLE_MS, ServerStart};
 use bankcove_core::{Fingerprint, Millis, Name};
 use criterion::{BatchSize, Criterion, criterion_group, criterion_main};
 
@@ -64,5 +64,33 @@
     }
 }
 
-criterion_group!(benches, costs);
+/// Requests that three crashes speak against, the same ones: what an engine runs at its most.
+const ACCUSED: usize = 128;
+
+/// A full book, then three crashes with the same requests aboard.
+fn accused() -> (CrashBook, Millis) {
+    let mut book = book(CRASHES - 3);
+    let mut now = 500 * CRASHES as Millis;
+    for crash in 0..3 {
+        now += 1_000;
+        let server = ServerStart { name: Name::from(format!("j-{crash}")), started_ms: 0 };
+        for place in 0..ACCUSED {
+            book.broke_off(now, &server, Fingerprint(10 + place as u128));
+        }
+        book.crashed(now, &server);
+    }
+    (book, now + SETTLE_MS)
+}
+
+fn judgements(c: &mut Criterion) {
+    let (known, now) = accused();
+    c.bench_function(&format!("judging {ACCUSED} requests with the same crashes"), |b| {
+        b.iter_batched(|| known.clone(), |mut book| book.judge(now), BatchSize::SmallInput);
+    });
+    c.bench_function("place of one of them", |b| {
+        b.iter(|| known.place(black_box(Fingerprint(10))));
+    });
+}
+
+criterion_group!(benches, costs, judgements);
 criterion_main!(benches);
--- a/crates/core/src/crashes/book.rs
+++ b/crates/core/src/crashes/book.rs
@@ -271,7 +271,8 @@
         for request in &new {
             news.cleared.extend(self.tell_clearance(now, *request).cleared);
         }
-        self.docket.put(now, self.record.aboard(server));
+        let aboard: Vec<Fingerprint> = self.record.aboard(server).collect();
+        self.accuse(now, &aboard);
         let age_ms = now.saturating_sub(at);
         let aboard = new.into_iter().collect();
         news.crashes.push(Crash { server: server.clone(), age_ms, aboard });
@@ -313,7 +314,8 @@
         let clearance = self.cleared.entry(request).or_default();
         clearance.at = clearance.at.max(at);
         // Its rivals may be left without one.
-        self.docket.put(at, self.record.aboard_with(request));
+        let aboard: Vec<Fingerprint> = self.record.aboard_with(request).collect();
+        self.accuse(at, &aboard);
         let Some(condemned) = self.condemned.get(&request) else { return };
         // Word of a success may come after the sentence that it makes void.
         let has_evidence = self.record.aboard_of(request) >= CONDEMNED_AFTER;
--- a/crates/core/src/crashes/judging.rs
+++ b/crates/core/src/crashes/judging.rs
@@ -72,6 +72,13 @@
 }
 
 impl CrashBook {
+    /// These were aboard of a crash, or beside one that was cleared: those with enough crashes
+    /// are to be judged.
+    pub(super) fn accuse(&mut self, now: Millis, aboard: &[Fingerprint]) {
+        let has_enough = |request: &Fingerprint| self.record.aboard_of(*request) >= CONDEMNED_AFTER;
+        self.docket.put(now, aboard.iter().copied().filter(has_enough));
+    }
+
     /// Whether requests wait to be judged.
     pub fn has_to_judge(&self) -> bool {
         !self.docket.due.is_empty()
@@ -111,11 +118,12 @@
 
     /// Crashes against a request that is to be condemned.
     fn guilt(&self, request: Fingerprint) -> Option<usize> {
-        let against = self.against(request);
-        let crashes = against.servers.len();
-        let may_be = is_enough(crashes, against.moments);
+        let crashes = self.count_against(request);
+        if crashes == 0 {
+            return None;
+        }
         let is_sure = crashes >= CONDEMNED_BESIDE_A_RIVAL_AFTER || !self.has_rival(request);
-        (may_be && is_sure).then_some(crashes)
+        is_sure.then_some(crashes)
     }
 
     /// Whether all crashes against the request speak against another one as well.
