--- a/crates/bench/benches/crashes.rs
+++ b/crates/bench/benches/crashes.rs
@@ -1,5 +1,5 @@
 //! What it costs to know which requests crash their servers: the hash of a request, a verdict,
-//! the digest in a heartbeat, what one daemon tells another, and a judgement.
+//! the digest in a heartbeat, what one daemon tells another, and a decision.
 //!
 //! `cargo bench -p bankcove-bench --bench crashes`
 
@@ -65,16 +65,16 @@
 }
 
 /// Requests that three crashes speak against, the same ones: what an engine runs at its most.
-const ACCUSED: usize = 128;
+const CANDIDATES: usize = 128;
 
 /// A full book, then three crashes with the same requests aboard.
-fn accused() -> (CrashBook, Millis) {
+fn candidates() -> (CrashBook, Millis) {
     let mut book = book(CRASHES - 3);
     let mut now = 500 * CRASHES as Millis;
     for crash in 0..3 {
         now += 1_000;
         let server = ServerStart { name: Name::from(format!("j-{crash}")), started_ms: 0 };
-        for place in 0..ACCUSED {
+        for place in 0..CANDIDATES {
             book.broke_off(now, &server, Fingerprint(10 + place as u128));
         }
         book.crashed(now, &server);
@@ -82,15 +82,15 @@
     (book, now + SETTLE_MS)
 }
 
-fn judgements(c: &mut Criterion) {
-    let (known, now) = accused();
-    c.bench_function(&format!("judging {ACCUSED} requests with the same crashes"), |b| {
-        b.iter_batched(|| known.clone(), |mut book| book.judge(now), BatchSize::SmallInput);
+fn decisions(c: &mut Criterion) {
+    let (known, now) = candidates();
+    c.bench_function(&format!("deciding {CANDIDATES} requests with the same crashes"), |b| {
+        b.iter_batched(|| known.clone(), |mut book| book.decide(now), BatchSize::SmallInput);
     });
     c.bench_function("place of one of them", |b| {
         b.iter(|| known.place(black_box(Fingerprint(10))));
     });
 }
 
-criterion_group!(benches, costs, judgements);
+criterion_group!(benches, costs, decisions);
 criterion_main!(benches);
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -73,7 +73,7 @@
     Budget(BudgetCommand),
     /// Look at requests that crashed their servers and run nowhere any more.
     #[command(subcommand)]
-    Condemned(CondemnedCommand),
+    Blocked(BlockedCommand),
     /// Make keys for callers.
     #[command(subcommand)]
     Key(KeyCommand),
@@ -206,9 +206,9 @@
     },
 }
 
-/// What to do with condemned requests.
+/// What to do with blocked requests.
 #[derive(Debug, Subcommand)]
-pub enum CondemnedCommand {
+pub enum BlockedCommand {
     /// Show them, with the servers that crashed under each.
     List,
     /// Let one run again, at all daemons.
--- a/crates/cli/src/condemned.rs
+++ b/crates/cli/src/blocked.rs
@@ -1,9 +1,9 @@
 //! Commands of requests that crashed their servers.
 
-use bankcove_core::crashes::Sentence;
+use bankcove_core::crashes::Block;
 use serde_json::{Value, json};
 
-use crate::args::CondemnedCommand;
+use crate::args::BlockedCommand;
 use crate::client::Client;
 use crate::config::Config;
 use crate::error::Result;
@@ -12,18 +12,18 @@
 /// Milliseconds of a second.
 const SECOND_MS: u64 = 1_000;
 
-/// Runs a command of condemned requests.
+/// Runs a command of blocked requests.
 ///
 /// # Errors
 /// What the operator has to be told.
-pub async fn run(cfg: &Config, command: CondemnedCommand) -> Result<()> {
+pub async fn run(cfg: &Config, command: BlockedCommand) -> Result<()> {
     let client = Client::new(cfg)?;
     match command {
-        CondemnedCommand::List => {
-            let rows: Vec<Value> = client.condemned().await?.iter().map(row).collect();
+        BlockedCommand::List => {
+            let rows: Vec<Value> = client.blocked().await?.iter().map(row).collect();
             output::rows(&rows, cfg.format);
         }
-        CondemnedCommand::Lift { fingerprint } => {
+        BlockedCommand::Lift { fingerprint } => {
             client.lift(fingerprint).await?;
             println!("request {fingerprint} may run again");
         }
@@ -31,10 +31,10 @@
     Ok(())
 }
 
-fn row(sentence: &Sentence) -> Value {
-    let servers: Vec<&str> = sentence.servers.iter().map(|name| name.as_str()).collect();
+fn row(block: &Block) -> Value {
+    let servers: Vec<&str> = block.servers.iter().map(|name| name.as_str()).collect();
     json!({
-        "fingerprint": sentence.request, "condemned s ago": sentence.age_ms / SECOND_MS,
+        "fingerprint": block.request, "blocked s ago": block.age_ms / SECOND_MS,
         "servers": servers.join(", "),
     })
 }
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -1,7 +1,7 @@
 //! Calls of a daemon's operator port.
 
 use bankcove_core::Fingerprint;
-use bankcove_core::crashes::Sentence;
+use bankcove_core::crashes::Block;
 use bankcove_core::edit::Edit;
 use bankcove_core::error::RowFault;
 use bankcove_core::table::Table;
@@ -93,16 +93,16 @@
     ///
     /// # Errors
     /// [`Error::Unreachable`] or [`Error::Refused`].
-    pub async fn condemned(&self) -> Result<Vec<Sentence>> {
-        self.call(self.request(Method::GET, "condemned")).await
+    pub async fn blocked(&self) -> Result<Vec<Block>> {
+        self.call(self.request(Method::GET, "blocked")).await
     }
 
-    /// Lets a condemned request run again.
+    /// Lets a blocked request run again.
     ///
     /// # Errors
     /// [`Error::Unreachable`] or [`Error::Refused`].
     pub async fn lift(&self, request: Fingerprint) -> Result<()> {
-        let req = self.request(Method::DELETE, &format!("condemned/{request}"));
+        let req = self.request(Method::DELETE, &format!("blocked/{request}"));
         let _lifted: Value = self.call(req).await?;
         Ok(())
     }
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,9 +1,9 @@
 //! The operators' client of bankcove.
 
 mod args;
+mod blocked;
 mod budget;
 mod client;
-mod condemned;
 mod config;
 mod controller;
 mod demo;
--- a/crates/core/src/crashes/book.rs
+++ b/crates/core/src/crashes/book.rs
@@ -5,17 +5,17 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::facts::{Cleared, Crash, CrashFacts, Sentence, ServerStart};
-use super::judging::{CONDEMNED_AFTER, Docket, is_enough};
+use super::deciding::{BLOCKED_AFTER, Pending, is_enough};
+use super::facts::{Block, Cleared, Crash, CrashFacts, ServerStart};
 use super::record::Record;
 use crate::{Fingerprint, Millis, Name};
 
-/// How long a request stays condemned, in milliseconds: a caller that nobody stops costs
+/// How long a request stays blocked, in milliseconds: a caller that nobody stops costs
 /// three servers a day, and one whose cause was mended is served the next day at the latest.
 pub const HOLD_MS: Millis = 24 * 3_600_000;
 
-/// Requests condemned at most: 1,000 of some 150 bytes each.
-const MOST_SENTENCES: usize = 1_000;
+/// Requests blocked at most: 1,000 of some 150 bytes each.
+const MOST_BLOCKS: usize = 1_000;
 
 /// Requests remembered as cleared at most: those aboard of some hundred crashes.
 const MOST_CLEARED: usize = 4_000;
@@ -28,16 +28,16 @@
 pub enum Verdict {
     /// Nothing is known against it, or one crash.
     Free,
-    /// One more crash condemns it: it is to run at its [`CrashBook::place`].
+    /// One more crash blocks it: it is to run at its [`CrashBook::place`].
     Suspect,
     /// Another request has the same crashes, enough of them: it may run once more, sent by one
     /// host alone, and at its [`CrashBook::place`].
     Apart,
-    /// It may be condemned: whether servers that broke off have crashed, or what peers know of
+    /// It may be blocked: whether servers that broke off have crashed, or what peers know of
     /// who else was aboard, is being found out.
     Held,
     /// It runs nowhere any more.
-    Condemned,
+    Blocked,
 }
 
 /// How much is remembered.
@@ -45,15 +45,15 @@
 pub struct Gauge {
     /// Crashes.
     pub crashes: usize,
-    /// Requests condemned.
-    pub sentences: usize,
+    /// Requests blocked.
+    pub blocks: usize,
     /// Facts that gave way to newer ones.
     pub dropped: u64,
 }
 
 /// A request that runs nowhere any more.
 #[derive(Debug, Clone)]
-struct Condemned {
+struct Blocked {
     at: Millis,
     servers: Vec<Name>,
 }
@@ -64,7 +64,7 @@
     at: Millis,
     /// Up to when others were told.
     told_at: Option<Millis>,
-    /// Whether it made a sentence void, which a host that was cut off may still bring back.
+    /// Whether it made a block void, which a host that was cut off may still bring back.
     is_lift: bool,
 }
 
@@ -75,9 +75,9 @@
     /// Servers that broke off and may have crashed, and what they were running.
     unsure: BTreeMap<ServerStart, BTreeSet<Fingerprint>>,
     cleared: HashMap<Fingerprint, Clearance>,
-    condemned: BTreeMap<Fingerprint, Condemned>,
-    /// Requests to be judged.
-    pub(super) docket: Docket,
+    blocked: BTreeMap<Fingerprint, Blocked>,
+    /// Requests to be decided on.
+    pub(super) pending: Pending,
     dropped: u64,
 }
 
@@ -85,37 +85,37 @@
     /// Whether nothing is known, so that no request need be looked up.
     pub fn is_empty(&self) -> bool {
         let knows_crashes = self.record.len() > 0 || !self.unsure.is_empty();
-        !knows_crashes && self.condemned.is_empty() && self.cleared.is_empty()
+        !knows_crashes && self.blocked.is_empty() && self.cleared.is_empty()
     }
 
     /// How much is remembered.
     pub fn gauge(&self) -> Gauge {
         Gauge {
             crashes: self.record.len(),
-            sentences: self.condemned.len(),
+            blocks: self.blocked.len(),
             dropped: self.dropped + self.record.dropped(),
         }
     }
 
     /// What follows for a request that is to run now.
     pub fn verdict(&self, request: Fingerprint) -> Verdict {
-        if self.condemned.contains_key(&request) {
-            return Verdict::Condemned;
+        if self.blocked.contains_key(&request) {
+            return Verdict::Blocked;
         }
         let unsure = self.unsure.values().filter(|aboard| aboard.contains(&request)).count();
         let sure = self.against(request);
         let crashes = sure.servers.len() + unsure;
         if is_enough(crashes, sure.moments + usize::from(unsure > 0)) {
-            // One that was judged and not condemned has a rival.
-            let is_judged = unsure == 0 && !self.docket.has(request);
-            return if is_judged { Verdict::Apart } else { Verdict::Held };
+            // One that was decided on and is free has the same crashes as another.
+            let is_decided = unsure == 0 && !self.pending.has(request);
+            return if is_decided { Verdict::Apart } else { Verdict::Held };
         }
-        if crashes + 1 >= CONDEMNED_AFTER { Verdict::Suspect } else { Verdict::Free }
+        if crashes + 1 >= BLOCKED_AFTER { Verdict::Suspect } else { Verdict::Free }
     }
 
     /// Whether a success of this request would change anything.
     pub fn concerns(&self, request: Fingerprint) -> bool {
-        self.record.aboard_of(request) > 0 || self.condemned.contains_key(&request)
+        self.record.aboard_of(request) > 0 || self.blocked.contains_key(&request)
     }
 
     /// Takes in that the connection over which this server was running a request broke.
@@ -147,7 +147,7 @@
     }
 
     /// A request has ended well. Returns news for peers: of a request that two crashes speak
-    /// against, so that no third one condemns it where nobody saw it succeed.
+    /// against, so that no third one blocks it where nobody saw it succeed.
     pub fn succeeded(&mut self, now: Millis, request: Fingerprint) -> CrashFacts {
         if !self.concerns(request) {
             return CrashFacts::default();
@@ -194,9 +194,9 @@
             news.crashes.extend(new.crashes);
             news.cleared.extend(new.cleared);
         }
-        for sentence in facts.sentences {
-            if self.take_sentence(now, &sentence) {
-                news.sentences.push(sentence);
+        for block in facts.blocks {
+            if self.take_block(now, &block) {
+                news.blocks.push(block);
             }
         }
         news
@@ -213,18 +213,18 @@
                     age_ms: now.saturating_sub(clearance.at),
                 })
                 .collect(),
-            sentences: self.sentences(now),
+            blocks: self.blocks(now),
         }
     }
 
     /// Requests that run nowhere any more.
-    pub fn sentences(&self, now: Millis) -> Vec<Sentence> {
-        let sentence = |(request, condemned): (&Fingerprint, &Condemned)| Sentence {
+    pub fn blocks(&self, now: Millis) -> Vec<Block> {
+        let block = |(request, blocked): (&Fingerprint, &Blocked)| Block {
             request: *request,
-            age_ms: now.saturating_sub(condemned.at),
-            servers: condemned.servers.clone(),
+            age_ms: now.saturating_sub(blocked.at),
+            servers: blocked.servers.clone(),
         };
-        self.condemned.iter().map(sentence).collect()
+        self.blocked.iter().map(block).collect()
     }
 
     /// Hash of all that is told: two daemons with the same one need not tell each other. 0
@@ -239,7 +239,7 @@
                     .concat());
             }
         }
-        self.condemned.keys().for_each(|request| add(&request.0.to_le_bytes()));
+        self.blocked.keys().for_each(|request| add(&request.0.to_le_bytes()));
         let told = self.cleared.iter().filter(|(_, clearance)| clearance.told_at.is_some());
         told.for_each(|(request, _)| add(&[&[1], &request.0.to_le_bytes()[..]].concat()));
         sum
@@ -248,7 +248,7 @@
     /// Forgets what is too long ago.
     pub fn forget_old(&mut self, now: Millis) {
         self.record.forget_old(now);
-        self.condemned.retain(|_, condemned| now.saturating_sub(condemned.at) < HOLD_MS);
+        self.blocked.retain(|_, blocked| now.saturating_sub(blocked.at) < HOLD_MS);
         let record = &self.record;
         self.cleared.retain(|request, clearance| {
             let age_ms = now.saturating_sub(clearance.at);
@@ -272,7 +272,7 @@
             news.cleared.extend(self.tell_clearance(now, *request).cleared);
         }
         let aboard: Vec<Fingerprint> = self.record.aboard(server).collect();
-        self.accuse(now, &aboard);
+        self.reconsider(now, &aboard);
         let age_ms = now.saturating_sub(at);
         let aboard = new.into_iter().collect();
         news.crashes.push(Crash { server: server.clone(), age_ms, aboard });
@@ -280,8 +280,8 @@
     }
 
     /// Whether the request runs nowhere any more.
-    pub(super) fn is_condemned(&self, request: Fingerprint) -> bool {
-        self.condemned.contains_key(&request)
+    pub(super) fn is_blocked(&self, request: Fingerprint) -> bool {
+        self.blocked.contains_key(&request)
     }
 
     /// Up to when crashes don't speak against the request.
@@ -289,21 +289,21 @@
         self.cleared.get(&request).map(|clearance| clearance.at)
     }
 
-    /// Takes a sentence; returns whether it is new and in force.
-    pub(super) fn take_sentence(&mut self, now: Millis, sentence: &Sentence) -> bool {
-        let request = sentence.request;
-        let at = now.saturating_sub(sentence.age_ms);
+    /// Takes a block; returns whether it is new and in force.
+    pub(super) fn take_block(&mut self, now: Millis, block: &Block) -> bool {
+        let request = block.request;
+        let at = now.saturating_sub(block.age_ms);
         let is_lifted = self.cleared.get(&request).is_some_and(|clearance| clearance.at >= at);
-        let is_over = sentence.age_ms >= HOLD_MS;
-        if is_lifted || is_over || self.condemned.contains_key(&request) {
+        let is_over = block.age_ms >= HOLD_MS;
+        if is_lifted || is_over || self.blocked.contains_key(&request) {
             return false;
         }
-        let condemned = Condemned { at, servers: sentence.servers.clone() };
-        self.condemned.insert(request, condemned);
-        if self.condemned.len() > MOST_SENTENCES {
-            let oldest = self.condemned.iter().min_by_key(|(_, condemned)| condemned.at);
+        let blocked = Blocked { at, servers: block.servers.clone() };
+        self.blocked.insert(request, blocked);
+        if self.blocked.len() > MOST_BLOCKS {
+            let oldest = self.blocked.iter().min_by_key(|(_, blocked)| blocked.at);
             let oldest = oldest.map(|(request, _)| *request);
-            oldest.map(|request| self.condemned.remove(&request));
+            oldest.map(|request| self.blocked.remove(&request));
             self.dropped += 1;
         }
         true
@@ -313,15 +313,15 @@
     fn clear(&mut self, at: Millis, request: Fingerprint) {
         let clearance = self.cleared.entry(request).or_default();
         clearance.at = clearance.at.max(at);
-        // Its rivals may be left without one.
+        // Those with the same crashes may be left without one like them.
         let aboard: Vec<Fingerprint> = self.record.aboard_with(request).collect();
-        self.accuse(at, &aboard);
-        let Some(condemned) = self.condemned.get(&request) else { return };
-        // Word of a success may come after the sentence that it makes void.
-        let has_evidence = self.record.aboard_of(request) >= CONDEMNED_AFTER;
-        let is_void = has_evidence && self.count_against(request) < CONDEMNED_AFTER;
-        if is_void || at >= condemned.at {
-            self.condemned.remove(&request);
+        self.reconsider(at, &aboard);
+        let Some(blocked) = self.blocked.get(&request) else { return };
+        // Word of a success may come after the block that it makes void.
+        let has_evidence = self.record.aboard_of(request) >= BLOCKED_AFTER;
+        let is_void = has_evidence && self.count_against(request) < BLOCKED_AFTER;
+        if is_void || at >= blocked.at {
+            self.blocked.remove(&request);
             self.cleared.entry(request).and_modify(|clearance| clearance.is_lift = true);
         }
         self.make_room_for_clearances();
@@ -343,7 +343,7 @@
         let Some(clearance) = self.cleared.get_mut(&request) else { return news };
         let told_at = clearance.told_at.unwrap_or(0);
         let matters = self.record.was_aboard_between(request, told_at, clearance.at);
-        if matters && self.record.aboard_of(request) + 1 >= CONDEMNED_AFTER {
+        if matters && self.record.aboard_of(request) + 1 >= BLOCKED_AFTER {
             clearance.told_at = Some(clearance.at);
             news.cleared.push(Cleared { request, age_ms: now.saturating_sub(clearance.at) });
         }
--- a/crates/core/src/crashes/facts.rs
+++ b/crates/core/src/crashes/facts.rs
@@ -32,16 +32,16 @@
 pub struct Cleared {
     /// The request.
     pub request: Fingerprint,
-    /// How long ago it ended well, or an operator lifted its sentence, in milliseconds.
+    /// How long ago it ended well, or an operator lifted its block, in milliseconds.
     pub age_ms: Millis,
 }
 
 /// A request that runs nowhere any more.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Sentence {
+pub struct Block {
     /// The request.
     pub request: Fingerprint,
-    /// How long ago it was condemned, in milliseconds.
+    /// How long ago it was blocked, in milliseconds.
     pub age_ms: Millis,
     /// Servers that crashed under it.
     pub servers: Vec<Name>,
@@ -55,13 +55,13 @@
     /// Requests that don't crash their servers.
     pub cleared: Vec<Cleared>,
     /// Requests that run nowhere any more.
-    pub sentences: Vec<Sentence>,
+    pub blocks: Vec<Block>,
 }
 
 impl CrashFacts {
     /// Whether there is nothing to tell.
     pub fn is_empty(&self) -> bool {
-        self.crashes.is_empty() && self.cleared.is_empty() && self.sentences.is_empty()
+        self.crashes.is_empty() && self.cleared.is_empty() && self.blocks.is_empty()
     }
 
     /// The same facts, told so much later.
@@ -69,7 +69,7 @@
     pub fn aged(mut self, by: Millis) -> Self {
         self.crashes.iter_mut().for_each(|crash| crash.age_ms += by);
         self.cleared.iter_mut().for_each(|cleared| cleared.age_ms += by);
-        self.sentences.iter_mut().for_each(|sentence| sentence.age_ms += by);
+        self.blocks.iter_mut().for_each(|block| block.age_ms += by);
         self
     }
 
@@ -82,6 +82,6 @@
             }
         }
         self.cleared.extend(&other.cleared);
-        self.sentences.extend(other.sentences.iter().cloned());
+        self.blocks.extend(other.blocks.iter().cloned());
     }
 }
--- a/crates/core/tests/crash_fleet.rs
+++ b/crates/core/tests/crash_fleet.rs
@@ -1,10 +1,10 @@
 //! A fleet of daemons with the product's own book of crashes: cuts, frozen and restarted
 //! daemons, any order of crashes. A request that crashes its servers stops at three wherever
-//! it comes; a storm of crashes without such a request condemns hardly anybody.
+//! it comes; a storm of crashes without such a request blocks hardly anybody.
 
 use std::collections::BTreeMap;
 
-use bankcove_core::crashes::{CONDEMNED_AFTER, CrashBook, CrashFacts, ServerStart, Verdict};
+use bankcove_core::crashes::{BLOCKED_AFTER, CrashBook, CrashFacts, ServerStart, Verdict};
 use bankcove_core::{Fingerprint, Millis, Name};
 use proptest::prelude::*;
 use rand::rngs::StdRng;
@@ -117,7 +117,7 @@
             return;
         }
         if !self.has(from, &[Kind::Cut], self.now) {
-            self.kept.sentences.extend(news.sentences.iter().cloned());
+            self.kept.blocks.extend(news.blocks.iter().cloned());
         }
         let others: Vec<usize> = (0..self.books.len()).filter(|other| *other != from).collect();
         let told: Vec<usize> =
@@ -144,10 +144,10 @@
         }
     }
 
-    fn judge(&mut self) {
+    fn decide(&mut self) {
         for daemon in 0..self.books.len() {
             if !self.is_down(daemon) {
-                let news = self.books[daemon].judge(self.now);
+                let news = self.books[daemon].decide(self.now);
                 self.tell(daemon, &news);
             }
         }
@@ -199,7 +199,7 @@
         }
         let verdict = self.books[daemon].verdict(request);
         match verdict {
-            Verdict::Condemned => return self.refused.push(request),
+            Verdict::Blocked => return self.refused.push(request),
             Verdict::Held => return,
             Verdict::Apart if !self.may_run_apart(daemon, request) => return,
             Verdict::Free | Verdict::Suspect | Verdict::Apart => {}
@@ -248,7 +248,7 @@
         let runs = std::mem::take(&mut server.runs);
         if runs.iter().any(|run| run.request == FATAL) {
             self.crashes += 1;
-            if self.crashes == CONDEMNED_AFTER {
+            if self.crashes == BLOCKED_AFTER {
                 self.third_at = Some(self.now);
             }
         }
@@ -293,7 +293,7 @@
         self.now += TICK_MS;
         self.restarts();
         self.deliver();
-        self.judge();
+        self.decide();
         if self.now % HEARTBEAT_MS == 0 {
             self.heartbeats();
         }
@@ -338,9 +338,9 @@
         prop_assert!(world.late_sends <= MOST_LATE_SENDS, "{} late sends", world.late_sends);
     }
 
-    /// All daemons are lost at once, whatever was known then: what was condemned stays so.
+    /// All daemons are lost at once, whatever was known then: what was blocked stays so.
     #[test]
-    fn a_condemned_request_stays_so_through_the_loss_of_all_daemons(
+    fn a_blocked_request_stays_so_through_the_loss_of_all_daemons(
         seed in any::<u64>(),
         daemons in 1..12_usize,
         lost_at in 400..1_200_u64,
@@ -368,7 +368,7 @@
 /// Servers crash by themselves, one in so many milliseconds, for a minute; callers come up to
 /// three times again. One request in ten is the same as others of its caller.
 #[test]
-fn a_storm_of_crashes_condemns_hardly_anybody() {
+fn a_storm_of_crashes_blocks_hardly_anybody() {
     let (mut sent, mut refused) = (0_usize, 0_usize);
     for seed in 0..20 {
         let mut world = World::new(seed, 8, 12, Vec::new());
@@ -397,14 +397,14 @@
 }
 
 /// Of the worlds in which an honest request runs beside the one that crashes its servers each
-/// time, it may be condemned in fewer than this part: where four servers crashed under both.
-const MOST_CONDEMNED_BESIDE: f64 = 0.05;
+/// time, it may be blocked in fewer than this part: where four servers crashed under both.
+const MOST_BLOCKED_BESIDE: f64 = 0.05;
 
 /// Both requests come together, to the same host and at first to the same server, so that they
 /// have the same crashes.
 #[test]
-fn a_request_that_always_runs_beside_one_that_crashes_its_servers_is_hardly_ever_condemned() {
-    let (mut worlds, mut condemned, mut late_sends) = (0_usize, 0_usize, 0);
+fn a_request_that_always_runs_beside_one_that_crashes_its_servers_is_hardly_ever_blocked() {
+    let (mut worlds, mut blocked, mut late_sends) = (0_usize, 0_usize, 0);
     for seed in 0..200 {
         let mut world = World::new(seed, 8, 12, Vec::new());
         while world.now < 20_000 {
@@ -416,19 +416,19 @@
             }
         }
         worlds += 1;
-        condemned += usize::from(world.refused.contains(&BESIDE));
+        blocked += usize::from(world.refused.contains(&BESIDE));
         late_sends = late_sends.max(world.late_sends);
         assert!(world.refused.contains(&FATAL), "seed {seed}: {} crashes", world.crashes);
     }
-    println!("condemned in {condemned} of {worlds} worlds, {late_sends} late sends at most");
+    println!("blocked in {blocked} of {worlds} worlds, {late_sends} late sends at most");
     assert!(late_sends <= MOST_LATE_SENDS, "{late_sends} late sends");
-    assert!((condemned as f64) < MOST_CONDEMNED_BESIDE * worlds as f64, "{condemned}");
+    assert!((blocked as f64) < MOST_BLOCKED_BESIDE * worlds as f64, "{blocked}");
 }
 
 /// All servers of a pool are lost at one moment, several times, with the same few requests
 /// running on all of them: nothing was wrong with any.
 #[test]
-fn servers_that_are_lost_together_condemn_no_common_request() {
+fn servers_that_are_lost_together_block_no_common_request() {
     for seed in 0..20 {
         let mut world = World::new(seed, 4, 8, Vec::new());
         while world.now < 30_000 {
--- a/crates/core/tests/crashes.rs
+++ b/crates/core/tests/crashes.rs
@@ -1,7 +1,7 @@
 //! What follows from crashes for a request, one daemon's view at a time.
 
 use bankcove_core::crashes::{
-    CONDEMNED_AFTER, CrashBook, CrashFacts, HOLD_MS, SETTLE_MS, Sentence, ServerStart, Verdict,
+    BLOCKED_AFTER, Block, CrashBook, CrashFacts, HOLD_MS, SETTLE_MS, ServerStart, Verdict,
 };
 use bankcove_core::{Fingerprint, Millis, Name};
 use yare::parameterized;
@@ -22,13 +22,13 @@
     book.crashed(now, &start)
 }
 
-/// Judges when all peers have told what they knew at `now`; the news.
-fn judge(book: &mut CrashBook, now: Millis) -> CrashFacts {
-    book.judge(now + SETTLE_MS)
+/// Decides on when all peers have told what they knew at `now`; the news.
+fn decide(book: &mut CrashBook, now: Millis) -> CrashFacts {
+    book.decide(now + SETTLE_MS)
 }
 
 #[test]
-fn three_crashes_condemn_a_request() {
+fn three_crashes_block_a_request() {
     let mut book = CrashBook::default();
     assert_eq!(book.verdict(FATAL), Verdict::Free);
     crash(&mut book, 1_000, 1, &[FATAL]);
@@ -36,13 +36,13 @@
     crash(&mut book, 2_000, 2, &[FATAL]);
     assert_eq!(book.verdict(FATAL), Verdict::Suspect);
     crash(&mut book, 3_000, 3, &[FATAL]);
-    // It runs nowhere from now on, also while it waits to be judged.
+    // It runs nowhere from now on, also while it waits to be decided on.
     assert_eq!(book.verdict(FATAL), Verdict::Held);
-    assert!(book.judge(3_000 + SETTLE_MS - 1).is_empty());
-    let news = judge(&mut book, 3_000);
-    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
-    assert_eq!(news.sentences.len(), 1);
-    assert_eq!(news.sentences[0].servers.len(), CONDEMNED_AFTER);
+    assert!(book.decide(3_000 + SETTLE_MS - 1).is_empty());
+    let news = decide(&mut book, 3_000);
+    assert_eq!(book.verdict(FATAL), Verdict::Blocked);
+    assert_eq!(news.blocks.len(), 1);
+    assert_eq!(news.blocks[0].servers.len(), BLOCKED_AFTER);
 }
 
 #[test]
@@ -59,8 +59,8 @@
     assert_eq!(books[0].verdict(FATAL), Verdict::Suspect);
     assert_eq!(books[1].verdict(FATAL), Verdict::Suspect);
     assert_eq!(books[2].verdict(FATAL), Verdict::Held);
-    judge(&mut books[2], 4_000);
-    assert_eq!(books[2].verdict(FATAL), Verdict::Condemned);
+    decide(&mut books[2], 4_000);
+    assert_eq!(books[2].verdict(FATAL), Verdict::Blocked);
     // What was known is not passed on again.
     assert!(books[0].told(4_000, news[1].clone()).is_empty());
 }
@@ -73,8 +73,8 @@
         book.broke_off(started_ms * 1_000, &start, FATAL);
         book.crashed(started_ms * 1_000, &start);
     }
-    judge(&mut book, 3_000);
-    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+    decide(&mut book, 3_000);
+    assert_eq!(book.verdict(FATAL), Verdict::Blocked);
 }
 
 #[test]
@@ -102,12 +102,12 @@
 }
 
 #[test]
-fn a_request_that_succeeds_between_crashes_is_not_condemned() {
+fn a_request_that_succeeds_between_crashes_is_not_blocked() {
     let mut book = CrashBook::default();
     for n in 0..20 {
         crash(&mut book, 1_000 * Millis::from(n), n, &[HONEST]);
         book.succeeded(1_000 * Millis::from(n) + 500, HONEST);
-        assert!(judge(&mut book, 1_000 * Millis::from(n) + 500).is_empty());
+        assert!(decide(&mut book, 1_000 * Millis::from(n) + 500).is_empty());
     }
     assert_eq!(book.verdict(HONEST), Verdict::Free);
 }
@@ -125,23 +125,23 @@
         here.told(now + 20, answer);
         let word = there.succeeded(now + 500, HONEST);
         here.told(now + 510, word);
-        assert!(judge(&mut here, now + 510).is_empty());
-        assert!(judge(&mut there, now + 510).is_empty());
+        assert!(decide(&mut here, now + 510).is_empty());
+        assert!(decide(&mut there, now + 510).is_empty());
     }
     assert_eq!(here.verdict(HONEST), Verdict::Free);
     assert_eq!(there.verdict(HONEST), Verdict::Free);
 }
 
 #[test]
-fn word_of_a_success_lifts_a_sentence_that_came_before_it() {
+fn word_of_a_success_lifts_a_block_that_came_before_it() {
     let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
     let first = crash(&mut here, 1_000, 1, &[HONEST]);
     there.told(1_000, first);
     there.succeeded(1_500, HONEST);
     let second = crash(&mut here, 2_000, 2, &[HONEST]);
     crash(&mut here, 2_010, 3, &[HONEST]);
-    judge(&mut here, 2_010);
-    assert_eq!(here.verdict(HONEST), Verdict::Condemned);
+    decide(&mut here, 2_010);
+    assert_eq!(here.verdict(HONEST), Verdict::Blocked);
     let word = there.told(2_020, second);
     here.told(2_030, word);
     assert_eq!(here.verdict(HONEST), Verdict::Suspect);
@@ -155,23 +155,23 @@
         let aboard = if n < 3 { HONEST } else { Fingerprint(100 + u128::from(n)) };
         crash(&mut book, 1_000 + Millis::from(n), n, &[aboard]);
     }
-    judge(&mut book, 1_010);
+    decide(&mut book, 1_010);
     assert_eq!(book.verdict(HONEST), Verdict::Free);
 }
 
 #[test]
-fn copies_that_crash_all_servers_at_one_moment_are_condemned_by_the_next_crash() {
+fn copies_that_crash_all_servers_at_one_moment_are_blocked_by_the_next_crash() {
     let mut book = CrashBook::default();
     for n in 0..4 {
         crash(&mut book, 1_000 + Millis::from(n), n, &[FATAL]);
     }
     // A pool that was lost at once looks the same.
-    judge(&mut book, 1_003);
+    decide(&mut book, 1_003);
     assert_eq!(book.verdict(FATAL), Verdict::Suspect);
     crash(&mut book, 1_700, 5, &[FATAL]);
     assert_eq!(book.verdict(FATAL), Verdict::Held);
-    judge(&mut book, 1_700);
-    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+    decide(&mut book, 1_700);
+    assert_eq!(book.verdict(FATAL), Verdict::Blocked);
 }
 
 #[test]
@@ -182,79 +182,79 @@
         crash(&mut book, 1_000 + 70 * Millis::from(n), n, &[FATAL]);
     }
     assert_eq!(book.verdict(FATAL), Verdict::Held);
-    judge(&mut book, 1_140);
-    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+    decide(&mut book, 1_140);
+    assert_eq!(book.verdict(FATAL), Verdict::Blocked);
 }
 
 #[test]
-fn who_was_aboard_with_a_condemned_request_is_not_condemned_for_it() {
+fn who_was_aboard_with_a_blocked_request_is_not_blocked_for_it() {
     let mut book = CrashBook::default();
     crash(&mut book, 1_000, 1, &[FATAL]);
     crash(&mut book, 2_000, 2, &[FATAL, HONEST]);
     crash(&mut book, 3_000, 3, &[FATAL, HONEST]);
     // A copy that was under way when the third server crashed.
     crash(&mut book, 3_500, 4, &[FATAL, HONEST]);
-    judge(&mut book, 3_500);
-    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+    decide(&mut book, 3_500);
+    assert_eq!(book.verdict(FATAL), Verdict::Blocked);
     assert_eq!(book.verdict(HONEST), Verdict::Free);
 }
 
 /// A caller's honest request ran beside one that crashes its servers, at the same server three
-/// times in a row, and was refused with 400 for a day ("request condemned" for both): nothing
+/// times in a row, and was refused with 400 for a day ("request blocked" for both): nothing
 /// that is known tells the two apart.
 #[test]
-fn who_was_aboard_of_the_same_three_crashes_as_another_is_not_condemned_for_it() {
+fn who_was_aboard_of_the_same_three_crashes_as_another_is_not_blocked_for_it() {
     let mut book = CrashBook::default();
     for n in 1..=3 {
         crash(&mut book, 1_000 * Millis::from(n), n, &[FATAL, HONEST]);
     }
-    assert_ne!(book.verdict(HONEST), Verdict::Condemned);
-    judge(&mut book, 3_000);
+    assert_ne!(book.verdict(HONEST), Verdict::Blocked);
+    decide(&mut book, 3_000);
     // Each runs once more, at another server than the other one.
     assert_eq!((book.verdict(FATAL), book.verdict(HONEST)), (Verdict::Apart, Verdict::Apart));
     let (one, other) = (book.place(FATAL), book.place(HONEST));
     assert!(one.key == other.key && one.rank != other.rank, "{one:?}, {other:?}");
     crash(&mut book, 5_000, 4, &[FATAL]);
     assert_eq!(book.verdict(FATAL), Verdict::Held);
-    judge(&mut book, 5_000);
-    assert_eq!((book.verdict(FATAL), book.verdict(HONEST)), (Verdict::Condemned, Verdict::Free));
+    decide(&mut book, 5_000);
+    assert_eq!((book.verdict(FATAL), book.verdict(HONEST)), (Verdict::Blocked, Verdict::Free));
 }
 
 #[test]
-fn when_one_of_two_with_the_same_crashes_succeeds_the_other_is_condemned() {
+fn when_one_of_two_with_the_same_crashes_succeeds_the_other_is_blocked() {
     let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
     for n in 1..=3 {
         let now = 1_000 * Millis::from(n);
         let news = crash(&mut here, now, n, &[FATAL, HONEST]);
         there.told(now, news);
     }
-    judge(&mut here, 3_000);
-    judge(&mut there, 3_000);
+    decide(&mut here, 3_000);
+    decide(&mut there, 3_000);
     let word = here.succeeded(4_000, HONEST);
     there.told(4_010, word);
     for book in [&mut here, &mut there] {
         assert_eq!(book.verdict(FATAL), Verdict::Held);
-        judge(book, 4_010);
-        assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+        decide(book, 4_010);
+        assert_eq!(book.verdict(FATAL), Verdict::Blocked);
         assert_eq!(book.verdict(HONEST), Verdict::Free);
     }
 }
 
 #[test]
-fn two_that_crash_servers_together_are_condemned_after_one_crash_more() {
+fn two_that_crash_servers_together_are_blocked_after_one_crash_more() {
     let mut book = CrashBook::default();
     for n in 1..=4 {
         crash(&mut book, 1_000 * Millis::from(n), n, &[FATAL, HONEST]);
     }
-    judge(&mut book, 4_000);
+    decide(&mut book, 4_000);
     let verdicts = (book.verdict(FATAL), book.verdict(HONEST));
-    assert_eq!(verdicts, (Verdict::Condemned, Verdict::Condemned));
+    assert_eq!(verdicts, (Verdict::Blocked, Verdict::Blocked));
 }
 
-/// Of the third crash a host knew its own requests first: it condemned the one that it had aboard
+/// Of the third crash a host knew its own requests first: it blocked the one that it had aboard
 /// before a peer could tell it of the one that had crashed the server.
 #[test]
-fn nobody_is_condemned_before_peers_have_told_who_else_was_aboard() {
+fn nobody_is_blocked_before_peers_have_told_who_else_was_aboard() {
     let mut book = CrashBook::default();
     for n in 1..=2 {
         crash(&mut book, 1_000 * Millis::from(n), n, &[FATAL, HONEST]);
@@ -262,27 +262,27 @@
     let mut peer = CrashBook::default();
     peer.told(2_100, book.facts(2_100));
     crash(&mut book, 3_000, 3, &[HONEST]);
-    assert_ne!(book.verdict(HONEST), Verdict::Condemned);
+    assert_ne!(book.verdict(HONEST), Verdict::Blocked);
     let news = crash(&mut peer, 3_010, 3, &[FATAL]);
     book.told(3_060, news);
-    judge(&mut book, 3_060);
-    assert_ne!(book.verdict(HONEST), Verdict::Condemned);
+    decide(&mut book, 3_060);
+    assert_ne!(book.verdict(HONEST), Verdict::Blocked);
 }
 
 #[test]
-fn an_operator_lifts_a_sentence_everywhere_and_later_crashes_count_anew() {
+fn an_operator_lifts_a_block_everywhere_and_later_crashes_count_anew() {
     let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
     for n in 0..3 {
         crash(&mut here, 1_000 * Millis::from(n), n, &[FATAL]);
     }
-    judge(&mut here, 2_000);
+    decide(&mut here, 2_000);
     there.told(3_000, here.facts(3_000));
-    assert_eq!(there.verdict(FATAL), Verdict::Condemned);
+    assert_eq!(there.verdict(FATAL), Verdict::Blocked);
     let word = there.lift(4_000, FATAL);
     here.told(4_010, word);
-    // What was told before the word does not bring the sentence back.
+    // What was told before the word does not bring the block back.
     let stale = CrashFacts {
-        sentences: vec![Sentence { request: FATAL, age_ms: 2_100, servers: Vec::new() }],
+        blocks: vec![Block { request: FATAL, age_ms: 2_100, servers: Vec::new() }],
         ..CrashFacts::default()
     };
     here.told(4_100, stale);
@@ -290,18 +290,18 @@
     for n in 3..6 {
         crash(&mut here, 5_000 + 1_000 * Millis::from(n), n, &[FATAL]);
     }
-    judge(&mut here, 10_000);
-    assert_eq!(here.verdict(FATAL), Verdict::Condemned);
+    decide(&mut here, 10_000);
+    assert_eq!(here.verdict(FATAL), Verdict::Blocked);
 }
 
 #[parameterized(
-    yesterday = { HOLD_MS - 1, Verdict::Condemned },
+    yesterday = { HOLD_MS - 1, Verdict::Blocked },
     before = { HOLD_MS, Verdict::Free },
 )]
-fn a_sentence_holds_for_a_day(age_ms: Millis, expected: Verdict) {
+fn a_block_holds_for_a_day(age_ms: Millis, expected: Verdict) {
     let mut book = CrashBook::default();
-    let sentence = Sentence { request: FATAL, age_ms, servers: vec![Name::from("i-1")] };
-    book.told(HOLD_MS + 5, CrashFacts { sentences: vec![sentence], ..CrashFacts::default() });
+    let block = Block { request: FATAL, age_ms, servers: vec![Name::from("i-1")] };
+    book.told(HOLD_MS + 5, CrashFacts { blocks: vec![block], ..CrashFacts::default() });
     assert_eq!(book.verdict(FATAL), expected);
 }
 
@@ -327,55 +327,55 @@
     for n in 0..6_000_u32 {
         let request = Fingerprint(u128::from(n / 3));
         crash(&mut book, 400 * Millis::from(n), n, &[request]);
-        book.judge(400 * Millis::from(n));
+        book.decide(400 * Millis::from(n));
     }
-    judge(&mut book, 400 * 6_000);
+    decide(&mut book, 400 * 6_000);
     let gauge = book.gauge();
-    assert!(gauge.crashes <= 256 && gauge.sentences <= 1_000, "{gauge:?}");
+    assert!(gauge.crashes <= 256 && gauge.blocks <= 1_000, "{gauge:?}");
     assert!(gauge.dropped > 0);
-    // The newest ones are still condemned.
-    assert_eq!(book.verdict(Fingerprint(1_999)), Verdict::Condemned);
+    // The newest ones are still blocked.
+    assert_eq!(book.verdict(Fingerprint(1_999)), Verdict::Blocked);
 }
 
 #[test]
-fn word_that_lifted_a_sentence_outlives_the_crashes_and_other_word_does_not() {
+fn word_that_lifted_a_block_outlives_the_crashes_and_other_word_does_not() {
     let mut book = CrashBook::default();
     for n in 0..3 {
         crash(&mut book, 1_000 * Millis::from(n), n, &[FATAL]);
     }
     crash(&mut book, 3_000, 4, &[HONEST]);
     book.succeeded(3_500, HONEST);
-    judge(&mut book, 3_000);
-    assert_eq!(book.verdict(FATAL), Verdict::Condemned);
+    decide(&mut book, 3_000);
+    assert_eq!(book.verdict(FATAL), Verdict::Blocked);
     book.lift(4_000, FATAL);
     let later = 400_000;
     book.forget_old(later);
     let facts = book.facts(later);
     assert!(facts.crashes.is_empty());
     assert_eq!(facts.cleared.len(), 1);
-    // A host that was cut off brings the sentence back, and is told better.
-    let stale = Sentence { request: FATAL, age_ms: later - 2_000, servers: Vec::new() };
-    book.told(later, CrashFacts { sentences: vec![stale], ..CrashFacts::default() });
+    // A host that was cut off brings the block back, and is told better.
+    let stale = Block { request: FATAL, age_ms: later - 2_000, servers: Vec::new() };
+    book.told(later, CrashFacts { blocks: vec![stale], ..CrashFacts::default() });
     assert_eq!(book.verdict(FATAL), Verdict::Free);
     book.forget_old(HOLD_MS + later);
     assert!(book.is_empty());
 }
 
-/// News are gathered before they are told. A sentence that was told as young as when it was
-/// gathered came back 50 ms after an operator had lifted it ("is not condemned" was expected of
+/// News are gathered before they are told. A block that was told as young as when it was
+/// gathered came back 50 ms after an operator had lifted it ("is not blocked" was expected of
 /// a second lift, which was done).
 #[test]
-fn a_sentence_that_waited_to_be_told_does_not_outlive_the_word_that_lifted_it() {
+fn a_block_that_waited_to_be_told_does_not_outlive_the_word_that_lifted_it() {
     let (mut here, mut there) = (CrashBook::default(), CrashBook::default());
     let mut news = CrashFacts::default();
     for n in 0..3 {
         crash(&mut here, 1_000 * Millis::from(n), n, &[FATAL]);
     }
-    let (condemned_at, told_at) = (2_000 + SETTLE_MS, 2_050 + SETTLE_MS);
-    news.add(&judge(&mut here, 2_000));
-    let sentences = CrashFacts { sentences: news.sentences, ..CrashFacts::default() };
-    assert_eq!(sentences.sentences.len(), 1);
-    there.lift(condemned_at + 40, FATAL);
-    there.told(told_at, sentences.aged(told_at - condemned_at));
+    let (blocked_at, told_at) = (2_000 + SETTLE_MS, 2_050 + SETTLE_MS);
+    news.add(&decide(&mut here, 2_000));
+    let blocks = CrashFacts { blocks: news.blocks, ..CrashFacts::default() };
+    assert_eq!(blocks.blocks.len(), 1);
+    there.lift(blocked_at + 40, FATAL);
+    there.told(told_at, blocks.aged(told_at - blocked_at));
     assert_eq!(there.verdict(FATAL), Verdict::Free);
 }
--- a/crates/daemon/src/api/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -215,7 +215,7 @@
     daemon.metrics.count("refused.crashes_servers");
     slog::info!(daemon.log, "not sent for its crashes";
         "request" => %need.request, "fingerprint" => %fingerprint);
-    Err(if verdict != Verdict::Condemned {
+    Err(if verdict != Verdict::Blocked {
         let message = "backend servers that ran this request before broke off";
         let status = StatusCode::SERVICE_UNAVAILABLE;
         Problem::not_run(&not_run, status, "crashes_in_doubt", message)
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -149,7 +149,7 @@
         tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon)));
         tokio::spawn(unread_news::tell(Arc::clone(&daemon)));
         tokio::spawn(keep::keep(Arc::clone(&daemon)));
-        tokio::spawn(crashes::judge(Arc::clone(&daemon)));
+        tokio::spawn(crashes::decide(Arc::clone(&daemon)));
         tokio::spawn(spread::tell_news(Arc::clone(&daemon)));
         tokio::spawn(suspension::watch(Arc::clone(&daemon)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -1,7 +1,7 @@
 //! Shell around what is known of requests that crash their servers (core `crashes`).
 //!
 //! `verify` finds out whether a server that broke off has crashed, `spread` tells peers, `keep`
-//! writes sentences where the loss of all daemons does not reach, and `gate` is what a request
+//! writes blocks where the loss of all daemons does not reach, and `gate` is what a request
 //! meets before each try. The sides for callers say how each try ended.
 
 pub mod gate;
@@ -14,7 +14,7 @@
 use std::time::Duration;
 
 use bankcove_core::crashes::{
-    CrashBook, CrashFacts, Gauge, Place, SETTLE_MS, Sentence, ServerStart, Verdict,
+    Block, CrashBook, CrashFacts, Gauge, Place, SETTLE_MS, ServerStart, Verdict,
 };
 use bankcove_core::router::Choice;
 use bankcove_core::{Fingerprint, Millis};
@@ -26,7 +26,7 @@
 use crate::crashes::gate::Apart;
 use crate::daemon::Daemon;
 
-/// Daemons that write a sentence which was told to them, and send a request that may run once
+/// Daemons that write a block which was told to them, and send a request that may run once
 /// more.
 const OWNERS: usize = 1;
 
@@ -43,11 +43,11 @@
     news: Mutex<Vec<(Millis, CrashFacts)>>,
     /// Told when there are some.
     to_tell: Notify,
-    /// Told when there are requests to judge.
-    to_judge: Notify,
+    /// Told when there are requests to decide on.
+    to_decide: Notify,
     /// Requests that run apart.
     apart: Apart,
-    /// Told when a sentence is to be kept in the store.
+    /// Told when a block is to be kept in the store.
     to_keep: Notify,
     /// When the facts of a peer were last asked for.
     asked_at: AtomicU64,
@@ -60,8 +60,8 @@
         let changed = change(&mut book);
         self.digest.store(book.digest(now), Ordering::Relaxed);
         self.is_active.store(!book.is_empty(), Ordering::Relaxed);
-        if book.has_to_judge() {
-            self.to_judge.notify_one();
+        if book.has_to_decide() {
+            self.to_decide.notify_one();
         }
         changed
     }
@@ -142,36 +142,36 @@
     take_news(daemon, &news, Origin::Here);
 }
 
-/// Judges requests when peers have told who else was aboard, until the daemon ends.
-pub async fn judge(daemon: Arc<Daemon>) {
+/// Decides on requests when peers have told who else was aboard, until the daemon ends.
+pub async fn decide(daemon: Arc<Daemon>) {
     loop {
         tokio::select! {
-            () = daemon.crashes.to_judge.notified() => {}
+            () = daemon.crashes.to_decide.notified() => {}
             () = daemon.ended.cancelled() => return,
         }
         tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
         let now = daemon.clock.now();
-        let news = daemon.crashes.change(now, |book| book.judge(now));
+        let news = daemon.crashes.change(now, |book| book.decide(now));
         take_news(&daemon, &news, Origin::Here);
     }
 }
 
 /// Requests that run nowhere any more.
-pub fn sentences(daemon: &Daemon) -> Vec<Sentence> {
+pub fn blocks(daemon: &Daemon) -> Vec<Block> {
     let now = daemon.clock.now();
-    daemon.crashes.read(|book| book.sentences(now)).unwrap_or_default()
+    daemon.crashes.read(|book| book.blocks(now)).unwrap_or_default()
 }
 
 /// Whether the request runs nowhere any more.
-pub fn is_condemned(daemon: &Daemon, request: Fingerprint) -> bool {
-    daemon.crashes.verdict(|| request) == Verdict::Condemned
+pub fn is_blocked(daemon: &Daemon, request: Fingerprint) -> bool {
+    daemon.crashes.verdict(|| request) == Verdict::Blocked
 }
 
-/// Lets a condemned request run again, here and at all peers.
+/// Lets a blocked request run again, here and at all peers.
 pub fn lift(daemon: &Arc<Daemon>, request: Fingerprint) {
     let now = daemon.clock.now();
     let news = daemon.crashes.change(now, |book| book.lift(now, request));
-    slog::info!(daemon.log, "sentence lifted"; "fingerprint" => %request);
+    slog::info!(daemon.log, "block lifted"; "fingerprint" => %request);
     daemon.crashes.to_keep.notify_one();
     take_news(daemon, &news, Origin::Here);
 }
@@ -185,14 +185,14 @@
     Told,
 }
 
-/// Logs what is new, tells peers, and has sentences kept.
+/// Logs what is new, tells peers, and has blocks kept.
 fn take_news(daemon: &Arc<Daemon>, news: &CrashFacts, origin: Origin) {
     if news.is_empty() {
         return;
     }
     let is_own = origin == Origin::Here;
     log_news(daemon, news, is_own);
-    if !news.sentences.is_empty() && (is_own || is_keeper(daemon, news)) {
+    if !news.blocks.is_empty() && (is_own || is_keeper(daemon, news)) {
         daemon.crashes.to_keep.notify_one();
     }
     spread::tell(daemon, news);
@@ -209,18 +209,18 @@
         slog::info!(daemon.log, "request cleared";
             "fingerprint" => %cleared.request, "age_ms" => cleared.age_ms, "found_here" => is_own);
     }
-    for sentence in &news.sentences {
-        daemon.metrics.count("request.condemned");
-        slog::warn!(daemon.log, "request condemned";
-            "fingerprint" => %sentence.request, "servers" => list(&sentence.servers),
-            "age_ms" => sentence.age_ms, "found_here" => is_own);
+    for block in &news.blocks {
+        daemon.metrics.count("request.blocked");
+        slog::warn!(daemon.log, "request blocked";
+            "fingerprint" => %block.request, "servers" => list(&block.servers),
+            "age_ms" => block.age_ms, "found_here" => is_own);
     }
 }
 
-/// Whether this daemon writes these sentences although another one found them: the finder may
+/// Whether this daemon writes these blocks although another one found them: the finder may
 /// be lost, or cut off from the store, before it has.
 fn is_keeper(daemon: &Daemon, news: &CrashFacts) -> bool {
-    news.sentences.iter().any(|sentence| owns(daemon, sentence.request))
+    news.blocks.iter().any(|block| owns(daemon, block.request))
 }
 
 /// Whether this daemon is the request's owner among those that it knows.
--- a/crates/daemon/src/crashes/gate.rs
+++ b/crates/daemon/src/crashes/gate.rs
@@ -15,7 +15,7 @@
 /// Pause between two looks whether it is known by now.
 const LOOK: Duration = Duration::from_millis(20);
 
-/// Longest wait, in milliseconds: a crash is found out within some 130 ms as a rule, and judged
+/// Longest wait, in milliseconds: a crash is found out within some 130 ms as a rule, and decided on
 /// after [`SETTLE_MS`]. Who is refused instead comes back after a second.
 const MOST_WAIT_MS: Millis = 2 * SETTLE_MS;
 
--- a/crates/daemon/src/crashes/keep.rs
+++ b/crates/daemon/src/crashes/keep.rs
@@ -1,11 +1,11 @@
-//! Sentences in the platform's store: the loss of all daemons at once must not let a condemned
+//! Blocks in the platform's store: the loss of all daemons at once must not let a blocked
 //! request crash three servers more.
 
 use std::collections::BTreeMap;
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::crashes::{CrashFacts, HOLD_MS, Sentence};
+use bankcove_core::crashes::{Block, CrashFacts, HOLD_MS};
 use bankcove_core::{Fingerprint, Millis, Name};
 use bankcove_ports::{Kind, WriteOutcome};
 use serde::{Deserialize, Serialize};
@@ -16,11 +16,11 @@
 /// Name of the only object.
 const OBJECT: &str = "all";
 
-/// Pause before sentences are written: hosts that found the same one at once write it once, and
+/// Pause before blocks are written: hosts that found the same one at once write it once, and
 /// word of a success that is under way still comes in time.
 const SETTLE: Duration = Duration::from_millis(300);
 
-/// Pause after the store did not take or tell the sentences.
+/// Pause after the store did not take or tell the blocks.
 const RETRY: Duration = Duration::from_secs(1);
 
 /// Pause between two looks whether the store answers this daemon or a peer.
@@ -32,22 +32,22 @@
 /// Tries to read what earlier starts have kept, by which time peers have told it.
 const READS: u32 = 10;
 
-/// Sentences as the store keeps them.
+/// Blocks as the store keeps them.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 struct Kept {
-    sentences: BTreeMap<Fingerprint, KeptSentence>,
+    blocks: BTreeMap<Fingerprint, KeptBlock>,
 }
 
-/// One sentence as the store keeps it.
+/// One block as the store keeps it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-struct KeptSentence {
-    /// When the request was condemned, in milliseconds since 1970.
-    condemned_ms: Millis,
+struct KeptBlock {
+    /// When the request was blocked, in milliseconds since 1970.
+    blocked_ms: Millis,
     /// Servers that crashed under it.
     servers: Vec<Name>,
 }
 
-/// Reads what earlier starts have kept, then writes each new sentence, until the daemon ends.
+/// Reads what earlier starts have kept, then writes each new block, until the daemon ends.
 pub async fn keep(daemon: Arc<Daemon>) {
     tokio::select! {
         () = read_then_write(&daemon) => {}
@@ -63,7 +63,7 @@
                 take_in(daemon, kept);
                 break;
             }
-            Err(e) => slog::info!(daemon.log, "kept sentences not read yet"; "error" => %e),
+            Err(e) => slog::info!(daemon.log, "kept blocks not read yet"; "error" => %e),
         }
         tokio::time::sleep(RETRY).await;
     }
@@ -88,27 +88,27 @@
 }
 
 async fn read(daemon: &Daemon) -> bankcove_ports::Result<(u64, Kept)> {
-    let read = daemon.store.read::<Kept>(Kind::Condemned, OBJECT).await?;
+    let read = daemon.store.read::<Kept>(Kind::Blocked, OBJECT).await?;
     Ok(read.map_or((0, Kept::default()), |read| (read.version, read.value)))
 }
 
 fn take_in(daemon: &Arc<Daemon>, kept: Kept) {
     let now_ms = daemon.clock.unix_ms();
-    let sentence = |(request, kept): (Fingerprint, KeptSentence)| Sentence {
+    let block = |(request, kept): (Fingerprint, KeptBlock)| Block {
         request,
-        age_ms: now_ms.saturating_sub(kept.condemned_ms),
+        age_ms: now_ms.saturating_sub(kept.blocked_ms),
         servers: kept.servers,
     };
-    let sentences: Vec<Sentence> = kept.sentences.into_iter().map(sentence).collect();
-    spread::told(daemon, CrashFacts { sentences, ..CrashFacts::default() });
+    let blocks: Vec<Block> = kept.blocks.into_iter().map(block).collect();
+    spread::told(daemon, CrashFacts { blocks, ..CrashFacts::default() });
 }
 
-/// Writes the sentences that are known here to those that are kept; whether the store has them.
+/// Writes the blocks that are known here to those that are kept; whether the store has them.
 async fn write(daemon: &Daemon) -> bool {
     let (version, kept) = match read(daemon).await {
         Ok(read) => read,
         Err(e) => {
-            slog::info!(daemon.log, "sentences not kept yet"; "error" => %e);
+            slog::info!(daemon.log, "blocks not kept yet"; "error" => %e);
             return false;
         }
     };
@@ -116,9 +116,9 @@
     if next == kept {
         return true;
     }
-    let outcome = daemon.store.write(Kind::Condemned, OBJECT, version, &next).await;
+    let outcome = daemon.store.write(Kind::Blocked, OBJECT, version, &next).await;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
-    slog::info!(daemon.log, "sentences kept"; "written" => is_written, "count" => next.sentences.len());
+    slog::info!(daemon.log, "blocks kept"; "written" => is_written, "count" => next.blocks.len());
     is_written
 }
 
@@ -126,14 +126,14 @@
 fn merged(daemon: &Daemon, mut kept: Kept) -> Kept {
     let (now, now_ms) = (daemon.clock.now(), daemon.clock.unix_ms());
     let book = daemon.crashes.book.lock();
-    kept.sentences.retain(|request, sentence| {
-        let age_ms = now_ms.saturating_sub(sentence.condemned_ms);
+    kept.blocks.retain(|request, block| {
+        let age_ms = now_ms.saturating_sub(block.blocked_ms);
         age_ms < HOLD_MS && !book.is_cleared_since(*request, now.saturating_sub(age_ms))
     });
-    for sentence in book.sentences(now) {
-        let condemned_ms = now_ms.saturating_sub(sentence.age_ms);
-        let servers = sentence.servers;
-        kept.sentences.entry(sentence.request).or_insert(KeptSentence { condemned_ms, servers });
+    for block in book.blocks(now) {
+        let blocked_ms = now_ms.saturating_sub(block.age_ms);
+        let servers = block.servers;
+        kept.blocks.entry(block.request).or_insert(KeptBlock { blocked_ms, servers });
     }
     kept
 }
--- a/crates/daemon/src/crashes/spread.rs
+++ b/crates/daemon/src/crashes/spread.rs
@@ -42,7 +42,7 @@
         let now = daemon.clock.now();
         let mut news = CrashFacts::default();
         for (at, facts) in gathered {
-            // A sentence that seems younger than it is would outlive the word that lifted it.
+            // A block that seems younger than it is would outlive the word that lifted it.
             news.add(&facts.aged(now.saturating_sub(at)));
         }
         tell_some(&daemon, &news);
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -109,7 +109,7 @@
             Verdict::Free | Verdict::Suspect => return Ok(()),
             Verdict::Apart if self.may_run_apart() => return Ok(()),
             Verdict::Apart | Verdict::Held => Refusal::CrashesInDoubt,
-            Verdict::Condemned => Refusal::CrashesServers,
+            Verdict::Blocked => Refusal::CrashesServers,
         };
         slog::info!(self.log, "not sent for its crashes";
             "fingerprint" => %self.fingerprint(), "code" => refusal.code());
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -31,7 +31,7 @@
         if !call.may_send() {
             break;
         }
-        // It may have been condemned since it came, while it waited for tokens.
+        // It may have been blocked since it came, while it waited for tokens.
         call.pass_crashes().await?;
         // A host that was suspended wakes with requests whose callers have long gone.
         if call.is_late() {
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -43,8 +43,8 @@
         .push(Router::with_path("table/edits").post(post_edit))
         .push(Router::with_path("budgets/{name}").get(get_budget))
         .push(Router::with_path("budgets/{name}/top-ups").post(post_top_up))
-        .push(Router::with_path("condemned").get(get_condemned))
-        .push(Router::with_path("condemned/{request}").delete(lift_condemned))
+        .push(Router::with_path("blocked").get(get_blocked))
+        .push(Router::with_path("blocked/{request}").delete(lift_blocked))
         .push(Router::with_path("status").get(get_status))
         .push(Router::with_path("dump").get(get_dump))
 }
@@ -168,25 +168,25 @@
 
 /// Requests that run nowhere any more.
 #[handler]
-async fn get_condemned(depot: &mut Depot, res: &mut Response) {
-    res.render(Json(crashes::sentences(&daemon(depot))));
+async fn get_blocked(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(crashes::blocks(&daemon(depot))));
 }
 
-/// Lets a condemned request run again, at all daemons.
+/// Lets a blocked request run again, at all daemons.
 #[handler]
-async fn lift_condemned(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+async fn lift_blocked(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let daemon = daemon(depot);
     let named: String = req.param("request").unwrap_or_default();
     let request = match named.parse() {
         Ok(request) => request,
         Err(e) => {
-            let message = format!("{e}; see 'bankcove condemned list'");
+            let message = format!("{e}; see 'bankcove blocked list'");
             return fail(res, StatusCode::BAD_REQUEST, "bad_fingerprint", &message);
         }
     };
-    if !crashes::is_condemned(&daemon, request) {
-        let message = format!("request '{request}' is not condemned");
-        return fail(res, StatusCode::NOT_FOUND, "not_condemned", &message);
+    if !crashes::is_blocked(&daemon, request) {
+        let message = format!("request '{request}' is not blocked");
+        return fail(res, StatusCode::NOT_FOUND, "not_blocked", &message);
     }
     crashes::lift(&daemon, request);
     res.render(Json(json!({"lifted": request})));
--- a/crates/ports/src/calls.rs
+++ b/crates/ports/src/calls.rs
@@ -46,7 +46,7 @@
         match kind {
             Kind::Table => Purpose::Table,
             Kind::Budgets => Purpose::BudgetsRead,
-            Kind::RequestLog(_) | Kind::Epochs | Kind::Condemned => Purpose::Other,
+            Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked => Purpose::Other,
         }
     }
 
@@ -55,7 +55,7 @@
         match kind {
             Kind::Table => Purpose::Table,
             Kind::Budgets => Purpose::BudgetsWritten,
-            Kind::RequestLog(_) | Kind::Epochs | Kind::Condemned => Purpose::Other,
+            Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked => Purpose::Other,
         }
     }
 }
--- a/crates/ports/src/objects.rs
+++ b/crates/ports/src/objects.rs
@@ -18,7 +18,7 @@
     /// Epochs of fenced orders.
     Epochs,
     /// Requests that run nowhere any more.
-    Condemned,
+    Blocked,
 }
 
 impl Kind {
@@ -29,7 +29,7 @@
             Kind::Budgets => "budgets".to_owned(),
             Kind::RequestLog(shard) => format!("log-{shard:02}"),
             Kind::Epochs => "epochs".to_owned(),
-            Kind::Condemned => "condemned".to_owned(),
+            Kind::Blocked => "blocked".to_owned(),
         }
     }
 }
--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -302,19 +302,19 @@
         }
     }
 
-    /// Waits until a daemon holds so many requests for condemned.
+    /// Waits until a daemon holds so many requests for blocked.
     ///
     /// # Panics
     /// When it does not for a long time.
-    pub async fn wait_for_condemned(&self, index: usize, count: usize) {
+    pub async fn wait_for_blocked(&self, index: usize, count: usize) {
         let deadline = tokio::time::Instant::now() + PATIENCE;
         loop {
-            let condemned = self.operator(index, "condemned").await;
-            if condemned.as_ref().and_then(Value::as_array).is_some_and(|all| all.len() == count) {
+            let blocked = self.operator(index, "blocked").await;
+            if blocked.as_ref().and_then(Value::as_array).is_some_and(|all| all.len() == count) {
                 return;
             }
             let name = &self.daemons[index].name;
-            assert!(tokio::time::Instant::now() < deadline, "{name} has {condemned:?}");
+            assert!(tokio::time::Instant::now() < deadline, "{name} has {blocked:?}");
             tokio::time::sleep(POLL).await;
         }
     }
--- a/crates/proofs/tests/crashes.rs
+++ b/crates/proofs/tests/crashes.rs
@@ -41,19 +41,19 @@
         assert!(!is_refused(&ask(&fleet, turn).await));
     }
     for daemon in 0..2 {
-        fleet.wait_for_condemned(daemon, 1).await;
+        fleet.wait_for_blocked(daemon, 1).await;
         assert!(is_refused(&ask(&fleet, daemon).await));
     }
     assert_eq!(engines_left(&mut fleet), 2);
-    let listed = fleet.bankcove(0, &["condemned", "list", "--output", "json"]);
+    let listed = fleet.bankcove(0, &["blocked", "list", "--output", "json"]);
     let listed: Vec<Value> = serde_json::from_slice(&listed.stdout).expect("it prints JSON");
-    let fingerprint = listed[0]["fingerprint"].as_str().expect("a sentence has a fingerprint");
-    let lifted = fleet.bankcove(0, &["condemned", "lift", fingerprint]);
+    let fingerprint = listed[0]["fingerprint"].as_str().expect("a block has a fingerprint");
+    let lifted = fleet.bankcove(0, &["blocked", "lift", fingerprint]);
     assert!(lifted.status.success(), "{}", String::from_utf8_lossy(&lifted.stderr));
-    fleet.wait_for_condemned(1, 0).await;
+    fleet.wait_for_blocked(1, 0).await;
     assert!(!is_refused(&ask(&fleet, 1).await));
-    let again = fleet.bankcove(1, &["condemned", "lift", fingerprint]);
-    assert!(String::from_utf8_lossy(&again.stderr).contains("is not condemned"));
+    let again = fleet.bankcove(1, &["blocked", "lift", fingerprint]);
+    assert!(String::from_utf8_lossy(&again.stderr).contains("is not blocked"));
     let others = Ask::new("another request");
     let daemons = [fleet.daemons[0].callers.clone()];
     let attempts = Caller::default().ask_until_done(&daemons, &others, MOST_TRIES).await;
