What a server names as its limit is read from the heads of its answers, logged and counted

'server names a limit' (server, limit) and the counter server.limit_named; no decision follows from it yet. Read: a number from 0 on; of several the lowest; text, NaN, inf and below zero are told apart from no header (tests limit_words, headers).

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod holder;
 pub mod id;
 pub mod lifecycle;
+pub mod limits;
 pub mod link;
 pub mod members;
 pub mod name;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bankcove_core::limits::LimitWord;
 use bankcove_core::router::Choice;
 use bankcove_ports::wire::Unrun;
 use bytes::Bytes;
@@ -88,6 +89,11 @@
     };
     call.sent += 1;
     let head = entry.wire.read_answer(res.status(), res.headers());
+    if head.limit != LimitWord::None {
+        entry.daemon.metrics.count("server.limit_named");
+        slog::info!(call.log, "server names a limit";
+            "server" => %choice.server, "limit" => ?head.limit);
+    }
     if let Some(unrun) = head.unrun {
         charge.not_run(ran_before);
         if unrun == Unrun::OtherInstance {
--- a/crates/ports/src/wire.rs
+++ b/crates/ports/src/wire.rs
@@ -3,6 +3,7 @@
 
 use std::time::Duration;
 
+use bankcove_core::limits::LimitWord;
 use bankcove_core::{Name, Tokens};
 use http::{HeaderMap, StatusCode};
 
@@ -87,7 +88,7 @@
 }
 
 /// The head of a backend server's answer.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct AnswerHead {
     /// The request that it answers, as the server says.
     pub id: Option<String>,
@@ -97,6 +98,8 @@
     pub is_signed: bool,
     /// Whether the body is encoded, which no caller has asked for.
     pub is_encoded: bool,
+    /// How many requests a second the server takes from all daemons together.
+    pub limit: LimitWord,
 }
 
 /// Reads and writes the headers of one platform.
