--- a/crates/core/src/crashes/facts.rs
+++ b/crates/core/src/crashes/facts.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::{Fingerprint, Millis, Name};
 
@@ -16,6 +17,13 @@
     pub started_ms: Millis,
 }
 
+impl ServerStart {
+    /// Key by which the daemons that have something to do with it are found.
+    pub fn key(&self) -> u64 {
+        xxh3_64(self.name.as_str().as_bytes()) ^ self.started_ms
+    }
+}
+
 /// A server that has crashed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Crash {
--- a/crates/core/src/lifecycle.rs
+++ b/crates/core/src/lifecycle.rs
@@ -40,6 +40,11 @@
         NothingRan(())
     }
 
+    /// It was not sent.
+    pub fn never_sent() -> Self {
+        NothingRan(())
+    }
+
     /// The backend server refused the request and said that it did not run.
     pub fn refused_by_server() -> Self {
         NothingRan(())
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -94,6 +94,9 @@
     pub paces: Vec<ServerPace>,
     /// Hash of what the sender knows of crashes, as [`crate::crashes::CrashBook::digest`].
     pub crashes_digest: u64,
+    /// Hash of the limits of servers that the sender knows, as
+    /// [`crate::limits::LimitBook::digest`].
+    pub limits_digest: u64,
 }
 
 /// A peer as this daemon sees it.
@@ -203,6 +206,12 @@
         }
     }
 
+    /// Hash of who is there: equal for the same daemons, whoever of them answers.
+    pub fn digest(&self) -> u64 {
+        let there = self.peers.values().filter(|peer| peer.listed && !peer.stopping);
+        there.fold(self.my_key, |digest, peer| digest ^ peer.key)
+    }
+
     /// Takes in the platform's list.
     pub fn host_list(&mut self, hosts: &[Host]) {
         let names_me = hosts.iter().any(|host| host.name == self.me);
@@ -296,8 +305,24 @@
     /// Usable peers and this daemon (none) in the order of their claim to own
     /// `key`; every daemon with the same view comes to the same order.
     pub fn owners(&self, key: u64, most: usize) -> Vec<Option<Peer>> {
+        self.ranked(key, most, self.usable())
+    }
+
+    /// As [`Members::owners`], with peers that don't answer this daemon: in a cut the order is
+    /// the same on both sides.
+    pub fn owners_listed(&self, key: u64, most: usize) -> Vec<Option<Peer>> {
+        let there = self.peers.values().filter(|peer| peer.listed && !peer.stopping);
+        self.ranked(key, most, there)
+    }
+
+    fn ranked<'a>(
+        &self,
+        key: u64,
+        most: usize,
+        peers: impl Iterator<Item = &'a Peer>,
+    ) -> Vec<Option<Peer>> {
         let mine = (rendezvous_score(key, self.my_key), None);
-        let others = self.usable().map(|peer| (rendezvous_score(key, peer.key), Some(peer)));
+        let others = peers.map(|peer| (rendezvous_score(key, peer.key), Some(peer)));
         let mut ranked: Vec<(u64, Option<&Peer>)> = others.chain([mine]).collect();
         let highest_first = |(score, _): &(u64, Option<&Peer>)| std::cmp::Reverse(*score);
         if most < ranked.len() {
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -14,13 +14,14 @@
 mod reading;
 mod view;
 
-pub use choose::{Choice, Homes, NoServer, Wanted};
+pub use choose::{AtLimit, Choice, Homes, NoServer, Wanted};
 pub use elsewhere::{Unread, UnreadNews};
 pub use reading::{ServerPace, StreamPace};
 pub use view::{LoadReport, ServerView};
 
 use std::collections::HashMap;
 
+use crate::crashes::ServerStart;
 use crate::router::elsewhere::Elsewhere;
 use crate::router::pool::{HallPool, Pool};
 use crate::router::reading::{Reading, mean};
@@ -137,6 +138,34 @@
         self.change_load(name, |view| view.leaving_until = now + LEAVING_WORD_MS);
     }
 
+    /// Takes in how many requests a second this start of a server takes from all daemons, by
+    /// its own word; none when it names no limit any more.
+    pub fn limited(&mut self, now: Millis, server: &ServerStart, per_second: Option<f64>) {
+        let Some(index) = self.index_of_start(&server.name, server.started_ms) else { return };
+        let view = &mut self.servers[index];
+        if view.limit_per_s.is_some() && per_second.is_none() {
+            view.lifted_at = Some(now);
+            view.no_permit_until = 0;
+        }
+        view.limit_per_s = per_second;
+    }
+
+    /// Takes in that this start of a server gets nothing from this daemon until then, by its
+    /// limit of so many requests a second.
+    pub fn at_limit(&mut self, server: &ServerStart, per_second: f64, until: Millis) {
+        let Some(index) = self.index_of_start(&server.name, server.started_ms) else { return };
+        self.servers[index].limit_per_s = Some(per_second);
+        self.servers[index].no_permit_until = until;
+    }
+
+    /// The servers of a pool that get nothing from this daemon for their limits.
+    pub fn servers_at_limit(&self, now: Millis, pool: &Name) -> Vec<Name> {
+        let halls = self.pools.get(pool).map(|pool| &pool.halls);
+        let members = halls.into_iter().flatten().flat_map(|hall| &hall.members);
+        let views = members.map(|index| &self.servers[*index as usize]);
+        views.filter(|view| view.is_at_limit(now)).map(|view| view.name.clone()).collect()
+    }
+
     /// Takes in that a request with a prompt of this length was sent to this start of a
     /// server; 0 for a request without a prompt.
     pub fn sent(&mut self, name: &Name, start: Millis, prompt: Tokens) {
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -1,5 +1,6 @@
 //! The choice of a server for one request.
 
+use crate::crashes::ServerStart;
 use crate::router::Router;
 use crate::router::load::Load;
 use crate::router::pool::{HallPool, Pool};
@@ -14,7 +15,7 @@
 const LOOKS: usize = 16;
 
 /// Why no server was found.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub enum NoServer {
     /// No row of the table serves this.
     NoneInTable,
@@ -24,6 +25,17 @@
     NoHall,
     /// All that are left are cold; the first of them is warm after so many milliseconds.
     OnlyCold(Millis),
+    /// All that are left, but for cold ones, take no more than the limits that they name.
+    OnlyLimited(AtLimit),
+}
+
+/// Servers that take no more than the limits that they name.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct AtLimit {
+    /// After so many milliseconds the first of them may be asked for again.
+    pub first_ms: Millis,
+    /// Requests a second that they take from all daemons together.
+    pub per_second: f64,
 }
 
 /// Regions that may serve a request; where there are none all may.
@@ -60,6 +72,13 @@
     pub copy_from: Option<String>,
 }
 
+impl Choice {
+    /// The start of the server.
+    pub fn start(&self) -> ServerStart {
+        ServerStart { name: self.server.clone(), started_ms: self.started_ms }
+    }
+}
+
 /// What a request asks the router for.
 #[derive(Debug, Clone, Copy)]
 pub struct Wanted<'a> {
@@ -139,10 +158,17 @@
     fn why_none(&self, now: Millis, halls: &[&HallPool], wanted: &Wanted) -> NoServer {
         let members = halls.iter().flat_map(|hall| &hall.members);
         let views = members.map(|index| &self.servers[*index as usize]);
-        let cold = views.filter(|view| {
-            view.could_serve(now) && view.is_cold(now) && !wanted.tried.contains(&view.name)
-        });
-        let warm_at = cold.map(|view| view.cold_until).min();
+        let left: Vec<&ServerView> = views
+            .filter(|view| view.could_serve(now) && !wanted.tried.contains(&view.name))
+            .collect();
+        let (cold, warm): (Vec<&ServerView>, Vec<&ServerView>) =
+            left.into_iter().partition(|view| view.is_cold(now));
+        let limited = warm.iter().filter(|view| view.is_at_limit(now));
+        if let Some(first_at) = limited.clone().map(|view| view.no_permit_until).min() {
+            let per_second = limited.filter_map(|view| view.limit_per_s).sum();
+            return NoServer::OnlyLimited(AtLimit { first_ms: first_at - now, per_second });
+        }
+        let warm_at = cold.iter().map(|view| view.cold_until).min();
         warm_at.map_or(NoServer::NoneUsable, |at| NoServer::OnlyCold(at - now))
     }
 
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -2,6 +2,7 @@
 
 use serde::{Deserialize, Serialize};
 
+use crate::crashes::ServerStart;
 use crate::router::load::Load;
 use crate::table::{Server, ServerKind, ServerState};
 use crate::{Millis, Name, Tokens};
@@ -18,7 +19,7 @@
 /// At most one in so many servers of a pool is ejected at once.
 pub(super) const MOST_EJECTED: usize = 2;
 
-/// After an ejection a server takes its full share again only after this long.
+/// After an ejection or a limit a server takes its full share again only after this long.
 pub(super) const SLOW_RETURN_MS: Millis = 5_000;
 
 /// A server's own word that it leaves is believed this long.
@@ -63,6 +64,12 @@
     pub(super) failures: u32,
     pub(super) ejections: u32,
     pub(super) ejected_until: Millis,
+    /// It takes no more than its limit until then, as far as this daemon may send.
+    pub(super) no_permit_until: Millis,
+    /// Requests a second that it takes from all daemons, when it said so.
+    pub(super) limit_per_s: Option<f64>,
+    /// When its limit was lifted last.
+    pub(super) lifted_at: Option<Millis>,
     /// Usual time between two events of a stream there, in milliseconds.
     pub(super) event_ms: Option<f64>,
 }
@@ -88,10 +95,18 @@
             failures: 0,
             ejections: 0,
             ejected_until: 0,
+            no_permit_until: 0,
+            limit_per_s: None,
+            lifted_at: None,
             event_ms: None,
         }
     }
 
+    /// The start of it.
+    pub fn start(&self) -> ServerStart {
+        ServerStart { name: self.name.clone(), started_ms: self.started_ms }
+    }
+
     /// The late report, corrected by what this daemon has sent since.
     pub fn load(&self) -> f64 {
         let since = i64::from(self.in_flight) - i64::from(self.in_flight_at_report);
@@ -110,7 +125,12 @@
     }
 
     pub(super) fn is_usable(&self, now: Millis) -> bool {
-        self.could_serve(now) && !self.is_cold(now)
+        self.could_serve(now) && !self.is_cold(now) && !self.is_at_limit(now)
+    }
+
+    /// Whether this daemon may send it nothing for its limit.
+    pub(super) fn is_at_limit(&self, now: Millis) -> bool {
+        now < self.no_permit_until
     }
 
     /// Whether it is slow after its start, and collapses under more than a few requests.
@@ -118,17 +138,16 @@
         now < self.cold_until
     }
 
-    /// Whether it would be usable if it were not cold.
+    /// Whether it would be usable if it were neither cold nor at its limit.
     pub(super) fn could_serve(&self, now: Millis) -> bool {
         !self.is_leaving(now) && now >= self.ejected_until && self.in_flight < self.limit
     }
 
     /// Whether a slow return passes this request on.
     pub(super) fn holds_back(&self, now: Millis, seed: u64) -> bool {
-        let since = now.saturating_sub(self.ejected_until);
-        if self.ejections == 0 || since >= SLOW_RETURN_MS {
-            return false;
-        }
-        seed % SLOW_RETURN_MS >= since
+        let ejected_until = (self.ejections > 0).then_some(self.ejected_until);
+        let Some(returned_at) = ejected_until.max(self.lifted_at) else { return false };
+        let since = now.saturating_sub(returned_at);
+        since < SLOW_RETURN_MS && seed % SLOW_RETURN_MS >= since
     }
 }
--- /dev/null
+++ b/crates/core/tests/limit_issuer.rs
@@ -0,0 +1,112 @@
+//! Permits of one daemon: how many, to whom first, and when who got none comes back.
+
+use bankcove_core::crashes::ServerStart;
+use bankcove_core::limits::{
+    ISSUERS, Issued, Issuer, Leases, PERMIT_MS, Place, RequestRate, Returns, Wish,
+};
+use bankcove_core::{Incarnation, Millis, Name};
+use yare::parameterized;
+
+fn server() -> ServerStart {
+    ServerStart { name: Name::from("i-1"), started_ms: 7 }
+}
+
+fn ask(
+    issuer: &mut Issuer,
+    now: Millis,
+    rank: usize,
+    per_s: f64,
+    from: u64,
+    urgency: u32,
+) -> Issued {
+    let limit = RequestRate::new(per_s).expect("it is a rate");
+    let wish = Wish { from: Incarnation(from), permits: 1, urgency };
+    // The fleet is as it was for long.
+    issuer.issue(now, &server(), limit, Place { rank, since: 0 }, wish)
+}
+
+/// Permits of one issuer that is asked each millisecond from 10 s on for so long.
+fn issued(rank: usize, per_s: f64, length_ms: Millis) -> u32 {
+    let mut issuer = Issuer::default();
+    let times = 10_000..10_000 + length_ms;
+    times.map(|now| ask(&mut issuer, now, rank, per_s, now % 7, 0).permits).sum()
+}
+
+#[parameterized(low = { 0.7 }, one = { 1.0 }, some = { 12.0 }, many = { 400.0 })]
+fn all_issuers_together_stay_below_one_and_a_third_of_the_limit(per_s: f64) {
+    let seconds = 100.0;
+    let first = f64::from(issued(0, per_s, 100_000));
+    assert!(first >= 0.8 * per_s * seconds, "{first} of the first alone");
+    let all: u32 = (0..ISSUERS + 3).map(|rank| issued(rank, per_s, 100_000)).sum();
+    let most = 1.3 * per_s * seconds + 4.0;
+    assert!(f64::from(all) <= most, "{all} of {most}");
+}
+
+#[test]
+fn who_starts_anew_has_saved_up_nothing_and_issues_less_at_first() {
+    let mut issuer = Issuer::default();
+    let limit = RequestRate::new(10.0).expect("it is a rate");
+    let wish = Wish { from: Incarnation(1), permits: 1, urgency: 0 };
+    let place = Place { rank: 0, since: 10_000 };
+    let count = |issuer: &mut Issuer, from: Millis| -> u32 {
+        let times = (from..from + 4_000).step_by(10);
+        times.map(|now| issuer.issue(now, &server(), limit, place, wish).permits).sum()
+    };
+    assert!(count(&mut issuer, 10_000) <= 13);
+    assert!(count(&mut issuer, 14_000) >= 33);
+}
+
+#[test]
+fn a_limit_of_nothing_lets_one_request_through_now_and_then() {
+    let few = issued(0, 0.0, 300_000);
+    assert!((5..=12).contains(&few), "{few} in 300 s");
+}
+
+#[test]
+fn who_gets_none_comes_back_in_its_turn_and_keeps_it() {
+    let mut issuer = Issuer::default();
+    let turns: Vec<Millis> =
+        (1..=5).map(|from| ask(&mut issuer, 10_000, 0, 2.0, from, 0).retry_ms).collect();
+    assert!(turns.windows(2).all(|pair| pair[1] >= pair[0] + 500), "{turns:?}");
+    assert_eq!(ask(&mut issuer, 10_000, 0, 2.0, 3, 0).retry_ms, turns[2]);
+}
+
+#[test]
+fn the_more_urgent_come_first_and_the_others_are_not_starved() {
+    let mut issuer = Issuer::default();
+    let (mut urgent, mut others) = (0, 0);
+    for now in (10_000..70_000).step_by(20) {
+        others += ask(&mut issuer, now, 0, 4.0, 2, 3).permits;
+        urgent += ask(&mut issuer, now + 10, 0, 4.0, 1, 0).permits;
+    }
+    assert!(urgent >= 5 * others, "{urgent} urgent, {others} others");
+    assert!(others >= 10, "{others} others");
+}
+
+#[test]
+fn a_permit_is_used_at_once_or_not_at_all() {
+    let mut leases = Leases::default();
+    leases.add(1_000, &server(), 2);
+    let until = leases.take(1_100, &server()).expect("two are there");
+    assert_eq!(until, 1_000 + PERMIT_MS);
+    leases.give_back(1_150, &server(), until);
+    assert_eq!(leases.left(1_150, &server()), 2);
+    // A host that was suspended meanwhile has none.
+    assert!(leases.take(1_000 + PERMIT_MS, &server()).is_none());
+    leases.give_back(1_000 + PERMIT_MS, &server(), until);
+    leases.add(2_000, &server(), 1);
+    assert_eq!(leases.left(2_000, &server()), 1);
+}
+
+#[test]
+fn callers_come_back_one_after_the_other_and_none_too_late() {
+    let mut returns = Returns::default();
+    let service = Name::from("pool");
+    let times: Vec<Millis> =
+        (0..8).map(|_| returns.next(1_000, &service, 100, 2.0, u64::MAX / 2)).collect();
+    assert_eq!(times[0], 100);
+    assert!(times.windows(2).all(|pair| pair[1] >= pair[0] + 500), "{times:?}");
+    let late: Vec<Millis> =
+        (0..50).map(|_| returns.next(1_000, &service, 100, 0.0, u64::MAX / 2)).collect();
+    assert!(late.iter().all(|after| *after <= 5_000), "{late:?}");
+}
--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -4,22 +4,30 @@
 use std::time::Duration;
 
 use bankcove_core::lifecycle::NothingRan;
+use bankcove_core::limits::LimitWord;
 use bankcove_core::router::{Choice, LoadReport};
 use bankcove_core::table::ServerKind;
-use bankcove_core::{AttemptId, Fingerprint, Name, Tokens};
+use bankcove_core::{AttemptId, Fingerprint, Millis, Name, Tokens};
 use bytes::Bytes;
 use reqwest::{Method, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
 
 use crate::daemon::Daemon;
+use crate::limits::permit::Permit;
 
 /// Longest call that is not a request of a caller.
 const SHORT_CALL: Duration = Duration::from_secs(2);
 
+/// On any answer of a server: requests a second that it takes from all daemons together.
+/// Orders to cancel a run, and load reports, are no requests and don't count.
+const LIMIT_HEADER: &str = "x-requests-per-second";
+
 /// Why a dispatch brought no answer.
 #[derive(Debug)]
 pub enum DispatchError {
+    /// The permit came too late; the server has failed nothing.
+    NotSent(NothingRan),
     /// Nothing ran there.
     NothingRan {
         /// What proves it.
@@ -82,10 +90,14 @@
 /// [`DispatchError`] tells whether the request may have run.
 pub async fn dispatch(
     daemon: &Daemon,
-    choice: &Choice,
+    permit: Permit,
     outgoing: Outgoing,
     kind: ServerKind,
 ) -> Result<Response, DispatchError> {
+    let Ok(choice) = permit.spend() else {
+        return Err(DispatchError::NotSent(NothingRan::never_sent()));
+    };
+    let asked_at = daemon.clock.now();
     let url = format!("http://{}{}", choice.address, outgoing.path);
     let req = daemon.http.request(outgoing.method, url).headers(outgoing.headers);
     let req = req.header("x-run-id", &outgoing.run_id);
@@ -98,6 +110,7 @@
         }
         Err(_) => return Err(DispatchError::Unknown),
     };
+    heard(daemon, &choice, asked_at, &res);
     // A plain service may say anything in its body; only engines are believed.
     if kind == ServerKind::Service || res.status() != StatusCode::SERVICE_UNAVAILABLE {
         return Ok(res);
@@ -111,18 +124,28 @@
     }
 }
 
+/// Takes in what the head of an answer says of the server's limit.
+fn heard(daemon: &Daemon, choice: &Choice, asked_at: Millis, res: &Response) {
+    let values = res.headers().get_all(LIMIT_HEADER).iter();
+    let word = LimitWord::read(values.map(|value| value.to_str().unwrap_or("?")));
+    daemon.limits.heard(&choice.start(), asked_at, &word);
+}
+
 /// Resumes the stream of a run; never begins one.
 pub async fn resume(
     daemon: &Daemon,
-    choice: &Choice,
+    permit: Permit,
     run_id: &str,
     model: &str,
     offset: u64,
 ) -> Option<Response> {
+    let choice = permit.spend().ok()?;
+    let asked_at = daemon.clock.now();
     let url = format!("http://{}/v1/runs/{run_id}/stream", choice.address);
     let req =
         daemon.http.get(url).query(&[("offset", offset.to_string().as_str()), ("model", model)]);
     let res = req.send().await.ok()?;
+    heard(daemon, &choice, asked_at, &res);
     res.status().is_success().then_some(res)
 }
 
@@ -134,13 +157,16 @@
 }
 
 /// Counts the tokens of a prompt.
-pub async fn count_tokens(daemon: &Daemon, choice: &Choice, body: &Value) -> Option<Tokens> {
+pub async fn count_tokens(daemon: &Daemon, permit: Permit, body: &Value) -> Option<Tokens> {
     #[derive(Deserialize)]
     struct Count {
         count: Tokens,
     }
+    let choice = permit.spend().ok()?;
+    let asked_at = daemon.clock.now();
     let url = format!("http://{}/v1/tokenize", choice.address);
     let res = daemon.http.post(url).json(body).timeout(SHORT_CALL).send().await.ok()?;
+    heard(daemon, &choice, asked_at, &res);
     let count: Count = res.error_for_status().ok()?.json().await.ok()?;
     Some(count.count)
 }
--- a/crates/daemon/src/api/chat.rs
+++ b/crates/daemon/src/api/chat.rs
@@ -255,8 +255,8 @@
 }
 
 async fn count(daemon: &Arc<Daemon>, chat: &Chat) -> Option<Tokens> {
-    let choice = placement::choose(daemon, &need(chat), &[]).ok()?;
-    let prompt = backend::count_tokens(daemon, &choice, &chat.body).await?;
+    let permit = placement::choose(daemon, &need(chat), &[], None).await.ok()?;
+    let prompt = backend::count_tokens(daemon, permit, &chat.body).await?;
     Some(prompt + chat.max_tokens)
 }
 
--- a/crates/daemon/src/api/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -6,7 +6,7 @@
 use bankcove_core::crashes::{Place, Verdict};
 use bankcove_core::lifecycle::{Admitted, Attempt, Dispatched, NotRun};
 use bankcove_core::reqlog::Entry;
-use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
+use bankcove_core::router::{AtLimit, Choice, Homes, NoServer, Wanted};
 use bankcove_core::table::ServerKind;
 use bankcove_core::{Fingerprint, Millis, Name, RequestHash};
 use reqwest::Response;
@@ -17,6 +17,7 @@
 use crate::crashes;
 use crate::crashes::gate::{self, RunApart};
 use crate::daemon::Daemon;
+use crate::limits::permit::Permit;
 use crate::open_request::OpenRequest;
 
 /// When to come back when no server is usable.
@@ -57,12 +58,23 @@
     pub claimed: bool,
 }
 
-/// Chooses a server for a request.
+/// Chooses a server for a request and takes a permit for it.
 ///
 /// # Errors
 /// [`NoServer`] when none is to be had.
-pub fn choose(daemon: &Daemon, need: &Need, tried: &[Name]) -> Result<Choice, NoServer> {
-    choose_at(daemon, need, tried, None)
+pub async fn choose(
+    daemon: &Daemon,
+    need: &Need<'_>,
+    tried: &[Name],
+    place: Option<Place>,
+) -> Result<Permit, NoServer> {
+    // One that got no permit is not chosen again for a while.
+    loop {
+        let choice = choose_at(daemon, need, tried, place)?;
+        if let Ok(permit) = daemon.limits.permit(&daemon.log, choice, 0).await {
+            return Ok(permit);
+        }
+    }
 }
 
 /// Chooses a server, at its place for a suspect.
@@ -121,15 +133,23 @@
     let (mut attempt, mut apart) = passed.map_err(NotPlaced::Refused)?;
     let place = daemon.crashes.place(|| fingerprint);
     let mut tried = Vec::new();
+    let mut none = NoServer::NoneUsable;
     while tried.len() < daemon.cfg.limits.max_tries {
-        let Ok(choice) = choose_at(daemon, need, &tried, place) else { break };
+        let permit = match choose(daemon, need, &tried, place).await {
+            Ok(permit) => permit,
+            Err(why) => {
+                none = why;
+                break;
+            }
+        };
+        let choice = permit.choice().clone();
         if !may_use(daemon, &choice.server) {
             tried.push(choice.server);
             continue;
         }
         let mut open = OpenRequest::new(daemon, &choice, 0);
         let dispatched = attempt.dispatch();
-        let dispatching = backend::dispatch(daemon, &choice, outgoing.clone(), need.kind);
+        let dispatching = backend::dispatch(daemon, permit, outgoing.clone(), need.kind);
         let answer = tokio::select! {
             answer = dispatching => answer,
             () = &mut interrupt => {
@@ -142,6 +162,10 @@
                 open.apart = apart.take();
                 return Ok(Placed { attempt: dispatched, choice, res, open, fingerprint });
             }
+            Err(DispatchError::NotSent(proof)) => {
+                attempt = dispatched.back_out(proof);
+                tried.push(choice.server);
+            }
             Err(DispatchError::NothingRan { proof, leaving }) => {
                 open.failed();
                 if leaving {
@@ -158,7 +182,7 @@
             }
         }
     }
-    Err(NotPlaced::Refused(nowhere(daemon, attempt, need)))
+    Err(NotPlaced::Refused(nowhere(daemon, attempt, need, none)))
 }
 
 /// Whether new work may go to this server now, given what this daemon can
@@ -181,10 +205,16 @@
     Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
 }
 
-fn nowhere(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>) -> Problem {
+fn nowhere(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>, why: NoServer) -> Problem {
     let not_run = give_back(daemon, attempt, need);
-    daemon.metrics.count("refused.no_server");
     let status = StatusCode::SERVICE_UNAVAILABLE;
+    if let NoServer::OnlyLimited(AtLimit { first_ms, per_second }) = why {
+        daemon.metrics.count("refused.only_limited");
+        let return_ms = daemon.limits.next_return(&Name::from(need.pool), first_ms, per_second);
+        let message = "every backend server that is left is at the limit that it names";
+        return Problem::not_run(&not_run, status, "only_limited", message).retry_after(return_ms);
+    }
+    daemon.metrics.count("refused.no_server");
     let message = "no backend server takes the request now";
     Problem::not_run(&not_run, status, "no_server", message).retry_after(RETRY_NO_SERVER_MS)
 }
--- a/crates/daemon/src/api/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -253,7 +253,11 @@
             tokio::time::sleep(RESUME_PAUSE * tries).await;
             slog::info!(self.log, "stream resumed"; "offset" => self.sequence.next());
             let offset = self.sequence.next();
-            res = backend::resume(self.daemon, self.choice, self.run_id, self.model, offset).await;
+            let limits = &self.daemon.limits;
+            let Ok(permit) = limits.permit(self.log, self.choice.clone(), 0).await else {
+                continue;
+            };
+            res = backend::resume(self.daemon, permit, self.run_id, self.model, offset).await;
         }
     }
 
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -26,7 +26,7 @@
 use crate::fleet::{membership, unread_news};
 use crate::http::{Side, serve};
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
-use crate::{logging, operator, peer_server, store_calls, suspension};
+use crate::{limits, logging, operator, peer_server, store_calls, suspension};
 
 /// Pause between two looks while a planned stop waits.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -151,6 +151,7 @@
         tokio::spawn(keep::keep(Arc::clone(&daemon)));
         tokio::spawn(crashes::decide(Arc::clone(&daemon)));
         tokio::spawn(spread::tell_news(Arc::clone(&daemon)));
+        limits::spread::spawn_tell(&daemon.limits);
         tokio::spawn(suspension::watch(Arc::clone(&daemon)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
         tokio::spawn(server_sync::watch(Arc::clone(&daemon)));
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::error::Result;
 use crate::fleet::health::Contact;
 use crate::fleet::membership::Fetches;
+use crate::limits::{self, Limits};
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
 use crate::view::host_list::HostList;
@@ -54,7 +55,7 @@
     /// The table in force; none until the first one is adopted.
     pub table: ArcSwapOption<Table>,
     /// The routing state.
-    pub router: Mutex<Router>,
+    pub router: Arc<Mutex<Router>>,
     /// The backend servers that the platform lists.
     pub servers: Mutex<ServerList>,
     /// Halls that take no new work.
@@ -62,7 +63,7 @@
     /// Entries of the store that can't be read, each told once.
     pub unreadable: UnreadableEntries,
     /// The other daemons.
-    pub members: Mutex<Members>,
+    pub members: Arc<Mutex<Members>>,
     /// The platform's host list as last read.
     pub hosts: ArcSwap<HostList>,
     /// Budgets held and shards owned.
@@ -72,11 +73,13 @@
     /// Bills that wait for the store.
     pub billing: Billing,
     /// Connections to peers.
-    pub peers: PeerPool,
+    pub peers: Arc<PeerPool>,
     /// Whom this daemon has heard of late.
     pub contact: Contact,
     /// What is known of servers that crashed, and under which requests.
     pub crashes: Crashes,
+    /// The limits that servers name, and the permits that follow from them.
+    pub limits: Arc<Limits>,
     /// Fetches of what a peer knows newer.
     pub fetches: Fetches,
     /// Told when what servers have to read for this daemon has changed.
@@ -119,22 +122,37 @@
             .connect_timeout(std::time::Duration::from_millis(cfg.limits.peer_timeout_ms))
             .build()
             .map_err(|e| crate::Error::Setup(std::io::Error::other(e.to_string())))?;
+        let clock = Clock::start();
+        let metrics = Metrics::new(cfg.metrics.as_deref())?;
+        let members = Arc::new(Mutex::new(Members::new(cfg.name.clone())));
+        let (peers, router) = (Arc::<PeerPool>::default(), Arc::<Mutex<Router>>::default());
+        let limits = Limits::new(limits::Parts {
+            incarnation,
+            clock: clock.clone(),
+            log: log.clone(),
+            metrics: metrics.clone(),
+            members: Arc::clone(&members),
+            peers: Arc::clone(&peers),
+            router: Arc::clone(&router),
+            has_other_seeds: cfg.has_other_seeds(),
+        });
         Ok(Arc::new(Daemon {
-            clock: Clock::start(),
-            metrics: Metrics::new(cfg.metrics.as_deref())?,
+            clock,
+            metrics,
             store,
             http,
             table: ArcSwapOption::empty(),
-            router: Mutex::new(Router::default()),
+            router,
             servers: Mutex::new(ServerList::default()),
             halls: Mutex::new(HallList::default()),
             unreadable: UnreadableEntries::default(),
-            members: Mutex::new(Members::new(cfg.name.clone())),
+            members,
             hosts: ArcSwap::from_pointee(HostList::default()),
             budgets: Budgets::new(incarnation),
             requests: RequestLogs::default(),
             billing: Billing::default(),
-            peers: PeerPool::default(),
+            peers,
+            limits: Arc::new(limits),
             contact: Contact::new(cfg.follows_evacuations()),
             crashes: Crashes::default(),
             fetches: Fetches::default(),
@@ -185,6 +203,7 @@
             view_age_ms: self.contact.view_age(self.clock.now()),
             paces,
             crashes_digest: spread::digest(self),
+            limits_digest: self.limits.digest(),
         }
     }
 }
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -59,6 +59,7 @@
         "owners": daemon.budgets.owners.dump().await,
         "request_log": daemon.requests.dump().await,
         "servers": servers,
+        "limits": daemon.limits.dump(),
         "crashes": spread::facts(daemon),
         "crashes_remembered": daemon.crashes.gauge(),
         "marks_kept_for_others": daemon.budgets.marks().len(),
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bankcove_core::limits::LimitWord;
 use bankcove_core::router::Choice;
 use bankcove_ports::wire::Unrun;
 use bytes::Bytes;
@@ -14,6 +13,7 @@
 use crate::entry::backends::SendError;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
+use crate::limits::permit::Permit;
 use crate::open_request::OpenRequest;
 
 /// Largest answer that is no stream, in bytes.
@@ -51,10 +51,11 @@
 pub async fn attempt(
     call: &mut Call,
     charge: &mut Charge,
-    choice: Choice,
+    permit: Permit,
     resume_after: Option<u64>,
 ) -> Tried {
     let entry = Arc::clone(&call.entry);
+    let choice = permit.choice().clone();
     let mut open = OpenRequest::new(&entry.daemon, &choice, call.prompt_tokens());
     let outgoing = call.outgoing(&choice, resume_after);
     let ran_before = call.ran;
@@ -63,7 +64,8 @@
     call.link.sent(call.body.len());
     call.link.sent_head();
     let clock = &entry.daemon.clock;
-    let sent = clock.before(call.deadline, entry.backends.send(&choice, outgoing)).await;
+    let asked_at = clock.now();
+    let sent = clock.before(call.deadline, entry.backends.send(permit, outgoing)).await;
     let res = match sent {
         None => {
             call.ran = true;
@@ -71,6 +73,11 @@
             log_try(call, &choice, "no answer in time");
             return Tried::Late;
         }
+        Some(Err(SendError::Expired(e))) => {
+            charge.not_run(ran_before);
+            log_try(call, &choice, &e.to_string());
+            return Tried::Unrun;
+        }
         Some(Err(SendError::NotConnected(problem))) => {
             charge.not_run(ran_before);
             open.failed();
@@ -89,10 +96,10 @@
     };
     call.sent += 1;
     let head = entry.wire.read_answer(res.status(), res.headers());
-    if head.limit != LimitWord::None {
-        entry.daemon.metrics.count("server.limit_named");
-        slog::info!(call.log, "server names a limit";
-            "server" => %choice.server, "limit" => ?head.limit);
+    let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.incoming.id);
+    // Another program may have got the server's address, or its word be that of an earlier one.
+    if !is_foreign && (head.is_signed || head.unrun == Some(Unrun::Full)) {
+        entry.daemon.limits.heard(&choice.start(), asked_at, &head.limit);
     }
     if let Some(unrun) = head.unrun {
         charge.not_run(ran_before);
@@ -105,7 +112,6 @@
         return Tried::Unrun;
     }
     call.ran = true;
-    let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.incoming.id);
     let promises_unrun = matches!(res.status().as_u16(), 408 | 421 | 429 | 503);
     if is_foreign || head.is_encoded || !head.is_signed || promises_unrun {
         open.failed();
--- a/crates/daemon/src/entry/backends.rs
+++ b/crates/daemon/src/entry/backends.rs
@@ -7,7 +7,6 @@
 use std::time::Duration;
 
 use bankcove_core::Millis;
-use bankcove_core::router::Choice;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -18,6 +17,8 @@
 use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
 
+use crate::limits::permit::{Expired, Permit};
+
 /// Longest wait for a connection: a server in reach answers within 2 ms, and a
 /// silent one must not use up the 300 ms that callers of plain services allow.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
@@ -45,6 +46,9 @@
 /// Why no answer came.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
+    /// The permit came too late, so nothing was sent; the server has failed nothing.
+    #[error(transparent)]
+    Expired(#[from] Expired),
     /// No connection could be made, so nothing was sent.
     #[error("no connection: {0}")]
     NotConnected(String),
@@ -79,7 +83,7 @@
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_tcp_user_timeout(Some(UNACKNOWLEDGED));
     // A request that never left because its connection had closed before is
-    // sent on another one; one that has left in part is not.
+    // sent on another one, by the same permit; one that has left in part is not.
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .retry_canceled_requests(true)
@@ -114,9 +118,10 @@
     /// [`SendError`] tells whether anything was sent.
     pub async fn send(
         &self,
-        choice: &Choice,
+        permit: Permit,
         outgoing: Outgoing,
     ) -> Result<Response<Incoming>, SendError> {
+        let choice = permit.spend()?;
         let uri = Uri::builder()
             .scheme(Scheme::HTTP)
             .authority(choice.address.as_str())
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bankcove_core::crashes::Verdict;
-use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
+use bankcove_core::router::{AtLimit, Choice, Homes, NoServer, Wanted};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Incoming, Prompt};
 use bytes::Bytes;
@@ -20,11 +20,19 @@
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
 use crate::fleet::fleet_size;
+use crate::limits::permit::Permit;
 
 /// Fewer shared tokens are read anew rather than copied from another server: setting
 /// up a copy takes some 4 ms, in which an engine reads 130 to 230 tokens.
 const MIN_COPIED_TOKENS: Tokens = 256;
 
+/// Servers with a limit that one request asks a permit for: each ask is a call of a peer.
+const MOST_ASKS: usize = 3;
+
+/// A request waits for a permit up to this part of its route's goal: a refusal that comes
+/// later is of little use to its caller.
+const WAIT_PART: Millis = 4;
+
 /// One request of a caller on its way.
 pub struct Call {
     /// The entry side that it came to.
@@ -144,11 +152,59 @@
         self.entry.retries.lock().repeat(&self.plan.service, daemons, now)
     }
 
+    /// Chooses a server among those that were not tried and takes a permit for it. One that
+    /// is at its limit is passed by; when all are, the request waits for a permit that comes
+    /// soon.
+    ///
+    /// # Errors
+    /// [`NoServer`] when none is to be had.
+    pub async fn next_server(&self) -> Result<Permit, NoServer> {
+        let mut last = None;
+        for _ in 0..MOST_ASKS {
+            let choice = self.choose_or_wait().await?;
+            let limits = &self.entry.daemon.limits;
+            match limits.permit(&self.log, choice, self.plan.rank()).await {
+                Ok(permit) => return Ok(permit),
+                Err(at_limit) => last = Some(at_limit),
+            }
+        }
+        Err(last.map_or(NoServer::NoneUsable, |at_limit| self.return_later(at_limit)))
+    }
+
+    /// Chooses a server; while all are at their limits it waits for the first of them, when
+    /// that is soon.
+    async fn choose_or_wait(&self) -> Result<Choice, NoServer> {
+        let clock = &self.entry.daemon.clock;
+        let until = self.deadline.min(self.arrived + self.plan.route.goal_ms / WAIT_PART);
+        loop {
+            let at_limit = match self.choose() {
+                Err(NoServer::OnlyLimited(at_limit)) => at_limit,
+                chosen => return chosen,
+            };
+            if clock.now() + at_limit.first_ms > until {
+                return Err(self.return_later(at_limit));
+            }
+            tokio::time::sleep(Duration::from_millis(at_limit.first_ms)).await;
+        }
+    }
+
+    /// The refusal of a caller that comes back in its turn.
+    fn return_later(&self, at_limit: AtLimit) -> NoServer {
+        let AtLimit { first_ms, per_second } = at_limit;
+        let daemon = &self.entry.daemon;
+        let first_ms = daemon.limits.next_return(&self.plan.service, first_ms, per_second);
+        let servers = daemon.router.lock().servers_at_limit(daemon.clock.now(), &self.plan.service);
+        slog::info!(self.log, "all servers at their limits";
+            "service" => %self.plan.service, "per_s" => per_second, "return_ms" => first_ms,
+            "servers" => servers.iter().map(Name::as_str).collect::<Vec<_>>().join(", "));
+        NoServer::OnlyLimited(AtLimit { first_ms, per_second })
+    }
+
     /// Chooses a server among those that were not tried.
     ///
     /// # Errors
     /// [`NoServer`] when none is to be had.
-    pub fn choose(&self) -> Result<Choice, NoServer> {
+    fn choose(&self) -> Result<Choice, NoServer> {
         let seed = rand::random();
         let place = self.entry.daemon.crashes.place(|| self.fingerprint());
         let wanted = Wanted {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -37,15 +37,15 @@
         if call.is_late() {
             return Err(if call.ran { Refusal::TimedOut } else { Refusal::TooLate });
         }
-        let choice = match call.choose() {
-            Ok(choice) => choice,
+        let permit = match call.next_server().await {
+            Ok(permit) => permit,
             Err(why) => {
                 none = why;
                 break;
             }
         };
         let resume_after = call.incoming.resume_after;
-        match attempt(&mut call, &mut charge, choice, resume_after).await {
+        match attempt(&mut call, &mut charge, permit, resume_after).await {
             Tried::Begun(res, open, choice) => {
                 let status = res.status();
                 let headers = call.entry.wire.answer_headers(res.headers());
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -101,6 +101,9 @@
     /// All servers that are left have just started and bear nothing yet.
     #[error("every backend server that is left is cold for {} ms", .0.as_millis())]
     OnlyCold(Duration),
+    /// All servers that are left take no more than the limits that they name.
+    #[error("every backend server that is left is at the limit that it names")]
+    OnlyLimited(Duration),
     /// The time was over before any server had the request.
     #[error("the time was over before a backend server had the request")]
     TooLate,
@@ -126,6 +129,9 @@
             NoServer::NoneInTable => Refusal::NoneListed,
             NoServer::NoHall => Refusal::NoHall,
             NoServer::OnlyCold(left_ms) => Refusal::OnlyCold(Duration::from_millis(left_ms)),
+            NoServer::OnlyLimited(at_limit) => {
+                Refusal::OnlyLimited(Duration::from_millis(at_limit.first_ms))
+            }
         }
     }
 
@@ -140,6 +146,7 @@
             | Refusal::NoneListed
             | Refusal::NoHall
             | Refusal::OnlyCold(_)
+            | Refusal::OnlyLimited(_)
             | Refusal::CrashesInDoubt
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -174,6 +181,7 @@
             Refusal::NoneListed => "none_listed",
             Refusal::NoHall => "no_hall",
             Refusal::OnlyCold(_) => "only_cold",
+            Refusal::OnlyLimited(_) => "only_limited",
             Refusal::CrashesServers => "crashes_servers",
             Refusal::CrashesInDoubt => "crashes_in_doubt",
             Refusal::TooLate => "too_late",
@@ -191,7 +199,7 @@
             Refusal::NoneListed => Some(RETRY_NONE_LISTED),
             Refusal::NoTable(retry_after) => Some(*retry_after),
             Refusal::NoHall => Some(RETRY_NO_HALL),
-            Refusal::OnlyCold(left) => Some(*left),
+            Refusal::OnlyCold(left) | Refusal::OnlyLimited(left) => Some(*left),
             Refusal::CrashesInDoubt => Some(RETRY_IN_DOUBT),
             Refusal::BudgetShort { retry_after, .. }
             | Refusal::BudgetRationed { retry_after, .. }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -152,9 +152,9 @@
             return false;
         }
         while self.call.may_send() {
-            let Ok(choice) = self.call.choose() else { return false };
+            let Ok(permit) = self.call.next_server().await else { return false };
             let after = self.order.last();
-            match attempt(&mut self.call, &mut self.charge, choice, after).await {
+            match attempt(&mut self.call, &mut self.charge, permit, after).await {
                 Tried::Begun(res, open, choice) => {
                     slog::info!(self.call.log, "stream resumed";
                         "server" => %choice.server, "after" => after);
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -76,6 +76,7 @@
 fn take_in(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
     hall_sync::heard(daemon, &heartbeat.evacuated);
     spread::heard_digest(daemon, &heartbeat.address, heartbeat.crashes_digest);
+    daemon.limits.heard_digest(&heartbeat.address, heartbeat.limits_digest);
     daemon.members.lock().heard(daemon.clock.now(), heartbeat);
     daemon.router.lock().heard_paces(&heartbeat.paces);
 }
@@ -147,6 +148,7 @@
     loop {
         daemon.router.lock().forget_old_news(daemon.clock.now());
         spread::forget_old(&daemon);
+        daemon.limits.forget_old();
         beat(&daemon).await;
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod fleet;
 pub mod http;
 pub mod identity;
+pub mod limits;
 pub mod logging;
 pub mod mailbox;
 pub mod metrics;
--- /dev/null
+++ b/crates/daemon/src/limits/permit.rs
@@ -0,0 +1,180 @@
+//! The one gate on the way to a backend server: what is sent there takes a permit along.
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bankcove_core::Millis;
+use bankcove_core::crashes::ServerStart;
+use bankcove_core::limits::{ISSUERS, LimitFact, Wish};
+use bankcove_core::members::Peer;
+use bankcove_core::router::{AtLimit, Choice};
+use slog::Logger;
+
+use crate::limits::Limits;
+use crate::peer::{PeerServiceClient, PermitAnswer};
+
+/// Longest wait for a peer's permits: a request of a caller waits for them.
+const ASK_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// How long an issuer that did not answer is passed over, in milliseconds.
+const SILENT_MS: Millis = 1_000;
+
+/// How long a server is passed over for want of anybody to ask, in milliseconds.
+const NOBODY_MS: Millis = 200;
+
+/// Leave to send one request to the server that was chosen. Dropped unused it goes back.
+#[derive(Debug)]
+pub struct Permit {
+    choice: Choice,
+    /// What has to be given back, and until when it may be used; none where no limit binds.
+    lease: Option<(Arc<Limits>, Millis)>,
+}
+
+/// The time to use a permit is over, as after a suspension of this host.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("the permit was not used in time")]
+pub struct Expired;
+
+impl Permit {
+    /// The server.
+    pub fn choice(&self) -> &Choice {
+        &self.choice
+    }
+
+    /// Uses it up: the request is sent now.
+    ///
+    /// # Errors
+    /// [`Expired`] when the time to use it is over.
+    pub fn spend(mut self) -> Result<Choice, Expired> {
+        let lease = self.lease.take();
+        let is_over = lease.is_some_and(|(limits, until)| limits.parts.clock.now() >= until);
+        if is_over { Err(Expired) } else { Ok(self.choice.clone()) }
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        if let Some((limits, until)) = self.lease.take() {
+            let now = limits.parts.clock.now();
+            limits.leases.lock().give_back(now, &self.choice.start(), until);
+        }
+    }
+}
+
+impl Limits {
+    /// Takes a permit for the server that was chosen; `log` tells the request, `urgency` is 0
+    /// for the most urgent. A server without a permit is not chosen again for a while.
+    ///
+    /// # Errors
+    /// [`AtLimit`] when none is to be had now.
+    pub async fn permit(
+        self: &Arc<Self>,
+        log: &Logger,
+        choice: Choice,
+        urgency: u32,
+    ) -> Result<Permit, AtLimit> {
+        if !self.is_active.load(Ordering::Relaxed) {
+            return Ok(Permit { choice, lease: None });
+        }
+        let server = choice.start();
+        let now = self.parts.clock.now();
+        let Some(fact) = self.book.lock().fact(now, &server) else {
+            return Ok(Permit { choice, lease: None });
+        };
+        let heard_age_ms = fact.heard_age_ms;
+        let Some(limit) = fact.limit else { return Ok(Permit { choice, lease: None }) };
+        let held = self.leases.lock().take(now, &server);
+        if let Some(until) = held {
+            return Ok(self.leased(choice, until));
+        }
+        let is_scarce = self.leases.lock().is_scarce(now, &server);
+        if is_scarce {
+            let until = now + ASK_TIMEOUT.as_millis() as Millis;
+            self.parts.router.lock().at_limit(&server, limit.per_second(), until);
+        }
+        let permits = self.leases.lock().wanted(now, &server);
+        let wish = Wish { from: self.parts.incarnation, permits, urgency };
+        let (issuer, answer) = self.ask(fact, wish).await;
+        if answer.is_free {
+            return Ok(Permit { choice, lease: None });
+        }
+        if answer.issued.permits > 0 {
+            self.parts.metrics.add("limit.permits", u64::from(answer.issued.permits));
+            let mut leases = self.leases.lock();
+            leases.add(now, &server, answer.issued.permits);
+            let taken = leases.take(self.parts.clock.now(), &server);
+            drop(leases);
+            if let Some(until) = taken {
+                if is_scarce {
+                    self.parts.router.lock().at_limit(&server, limit.per_second(), 0);
+                }
+                return Ok(self.leased(choice, until));
+            }
+        }
+        self.leases.lock().denied(now, &server);
+        let retry_ms = answer.issued.retry_ms.max(1);
+        let until = self.parts.clock.now() + retry_ms;
+        self.parts.router.lock().at_limit(&server, limit.per_second(), until);
+        self.parts.metrics.count("limit.passed_over");
+        slog::info!(log, "server at its limit";
+            "server" => %server.name, "per_s" => limit.per_second(), "issuer" => issuer,
+            "retry_ms" => retry_ms, "heard_ms_ago" => heard_age_ms);
+        Err(AtLimit { first_ms: retry_ms, per_second: limit.per_second() })
+    }
+
+    fn leased(self: &Arc<Self>, choice: Choice, until: Millis) -> Permit {
+        Permit { choice, lease: Some((Arc::clone(self), until)) }
+    }
+
+    /// Asks the first issuer that answers; tells its name.
+    async fn ask(self: &Arc<Self>, fact: LimitFact, wish: Wish) -> (String, PermitAnswer) {
+        if !self.knows_fleet() {
+            return ("unknown fleet".to_owned(), PermitAnswer::none(NOBODY_MS));
+        }
+        for issuer in self.issuers(&fact.server) {
+            let Some(peer) = issuer else {
+                return ("here".to_owned(), self.issue(&fact, wish));
+            };
+            if self.is_silent(&peer) {
+                continue;
+            }
+            match self.ask_peer(&peer, &fact, wish).await {
+                Some(answer) => {
+                    if let Some(fact) = &answer.newer {
+                        self.told(std::slice::from_ref(fact));
+                    }
+                    return (peer.name.to_string(), answer);
+                }
+                None => self.fell_silent(&peer),
+            }
+            // A request waits for one answer at the most.
+            return (peer.name.to_string(), PermitAnswer::none(NOBODY_MS));
+        }
+        ("nobody".to_owned(), PermitAnswer::none(NOBODY_MS))
+    }
+
+    async fn ask_peer(&self, peer: &Peer, fact: &LimitFact, wish: Wish) -> Option<PermitAnswer> {
+        let fact = fact.clone();
+        let ask =
+            |client: PeerServiceClient, cx| async move { client.permits(cx, fact, wish).await };
+        self.parts.peers.call(&peer.address, ASK_TIMEOUT, ask).await
+    }
+
+    /// Who issues permits for the server, in order; none stands for this daemon.
+    pub(super) fn issuers(&self, server: &ServerStart) -> Vec<Option<Peer>> {
+        self.parts.members.lock().owners_listed(server.key(), ISSUERS)
+    }
+
+    fn is_silent(&self, peer: &Peer) -> bool {
+        let now = self.parts.clock.now();
+        self.silent.lock().get(&peer.name).is_some_and(|until| now < *until)
+    }
+
+    fn fell_silent(&self, peer: &Peer) {
+        let until = self.parts.clock.now() + SILENT_MS;
+        self.silent.lock().insert(peer.name.clone(), until);
+        self.parts.metrics.count("limit.issuer_silent");
+        slog::info!(self.parts.log, "issuer of permits does not answer"; "peer" => %peer.name);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/limits/spread.rs
@@ -0,0 +1,118 @@
+//! Tells peers of limits: what is new at once, and all of it to one that knows something
+//! else, by the digests in heartbeats (a start, a return from a cut).
+
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+
+use bankcove_core::Millis;
+use bankcove_core::limits::{LimitFact, UNDER_WAY_MS};
+use tokio::sync::mpsc;
+
+use crate::limits::{Limits, Parts, Source};
+use crate::peer::PeerServiceClient;
+
+/// Peers that are told at once. Each passes on what is new to it; with fewer some of 1,300
+/// daemons are left out, and heartbeats take longer than half a second to reach those.
+const TOLD_AT_ONCE: usize = 10;
+
+/// How long news are gathered: of many servers that name a limit together.
+const GATHER: Duration = Duration::from_millis(20);
+
+/// Most facts of one message; some 60 bytes each.
+const MOST_FACTS: usize = 64;
+
+/// Shortest time between two questions for what a peer knows, in milliseconds.
+const ASK_PAUSE_MS: Millis = 1_000;
+
+/// Longest call: ages in it grow no older than [`UNDER_WAY_MS`] by it.
+const CALL_TIMEOUT: Duration = Duration::from_millis(UNDER_WAY_MS);
+
+/// Pause after a message for each fact in it: under a flood of changes a daemon sends so
+/// much, and heartbeats bring the rest.
+const PAUSE_PER_FACT: Duration = Duration::from_millis(4);
+
+/// Tells some peers what is new, until nobody finds anything new any more.
+pub fn spawn_tell(limits: &Limits) {
+    if let Some(news) = limits.to_tell.lock().take() {
+        tokio::spawn(tell(limits.parts.clone(), news));
+    }
+}
+
+async fn tell(parts: Parts, mut news: mpsc::Receiver<LimitFact>) {
+    while let Some(first) = news.recv().await {
+        let at = parts.clock.now();
+        tokio::time::sleep(GATHER).await;
+        let mut facts = vec![first];
+        while facts.len() < MOST_FACTS
+            && let Ok(fact) = news.try_recv()
+        {
+            facts.push(fact);
+        }
+        let waited = parts.clock.now().saturating_sub(at);
+        for fact in &mut facts {
+            fact.asked_age_ms += waited;
+            fact.heard_age_ms += waited;
+        }
+        let pause = PAUSE_PER_FACT * facts.len() as u32;
+        tell_some(&parts, &facts);
+        tokio::time::sleep(pause).await;
+    }
+}
+
+fn tell_some(parts: &Parts, facts: &[LimitFact]) {
+    for peer in parts.members.lock().some(TOLD_AT_ONCE, rand::random()) {
+        let (peers, log, facts) = (Arc::clone(&parts.peers), parts.log.clone(), facts.to_vec());
+        tokio::spawn(async move {
+            let told =
+                |client: PeerServiceClient, cx| async move { client.told_limits(cx, facts).await };
+            if peers.call(&peer.address, CALL_TIMEOUT, told).await.is_none() {
+                slog::debug!(log, "limits not told"; "peer" => %peer.name);
+            }
+        });
+    }
+}
+
+impl Limits {
+    /// Takes in what a peer has told.
+    pub fn told(&self, facts: &[LimitFact]) {
+        let now = self.parts.clock.now();
+        let changes = self.change(|book| book.told(now, facts));
+        for change in &changes {
+            self.take_change(change, &Source::Peer);
+        }
+    }
+
+    /// What is known here, for a peer: some of it, when it is much.
+    pub fn facts(&self) -> Vec<LimitFact> {
+        let now = self.parts.clock.now();
+        self.book.lock().facts(now, MOST_FACTS, rand::random_range(0..usize::MAX))
+    }
+
+    /// Hash of all limits that are known here; 0 while there are none.
+    pub fn digest(&self) -> u64 {
+        self.digest.load(Ordering::Relaxed)
+    }
+
+    /// A peer's heartbeat had this digest: asks it for what it knows if that is something
+    /// else.
+    pub fn heard_digest(self: &Arc<Self>, address: &str, told: u64) {
+        if told == self.digest() {
+            return;
+        }
+        let now = self.parts.clock.now();
+        let asked_at = self.asked_at.load(Ordering::Relaxed);
+        if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
+            return;
+        }
+        self.asked_at.store(now.max(1), Ordering::Relaxed);
+        let (limits, address) = (Arc::clone(self), address.to_owned());
+        tokio::spawn(async move {
+            let ask = |client: PeerServiceClient, cx| async move { client.limit_facts(cx).await };
+            match limits.parts.peers.call(&address, CALL_TIMEOUT, ask).await {
+                Some(facts) => limits.told(&facts),
+                None => slog::debug!(limits.parts.log, "limits not asked for"; "peer" => &address),
+            }
+        });
+    }
+}
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -45,6 +45,7 @@
         .push(Router::with_path("budgets/{name}/top-ups").post(post_top_up))
         .push(Router::with_path("blocked").get(get_blocked))
         .push(Router::with_path("blocked/{request}").delete(lift_blocked))
+        .push(Router::with_path("limits").get(get_limits))
         .push(Router::with_path("status").get(get_status))
         .push(Router::with_path("dump").get(get_dump))
 }
@@ -192,6 +193,12 @@
     res.render(Json(json!({"lifted": request})));
 }
 
+/// Limits that servers name, and the permits of this daemon.
+#[handler]
+async fn get_limits(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(daemon(depot).limits.dump()));
+}
+
 #[handler]
 async fn get_status(depot: &mut Depot, res: &mut Response) {
     res.render(Json(dump::status(&daemon(depot))));
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -13,7 +13,7 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 pub use pool::PeerPool;
-pub use protocol::{GiveAnswer, OwnerAnswer, PeerService, PeerServiceClient};
+pub use protocol::{GiveAnswer, OwnerAnswer, PeerService, PeerServiceClient, PermitAnswer};
 
 /// Largest message; a whole table fits.
 const MAX_FRAME_BYTES: usize = 32 << 20;
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -3,6 +3,7 @@
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::CrashFacts;
 use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::limits::{Issued, LimitFact, Wish};
 use bankcove_core::members::Heartbeat;
 use bankcove_core::owner::{Reply, Request};
 use bankcove_core::reqlog::{Entry, Outcome};
@@ -38,6 +39,17 @@
     OtherIncarnation,
 }
 
+/// An answer to a daemon that asks for permits.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PermitAnswer {
+    /// The permits.
+    pub issued: Issued,
+    /// Whether the server names no limit any more, as far as the issuer knows.
+    pub is_free: bool,
+    /// What the issuer knows of the limit, when that is something else.
+    pub newer: Option<LimitFact>,
+}
+
 /// What daemons ask of each other.
 #[tarpc::service]
 pub trait PeerService {
@@ -84,6 +96,12 @@
     async fn told_crashes(facts: CrashFacts);
     /// All that the receiver knows of crashes.
     async fn crash_facts() -> CrashFacts;
+    /// Tells of limits of servers that are new to the sender.
+    async fn told_limits(facts: Vec<LimitFact>);
+    /// What the receiver knows of limits; some of it, when it is much.
+    async fn limit_facts() -> Vec<LimitFact>;
+    /// Asks the receiver for permits for the server that the sender knows this of.
+    async fn permits(fact: LimitFact, wish: Wish) -> PermitAnswer;
     /// Keeps a bill until the store takes it.
     async fn keep_bill(bill: Bill);
 }
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -6,6 +6,7 @@
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::CrashFacts;
 use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::limits::{LimitFact, Wish};
 use bankcove_core::members::Heartbeat;
 use bankcove_core::owner::Request;
 use bankcove_core::reqlog::{Entry, Outcome};
@@ -25,7 +26,7 @@
 use crate::daemon::Daemon;
 use crate::error::Result;
 use crate::fleet::membership;
-use crate::peer::{GiveAnswer, OwnerAnswer, PeerService, framed};
+use crate::peer::{GiveAnswer, OwnerAnswer, PeerService, PermitAnswer, framed};
 use crate::tcp;
 use crate::view::host_list::HostsTold;
 use crate::view::packed_table::PackedTable;
@@ -154,6 +155,18 @@
         spread::facts(&self.daemon)
     }
 
+    async fn told_limits(self, _: Context, facts: Vec<LimitFact>) {
+        self.daemon.limits.told(&facts);
+    }
+
+    async fn limit_facts(self, _: Context) -> Vec<LimitFact> {
+        self.daemon.limits.facts()
+    }
+
+    async fn permits(self, _: Context, fact: LimitFact, wish: Wish) -> PermitAnswer {
+        self.daemon.limits.issue(&fact, wish)
+    }
+
     async fn keep_bill(self, _: Context, bill: Bill) {
         self.daemon.billing.keep(Entry::Bill(bill));
     }
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -5,7 +5,7 @@
 use std::path::{Path, PathBuf};
 
 /// Layers that hold state.
-const LOWER: [&str; 6] = ["peer", "budget", "bill", "view", "fleet", "crashes"];
+const LOWER: [&str; 7] = ["peer", "budget", "bill", "view", "fleet", "crashes", "limits"];
 
 /// What stands above them.
 const UPPER: [&str; 5] = ["api", "entry", "operator", "peer_server", "controller"];
@@ -38,3 +38,15 @@
     }
     assert!(upward.is_empty(), "{upward:#?}");
 }
+
+/// A layer that is built from what it needs is not handed the whole daemon.
+#[test]
+fn limits_are_built_from_parts() {
+    let src = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
+    let mut files = vec![src.join("limits.rs")];
+    files_below(&src.join("limits"), &mut files);
+    for file in files {
+        let text = fs::read_to_string(&file).expect("a source file can be read");
+        assert!(!text.contains("crate::daemon"), "{} uses the daemon", file.display());
+    }
+}
