--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -183,6 +183,7 @@
         view_age_ms: Some(120),
         paces: Vec::new(),
         crashes_digest: 0,
+        limits_digest: 0,
     }
 }
 
