--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -74,6 +74,8 @@
     /// Look at requests that crashed their servers and run nowhere any more.
     #[command(subcommand)]
     Blocked(BlockedCommand),
+    /// Show which backend servers name a limit, and what the daemon may send them.
+    Limits,
     /// Make keys for callers.
     #[command(subcommand)]
     Key(KeyCommand),
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -97,6 +97,14 @@
         self.call(self.request(Method::GET, "blocked")).await
     }
 
+    /// The limits that backend servers name, one row a server.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] or [`Error::Refused`].
+    pub async fn limits(&self) -> Result<Vec<Value>> {
+        self.call(self.request(Method::GET, "limits")).await
+    }
+
     /// Lets a blocked request run again.
     ///
     /// # Errors
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,6 +9,7 @@
 mod demo;
 mod drain;
 mod error;
+mod limits;
 mod load;
 mod output;
 mod standin;
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -198,10 +198,11 @@
     if is_new {
         tokio::spawn(generate(Arc::clone(&engine), Arc::clone(&run)));
     }
+    let faults = engine.state.lock().faults;
+    faults.name_limit(res.headers_mut());
     let kind = if is_new { "new" } else { "attached" };
     res.headers_mut().insert("x-run", salvo::http::HeaderValue::from_static(kind));
     if body.stream {
-        let faults = engine.state.lock().faults;
         stream(run, body.model, 0, faults, res);
         return;
     }
@@ -217,6 +218,7 @@
     let model: String = req.query("model").unwrap_or_default();
     let engine = engine(depot);
     let state = engine.state.lock();
+    state.faults.name_limit(res.headers_mut());
     match state.runs.get(&id) {
         Some(run) => stream(Arc::clone(run), model, offset, state.faults, res),
         None => error(res, StatusCode::NOT_FOUND, "no_such_run"),
@@ -340,7 +342,8 @@
 }
 
 #[handler]
-async fn tokenize(req: &mut Request, res: &mut Response) {
+async fn tokenize(req: &mut Request, depot: &mut Depot, res: &mut Response) {
+    engine(depot).state.lock().faults.name_limit(res.headers_mut());
     match req.parse_json_with_max_size::<ChatRequest>(MAX_BODY_BYTES).await {
         Ok(body) => res.render(Json(json!({"count": prompt_tokens(&body.messages)}))),
         Err(_) => error(res, StatusCode::BAD_REQUEST, "bad_request"),
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -2,8 +2,12 @@
 
 use std::time::Duration;
 
+use salvo::http::{HeaderMap, HeaderValue};
 use serde::{Deserialize, Serialize};
 
+/// On answers to requests: how many a second the server takes from all daemons together.
+const LIMIT_HEADER: &str = "x-requests-per-second";
+
 /// Faults of any stand-in; each reads the ones that concern it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -22,11 +26,21 @@
     pub misdirect: bool,
     /// Each piece of a stream is sent twice.
     pub repeat: bool,
+    /// Requests a second that it says it takes from all daemons together.
+    pub limit_per_s: Option<f64>,
     /// Steps take this many times as long; 0 means 1.
     pub slow_factor: u64,
 }
 
 impl Faults {
+    /// Has the answer to a request name the limit, if there is one.
+    pub fn name_limit(&self, headers: &mut HeaderMap) {
+        let limit = self.limit_per_s.map(|limit| HeaderValue::from_str(&limit.to_string()));
+        if let Some(Ok(limit)) = limit {
+            headers.insert(LIMIT_HEADER, limit);
+        }
+    }
+
     /// The delay of every call.
     pub fn delay(&self) -> Duration {
         Duration::from_millis(self.delay_ms)
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -80,6 +80,7 @@
     };
     let faults = *service.faults.lock();
     tokio::time::sleep(faults.delay()).await;
+    faults.name_limit(res.headers_mut());
     if faults.down {
         res.status_code(StatusCode::SERVICE_UNAVAILABLE);
     } else if answer["method"] == "POST" {
