--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -99,3 +99,26 @@
     };
     assert_eq!(bankcoved::identity::hash_key(&value("key")), value("sha256"));
 }
+
+/// Three requests of some tens of tokens are all that the demo spends of 40 million.
+#[test]
+fn the_demo_tells_what_is_spent_and_left_and_both_add_up() {
+    for _ in 0..4 {
+        let output = bankcove(&["demo", "--once"]);
+        let said = String::from_utf8_lossy(&output.stdout).into_owned();
+        assert!(output.status.success(), "{said}");
+        let line = said.lines().find(|line| line.starts_with("budget 'dispatch'")).expect("a line");
+        let rest = line.split_once(": ").expect("figures follow").1;
+        let words = rest.split(|c: char| !c.is_ascii_digit());
+        let figures: Vec<u64> = words.filter_map(|word| word.parse().ok()).collect();
+        let (total, spent, left) = (figures[0], figures[1], figures[2]);
+        assert_eq!(total, 40_000_000, "{line}");
+        assert!((1..1_000).contains(&spent), "{line}");
+        assert!(left <= total - spent, "{line}");
+        let elsewhere = said.lines().find_map(|line| line.strip_suffix(ELSEWHERE)?.parse().ok());
+        assert_eq!(spent + left + elsewhere.unwrap_or(0), total, "{said}");
+    }
+}
+
+/// What the demo says of tokens that are neither spent nor left.
+const ELSEWHERE: &str = " are set aside, on their way, or with daemons that have ended";
