What operators see of a budget is true: each part by itself, and they add up

A first user's demo said that 33 of 40 million tokens were spent by three requests. Cause: 'spent' was what was neither in the store nor free at a daemon, so that sealed tokens, and those held by a daemon that another had not yet heard of, counted. Now the daemons are asked for what they spent and hold, also those that the ledger alone names; the store is read after them. Core Statement; 'budget show', the demo and the dump tell it.

--- a/crates/cli/src/budget.rs
+++ b/crates/cli/src/budget.rs
@@ -34,17 +34,21 @@
         output::json(budget);
         return;
     }
+    let part = |name: &str| budget["statement"][name].clone();
     let line = json!({
-        "name": budget["name"], "total": budget["total"], "granted or used": budget["committed"],
-        "not yet granted": budget["available"],
+        "name": budget["name"], "total": part("total"), "not yet granted": part("not_granted"),
+        "held": part("held"), "set aside": part("reserved"), "spent": part("spent"),
+        "on the way": part("on_the_way"), "of daemons that ended": part("ended"),
+        "of daemons that are silent": part("silent"),
     });
     output::rows(&[line], format);
-    let Some(grants) = budget["ledger"]["grants"].as_object() else { return };
-    let holders: Vec<Value> = grants
+    let Some(holders) = budget["statement"]["holders"].as_array() else { return };
+    let holders: Vec<Value> = holders
         .iter()
-        .map(|(holder, grant)| {
+        .map(|one| {
             json!({
-                "name": holder, "address": grant["address"], "granted": grant["granted"],
+                "name": one["daemon"], "held": one["held"], "set aside": one["reserved"],
+                "spent": one["spent"],
             })
         })
         .collect();
--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -5,6 +5,7 @@
 
 use bankcove_core::Name;
 use bankcove_core::edit::difference;
+use bankcove_core::holder::Statement;
 use bankcove_core::members::{Host, HostRole, HostState};
 use bankcove_core::table::Table;
 use bankcove_standins::engine::{self, Settings};
@@ -13,6 +14,7 @@
 use bankcoved::controller;
 use bankcoved::daemon::Daemon;
 use bankcoved::identity::hash_key;
+use serde::Deserialize;
 use serde_json::{Value, json};
 
 use crate::error::{Error, Result};
@@ -157,11 +159,18 @@
             let answer = self.send_request(n).await?;
             println!("{} answered: {answer}", self.daemons[n as usize % DAEMONS].daemon.cfg.name);
         }
-        let budget = self.budget().await?;
-        let held: u64 = self.daemons.iter().map(|running| free(&running.daemon)).sum();
-        let total = budget["total"].as_u64().unwrap_or(0);
-        let left = budget["available"].as_u64().unwrap_or(0) + held;
-        println!("budget '{WORKSPACE}': {total} tokens, {} spent, {left} left", total - left);
+        let statement = self.statement().await?;
+        println!(
+            "budget '{WORKSPACE}': {} tokens, {} spent, {} left ({} of them held by daemons)",
+            statement.total,
+            statement.spent,
+            statement.left(),
+            statement.held
+        );
+        let elsewhere = statement.elsewhere();
+        if elsewhere != 0 {
+            println!("{elsewhere} are set aside, on their way, or with daemons that have ended");
+        }
         Ok(())
     }
 
@@ -177,12 +186,18 @@
         Ok(text_of(&text))
     }
 
-    async fn budget(&self) -> Result<Value> {
+    async fn statement(&self) -> Result<Statement> {
+        #[derive(Deserialize)]
+        struct Shown {
+            statement: Statement,
+        }
+
         let cfg = &self.daemons[0].daemon.cfg;
         let url = format!("http://{}/v1/budgets/{WORKSPACE}", operator_address(cfg));
         let req = self.http.get(url).bearer_auth(OPERATOR_TOKEN);
         let res = req.send().await.map_err(|e| Error::Demo(e.to_string()))?;
-        res.json().await.map_err(|e| Error::Demo(e.to_string()))
+        let shown: Shown = res.json().await.map_err(|e| Error::Demo(e.to_string()))?;
+        Ok(shown.statement)
     }
 
     async fn stop(self) {
@@ -191,10 +206,6 @@
     }
 }
 
-fn free(daemon: &Daemon) -> u64 {
-    daemon.budgets.holder().free(&Name::from(WORKSPACE))
-}
-
 /// The example table, its servers replaced by stand-ins.
 async fn start_servers() -> Result<(Table, Vec<Running>)> {
     let mut table: Table = serde_json::from_str(TABLE)
--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -11,6 +11,7 @@
 mod keeps;
 mod rate;
 mod ration;
+mod statement;
 
 pub use account::Account;
 pub use allot::{Allotted, Ask, LEFT_PER_HELD, held_part};
@@ -18,6 +19,7 @@
 pub use holdings::{Held, Holdings, Running};
 pub use keeps::Keeps;
 pub use ration::{Outlook, Wish};
+pub use statement::{Holding, Statement};
 
 use std::collections::HashMap;
 
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -3,9 +3,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use bankcove_core::Tokens;
+use bankcove_core::holder::Holding;
+use bankcove_core::{Name, Tokens};
 use serde_json::{Value, json};
 
+use crate::budget::statement;
 use crate::crashes::spread;
 use crate::daemon::Daemon;
 
@@ -45,6 +47,8 @@
         .iter()
         .map(|(name, account)| (name.to_string(), account.free()))
         .collect();
+    let held = |name: &String| statement::holding(daemon, &Name::from(name.as_str()));
+    let holdings: Vec<Holding> = free.keys().map(held).collect();
     let mut table = daemon.table.load().as_ref().map(|table| (**table).clone());
     if let Some(table) = &mut table {
         // Not even hashes of keys leave by a dump.
@@ -56,6 +60,7 @@
         "table": table,
         "holder": holder,
         "free": free,
+        "holdings": holdings,
         "owners": daemon.budgets.owners.dump().await,
         "request_log": daemon.requests.dump().await,
         "servers": servers,
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -5,9 +5,7 @@
 
 use bankcove_core::edit::Edit;
 use bankcove_core::owner::{Reply, Request as OwnerRequest};
-use bankcove_core::shard::{Shard, shard_of_budget};
 use bankcove_core::{Name, Tokens};
-use bankcove_ports::Kind;
 use salvo::affix_state;
 use salvo::prelude::*;
 use serde::{Deserialize, Serialize};
@@ -15,6 +13,7 @@
 
 use crate::api::admission;
 use crate::budget::draws::ask_owner;
+use crate::budget::statement::statement;
 use crate::daemon::Daemon;
 use crate::http::daemon;
 use crate::identity::tokens_match;
@@ -127,17 +126,15 @@
         let message = format!("no budget is named '{name}'");
         return fail(res, StatusCode::NOT_FOUND, "no_such_budget", &message);
     };
-    let object = format!("shard-{:02}", shard_of_budget(&name, daemon.cfg.limits.budget_shards));
-    let Ok(shard) = daemon.store.read::<Shard>(Kind::Budgets, &object).await else {
+    let Ok((ledger, statement)) = statement(&daemon, &row).await else {
         let message = "the store does not answer";
         return fail(res, StatusCode::SERVICE_UNAVAILABLE, "store_away", message);
     };
-    let mut ledger = shard.map(|read| read.value).unwrap_or_default().ledger(&name).clone();
-    ledger.adopt_row(row.tokens, row.version);
     let held = daemon.budgets.holder().accounts().get(&name).cloned().unwrap_or_default();
     res.render(Json(json!({
         "name": name, "total": ledger.total(), "available": ledger.available(),
-        "committed": ledger.committed(), "ledger": ledger, "held_here": held,
+        "committed": ledger.committed(), "statement": statement, "ledger": ledger,
+        "held_here": held,
     })));
 }
 
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -2,7 +2,7 @@
 
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::CrashFacts;
-use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::holder::{Allotted, Ask, Holding};
 use bankcove_core::limits::{Issued, LimitFact, Wish};
 use bankcove_core::members::Heartbeat;
 use bankcove_core::owner::{Reply, Request};
@@ -84,6 +84,8 @@
         received: Tokens,
         most: Tokens,
     ) -> GiveAnswer;
+    /// What the receiver holds and has spent of a budget.
+    async fn holding(budget: Name) -> Holding;
     /// Asks the receiver as a witness to agree that `holder` opens its grant up
     /// to this cumulative sum.
     async fn open(holder: Incarnation, witness: Incarnation, budget: Name, opened: Tokens) -> bool;
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -5,7 +5,7 @@
 
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::CrashFacts;
-use bankcove_core::holder::{Allotted, Ask};
+use bankcove_core::holder::{Allotted, Ask, Holding};
 use bankcove_core::limits::{LimitFact, Wish};
 use bankcove_core::members::Heartbeat;
 use bankcove_core::owner::Request;
@@ -21,7 +21,7 @@
 
 use crate::bill::request_log;
 use crate::budget::allotment::{self, AllotAnswer};
-use crate::budget::{collect, owner};
+use crate::budget::{collect, owner, statement};
 use crate::crashes::spread;
 use crate::daemon::Daemon;
 use crate::error::Result;
@@ -120,6 +120,10 @@
         collect::give_all(&self.daemon, &budget, receiver, received, most).await
     }
 
+    async fn holding(self, _: Context, budget: Name) -> Holding {
+        statement::holding(&self.daemon, &budget)
+    }
+
     async fn open(
         self,
         _: Context,
