--- a/crates/daemon/src/api/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -14,8 +14,7 @@
 
 use crate::api::answer::Problem;
 use crate::api::backend::{self, DispatchError, Outgoing};
-use crate::crashes;
-use crate::crashes::gate::{self, RunApart};
+use crate::crashes::gate::RunApart;
 use crate::daemon::Daemon;
 use crate::limits::permit::Permit;
 use crate::open_request::OpenRequest;
@@ -177,7 +176,7 @@
             }
             Err(DispatchError::Unknown) => {
                 open.failed();
-                crashes::broke_off(daemon, &choice, fingerprint);
+                daemon.crashes.broke_off(&choice, fingerprint);
                 return Err(NotPlaced::Refused(lost(daemon, dispatched, &choice)));
             }
         }
@@ -236,8 +235,9 @@
     need: &Need<'_>,
     fingerprint: Fingerprint,
 ) -> Result<(Attempt<Admitted>, Option<RunApart>), Problem> {
-    let verdict = gate::settled(daemon, Millis::MAX, || fingerprint).await;
-    let apart = (verdict == Verdict::Apart).then(|| gate::run_apart(daemon, fingerprint)).flatten();
+    let verdict = daemon.crashes.settled(Millis::MAX, || fingerprint).await;
+    let apart =
+        (verdict == Verdict::Apart).then(|| daemon.crashes.run_apart(fingerprint)).flatten();
     if matches!(verdict, Verdict::Free | Verdict::Suspect) || apart.is_some() {
         return Ok((attempt, apart));
     }
--- a/crates/daemon/src/api/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -173,11 +173,11 @@
     let headers = placed.res.headers().clone();
     let body = daemon.clock.before(until, read_answer(placed.res)).await;
     let Some(Some(body)) = body else {
-        crashes::broke_off(daemon, &placed.choice, placed.fingerprint);
+        daemon.crashes.broke_off(&placed.choice, placed.fingerprint);
         return Err(lost(daemon, placed.attempt, open, &placed.choice.server));
     };
     let is_framed = crashes::is_framed(&headers);
-    crashes::ended(daemon, &placed.choice, is_framed, || placed.fingerprint);
+    daemon.crashes.ended(&placed.choice, is_framed, || placed.fingerprint);
     settle_and_bill(daemon, placed.attempt, &caller, price).await;
     Ok(Answer { status, headers, body })
 }
--- a/crates/daemon/src/api/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -22,7 +22,6 @@
 use crate::api::placement::{Interrupted, Placed};
 use crate::api::sse::{Event, Piece, Splitter, Usage};
 use crate::bill::billing::{self, Billed};
-use crate::crashes;
 use crate::daemon::Daemon;
 
 /// Text that ends a stream.
@@ -115,7 +114,7 @@
     };
     match ending {
         Ending::Last(usage, last) => {
-            crashes::succeeded(daemon, || fingerprint);
+            daemon.crashes.succeeded(|| fingerprint);
             settle_and_bill(daemon, account, usage).await;
             send_end(&pieces, last).await;
         }
@@ -127,7 +126,7 @@
         Ending::Cancelled | Ending::ServerLost => {
             open.failed();
             // A server that did not keep to its protocol is there, which is found out.
-            crashes::broke_off(daemon, &choice, fingerprint);
+            daemon.crashes.broke_off(&choice, fingerprint);
             give_up(daemon, account);
             send_problem(&pieces, &server_lost()).await;
         }
@@ -202,14 +201,14 @@
     };
     match (answer, body) {
         (Some(answer), Some(body)) if answer.id == run_id && !cancelled(&answer) => {
-            crashes::succeeded(daemon, || fingerprint);
+            daemon.crashes.succeeded(|| fingerprint);
             settle_and_bill(daemon, account, answer.usage).await;
             // A caller that went away only now has been billed for a whole run.
             let _gone = tx.send(Ok(Answer::Whole(body)));
         }
         _ => {
             open.failed();
-            crashes::broke_off(daemon, &choice, fingerprint);
+            daemon.crashes.broke_off(&choice, fingerprint);
             give_up(daemon, account);
             // A caller that went away needs no answer.
             let _gone = tx.send(Err(server_lost()));
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -19,7 +19,7 @@
 use crate::bill::billing;
 use crate::budget::{draws, tend};
 use crate::config::{Adapter, Config};
-use crate::crashes::{self, keep, spread};
+use crate::crashes::keep;
 use crate::daemon::Daemon;
 use crate::entry::{self, Entry};
 use crate::error::{Error, Result};
@@ -148,9 +148,9 @@
         tokio::spawn(host_list::follow_host_list(Arc::clone(&daemon)));
         tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon)));
         tokio::spawn(unread_news::tell(Arc::clone(&daemon)));
-        tokio::spawn(keep::keep(Arc::clone(&daemon)));
-        tokio::spawn(crashes::decide(Arc::clone(&daemon)));
-        tokio::spawn(spread::tell_news(Arc::clone(&daemon)));
+        tokio::spawn(keep::keep(Arc::clone(&daemon.crashes)));
+        tokio::spawn(Arc::clone(&daemon.crashes).decide());
+        tokio::spawn(Arc::clone(&daemon.crashes).tell_news());
         limits::spread::spawn_tell(&daemon.limits);
         tokio::spawn(suspension::watch(Arc::clone(&daemon)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
@@ -178,7 +178,7 @@
                 return;
             }
         };
-        let is_changed = cfg != daemon.cfg;
+        let is_changed = cfg != *daemon.cfg;
         if let (Some(entry), Some(settings)) = (&self.entry, cfg.entry) {
             entry.reload(settings);
         }
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -16,23 +16,30 @@
 use bankcove_core::crashes::{
     Block, CrashBook, CrashFacts, Gauge, Place, SETTLE_MS, ServerStart, Verdict,
 };
-use bankcove_core::router::Choice;
+use bankcove_core::members::Members;
+use bankcove_core::router::{Choice, Router};
 use bankcove_core::{Fingerprint, Millis};
+use bankcove_ports::Store;
 use hyper::HeaderMap;
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
+use crate::base::Base;
 use crate::crashes::gate::Apart;
-use crate::daemon::Daemon;
+use crate::fleet::health::Contact;
 
 /// Daemons that write a block which was told to them, and send a request that may run once
 /// more.
 const OWNERS: usize = 1;
 
 /// What this daemon knows of crashes.
-#[derive(Debug, Default)]
 pub struct Crashes {
+    base: Base,
+    members: Arc<Mutex<Members>>,
+    router: Arc<Mutex<Router>>,
+    contact: Arc<Contact>,
+    store: Store,
     book: Mutex<CrashBook>,
     /// Whether anything is known: while nothing is, no request is hashed or looked up.
     is_active: AtomicBool,
@@ -54,6 +61,32 @@
 }
 
 impl Crashes {
+    /// Nothing is known. `contact` tells whether the store, where blocks are kept, answers.
+    pub fn new(
+        base: Base,
+        members: Arc<Mutex<Members>>,
+        router: Arc<Mutex<Router>>,
+        contact: Arc<Contact>,
+        store: Store,
+    ) -> Self {
+        Crashes {
+            base,
+            members,
+            router,
+            contact,
+            store,
+            book: Mutex::default(),
+            is_active: AtomicBool::new(false),
+            digest: AtomicU64::new(0),
+            news: Mutex::default(),
+            to_tell: Notify::new(),
+            to_decide: Notify::new(),
+            apart: Apart::default(),
+            to_keep: Notify::new(),
+            asked_at: AtomicU64::new(0),
+        }
+    }
+
     /// Changes the book by `change`.
     fn change<T>(&self, now: Millis, change: impl FnOnce(&mut CrashBook) -> T) -> T {
         let mut book = self.book.lock();
@@ -91,142 +124,142 @@
         });
         place.flatten()
     }
-}
 
-/// The connection over which a server was running this request broke.
-pub fn broke_off(daemon: &Arc<Daemon>, choice: &Choice, request: Fingerprint) {
-    let now = daemon.clock.now();
-    // One that leaves ends what it still runs: that is no crash.
-    if !daemon.router.lock().is_staying(now, &choice.server, choice.started_ms) {
-        return;
-    }
-    let server = ServerStart { name: choice.server.clone(), started_ms: choice.started_ms };
-    let broke = daemon.crashes.change(now, |book| book.broke_off(now, &server, request));
-    let (is_unsure, news) = broke;
-    take_news(daemon, &news, Origin::Here);
-    if is_unsure {
-        tokio::spawn(verify::verify(Arc::clone(daemon), server, choice.address.clone()));
+    /// The connection over which a server was running this request broke.
+    pub fn broke_off(self: &Arc<Self>, choice: &Choice, request: Fingerprint) {
+        let now = self.base.clock.now();
+        // One that leaves ends what it still runs: that is no crash.
+        if !self.router.lock().is_staying(now, &choice.server, choice.started_ms) {
+            return;
+        }
+        let server = ServerStart { name: choice.server.clone(), started_ms: choice.started_ms };
+        let broke = self.change(now, |book| book.broke_off(now, &server, request));
+        let (is_unsure, news) = broke;
+        self.take_news(&news, Origin::Here);
+        if is_unsure {
+            tokio::spawn(verify::verify(Arc::clone(self), server, choice.address.clone()));
+        }
     }
-}
 
-/// An answer has ended. One that nothing but the end of its connection ends looks whole
-/// as well when its server has crashed, so that it proves no success.
-pub fn ended(
-    daemon: &Arc<Daemon>,
-    choice: &Choice,
-    is_framed: bool,
-    request: impl FnOnce() -> Fingerprint,
-) {
-    if is_framed {
-        succeeded(daemon, request);
-    } else {
-        broke_off(daemon, choice, request());
+    /// An answer has ended. One that nothing but the end of its connection ends looks whole
+    /// as well when its server has crashed, so that it proves no success.
+    pub fn ended(
+        self: &Arc<Self>,
+        choice: &Choice,
+        is_framed: bool,
+        request: impl FnOnce() -> Fingerprint,
+    ) {
+        if is_framed {
+            self.succeeded(request);
+        } else {
+            self.broke_off(choice, request());
+        }
     }
-}
-
-/// Whether an answer with these headers tells its own end.
-pub fn is_framed(headers: &HeaderMap) -> bool {
-    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
-}
 
-/// A request has ended well.
-pub fn succeeded(daemon: &Arc<Daemon>, request: impl FnOnce() -> Fingerprint) {
-    // Nearly all requests are aboard of no crash, and end here.
-    let concerned = daemon.crashes.read(|book| {
-        let request = request();
-        book.concerns(request).then_some(request)
-    });
-    let Some(request) = concerned.flatten() else { return };
-    let now = daemon.clock.now();
-    let news = daemon.crashes.change(now, |book| book.succeeded(now, request));
-    take_news(daemon, &news, Origin::Here);
-}
+    /// A request has ended well.
+    pub fn succeeded(self: &Arc<Self>, request: impl FnOnce() -> Fingerprint) {
+        // Nearly all requests are aboard of no crash, and end here.
+        let concerned = self.read(|book| {
+            let request = request();
+            book.concerns(request).then_some(request)
+        });
+        let Some(request) = concerned.flatten() else { return };
+        let now = self.base.clock.now();
+        let news = self.change(now, |book| book.succeeded(now, request));
+        self.take_news(&news, Origin::Here);
+    }
 
-/// Decides on requests when peers have told who else was aboard, until the daemon ends.
-pub async fn decide(daemon: Arc<Daemon>) {
-    loop {
-        tokio::select! {
-            () = daemon.crashes.to_decide.notified() => {}
-            () = daemon.ended.cancelled() => return,
+    /// Decides on requests when peers have told who else was aboard, until the daemon ends.
+    pub async fn decide(self: Arc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.to_decide.notified() => {}
+                () = self.base.ended.cancelled() => return,
+            }
+            tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
+            let now = self.base.clock.now();
+            let news = self.change(now, |book| book.decide(now));
+            self.take_news(&news, Origin::Here);
         }
-        tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
-        let now = daemon.clock.now();
-        let news = daemon.crashes.change(now, |book| book.decide(now));
-        take_news(&daemon, &news, Origin::Here);
     }
-}
-
-/// Requests that run nowhere any more.
-pub fn blocks(daemon: &Daemon) -> Vec<Block> {
-    let now = daemon.clock.now();
-    daemon.crashes.read(|book| book.blocks(now)).unwrap_or_default()
-}
 
-/// Whether the request runs nowhere any more.
-pub fn is_blocked(daemon: &Daemon, request: Fingerprint) -> bool {
-    daemon.crashes.verdict(|| request) == Verdict::Blocked
-}
-
-/// Lets a blocked request run again, here and at all peers.
-pub fn lift(daemon: &Arc<Daemon>, request: Fingerprint) {
-    let now = daemon.clock.now();
-    let news = daemon.crashes.change(now, |book| book.lift(now, request));
-    slog::info!(daemon.log, "block lifted"; "fingerprint" => %request);
-    daemon.crashes.to_keep.notify_one();
-    take_news(daemon, &news, Origin::Here);
-}
+    /// Requests that run nowhere any more.
+    pub fn blocks(&self) -> Vec<Block> {
+        let now = self.base.clock.now();
+        self.read(|book| book.blocks(now)).unwrap_or_default()
+    }
 
-/// Who found out what is new.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Origin {
-    /// This daemon.
-    Here,
-    /// A peer, or the store.
-    Told,
-}
+    /// Whether the request runs nowhere any more.
+    pub fn is_blocked(&self, request: Fingerprint) -> bool {
+        self.verdict(|| request) == Verdict::Blocked
+    }
 
-/// Logs what is new, tells peers, and has blocks kept.
-fn take_news(daemon: &Arc<Daemon>, news: &CrashFacts, origin: Origin) {
-    if news.is_empty() {
-        return;
+    /// Lets a blocked request run again, here and at all peers.
+    pub fn lift(self: &Arc<Self>, request: Fingerprint) {
+        let now = self.base.clock.now();
+        let news = self.change(now, |book| book.lift(now, request));
+        slog::info!(self.base.log, "block lifted"; "fingerprint" => %request);
+        self.to_keep.notify_one();
+        self.take_news(&news, Origin::Here);
     }
-    let is_own = origin == Origin::Here;
-    log_news(daemon, news, is_own);
-    if !news.blocks.is_empty() && (is_own || is_keeper(daemon, news)) {
-        daemon.crashes.to_keep.notify_one();
+
+    /// Logs what is new, tells peers, and has blocks kept.
+    fn take_news(self: &Arc<Self>, news: &CrashFacts, origin: Origin) {
+        if news.is_empty() {
+            return;
+        }
+        let is_own = origin == Origin::Here;
+        self.log_news(news, is_own);
+        if !news.blocks.is_empty() && (is_own || self.is_keeper(news)) {
+            self.to_keep.notify_one();
+        }
+        self.tell(news);
     }
-    spread::tell(daemon, news);
-}
 
-fn log_news(daemon: &Daemon, news: &CrashFacts, is_own: bool) {
-    for crash in &news.crashes {
-        daemon.metrics.count("server.crashed");
-        slog::info!(daemon.log, "server crashed";
+    fn log_news(&self, news: &CrashFacts, is_own: bool) {
+        for crash in &news.crashes {
+            self.base.metrics.count("server.crashed");
+            slog::info!(self.base.log, "server crashed";
             "server" => %crash.server.name, "started_ms" => crash.server.started_ms,
             "age_ms" => crash.age_ms, "aboard" => list(&crash.aboard), "found_here" => is_own);
-    }
-    for cleared in &news.cleared {
-        slog::info!(daemon.log, "request cleared";
+        }
+        for cleared in &news.cleared {
+            slog::info!(self.base.log, "request cleared";
             "fingerprint" => %cleared.request, "age_ms" => cleared.age_ms, "found_here" => is_own);
-    }
-    for block in &news.blocks {
-        daemon.metrics.count("request.blocked");
-        slog::warn!(daemon.log, "request blocked";
+        }
+        for block in &news.blocks {
+            self.base.metrics.count("request.blocked");
+            slog::warn!(self.base.log, "request blocked";
             "fingerprint" => %block.request, "servers" => list(&block.servers),
             "age_ms" => block.age_ms, "found_here" => is_own);
+        }
+    }
+
+    /// Whether this daemon writes these blocks although another one found them: the finder may
+    /// be lost, or cut off from the store, before it has.
+    fn is_keeper(&self, news: &CrashFacts) -> bool {
+        news.blocks.iter().any(|block| self.owns(block.request))
+    }
+
+    /// Whether this daemon is the request's owner among those that it knows.
+    fn owns(&self, request: Fingerprint) -> bool {
+        let owners = self.members.lock().owners(request.key(), OWNERS);
+        owners.iter().any(Option::is_none)
     }
 }
 
-/// Whether this daemon writes these blocks although another one found them: the finder may
-/// be lost, or cut off from the store, before it has.
-fn is_keeper(daemon: &Daemon, news: &CrashFacts) -> bool {
-    news.blocks.iter().any(|block| owns(daemon, block.request))
+/// Whether an answer with these headers tells its own end.
+pub fn is_framed(headers: &HeaderMap) -> bool {
+    headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
-/// Whether this daemon is the request's owner among those that it knows.
-fn owns(daemon: &Daemon, request: Fingerprint) -> bool {
-    let owners = daemon.members.lock().owners(request.key(), OWNERS);
-    owners.iter().any(Option::is_none)
+/// Who found out what is new.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Origin {
+    /// This daemon.
+    Here,
+    /// A peer, or the store.
+    Told,
 }
 
 fn list<T: std::fmt::Display>(items: impl IntoIterator<Item = T>) -> String {
--- a/crates/daemon/src/crashes/gate.rs
+++ b/crates/daemon/src/crashes/gate.rs
@@ -9,8 +9,7 @@
 use bankcove_core::{Fingerprint, Millis};
 use parking_lot::Mutex;
 
-use crate::crashes::owns;
-use crate::daemon::Daemon;
+use crate::crashes::Crashes;
 
 /// Pause between two looks whether it is known by now.
 const LOOK: Duration = Duration::from_millis(20);
@@ -27,38 +26,36 @@
 
 /// The one run of a request that may run once more; dropping it ends the run.
 pub struct RunApart {
-    daemon: Arc<Daemon>,
+    crashes: Arc<Crashes>,
     request: Fingerprint,
 }
 
 impl Drop for RunApart {
     fn drop(&mut self) {
-        self.daemon.crashes.apart.running.lock().remove(&self.request);
+        self.crashes.apart.running.lock().remove(&self.request);
     }
 }
 
-/// What follows for the request, once it is known or `deadline` has come.
-pub async fn settled(
-    daemon: &Daemon,
-    deadline: Millis,
-    request: impl Fn() -> Fingerprint,
-) -> Verdict {
-    let until = deadline.min(daemon.clock.now() + MOST_WAIT_MS);
-    loop {
-        let verdict = daemon.crashes.verdict(&request);
-        if verdict != Verdict::Held || daemon.clock.now() >= until {
-            return verdict;
+impl Crashes {
+    /// What follows for the request, once it is known or `deadline` has come.
+    pub async fn settled(&self, deadline: Millis, request: impl Fn() -> Fingerprint) -> Verdict {
+        let until = deadline.min(self.base.clock.now() + MOST_WAIT_MS);
+        loop {
+            let verdict = self.verdict(&request);
+            if verdict != Verdict::Held || self.base.clock.now() >= until {
+                return verdict;
+            }
+            tokio::time::sleep(LOOK).await;
         }
-        tokio::time::sleep(LOOK).await;
     }
-}
 
-/// Begins the one run of a request that may run once more; none at another host than its owner,
-/// and while a copy runs.
-pub fn run_apart(daemon: &Arc<Daemon>, request: Fingerprint) -> Option<RunApart> {
-    if !owns(daemon, request) {
-        return None;
+    /// Begins the one run of a request that may run once more; none at another host than its owner,
+    /// and while a copy runs.
+    pub fn run_apart(self: &Arc<Self>, request: Fingerprint) -> Option<RunApart> {
+        if !self.owns(request) {
+            return None;
+        }
+        let is_first = self.apart.running.lock().insert(request);
+        is_first.then(|| RunApart { crashes: Arc::clone(self), request })
     }
-    let is_first = daemon.crashes.apart.running.lock().insert(request);
-    is_first.then(|| RunApart { daemon: Arc::clone(daemon), request })
 }
--- a/crates/daemon/src/crashes/keep.rs
+++ b/crates/daemon/src/crashes/keep.rs
@@ -10,8 +10,7 @@
 use bankcove_ports::{Kind, WriteOutcome};
 use serde::{Deserialize, Serialize};
 
-use crate::crashes::spread;
-use crate::daemon::Daemon;
+use crate::crashes::Crashes;
 
 /// Name of the only object.
 const OBJECT: &str = "all";
@@ -48,38 +47,38 @@
 }
 
 /// Reads what earlier starts have kept, then writes each new block, until the daemon ends.
-pub async fn keep(daemon: Arc<Daemon>) {
+pub async fn keep(crashes: Arc<Crashes>) {
     tokio::select! {
-        () = read_then_write(&daemon) => {}
-        () = daemon.ended.cancelled() => {}
+        () = read_then_write(&crashes) => {}
+        () = crashes.base.ended.cancelled() => {}
     }
 }
 
-async fn read_then_write(daemon: &Arc<Daemon>) {
+async fn read_then_write(crashes: &Arc<Crashes>) {
     for _ in 0..READS {
-        store_answers(daemon).await;
-        match read(daemon).await {
+        store_answers(crashes).await;
+        match read(crashes).await {
             Ok((_, kept)) => {
-                take_in(daemon, kept);
+                take_in(crashes, kept);
                 break;
             }
-            Err(e) => slog::info!(daemon.log, "kept blocks not read yet"; "error" => %e),
+            Err(e) => slog::info!(crashes.base.log, "kept blocks not read yet"; "error" => %e),
         }
         tokio::time::sleep(RETRY).await;
     }
     loop {
-        daemon.crashes.to_keep.notified().await;
+        crashes.to_keep.notified().await;
         tokio::time::sleep(SETTLE).await;
-        while !write(daemon).await {
+        while !write(crashes).await {
             tokio::time::sleep(RETRY).await;
-            store_answers(daemon).await;
+            store_answers(crashes).await;
         }
     }
 }
 
-async fn store_answers(daemon: &Daemon) {
+async fn store_answers(crashes: &Crashes) {
     let is_heard = || {
-        let age = daemon.contact.store_age(daemon.clock.now());
+        let age = crashes.contact.store_age(crashes.base.clock.now());
         age.is_some_and(|age| age < HEARD_MS)
     };
     while !is_heard() {
@@ -87,45 +86,45 @@
     }
 }
 
-async fn read(daemon: &Daemon) -> bankcove_ports::Result<(u64, Kept)> {
-    let read = daemon.store.read::<Kept>(Kind::Blocked, OBJECT).await?;
+async fn read(crashes: &Crashes) -> bankcove_ports::Result<(u64, Kept)> {
+    let read = crashes.store.read::<Kept>(Kind::Blocked, OBJECT).await?;
     Ok(read.map_or((0, Kept::default()), |read| (read.version, read.value)))
 }
 
-fn take_in(daemon: &Arc<Daemon>, kept: Kept) {
-    let now_ms = daemon.clock.unix_ms();
+fn take_in(crashes: &Arc<Crashes>, kept: Kept) {
+    let now_ms = crashes.base.clock.unix_ms();
     let block = |(request, kept): (Fingerprint, KeptBlock)| Block {
         request,
         age_ms: now_ms.saturating_sub(kept.blocked_ms),
         servers: kept.servers,
     };
     let blocks: Vec<Block> = kept.blocks.into_iter().map(block).collect();
-    spread::told(daemon, CrashFacts { blocks, ..CrashFacts::default() });
+    crashes.told(CrashFacts { blocks, ..CrashFacts::default() });
 }
 
 /// Writes the blocks that are known here to those that are kept; whether the store has them.
-async fn write(daemon: &Daemon) -> bool {
-    let (version, kept) = match read(daemon).await {
+async fn write(crashes: &Crashes) -> bool {
+    let (version, kept) = match read(crashes).await {
         Ok(read) => read,
         Err(e) => {
-            slog::info!(daemon.log, "blocks not kept yet"; "error" => %e);
+            slog::info!(crashes.base.log, "blocks not kept yet"; "error" => %e);
             return false;
         }
     };
-    let next = merged(daemon, kept.clone());
+    let next = merged(crashes, kept.clone());
     if next == kept {
         return true;
     }
-    let outcome = daemon.store.write(Kind::Blocked, OBJECT, version, &next).await;
+    let outcome = crashes.store.write(Kind::Blocked, OBJECT, version, &next).await;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
-    slog::info!(daemon.log, "blocks kept"; "written" => is_written, "count" => next.blocks.len());
+    slog::info!(crashes.base.log, "blocks kept"; "written" => is_written, "count" => next.blocks.len());
     is_written
 }
 
 /// What is kept, without what is over or lifted, and what is known here.
-fn merged(daemon: &Daemon, mut kept: Kept) -> Kept {
-    let (now, now_ms) = (daemon.clock.now(), daemon.clock.unix_ms());
-    let book = daemon.crashes.book.lock();
+fn merged(crashes: &Crashes, mut kept: Kept) -> Kept {
+    let (now, now_ms) = (crashes.base.clock.now(), crashes.base.clock.unix_ms());
+    let book = crashes.book.lock();
     kept.blocks.retain(|request, block| {
         let age_ms = now_ms.saturating_sub(block.blocked_ms);
         age_ms < HOLD_MS && !book.is_cleared_since(*request, now.saturating_sub(age_ms))
--- a/crates/daemon/src/crashes/spread.rs
+++ b/crates/daemon/src/crashes/spread.rs
@@ -8,8 +8,7 @@
 use bankcove_core::Millis;
 use bankcove_core::crashes::CrashFacts;
 
-use crate::crashes::{Origin, take_news};
-use crate::daemon::Daemon;
+use crate::crashes::{Crashes, Origin};
 use crate::peer::{FETCH_TIMEOUT, PeerServiceClient};
 
 /// Peers that are told at once. Each passes on what is new to it, so that 300 daemons know of
@@ -24,89 +23,92 @@
 /// 500 kB under a flood of such requests.
 const ASK_PAUSE_MS: Millis = 1_000;
 
-/// Peers are to be told this, with what else is new by then.
-pub(super) fn tell(daemon: &Daemon, news: &CrashFacts) {
-    daemon.crashes.news.lock().push((daemon.clock.now(), news.clone()));
-    daemon.crashes.to_tell.notify_one();
-}
-
-/// Tells some peers what is new, until the daemon ends.
-pub async fn tell_news(daemon: Arc<Daemon>) {
-    loop {
-        tokio::select! {
-            () = daemon.crashes.to_tell.notified() => {}
-            () = daemon.ended.cancelled() => return,
-        }
-        tokio::time::sleep(GATHER).await;
-        let gathered = std::mem::take(&mut *daemon.crashes.news.lock());
-        let now = daemon.clock.now();
-        let mut news = CrashFacts::default();
-        for (at, facts) in gathered {
-            // A block that seems younger than it is would outlive the word that lifted it.
-            news.add(&facts.aged(now.saturating_sub(at)));
-        }
-        tell_some(&daemon, &news);
+impl Crashes {
+    /// Peers are to be told this, with what else is new by then.
+    pub(super) fn tell(&self, news: &CrashFacts) {
+        self.news.lock().push((self.base.clock.now(), news.clone()));
+        self.to_tell.notify_one();
     }
-}
 
-fn tell_some(daemon: &Arc<Daemon>, news: &CrashFacts) {
-    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
-    let peers = daemon.members.lock().some(TOLD_AT_ONCE, rand::random());
-    for peer in peers {
-        let (daemon, news) = (Arc::clone(daemon), news.clone());
-        tokio::spawn(async move {
-            let told =
-                |client: PeerServiceClient, cx| async move { client.told_crashes(cx, news).await };
-            if daemon.peers.call(&peer.address, timeout, told).await.is_none() {
-                slog::debug!(daemon.log, "crashes not told"; "peer" => %peer.name);
+    /// Tells some peers what is new, until the daemon ends.
+    pub async fn tell_news(self: Arc<Self>) {
+        loop {
+            tokio::select! {
+                () = self.to_tell.notified() => {}
+                () = self.base.ended.cancelled() => return,
             }
-        });
+            tokio::time::sleep(GATHER).await;
+            let gathered = std::mem::take(&mut *self.news.lock());
+            let now = self.base.clock.now();
+            let mut news = CrashFacts::default();
+            for (at, facts) in gathered {
+                // A block that seems younger than it is would outlive the word that lifted it.
+                news.add(&facts.aged(now.saturating_sub(at)));
+            }
+            self.tell_some(&news);
+        }
     }
-}
 
-/// Takes in what a peer has told.
-pub fn told(daemon: &Arc<Daemon>, facts: CrashFacts) {
-    let now = daemon.clock.now();
-    let news = daemon.crashes.change(now, |book| book.told(now, facts));
-    take_news(daemon, &news, Origin::Told);
-}
-
-/// All that is known here, for a peer.
-pub fn facts(daemon: &Daemon) -> CrashFacts {
-    let now = daemon.clock.now();
-    daemon.crashes.read(|book| book.facts(now)).unwrap_or_default()
-}
+    fn tell_some(self: &Arc<Self>, news: &CrashFacts) {
+        let timeout = Duration::from_millis(self.base.cfg.limits.peer_timeout_ms);
+        let peers = self.members.lock().some(TOLD_AT_ONCE, rand::random());
+        for peer in peers {
+            let (crashes, news) = (Arc::clone(self), news.clone());
+            tokio::spawn(async move {
+                let told = |client: PeerServiceClient, cx| async move {
+                    client.told_crashes(cx, news).await
+                };
+                if crashes.base.peers.call(&peer.address, timeout, told).await.is_none() {
+                    slog::debug!(crashes.base.log, "crashes not told"; "peer" => %peer.name);
+                }
+            });
+        }
+    }
 
-/// Hash of all that is known here; 0 while nothing is.
-pub fn digest(daemon: &Daemon) -> u64 {
-    daemon.crashes.digest.load(Ordering::Relaxed)
-}
+    /// Takes in what a peer has told.
+    pub fn told(self: &Arc<Self>, facts: CrashFacts) {
+        let now = self.base.clock.now();
+        let news = self.change(now, |book| book.told(now, facts));
+        self.take_news(&news, Origin::Told);
+    }
 
-/// Forgets what is too long ago.
-pub fn forget_old(daemon: &Daemon) {
-    let now = daemon.clock.now();
-    if daemon.crashes.is_active.load(Ordering::Relaxed) {
-        daemon.crashes.change(now, |book| book.forget_old(now));
+    /// All that is known here, for a peer.
+    pub fn facts(&self) -> CrashFacts {
+        let now = self.base.clock.now();
+        self.read(|book| book.facts(now)).unwrap_or_default()
     }
-}
 
-/// A peer's heartbeat had this digest: asks it for what it knows if that is something else.
-pub fn heard_digest(daemon: &Arc<Daemon>, address: &str, told: u64) {
-    if told == 0 || told == digest(daemon) {
-        return;
+    /// Hash of all that is known here; 0 while nothing is.
+    pub fn digest(&self) -> u64 {
+        self.digest.load(Ordering::Relaxed)
     }
-    let now = daemon.clock.now();
-    let asked_at = daemon.crashes.asked_at.load(Ordering::Relaxed);
-    if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
-        return;
+
+    /// Forgets what is too long ago.
+    pub fn forget_old(&self) {
+        let now = self.base.clock.now();
+        if self.is_active.load(Ordering::Relaxed) {
+            self.change(now, |book| book.forget_old(now));
+        }
     }
-    daemon.crashes.asked_at.store(now.max(1), Ordering::Relaxed);
-    let (daemon, address) = (Arc::clone(daemon), address.to_owned());
-    tokio::spawn(async move {
-        let ask = |client: PeerServiceClient, cx| async move { client.crash_facts(cx).await };
-        match daemon.peers.call(&address, FETCH_TIMEOUT, ask).await {
-            Some(facts) => self::told(&daemon, facts),
-            None => slog::debug!(daemon.log, "crashes not asked for"; "peer" => &address),
+
+    /// A peer's heartbeat had this digest: asks it for what it knows if that is something else.
+    pub fn heard_digest(self: &Arc<Self>, address: &str, told: u64) {
+        if told == 0 || told == self.digest() {
+            return;
+        }
+        let now = self.base.clock.now();
+        let asked_at = self.asked_at.load(Ordering::Relaxed);
+        if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
+            return;
         }
-    });
+        self.asked_at.store(now.max(1), Ordering::Relaxed);
+        let (crashes, address) = (Arc::clone(self), address.to_owned());
+        tokio::spawn(async move {
+            let ask = |client: PeerServiceClient, cx| async move { client.crash_facts(cx).await };
+            match crashes.base.peers.call(&address, FETCH_TIMEOUT, ask).await {
+                Some(facts) => crashes.told(facts),
+                None => slog::debug!(crashes.base.log, "crashes not asked for"; "peer" => &address),
+            }
+        });
+    }
 }
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -7,8 +7,7 @@
 use bankcove_core::Millis;
 use bankcove_core::crashes::ServerStart;
 
-use crate::crashes::{Origin, take_news};
-use crate::daemon::Daemon;
+use crate::crashes::{Crashes, Origin};
 use crate::tcp::{Reach, reach_and_hold};
 
 /// Longest wait for a connection: a host in reach accepts or refuses within 2 ms.
@@ -26,20 +25,20 @@
 const DOUBT_MS: Millis = 5_000;
 
 /// Finds it out, and takes in the answer.
-pub(super) async fn verify(daemon: Arc<Daemon>, server: ServerStart, address: String) {
-    let has_crashed = has_crashed(&daemon, &server, &address).await;
-    let now = daemon.clock.now();
+pub(super) async fn verify(crashes: Arc<Crashes>, server: ServerStart, address: String) {
+    let has_crashed = has_crashed(&crashes, &server, &address).await;
+    let now = crashes.base.clock.now();
     if has_crashed {
-        let news = daemon.crashes.change(now, |book| book.crashed(now, &server));
-        take_news(&daemon, &news, Origin::Here);
+        let news = crashes.change(now, |book| book.crashed(now, &server));
+        crashes.take_news(&news, Origin::Here);
     } else {
-        slog::info!(daemon.log, "server broke off and has not crashed"; "server" => %server.name);
-        daemon.crashes.change(now, |book| book.lives(&server));
+        slog::info!(crashes.base.log, "server broke off and has not crashed"; "server" => %server.name);
+        crashes.change(now, |book| book.lives(&server));
     }
 }
 
-async fn has_crashed(daemon: &Daemon, server: &ServerStart, address: &str) -> bool {
-    let doubted_until = daemon.clock.now() + DOUBT_MS;
+async fn has_crashed(crashes: &Crashes, server: &ServerStart, address: &str) -> bool {
+    let doubted_until = crashes.base.clock.now() + DOUBT_MS;
     loop {
         match reach_and_hold(address, REACH_TIMEOUT, HOLD).await {
             Reach::Refused => return true,
@@ -47,10 +46,10 @@
             Reach::Silent => {}
         }
         // Gone from the list, or another start has its name.
-        if !daemon.router.lock().knows_start(&server.name, server.started_ms) {
+        if !crashes.router.lock().knows_start(&server.name, server.started_ms) {
             return true;
         }
-        if daemon.clock.now() >= doubted_until || daemon.ended.is_cancelled() {
+        if crashes.base.clock.now() >= doubted_until || crashes.base.ended.is_cancelled() {
             return false;
         }
         tokio::time::sleep(PAUSE).await;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -17,16 +17,17 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+use crate::base::Base;
 use crate::bill::billing::Billing;
 use crate::bill::request_log::RequestLogs;
 use crate::budget::budgets::Budgets;
 use crate::clock::Clock;
 use crate::config::Config;
-use crate::crashes::{Crashes, spread};
+use crate::crashes::Crashes;
 use crate::error::Result;
 use crate::fleet::health::Contact;
 use crate::fleet::membership::Fetches;
-use crate::limits::{self, Limits};
+use crate::limits::Limits;
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
 use crate::view::host_list::HostList;
@@ -39,7 +40,7 @@
 /// One daemon.
 pub struct Daemon {
     /// Its settings.
-    pub cfg: Config,
+    pub cfg: Arc<Config>,
     /// This start of it.
     pub incarnation: Incarnation,
     /// Its clocks.
@@ -75,9 +76,9 @@
     /// Connections to peers.
     pub peers: Arc<PeerPool>,
     /// Whom this daemon has heard of late.
-    pub contact: Contact,
+    pub contact: Arc<Contact>,
     /// What is known of servers that crashed, and under which requests.
-    pub crashes: Crashes,
+    pub crashes: Arc<Crashes>,
     /// The limits that servers name, and the permits that follow from them.
     pub limits: Arc<Limits>,
     /// Fetches of what a peer knows newer.
@@ -122,23 +123,30 @@
             .connect_timeout(std::time::Duration::from_millis(cfg.limits.peer_timeout_ms))
             .build()
             .map_err(|e| crate::Error::Setup(std::io::Error::other(e.to_string())))?;
-        let clock = Clock::start();
-        let metrics = Metrics::new(cfg.metrics.as_deref())?;
-        let members = Arc::new(Mutex::new(Members::new(cfg.name.clone())));
-        let (peers, router) = (Arc::<PeerPool>::default(), Arc::<Mutex<Router>>::default());
-        let limits = Limits::new(limits::Parts {
+        let base = Base {
             incarnation,
-            clock: clock.clone(),
+            clock: Clock::start(),
             log: log.clone(),
-            metrics: metrics.clone(),
-            members: Arc::clone(&members),
-            peers: Arc::clone(&peers),
-            router: Arc::clone(&router),
-            has_other_seeds: cfg.has_other_seeds(),
-        });
+            metrics: Metrics::new(cfg.metrics.as_deref())?,
+            peers: Arc::default(),
+            ended: CancellationToken::new(),
+            cfg: Arc::new(cfg),
+        };
+        let cfg = Arc::clone(&base.cfg);
+        let members = Arc::new(Mutex::new(Members::new(cfg.name.clone())));
+        let router = Arc::<Mutex<Router>>::default();
+        let contact = Arc::new(Contact::new(cfg.follows_evacuations()));
+        let limits = Limits::new(base.clone(), Arc::clone(&members), Arc::clone(&router));
+        let crashes = Crashes::new(
+            base.clone(),
+            Arc::clone(&members),
+            Arc::clone(&router),
+            Arc::clone(&contact),
+            store.clone(),
+        );
         Ok(Arc::new(Daemon {
-            clock,
-            metrics,
+            clock: base.clock,
+            metrics: base.metrics,
             store,
             http,
             table: ArcSwapOption::empty(),
@@ -151,17 +159,17 @@
             budgets: Budgets::new(incarnation),
             requests: RequestLogs::default(),
             billing: Billing::default(),
-            peers,
+            peers: base.peers,
             limits: Arc::new(limits),
-            contact: Contact::new(cfg.follows_evacuations()),
-            crashes: Crashes::default(),
+            contact,
+            crashes: Arc::new(crashes),
             fetches: Fetches::default(),
             unread_changed: Notify::new(),
             news_told: AtomicU64::new(0),
             leaving: CancellationToken::new(),
             last_end: Mutex::new(None),
             stopping: CancellationToken::new(),
-            ended: CancellationToken::new(),
+            ended: base.ended.clone(),
             work: TaskTracker::new(),
             attempts: AtomicU64::new(0),
             incarnation,
@@ -202,7 +210,7 @@
             store_heard_ms: self.contact.store_age(self.clock.now()),
             view_age_ms: self.contact.view_age(self.clock.now()),
             paces,
-            crashes_digest: spread::digest(self),
+            crashes_digest: self.crashes.digest(),
             limits_digest: self.limits.digest(),
         }
     }
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -8,7 +8,6 @@
 use serde_json::{Value, json};
 
 use crate::budget::statement;
-use crate::crashes::spread;
 use crate::daemon::Daemon;
 
 /// State of this daemon in a few lines.
@@ -65,7 +64,7 @@
         "request_log": daemon.requests.dump().await,
         "servers": servers,
         "limits": daemon.limits.dump(),
-        "crashes": spread::facts(daemon),
+        "crashes": daemon.crashes.facts(),
         "crashes_remembered": daemon.crashes.gauge(),
         "marks_kept_for_others": daemon.budgets.marks().len(),
         "peer_connections": daemon.peers.len(),
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -89,7 +89,7 @@
             call.ran = true;
             open.failed();
             log_try(call, &choice, &problem);
-            crashes::broke_off(&entry.daemon, &choice, call.fingerprint());
+            entry.daemon.crashes.broke_off(&choice, call.fingerprint());
             return Tried::Lost;
         }
         Some(Ok(res)) => res,
@@ -147,7 +147,7 @@
             let is_large = e.downcast_ref::<LengthLimitError>().is_some();
             log_try(call, &choice, if is_large { "the answer is too large" } else { "cut short" });
             if !is_large {
-                crashes::broke_off(&call.entry.daemon, &choice, call.fingerprint());
+                call.entry.daemon.crashes.broke_off(&choice, call.fingerprint());
             }
             Tried::Lost
         }
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -13,7 +13,7 @@
 use slog::Logger;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::crashes::gate::{self, RunApart};
+use crate::crashes::gate::RunApart;
 use crate::entry::Entry;
 use crate::entry::backends::Outgoing;
 use crate::entry::link_use::LinkUse;
@@ -113,7 +113,7 @@
     /// What the caller of another one is told.
     pub async fn pass_crashes(&mut self) -> Result<(), Refusal> {
         let daemon = &self.entry.daemon;
-        let refusal = match gate::settled(daemon, self.deadline, || self.fingerprint()).await {
+        let refusal = match daemon.crashes.settled(self.deadline, || self.fingerprint()).await {
             Verdict::Free | Verdict::Suspect => return Ok(()),
             Verdict::Apart if self.may_run_apart() => return Ok(()),
             Verdict::Apart | Verdict::Held => Refusal::CrashesInDoubt,
@@ -127,7 +127,7 @@
 
     fn may_run_apart(&mut self) -> bool {
         if self.apart.is_none() {
-            self.apart = gate::run_apart(&self.entry.daemon, self.fingerprint());
+            self.apart = self.entry.daemon.crashes.run_apart(self.fingerprint());
         }
         self.apart.is_some()
     }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -5,7 +5,6 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
-use crate::crashes;
 use crate::entry::attempt::{Answered, Tried, attempt, log_end};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
@@ -58,7 +57,7 @@
                 if !is_failure {
                     charge.whole();
                     let daemon = &call.entry.daemon;
-                    crashes::ended(daemon, &choice, is_framed, || call.fingerprint());
+                    daemon.crashes.ended(&choice, is_framed, || call.fingerprint());
                     call.link.sent(body.len());
                     log_end(&call, &charge, "answered", status);
                     return Ok(Answer::Whole(status, headers, body));
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -83,7 +83,7 @@
                     self.charge.whole();
                     let daemon = &self.call.entry.daemon;
                     let request = || self.call.fingerprint();
-                    crashes::ended(daemon, &self.choice, self.is_framed, request);
+                    daemon.crashes.ended(&self.choice, self.is_framed, request);
                     self.tell_pace();
                     log_end(&self.call, &self.charge, "stream ended", StatusCode::OK);
                     return None;
@@ -96,7 +96,7 @@
             };
             self.open.failed();
             log_try(&self.call, &self.choice, problem);
-            crashes::broke_off(&self.call.entry.daemon, &self.choice, self.call.fingerprint());
+            self.call.entry.daemon.crashes.broke_off(&self.choice, self.call.fingerprint());
             if !self.resume().await {
                 return Some(Err(self.break_off(problem)));
             }
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -8,7 +8,6 @@
 use bankcove_core::standing::STALE_VIEW_MS;
 use tokio::sync::Semaphore;
 
-use crate::crashes::spread;
 use crate::daemon::Daemon;
 use crate::fleet::{awaits_peers, is_told_by_peers, standing};
 use crate::view::{hall_sync, server_sync, table_sync};
@@ -75,7 +74,7 @@
 
 fn take_in(daemon: &Arc<Daemon>, heartbeat: &Heartbeat) {
     hall_sync::heard(daemon, &heartbeat.evacuated);
-    spread::heard_digest(daemon, &heartbeat.address, heartbeat.crashes_digest);
+    daemon.crashes.heard_digest(&heartbeat.address, heartbeat.crashes_digest);
     daemon.limits.heard_digest(&heartbeat.address, heartbeat.limits_digest);
     daemon.members.lock().heard(daemon.clock.now(), heartbeat);
     daemon.router.lock().heard_paces(&heartbeat.paces);
@@ -147,7 +146,7 @@
     let interval = Duration::from_millis(daemon.cfg.limits.heartbeat_ms);
     loop {
         daemon.router.lock().forget_old_news(daemon.clock.now());
-        spread::forget_old(&daemon);
+        daemon.crashes.forget_old();
         daemon.limits.forget_old();
         beat(&daemon).await;
         tokio::select! {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod api;
 pub mod args;
+pub mod base;
 pub mod bill;
 pub mod budget;
 pub mod clock;
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -16,44 +16,22 @@
 use bankcove_core::limits::{Change, Issuer, Leases, LimitBook, LimitFact, LimitWord, Returns};
 use bankcove_core::members::Members;
 use bankcove_core::router::Router;
-use bankcove_core::{Incarnation, Millis, Name};
+use bankcove_core::{Millis, Name};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
-use slog::Logger;
 use tokio::sync::mpsc;
 
-use crate::clock::Clock;
-use crate::metrics::Metrics;
-use crate::peer::PeerPool;
+use crate::base::Base;
 
 /// Changes that wait to be told to peers; what is left out is brought by heartbeats.
 const MOST_NEWS: usize = 4_096;
 
-/// What the limits of servers are worked with.
-#[derive(Debug, Clone)]
-pub struct Parts {
-    /// This start of the daemon.
-    pub incarnation: Incarnation,
-    /// The host's clocks.
-    pub clock: Clock,
-    /// The daemon's logger.
-    pub log: Logger,
-    /// Its metrics.
-    pub metrics: Metrics,
-    /// The other daemons.
-    pub members: Arc<Mutex<Members>>,
-    /// Connections to them.
-    pub peers: Arc<PeerPool>,
-    /// The routing state.
-    pub router: Arc<Mutex<Router>>,
-    /// Whether the settings name other daemons: then a fleet that was not seen yet is there.
-    pub has_other_seeds: bool,
-}
-
 /// The limits of servers, as this daemon knows and keeps them.
 #[derive(Debug)]
 pub struct Limits {
-    parts: Parts,
+    base: Base,
+    members: Arc<Mutex<Members>>,
+    router: Arc<Mutex<Router>>,
     book: Mutex<LimitBook>,
     issuer: Mutex<Issuer>,
     leases: Mutex<Leases>,
@@ -76,10 +54,12 @@
 
 impl Limits {
     /// No limit is known.
-    pub fn new(parts: Parts) -> Self {
+    pub fn new(base: Base, members: Arc<Mutex<Members>>, router: Arc<Mutex<Router>>) -> Self {
         let (news, to_tell) = mpsc::channel(MOST_NEWS);
         Limits {
-            parts,
+            base,
+            members,
+            router,
             book: Mutex::default(),
             issuer: Mutex::default(),
             leases: Mutex::default(),
@@ -104,7 +84,7 @@
         if *word == LimitWord::None && !self.is_active.load(Ordering::Relaxed) {
             return;
         }
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let change = self.change(|book| book.heard(now, server, asked_at, word));
         if let Some(change) = change {
             self.take_change(&change, &Source::Server);
@@ -123,46 +103,46 @@
     /// What changed is put to the router, logged, and told to peers.
     fn take_change(&self, change: &Change, source: &Source) {
         let Change { before, fact } = change;
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let (before, after) =
             (before.map(|rate| rate.per_second()), fact.limit.map(|rate| rate.per_second()));
-        self.parts.router.lock().limited(now, &fact.server, after);
+        self.router.lock().limited(now, &fact.server, after);
         let what = match (before, after) {
             (None, _) => "limit heard",
             (Some(_), Some(_)) => "limit changed",
             (Some(_), None) => "limit lifted",
         };
-        self.parts.metrics.count(if after.is_some() { "limit.named" } else { "limit.lifted" });
-        slog::info!(self.parts.log, "{}", what;
+        self.base.metrics.count(if after.is_some() { "limit.named" } else { "limit.lifted" });
+        slog::info!(self.base.log, "{}", what;
             "server" => %fact.server.name, "started_ms" => fact.server.started_ms,
             "before_per_s" => before, "per_s" => after, "age_ms" => fact.heard_age_ms,
             "from" => source.name());
         if self.news.try_send(fact.clone()).is_err() {
-            self.parts.metrics.count("limit.not_told");
+            self.base.metrics.count("limit.not_told");
         }
     }
 
     fn tell_unreadable(&self, server: &ServerStart, text: &str) {
         let before = self.unreadable.lock().insert(server.clone(), text.to_owned());
         if before.is_none() {
-            self.parts.metrics.count("limit.unreadable");
-            slog::warn!(self.parts.log, "limit passed over: it is no number from 0 on";
+            self.base.metrics.count("limit.unreadable");
+            slog::warn!(self.base.log, "limit passed over: it is no number from 0 on";
                 "server" => %server.name, "started_ms" => server.started_ms, "said" => text);
         }
     }
 
     /// When a caller that no server has a permit for comes back, in milliseconds.
     pub fn next_return(&self, service: &Name, first_ms: Millis, per_second: f64) -> Millis {
-        let daemons = self.parts.members.lock().usable().count() + 1;
+        let daemons = self.members.lock().usable().count() + 1;
         let share = per_second / daemons as f64;
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         self.returns.lock().next(now, service, first_ms, share, rand::random())
     }
 
     /// Since when the fleet is as it is.
     fn fleet_since(&self) -> Millis {
-        let digest = self.parts.members.lock().digest();
-        let now = self.parts.clock.now();
+        let digest = self.members.lock().digest();
+        let now = self.base.clock.now();
         let mut fleet = self.fleet.lock();
         if fleet.0 != digest {
             *fleet = (digest, now);
@@ -176,9 +156,9 @@
         if !self.is_active.load(Ordering::Relaxed) {
             return;
         }
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let listed: HashSet<ServerStart> = {
-            let router = self.parts.router.lock();
+            let router = self.router.lock();
             router.servers().iter().map(|view| view.start()).collect()
         };
         self.change(|book| book.forget_old(now, |server| listed.contains(server)));
@@ -191,7 +171,7 @@
 
     /// Each limited server, for people.
     pub fn dump(&self) -> Value {
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let facts = self.book.lock().facts(now, usize::MAX, 0);
         let levels: HashMap<ServerStart, (usize, f64)> = {
             let issuer = self.issuer.lock();
--- a/crates/daemon/src/limits/issue.rs
+++ b/crates/daemon/src/limits/issue.rs
@@ -19,7 +19,7 @@
     /// Issues permits for the server that the asker knows this of.
     pub fn issue(&self, fact: &LimitFact, wish: Wish) -> PermitAnswer {
         self.told(std::slice::from_ref(fact));
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let known = self.book.lock().fact(now, &fact.server);
         let newer = known.clone().filter(|known| known.limit != fact.limit);
         let Some(limit) = known.and_then(|known| known.limit) else {
@@ -36,9 +36,9 @@
 
     /// Whether it is known who the other daemons are.
     pub(super) fn knows_fleet(&self) -> bool {
-        match self.parts.members.lock().fleet_size() {
+        match self.members.lock().fleet_size() {
             FleetSize::Listed(_) => true,
-            FleetSize::AtLeast(_) => !self.parts.has_other_seeds,
+            FleetSize::AtLeast(_) => !self.base.cfg.has_other_seeds(),
             FleetSize::Unknown => false,
         }
     }
--- a/crates/daemon/src/limits/permit.rs
+++ b/crates/daemon/src/limits/permit.rs
@@ -48,7 +48,7 @@
     /// [`Expired`] when the time to use it is over.
     pub fn spend(mut self) -> Result<Choice, Expired> {
         let lease = self.lease.take();
-        let is_over = lease.is_some_and(|(limits, until)| limits.parts.clock.now() >= until);
+        let is_over = lease.is_some_and(|(limits, until)| limits.base.clock.now() >= until);
         if is_over { Err(Expired) } else { Ok(self.choice.clone()) }
     }
 }
@@ -56,7 +56,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if let Some((limits, until)) = self.lease.take() {
-            let now = limits.parts.clock.now();
+            let now = limits.base.clock.now();
             limits.leases.lock().give_back(now, &self.choice.start(), until);
         }
     }
@@ -78,7 +78,7 @@
             return Ok(Permit { choice, lease: None });
         }
         let server = choice.start();
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let Some(fact) = self.book.lock().fact(now, &server) else {
             return Ok(Permit { choice, lease: None });
         };
@@ -91,32 +91,32 @@
         let is_scarce = self.leases.lock().is_scarce(now, &server);
         if is_scarce {
             let until = now + ASK_TIMEOUT.as_millis() as Millis;
-            self.parts.router.lock().at_limit(&server, limit.per_second(), until);
+            self.router.lock().at_limit(&server, limit.per_second(), until);
         }
         let permits = self.leases.lock().wanted(now, &server);
-        let wish = Wish { from: self.parts.incarnation, permits, urgency };
+        let wish = Wish { from: self.base.incarnation, permits, urgency };
         let (issuer, answer) = self.ask(fact, wish).await;
         if answer.is_free {
             return Ok(Permit { choice, lease: None });
         }
         if answer.issued.permits > 0 {
-            self.parts.metrics.add("limit.permits", u64::from(answer.issued.permits));
+            self.base.metrics.add("limit.permits", u64::from(answer.issued.permits));
             let mut leases = self.leases.lock();
             leases.add(now, &server, answer.issued.permits);
-            let taken = leases.take(self.parts.clock.now(), &server);
+            let taken = leases.take(self.base.clock.now(), &server);
             drop(leases);
             if let Some(until) = taken {
                 if is_scarce {
-                    self.parts.router.lock().at_limit(&server, limit.per_second(), 0);
+                    self.router.lock().at_limit(&server, limit.per_second(), 0);
                 }
                 return Ok(self.leased(choice, until));
             }
         }
         self.leases.lock().denied(now, &server);
         let retry_ms = answer.issued.retry_ms.max(1);
-        let until = self.parts.clock.now() + retry_ms;
-        self.parts.router.lock().at_limit(&server, limit.per_second(), until);
-        self.parts.metrics.count("limit.passed_over");
+        let until = self.base.clock.now() + retry_ms;
+        self.router.lock().at_limit(&server, limit.per_second(), until);
+        self.base.metrics.count("limit.passed_over");
         slog::info!(log, "server at its limit";
             "server" => %server.name, "per_s" => limit.per_second(), "issuer" => issuer,
             "retry_ms" => retry_ms, "heard_ms_ago" => heard_age_ms);
@@ -158,23 +158,23 @@
         let fact = fact.clone();
         let ask =
             |client: PeerServiceClient, cx| async move { client.permits(cx, fact, wish).await };
-        self.parts.peers.call(&peer.address, ASK_TIMEOUT, ask).await
+        self.base.peers.call(&peer.address, ASK_TIMEOUT, ask).await
     }
 
     /// Who issues permits for the server, in order; none stands for this daemon.
     pub(super) fn issuers(&self, server: &ServerStart) -> Vec<Option<Peer>> {
-        self.parts.members.lock().owners_listed(server.key(), ISSUERS)
+        self.members.lock().owners_listed(server.key(), ISSUERS)
     }
 
     fn is_silent(&self, peer: &Peer) -> bool {
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         self.silent.lock().get(&peer.name).is_some_and(|until| now < *until)
     }
 
     fn fell_silent(&self, peer: &Peer) {
-        let until = self.parts.clock.now() + SILENT_MS;
+        let until = self.base.clock.now() + SILENT_MS;
         self.silent.lock().insert(peer.name.clone(), until);
-        self.parts.metrics.count("limit.issuer_silent");
-        slog::info!(self.parts.log, "issuer of permits does not answer"; "peer" => %peer.name);
+        self.base.metrics.count("limit.issuer_silent");
+        slog::info!(self.base.log, "issuer of permits does not answer"; "peer" => %peer.name);
     }
 }
--- a/crates/daemon/src/limits/spread.rs
+++ b/crates/daemon/src/limits/spread.rs
@@ -7,9 +7,12 @@
 
 use bankcove_core::Millis;
 use bankcove_core::limits::{LimitFact, UNDER_WAY_MS};
+use bankcove_core::members::Members;
+use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
-use crate::limits::{Limits, Parts, Source};
+use crate::base::Base;
+use crate::limits::{Limits, Source};
 use crate::peer::PeerServiceClient;
 
 /// Peers that are told at once. Each passes on what is new to it; with fewer some of 1,300
@@ -35,13 +38,13 @@
 /// Tells some peers what is new, until nobody finds anything new any more.
 pub fn spawn_tell(limits: &Limits) {
     if let Some(news) = limits.to_tell.lock().take() {
-        tokio::spawn(tell(limits.parts.clone(), news));
+        tokio::spawn(tell(limits.base.clone(), Arc::clone(&limits.members), news));
     }
 }
 
-async fn tell(parts: Parts, mut news: mpsc::Receiver<LimitFact>) {
+async fn tell(base: Base, members: Arc<Mutex<Members>>, mut news: mpsc::Receiver<LimitFact>) {
     while let Some(first) = news.recv().await {
-        let at = parts.clock.now();
+        let at = base.clock.now();
         tokio::time::sleep(GATHER).await;
         let mut facts = vec![first];
         while facts.len() < MOST_FACTS
@@ -49,20 +52,20 @@
         {
             facts.push(fact);
         }
-        let waited = parts.clock.now().saturating_sub(at);
+        let waited = base.clock.now().saturating_sub(at);
         for fact in &mut facts {
             fact.asked_age_ms += waited;
             fact.heard_age_ms += waited;
         }
         let pause = PAUSE_PER_FACT * facts.len() as u32;
-        tell_some(&parts, &facts);
+        tell_some(&base, &members, &facts);
         tokio::time::sleep(pause).await;
     }
 }
 
-fn tell_some(parts: &Parts, facts: &[LimitFact]) {
-    for peer in parts.members.lock().some(TOLD_AT_ONCE, rand::random()) {
-        let (peers, log, facts) = (Arc::clone(&parts.peers), parts.log.clone(), facts.to_vec());
+fn tell_some(base: &Base, members: &Mutex<Members>, facts: &[LimitFact]) {
+    for peer in members.lock().some(TOLD_AT_ONCE, rand::random()) {
+        let (peers, log, facts) = (Arc::clone(&base.peers), base.log.clone(), facts.to_vec());
         tokio::spawn(async move {
             let told =
                 |client: PeerServiceClient, cx| async move { client.told_limits(cx, facts).await };
@@ -76,7 +79,7 @@
 impl Limits {
     /// Takes in what a peer has told.
     pub fn told(&self, facts: &[LimitFact]) {
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let changes = self.change(|book| book.told(now, facts));
         for change in &changes {
             self.take_change(change, &Source::Peer);
@@ -85,7 +88,7 @@
 
     /// What is known here, for a peer: some of it, when it is much.
     pub fn facts(&self) -> Vec<LimitFact> {
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         self.book.lock().facts(now, MOST_FACTS, rand::random_range(0..usize::MAX))
     }
 
@@ -100,7 +103,7 @@
         if told == self.digest() {
             return;
         }
-        let now = self.parts.clock.now();
+        let now = self.base.clock.now();
         let asked_at = self.asked_at.load(Ordering::Relaxed);
         if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
             return;
@@ -109,9 +112,9 @@
         let (limits, address) = (Arc::clone(self), address.to_owned());
         tokio::spawn(async move {
             let ask = |client: PeerServiceClient, cx| async move { client.limit_facts(cx).await };
-            match limits.parts.peers.call(&address, CALL_TIMEOUT, ask).await {
+            match limits.base.peers.call(&address, CALL_TIMEOUT, ask).await {
                 Some(facts) => limits.told(&facts),
-                None => slog::debug!(limits.parts.log, "limits not asked for"; "peer" => &address),
+                None => slog::debug!(limits.base.log, "limits not asked for"; "peer" => &address),
             }
         });
     }
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -15,10 +15,10 @@
 use crate::budget::draws::ask_owner;
 use crate::budget::statement::statement;
 use crate::daemon::Daemon;
+use crate::dump;
 use crate::http::daemon;
 use crate::identity::tokens_match;
 use crate::view::table_sync::{self, EditError};
-use crate::{crashes, dump};
 
 /// Largest body that operators may send, in bytes.
 const MAX_BODY_BYTES: usize = 16 << 20;
@@ -167,7 +167,7 @@
 /// Requests that run nowhere any more.
 #[handler]
 async fn get_blocked(depot: &mut Depot, res: &mut Response) {
-    res.render(Json(crashes::blocks(&daemon(depot))));
+    res.render(Json(daemon(depot).crashes.blocks()));
 }
 
 /// Lets a blocked request run again, at all daemons.
@@ -182,11 +182,11 @@
             return fail(res, StatusCode::BAD_REQUEST, "bad_fingerprint", &message);
         }
     };
-    if !crashes::is_blocked(&daemon, request) {
+    if !daemon.crashes.is_blocked(request) {
         let message = format!("request '{request}' is not blocked");
         return fail(res, StatusCode::NOT_FOUND, "not_blocked", &message);
     }
-    crashes::lift(&daemon, request);
+    daemon.crashes.lift(request);
     res.render(Json(json!({"lifted": request})));
 }
 
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -22,7 +22,6 @@
 use crate::bill::request_log;
 use crate::budget::allotment::{self, AllotAnswer};
 use crate::budget::{collect, owner, statement};
-use crate::crashes::spread;
 use crate::daemon::Daemon;
 use crate::error::Result;
 use crate::fleet::membership;
@@ -152,11 +151,11 @@
     }
 
     async fn told_crashes(self, _: Context, facts: CrashFacts) {
-        spread::told(&self.daemon, facts);
+        self.daemon.crashes.told(facts);
     }
 
     async fn crash_facts(self, _: Context) -> CrashFacts {
-        spread::facts(&self.daemon)
+        self.daemon.crashes.facts()
     }
 
     async fn told_limits(self, _: Context, facts: Vec<LimitFact>) {
