--- a/crates/daemon/src/api/admission.rs
+++ b/crates/daemon/src/api/admission.rs
@@ -12,9 +12,10 @@
 
 use crate::api::answer::{Fate, Problem};
 use crate::bill::request_log;
-use crate::budget::budgets::{self, Refusal};
+use crate::budget::budgets::{self};
 use crate::daemon::Daemon;
 use crate::identity::hash_key;
+use crate::peer::Refusal;
 
 /// Header that names a budget other than the workspace's own.
 const BUDGET_HEADER: &str = "x-bankcove-budget";
@@ -118,7 +119,7 @@
 ) -> Result<Attempt<Admitted>, (Refusal, Attempt<Received>)> {
     // Nothing is rationed here: requests of this interface have no ranks.
     let wish = Wish { tokens, rank: 0, ration_s: 0.0 };
-    match budgets::reserve(daemon, &caller.budget, wish).await {
+    match budgets::reserve(&daemon.budgets, &caller.budget, wish).await {
         Ok(reservation) => Ok(attempt.admit(reservation)),
         Err(refusal) => Err((refusal, attempt)),
     }
@@ -147,7 +148,7 @@
     attempt: Attempt<Admitted>,
 ) -> Result<Attempt<Admitted>, Problem> {
     let entry = Entry::Claim { request: caller.request, attempt: attempt.id };
-    match request_log::submit(daemon, entry).await {
+    match request_log::submit(&daemon.billing, entry).await {
         Outcome::ClaimWon => Ok(attempt),
         Outcome::ClaimLost { by, billed } => {
             let _not_run = attempt.not_run(&mut daemon.budgets.holder());
--- a/crates/daemon/src/api/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -188,7 +188,7 @@
 /// know of drains.
 fn may_use(daemon: &Daemon, server: &Name) -> bool {
     let now = daemon.clock.now();
-    if !daemon.contact.is_isolated(now, daemon.cfg.limits.isolation_ms) {
+    if !daemon.fleet.contact.is_isolated(now, daemon.cfg.limits.isolation_ms) {
         return true;
     }
     let table = daemon.table.load();
--- a/crates/daemon/src/api/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -220,6 +220,6 @@
         output_tokens: price,
     };
     let _finished = attempt.finish(&mut daemon.budgets.holder(), Some(price));
-    billing::bill(daemon, bill).await;
+    billing::bill(&daemon.billing, bill).await;
     daemon.metrics.count("request.done");
 }
--- a/crates/daemon/src/api/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -335,7 +335,7 @@
         prompt_tokens: usage.prompt_tokens,
         output_tokens: usage.completion_tokens,
     };
-    let billed = billing::bill(daemon, bill).await;
+    let billed = billing::bill(&daemon.billing, bill).await;
     if billed == Billed::Repeat {
         daemon.metrics.count("bill.repeat");
     }
--- a/crates/daemon/src/bill/billing.rs
+++ b/crates/daemon/src/bill/billing.rs
@@ -6,10 +6,11 @@
 
 use bankcove_core::bill::Bill;
 use bankcove_core::reqlog::{Entry, Outcome};
+use bankcove_ports::Store;
 use parking_lot::Mutex;
 
-use crate::bill::request_log;
-use crate::daemon::Daemon;
+use crate::bill::request_log::{self, RequestLogs};
+use crate::fleet::Fleet;
 
 /// Peers that keep a copy of a bill while the store is away.
 const COPIES: usize = 2;
@@ -35,13 +36,29 @@
 }
 
 /// Entries that wait.
-#[derive(Debug, Default)]
 pub struct Billing {
+    /// The other daemons.
+    pub fleet: Fleet,
+    /// The platform's store.
+    pub store: Store,
+    /// Shards of the request log.
+    pub logs: RequestLogs,
     waiting: Mutex<VecDeque<Entry>>,
     handing_over: tokio::sync::Mutex<()>,
 }
 
 impl Billing {
+    /// Nothing waits.
+    pub fn new(fleet: Fleet, store: Store) -> Self {
+        Billing {
+            fleet,
+            store,
+            logs: RequestLogs::default(),
+            waiting: Mutex::default(),
+            handing_over: tokio::sync::Mutex::default(),
+        }
+    }
+
     /// Keeps an entry until the store takes it.
     pub fn keep(&self, entry: Entry) {
         self.waiting.lock().push_back(entry);
@@ -55,57 +72,59 @@
 
 /// Bills a request: returns once the store has the bill, or, while the store
 /// is away, once peers keep copies and this daemon goes on trying.
-pub async fn bill(daemon: &Arc<Daemon>, bill: Bill) -> Billed {
+pub async fn bill(billing: &Arc<Billing>, bill: Bill) -> Billed {
     let entry = Entry::Bill(bill.clone());
-    let wait = Duration::from_millis(daemon.cfg.limits.bill_wait_ms);
-    let submitted = tokio::time::timeout(wait, request_log::submit(daemon, entry.clone())).await;
+    let wait = Duration::from_millis(billing.fleet.base.cfg.limits.bill_wait_ms);
+    let submitted = tokio::time::timeout(wait, request_log::submit(billing, entry.clone())).await;
     match submitted {
         Ok(Outcome::Billed { first: true }) => return Billed::First,
         Ok(Outcome::Billed { first: false }) => return Billed::Repeat,
         Ok(_) | Err(_) => {}
     }
-    daemon.billing.keep(entry);
-    daemon.metrics.count("bill.kept");
-    let copies = copy_to_peers(daemon, &bill).await;
-    slog::warn!(daemon.log, "bill waits for the store"; "request" => %bill.request, "copies" => copies);
+    billing.keep(entry);
+    billing.fleet.base.metrics.count("bill.kept");
+    let copies = copy_to_peers(billing, &bill).await;
+    slog::warn!(billing.fleet.base.log, "bill waits for the store"; "request" => %bill.request, "copies" => copies);
     Billed::Kept { copies }
 }
 
-async fn copy_to_peers(daemon: &Arc<Daemon>, bill: &Bill) -> usize {
-    let peers = daemon.members.lock().owners(bill.request.0 as u64, COPIES + 1);
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+async fn copy_to_peers(billing: &Arc<Billing>, bill: &Bill) -> usize {
+    let peers = billing.fleet.members.lock().owners(bill.request.0 as u64, COPIES + 1);
+    let timeout = Duration::from_millis(billing.fleet.base.cfg.limits.gather_timeout_ms);
     let mut copies = 0;
     for peer in peers.into_iter().flatten().take(COPIES) {
         let bill = bill.clone();
         let keep = |client: crate::peer::PeerServiceClient, cx| async move {
             client.keep_bill(cx, bill).await
         };
-        copies += usize::from(daemon.peers.call(&peer.address, timeout, keep).await.is_some());
+        copies += usize::from(
+            billing.fleet.base.peers.call(&peer.address, timeout, keep).await.is_some(),
+        );
     }
     copies
 }
 
 /// Hands over what waits, until the daemon ends.
-pub async fn hand_over(daemon: Arc<Daemon>) {
+pub async fn hand_over(billing: Arc<Billing>) {
     loop {
         tokio::select! {
             () = tokio::time::sleep(RETRY) => {}
-            () = daemon.ended.cancelled() => return,
+            () = billing.fleet.base.ended.cancelled() => return,
         }
-        hand_over_once(&daemon).await;
+        hand_over_once(&billing).await;
     }
 }
 
 /// Hands over one batch of what waits.
-pub async fn hand_over_once(daemon: &Arc<Daemon>) {
-    let _one_at_a_time = daemon.billing.handing_over.lock().await;
+pub async fn hand_over_once(billing: &Arc<Billing>) {
+    let _one_at_a_time = billing.handing_over.lock().await;
     let batch: Vec<Entry> = {
-        let waiting = daemon.billing.waiting.lock();
+        let waiting = billing.waiting.lock();
         waiting.iter().take(BATCH).cloned().collect()
     };
-    let submit = batch.iter().map(|entry| request_log::submit(daemon, entry.clone()));
+    let submit = batch.iter().map(|entry| request_log::submit(billing, entry.clone()));
     let outcomes = futures::future::join_all(submit).await;
-    let mut waiting = daemon.billing.waiting.lock();
+    let mut waiting = billing.waiting.lock();
     // Entries join only at the back, so the batch is still at the front.
     for (entry, outcome) in batch.into_iter().zip(outcomes) {
         waiting.pop_front();
--- a/crates/daemon/src/bill/request_log.rs
+++ b/crates/daemon/src/bill/request_log.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::daemon::Daemon;
+use crate::bill::billing::Billing;
 use crate::mailbox::{Tickets, after, later};
 
 /// Owners that are tried before this daemon appends itself.
@@ -65,46 +65,47 @@
 
 /// Appends an entry by way of the shard's owner, else by this daemon itself.
 /// Submitting an entry twice does no harm: the log tells what it came to.
-pub async fn submit(daemon: &Arc<Daemon>, entry: Entry) -> Outcome {
-    let owners = daemon.members.lock().owners(OWNER_KEY + u64::from(entry.shard()), OWNERS_TRIED);
-    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+pub async fn submit(billing: &Arc<Billing>, entry: Entry) -> Outcome {
+    let owners =
+        billing.fleet.members.lock().owners(OWNER_KEY + u64::from(entry.shard()), OWNERS_TRIED);
+    let timeout = Duration::from_millis(billing.fleet.base.cfg.limits.peer_timeout_ms);
     for owner in owners {
         let Some(owner) = owner else { break };
         let sent = entry.clone();
         let ask = |client: crate::peer::PeerServiceClient, cx| async move {
             client.submit(cx, sent).await
         };
-        match daemon.peers.call(&owner.address, timeout, ask).await {
+        match billing.fleet.base.peers.call(&owner.address, timeout, ask).await {
             // The owner may be cut off from the store alone.
             Some(Outcome::StoreAway) => {}
             Some(outcome) => return outcome,
-            None => daemon.members.lock().failed(&owner.name),
+            None => billing.fleet.members.lock().failed(&owner.name),
         }
     }
-    submit_here(daemon, entry).await
+    submit_here(billing, entry).await
 }
 
 /// Appends an entry by this daemon itself.
-pub async fn submit_here(daemon: &Arc<Daemon>, entry: Entry) -> Outcome {
+pub async fn submit_here(billing: &Arc<Billing>, entry: Entry) -> Outcome {
     let (tx, rx) = oneshot::channel();
-    let log = local_log(daemon, entry.shard());
+    let log = local_log(billing, entry.shard());
     if log.send(Mail::Submitted(entry, tx)).is_err() {
         return Outcome::StoreAway;
     }
     rx.await.unwrap_or(Outcome::StoreAway)
 }
 
-fn local_log(daemon: &Arc<Daemon>, shard: u32) -> mpsc::UnboundedSender<Mail> {
-    let mut shards = daemon.requests.shards.lock();
+fn local_log(billing: &Arc<Billing>, shard: u32) -> mpsc::UnboundedSender<Mail> {
+    let mut shards = billing.logs.shards.lock();
     let log = shards.entry(shard).or_insert_with(|| {
         let (tx, rx) = mpsc::unbounded_channel();
         let task = LogTask {
             shard,
-            daemon: Arc::downgrade(daemon),
+            billing: Arc::downgrade(billing),
             tx: tx.downgrade(),
             tickets: Tickets::default(),
         };
-        tokio::spawn(task.run(RequestLog::new(daemon.cfg.limits.log_append_ms), rx));
+        tokio::spawn(task.run(RequestLog::new(billing.fleet.base.cfg.limits.log_append_ms), rx));
         tx
     });
     log.clone()
@@ -113,7 +114,7 @@
 /// The task of one log shard; it ends when its channel is closed.
 struct LogTask {
     shard: u32,
-    daemon: Weak<Daemon>,
+    billing: Weak<Billing>,
     tx: mpsc::WeakUnboundedSender<Mail>,
     tickets: Tickets<Outcome>,
 }
@@ -121,7 +122,7 @@
 impl LogTask {
     async fn run(mut self, mut machine: RequestLog, mut rx: mpsc::UnboundedReceiver<Mail>) {
         while let Some(mail) = rx.recv().await {
-            let Some(daemon) = self.daemon.upgrade() else { return };
+            let Some(billing) = self.billing.upgrade() else { return };
             let event = match mail {
                 Mail::Event(event) => event,
                 Mail::Submitted(entry, reply) => Event::Submitted(self.tickets.add(reply), entry),
@@ -137,23 +138,26 @@
                     continue;
                 }
             };
-            let commands = machine.handle(daemon.clock.unix_ms(), event);
-            self.carry_out(&daemon, commands);
+            let commands = machine.handle(billing.fleet.base.clock.unix_ms(), event);
+            self.carry_out(&billing, commands);
         }
     }
 
-    fn carry_out(&mut self, daemon: &Arc<Daemon>, commands: Vec<Command>) {
+    fn carry_out(&mut self, billing: &Arc<Billing>, commands: Vec<Command>) {
         let mut wake_at: Option<Millis> = None;
         for command in commands {
             match command {
                 Command::FindNewest => {
-                    later(&self.tx, event(find_newest(Arc::clone(daemon), self.shard)))
+                    later(&self.tx, event(find_newest(Arc::clone(billing), self.shard)))
                 }
                 Command::Read(number) => {
-                    later(&self.tx, event(read(Arc::clone(daemon), self.shard, number)))
+                    later(&self.tx, event(read(Arc::clone(billing), self.shard, number)))
                 }
                 Command::Append(number, segment) => {
-                    later(&self.tx, event(append(Arc::clone(daemon), self.shard, number, segment)));
+                    later(
+                        &self.tx,
+                        event(append(Arc::clone(billing), self.shard, number, segment)),
+                    );
                 }
                 Command::Answer(ticket, outcome) => self.tickets.answer(ticket, outcome),
                 Command::WakeAt(at) => {
@@ -162,7 +166,7 @@
             }
         }
         if let Some(at) = wake_at {
-            let wait = at.saturating_sub(daemon.clock.unix_ms());
+            let wait = at.saturating_sub(billing.fleet.base.clock.unix_ms());
             after(&self.tx, wait, Mail::Event(Event::Tick));
         }
     }
@@ -172,24 +176,24 @@
     Mail::Event(work.await)
 }
 
-async fn find_newest(daemon: Arc<Daemon>, shard: u32) -> Event {
-    match daemon.store.last_name(Kind::RequestLog(shard)).await {
+async fn find_newest(billing: Arc<Billing>, shard: u32) -> Event {
+    match billing.store.last_name(Kind::RequestLog(shard)).await {
         Ok(name) => Event::Newest(name.and_then(|name| name.parse().ok())),
-        Err(e) => away(&daemon, shard, &e),
+        Err(e) => away(&billing, shard, &e),
     }
 }
 
-async fn read(daemon: Arc<Daemon>, shard: u32, number: u64) -> Event {
+async fn read(billing: Arc<Billing>, shard: u32, number: u64) -> Event {
     let name = segment_name(number);
-    match daemon.store.read::<Segment>(Kind::RequestLog(shard), &name).await {
+    match billing.store.read::<Segment>(Kind::RequestLog(shard), &name).await {
         Ok(read) => Event::SegmentRead(number, read.map(|read| read.value)),
-        Err(e) => away(&daemon, shard, &e),
+        Err(e) => away(&billing, shard, &e),
     }
 }
 
-async fn append(daemon: Arc<Daemon>, shard: u32, number: u64, segment: Segment) -> Event {
+async fn append(billing: Arc<Billing>, shard: u32, number: u64, segment: Segment) -> Event {
     let name = segment_name(number);
-    match daemon.store.write(Kind::RequestLog(shard), &name, 0, &segment).await {
+    match billing.store.write(Kind::RequestLog(shard), &name, 0, &segment).await {
         WriteOutcome::Written(_) => Event::Appended,
         WriteOutcome::Conflict(_) => Event::Conflict,
         WriteOutcome::Ambiguous => Event::Ambiguous,
@@ -197,7 +201,7 @@
     }
 }
 
-fn away(daemon: &Daemon, shard: u32, e: &bankcove_ports::Error) -> Event {
-    slog::warn!(daemon.log, "log shard not read"; "shard" => shard, "error" => %e);
+fn away(billing: &Billing, shard: u32, e: &bankcove_ports::Error) -> Event {
+    slog::warn!(billing.fleet.base.log, "log shard not read"; "shard" => shard, "error" => %e);
     Event::StoreAway
 }
--- a/crates/daemon/src/budget/borrow.rs
+++ b/crates/daemon/src/budget/borrow.rs
@@ -12,8 +12,7 @@
 use bankcove_core::table::Budget;
 use futures::future::join_all;
 
-use crate::budget::budgets::terms;
-use crate::daemon::Daemon;
+use crate::budget::budgets::{Budgets, terms};
 use crate::peer::PeerServiceClient;
 
 /// Peers asked at once: all others of a small fleet, others each time in a large
@@ -28,12 +27,12 @@
 const ASKED_PER_MISSING: Tokens = 2;
 
 /// Borrows `missing` tokens; whether all of them came.
-pub async fn borrow(daemon: &Arc<Daemon>, budget: &Budget, missing: Tokens) -> bool {
+pub async fn borrow(budgets: &Arc<Budgets>, budget: &Budget, missing: Tokens) -> bool {
     // Sealed grants are collected by the owner.
-    if daemon.cfg.limits.witnesses > 0 || daemon.contact.is_alone() {
+    if budgets.fleet.base.cfg.limits.witnesses > 0 || budgets.fleet.contact.is_alone() {
         return false;
     }
-    let lenders = daemon.members.lock().some(LENDERS, rand::random());
+    let lenders = budgets.fleet.members.lock().some(LENDERS, rand::random());
     let mut borrowed = 0;
     for round in 0..ROUNDS {
         if lenders.is_empty() || borrowed >= missing {
@@ -42,26 +41,31 @@
         let wanted = missing - borrowed;
         let part = (wanted * ASKED_PER_MISSING).div_ceil(lenders.len() as Tokens);
         let each = if round == 0 { part.min(wanted) } else { wanted };
-        let asked = lenders.iter().map(|peer| borrow_from(daemon, budget, peer, each));
+        let asked = lenders.iter().map(|peer| borrow_from(budgets, budget, peer, each));
         borrowed += join_all(asked).await.into_iter().sum::<Tokens>();
     }
-    slog::info!(daemon.log, "tokens borrowed";
+    slog::info!(budgets.fleet.base.log, "tokens borrowed";
         "budget" => %budget.name, "missing" => missing, "borrowed" => borrowed,
         "peers" => lenders.len());
     borrowed >= missing
 }
 
-async fn borrow_from(daemon: &Arc<Daemon>, budget: &Budget, peer: &Peer, tokens: Tokens) -> Tokens {
-    let terms = terms(daemon, budget);
-    let now = daemon.clock.now();
-    let mut ask = daemon.budgets.holder().ask(&budget.name, peer.incarnation, 0, &terms, now);
+async fn borrow_from(
+    budgets: &Arc<Budgets>,
+    budget: &Budget,
+    peer: &Peer,
+    tokens: Tokens,
+) -> Tokens {
+    let terms = terms(budgets, budget);
+    let now = budgets.fleet.base.clock.now();
+    let mut ask = budgets.holder().ask(&budget.name, peer.incarnation, 0, &terms, now);
     ask.want = tokens;
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let timeout = Duration::from_millis(budgets.fleet.base.cfg.limits.gather_timeout_ms);
     let call = |client: PeerServiceClient, cx| async move { client.lend(cx, ask).await };
-    match daemon.peers.call(&peer.address, timeout, call).await {
-        Some(lent) => daemon.budgets.holder().lent(&budget.name, lent),
+    match budgets.fleet.base.peers.call(&peer.address, timeout, call).await {
+        Some(lent) => budgets.holder().lent(&budget.name, lent),
         None => {
-            daemon.members.lock().failed(&peer.name);
+            budgets.fleet.members.lock().failed(&peer.name);
             0
         }
     }
--- a/crates/daemon/src/budget/budgets.rs
+++ b/crates/daemon/src/budget/budgets.rs
@@ -3,21 +3,23 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use arc_swap::ArcSwapOption;
 use bankcove_core::holder::{Holder, Keeps, Reservation, Shortfall, Terms, Wish};
-use bankcove_core::owner::{RETRY_LATER_MS, RETRY_SOON_MS};
-use bankcove_core::table::Budget;
+use bankcove_core::owner::RETRY_SOON_MS;
+use bankcove_core::table::{Budget, Table};
 use bankcove_core::witness::Marks;
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
+use bankcove_ports::Store;
 use parking_lot::Mutex;
-use serde::{Deserialize, Serialize};
+use tokio_util::sync::CancellationToken;
 
 use crate::budget::allotment::{ask_for_tokens, owners, owners_to_ask};
 use crate::budget::borrow;
 use crate::budget::collect::open;
 use crate::budget::draws::draw;
 use crate::budget::owner::Owners;
-use crate::daemon::Daemon;
-use crate::fleet::{fleet_size, is_small_fleet};
+use crate::fleet::Fleet;
+use crate::peer::Refusal;
 
 /// Draws for one request before it is refused: each may bring tokens that
 /// another request takes first.
@@ -59,34 +61,6 @@
     Store,
 }
 
-/// Why tokens were refused.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Refusal {
-    /// When it is worth asking again.
-    pub retry_after_ms: Millis,
-    /// Whether the store was away, so that more may be there.
-    pub store_away: bool,
-    /// What the request may take at most of the rest of the budget, when that is why.
-    pub ration: Option<Tokens>,
-}
-
-impl Refusal {
-    /// Too little is left of the budget.
-    pub(crate) fn short(retry_after_ms: Millis) -> Self {
-        Refusal { retry_after_ms, store_away: false, ration: None }
-    }
-
-    /// More may be left, but out of reach.
-    pub(crate) fn out_of_reach(retry_after_ms: Millis) -> Self {
-        Refusal { retry_after_ms, store_away: true, ration: None }
-    }
-
-    /// Too little is left for a request of this size.
-    pub(crate) fn rationed(ration: Tokens) -> Self {
-        Refusal { retry_after_ms: RETRY_LATER_MS, store_away: false, ration: Some(ration) }
-    }
-}
-
 /// The outcome of the last draw that brought too little.
 #[derive(Debug, Default, Clone, Copy)]
 struct LastShort {
@@ -103,8 +77,17 @@
 }
 
 /// Budgets of one daemon.
-#[derive(Debug)]
 pub struct Budgets {
+    /// The other daemons.
+    pub fleet: Fleet,
+    /// The platform's store.
+    pub store: Store,
+    /// The table in force.
+    pub table: Arc<ArcSwapOption<Table>>,
+    /// Cancelled when a planned stop begins.
+    pub leaving: CancellationToken,
+    /// Cancelled when a planned stop takes no more requests.
+    pub stopping: CancellationToken,
     holder: Mutex<Holder>,
     /// The shards that this daemon owns.
     pub owners: Owners,
@@ -119,9 +102,21 @@
 
 impl Budgets {
     /// Budgets of a daemon that holds nothing yet.
-    pub fn new(incarnation: Incarnation) -> Self {
+    pub fn new(
+        fleet: Fleet,
+        store: Store,
+        table: Arc<ArcSwapOption<Table>>,
+        leaving: CancellationToken,
+        stopping: CancellationToken,
+    ) -> Self {
+        let holder = Mutex::new(Holder::new(fleet.base.incarnation));
         Budgets {
-            holder: Mutex::new(Holder::new(incarnation)),
+            fleet,
+            store,
+            table,
+            leaving,
+            stopping,
+            holder,
             owners: Owners::default(),
             draws: Mutex::new(HashMap::new()),
             ahead: Mutex::new(HashMap::new()),
@@ -165,30 +160,30 @@
 /// # Errors
 /// [`Refusal`] when too little can be had anywhere in reach.
 pub async fn reserve(
-    daemon: &Arc<Daemon>,
+    budgets: &Arc<Budgets>,
     budget: &Budget,
     wish: Wish,
 ) -> Result<Reservation, Refusal> {
-    let arrived = daemon.clock.now();
-    let try_now = || daemon.budgets.holder.lock().reserve(&budget.name, wish.tokens, arrived);
+    let arrived = budgets.fleet.base.clock.now();
+    let try_now = || budgets.holder.lock().reserve(&budget.name, wish.tokens, arrived);
     if let Ok(reservation) = try_now() {
-        if daemon.cfg.limits.witnesses > 0 {
-            prepare(daemon, budget);
+        if budgets.fleet.base.cfg.limits.witnesses > 0 {
+            prepare(budgets, budget);
         }
         return Ok(reservation);
     }
-    obtain(daemon, budget, Source::Owner(Some(wish)), arrived, try_now).await
+    obtain(budgets, budget, Source::Owner(Some(wish)), arrived, try_now).await
 }
 
 /// Draws until `try_now` has what it takes.
 pub(crate) async fn obtain<T>(
-    daemon: &Arc<Daemon>,
+    budgets: &Arc<Budgets>,
     budget: &Budget,
     source: Source,
     arrived: Millis,
     try_now: impl Fn() -> Result<T, Shortfall>,
 ) -> Result<T, Refusal> {
-    let last = Arc::clone(daemon.budgets.draws.lock().entry(budget.name.clone()).or_default());
+    let last = Arc::clone(budgets.draws.lock().entry(budget.name.clone()).or_default());
     let mut last = last.lock().await;
     for _ in 0..DRAWS {
         let Shortfall { missing } = match try_now() {
@@ -206,13 +201,13 @@
             return Err(refusal);
         }
         // Witnesses are nearer than the store, and there when it is away.
-        if open(daemon, &budget.name, missing).await {
+        if open(budgets, &budget.name, missing).await {
             continue;
         }
-        let asked_at = daemon.clock.now();
-        let Err(refusal) = refill(daemon, budget, missing, source).await else { continue };
+        let asked_at = budgets.fleet.base.clock.now();
+        let Err(refusal) = refill(budgets, budget, missing, source).await else { continue };
         // In a large fleet owners hold what there is, and they have been asked.
-        if is_small_fleet(daemon) && borrow::borrow(daemon, budget, missing).await {
+        if budgets.fleet.is_small() && borrow::borrow(budgets, budget, missing).await {
             continue;
         }
         *last = LastShort { asked_at, need: missing, refusal: Some(refusal) };
@@ -224,34 +219,34 @@
 
 /// Brings `need` more tokens and some ahead.
 pub(crate) async fn refill(
-    daemon: &Arc<Daemon>,
+    budgets: &Arc<Budgets>,
     budget: &Budget,
     need: Tokens,
     source: Source,
 ) -> Result<(), Refusal> {
     let (owners, wish) = match source {
-        Source::Owner(wish) => (owners(daemon, budget), wish),
+        Source::Owner(wish) => (owners(budgets, budget), wish),
         Source::Store => (Vec::new(), None),
     };
     let has_owners = !owners.is_empty();
     for owner in owners {
-        let Some(owner) = owner else { return draw(daemon, budget, need).await };
-        if let Some(outcome) = ask_for_tokens(daemon, budget, need, wish, &owner).await {
+        let Some(owner) = owner else { return draw(budgets, budget, need).await };
+        if let Some(outcome) = ask_for_tokens(budgets, budget, need, wish, &owner).await {
             return outcome;
         }
     }
-    let is_unknown = daemon.cfg.limits.witnesses == 0 && fleet_size(daemon).is_none();
-    if (has_owners || is_unknown) && !daemon.contact.is_alone() {
+    let is_unknown = budgets.fleet.base.cfg.limits.witnesses == 0 && budgets.fleet.size().is_none();
+    if (has_owners || is_unknown) && !budgets.fleet.contact.is_alone() {
         // Were all that get no answer to write themselves, they would stand in
         // each other's way, and in the owners'.
         return Err(Refusal::out_of_reach(RETRY_SOON_MS));
     }
-    draw(daemon, budget, need).await
+    draw(budgets, budget, need).await
 }
 
 /// The terms of a budget's row for this daemon now: how far ahead it draws, and for whom,
 /// follows from the size of the fleet, from who owns the budget, and from a planned stop.
-pub(crate) fn terms(daemon: &Daemon, budget: &Budget) -> Terms {
+pub(crate) fn terms(budgets: &Budgets, budget: &Budget) -> Terms {
     let terms = Terms {
         tokens: budget.tokens,
         version: budget.version,
@@ -260,28 +255,28 @@
         held_ahead: budget.held_ahead,
         kept_for_others: 0.0,
         keeps: Keeps::ForItself,
-        daemons: fleet_size(daemon).map_or(UNKNOWN_FLEET, |size| size as u64),
+        daemons: budgets.fleet.size().map_or(UNKNOWN_FLEET, |size| size as u64),
     };
-    if daemon.cfg.limits.witnesses > 0 {
-        let daemons = 1 + daemon.members.lock().usable().count() as u64;
+    if budgets.fleet.base.cfg.limits.witnesses > 0 {
+        let daemons = 1 + budgets.fleet.members.lock().usable().count() as u64;
         return Terms { daemons, ..terms };
     }
-    if daemon.leaving.is_cancelled() {
+    if budgets.leaving.is_cancelled() {
         // What it holds goes back before the kill, and is drawn anew where it is needed.
-        let is_stopping = daemon.stopping.is_cancelled();
+        let is_stopping = budgets.stopping.is_cancelled();
         let horizon_s = if is_stopping { 0.0 } else { LEAVING_HORIZON_S };
         return Terms { horizon_s, held_ahead: 0.0, ..terms };
     }
-    if is_small_fleet(daemon) {
+    if budgets.fleet.is_small() {
         // Alone as it seems at first, this daemon would take all shares for itself.
-        let is_new = daemon.clock.now() < MEMBERS_KNOWN_MS;
+        let is_new = budgets.fleet.base.clock.now() < MEMBERS_KNOWN_MS;
         let daemons = if is_new { terms.daemons.max(UNKNOWN_FLEET) } else { terms.daemons };
         return Terms { daemons, ..terms };
     }
     // In a large fleet an equal share is less than one request: the owner keeps for all.
     // Until spending is known it keeps some: with the store away as callers came, nobody
     // had anything to hand on, and two thirds of them were refused for 12 s.
-    let is_owner = fleet_size(daemon).is_some() && owners_to_ask(daemon, budget).is_empty();
+    let is_owner = budgets.fleet.size().is_some() && owners_to_ask(budgets, budget).is_empty();
     if is_owner {
         let kept_for_others = KEPT_FOR_OTHERS;
         return Terms { held_ahead: 0.0, kept_for_others, keeps: Keeps::ForFleet, ..terms };
@@ -290,29 +285,29 @@
 }
 
 /// Opens and draws ahead when little is left, away from the path of any request.
-pub(crate) fn prepare(daemon: &Arc<Daemon>, budget: &Budget) {
-    let terms = terms(daemon, budget);
-    let now = daemon.clock.now();
+pub(crate) fn prepare(budgets: &Arc<Budgets>, budget: &Budget) {
+    let terms = terms(budgets, budget);
+    let now = budgets.fleet.base.clock.now();
     let (closes, runs_low) = {
-        let holder = daemon.budgets.holder.lock();
+        let holder = budgets.holder.lock();
         (holder.is_nearly_closed(&budget.name, now), holder.runs_low(&budget.name, &terms, now))
     };
     if !closes && !runs_low {
         return;
     }
-    if !daemon.budgets.begin_ahead(&budget.name, now) {
+    if !budgets.begin_ahead(&budget.name, now) {
         return;
     }
-    let (daemon, budget) = (Arc::clone(daemon), budget.clone());
+    let (budgets, budget) = (Arc::clone(budgets), budget.clone());
     tokio::spawn(async move {
-        let is_opened = closes && open(&daemon, &budget.name, 0).await;
+        let is_opened = closes && open(&budgets, &budget.name, 0).await;
         if !is_opened {
             // Nobody waits for it: the next request finds out what came.
-            let _refused = refill(&daemon, &budget, 0, Source::Owner(None)).await;
+            let _refused = refill(&budgets, &budget, 0, Source::Owner(None)).await;
         }
-        daemon.budgets.end_ahead(&budget.name);
-        if daemon.budgets.holder().owes(&budget.name) {
-            prepare(&daemon, &budget);
+        budgets.end_ahead(&budget.name);
+        if budgets.holder().owes(&budget.name) {
+            prepare(&budgets, &budget);
         }
     });
 }
--- a/crates/daemon/src/budget/collect.rs
+++ b/crates/daemon/src/budget/collect.rs
@@ -12,9 +12,8 @@
 use futures::future::join_all;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::budget::budgets::OWNER_KEY;
+use crate::budget::budgets::{Budgets, OWNER_KEY};
 use crate::budget::owner::ask_local_owner;
-use crate::daemon::Daemon;
 use crate::peer::{GiveAnswer, PeerServiceClient};
 use crate::tcp::{Reach, reach};
 
@@ -26,10 +25,10 @@
 const UNLISTED_HOLDERS_ASKED: usize = 32;
 
 /// Peers that are to attest what this daemon opens while the store is away.
-pub fn witnesses(daemon: &Daemon) -> Vec<Witness> {
-    let key = xxh3_64(daemon.cfg.name.as_str().as_bytes());
-    let count = daemon.cfg.limits.witnesses;
-    let ranked = daemon.members.lock().owners(key, count + 1);
+pub fn witnesses(budgets: &Budgets) -> Vec<Witness> {
+    let key = xxh3_64(budgets.fleet.base.cfg.name.as_str().as_bytes());
+    let count = budgets.fleet.base.cfg.limits.witnesses;
+    let ranked = budgets.fleet.members.lock().owners(key, count + 1);
     let peers = ranked.into_iter().flatten().take(count);
     let witness = |peer: Peer| {
         Some(Witness { incarnation: peer.incarnation?, address: Arc::from(peer.address) })
@@ -39,77 +38,77 @@
 
 /// Opens `tokens` more of this daemon's grant, and some ahead, by its witnesses'
 /// word; false when nothing is sealed or they do not agree.
-pub async fn open(daemon: &Arc<Daemon>, budget: &Name, tokens: Tokens) -> bool {
-    let now = daemon.clock.now();
-    let Some(opening) = daemon.budgets.holder().opening(budget, tokens, now) else {
+pub async fn open(budgets: &Arc<Budgets>, budget: &Name, tokens: Tokens) -> bool {
+    let now = budgets.fleet.base.clock.now();
+    let Some(opening) = budgets.holder().opening(budget, tokens, now) else {
         return false;
     };
-    let (me, opened) = (daemon.incarnation, opening.opened);
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let (me, opened) = (budgets.fleet.base.incarnation, opening.opened);
+    let timeout = Duration::from_millis(budgets.fleet.base.cfg.limits.gather_timeout_ms);
     let asks = opening.witnesses.iter().map(|witness| {
         let (budget, incarnation) = (budget.clone(), witness.incarnation);
         let ask = move |client: PeerServiceClient, cx| async move {
             client.open(cx, me, incarnation, budget, opened).await
         };
-        daemon.peers.call(&witness.address, timeout, ask)
+        budgets.fleet.base.peers.call(&witness.address, timeout, ask)
     });
     let agreed = join_all(asks).await.into_iter().all(|agreed| agreed == Some(true));
-    agreed && daemon.budgets.holder().opening_agreed(budget, &opening)
+    agreed && budgets.holder().opening_agreed(budget, &opening)
 }
 
 /// Sends a peer what is free and what is sealed, as far as it can be opened.
 pub async fn give_all(
-    daemon: &Arc<Daemon>,
+    budgets: &Arc<Budgets>,
     budget: &Name,
     receiver: Incarnation,
     received: Tokens,
     most: Tokens,
 ) -> GiveAnswer {
-    if daemon.budgets.holder().sealed(budget) > 0 {
-        open(daemon, budget, Tokens::MAX).await;
+    if budgets.holder().sealed(budget) > 0 {
+        open(budgets, budget, Tokens::MAX).await;
     }
-    let mut holder = daemon.budgets.holder();
+    let mut holder = budgets.holder();
     let cumulative = holder.give(budget, receiver, received, most);
     let more_later = holder.reserved(budget) + holder.sealed(budget);
     GiveAnswer::Sent { cumulative, reserved: more_later }
 }
 
 /// Collects what other holders have free of a budget.
-pub async fn gather(daemon: Arc<Daemon>, budget: Name, listed: Vec<HolderRef>) -> Event {
-    let holders = with_unlisted(&daemon, &budget, listed);
-    if daemon.budgets.holder().sealed(&budget) > 0 {
-        open(&daemon, &budget, Tokens::MAX).await;
+pub async fn gather(budgets: Arc<Budgets>, budget: Name, listed: Vec<HolderRef>) -> Event {
+    let holders = with_unlisted(&budgets, &budget, listed);
+    if budgets.holder().sealed(&budget) > 0 {
+        open(&budgets, &budget, Tokens::MAX).await;
     }
-    let now = daemon.clock.now();
+    let now = budgets.fleet.base.clock.now();
     let silent: HashSet<Incarnation> = {
-        let mut silent = daemon.budgets.silent.lock();
+        let mut silent = budgets.silent.lock();
         silent.retain(|_, until| *until > now);
         silent.keys().copied().collect()
     };
     let skipped = holders.iter().any(|holder| silent.contains(&holder.incarnation));
     let asked = holders.iter().filter(|holder| !silent.contains(&holder.incarnation));
-    let answers = join_all(asked.map(|holder| gather_from(&daemon, &budget, holder)));
+    let answers = join_all(asked.map(|holder| gather_from(&budgets, &budget, holder)));
     let answers = answers.await;
     let more_elsewhere = answers.iter().any(|more| *more);
     let (free, reserved) = {
-        let holder = daemon.budgets.holder();
+        let holder = budgets.holder();
         (holder.free(&budget), holder.reserved(&budget))
     };
-    slog::info!(daemon.log, "tokens collected";
+    slog::info!(budgets.fleet.base.log, "tokens collected";
         "budget" => %budget, "free" => free, "holders" => holders.len(),
-        "asked" => answers.len(), "peers" => daemon.members.lock().usable().count(),
-        "took_ms" => daemon.clock.now().saturating_sub(now));
+        "asked" => answers.len(), "peers" => budgets.fleet.members.lock().usable().count(),
+        "took_ms" => budgets.fleet.base.clock.now().saturating_sub(now));
     let more_may_come = skipped || more_elsewhere || reserved > 0;
     Event::Gathered { free, budget, more_may_come }
 }
 
 /// Adds those that may hold tokens without a grant: whom this daemon has sent
 /// some, and peers that may have collected as owners before it.
-fn with_unlisted(daemon: &Arc<Daemon>, budget: &Name, listed: Vec<HolderRef>) -> Vec<HolderRef> {
-    let receivers: HashSet<Incarnation> =
-        daemon.budgets.holder().receivers(budget).into_iter().collect();
-    let key = OWNER_KEY + u64::from(shard_of_budget(budget, daemon.cfg.limits.budget_shards));
-    let members = daemon.members.lock();
+fn with_unlisted(budgets: &Arc<Budgets>, budget: &Name, listed: Vec<HolderRef>) -> Vec<HolderRef> {
+    let receivers: HashSet<Incarnation> = budgets.holder().receivers(budget).into_iter().collect();
+    let key =
+        OWNER_KEY + u64::from(shard_of_budget(budget, budgets.fleet.base.cfg.limits.budget_shards));
+    let members = budgets.fleet.members.lock();
     let ranked = members.owners(key, UNLISTED_HOLDERS_ASKED).into_iter().flatten();
     let sent_to = members.usable().filter(|peer| {
         peer.incarnation.is_some_and(|incarnation| receivers.contains(&incarnation))
@@ -127,30 +126,30 @@
 }
 
 /// Collects from one holder; returns whether more may come from it later.
-async fn gather_from(daemon: &Arc<Daemon>, budget: &Name, holder: &HolderRef) -> bool {
-    let (me, incarnation) = (daemon.incarnation, holder.incarnation);
-    let received = daemon.budgets.holder().received_from(budget, incarnation);
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+async fn gather_from(budgets: &Arc<Budgets>, budget: &Name, holder: &HolderRef) -> bool {
+    let (me, incarnation) = (budgets.fleet.base.incarnation, holder.incarnation);
+    let received = budgets.holder().received_from(budget, incarnation);
+    let timeout = Duration::from_millis(budgets.fleet.base.cfg.limits.gather_timeout_ms);
     let wanted = budget.clone();
     let ask = |client: PeerServiceClient, cx| async move {
         client.give(cx, wanted, incarnation, me, received, Tokens::MAX).await
     };
-    match daemon.peers.call(&holder.address, timeout, ask).await {
+    match budgets.fleet.base.peers.call(&holder.address, timeout, ask).await {
         Some(GiveAnswer::Sent { cumulative, reserved }) => {
-            daemon.budgets.holder().received(budget, incarnation, cumulative);
+            budgets.holder().received(budget, incarnation, cumulative);
             reserved > 0
         }
         Some(GiveAnswer::OtherIncarnation) => {
-            reclaim(daemon, budget, holder).await;
+            reclaim(budgets, budget, holder).await;
             false
         }
         None if reach(&holder.address, timeout).await == Reach::Refused => {
-            reclaim(daemon, budget, holder).await;
+            reclaim(budgets, budget, holder).await;
             false
         }
         None => {
-            let until = daemon.clock.now() + SILENT_HOLDER_MS;
-            daemon.budgets.silent.lock().insert(incarnation, until);
+            let until = budgets.fleet.base.clock.now() + SILENT_HOLDER_MS;
+            budgets.silent.lock().insert(incarnation, until);
             true
         }
     }
@@ -158,23 +157,23 @@
 
 /// Takes back what a holder that seems to be gone never opened. Should it live
 /// after all, its closed witness keeps it from opening any more.
-async fn reclaim(daemon: &Arc<Daemon>, budget: &Name, holder: &HolderRef) {
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+async fn reclaim(budgets: &Arc<Budgets>, budget: &Name, holder: &HolderRef) {
+    let timeout = Duration::from_millis(budgets.fleet.base.cfg.limits.gather_timeout_ms);
     for witness in &holder.witnesses {
         let (gone, attests, closed) = (holder.incarnation, witness.incarnation, budget.clone());
-        let opened = if attests == daemon.incarnation {
-            Some(daemon.budgets.marks().close(gone, budget))
+        let opened = if attests == budgets.fleet.base.incarnation {
+            Some(budgets.marks().close(gone, budget))
         } else {
             let ask = |client: PeerServiceClient, cx| async move {
                 client.close(cx, gone, attests, closed).await
             };
-            daemon.peers.call(&witness.address, timeout, ask).await.flatten()
+            budgets.fleet.base.peers.call(&witness.address, timeout, ask).await.flatten()
         };
         let Some(opened) = opened else { continue };
         let budget = budget.clone();
         let request = Request::Reclaim { budget, holder: gone, witness: attests, opened };
-        let answer = ask_local_owner(daemon, request).await;
-        slog::info!(daemon.log, "grant reclaimed"; "holder" => %gone, "answer" => ?answer.reply);
+        let answer = ask_local_owner(budgets, request).await;
+        slog::info!(budgets.fleet.base.log, "grant reclaimed"; "holder" => %gone, "answer" => ?answer.reply);
         return;
     }
 }
--- a/crates/daemon/src/budget/draws.rs
+++ b/crates/daemon/src/budget/draws.rs
@@ -9,30 +9,28 @@
 use bankcove_core::{Millis, Name, Tokens};
 use futures::future::join_all;
 
-use crate::budget::budgets::{OWNER_KEY, Refusal, terms};
+use crate::budget::budgets::{Budgets, OWNER_KEY, terms};
 use crate::budget::collect::witnesses;
 use crate::budget::hand_over::hand_over;
 use crate::budget::owner::{ask_local_owner, shard_of_request, store_answers};
-use crate::daemon::Daemon;
-use crate::fleet::is_small_fleet;
-use crate::peer::{OwnerAnswer, PeerServiceClient};
+use crate::peer::{OwnerAnswer, PeerServiceClient, Refusal};
 
 /// Peers that are asked to write for a daemon that does not reach the store.
 const RELAYS: usize = 2;
 
 /// Draws `need` more tokens from the store and some ahead.
 pub(crate) async fn draw(
-    daemon: &Arc<Daemon>,
+    budgets: &Arc<Budgets>,
     budget: &Budget,
     need: Tokens,
 ) -> Result<(), Refusal> {
-    let terms = terms(daemon, budget);
-    let now = daemon.clock.now();
-    let address = daemon.cfg.peer_address();
-    let witnesses = witnesses(daemon);
+    let terms = terms(budgets, budget);
+    let now = budgets.fleet.base.clock.now();
+    let address = budgets.fleet.base.cfg.peer_address();
+    let witnesses = witnesses(budgets);
     let draw = {
         // In one step: what is opened later needs the new witnesses' word too.
-        let mut holder = daemon.budgets.holder();
+        let mut holder = budgets.holder();
         holder.propose_witnesses(&budget.name, &witnesses);
         let draw = holder.draw(&budget.name, need, terms, address, now);
         Draw { witnesses: witnesses.clone(), ..draw }
@@ -40,9 +38,9 @@
     let request = Request::Draw(draw);
     // In a large fleet each budget has an owner of its own and the shard another one,
     // whose writes serve all budgets in it.
-    let answer = ask_owner(daemon, request).await;
-    log_draw(daemon, budget, need, &answer.reply, now);
-    let mut holder = daemon.budgets.holder();
+    let answer = ask_owner(budgets, request).await;
+    log_draw(budgets, budget, need, &answer.reply, now);
+    let mut holder = budgets.holder();
     if let Some((owner, cumulative)) = answer.sent {
         holder.received(&budget.name, owner, cumulative);
     }
@@ -65,54 +63,57 @@
     }
 }
 
-fn log_draw(daemon: &Daemon, budget: &Budget, need: Tokens, reply: &Reply, asked_at: Millis) {
+fn log_draw(budgets: &Budgets, budget: &Budget, need: Tokens, reply: &Reply, asked_at: Millis) {
     let (free, rate) = {
-        let holder = daemon.budgets.holder();
+        let holder = budgets.holder();
         (holder.free(&budget.name), holder.rate(&budget.name, asked_at))
     };
-    slog::info!(daemon.log, "tokens drawn";
+    slog::info!(budgets.fleet.base.log, "tokens drawn";
         "budget" => %budget.name, "need" => need, "reply" => ?reply, "free_before" => free,
-        "tokens_per_s" => rate, "took_ms" => daemon.clock.now().saturating_sub(asked_at));
+        "tokens_per_s" => rate, "took_ms" => budgets.fleet.base.clock.now().saturating_sub(asked_at));
 }
 
 /// Asks the owner of the budget's shard: the first that answers of the first
 /// few in rendezvous order, else this daemon itself.
-pub async fn ask_owner(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
-    if is_small_fleet(daemon) || daemon.contact.is_alone() {
-        return ask_self_first(daemon, request).await;
+pub async fn ask_owner(budgets: &Arc<Budgets>, request: Request) -> OwnerAnswer {
+    if budgets.fleet.is_small() || budgets.fleet.contact.is_alone() {
+        return ask_self_first(budgets, request).await;
     }
-    let shard = shard_of_request(daemon, &request);
-    let owners =
-        daemon.members.lock().owners(OWNER_KEY + u64::from(shard), daemon.cfg.limits.owners_tried);
-    let timeout = owner_timeout(daemon, &request);
+    let shard = shard_of_request(budgets, &request);
+    let owners = budgets
+        .fleet
+        .members
+        .lock()
+        .owners(OWNER_KEY + u64::from(shard), budgets.fleet.base.cfg.limits.owners_tried);
+    let timeout = owner_timeout(budgets, &request);
     for owner in owners {
         let Some(owner) = owner else { break };
-        if daemon.contact.is_alone() {
+        if budgets.fleet.contact.is_alone() {
             // Nobody answers: each further peer would only take its time.
             break;
         }
         let mut request = request.clone();
         if let (Request::Draw(draw), Some(incarnation)) = (&mut request, owner.incarnation) {
-            draw.received = daemon.budgets.holder().received_from(&draw.budget, incarnation);
+            draw.received = budgets.holder().received_from(&draw.budget, incarnation);
         }
         let ask =
             |client: PeerServiceClient, cx| async move { client.ask_owner(cx, request).await };
-        match daemon.peers.call(&owner.address, timeout, ask).await {
+        match budgets.fleet.base.peers.call(&owner.address, timeout, ask).await {
             Some(OwnerAnswer { reply: Reply::StoreAway { .. }, sent: None }) => {
                 // The owner may be cut off from the store alone.
             }
             Some(answer) => return answer,
             None => {
-                daemon.members.lock().failed(&owner.name);
+                budgets.fleet.members.lock().failed(&owner.name);
             }
         }
     }
-    ask_local_owner(daemon, request).await
+    ask_local_owner(budgets, request).await
 }
 
 /// How long an owner's answer is waited for: draws ahead wait there for others.
-fn owner_timeout(daemon: &Daemon, request: &Request) -> Duration {
-    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+fn owner_timeout(budgets: &Budgets, request: &Request) -> Duration {
+    let timeout = Duration::from_millis(budgets.fleet.base.cfg.limits.peer_timeout_ms);
     match request {
         Request::Draw(draw) if draw.need == 0 => timeout + Duration::from_millis(AHEAD_WAIT_MS),
         _ => timeout,
@@ -121,22 +122,22 @@
 
 /// Writes the shard itself; when the store is out of reach, by way of peers
 /// that may reach it.
-async fn ask_self_first(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
-    let answer = ask_local_owner(daemon, request.clone()).await;
-    if !matches!(answer.reply, Reply::StoreAway { .. }) || daemon.contact.is_alone() {
+async fn ask_self_first(budgets: &Arc<Budgets>, request: Request) -> OwnerAnswer {
+    let answer = ask_local_owner(budgets, request.clone()).await;
+    if !matches!(answer.reply, Reply::StoreAway { .. }) || budgets.fleet.contact.is_alone() {
         return answer;
     }
-    let key = OWNER_KEY + u64::from(shard_of_request(daemon, &request));
-    let peers = daemon.members.lock().owners(key, RELAYS + 1);
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let key = OWNER_KEY + u64::from(shard_of_request(budgets, &request));
+    let peers = budgets.fleet.members.lock().owners(key, RELAYS + 1);
+    let timeout = Duration::from_millis(budgets.fleet.base.cfg.limits.gather_timeout_ms);
     for peer in peers.into_iter().flatten().take(RELAYS) {
         let request = request.clone();
         let ask =
             |client: PeerServiceClient, cx| async move { client.ask_owner(cx, request).await };
-        match daemon.peers.call(&peer.address, timeout, ask).await {
+        match budgets.fleet.base.peers.call(&peer.address, timeout, ask).await {
             Some(OwnerAnswer { reply: Reply::StoreAway { .. }, .. }) => {}
             Some(answer) => return answer,
-            None => daemon.members.lock().failed(&peer.name),
+            None => budgets.fleet.members.lock().failed(&peer.name),
         }
     }
     answer
@@ -144,21 +145,21 @@
 
 /// Gives every unspent token back to the store, for a planned stop. Returns
 /// whether the store has recorded all of it.
-pub async fn retire(daemon: &Arc<Daemon>) -> bool {
-    if !store_answers(daemon).await {
+pub async fn retire(budgets: &Arc<Budgets>) -> bool {
+    if !store_answers(budgets).await {
         // What a peer has is not debited a second time should the store be back.
-        hand_over(daemon).await;
+        hand_over(budgets).await;
         return false;
     }
     let kept: Vec<(Name, i64)> = {
-        let mut holder = daemon.budgets.holder();
+        let mut holder = budgets.holder();
         let names: Vec<Name> = holder.accounts().keys().cloned().collect();
         names.into_iter().map(|name| (name.clone(), holder.retire(&name))).collect()
     };
-    let holder = daemon.incarnation;
+    let holder = budgets.fleet.base.incarnation;
     let requests = kept
         .into_iter()
-        .map(|(budget, kept)| ask_owner(daemon, Request::Retire { budget, holder, kept }));
+        .map(|(budget, kept)| ask_owner(budgets, Request::Retire { budget, holder, kept }));
     let answers = join_all(requests).await;
     answers.iter().all(|answer| answer.reply == Reply::Recorded)
 }
--- a/crates/daemon/src/budget/owner.rs
+++ b/crates/daemon/src/budget/owner.rs
@@ -12,9 +12,8 @@
 use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::budget::budgets::terms;
+use crate::budget::budgets::{Budgets, terms};
 use crate::budget::collect::gather;
-use crate::daemon::Daemon;
 use crate::mailbox::{Tickets, after, later};
 use crate::peer::OwnerAnswer;
 
@@ -60,10 +59,10 @@
 }
 
 /// Asks this daemon as the owner.
-pub async fn ask_local_owner(daemon: &Arc<Daemon>, request: Request) -> OwnerAnswer {
-    let shard = shard_of_request(daemon, &request);
+pub async fn ask_local_owner(budgets: &Arc<Budgets>, request: Request) -> OwnerAnswer {
+    let shard = shard_of_request(budgets, &request);
     let (tx, rx) = oneshot::channel();
-    let owner = local_owner(daemon, shard);
+    let owner = local_owner(budgets, shard);
     let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
     let away = OwnerAnswer { reply: away, sent: None };
     if owner.send(Mail::Asked(request, tx)).is_err() {
@@ -73,24 +72,25 @@
 }
 
 /// The shard that a request is about.
-pub fn shard_of_request(daemon: &Daemon, request: &Request) -> u32 {
-    shard_of_budget(request.budget(), daemon.cfg.limits.budget_shards)
+pub fn shard_of_request(budgets: &Budgets, request: &Request) -> u32 {
+    shard_of_budget(request.budget(), budgets.fleet.base.cfg.limits.budget_shards)
 }
 
-fn local_owner(daemon: &Arc<Daemon>, shard: u32) -> mpsc::UnboundedSender<Mail> {
-    let mut owners = daemon.budgets.owners.tasks.lock();
+fn local_owner(budgets: &Arc<Budgets>, shard: u32) -> mpsc::UnboundedSender<Mail> {
+    let mut owners = budgets.owners.tasks.lock();
     let owner = owners.entry(shard).or_insert_with(|| {
         let (tx, rx) = mpsc::unbounded_channel();
         let task = OwnerTask {
             shard,
-            daemon: Arc::downgrade(daemon),
+            budgets: Arc::downgrade(budgets),
             tx: tx.downgrade(),
             tickets: Tickets::default(),
             told: None,
         };
-        let limits = &daemon.cfg.limits;
-        let address = daemon.cfg.peer_address();
-        let mut machine = Owner::new(daemon.incarnation, address, limits.budget_write_ms);
+        let limits = &budgets.fleet.base.cfg.limits;
+        let address = budgets.fleet.base.cfg.peer_address();
+        let mut machine =
+            Owner::new(budgets.fleet.base.incarnation, address, limits.budget_write_ms);
         if limits.witnesses == 0 {
             // Without sealed grants each holder gives back by itself what it
             // does not need.
@@ -105,7 +105,7 @@
 /// The task of one owned shard; it ends when its channel is closed.
 struct OwnerTask {
     shard: u32,
-    daemon: Weak<Daemon>,
+    budgets: Weak<Budgets>,
     tx: mpsc::WeakUnboundedSender<Mail>,
     tickets: Tickets<OwnerAnswer>,
     /// Version of the shard that the holder was told of last.
@@ -115,11 +115,11 @@
 impl OwnerTask {
     async fn run(mut self, mut machine: Owner, mut rx: mpsc::UnboundedReceiver<Mail>) {
         while let Some(mail) = rx.recv().await {
-            let Some(daemon) = self.daemon.upgrade() else { return };
+            let Some(budgets) = self.budgets.upgrade() else { return };
             let event = match mail {
                 Mail::Event(event) => event,
                 Mail::Asked(request, reply) => {
-                    machine.ask(daemon.clock.now(), self.tickets.add(reply), request);
+                    machine.ask(budgets.fleet.base.clock.now(), self.tickets.add(reply), request);
                     if !rx.is_empty() {
                         // What waits already is served by the same write.
                         continue;
@@ -134,43 +134,43 @@
                     continue;
                 }
             };
-            let commands = machine.handle(daemon.clock.now(), event);
-            self.tell_holder(&daemon, &machine);
-            self.carry_out(&daemon, commands);
+            let commands = machine.handle(budgets.fleet.base.clock.now(), event);
+            self.tell_holder(&budgets, &machine);
+            self.carry_out(&budgets, commands);
         }
     }
 
     /// Tells this daemon's holder what any read or write of the shard shows.
-    fn tell_holder(&mut self, daemon: &Daemon, machine: &Owner) {
+    fn tell_holder(&mut self, budgets: &Budgets, machine: &Owner) {
         let Some((version, shard)) = machine.stored() else { return };
-        if daemon.cfg.limits.witnesses > 0 || self.told == Some(version) {
+        if budgets.fleet.base.cfg.limits.witnesses > 0 || self.told == Some(version) {
             return;
         }
         self.told = Some(version);
-        tell_holder(daemon, shard);
+        tell_holder(budgets, shard);
     }
 
-    fn carry_out(&mut self, daemon: &Arc<Daemon>, commands: Vec<Command>) {
+    fn carry_out(&mut self, budgets: &Arc<Budgets>, commands: Vec<Command>) {
         let mut wake_at: Option<Millis> = None;
         for command in commands {
             match command {
-                Command::Load => later(&self.tx, event(load(Arc::clone(daemon), self.shard))),
+                Command::Load => later(&self.tx, event(load(Arc::clone(budgets), self.shard))),
                 Command::Write(version, shard) => {
-                    later(&self.tx, event(write(Arc::clone(daemon), self.shard, version, shard)));
+                    later(&self.tx, event(write(Arc::clone(budgets), self.shard, version, shard)));
                 }
                 Command::Gather(budget, holders) => {
-                    later(&self.tx, event(gather(Arc::clone(daemon), budget, holders)));
+                    later(&self.tx, event(gather(Arc::clone(budgets), budget, holders)));
                 }
                 Command::Reply(ticket, reply) => {
                     self.tickets.answer(ticket, OwnerAnswer { reply, sent: None });
                 }
                 Command::Give { own, ticket, draw, most, reply } => {
                     if let Some((granted, opened)) = own {
-                        let mut holder = daemon.budgets.holder();
+                        let mut holder = budgets.holder();
                         holder.granted(&draw.budget, granted);
                         holder.opened(&draw.budget, opened);
                     }
-                    let answer = give(daemon, &draw, most, reply);
+                    let answer = give(budgets, &draw, most, reply);
                     self.tickets.answer(ticket, answer);
                 }
                 Command::WakeAt(at) => {
@@ -179,7 +179,7 @@
             }
         }
         if let Some(at) = wake_at {
-            let wait = at.saturating_sub(daemon.clock.now());
+            let wait = at.saturating_sub(budgets.fleet.base.clock.now());
             after(&self.tx, wait, Mail::Event(Event::Tick));
         }
     }
@@ -187,29 +187,29 @@
 
 /// Tells this daemon's holder what the shard shows of each budget: its own last draw may
 /// be seconds old, in which others have spent.
-fn tell_holder(daemon: &Daemon, shard: &Shard) {
-    let now = daemon.clock.now();
-    let table = daemon.table.load();
+fn tell_holder(budgets: &Budgets, shard: &Shard) {
+    let now = budgets.fleet.base.clock.now();
+    let table = budgets.table.load();
     let Some(table) = table.as_ref() else { return };
     for (budget, ledger) in &shard.budgets {
         let Some(row) = table.budget(budget) else { continue };
-        if !daemon.budgets.holder().accounts().contains_key(budget) {
+        if !budgets.holder().accounts().contains_key(budget) {
             continue;
         }
         let mut ledger = ledger.clone();
         // The next draw writes it; until then nobody is refused what was topped up.
         ledger.adopt_row(row.tokens, row.version);
-        let terms = terms(daemon, row);
-        let outlook = ledger.outlook(daemon.incarnation, &terms);
-        daemon.budgets.holder().known(budget, outlook, now);
+        let terms = terms(budgets, row);
+        let outlook = ledger.outlook(budgets.fleet.base.incarnation, &terms);
+        budgets.holder().known(budget, outlook, now);
     }
 }
 
 /// Reads the shard of a budget, to know how much is left of it.
-pub async fn look_at_store(daemon: &Arc<Daemon>, budget: &Name) {
-    let shard = shard_of_budget(budget, daemon.cfg.limits.budget_shards);
-    if let Event::Loaded(_, shard) = load(Arc::clone(daemon), shard).await {
-        tell_holder(daemon, &shard);
+pub async fn look_at_store(budgets: &Arc<Budgets>, budget: &Name) {
+    let shard = shard_of_budget(budget, budgets.fleet.base.cfg.limits.budget_shards);
+    if let Event::Loaded(_, shard) = load(Arc::clone(budgets), shard).await {
+        tell_holder(budgets, &shard);
     }
 }
 
@@ -218,60 +218,60 @@
 }
 
 /// Whether the store answers now: one read of it, unless it is known to be away.
-pub async fn store_answers(daemon: &Arc<Daemon>) -> bool {
-    !matches!(load(Arc::clone(daemon), FIRST_SHARD).await, Event::StoreAway)
+pub async fn store_answers(budgets: &Arc<Budgets>) -> bool {
+    !matches!(load(Arc::clone(budgets), FIRST_SHARD).await, Event::StoreAway)
 }
 
-async fn load(daemon: Arc<Daemon>, shard: u32) -> Event {
-    if daemon.contact.is_store_away(daemon.clock.now()) {
+async fn load(budgets: Arc<Budgets>, shard: u32) -> Event {
+    if budgets.fleet.contact.is_store_away(budgets.fleet.base.clock.now()) {
         return Event::StoreAway;
     }
-    match daemon.store.read::<Shard>(Kind::Budgets, &shard_name(shard)).await {
+    match budgets.store.read::<Shard>(Kind::Budgets, &shard_name(shard)).await {
         Ok(Some(read)) => {
-            daemon.contact.store_heard(daemon.clock.now());
+            budgets.fleet.contact.store_heard(budgets.fleet.base.clock.now());
             Event::Loaded(read.version, read.value)
         }
         Ok(None) => Event::Loaded(0, Shard::default()),
         Err(e) => {
-            daemon.contact.store_failed(daemon.clock.now());
-            slog::warn!(daemon.log, "budget shard not read"; "shard" => shard, "error" => %e);
+            budgets.fleet.contact.store_failed(budgets.fleet.base.clock.now());
+            slog::warn!(budgets.fleet.base.log, "budget shard not read"; "shard" => shard, "error" => %e);
             Event::StoreAway
         }
     }
 }
 
-async fn write(daemon: Arc<Daemon>, shard: u32, version: u64, value: Shard) -> Event {
-    if daemon.contact.is_store_away(daemon.clock.now()) {
+async fn write(budgets: Arc<Budgets>, shard: u32, version: u64, value: Shard) -> Event {
+    if budgets.fleet.contact.is_store_away(budgets.fleet.base.clock.now()) {
         return Event::StoreAway;
     }
-    let outcome = daemon.store.write(Kind::Budgets, &shard_name(shard), version, &value).await;
+    let outcome = budgets.store.write(Kind::Budgets, &shard_name(shard), version, &value).await;
     match outcome {
         WriteOutcome::Written(version) => Event::Written(version),
-        WriteOutcome::Conflict(now) => conflict(&daemon, shard, now),
+        WriteOutcome::Conflict(now) => conflict(&budgets, shard, now),
         // The read that settles it tells whether the store is away.
         WriteOutcome::Ambiguous => Event::Ambiguous,
         WriteOutcome::NotSent => {
-            daemon.contact.store_failed(daemon.clock.now());
+            budgets.fleet.contact.store_failed(budgets.fleet.base.clock.now());
             Event::StoreAway
         }
     }
 }
 
 /// The object that stands in the way spares reading it.
-fn conflict(daemon: &Daemon, shard: u32, now: Option<Versioned<serde_json::Value>>) -> Event {
+fn conflict(budgets: &Budgets, shard: u32, now: Option<Versioned<serde_json::Value>>) -> Event {
     let Some(read) = now else { return Event::Conflict };
     match serde_json::from_value(read.value) {
         Ok(value) => Event::Superseded(read.version, value),
         Err(e) => {
-            slog::error!(daemon.log, "budget shard not understood"; "shard" => shard, "error" => %e);
+            slog::error!(budgets.fleet.base.log, "budget shard not understood"; "shard" => shard, "error" => %e);
             Event::Conflict
         }
     }
 }
 
-fn give(daemon: &Arc<Daemon>, draw: &Draw, most: Tokens, reply: Reply) -> OwnerAnswer {
-    let mut holder = daemon.budgets.holder();
-    let is_own = draw.holder == daemon.incarnation;
+fn give(budgets: &Arc<Budgets>, draw: &Draw, most: Tokens, reply: Reply) -> OwnerAnswer {
+    let mut holder = budgets.holder();
+    let is_own = draw.holder == budgets.fleet.base.incarnation;
     let is_there = if is_own {
         // Another owner may have collected them meanwhile: told "granted", this daemon
         // would ask for them again and again.
@@ -287,7 +287,7 @@
         return OwnerAnswer { reply, sent: None };
     }
     let cumulative = holder.give(&draw.budget, draw.holder, draw.received, most);
-    OwnerAnswer { reply, sent: Some((daemon.incarnation, cumulative)) }
+    OwnerAnswer { reply, sent: Some((budgets.fleet.base.incarnation, cumulative)) }
 }
 
 async fn event(work: impl Future<Output = Event>) -> Mail {
--- a/crates/daemon/src/budget/ration.rs
+++ b/crates/daemon/src/budget/ration.rs
@@ -7,9 +7,8 @@
 use bankcove_core::table::Budget;
 use bankcove_core::{Millis, Tokens};
 
+use crate::budget::budgets::Budgets;
 use crate::budget::owner::look_at_store;
-use crate::daemon::Daemon;
-use crate::fleet::is_small_fleet;
 
 /// What is known of the rest of a budget is looked up anew before a request is refused
 /// by it, when it is older than this: a top-up or other daemons' tokens may be there.
@@ -25,35 +24,35 @@
 /// Without limit in a large fleet, where the budget's owner rations what it hands on: by
 /// what the owner told a daemon with its last tokens, 0.79 of the requests of three days
 /// were served in place of 0.83.
-pub async fn ration(daemon: &Arc<Daemon>, budget: &Budget, wish: Wish) -> Tokens {
-    if !is_small_fleet(daemon) {
+pub async fn ration(budgets: &Arc<Budgets>, budget: &Budget, wish: Wish) -> Tokens {
+    if !budgets.fleet.is_small() {
         return Tokens::MAX;
     }
-    let by_last_word = known_ration(daemon, budget, wish);
-    if wish.tokens <= by_last_word || !is_word_old(daemon, budget) {
+    let by_last_word = known_ration(budgets, budget, wish);
+    if wish.tokens <= by_last_word || !is_word_old(budgets, budget) {
         return by_last_word;
     }
-    if !daemon.budgets.begin_ahead(&budget.name, daemon.clock.now()) {
+    if !budgets.begin_ahead(&budget.name, budgets.fleet.base.clock.now()) {
         return by_last_word;
     }
     // In a task of its own, so that it ends also when the caller goes away meanwhile.
-    let looking = tokio::spawn(look_again(Arc::clone(daemon), budget.clone()));
+    let looking = tokio::spawn(look_again(Arc::clone(budgets), budget.clone()));
     // Without an answer in time the last word stands.
     let _outcome = tokio::time::timeout(LOOK_WAIT, looking).await;
-    known_ration(daemon, budget, wish)
+    known_ration(budgets, budget, wish)
 }
 
-fn known_ration(daemon: &Daemon, budget: &Budget, wish: Wish) -> Tokens {
-    let now = daemon.clock.now();
-    daemon.budgets.holder().ration(&budget.name, wish.ration_s, wish.rank, now)
+fn known_ration(budgets: &Budgets, budget: &Budget, wish: Wish) -> Tokens {
+    let now = budgets.fleet.base.clock.now();
+    budgets.holder().ration(&budget.name, wish.ration_s, wish.rank, now)
 }
 
-fn is_word_old(daemon: &Daemon, budget: &Budget) -> bool {
-    let age = daemon.budgets.holder().outlook_age(&budget.name, daemon.clock.now());
+fn is_word_old(budgets: &Budgets, budget: &Budget) -> bool {
+    let age = budgets.holder().outlook_age(&budget.name, budgets.fleet.base.clock.now());
     age.is_some_and(|age| age > LOOK_AGAIN_MS)
 }
 
-async fn look_again(daemon: Arc<Daemon>, budget: Budget) {
-    look_at_store(&daemon, &budget.name).await;
-    daemon.budgets.end_ahead(&budget.name);
+async fn look_again(budgets: Arc<Budgets>, budget: Budget) {
+    look_at_store(&budgets, &budget.name).await;
+    budgets.end_ahead(&budget.name);
 }
--- a/crates/daemon/src/budget/tend.rs
+++ b/crates/daemon/src/budget/tend.rs
@@ -7,9 +7,8 @@
 use bankcove_core::table::Budget;
 
 use crate::budget::allotment::{ask_for_tokens, owners_to_ask};
-use crate::budget::budgets::{Source, prepare, refill, terms};
+use crate::budget::budgets::{Budgets, Source, prepare, refill, terms};
 use crate::budget::owner::store_answers;
-use crate::daemon::Daemon;
 
 /// Pause between two looks at what is held.
 const TEND: Duration = Duration::from_millis(1_000);
@@ -21,94 +20,94 @@
 /// daemon ends: what is held too much would be lost with this host, and is
 /// missing elsewhere; what is held too little is missing in a cut. A daemon that
 /// stops needs next to nothing: what streams leave over goes back as they end.
-pub async fn tend(daemon: Arc<Daemon>) {
+pub async fn tend(budgets: Arc<Budgets>) {
     loop {
         tokio::select! {
             () = tokio::time::sleep(TEND) => {}
-            () = next_phase_of_stop(&daemon) => {}
-            () = daemon.ended.cancelled() => return,
+            () = next_phase_of_stop(&budgets) => {}
+            () = budgets.fleet.base.ended.cancelled() => return,
         }
-        log_holdings(&daemon);
-        let Some(table) = daemon.table.load_full() else { continue };
-        let draws = table.budgets.iter().any(|budget| owners_to_ask(&daemon, budget).is_empty());
-        if daemon.leaving.is_cancelled() && draws && !store_answers(&daemon).await {
+        log_holdings(&budgets);
+        let Some(table) = budgets.table.load_full() else { continue };
+        let draws = table.budgets.iter().any(|budget| owners_to_ask(&budgets, budget).is_empty());
+        if budgets.leaving.is_cancelled() && draws && !store_answers(&budgets).await {
             // Debited before the outage is known, it could not be handed to a peer.
             continue;
         }
         for budget in &table.budgets {
-            tend_one(&daemon, budget);
+            tend_one(&budgets, budget);
         }
     }
 }
 
 /// Tells each second where the tokens are: the last of these lines before a loss of
 /// power is all that says what was lost with it.
-fn log_holdings(daemon: &Daemon) {
-    let now = daemon.clock.now();
+fn log_holdings(budgets: &Budgets) {
+    let now = budgets.fleet.base.clock.now();
     let (held, most) = {
-        let holder = daemon.budgets.holder();
+        let holder = budgets.holder();
         (holder.holdings(), holder.most_held(BUDGETS_TOLD))
     };
     let most: Vec<String> = most.iter().map(ToString::to_string).collect();
-    slog::info!(daemon.log, "tokens held";
+    slog::info!(budgets.fleet.base.log, "tokens held";
         "free" => held.free, "reserved" => held.reserved, "running" => held.running.count,
         "running_mean_age_ms" => held.running.mean_age(now), "spent" => held.spent,
         "granted" => held.granted, "received" => held.received, "returned" => held.returned,
         "sent" => held.sent, "most" => most.join(", "),
-        "store_heard_ms" => daemon.contact.store_age(now));
+        "store_heard_ms" => budgets.fleet.contact.store_age(now));
 }
 
 /// Waits until a planned stop begins, or enters its next phase; in the last one for
 /// ever.
-async fn next_phase_of_stop(daemon: &Daemon) {
-    if !daemon.leaving.is_cancelled() {
-        return daemon.leaving.cancelled().await;
+async fn next_phase_of_stop(budgets: &Budgets) {
+    if !budgets.leaving.is_cancelled() {
+        return budgets.leaving.cancelled().await;
     }
-    if !daemon.stopping.is_cancelled() {
-        return daemon.stopping.cancelled().await;
+    if !budgets.stopping.is_cancelled() {
+        return budgets.stopping.cancelled().await;
     }
     std::future::pending().await
 }
 
-fn tend_one(daemon: &Arc<Daemon>, budget: &Budget) {
-    let terms = terms(daemon, budget);
-    let now = daemon.clock.now();
-    let owner = owners_to_ask(daemon, budget).into_iter().next();
-    if owner.is_none() && daemon.contact.is_store_away(now) {
+fn tend_one(budgets: &Arc<Budgets>, budget: &Budget) {
+    let terms = terms(budgets, budget);
+    let now = budgets.fleet.base.clock.now();
+    let owner = owners_to_ask(budgets, budget).into_iter().next();
+    if owner.is_none() && budgets.fleet.contact.is_store_away(now) {
         // Debited and not told, it would serve nobody until the store is back.
         return;
     }
     let returned = match &owner {
         Some(Peer { incarnation: Some(owner), .. }) => {
-            daemon.budgets.holder().give_back_surplus(&budget.name, *owner, &terms, now)
+            budgets.holder().give_back_surplus(&budget.name, *owner, &terms, now)
         }
         // Without word of its start the owner would not take in what goes back to it.
         Some(owner) => {
-            meet_owner(daemon, budget, owner);
+            meet_owner(budgets, budget, owner);
             0
         }
-        None => daemon.budgets.holder().return_surplus(&budget.name, &terms, now),
+        None => budgets.holder().return_surplus(&budget.name, &terms, now),
     };
     if returned == 0 {
-        if !daemon.stopping.is_cancelled() {
-            prepare(daemon, budget);
+        if !budgets.stopping.is_cancelled() {
+            prepare(budgets, budget);
         }
         return;
     }
-    slog::info!(daemon.log, "tokens given back"; "budget" => %budget.name, "tokens" => returned);
-    let (daemon, budget) = (Arc::clone(daemon), budget.clone());
+    slog::info!(budgets.fleet.base.log, "tokens given back"; "budget" => %budget.name, "tokens" => returned);
+    let (budgets, budget) = (Arc::clone(budgets), budget.clone());
     // Debited already: a draw that is lost is told again by the next one.
-    tokio::spawn(async move { refill(&daemon, &budget, 0, Source::Owner(None)).await });
+    tokio::spawn(async move { refill(&budgets, &budget, 0, Source::Owner(None)).await });
 }
 
 /// Asks an owner that was never heard for nothing, if there is something to give back to
 /// it: its answer tells its start. Hosts that were owners while a fleet was starting kept
 /// a tenth of the largest budget all day without it.
-fn meet_owner(daemon: &Arc<Daemon>, budget: &Budget, owner: &Peer) {
-    if daemon.budgets.holder().free(&budget.name) == 0 {
+fn meet_owner(budgets: &Arc<Budgets>, budget: &Budget, owner: &Peer) {
+    if budgets.holder().free(&budget.name) == 0 {
         return;
     }
-    let (daemon, budget, owner) = (Arc::clone(daemon), budget.clone(), owner.clone());
+    let (budgets, budget, owner) = (Arc::clone(budgets), budget.clone(), owner.clone());
     // The next look gives back, or meets the owner again.
-    tokio::spawn(async move { ask_for_tokens(&daemon, &budget, 0, None, &owner).await });
+    tokio::spawn(async move { ask_for_tokens(&budgets, &budget, 0, None, &owner).await });
 }
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -23,8 +23,8 @@
 use crate::daemon::Daemon;
 use crate::entry::{self, Entry};
 use crate::error::{Error, Result};
-use crate::fleet::{membership, unread_news};
 use crate::http::{Side, serve};
+use crate::membership::{self, unread_news};
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
 use crate::{limits, logging, operator, peer_server, store_calls, suspension};
 
@@ -136,29 +136,30 @@
                     serve(&daemon.cfg.caller_listen, caller_router(Arc::clone(&daemon))).await?,
                 );
                 tokio::spawn(backend::follow_load(Arc::clone(&daemon)));
-                tokio::spawn(billing::hand_over(Arc::clone(&daemon)));
+                tokio::spawn(billing::hand_over(Arc::clone(&daemon.billing)));
             }
         }
         if daemon.cfg.limits.witnesses == 0 {
             // Without sealed grants all that is held is lost with its holder.
-            tokio::spawn(tend::tend(Arc::clone(&daemon)));
+            tokio::spawn(tend::tend(Arc::clone(&daemon.budgets)));
         }
-        tokio::spawn(store_calls::tell(Arc::clone(&daemon)));
+        tokio::spawn(store_calls::tell(daemon.fleet.base.clone(), daemon.store.clone()));
         tokio::spawn(announce(Arc::clone(&daemon)));
-        tokio::spawn(host_list::follow_host_list(Arc::clone(&daemon)));
-        tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon)));
-        tokio::spawn(unread_news::tell(Arc::clone(&daemon)));
+        tokio::spawn(host_list::follow_host_list(Arc::clone(&daemon.view)));
+        tokio::spawn(membership::send_heartbeats(Arc::clone(&daemon.membership)));
+        tokio::spawn(membership::send_at_once(Arc::clone(&daemon.membership)));
+        tokio::spawn(unread_news::tell(Arc::clone(&daemon.membership)));
         tokio::spawn(keep::keep(Arc::clone(&daemon.crashes)));
         tokio::spawn(Arc::clone(&daemon.crashes).decide());
         tokio::spawn(Arc::clone(&daemon.crashes).tell_news());
         limits::spread::spawn_tell(&daemon.limits);
-        tokio::spawn(suspension::watch(Arc::clone(&daemon)));
-        tokio::spawn(table_sync::watch(Arc::clone(&daemon)));
-        tokio::spawn(server_sync::watch(Arc::clone(&daemon)));
+        tokio::spawn(suspension::watch(daemon.fleet.clone()));
+        tokio::spawn(table_sync::watch(Arc::clone(&daemon.view)));
+        tokio::spawn(server_sync::watch(Arc::clone(&daemon.view)));
         if daemon.cfg.follows_evacuations() {
-            tokio::spawn(hall_sync::watch(Arc::clone(&daemon)));
+            tokio::spawn(hall_sync::watch(Arc::clone(&daemon.view)));
         }
-        let greeter = Arc::clone(&daemon);
+        let greeter = Arc::clone(&daemon.membership);
         tokio::spawn(async move { membership::greet_seed_peers(&greeter).await });
         slog::info!(daemon.log, "serving";
             "incarnation" => %daemon.incarnation, "callers" => &daemon.cfg.caller_listen);
@@ -197,7 +198,8 @@
             None => end_work(daemon, deadline).await,
         };
         // Peers learn at once that this daemon takes nothing new.
-        let ((), retired) = tokio::join!(membership::beat(daemon), retire(daemon, deadline));
+        let ((), retired) =
+            tokio::join!(membership::beat(&daemon.membership), retire(daemon, deadline));
         if let Err(e) = daemon.store.withdraw(&own_host(daemon)).await {
             slog::warn!(daemon.log, "this host stays on the list"; "error" => %e);
         }
@@ -259,12 +261,13 @@
     let mut known_since = -EARLIER_START_MS;
     let mut is_announced = false;
     // Either is good: the list, or no answer in time.
-    let _unread = tokio::time::timeout(LIST_PATIENCE, host_list::host_list_read(&daemon)).await;
+    let _unread =
+        tokio::time::timeout(LIST_PATIENCE, host_list::host_list_read(&daemon.view)).await;
     loop {
-        let list = daemon.hosts.load_full();
+        let list = daemon.view.hosts.load_full();
         let is_known_missing = list.is_read_since(known_since);
         let is_listed = list.names_since(&host, known_since);
-        let is_away = daemon.contact.is_store_away(daemon.clock.now());
+        let is_away = daemon.fleet.contact.is_store_away(daemon.clock.now());
         let mut pause = look_again;
         if !is_listed && (is_known_missing || !is_announced) {
             pause = ANNOUNCE_RETRY;
@@ -294,7 +297,7 @@
 async fn retire(daemon: &Arc<Daemon>, deadline: Millis) -> bool {
     let deadline = deadline.saturating_sub(CLOSING_MS).min(daemon.clock.now() + RETIRE_PATIENCE_MS);
     loop {
-        if draws::retire(daemon).await {
+        if draws::retire(&daemon.budgets).await {
             return true;
         }
         if daemon.clock.now() >= deadline {
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -16,7 +16,6 @@
 use bankcove_core::crashes::{
     Block, CrashBook, CrashFacts, Gauge, Place, SETTLE_MS, ServerStart, Verdict,
 };
-use bankcove_core::members::Members;
 use bankcove_core::router::{Choice, Router};
 use bankcove_core::{Fingerprint, Millis};
 use bankcove_ports::Store;
@@ -25,9 +24,8 @@
 use parking_lot::Mutex;
 use tokio::sync::Notify;
 
-use crate::base::Base;
 use crate::crashes::gate::Apart;
-use crate::fleet::health::Contact;
+use crate::fleet::Fleet;
 
 /// Daemons that write a block which was told to them, and send a request that may run once
 /// more.
@@ -35,10 +33,8 @@
 
 /// What this daemon knows of crashes.
 pub struct Crashes {
-    base: Base,
-    members: Arc<Mutex<Members>>,
+    fleet: Fleet,
     router: Arc<Mutex<Router>>,
-    contact: Arc<Contact>,
     store: Store,
     book: Mutex<CrashBook>,
     /// Whether anything is known: while nothing is, no request is hashed or looked up.
@@ -61,19 +57,11 @@
 }
 
 impl Crashes {
-    /// Nothing is known. `contact` tells whether the store, where blocks are kept, answers.
-    pub fn new(
-        base: Base,
-        members: Arc<Mutex<Members>>,
-        router: Arc<Mutex<Router>>,
-        contact: Arc<Contact>,
-        store: Store,
-    ) -> Self {
+    /// Nothing is known. Blocks are kept in `store`.
+    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>, store: Store) -> Self {
         Crashes {
-            base,
-            members,
+            fleet,
             router,
-            contact,
             store,
             book: Mutex::default(),
             is_active: AtomicBool::new(false),
@@ -127,7 +115,7 @@
 
     /// The connection over which a server was running this request broke.
     pub fn broke_off(self: &Arc<Self>, choice: &Choice, request: Fingerprint) {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         // One that leaves ends what it still runs: that is no crash.
         if !self.router.lock().is_staying(now, &choice.server, choice.started_ms) {
             return;
@@ -164,7 +152,7 @@
             book.concerns(request).then_some(request)
         });
         let Some(request) = concerned.flatten() else { return };
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let news = self.change(now, |book| book.succeeded(now, request));
         self.take_news(&news, Origin::Here);
     }
@@ -174,10 +162,10 @@
         loop {
             tokio::select! {
                 () = self.to_decide.notified() => {}
-                () = self.base.ended.cancelled() => return,
+                () = self.fleet.base.ended.cancelled() => return,
             }
             tokio::time::sleep(Duration::from_millis(SETTLE_MS)).await;
-            let now = self.base.clock.now();
+            let now = self.fleet.base.clock.now();
             let news = self.change(now, |book| book.decide(now));
             self.take_news(&news, Origin::Here);
         }
@@ -185,7 +173,7 @@
 
     /// Requests that run nowhere any more.
     pub fn blocks(&self) -> Vec<Block> {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         self.read(|book| book.blocks(now)).unwrap_or_default()
     }
 
@@ -196,9 +184,9 @@
 
     /// Lets a blocked request run again, here and at all peers.
     pub fn lift(self: &Arc<Self>, request: Fingerprint) {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let news = self.change(now, |book| book.lift(now, request));
-        slog::info!(self.base.log, "block lifted"; "fingerprint" => %request);
+        slog::info!(self.fleet.base.log, "block lifted"; "fingerprint" => %request);
         self.to_keep.notify_one();
         self.take_news(&news, Origin::Here);
     }
@@ -218,18 +206,18 @@
 
     fn log_news(&self, news: &CrashFacts, is_own: bool) {
         for crash in &news.crashes {
-            self.base.metrics.count("server.crashed");
-            slog::info!(self.base.log, "server crashed";
+            self.fleet.base.metrics.count("server.crashed");
+            slog::info!(self.fleet.base.log, "server crashed";
             "server" => %crash.server.name, "started_ms" => crash.server.started_ms,
             "age_ms" => crash.age_ms, "aboard" => list(&crash.aboard), "found_here" => is_own);
         }
         for cleared in &news.cleared {
-            slog::info!(self.base.log, "request cleared";
+            slog::info!(self.fleet.base.log, "request cleared";
             "fingerprint" => %cleared.request, "age_ms" => cleared.age_ms, "found_here" => is_own);
         }
         for block in &news.blocks {
-            self.base.metrics.count("request.blocked");
-            slog::warn!(self.base.log, "request blocked";
+            self.fleet.base.metrics.count("request.blocked");
+            slog::warn!(self.fleet.base.log, "request blocked";
             "fingerprint" => %block.request, "servers" => list(&block.servers),
             "age_ms" => block.age_ms, "found_here" => is_own);
         }
@@ -243,7 +231,7 @@
 
     /// Whether this daemon is the request's owner among those that it knows.
     fn owns(&self, request: Fingerprint) -> bool {
-        let owners = self.members.lock().owners(request.key(), OWNERS);
+        let owners = self.fleet.members.lock().owners(request.key(), OWNERS);
         owners.iter().any(Option::is_none)
     }
 }
--- a/crates/daemon/src/crashes/gate.rs
+++ b/crates/daemon/src/crashes/gate.rs
@@ -39,10 +39,10 @@
 impl Crashes {
     /// What follows for the request, once it is known or `deadline` has come.
     pub async fn settled(&self, deadline: Millis, request: impl Fn() -> Fingerprint) -> Verdict {
-        let until = deadline.min(self.base.clock.now() + MOST_WAIT_MS);
+        let until = deadline.min(self.fleet.base.clock.now() + MOST_WAIT_MS);
         loop {
             let verdict = self.verdict(&request);
-            if verdict != Verdict::Held || self.base.clock.now() >= until {
+            if verdict != Verdict::Held || self.fleet.base.clock.now() >= until {
                 return verdict;
             }
             tokio::time::sleep(LOOK).await;
--- a/crates/daemon/src/crashes/keep.rs
+++ b/crates/daemon/src/crashes/keep.rs
@@ -50,7 +50,7 @@
 pub async fn keep(crashes: Arc<Crashes>) {
     tokio::select! {
         () = read_then_write(&crashes) => {}
-        () = crashes.base.ended.cancelled() => {}
+        () = crashes.fleet.base.ended.cancelled() => {}
     }
 }
 
@@ -62,7 +62,9 @@
                 take_in(crashes, kept);
                 break;
             }
-            Err(e) => slog::info!(crashes.base.log, "kept blocks not read yet"; "error" => %e),
+            Err(e) => {
+                slog::info!(crashes.fleet.base.log, "kept blocks not read yet"; "error" => %e)
+            }
         }
         tokio::time::sleep(RETRY).await;
     }
@@ -78,7 +80,7 @@
 
 async fn store_answers(crashes: &Crashes) {
     let is_heard = || {
-        let age = crashes.contact.store_age(crashes.base.clock.now());
+        let age = crashes.fleet.contact.store_age(crashes.fleet.base.clock.now());
         age.is_some_and(|age| age < HEARD_MS)
     };
     while !is_heard() {
@@ -92,7 +94,7 @@
 }
 
 fn take_in(crashes: &Arc<Crashes>, kept: Kept) {
-    let now_ms = crashes.base.clock.unix_ms();
+    let now_ms = crashes.fleet.base.clock.unix_ms();
     let block = |(request, kept): (Fingerprint, KeptBlock)| Block {
         request,
         age_ms: now_ms.saturating_sub(kept.blocked_ms),
@@ -107,7 +109,7 @@
     let (version, kept) = match read(crashes).await {
         Ok(read) => read,
         Err(e) => {
-            slog::info!(crashes.base.log, "blocks not kept yet"; "error" => %e);
+            slog::info!(crashes.fleet.base.log, "blocks not kept yet"; "error" => %e);
             return false;
         }
     };
@@ -117,13 +119,13 @@
     }
     let outcome = crashes.store.write(Kind::Blocked, OBJECT, version, &next).await;
     let is_written = matches!(outcome, WriteOutcome::Written(_));
-    slog::info!(crashes.base.log, "blocks kept"; "written" => is_written, "count" => next.blocks.len());
+    slog::info!(crashes.fleet.base.log, "blocks kept"; "written" => is_written, "count" => next.blocks.len());
     is_written
 }
 
 /// What is kept, without what is over or lifted, and what is known here.
 fn merged(crashes: &Crashes, mut kept: Kept) -> Kept {
-    let (now, now_ms) = (crashes.base.clock.now(), crashes.base.clock.unix_ms());
+    let (now, now_ms) = (crashes.fleet.base.clock.now(), crashes.fleet.base.clock.unix_ms());
     let book = crashes.book.lock();
     kept.blocks.retain(|request, block| {
         let age_ms = now_ms.saturating_sub(block.blocked_ms);
--- a/crates/daemon/src/crashes/spread.rs
+++ b/crates/daemon/src/crashes/spread.rs
@@ -26,7 +26,7 @@
 impl Crashes {
     /// Peers are to be told this, with what else is new by then.
     pub(super) fn tell(&self, news: &CrashFacts) {
-        self.news.lock().push((self.base.clock.now(), news.clone()));
+        self.news.lock().push((self.fleet.base.clock.now(), news.clone()));
         self.to_tell.notify_one();
     }
 
@@ -35,11 +35,11 @@
         loop {
             tokio::select! {
                 () = self.to_tell.notified() => {}
-                () = self.base.ended.cancelled() => return,
+                () = self.fleet.base.ended.cancelled() => return,
             }
             tokio::time::sleep(GATHER).await;
             let gathered = std::mem::take(&mut *self.news.lock());
-            let now = self.base.clock.now();
+            let now = self.fleet.base.clock.now();
             let mut news = CrashFacts::default();
             for (at, facts) in gathered {
                 // A block that seems younger than it is would outlive the word that lifted it.
@@ -50,16 +50,16 @@
     }
 
     fn tell_some(self: &Arc<Self>, news: &CrashFacts) {
-        let timeout = Duration::from_millis(self.base.cfg.limits.peer_timeout_ms);
-        let peers = self.members.lock().some(TOLD_AT_ONCE, rand::random());
+        let timeout = Duration::from_millis(self.fleet.base.cfg.limits.peer_timeout_ms);
+        let peers = self.fleet.members.lock().some(TOLD_AT_ONCE, rand::random());
         for peer in peers {
             let (crashes, news) = (Arc::clone(self), news.clone());
             tokio::spawn(async move {
                 let told = |client: PeerServiceClient, cx| async move {
                     client.told_crashes(cx, news).await
                 };
-                if crashes.base.peers.call(&peer.address, timeout, told).await.is_none() {
-                    slog::debug!(crashes.base.log, "crashes not told"; "peer" => %peer.name);
+                if crashes.fleet.base.peers.call(&peer.address, timeout, told).await.is_none() {
+                    slog::debug!(crashes.fleet.base.log, "crashes not told"; "peer" => %peer.name);
                 }
             });
         }
@@ -67,14 +67,14 @@
 
     /// Takes in what a peer has told.
     pub fn told(self: &Arc<Self>, facts: CrashFacts) {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let news = self.change(now, |book| book.told(now, facts));
         self.take_news(&news, Origin::Told);
     }
 
     /// All that is known here, for a peer.
     pub fn facts(&self) -> CrashFacts {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         self.read(|book| book.facts(now)).unwrap_or_default()
     }
 
@@ -85,7 +85,7 @@
 
     /// Forgets what is too long ago.
     pub fn forget_old(&self) {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         if self.is_active.load(Ordering::Relaxed) {
             self.change(now, |book| book.forget_old(now));
         }
@@ -96,7 +96,7 @@
         if told == 0 || told == self.digest() {
             return;
         }
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let asked_at = self.asked_at.load(Ordering::Relaxed);
         if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
             return;
@@ -105,9 +105,11 @@
         let (crashes, address) = (Arc::clone(self), address.to_owned());
         tokio::spawn(async move {
             let ask = |client: PeerServiceClient, cx| async move { client.crash_facts(cx).await };
-            match crashes.base.peers.call(&address, FETCH_TIMEOUT, ask).await {
+            match crashes.fleet.base.peers.call(&address, FETCH_TIMEOUT, ask).await {
                 Some(facts) => crashes.told(facts),
-                None => slog::debug!(crashes.base.log, "crashes not asked for"; "peer" => &address),
+                None => {
+                    slog::debug!(crashes.fleet.base.log, "crashes not asked for"; "peer" => &address)
+                }
             }
         });
     }
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -27,18 +27,18 @@
 /// Finds it out, and takes in the answer.
 pub(super) async fn verify(crashes: Arc<Crashes>, server: ServerStart, address: String) {
     let has_crashed = has_crashed(&crashes, &server, &address).await;
-    let now = crashes.base.clock.now();
+    let now = crashes.fleet.base.clock.now();
     if has_crashed {
         let news = crashes.change(now, |book| book.crashed(now, &server));
         crashes.take_news(&news, Origin::Here);
     } else {
-        slog::info!(crashes.base.log, "server broke off and has not crashed"; "server" => %server.name);
+        slog::info!(crashes.fleet.base.log, "server broke off and has not crashed"; "server" => %server.name);
         crashes.change(now, |book| book.lives(&server));
     }
 }
 
 async fn has_crashed(crashes: &Crashes, server: &ServerStart, address: &str) -> bool {
-    let doubted_until = crashes.base.clock.now() + DOUBT_MS;
+    let doubted_until = crashes.fleet.base.clock.now() + DOUBT_MS;
     loop {
         match reach_and_hold(address, REACH_TIMEOUT, HOLD).await {
             Reach::Refused => return true,
@@ -49,7 +49,9 @@
         if !crashes.router.lock().knows_start(&server.name, server.started_ms) {
             return true;
         }
-        if crashes.base.clock.now() >= doubted_until || crashes.base.ended.is_cancelled() {
+        if crashes.fleet.base.clock.now() >= doubted_until
+            || crashes.fleet.base.ended.is_cancelled()
+        {
             return false;
         }
         tokio::time::sleep(PAUSE).await;
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -3,39 +3,29 @@
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use arc_swap::{ArcSwap, ArcSwapOption};
-use bankcove_core::hall_list::HallList;
-use bankcove_core::members::{Heartbeat, Members};
+use arc_swap::ArcSwapOption;
 use bankcove_core::router::Router;
-use bankcove_core::server_list::ServerList;
 use bankcove_core::table::Table;
 use bankcove_core::{AttemptId, Incarnation, Millis};
 use bankcove_ports::{Client, Store};
 use parking_lot::Mutex;
 use slog::Logger;
-use tokio::sync::Notify;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 use crate::base::Base;
 use crate::bill::billing::Billing;
-use crate::bill::request_log::RequestLogs;
 use crate::budget::budgets::Budgets;
 use crate::clock::Clock;
 use crate::config::Config;
 use crate::crashes::Crashes;
 use crate::error::Result;
-use crate::fleet::health::Contact;
-use crate::fleet::membership::Fetches;
+use crate::fleet::Fleet;
 use crate::limits::Limits;
+use crate::membership::Membership;
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
-use crate::view::host_list::HostList;
-use crate::view::unreadable::UnreadableEntries;
-
-/// Servers whose pace one heartbeat tells: some 100 bytes. A daemon hears twelve
-/// heartbeats a second, so that one of 140 servers is told of every 3 s.
-const PACES_PER_HEARTBEAT: usize = 4;
+use crate::view::View;
 
 /// One daemon.
 pub struct Daemon {
@@ -54,39 +44,25 @@
     /// Connections to backend servers.
     pub http: reqwest::Client,
     /// The table in force; none until the first one is adopted.
-    pub table: ArcSwapOption<Table>,
+    pub table: Arc<ArcSwapOption<Table>>,
     /// The routing state.
     pub router: Arc<Mutex<Router>>,
-    /// The backend servers that the platform lists.
-    pub servers: Mutex<ServerList>,
-    /// Halls that take no new work.
-    pub halls: Mutex<HallList>,
-    /// Entries of the store that can't be read, each told once.
-    pub unreadable: UnreadableEntries,
+    /// What is known of the platform.
+    pub view: Arc<View>,
     /// The other daemons.
-    pub members: Arc<Mutex<Members>>,
-    /// The platform's host list as last read.
-    pub hosts: ArcSwap<HostList>,
+    pub fleet: Fleet,
     /// Budgets held and shards owned.
-    pub budgets: Budgets,
-    /// Shards of the request log.
-    pub requests: RequestLogs,
+    pub budgets: Arc<Budgets>,
     /// Bills that wait for the store.
-    pub billing: Billing,
+    pub billing: Arc<Billing>,
     /// Connections to peers.
     pub peers: Arc<PeerPool>,
-    /// Whom this daemon has heard of late.
-    pub contact: Arc<Contact>,
     /// What is known of servers that crashed, and under which requests.
     pub crashes: Arc<Crashes>,
     /// The limits that servers name, and the permits that follow from them.
     pub limits: Arc<Limits>,
-    /// Fetches of what a peer knows newer.
-    pub fetches: Fetches,
-    /// Told when what servers have to read for this daemon has changed.
-    pub unread_changed: Notify,
-    /// Rounds of news of that which were told to peers.
-    pub news_told: AtomicU64,
+    /// Heartbeats, and what else is told with them.
+    pub membership: Arc<Membership>,
     /// Cancelled when the platform's balancer is to send no new connections;
     /// requests are still taken then.
     pub leaving: CancellationToken,
@@ -133,42 +109,52 @@
             cfg: Arc::new(cfg),
         };
         let cfg = Arc::clone(&base.cfg);
-        let members = Arc::new(Mutex::new(Members::new(cfg.name.clone())));
+        let fleet = Fleet::new(base.clone());
         let router = Arc::<Mutex<Router>>::default();
-        let contact = Arc::new(Contact::new(cfg.follows_evacuations()));
-        let limits = Limits::new(base.clone(), Arc::clone(&members), Arc::clone(&router));
-        let crashes = Crashes::new(
-            base.clone(),
-            Arc::clone(&members),
-            Arc::clone(&router),
-            Arc::clone(&contact),
+        let limits = Limits::new(fleet.clone(), Arc::clone(&router));
+        let crashes = Crashes::new(fleet.clone(), Arc::clone(&router), store.clone());
+        let table = Arc::<ArcSwapOption<Table>>::default();
+        let (leaving, stopping) = (CancellationToken::new(), CancellationToken::new());
+        let budgets = Budgets::new(
+            fleet.clone(),
             store.clone(),
+            Arc::clone(&table),
+            leaving.clone(),
+            stopping.clone(),
         );
+        let view = Arc::new(View::new(
+            fleet.clone(),
+            store.clone(),
+            http.clone(),
+            Arc::clone(&table),
+            Arc::clone(&router),
+        ));
+        let (crashes, limits) = (Arc::new(crashes), Arc::new(limits));
+        let membership = Membership::new(
+            Arc::clone(&view),
+            Arc::clone(&crashes),
+            Arc::clone(&limits),
+            stopping.clone(),
+        );
+        let billing = Billing::new(fleet.clone(), store.clone());
         Ok(Arc::new(Daemon {
             clock: base.clock,
             metrics: base.metrics,
             store,
             http,
-            table: ArcSwapOption::empty(),
+            table,
             router,
-            servers: Mutex::new(ServerList::default()),
-            halls: Mutex::new(HallList::default()),
-            unreadable: UnreadableEntries::default(),
-            members,
-            hosts: ArcSwap::from_pointee(HostList::default()),
-            budgets: Budgets::new(incarnation),
-            requests: RequestLogs::default(),
-            billing: Billing::default(),
+            fleet,
+            budgets: Arc::new(budgets),
+            billing: Arc::new(billing),
             peers: base.peers,
-            limits: Arc::new(limits),
-            contact,
-            crashes: Arc::new(crashes),
-            fetches: Fetches::default(),
-            unread_changed: Notify::new(),
-            news_told: AtomicU64::new(0),
-            leaving: CancellationToken::new(),
+            limits,
+            crashes,
+            view,
+            membership: Arc::new(membership),
+            leaving,
             last_end: Mutex::new(None),
-            stopping: CancellationToken::new(),
+            stopping,
             ended: base.ended.clone(),
             work: TaskTracker::new(),
             attempts: AtomicU64::new(0),
@@ -188,30 +174,4 @@
     pub fn revision(&self) -> u64 {
         self.table.load().as_ref().map_or(0, |table| table.revision)
     }
-
-    /// What this daemon says of itself.
-    pub fn heartbeat(&self) -> Heartbeat {
-        // One lock after the other: a guard within the value below would be kept until
-        // its end, and an adoption, which takes these two the other way round, would wait
-        // for this heartbeat as it waits for the adoption.
-        let servers_version = self.servers.lock().version();
-        let evacuated = self.halls.lock().told().clone();
-        let first_pace = rand::random_range(0..usize::MAX);
-        let paces = self.router.lock().paces(PACES_PER_HEARTBEAT, first_pace);
-        Heartbeat {
-            name: self.cfg.name.clone(),
-            hall: self.cfg.hall.clone(),
-            incarnation: self.incarnation,
-            address: self.cfg.peer_address().to_owned(),
-            revision: self.revision(),
-            servers_version,
-            evacuated,
-            stopping: self.stopping.is_cancelled(),
-            store_heard_ms: self.contact.store_age(self.clock.now()),
-            view_age_ms: self.contact.view_age(self.clock.now()),
-            paces,
-            crashes_digest: self.crashes.digest(),
-            limits_digest: self.limits.digest(),
-        }
-    }
 }
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -14,7 +14,7 @@
 pub fn status(daemon: &Daemon) -> Value {
     let now = daemon.clock.now();
     let peers: Vec<Value> = {
-        let members = daemon.members.lock();
+        let members = daemon.fleet.members.lock();
         let peer = |peer: &bankcove_core::members::Peer| {
             json!({
                 "name": peer.name, "hall": peer.hall, "revision": peer.revision,
@@ -30,8 +30,8 @@
         "incarnation": daemon.incarnation,
         "revision": daemon.revision(),
         "stopping": daemon.stopping.is_cancelled(),
-        "store_heard_ms_ago": daemon.contact.store_age(now),
-        "isolated": daemon.contact.is_isolated(now, daemon.cfg.limits.isolation_ms),
+        "store_heard_ms_ago": daemon.fleet.contact.store_age(now),
+        "isolated": daemon.fleet.contact.is_isolated(now, daemon.cfg.limits.isolation_ms),
         "requests_in_flight": daemon.work.len(),
         "bills_waiting": daemon.billing.waiting(),
         "peers": peers,
@@ -46,7 +46,7 @@
         .iter()
         .map(|(name, account)| (name.to_string(), account.free()))
         .collect();
-    let held = |name: &String| statement::holding(daemon, &Name::from(name.as_str()));
+    let held = |name: &String| statement::holding(&daemon.budgets, &Name::from(name.as_str()));
     let holdings: Vec<Holding> = free.keys().map(held).collect();
     let mut table = daemon.table.load().as_ref().map(|table| (**table).clone());
     if let Some(table) = &mut table {
@@ -61,7 +61,7 @@
         "free": free,
         "holdings": holdings,
         "owners": daemon.budgets.owners.dump().await,
-        "request_log": daemon.requests.dump().await,
+        "request_log": daemon.billing.logs.dump().await,
         "servers": servers,
         "limits": daemon.limits.dump(),
         "crashes": daemon.crashes.facts(),
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -19,7 +19,6 @@
 use crate::entry::link_use::LinkUse;
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
-use crate::fleet::fleet_size;
 use crate::limits::permit::Permit;
 
 /// Fewer shared tokens are read anew rather than copied from another server: setting
@@ -147,7 +146,7 @@
         }
         let daemon = &self.entry.daemon;
         // Of a fleet that is not known yet no part of what all may repeat is this one's.
-        let daemons = fleet_size(daemon).unwrap_or(usize::MAX);
+        let daemons = daemon.fleet.size().unwrap_or(usize::MAX);
         let now = daemon.clock.now();
         self.entry.retries.lock().repeat(&self.plan.service, daemons, now)
     }
--- a/crates/daemon/src/entry/ready.rs
+++ b/crates/daemon/src/entry/ready.rs
@@ -32,7 +32,7 @@
 #[handler]
 async fn ready(depot: &mut Depot, res: &mut Response) {
     let daemon = &entry(depot).daemon;
-    let knows_servers = daemon.servers.lock().version().is_some();
+    let knows_servers = daemon.view.servers.lock().version().is_some();
     let is_ready = daemon.revision() > 0 && knows_servers && !daemon.leaving.is_cancelled();
     if !is_ready {
         res.status_code(StatusCode::SERVICE_UNAVAILABLE);
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -104,7 +104,7 @@
             "retry_after_ms" => refusal.retry_after().map(|after| after.as_millis() as u64),
             "path" => &path, "tokens" => incoming.and_then(|incoming| incoming.prompt.as_ref())
                 .map(|prompt| prompt.input_tokens + prompt.output_limit),
-            "store_heard_ms" => daemon.contact.store_age(daemon.clock.now()),
+            "store_heard_ms" => daemon.fleet.contact.store_age(daemon.clock.now()),
             "age_ms" => daemon.clock.now() - arrived);
         refusal
     };
@@ -205,11 +205,11 @@
         let retry_after = Duration::from_millis(RETRY_LATER_MS);
         Refusal::BudgetRationed { budget: budget.name.to_string(), tokens, ration, retry_after }
     };
-    let ration = ration(daemon, budget, wish).await;
+    let ration = ration(&daemon.budgets, budget, wish).await;
     if tokens > ration {
         return Err(rationed(ration));
     }
-    let reserving = budgets::reserve(daemon, budget, wish);
+    let reserving = budgets::reserve(&daemon.budgets, budget, wish);
     match tokio::time::timeout(BUDGET_WAIT, reserving).await {
         Ok(Ok(reservation)) => Ok(reservation),
         Ok(Err(refusal)) => {
@@ -237,6 +237,6 @@
 
 /// When to come back after neither the store nor an owner had tokens.
 fn retry_in_outage(daemon: &Daemon) -> Duration {
-    let outage_ms = daemon.contact.store_age(daemon.clock.now());
+    let outage_ms = daemon.fleet.contact.store_age(daemon.clock.now());
     Duration::from_millis(outage::retry_after_outage(outage_ms, rand::random()))
 }
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -14,14 +14,13 @@
 
 use bankcove_core::crashes::ServerStart;
 use bankcove_core::limits::{Change, Issuer, Leases, LimitBook, LimitFact, LimitWord, Returns};
-use bankcove_core::members::Members;
 use bankcove_core::router::Router;
 use bankcove_core::{Millis, Name};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use tokio::sync::mpsc;
 
-use crate::base::Base;
+use crate::fleet::Fleet;
 
 /// Changes that wait to be told to peers; what is left out is brought by heartbeats.
 const MOST_NEWS: usize = 4_096;
@@ -29,15 +28,14 @@
 /// The limits of servers, as this daemon knows and keeps them.
 #[derive(Debug)]
 pub struct Limits {
-    base: Base,
-    members: Arc<Mutex<Members>>,
+    fleet: Fleet,
     router: Arc<Mutex<Router>>,
     book: Mutex<LimitBook>,
     issuer: Mutex<Issuer>,
     leases: Mutex<Leases>,
     returns: Mutex<Returns>,
-    /// Who is in the fleet, as [`Members::digest`], and since when.
-    fleet: Mutex<(u64, Millis)>,
+    /// Who is in the fleet, as [`bankcove_core::members::Members::digest`], and since when.
+    known_as: Mutex<(u64, Millis)>,
     /// Issuers that did not answer are passed over until then.
     silent: Mutex<HashMap<Name, Millis>>,
     /// Servers whose word could not be read; each is logged once.
@@ -54,17 +52,16 @@
 
 impl Limits {
     /// No limit is known.
-    pub fn new(base: Base, members: Arc<Mutex<Members>>, router: Arc<Mutex<Router>>) -> Self {
+    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>) -> Self {
         let (news, to_tell) = mpsc::channel(MOST_NEWS);
         Limits {
-            base,
-            members,
+            fleet,
             router,
             book: Mutex::default(),
             issuer: Mutex::default(),
             leases: Mutex::default(),
             returns: Mutex::default(),
-            fleet: Mutex::default(),
+            known_as: Mutex::default(),
             silent: Mutex::default(),
             unreadable: Mutex::default(),
             is_active: AtomicBool::new(false),
@@ -84,7 +81,7 @@
         if *word == LimitWord::None && !self.is_active.load(Ordering::Relaxed) {
             return;
         }
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let change = self.change(|book| book.heard(now, server, asked_at, word));
         if let Some(change) = change {
             self.take_change(&change, &Source::Server);
@@ -103,7 +100,7 @@
     /// What changed is put to the router, logged, and told to peers.
     fn take_change(&self, change: &Change, source: &Source) {
         let Change { before, fact } = change;
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let (before, after) =
             (before.map(|rate| rate.per_second()), fact.limit.map(|rate| rate.per_second()));
         self.router.lock().limited(now, &fact.server, after);
@@ -112,42 +109,42 @@
             (Some(_), Some(_)) => "limit changed",
             (Some(_), None) => "limit lifted",
         };
-        self.base.metrics.count(if after.is_some() { "limit.named" } else { "limit.lifted" });
-        slog::info!(self.base.log, "{}", what;
+        self.fleet.base.metrics.count(if after.is_some() { "limit.named" } else { "limit.lifted" });
+        slog::info!(self.fleet.base.log, "{}", what;
             "server" => %fact.server.name, "started_ms" => fact.server.started_ms,
             "before_per_s" => before, "per_s" => after, "age_ms" => fact.heard_age_ms,
             "from" => source.name());
         if self.news.try_send(fact.clone()).is_err() {
-            self.base.metrics.count("limit.not_told");
+            self.fleet.base.metrics.count("limit.not_told");
         }
     }
 
     fn tell_unreadable(&self, server: &ServerStart, text: &str) {
         let before = self.unreadable.lock().insert(server.clone(), text.to_owned());
         if before.is_none() {
-            self.base.metrics.count("limit.unreadable");
-            slog::warn!(self.base.log, "limit passed over: it is no number from 0 on";
+            self.fleet.base.metrics.count("limit.unreadable");
+            slog::warn!(self.fleet.base.log, "limit passed over: it is no number from 0 on";
                 "server" => %server.name, "started_ms" => server.started_ms, "said" => text);
         }
     }
 
     /// When a caller that no server has a permit for comes back, in milliseconds.
     pub fn next_return(&self, service: &Name, first_ms: Millis, per_second: f64) -> Millis {
-        let daemons = self.members.lock().usable().count() + 1;
+        let daemons = self.fleet.members.lock().usable().count() + 1;
         let share = per_second / daemons as f64;
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         self.returns.lock().next(now, service, first_ms, share, rand::random())
     }
 
     /// Since when the fleet is as it is.
     fn fleet_since(&self) -> Millis {
-        let digest = self.members.lock().digest();
-        let now = self.base.clock.now();
-        let mut fleet = self.fleet.lock();
-        if fleet.0 != digest {
-            *fleet = (digest, now);
+        let digest = self.fleet.members.lock().digest();
+        let now = self.fleet.base.clock.now();
+        let mut known_as = self.known_as.lock();
+        if known_as.0 != digest {
+            *known_as = (digest, now);
         }
-        fleet.1
+        known_as.1
     }
 
     /// Forgets limits that were lifted, and those of servers that are gone.
@@ -156,7 +153,7 @@
         if !self.is_active.load(Ordering::Relaxed) {
             return;
         }
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let listed: HashSet<ServerStart> = {
             let router = self.router.lock();
             router.servers().iter().map(|view| view.start()).collect()
@@ -171,7 +168,7 @@
 
     /// Each limited server, for people.
     pub fn dump(&self) -> Value {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let facts = self.book.lock().facts(now, usize::MAX, 0);
         let levels: HashMap<ServerStart, (usize, f64)> = {
             let issuer = self.issuer.lock();
--- a/crates/daemon/src/limits/issue.rs
+++ b/crates/daemon/src/limits/issue.rs
@@ -2,7 +2,6 @@
 
 use bankcove_core::Millis;
 use bankcove_core::limits::{Issued, LimitFact, Place, Wish};
-use bankcove_core::members::FleetSize;
 
 use crate::limits::Limits;
 use crate::peer::PermitAnswer;
@@ -19,7 +18,7 @@
     /// Issues permits for the server that the asker knows this of.
     pub fn issue(&self, fact: &LimitFact, wish: Wish) -> PermitAnswer {
         self.told(std::slice::from_ref(fact));
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let known = self.book.lock().fact(now, &fact.server);
         let newer = known.clone().filter(|known| known.limit != fact.limit);
         let Some(limit) = known.and_then(|known| known.limit) else {
@@ -28,18 +27,9 @@
         };
         // A daemon that takes itself for alone would rank first for every server.
         let rank = self.issuers(&fact.server).iter().position(Option::is_none);
-        let rank = rank.filter(|_| self.knows_fleet()).unwrap_or(usize::MAX);
+        let rank = rank.filter(|_| self.fleet.size().is_some()).unwrap_or(usize::MAX);
         let place = Place { rank, since: self.fleet_since() };
         let issued = self.issuer.lock().issue(now, &fact.server, limit, place, wish);
         PermitAnswer { issued, is_free: false, newer }
     }
-
-    /// Whether it is known who the other daemons are.
-    pub(super) fn knows_fleet(&self) -> bool {
-        match self.members.lock().fleet_size() {
-            FleetSize::Listed(_) => true,
-            FleetSize::AtLeast(_) => !self.base.cfg.has_other_seeds(),
-            FleetSize::Unknown => false,
-        }
-    }
 }
--- a/crates/daemon/src/limits/permit.rs
+++ b/crates/daemon/src/limits/permit.rs
@@ -48,7 +48,7 @@
     /// [`Expired`] when the time to use it is over.
     pub fn spend(mut self) -> Result<Choice, Expired> {
         let lease = self.lease.take();
-        let is_over = lease.is_some_and(|(limits, until)| limits.base.clock.now() >= until);
+        let is_over = lease.is_some_and(|(limits, until)| limits.fleet.base.clock.now() >= until);
         if is_over { Err(Expired) } else { Ok(self.choice.clone()) }
     }
 }
@@ -56,7 +56,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         if let Some((limits, until)) = self.lease.take() {
-            let now = limits.base.clock.now();
+            let now = limits.fleet.base.clock.now();
             limits.leases.lock().give_back(now, &self.choice.start(), until);
         }
     }
@@ -78,7 +78,7 @@
             return Ok(Permit { choice, lease: None });
         }
         let server = choice.start();
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let Some(fact) = self.book.lock().fact(now, &server) else {
             return Ok(Permit { choice, lease: None });
         };
@@ -94,16 +94,16 @@
             self.router.lock().at_limit(&server, limit.per_second(), until);
         }
         let permits = self.leases.lock().wanted(now, &server);
-        let wish = Wish { from: self.base.incarnation, permits, urgency };
+        let wish = Wish { from: self.fleet.base.incarnation, permits, urgency };
         let (issuer, answer) = self.ask(fact, wish).await;
         if answer.is_free {
             return Ok(Permit { choice, lease: None });
         }
         if answer.issued.permits > 0 {
-            self.base.metrics.add("limit.permits", u64::from(answer.issued.permits));
+            self.fleet.base.metrics.add("limit.permits", u64::from(answer.issued.permits));
             let mut leases = self.leases.lock();
             leases.add(now, &server, answer.issued.permits);
-            let taken = leases.take(self.base.clock.now(), &server);
+            let taken = leases.take(self.fleet.base.clock.now(), &server);
             drop(leases);
             if let Some(until) = taken {
                 if is_scarce {
@@ -114,9 +114,9 @@
         }
         self.leases.lock().denied(now, &server);
         let retry_ms = answer.issued.retry_ms.max(1);
-        let until = self.base.clock.now() + retry_ms;
+        let until = self.fleet.base.clock.now() + retry_ms;
         self.router.lock().at_limit(&server, limit.per_second(), until);
-        self.base.metrics.count("limit.passed_over");
+        self.fleet.base.metrics.count("limit.passed_over");
         slog::info!(log, "server at its limit";
             "server" => %server.name, "per_s" => limit.per_second(), "issuer" => issuer,
             "retry_ms" => retry_ms, "heard_ms_ago" => heard_age_ms);
@@ -129,7 +129,7 @@
 
     /// Asks the first issuer that answers; tells its name.
     async fn ask(self: &Arc<Self>, fact: LimitFact, wish: Wish) -> (String, PermitAnswer) {
-        if !self.knows_fleet() {
+        if self.fleet.size().is_none() {
             return ("unknown fleet".to_owned(), PermitAnswer::none(NOBODY_MS));
         }
         for issuer in self.issuers(&fact.server) {
@@ -158,23 +158,23 @@
         let fact = fact.clone();
         let ask =
             |client: PeerServiceClient, cx| async move { client.permits(cx, fact, wish).await };
-        self.base.peers.call(&peer.address, ASK_TIMEOUT, ask).await
+        self.fleet.base.peers.call(&peer.address, ASK_TIMEOUT, ask).await
     }
 
     /// Who issues permits for the server, in order; none stands for this daemon.
     pub(super) fn issuers(&self, server: &ServerStart) -> Vec<Option<Peer>> {
-        self.members.lock().owners_listed(server.key(), ISSUERS)
+        self.fleet.members.lock().owners_listed(server.key(), ISSUERS)
     }
 
     fn is_silent(&self, peer: &Peer) -> bool {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         self.silent.lock().get(&peer.name).is_some_and(|until| now < *until)
     }
 
     fn fell_silent(&self, peer: &Peer) {
-        let until = self.base.clock.now() + SILENT_MS;
+        let until = self.fleet.base.clock.now() + SILENT_MS;
         self.silent.lock().insert(peer.name.clone(), until);
-        self.base.metrics.count("limit.issuer_silent");
-        slog::info!(self.base.log, "issuer of permits does not answer"; "peer" => %peer.name);
+        self.fleet.base.metrics.count("limit.issuer_silent");
+        slog::info!(self.fleet.base.log, "issuer of permits does not answer"; "peer" => %peer.name);
     }
 }
--- a/crates/daemon/src/limits/spread.rs
+++ b/crates/daemon/src/limits/spread.rs
@@ -7,11 +7,9 @@
 
 use bankcove_core::Millis;
 use bankcove_core::limits::{LimitFact, UNDER_WAY_MS};
-use bankcove_core::members::Members;
-use parking_lot::Mutex;
 use tokio::sync::mpsc;
 
-use crate::base::Base;
+use crate::fleet::Fleet;
 use crate::limits::{Limits, Source};
 use crate::peer::PeerServiceClient;
 
@@ -38,13 +36,13 @@
 /// Tells some peers what is new, until nobody finds anything new any more.
 pub fn spawn_tell(limits: &Limits) {
     if let Some(news) = limits.to_tell.lock().take() {
-        tokio::spawn(tell(limits.base.clone(), Arc::clone(&limits.members), news));
+        tokio::spawn(tell(limits.fleet.clone(), news));
     }
 }
 
-async fn tell(base: Base, members: Arc<Mutex<Members>>, mut news: mpsc::Receiver<LimitFact>) {
+async fn tell(fleet: Fleet, mut news: mpsc::Receiver<LimitFact>) {
     while let Some(first) = news.recv().await {
-        let at = base.clock.now();
+        let at = fleet.base.clock.now();
         tokio::time::sleep(GATHER).await;
         let mut facts = vec![first];
         while facts.len() < MOST_FACTS
@@ -52,20 +50,21 @@
         {
             facts.push(fact);
         }
-        let waited = base.clock.now().saturating_sub(at);
+        let waited = fleet.base.clock.now().saturating_sub(at);
         for fact in &mut facts {
             fact.asked_age_ms += waited;
             fact.heard_age_ms += waited;
         }
         let pause = PAUSE_PER_FACT * facts.len() as u32;
-        tell_some(&base, &members, &facts);
+        tell_some(&fleet, &facts);
         tokio::time::sleep(pause).await;
     }
 }
 
-fn tell_some(base: &Base, members: &Mutex<Members>, facts: &[LimitFact]) {
-    for peer in members.lock().some(TOLD_AT_ONCE, rand::random()) {
-        let (peers, log, facts) = (Arc::clone(&base.peers), base.log.clone(), facts.to_vec());
+fn tell_some(fleet: &Fleet, facts: &[LimitFact]) {
+    for peer in fleet.members.lock().some(TOLD_AT_ONCE, rand::random()) {
+        let (peers, log, facts) =
+            (Arc::clone(&fleet.base.peers), fleet.base.log.clone(), facts.to_vec());
         tokio::spawn(async move {
             let told =
                 |client: PeerServiceClient, cx| async move { client.told_limits(cx, facts).await };
@@ -79,7 +78,7 @@
 impl Limits {
     /// Takes in what a peer has told.
     pub fn told(&self, facts: &[LimitFact]) {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let changes = self.change(|book| book.told(now, facts));
         for change in &changes {
             self.take_change(change, &Source::Peer);
@@ -88,7 +87,7 @@
 
     /// What is known here, for a peer: some of it, when it is much.
     pub fn facts(&self) -> Vec<LimitFact> {
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         self.book.lock().facts(now, MOST_FACTS, rand::random_range(0..usize::MAX))
     }
 
@@ -103,7 +102,7 @@
         if told == self.digest() {
             return;
         }
-        let now = self.base.clock.now();
+        let now = self.fleet.base.clock.now();
         let asked_at = self.asked_at.load(Ordering::Relaxed);
         if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
             return;
@@ -112,9 +111,11 @@
         let (limits, address) = (Arc::clone(self), address.to_owned());
         tokio::spawn(async move {
             let ask = |client: PeerServiceClient, cx| async move { client.limit_facts(cx).await };
-            match limits.base.peers.call(&address, CALL_TIMEOUT, ask).await {
+            match limits.fleet.base.peers.call(&address, CALL_TIMEOUT, ask).await {
                 Some(facts) => limits.told(&facts),
-                None => slog::debug!(limits.base.log, "limits not asked for"; "peer" => &address),
+                None => {
+                    slog::debug!(limits.fleet.base.log, "limits not asked for"; "peer" => &address)
+                }
             }
         });
     }
--- a/crates/daemon/src/fleet/unread_news.rs
+++ b/crates/daemon/src/membership/unread_news.rs
@@ -11,8 +11,7 @@
 use bankcove_core::Tokens;
 use bankcove_core::router::UnreadNews;
 
-use crate::daemon::Daemon;
-use crate::fleet::is_small_fleet;
+use crate::membership::Membership;
 use crate::peer::PeerServiceClient;
 
 /// Shorter prompts are not told: they are read in some 30 to 60 ms, and by the time
@@ -23,35 +22,35 @@
 const PAUSE: Duration = Duration::from_millis(5);
 
 /// Tells peers of each change, until the daemon ends.
-pub async fn tell(daemon: Arc<Daemon>) {
+pub async fn tell(membership: Arc<Membership>) {
     loop {
         tokio::select! {
-            () = daemon.unread_changed.notified() => {}
-            () = daemon.ended.cancelled() => return,
+            () = membership.unread_changed.notified() => {}
+            () = membership.fleet.base.ended.cancelled() => return,
         }
-        if is_small_fleet(&daemon) {
-            tell_all(&daemon);
+        if membership.fleet.is_small() {
+            tell_all(&membership);
         }
         tokio::time::sleep(PAUSE).await;
     }
 }
 
-fn tell_all(daemon: &Arc<Daemon>) {
+fn tell_all(membership: &Arc<Membership>) {
     let news = UnreadNews {
-        from: daemon.incarnation,
-        number: daemon.news_told.fetch_add(1, Ordering::Relaxed),
-        unread: daemon.router.lock().unread(),
+        from: membership.fleet.base.incarnation,
+        number: membership.news_told.fetch_add(1, Ordering::Relaxed),
+        unread: membership.view.router.lock().unread(),
     };
-    let timeout = Duration::from_millis(daemon.cfg.limits.gather_timeout_ms);
+    let timeout = Duration::from_millis(membership.fleet.base.cfg.limits.gather_timeout_ms);
     let peers: Vec<String> =
-        daemon.members.lock().usable().map(|peer| peer.address.clone()).collect();
+        membership.fleet.members.lock().usable().map(|peer| peer.address.clone()).collect();
     for address in peers {
-        let (daemon, news) = (Arc::clone(daemon), news.clone());
+        let (membership, news) = (Arc::clone(membership), news.clone());
         tokio::spawn(async move {
             let told =
                 |client: PeerServiceClient, cx| async move { client.told_unread(cx, news).await };
             // News that are lost are made good by the next ones.
-            let _lost = daemon.peers.call(&address, timeout, told).await;
+            let _lost = membership.fleet.base.peers.call(&address, timeout, told).await;
         });
     }
 }
--- a/crates/daemon/src/open_request.rs
+++ b/crates/daemon/src/open_request.rs
@@ -7,7 +7,7 @@
 
 use crate::crashes::gate::RunApart;
 use crate::daemon::Daemon;
-use crate::fleet::unread_news::MIN_TOLD_TOKENS;
+use crate::membership::unread_news::MIN_TOLD_TOKENS;
 
 /// A request that is open at a server; dropping it counts it as ended.
 pub struct OpenRequest {
@@ -26,7 +26,7 @@
     pub fn new(daemon: &Arc<Daemon>, choice: &Choice, prompt: Tokens) -> Self {
         daemon.router.lock().sent(&choice.server, choice.started_ms, prompt);
         if prompt >= MIN_TOLD_TOKENS {
-            daemon.unread_changed.notify_one();
+            daemon.membership.unread_changed.notify_one();
         }
         OpenRequest {
             daemon: Arc::clone(daemon),
@@ -45,7 +45,7 @@
             self.daemon.router.lock().read(&self.server, self.started_ms, prompt);
         }
         if prompt >= MIN_TOLD_TOKENS {
-            self.daemon.unread_changed.notify_one();
+            self.daemon.membership.unread_changed.notify_one();
         }
     }
 
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -88,7 +88,7 @@
             return fail(res, StatusCode::BAD_REQUEST, "bad_edit", &message);
         }
     };
-    match table_sync::edit(&daemon, &edit).await {
+    match table_sync::edit(&daemon.view, &edit).await {
         Ok(table) => {
             slog::info!(daemon.log, "edit accepted"; "change" => &edit.id, "who" => &edit.who);
             // A repeat of an old change is told the revision that it made.
@@ -126,7 +126,7 @@
         let message = format!("no budget is named '{name}'");
         return fail(res, StatusCode::NOT_FOUND, "no_such_budget", &message);
     };
-    let Ok((ledger, statement)) = statement(&daemon, &row).await else {
+    let Ok((ledger, statement)) = statement(&daemon.budgets, &row).await else {
         let message = "the store does not answer";
         return fail(res, StatusCode::SERVICE_UNAVAILABLE, "store_away", message);
     };
@@ -155,7 +155,7 @@
         }
     };
     let request = OwnerRequest::TopUp { budget: name, id: top_up.id, tokens: top_up.tokens };
-    match ask_owner(&daemon, request).await.reply {
+    match ask_owner(&daemon.budgets, request).await.reply {
         Reply::Recorded => res.render(Json(json!({"recorded": true}))),
         _ => {
             let message = "the store does not answer; send the top-up again with the same id";
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -4,6 +4,7 @@
 //! May call nothing of the daemon but its types; called by all layers. What answers the calls
 //! stands above them, in `peer_server`.
 
+pub mod packed_table;
 mod pool;
 mod protocol;
 
@@ -13,7 +14,10 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
 pub use pool::PeerPool;
-pub use protocol::{GiveAnswer, OwnerAnswer, PeerService, PeerServiceClient, PermitAnswer};
+pub use protocol::{
+    AllotAnswer, GiveAnswer, HostsTold, OwnerAnswer, PeerService, PeerServiceClient, PermitAnswer,
+    Refusal,
+};
 
 /// Largest message; a whole table fits.
 const MAX_FRAME_BYTES: usize = 32 << 20;
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -4,17 +4,15 @@
 use bankcove_core::crashes::CrashFacts;
 use bankcove_core::holder::{Allotted, Ask, Holding};
 use bankcove_core::limits::{Issued, LimitFact, Wish};
-use bankcove_core::members::Heartbeat;
-use bankcove_core::owner::{Reply, Request};
+use bankcove_core::members::{Heartbeat, Host};
+use bankcove_core::owner::{RETRY_LATER_MS, Reply, Request};
 use bankcove_core::reqlog::{Entry, Outcome};
 use bankcove_core::router::UnreadNews;
 use bankcove_core::server_list::{ListVersion, SharedServer};
-use bankcove_core::{Incarnation, Name, Tokens};
+use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use serde::{Deserialize, Serialize};
 
-use crate::budget::allotment::AllotAnswer;
-use crate::view::host_list::HostsTold;
-use crate::view::packed_table::PackedTable;
+use crate::peer::packed_table::PackedTable;
 
 /// An owner's answer, with the tokens that it sent along.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -50,6 +48,52 @@
     pub newer: Option<LimitFact>,
 }
 
+/// Why tokens were refused.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Refusal {
+    /// When it is worth asking again.
+    pub retry_after_ms: Millis,
+    /// Whether the store was away, so that more may be there.
+    pub store_away: bool,
+    /// What the request may take at most of the rest of the budget, when that is why.
+    pub ration: Option<Tokens>,
+}
+
+impl Refusal {
+    /// Too little is left of the budget.
+    pub(crate) fn short(retry_after_ms: Millis) -> Self {
+        Refusal { retry_after_ms, store_away: false, ration: None }
+    }
+
+    /// More may be left, but out of reach.
+    pub(crate) fn out_of_reach(retry_after_ms: Millis) -> Self {
+        Refusal { retry_after_ms, store_away: true, ration: None }
+    }
+
+    /// Too little is left for a request of this size.
+    pub(crate) fn rationed(ration: Tokens) -> Self {
+        Refusal { retry_after_ms: RETRY_LATER_MS, store_away: false, ration: Some(ration) }
+    }
+}
+
+/// An owner's answer to a daemon that asks for tokens.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum AllotAnswer {
+    /// Tokens were handed on.
+    Allotted(Allotted),
+    /// None were.
+    Refused(Refusal),
+}
+
+/// The platform's host list, as a peer tells it.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct HostsTold {
+    /// The lines.
+    pub hosts: Vec<Host>,
+    /// How long ago the store was asked for it, in milliseconds.
+    pub age_ms: i64,
+}
+
 /// What daemons ask of each other.
 #[tarpc::service]
 pub trait PeerService {
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -20,15 +20,16 @@
 use tokio::net::{TcpListener, TcpStream};
 
 use crate::bill::request_log;
-use crate::budget::allotment::{self, AllotAnswer};
+use crate::budget::allotment;
 use crate::budget::{collect, owner, statement};
 use crate::daemon::Daemon;
 use crate::error::Result;
-use crate::fleet::membership;
-use crate::peer::{GiveAnswer, OwnerAnswer, PeerService, PermitAnswer, framed};
+use crate::membership;
+use crate::peer::packed_table::PackedTable;
+use crate::peer::{
+    AllotAnswer, GiveAnswer, HostsTold, OwnerAnswer, PeerService, PermitAnswer, framed,
+};
 use crate::tcp;
-use crate::view::host_list::HostsTold;
-use crate::view::packed_table::PackedTable;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -40,8 +41,8 @@
 
 impl PeerService for Server {
     async fn heartbeat(self, _: Context, from: Heartbeat) -> Heartbeat {
-        membership::heard(&self.daemon, &from);
-        self.daemon.heartbeat()
+        membership::heard(&self.daemon.membership, &from);
+        self.daemon.membership.heartbeat()
     }
 
     async fn told_unread(self, _: Context, news: UnreadNews) {
@@ -69,20 +70,20 @@
         version: ListVersion,
     ) -> Option<(ListVersion, Vec<SharedServer>)> {
         let now = self.daemon.clock.now();
-        let list = self.daemon.servers.lock();
+        let list = self.daemon.view.servers.lock();
         (list.version() > version).then(|| (list.version(), list.shared(now)))
     }
 
     async fn hosts_unless(self, _: Context, hash: u64) -> Option<HostsTold> {
-        self.daemon.hosts.load().unless(hash, self.daemon.clock.now())
+        self.daemon.view.hosts.load().unless(hash, self.daemon.clock.now())
     }
 
     async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
-        owner::ask_local_owner(&self.daemon, request).await
+        owner::ask_local_owner(&self.daemon.budgets, request).await
     }
 
     async fn allot(self, _: Context, ask: Ask) -> AllotAnswer {
-        allotment::allot(&self.daemon, ask).await
+        allotment::allot(&self.daemon.budgets, ask).await
     }
 
     async fn lend(self, _: Context, ask: Ask) -> Allotted {
@@ -116,11 +117,11 @@
         if holder != self.daemon.incarnation {
             return GiveAnswer::OtherIncarnation;
         }
-        collect::give_all(&self.daemon, &budget, receiver, received, most).await
+        collect::give_all(&self.daemon.budgets, &budget, receiver, received, most).await
     }
 
     async fn holding(self, _: Context, budget: Name) -> Holding {
-        statement::holding(&self.daemon, &budget)
+        statement::holding(&self.daemon.budgets, &budget)
     }
 
     async fn open(
@@ -147,7 +148,7 @@
     }
 
     async fn submit(self, _: Context, entry: Entry) -> Outcome {
-        request_log::submit_here(&self.daemon, entry).await
+        request_log::submit_here(&self.daemon.billing, entry).await
     }
 
     async fn told_crashes(self, _: Context, facts: CrashFacts) {
--- a/crates/daemon/src/suspension.rs
+++ b/crates/daemon/src/suspension.rs
@@ -1,9 +1,8 @@
 //! Notices that the host was suspended, so that what waits looks at the clock anew.
 
-use std::sync::Arc;
 use std::time::Duration;
 
-use crate::daemon::Daemon;
+use crate::fleet::Fleet;
 
 /// Pause between two looks: a caller's deadline is missed by this at most after a wake.
 const LOOK: Duration = Duration::from_millis(100);
@@ -12,21 +11,21 @@
 const LEAST: Duration = Duration::from_millis(20);
 
 /// Looks until the daemon ends.
-pub async fn watch(daemon: Arc<Daemon>) {
-    let mut known = daemon.clock.suspended();
+pub async fn watch(fleet: Fleet) {
+    let mut known = fleet.base.clock.suspended();
     loop {
         tokio::select! {
             () = tokio::time::sleep(LOOK) => {}
-            () = daemon.ended.cancelled() => return,
+            () = fleet.base.ended.cancelled() => return,
         }
-        let suspended = daemon.clock.suspended();
+        let suspended = fleet.base.clock.suspended();
         let since = suspended.saturating_sub(known);
         if since >= LEAST {
             known = suspended;
-            daemon.metrics.count("host.suspended");
-            slog::warn!(daemon.log, "host was suspended"; "for_ms" => since.as_millis() as u64,
-                "view_age_ms" => daemon.contact.view_age(daemon.clock.now()));
-            daemon.clock.wake();
+            fleet.base.metrics.count("host.suspended");
+            slog::warn!(fleet.base.log, "host was suspended"; "for_ms" => since.as_millis() as u64,
+                "view_age_ms" => fleet.contact.view_age(fleet.base.clock.now()));
+            fleet.base.clock.wake();
         }
     }
 }
--- a/crates/daemon/src/view/host_list.rs
+++ b/crates/daemon/src/view/host_list.rs
@@ -6,12 +6,11 @@
 
 use bankcove_core::members::{Host, HostRole, HostState, Peer};
 use bankcove_core::{Millis, Name};
-use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::daemon::Daemon;
-use crate::fleet::membership::beat;
-use crate::fleet::{START_POLL, fleet_size, standing};
+use crate::fleet::START_POLL;
+use crate::peer::HostsTold;
+use crate::view::View;
 
 /// All hosts of a fleet start, and are listed, within this time: the users' do so
 /// within 0.3 s, and write for some 0.1 s.
@@ -22,12 +21,12 @@
 const FIRST_LIST_RETRY: Duration = Duration::from_millis(300);
 
 /// Reads the platform's host list until the daemon ends.
-pub async fn follow_host_list(daemon: Arc<Daemon>) {
-    let interval = Duration::from_millis(daemon.cfg.limits.host_list_ms);
+pub async fn follow_host_list(view: Arc<View>) {
+    let interval = Duration::from_millis(view.fleet.base.cfg.limits.host_list_ms);
     loop {
-        read_host_list(&daemon).await;
-        let is_told = standing(&daemon).start_patience() > 0;
-        let pause = match (daemon.hosts.load().is_read(), fleet_size(&daemon)) {
+        read_host_list(&view).await;
+        let is_told = view.fleet.standing().start_patience() > 0;
+        let pause = match (view.hosts.load().is_read(), view.fleet.size()) {
             // Without the list a daemon does not even know how large its fleet is.
             (false, _) => FIRST_LIST_RETRY,
             // In a start of the whole fleet others are not listed yet. Peers of the
@@ -39,71 +38,71 @@
         let pause = pause.min(interval);
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
-            () = daemon.ended.cancelled() => return,
+            () = view.fleet.base.ended.cancelled() => return,
         }
     }
 }
 
 /// Waits until this start has read a host list.
-pub async fn host_list_read(daemon: &Daemon) {
-    while !daemon.hosts.load().is_read() {
+pub async fn host_list_read(view: &View) {
+    while !view.hosts.load().is_read() {
         tokio::time::sleep(START_POLL).await;
     }
 }
 
 /// Reads the platform's host list once: from the store when this daemon reads
 /// it for its hall, else from a peer that does.
-pub async fn read_host_list(daemon: &Arc<Daemon>) {
-    let list = match store_readers(daemon) {
+pub async fn read_host_list(view: &Arc<View>) {
+    let list = match store_readers(view) {
         // By a list that is not complete nobody can tell who reads.
-        Err(peers) if fleet_size(daemon).is_some() => host_list_of_peers(daemon, &peers).await,
-        _ => host_list_of_store(daemon).await,
+        Err(peers) if view.fleet.size().is_some() => host_list_of_peers(view, &peers).await,
+        _ => host_list_of_store(view).await,
     };
     match list {
         Some(list) => {
-            take_host_list(daemon, list);
-            if daemon.revision() == 0 {
+            take_host_list(view, list);
+            if view.revision() == 0 {
                 // Neighbours are known now, and may have the table.
-                beat(daemon).await;
+                view.fleet.to_tell.notify_one();
             }
         }
-        None => slog::debug!(daemon.log, "host list not read"),
+        None => slog::debug!(view.fleet.base.log, "host list not read"),
     }
 }
 
 /// The host list as the store has it. Once more in a start of the whole fleet, in which
 /// everybody seems to be the first to read, or while the store is away: as a peer of the
 /// settings has it.
-async fn host_list_of_store(daemon: &Arc<Daemon>) -> Option<HostList> {
-    let is_known = daemon.hosts.load().is_read();
-    let asked_at = daemon.clock.now();
-    let is_away = daemon.contact.is_store_away(asked_at);
-    let is_told = standing(daemon).start_patience() > 0;
+async fn host_list_of_store(view: &Arc<View>) -> Option<HostList> {
+    let is_known = view.hosts.load().is_read();
+    let asked_at = view.fleet.base.clock.now();
+    let is_away = view.fleet.contact.is_store_away(asked_at);
+    let is_told = view.fleet.standing().start_patience() > 0;
     if (is_known && is_told) || is_away {
-        let told = host_list_of_seeds(daemon).await;
+        let told = host_list_of_seeds(view).await;
         if told.is_some() || is_away {
             return told;
         }
     }
-    match daemon.store.hosts().await {
+    match view.store.hosts().await {
         Ok(read) => {
-            daemon.unreadable.tell(&daemon.log, "hosts", &read.unreadable);
+            view.unreadable.tell(&view.fleet.base.log, "hosts", &read.unreadable);
             Some(HostList::new(read.hosts, asked_at as i64))
         }
         Err(e) => {
-            slog::info!(daemon.log, "host list not read"; "error" => %e);
+            slog::info!(view.fleet.base.log, "host list not read"; "error" => %e);
             // Peers of the settings are asked until the watch finds the store, or they do.
-            daemon.contact.store_lost();
+            view.fleet.contact.store_lost();
             None
         }
     }
 }
 
 /// The host list of the first peer of the settings that has another one than is known.
-async fn host_list_of_seeds(daemon: &Arc<Daemon>) -> Option<HostList> {
-    let me = daemon.cfg.peer_address();
-    for address in daemon.cfg.seed_peers.iter().filter(|seed| *seed != me) {
-        if let Ok(Some(list)) = host_list_of(daemon, address).await {
+async fn host_list_of_seeds(view: &Arc<View>) -> Option<HostList> {
+    let me = view.fleet.base.cfg.peer_address();
+    for address in view.fleet.base.cfg.seed_peers.iter().filter(|seed| *seed != me) {
+        if let Ok(Some(list)) = host_list_of(view, address).await {
             return Some(list);
         }
     }
@@ -114,18 +113,18 @@
 ///
 /// # Errors
 /// The peers to ask instead.
-pub fn store_readers(daemon: &Daemon) -> Result<(), Vec<Peer>> {
-    let count = daemon.cfg.limits.store_readers;
-    daemon.members.lock().reads_store_for(&daemon.cfg.hall, count)
+pub fn store_readers(view: &View) -> Result<(), Vec<Peer>> {
+    let count = view.fleet.base.cfg.limits.store_readers;
+    view.fleet.members.lock().reads_store_for(&view.fleet.base.cfg.hall, count)
 }
 
 /// The host list of the first of these peers that answers; none when it is the
 /// one known already.
-async fn host_list_of_peers(daemon: &Arc<Daemon>, peers: &[Peer]) -> Option<HostList> {
+async fn host_list_of_peers(view: &Arc<View>, peers: &[Peer]) -> Option<HostList> {
     for peer in peers {
-        match host_list_of(daemon, &peer.address).await {
+        match host_list_of(view, &peer.address).await {
             Ok(list) => return list,
-            Err(NoAnswer) => daemon.members.lock().failed(&peer.name),
+            Err(NoAnswer) => view.fleet.members.lock().failed(&peer.name),
         }
     }
     None
@@ -135,24 +134,24 @@
 struct NoAnswer;
 
 /// The host list of the peer at this address; none when it is the one known already.
-async fn host_list_of(daemon: &Arc<Daemon>, address: &str) -> Result<Option<HostList>, NoAnswer> {
-    let known = daemon.hosts.load().hash;
-    let timeout = Duration::from_millis(daemon.cfg.limits.peer_timeout_ms);
+async fn host_list_of(view: &Arc<View>, address: &str) -> Result<Option<HostList>, NoAnswer> {
+    let known = view.hosts.load().hash;
+    let timeout = Duration::from_millis(view.fleet.base.cfg.limits.peer_timeout_ms);
     let ask = |client: crate::peer::PeerServiceClient, cx| async move {
         client.hosts_unless(cx, known).await
     };
-    let asked_at = daemon.clock.now() as i64;
-    let told = daemon.peers.call(address, timeout, ask).await.ok_or(NoAnswer)?;
+    let asked_at = view.fleet.base.clock.now() as i64;
+    let told = view.fleet.base.peers.call(address, timeout, ask).await.ok_or(NoAnswer)?;
     Ok(told.map(|told| HostList::new(told.hosts, asked_at - told.age_ms)))
 }
 
 /// Takes a list, unless it is older than the one that is known: a peer that has lost the
 /// store still tells the list that it read last, and hosts that are there since then
 /// would be taken for gone.
-fn take_host_list(daemon: &Arc<Daemon>, list: HostList) {
-    let known = daemon.hosts.load();
+fn take_host_list(view: &Arc<View>, list: HostList) {
+    let known = view.hosts.load();
     if known.is_read() && list.read_at < known.read_at {
-        slog::info!(daemon.log, "older host list not taken"; "hosts" => list.hosts.len());
+        slog::info!(view.fleet.base.log, "older host list not taken"; "hosts" => list.hosts.len());
         return;
     }
     let hosts = &list.hosts;
@@ -161,9 +160,9 @@
         .filter(|host| host.role == HostRole::Server && host.state == HostState::Leaving)
         .map(|host| host.name.clone())
         .collect();
-    daemon.members.lock().host_list(hosts);
-    daemon.router.lock().listed_leaving(&leaving);
-    daemon.hosts.store(Arc::new(list));
+    view.fleet.members.lock().host_list(hosts);
+    view.router.lock().listed_leaving(&leaving);
+    view.hosts.store(Arc::new(list));
 }
 
 /// The platform's host list as last read.
@@ -205,11 +204,3 @@
         is_news.then(|| HostsTold { hosts: self.hosts.clone(), age_ms: now as i64 - self.read_at })
     }
 }
-
-/// The platform's host list, as a peer tells it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct HostsTold {
-    hosts: Vec<Host>,
-    /// How long ago the store was asked for it, in milliseconds.
-    age_ms: i64,
-}
--- a/crates/daemon/src/view/routing_table.rs
+++ b/crates/daemon/src/view/routing_table.rs
@@ -1,22 +1,21 @@
 //! The table that the router works by: the operators' rows, and what the platform's lists
 //! say of servers and halls as rows beside them.
 
+use crate::view::View;
 use bankcove_core::hall_list::HallList;
 use bankcove_core::server_list::ListedServer;
 use bankcove_core::table::{Hall, ListedState, Server, ServerKind, ServerState, Table};
 use bankcove_core::{Millis, Name};
 
-use crate::daemon::Daemon;
-
 /// Gives the router what the table and the lists say now.
-pub fn refresh(daemon: &Daemon) {
+pub fn refresh(view: &View) {
     // The router's lock orders adoptions: a table read before it may be old.
-    let mut router = daemon.router.lock();
-    let Some(table) = daemon.table.load_full() else { return };
-    router.adopt(&with_listed(daemon, &table));
-    let list = daemon.servers.lock();
+    let mut router = view.router.lock();
+    let Some(table) = view.table.load_full() else { return };
+    router.adopt(&with_listed(view, &table));
+    let list = view.servers.lock();
     let draining = list.servers().filter(|server| server.draining).count();
-    slog::info!(daemon.log, "servers changed";
+    slog::info!(view.fleet.base.log, "servers changed";
         "version" => list.version().at, "drops" => list.version().drops, "servers" => list.servers().count(), "draining" => draining);
 }
 
@@ -24,11 +23,11 @@
 /// and halls that take no new work.
 ///
 /// A listed server's pool is its service; its weight in the pool is one.
-pub fn with_listed(daemon: &Daemon, table: &Table) -> Table {
+pub fn with_listed(view: &View, table: &Table) -> Table {
     let mut table = table.clone();
-    put_halls(daemon, &mut table);
-    let halls = daemon.halls.lock().clone();
-    let list = daemon.servers.lock();
+    put_halls(view, &mut table);
+    let halls = view.halls.lock().clone();
+    let list = view.servers.lock();
     for (listed, cold_until) in list.servers_with_cold() {
         let mut row = row_of(listed);
         row.listed.cold_until = cold_until_of(&table, &halls, listed, cold_until);
@@ -50,9 +49,9 @@
 }
 
 /// Puts the regions of the settings and the platform's evacuated halls to the rows of halls.
-fn put_halls(daemon: &Daemon, table: &mut Table) {
-    let evacuated = daemon.halls.lock().told().halls.clone();
-    let regions = daemon.cfg.entry.iter().flat_map(|entry| &entry.hall_regions);
+fn put_halls(view: &View, table: &mut Table) {
+    let evacuated = view.halls.lock().told().halls.clone();
+    let regions = view.fleet.base.cfg.entry.iter().flat_map(|entry| &entry.hall_regions);
     for (hall, region) in regions {
         hall_row(table, hall).region.get_or_insert_with(|| region.clone());
     }
--- a/crates/daemon/src/view/table_sync.rs
+++ b/crates/daemon/src/view/table_sync.rs
@@ -8,11 +8,10 @@
 use bankcove_core::table::Table;
 use bankcove_ports::{Kind, WriteOutcome};
 
-use crate::daemon::Daemon;
-use crate::fleet::membership;
-use crate::fleet::{STORE_PAUSE, Turn, WATCH, next_turn, watched_at};
+use crate::fleet::{STORE_PAUSE, Turn, WATCH};
 use crate::peer::FETCH_TIMEOUT;
-use crate::view::routing_table;
+use crate::view::View;
+use crate::view::{orders, routing_table};
 
 /// Name of the one object that holds the table.
 pub const TABLE_NAME: &str = "main";
@@ -34,59 +33,58 @@
 }
 
 /// Puts a table in force, if it is newer than the one in force.
-pub fn adopt(daemon: &Arc<Daemon>, mut table: Table) {
-    if let Some(entry) = &daemon.cfg.entry {
+pub fn adopt(view: &Arc<View>, mut table: Table) {
+    if let Some(entry) = &view.fleet.base.cfg.entry {
         entry.put_draw_policy(&mut table);
     }
     {
         // The router's lock orders adoptions, so that none goes back.
-        let mut router = daemon.router.lock();
-        if table.revision <= daemon.revision() {
+        let mut router = view.router.lock();
+        if table.revision <= view.revision() {
             return;
         }
-        router.adopt(&routing_table::with_listed(daemon, &table));
-        let old = daemon.table.load_full();
-        crate::orders::send_changed(daemon, old.as_deref(), &table);
-        slog::info!(daemon.log, "table adopted"; "revision" => table.revision);
-        daemon.table.store(Some(Arc::new(table)));
+        router.adopt(&routing_table::with_listed(view, &table));
+        let old = view.table.load_full();
+        orders::send_changed(view, old.as_deref(), &table);
+        slog::info!(view.fleet.base.log, "table adopted"; "revision" => table.revision);
+        view.table.store(Some(Arc::new(table)));
     }
-    daemon.metrics.count("table.adopted");
-    let daemon = Arc::clone(daemon);
+    view.fleet.base.metrics.count("table.adopted");
     // Others hear of the new revision at once, not at the next heartbeat.
-    tokio::spawn(async move { membership::beat(&daemon).await });
+    view.fleet.to_tell.notify_one();
 }
 
 /// Watches the table in the store, as long as this daemon does so for its
 /// hall, until the daemon ends.
-pub async fn watch(daemon: Arc<Daemon>) {
+pub async fn watch(view: Arc<View>) {
     let mut at = 0;
     loop {
         // Heartbeats tell of new revisions, and peers hand them over.
-        match next_turn(&daemon, daemon.revision() > 0).await {
+        match view.fleet.next_turn(view.revision() > 0).await {
             Turn::Ask => {}
             Turn::Wait => continue,
             Turn::End => return,
         }
-        let asked_at = daemon.clock.now();
+        let asked_at = view.fleet.base.clock.now();
         let watched = tokio::select! {
-            watched = daemon.store.watch::<Table>(Kind::Table, TABLE_NAME, at, WATCH) => watched,
-            () = daemon.ended.cancelled() => return,
+            watched = view.store.watch::<Table>(Kind::Table, TABLE_NAME, at, WATCH) => watched,
+            () = view.fleet.base.ended.cancelled() => return,
         };
         match watched {
             Ok(watched) => {
-                let was_current = membership::is_current(&daemon);
-                daemon.contact.table_read(watched_at(&daemon, asked_at));
-                membership::pass_on_return(&daemon, was_current);
+                let was_current = view.fleet.is_current();
+                view.fleet.contact.table_read(view.fleet.watched_at(asked_at));
+                view.fleet.pass_on_return(was_current);
                 let is_missing = watched.at == 0 && watched.changed.is_none();
                 at = watched.at;
                 if let Some(read) = watched.changed {
-                    adopt(&daemon, read.value);
+                    adopt(&view, read.value);
                 } else if is_missing {
-                    membership::pause_without_store(&daemon, u32::MAX).await;
+                    view.fleet.pause_without_store(u32::MAX).await;
                 }
             }
             Err(bankcove_ports::Error::HistoryGone { after }) => {
-                slog::info!(daemon.log, "table read anew: the store forgot its history"; "after" => after);
+                slog::info!(view.fleet.base.log, "table read anew: the store forgot its history"; "after" => after);
                 at = 0;
             }
             Err(e) => {
@@ -95,9 +93,9 @@
                         name: Some(Name::from(name.as_str())),
                         problem: problem.clone(),
                     };
-                    daemon.unreadable.tell(&daemon.log, "table", &[entry]);
+                    view.unreadable.tell(&view.fleet.base.log, "table", &[entry]);
                 }
-                slog::debug!(daemon.log, "table not watched"; "error" => %e);
+                slog::debug!(view.fleet.base.log, "table not watched"; "error" => %e);
                 tokio::time::sleep(STORE_PAUSE).await;
             }
         }
@@ -105,17 +103,17 @@
 }
 
 /// Fetches the table from a peer that has a newer one.
-pub async fn fetch_from_peer(daemon: &Arc<Daemon>, address: &str) {
-    let revision = daemon.revision();
+pub async fn fetch_from_peer(view: &Arc<View>, address: &str) {
+    let revision = view.revision();
     let fetch = |client: crate::peer::PeerServiceClient, cx| async move {
         client.table_above(cx, revision).await
     };
-    let Some(Some(packed)) = daemon.peers.call(address, FETCH_TIMEOUT, fetch).await else {
+    let Some(Some(packed)) = view.fleet.base.peers.call(address, FETCH_TIMEOUT, fetch).await else {
         return;
     };
     match packed.unpack() {
-        Ok(table) => adopt(daemon, table),
-        Err(e) => slog::warn!(daemon.log, "a peer's table can't be read"; "error" => %e),
+        Ok(table) => adopt(view, table),
+        Err(e) => slog::warn!(view.fleet.base.log, "a peer's table can't be read"; "error" => %e),
     }
 }
 
@@ -123,20 +121,20 @@
 ///
 /// # Errors
 /// [`EditError`] tells whether the edit is at fault or its fate not known.
-pub async fn edit(daemon: &Arc<Daemon>, edit: &Edit) -> Result<Arc<Table>, EditError> {
+pub async fn edit(view: &Arc<View>, edit: &Edit) -> Result<Arc<Table>, EditError> {
     for _ in 0..EDIT_TRIES {
-        let Ok(read) = daemon.store.read::<Table>(Kind::Table, TABLE_NAME).await else {
+        let Ok(read) = view.store.read::<Table>(Kind::Table, TABLE_NAME).await else {
             return Err(EditError::Unknown);
         };
         let (version, table) = read.map_or((0, Table::default()), |r| (r.version, r.value));
         if table.change(&edit.id).is_some() {
-            adopt(daemon, table.clone());
+            adopt(view, table.clone());
             return Ok(Arc::new(table));
         }
-        let next = apply(&table, edit, daemon.clock.unix_ms() / 1000)?;
-        match daemon.store.write(Kind::Table, TABLE_NAME, version, &next).await {
+        let next = apply(&table, edit, view.fleet.base.clock.unix_ms() / 1000)?;
+        match view.store.write(Kind::Table, TABLE_NAME, version, &next).await {
             WriteOutcome::Written(_) => {
-                adopt(daemon, next.clone());
+                adopt(view, next.clone());
                 return Ok(Arc::new(next));
             }
             // Read again: the object tells whether this edit is in it.
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -44,7 +44,7 @@
         crashes_digest: 0,
         limits_digest: 0,
     };
-    daemon.members.lock().heard(0, &heartbeat);
+    daemon.fleet.members.lock().heard(0, &heartbeat);
 }
 
 #[test]
@@ -55,6 +55,10 @@
     }
     for n in 0..40 {
         let budget = Budget::of_workspace(Name::from(format!("budget-{n}").as_str()), 1_000, 1);
-        assert!(!owners_to_ask(&daemon, &budget).is_empty(), "it would draw {}", budget.name);
+        assert!(
+            !owners_to_ask(&daemon.budgets, &budget).is_empty(),
+            "it would draw {}",
+            budget.name
+        );
     }
 }
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -6,8 +6,8 @@
 use bankcove_core::{Incarnation, Name};
 use bankcoved::config::Config;
 use bankcoved::daemon::Daemon;
-use bankcoved::fleet::membership;
 use bankcoved::logging;
+use bankcoved::membership;
 
 /// An address at which nobody answers.
 const NOBODY: &str = "127.0.0.1:9";
@@ -35,8 +35,8 @@
     let daemon: Arc<Daemon> =
         Daemon::new(Config::example(), logging::silent()).expect("it can be set up");
     // How long it was under way nobody knows.
-    membership::heard(&daemon, &heartbeat());
+    membership::heard(&daemon.membership, &heartbeat());
     let now = daemon.clock.now();
-    assert_eq!(daemon.contact.view_age(now), None);
-    assert_eq!(daemon.contact.store_age(now), None);
+    assert_eq!(daemon.fleet.contact.view_age(now), None);
+    assert_eq!(daemon.fleet.contact.store_age(now), None);
 }
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -1,52 +1,55 @@
-//! The layers of the daemon: what holds state calls nothing that serves callers or puts the
-//! daemon together.
+//! The layers of the daemon: each uses those below it alone, and none but the uppermost is handed
+//! the whole daemon.
 
 use std::fs;
 use std::path::{Path, PathBuf};
 
-/// Layers that hold state.
-const LOWER: [&str; 7] = ["peer", "budget", "bill", "view", "fleet", "crashes", "limits"];
+/// The layers, the lowest first; those of one line don't use each other.
+const LAYERS: [&[&str]; 7] = [
+    &["peer"],
+    &["base"],
+    &["fleet"],
+    &["view", "crashes", "limits", "budget", "bill"],
+    &["membership"],
+    &["daemon"],
+    &["api", "entry", "operator", "peer_server", "open_request", "dump", "controller"],
+];
 
-/// What stands above them.
-const UPPER: [&str; 5] = ["api", "entry", "operator", "peer_server", "controller"];
-
-fn files_below(folder: &Path, files: &mut Vec<PathBuf>) {
-    for entry in fs::read_dir(folder).expect("a layer is a folder") {
-        let path = entry.expect("an entry can be read").path();
-        if path.is_dir() { files_below(&path, files) } else { files.push(path) }
+fn files_of(src: &Path, layer: &str) -> Vec<PathBuf> {
+    let mut files = vec![src.join(layer).with_extension("rs")];
+    let mut folders = vec![src.join(layer)];
+    while let Some(folder) = folders.pop() {
+        // A layer of one file has no folder.
+        for entry in fs::read_dir(folder).into_iter().flatten() {
+            let path = entry.expect("an entry can be read").path();
+            if path.is_dir() { folders.push(path) } else { files.push(path) }
+        }
     }
+    files
 }
 
-#[test]
-fn no_layer_uses_one_above_it() {
-    let src = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
-    let mut upward = Vec::new();
-    for layer in LOWER {
-        let mut files = vec![src.join(layer).with_extension("rs")];
-        files_below(&src.join(layer), &mut files);
-        for file in files {
-            let text = fs::read_to_string(&file).expect("a source file can be read");
-            let uses = |upper: &&&str| {
-                let path = format!("crate::{upper}");
-                let ends =
-                    |rest: &str| !rest.starts_with(|c: char| c.is_alphanumeric() || c == '_');
-                text.match_indices(&path).any(|(at, _)| ends(&text[at + path.len()..]))
-            };
-            let above = UPPER.iter().filter(uses);
-            upward.extend(above.map(|upper| format!("{} uses {upper}", file.display())));
-        }
-    }
-    assert!(upward.is_empty(), "{upward:#?}");
+fn uses(text: &str, layer: &str) -> bool {
+    // Imports of several at once would not be seen.
+    assert!(!text.contains("use crate::{"), "a line for each module");
+    let path = format!("crate::{layer}");
+    let ends = |rest: &str| !rest.starts_with(|c: char| c.is_alphanumeric() || c == '_');
+    text.match_indices(&path).any(|(at, _)| ends(&text[at + path.len()..]))
 }
 
-/// A layer that is built from what it needs is not handed the whole daemon.
 #[test]
-fn limits_are_built_from_parts() {
+fn no_layer_uses_one_above_it_or_beside_it() {
     let src = Path::new(env!("CARGO_MANIFEST_DIR")).join("src");
-    let mut files = vec![src.join("limits.rs")];
-    files_below(&src.join("limits"), &mut files);
-    for file in files {
-        let text = fs::read_to_string(&file).expect("a source file can be read");
-        assert!(!text.contains("crate::daemon"), "{} uses the daemon", file.display());
+    let mut wrong = Vec::new();
+    for (level, layers) in LAYERS.iter().enumerate().take(LAYERS.len() - 1) {
+        for layer in *layers {
+            let above = LAYERS[level..].iter().copied().flatten();
+            let forbidden: Vec<&str> = above.copied().filter(|other| other != layer).collect();
+            for file in files_of(&src, layer) {
+                let text = fs::read_to_string(&file).expect("a source file can be read");
+                let used = forbidden.iter().filter(|other| uses(&text, other));
+                wrong.extend(used.map(|other| format!("{} uses {other}", file.display())));
+            }
+        }
     }
+    assert!(wrong.is_empty(), "{wrong:#?}");
 }
--- a/crates/daemon/tests/locks.rs
+++ b/crates/daemon/tests/locks.rs
@@ -30,14 +30,14 @@
     let (beating, beats_tx) = (Arc::clone(&daemon), tx.clone());
     std::thread::spawn(move || {
         for _ in 0..TIMES {
-            beating.heartbeat();
+            beating.membership.heartbeat();
         }
         beats_tx.send("heartbeats")
     });
     std::thread::spawn(move || {
         let _entered = runtime.enter();
         for revision in 1..=TIMES {
-            table_sync::adopt(&daemon, Table { revision, ..Table::default() });
+            table_sync::adopt(&daemon.view, Table { revision, ..Table::default() });
         }
         tx.send("tables")
     });
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -49,7 +49,7 @@
         role: HostRole::Daemon,
         state: HostState::Live,
     };
-    daemon.members.lock().host_list(&[host]);
+    daemon.fleet.members.lock().host_list(&[host]);
 }
 
 #[tokio::test]
@@ -59,7 +59,7 @@
     lists(&one, &two);
     lists(&two, &one);
     let (asker, owner) =
-        if owners_to_ask(&one, &budget).is_empty() { (two, one) } else { (one, two) };
+        if owners_to_ask(&one.budgets, &budget).is_empty() { (two, one) } else { (one, two) };
     for daemon in [&asker, &owner] {
         let table = Table { revision: 1, budgets: vec![budget.clone()], ..Table::default() };
         // Not adopted: that would send a heartbeat.
@@ -68,11 +68,11 @@
     owner.budgets.holder().granted(&budget.name, HELD);
     owner.budgets.holder().opened(&budget.name, HELD);
     peer_server::serve(Arc::clone(&owner)).await.expect("the port is free");
-    let peer = owners_to_ask(&asker, &budget).remove(0);
-    let answer = ask_for_tokens(&asker, &budget, ASKED, None, &peer).await;
+    let peer = owners_to_ask(&asker.budgets, &budget).remove(0);
+    let answer = ask_for_tokens(&asker.budgets, &budget, ASKED, None, &peer).await;
     assert_eq!(answer, Some(Ok(())));
     assert!(owner.budgets.holder().free(&budget.name) <= HELD - ASKED);
-    tokio::spawn(tend::tend(Arc::clone(&asker)));
+    tokio::spawn(tend::tend(Arc::clone(&asker.budgets)));
     for _ in 0..LOOKS {
         if owner.budgets.holder().free(&budget.name) == HELD {
             return;
@@ -93,7 +93,7 @@
     lists(&one, &two);
     lists(&two, &one);
     let (former, owner) =
-        if owners_to_ask(&one, &budget).is_empty() { (two, one) } else { (one, two) };
+        if owners_to_ask(&one.budgets, &budget).is_empty() { (two, one) } else { (one, two) };
     for daemon in [&former, &owner] {
         let table = Table { revision: 1, budgets: vec![budget.clone()], ..Table::default() };
         daemon.table.store(Some(Arc::new(table)));
@@ -101,7 +101,7 @@
     former.budgets.holder().granted(&budget.name, HELD);
     former.budgets.holder().opened(&budget.name, HELD);
     peer_server::serve(Arc::clone(&owner)).await.expect("the port is free");
-    tokio::spawn(tend::tend(Arc::clone(&former)));
+    tokio::spawn(tend::tend(Arc::clone(&former.budgets)));
     for _ in 0..LOOKS {
         if owner.budgets.holder().free(&budget.name) > HELD / 2 {
             return;
--- a/crates/daemon/tests/packed_table.rs
+++ b/crates/daemon/tests/packed_table.rs
@@ -2,7 +2,7 @@
 
 use bankcove_core::Name;
 use bankcove_core::table::{Budget, Table};
-use bankcoved::view::packed_table::PackedTable;
+use bankcoved::peer::packed_table::PackedTable;
 
 fn table() -> Table {
     let budget = |n| Budget::of_workspace(Name::from(format!("b-{n}").as_str()), 1_000, 7);
