--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -9,7 +9,9 @@
 
 use bankcove_bench::routing_world::table;
 use bankcove_core::bill::Bill;
+use bankcove_core::crashes::ServerStart;
 use bankcove_core::holder::{Draw, Holder, Keeps, Terms};
+use bankcove_core::limits::{ISSUERS, Issuer, LimitBook, LimitWord, Place, RequestRate, Wish};
 use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Members};
 use bankcove_core::owner::{Event as OwnerEvent, Owner, Request};
 use bankcove_core::reqlog::{Entry, Event, RequestLog, Segment};
@@ -18,6 +20,7 @@
 use bankcove_core::table::Table;
 use bankcove_core::witness::Witness;
 use bankcove_core::{AttemptId, Incarnation, Name, RequestHash};
+use bankcoved::peer::PermitAnswer;
 use serde_json::json;
 
 /// Counts the bytes that are allocated and not yet freed.
@@ -165,6 +168,17 @@
     holder
 }
 
+/// A book of so many servers that name a limit.
+fn limit_book(servers: usize) -> LimitBook {
+    let mut book = LimitBook::default();
+    let rate = RequestRate::new(1.2).expect("it is a rate");
+    for n in 0..servers {
+        let server = ServerStart { name: Name::from(format!("i-{n:010}")), started_ms: 1 };
+        book.heard(10, &server, 0, &LimitWord::Named(rate));
+    }
+    book
+}
+
 fn draw(budget: &Name) -> Draw {
     Holder::new(Incarnation(1)).draw(budget, 600, terms(), "10.12.34.56:8081", 0)
 }
@@ -234,6 +248,9 @@
     slope("owner: a grant in a shard", "B", [100, 500, 1_300, 5_000], |n| {
         held(|| shard(1, n as u64))
     });
+    slope("limits: a server that names one", "B", [16, 160, 1_600, 10_000], |n| {
+        held(|| limit_book(n))
+    });
     slope("request log: a remembered request", "B", [1_000, 4_000, 16_000, 64_000], |n| {
         held(|| request_log(n))
     });
@@ -258,6 +275,12 @@
     let budget = Name::from("budget-12345");
     println!("{:<44} {:>9.2} B", "draw", wire_bytes(&Request::Draw(draw(&budget))));
     println!("{:<44} {:>9.2} B", "bill submitted", wire_bytes(&Entry::Bill(bill(12_345))));
+    let fact = limit_book(1).facts(0, 1, 0).remove(0);
+    println!("{:<44} {:>9.2} B", "limit of a server, told", wire_bytes(&fact));
+    let wish = Wish { from: Incarnation(7_919), permits: 1, urgency: 0 };
+    let asked = wire_bytes(&(fact, wish));
+    let answer = PermitAnswer::none(278);
+    println!("{:<44} {:>9.2} B", "permit asked for and answered", asked + wire_bytes(&answer));
     let table: Table = table(10_000, 10);
     println!("{:<44} {:>9.0} B", "whole table of 10,000 servers", json_bytes(&table));
 }
@@ -284,6 +307,32 @@
         }
         started.elapsed().as_nanos() as f64 / ROUNDS as f64
     });
+    slope("limits: an answer's head, by servers limited", "ns", [16, 160, 1_600, 10_000], |n| {
+        const ROUNDS: u64 = 10_000;
+        let mut book = limit_book(n);
+        let server = ServerStart { name: Name::from(format!("i-{:010}", n / 2)), started_ms: 1 };
+        let word = LimitWord::Named(RequestRate::new(1.2).expect("it is a rate"));
+        let started = Instant::now();
+        for now in 0..ROUNDS {
+            std::hint::black_box(book.heard(100 + now, &server, 50 + now, &word));
+        }
+        started.elapsed().as_nanos() as f64 / ROUNDS as f64
+    });
+    slope("limits: a permit issued, by peers", "ns", [10, 100, 500, 1_300], |n| {
+        const ROUNDS: u64 = 200;
+        let members = members(n);
+        let mut issuer = Issuer::default();
+        let server = ServerStart { name: Name::from("i-0000000001"), started_ms: 1 };
+        let limit = RequestRate::new(1.2).expect("it is a rate");
+        let started = Instant::now();
+        for now in 0..ROUNDS {
+            std::hint::black_box(members.owners_listed(server.key(), ISSUERS));
+            let wish = Wish { from: Incarnation(now % n as u64), permits: 1, urgency: 0 };
+            let place = Place { rank: 0, since: 0 };
+            std::hint::black_box(issuer.issue(10_000 + now, &server, limit, place, wish));
+        }
+        started.elapsed().as_nanos() as f64 / ROUNDS as f64
+    });
     let before = ALLOCATIONS.load(Ordering::Relaxed);
     let mut holder = holder(1);
     let budget = Name::from("budget-0");
