--- a/crates/bench/src/limit_world.rs
+++ b/crates/bench/src/limit_world.rs
@@ -31,7 +31,8 @@
 const MOST_ASKS: usize = 3;
 /// Answers of peers count for the rule from so long after the first of a host.
 const TOLD_MS: Millis = 500;
-/// Bytes of an ask with its answer, and of a fact, with their frames (measured by `slopes`).
+/// Bytes of an ask with its answer (83 of bodies, by `slopes`, and what calls put around them),
+/// and of a fact (53).
 const ASK_BYTES: u64 = 220;
 const FACT_BYTES: u64 = 60;
 
