--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -270,6 +270,9 @@
     /// Caller ports of daemons; requests go to them in turn.
     #[arg(long = "target", required = true, value_name = "ADDRESS")]
     pub targets: Vec<String>,
+    /// Stand-ins of backend servers, of which it is told what each got.
+    #[arg(long = "stand-in", value_name = "ADDRESS")]
+    pub stand_ins: Vec<String>,
     /// Bearer keys of workspaces; requests use them in turn.
     #[arg(long = "key", required = true)]
     pub keys: Vec<String>,
--- a/crates/cli/src/load.rs
+++ b/crates/cli/src/load.rs
@@ -1,6 +1,8 @@
 //! The load tool: requests at a steady rate, whatever the answers take, and
 //! latencies from the time that each was meant to be sent.
 
+mod servers;
+
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -98,11 +100,13 @@
     }
     let http = reqwest::Client::builder().no_proxy().timeout(PATIENCE).build();
     let http = http.map_err(|e| Error::Setup(std::io::Error::other(e)))?;
+    let before = servers::counts(&http, &args.stand_ins).await?;
     let (tx, rx) = mpsc::unbounded_channel();
     let collecting = tokio::spawn(collect(rx, (args.rate * args.duration) as u64));
-    send_all(args, http, tx).await;
+    send_all(args, http.clone(), tx).await;
     let report = collecting.await.map_err(|e| Error::Setup(std::io::Error::other(e)))?;
-    report.print(args, format);
+    let rows = servers::rows(&http, &args.stand_ins, &before).await?;
+    report.print(args, format, &rows);
     Ok(())
 }
 
@@ -297,7 +301,7 @@
         self.whole.saturating_record(micros(sample.whole));
     }
 
-    fn print(&self, args: &LoadArgs, format: Format) {
+    fn print(&self, args: &LoadArgs, format: Format, servers: &[Value]) {
         let latencies = [
             ("first token", latency(&self.first_token)),
             ("between tokens", latency(&self.between)),
@@ -312,6 +316,7 @@
             let of = |n: usize| serde_json::to_value(&latencies[n].1).unwrap_or_default();
             output::json(&json!({
                 "counts": counts, "first_token": of(0), "between_tokens": of(1), "whole": of(2),
+                "servers": servers,
             }));
             return;
         }
@@ -326,6 +331,10 @@
             })
             .collect();
         output::rows(&rows, format);
+        if !servers.is_empty() {
+            println!();
+            output::rows(servers, format);
+        }
     }
 }
 
--- a/crates/core/tests/limit_issuer.rs
+++ b/crates/core/tests/limit_issuer.rs
@@ -52,6 +52,7 @@
         let times = (from..from + 4_000).step_by(10);
         times.map(|now| issuer.issue(now, &server(), limit, place, wish).permits).sum()
     };
+    assert_eq!(issuer.issue(10_000, &server(), limit, place, wish).permits, 0);
     assert!(count(&mut issuer, 10_000) <= 13);
     assert!(count(&mut issuer, 14_000) >= 33);
 }
--- a/crates/daemon/src/api/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -33,6 +33,9 @@
 /// Pause before a stream is resumed, longer with each try that brought nothing.
 const RESUME_PAUSE: Duration = Duration::from_millis(10);
 
+/// Longest wait for a permit before a stream's next try to resume.
+const LONGEST_PERMIT_WAIT: Duration = Duration::from_secs(1);
+
 /// How long the end of an answer waits for a caller that does not read.
 const END_PATIENCE: Duration = Duration::from_secs(5);
 
@@ -253,8 +256,14 @@
             slog::info!(self.log, "stream resumed"; "offset" => self.sequence.next());
             let offset = self.sequence.next();
             let limits = &self.daemon.limits;
-            let Ok(permit) = limits.permit(self.log, self.choice.clone(), 0).await else {
-                continue;
+            let permit = match limits.permit(self.log, self.choice.clone(), 0).await {
+                Ok(permit) => permit,
+                Err(at_limit) => {
+                    // The run goes on there, and what it makes is kept.
+                    let wait = Duration::from_millis(at_limit.first_ms);
+                    tokio::time::sleep(wait.min(LONGEST_PERMIT_WAIT)).await;
+                    continue;
+                }
             };
             res = backend::resume(self.daemon, permit, self.run_id, self.model, offset).await;
         }
--- a/crates/daemon/src/limits/permit.rs
+++ b/crates/daemon/src/limits/permit.rs
@@ -6,7 +6,7 @@
 
 use bankcove_core::Millis;
 use bankcove_core::crashes::ServerStart;
-use bankcove_core::limits::{ISSUERS, LimitFact, Wish};
+use bankcove_core::limits::{ISSUERS, LimitFact, RequestRate, Wish};
 use bankcove_core::members::Peer;
 use bankcove_core::router::{AtLimit, Choice};
 use slog::Logger;
@@ -79,48 +79,68 @@
         }
         let server = choice.start();
         let now = self.fleet.base.clock.now();
-        let Some(fact) = self.book.lock().fact(now, &server) else {
+        let fact = self.book.lock().fact(now, &server);
+        let Some((fact, limit)) = fact.and_then(|fact| fact.limit.map(|limit| (fact, limit)))
+        else {
             return Ok(Permit { choice, lease: None });
         };
-        let heard_age_ms = fact.heard_age_ms;
-        let Some(limit) = fact.limit else { return Ok(Permit { choice, lease: None }) };
         let held = self.leases.lock().take(now, &server);
         if let Some(until) = held {
             return Ok(self.leased(choice, until));
         }
-        let is_scarce = self.leases.lock().is_scarce(now, &server);
-        if is_scarce {
-            let until = now + ASK_TIMEOUT.as_millis() as Millis;
-            self.router.lock().at_limit(&server, limit.per_second(), until);
-        }
-        let permits = self.leases.lock().wanted(now, &server);
-        let wish = Wish { from: self.fleet.base.incarnation, permits, urgency };
-        let (issuer, answer) = self.ask(fact, wish).await;
+        let (issuer, answer) = self.ask_for_some(now, &fact, limit, urgency).await;
         if answer.is_free {
             return Ok(Permit { choice, lease: None });
         }
-        if answer.issued.permits > 0 {
-            self.fleet.base.metrics.add("limit.permits", u64::from(answer.issued.permits));
-            let mut leases = self.leases.lock();
-            leases.add(now, &server, answer.issued.permits);
-            let taken = leases.take(self.fleet.base.clock.now(), &server);
-            drop(leases);
-            if let Some(until) = taken {
-                if is_scarce {
-                    self.router.lock().at_limit(&server, limit.per_second(), 0);
-                }
-                return Ok(self.leased(choice, until));
-            }
+        if let Some(until) = self.take_issued(now, &server, answer.issued.permits) {
+            self.router.lock().at_limit(&server, limit.per_second(), 0);
+            return Ok(self.leased(choice, until));
         }
-        self.leases.lock().denied(now, &server);
-        let retry_ms = answer.issued.retry_ms.max(1);
-        let until = self.fleet.base.clock.now() + retry_ms;
-        self.router.lock().at_limit(&server, limit.per_second(), until);
-        self.fleet.base.metrics.count("limit.passed_over");
+        let at_limit = self.pass_over(&server, limit, answer.issued.retry_ms);
         slog::info!(log, "server at its limit";
             "server" => %server.name, "per_s" => limit.per_second(), "issuer" => issuer,
-            "retry_ms" => retry_ms, "heard_ms_ago" => heard_age_ms);
-        Err(AtLimit { first_ms: retry_ms, per_second: limit.per_second() })
+            "retry_ms" => at_limit.first_ms, "heard_ms_ago" => fact.heard_age_ms);
+        Err(at_limit)
+    }
+
+    /// Asks for a permit, and for as many more as are of use. Where permits are scarce, others
+    /// pass the server over meanwhile.
+    async fn ask_for_some(
+        self: &Arc<Self>,
+        now: Millis,
+        fact: &LimitFact,
+        limit: RequestRate,
+        urgency: u32,
+    ) -> (String, PermitAnswer) {
+        let is_scarce = self.leases.lock().is_scarce(now, &fact.server);
+        if is_scarce {
+            let until = now + ASK_TIMEOUT.as_millis() as Millis;
+            self.router.lock().at_limit(&fact.server, limit.per_second(), until);
+        }
+        let permits = self.leases.lock().wanted(now, &fact.server);
+        let wish = Wish { from: self.fleet.base.incarnation, permits, urgency };
+        self.ask(fact.clone(), wish).await
+    }
+
+    /// Takes one of the permits that were asked for at `asked_at`; until when it may be used.
+    fn take_issued(&self, asked_at: Millis, server: &ServerStart, permits: u32) -> Option<Millis> {
+        if permits == 0 {
+            return None;
+        }
+        self.fleet.base.metrics.add("limit.permits", u64::from(permits));
+        let now = self.fleet.base.clock.now();
+        let mut leases = self.leases.lock();
+        leases.add(asked_at, server, permits);
+        leases.take(now, server)
+    }
+
+    fn pass_over(&self, server: &ServerStart, limit: RequestRate, retry_ms: Millis) -> AtLimit {
+        let now = self.fleet.base.clock.now();
+        self.leases.lock().denied(now, server);
+        let (first_ms, per_second) = (retry_ms.max(1), limit.per_second());
+        self.router.lock().at_limit(server, per_second, now + first_ms);
+        self.fleet.base.metrics.count("limit.passed_over");
+        AtLimit { first_ms, per_second }
     }
 
     fn leased(self: &Arc<Self>, choice: Choice, until: Millis) -> Permit {
--- a/crates/proofs/tests/limits.rs
+++ b/crates/proofs/tests/limits.rs
@@ -4,6 +4,7 @@
 
 use bankcove_proofs::caller::{Ask, Attempt, Caller, Told};
 use bankcove_proofs::fleet::{Fleet, Plan};
+use bankcove_proofs::table::{KEY, MODEL};
 use bankcove_standins::engine::RunRecord;
 use bankcove_standins::faults::Faults;
 use serde_json::Value;
@@ -74,3 +75,17 @@
     let after: Vec<RunRecord> = fleet.engines[0].history().await;
     assert_eq!(after.len(), before.len());
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn the_load_tool_tells_what_each_server_got() {
+    let fleet = Fleet::start(&Plan { daemons: 1, engines: 2, ..Plan::default() }).await;
+    let servers: Vec<String> =
+        fleet.engines.iter().map(|engine| engine.address.to_string()).collect();
+    let mut args = vec!["load", "--target", &fleet.daemons[0].callers, "--key", KEY];
+    args.extend(["--model", MODEL, "--rate", "20", "--duration", "1", "--output", "json"]);
+    servers.iter().for_each(|server| args.extend(["--stand-in", server.as_str()]));
+    let output = fleet.bankcove(0, &args);
+    let report: Value = serde_json::from_slice(&output.stdout).expect("it prints JSON");
+    let got = |n: usize| report["servers"][n]["requests"].as_u64().expect("it is a number");
+    assert_eq!(got(0) + got(1), 20, "{report}");
+}
