--- a/crates/daemon/src/crashes/spread.rs
+++ b/crates/daemon/src/crashes/spread.rs
@@ -96,12 +96,9 @@
         if told == 0 || told == self.digest() {
             return;
         }
-        let now = self.fleet.base.clock.now();
-        let asked_at = self.asked_at.load(Ordering::Relaxed);
-        if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
+        if !self.asked.may_ask(self.fleet.base.clock.now(), ASK_PAUSE_MS) {
             return;
         }
-        self.asked_at.store(now.max(1), Ordering::Relaxed);
         let (crashes, address) = (Arc::clone(self), address.to_owned());
         tokio::spawn(async move {
             let ask = |client: PeerServiceClient, cx| async move { client.crash_facts(cx).await };
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -4,6 +4,7 @@
 //! Owns who is known, and whom this daemon has heard of late (`health`). Stands on `base` alone; all
 //! layers above are built on it. Heartbeats, which tell of all of them, are `membership`.
 
+pub mod ask_pause;
 pub mod health;
 
 use std::sync::Arc;
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/limits.rs
@@ -21,6 +21,7 @@
 use tokio::sync::mpsc;
 
 use crate::fleet::Fleet;
+use crate::fleet::ask_pause::AskPause;
 
 /// Changes that wait to be told to peers; what is left out is brought by heartbeats.
 const MOST_NEWS: usize = 4_096;
@@ -45,7 +46,7 @@
     /// [`LimitBook::digest`] after the last change.
     digest: AtomicU64,
     /// When the facts of a peer were last asked for.
-    asked_at: AtomicU64,
+    asked: AskPause,
     news: mpsc::Sender<LimitFact>,
     to_tell: Mutex<Option<mpsc::Receiver<LimitFact>>>,
 }
@@ -66,7 +67,7 @@
             unreadable: Mutex::default(),
             is_active: AtomicBool::new(false),
             digest: AtomicU64::new(0),
-            asked_at: AtomicU64::new(0),
+            asked: AskPause::default(),
             news,
             to_tell: Mutex::new(Some(to_tell)),
         }
--- a/crates/daemon/src/limits/spread.rs
+++ b/crates/daemon/src/limits/spread.rs
@@ -102,12 +102,9 @@
         if told == self.digest() {
             return;
         }
-        let now = self.fleet.base.clock.now();
-        let asked_at = self.asked_at.load(Ordering::Relaxed);
-        if asked_at > 0 && now.saturating_sub(asked_at) < ASK_PAUSE_MS {
+        if !self.asked.may_ask(self.fleet.base.clock.now(), ASK_PAUSE_MS) {
             return;
         }
-        self.asked_at.store(now.max(1), Ordering::Relaxed);
         let (limits, address) = (Arc::clone(self), address.to_owned());
         tokio::spawn(async move {
             let ask = |client: PeerServiceClient, cx| async move { client.limit_facts(cx).await };
