--- a/crates/core/src/limits/issuer.rs
+++ b/crates/core/src/limits/issuer.rs
@@ -3,7 +3,7 @@
 //! All daemons rank the same few of them for each server, by rendezvous hashing, and ask the
 //! first that answers. Each of those issues by its own token bucket, without agreement: the
 //! first at [`USED_PART`] of the limit, the second at a third of that, the third at a ninth.
-//! However the fleet is cut, the sum stays below 1.3 times the limit.
+//! However the fleet is cut, they add up to 1.3 times the limit at most.
 
 use std::collections::HashMap;
 
--- a/crates/daemon/src/bill.rs
+++ b/crates/daemon/src/bill.rs
@@ -1,7 +1,8 @@
 //! Bills, and the log of requests that keeps each from being billed twice.
 //!
 //! Owns what is still to be written (`billing`) and the shards of the log (`request_log`).
-//! May call the store, `fleet` and peers; called by bankcove's own interface and by `peer`.
+//! May call the store, `fleet` and peers; called by bankcove's own interface and by the
+//! answers to peers.
 
 pub mod billing;
 pub mod request_log;
--- a/crates/daemon/src/budget.rs
+++ b/crates/daemon/src/budget.rs
@@ -1,8 +1,9 @@
 //! Tokens of budgets, as this daemon holds and owns them.
 //!
-//! Owns what is held, reserved and handed on (`budgets`, `allotment`, `ration`, `tend`, `borrow`, `statement`)
-//! and the shards that this daemon writes for others (`owner`, `draws`, `collect`, `hand_over`).
-//! May call the store, `fleet` and peers; called by the sides for callers and by `peer`.
+//! Owns what is held, reserved and handed on (`budgets`, `allotment`, `ration`, `tend`, `borrow`,
+//! `statement`) and the shards that this daemon writes for others (`owner`, `draws`, `collect`,
+//! `hand_over`). May call the store, `fleet` and peers; called by the sides for callers and by
+//! the answers to peers.
 
 pub mod allotment;
 pub mod borrow;
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -209,18 +209,18 @@
         for crash in &news.crashes {
             self.fleet.base.metrics.count("server.crashed");
             slog::info!(self.fleet.base.log, "server crashed";
-            "server" => %crash.server.name, "started_ms" => crash.server.started_ms,
-            "age_ms" => crash.age_ms, "aboard" => list(&crash.aboard), "found_here" => is_own);
+                "server" => %crash.server.name, "started_ms" => crash.server.started_ms,
+                "age_ms" => crash.age_ms, "aboard" => list(&crash.aboard), "found_here" => is_own);
         }
         for cleared in &news.cleared {
             slog::info!(self.fleet.base.log, "request cleared";
-            "fingerprint" => %cleared.request, "age_ms" => cleared.age_ms, "found_here" => is_own);
+                "fingerprint" => %cleared.request, "age_ms" => cleared.age_ms, "found_here" => is_own);
         }
         for block in &news.blocks {
             self.fleet.base.metrics.count("request.blocked");
             slog::warn!(self.fleet.base.log, "request blocked";
-            "fingerprint" => %block.request, "servers" => list(&block.servers),
-            "age_ms" => block.age_ms, "found_here" => is_own);
+                "fingerprint" => %block.request, "servers" => list(&block.servers),
+                "age_ms" => block.age_ms, "found_here" => is_own);
         }
     }
 
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,4 +1,5 @@
-//! The state that all parts of a daemon share.
+//! One daemon: its layers, put together. What serves callers, operators and peers is handed this;
+//! the layers below know each only what it is built from.
 
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -2,7 +2,8 @@
 //!
 //! Owns how the table and the lists are followed in the store and fetched from peers
 //! (`table_sync`, `server_sync`, `hall_sync`, `host_list`), and what the router works by
-//! (`routing_table`); tells servers of orders (`orders`). May call the store, `fleet` and peers; called by `peer` and the start.
+//! (`routing_table`); tells servers of orders (`orders`). May call the store, `fleet` and peers;
+//! called by `membership`, by the answers to peers and by the start.
 
 pub mod hall_sync;
 pub mod host_list;
