--- a/crates/cli/tests/commands.rs
+++ b/crates/cli/tests/commands.rs
@@ -106,7 +106,7 @@
     for _ in 0..4 {
         let output = bankcove(&["demo", "--once"]);
         let said = String::from_utf8_lossy(&output.stdout).into_owned();
-        assert!(output.status.success(), "{said}");
+        assert!(output.status.success(), "{said}{}", stderr(&output));
         let line = said.lines().find(|line| line.starts_with("budget 'dispatch'")).expect("a line");
         let rest = line.split_once(": ").expect("figures follow").1;
         let words = rest.split(|c: char| !c.is_ascii_digit());
