--- /dev/null
+++ b/crates/core/src/hints.rs
@@ -0,0 +1,82 @@
+//! What backend servers say of themselves in the heads of their answers.
+
+use std::time::{Duration, SystemTime};
+
+use crate::Millis;
+use crate::limits::LimitWord;
+
+/// One thing that a head may say.
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
+pub enum Hint<T> {
+    /// It doesn't say it.
+    #[default]
+    Absent,
+    /// It says this.
+    Given(T),
+    /// It says what can't be read, which changes nothing.
+    Unreadable(String),
+}
+
+/// All that one head says.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct ServerHints {
+    /// How many requests a second the server takes from all daemons together.
+    pub limit: LimitWord,
+    /// The server takes no new requests, and ends.
+    pub leaving: Hint<()>,
+    /// The server wants nothing from this daemon for so many milliseconds.
+    pub rest: Hint<Millis>,
+}
+
+impl ServerHints {
+    /// Whether the head says nothing.
+    pub fn is_empty(&self) -> bool {
+        *self == ServerHints::default()
+    }
+}
+
+/// Reads a header that marks a server as leaving: `1`. `0` says nothing; of several, one mark
+/// is enough.
+pub fn read_leaving<'a>(values: impl IntoIterator<Item = &'a str>) -> Hint<()> {
+    let mut hint = Hint::Absent;
+    for text in values.into_iter().flat_map(|value| value.split(',')).map(str::trim) {
+        match text {
+            "1" => return Hint::Given(()),
+            "0" => {}
+            _ => hint = Hint::Unreadable(text.to_owned()),
+        }
+    }
+    hint
+}
+
+/// Reads `Retry-After` of a 503: seconds, also fractions, or an HTTP date, which counts from
+/// the answer's own `Date`, since no two hosts have the same clock. Of several the longest
+/// counts; one that is over already says nothing.
+pub fn read_rest<'a>(
+    values: impl IntoIterator<Item = &'a str>,
+    date: Option<&str>,
+) -> Hint<Millis> {
+    let mut hint: Hint<Millis> = Hint::Absent;
+    for text in values.into_iter().map(str::trim) {
+        hint = match (hint, rest_ms(text, date)) {
+            (Hint::Given(known), Some(rest)) => Hint::Given(known.max(rest)),
+            (known, Some(0)) => known,
+            (_, Some(rest)) => Hint::Given(rest),
+            (Hint::Absent, None) => Hint::Unreadable(text.to_owned()),
+            (known, None) => known,
+        };
+    }
+    hint
+}
+
+fn rest_ms(text: &str, date: Option<&str>) -> Option<Millis> {
+    if let Ok(seconds) = text.parse::<f64>() {
+        let is_time = seconds.is_finite() && seconds >= 0.0;
+        // The conversion saturates.
+        return is_time.then(|| (seconds * 1_000.0).ceil() as Millis);
+    }
+    let until = httpdate::parse_http_date(text).ok()?;
+    let from: SystemTime = httpdate::parse_http_date(date?).ok()?;
+    let rest = until.duration_since(from).unwrap_or(Duration::ZERO);
+    Some(rest.as_millis() as Millis)
+}
--- a/crates/core/src/limits/word.rs
+++ b/crates/core/src/limits/word.rs
@@ -21,9 +21,10 @@
 }
 
 /// What the head of one answer says.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Default)]
 pub enum LimitWord {
     /// It names no limit.
+    #[default]
     None,
     /// The limit.
     Named(RequestRate),
--- a/crates/ports/src/wire.rs
+++ b/crates/ports/src/wire.rs
@@ -3,7 +3,7 @@
 
 use std::time::Duration;
 
-use bankcove_core::limits::LimitWord;
+use bankcove_core::hints::ServerHints;
 use bankcove_core::{Name, Tokens};
 use http::{HeaderMap, StatusCode};
 
@@ -98,8 +98,8 @@
     pub is_signed: bool,
     /// Whether the body is encoded, which no caller has asked for.
     pub is_encoded: bool,
-    /// How many requests a second the server takes from all daemons together.
-    pub limit: LimitWord,
+    /// What the server says of itself.
+    pub hints: ServerHints,
 }
 
 /// Reads and writes the headers of one platform.
