The daemon's layer of limits is named for hints: limits are one of the things that servers say of themselves

Moved and renamed only (Limits to Hints, limits_digest to hints_digest); no test changed but for the field's name. Ruled out: a second layer beside it, with a gate and a spread of its own.

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -197,7 +197,7 @@
         view_age_ms: Some(120),
         paces: Vec::new(),
         crashes_digest: 0,
-        limits_digest: 0,
+        hints_digest: 0,
     }
 }
 
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -94,9 +94,9 @@
     pub paces: Vec<ServerPace>,
     /// Hash of what the sender knows of crashes, as [`crate::crashes::CrashBook::digest`].
     pub crashes_digest: u64,
-    /// Hash of the limits of servers that the sender knows, as
+    /// Hash of what the sender knows of servers by their own word, as
     /// [`crate::limits::LimitBook::digest`].
-    pub limits_digest: u64,
+    pub hints_digest: u64,
 }
 
 /// A peer as this daemon sees it.
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -49,7 +49,7 @@
         view_age_ms: None,
         paces: Vec::new(),
         crashes_digest: 0,
-        limits_digest: 0,
+        hints_digest: 0,
     };
     members.heard(0, &heartbeat);
 }
@@ -164,7 +164,7 @@
         view_age_ms: None,
         paces: Vec::new(),
         crashes_digest: 0,
-        limits_digest: 0,
+        hints_digest: 0,
     };
     members.heard(1, &heartbeat);
     members.forgive();
--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -14,7 +14,7 @@
 use serde_json::Value;
 
 use crate::daemon::Daemon;
-use crate::limits::permit::Permit;
+use crate::hints::permit::Permit;
 
 /// Longest call that is not a request of a caller.
 const SHORT_CALL: Duration = Duration::from_secs(2);
@@ -128,7 +128,7 @@
 fn heard(daemon: &Daemon, choice: &Choice, asked_at: Millis, res: &Response) {
     let values = res.headers().get_all(LIMIT_HEADER).iter();
     let word = LimitWord::read(values.map(|value| value.to_str().unwrap_or("?")));
-    daemon.limits.heard(&choice.start(), asked_at, &word);
+    daemon.hints.heard(&choice.start(), asked_at, &word);
 }
 
 /// Resumes the stream of a run; never begins one.
--- a/crates/daemon/src/api/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -16,7 +16,7 @@
 use crate::api::backend::{self, DispatchError, Outgoing};
 use crate::crashes::gate::RunApart;
 use crate::daemon::Daemon;
-use crate::limits::permit::Permit;
+use crate::hints::permit::Permit;
 use crate::open_request::OpenRequest;
 
 /// When to come back when no server is usable.
@@ -70,7 +70,7 @@
     // One that got no permit is not chosen again for a while.
     loop {
         let choice = choose_at(daemon, need, tried, place)?;
-        if let Ok(permit) = daemon.limits.permit(&daemon.log, choice, 0).await {
+        if let Ok(permit) = daemon.hints.permit(&daemon.log, choice, 0).await {
             return Ok(permit);
         }
     }
@@ -209,7 +209,7 @@
     let status = StatusCode::SERVICE_UNAVAILABLE;
     if let NoServer::OnlyLimited(AtLimit { first_ms, per_second }) = why {
         daemon.metrics.count("refused.only_limited");
-        let return_ms = daemon.limits.next_return(&Name::from(need.pool), first_ms, per_second);
+        let return_ms = daemon.hints.next_return(&Name::from(need.pool), first_ms, per_second);
         let message = "every backend server that is left is at the limit that it names";
         return Problem::not_run(&not_run, status, "only_limited", message).retry_after(return_ms);
     }
--- a/crates/daemon/src/api/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -255,8 +255,8 @@
             tokio::time::sleep(RESUME_PAUSE * tries).await;
             slog::info!(self.log, "stream resumed"; "offset" => self.sequence.next());
             let offset = self.sequence.next();
-            let limits = &self.daemon.limits;
-            let permit = match limits.permit(self.log, self.choice.clone(), 0).await {
+            let hints = &self.daemon.hints;
+            let permit = match hints.permit(self.log, self.choice.clone(), 0).await {
                 Ok(permit) => permit,
                 Err(at_limit) => {
                     // The run goes on there, and what it makes is kept.
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -26,7 +26,7 @@
 use crate::http::{Side, serve};
 use crate::membership::{self, unread_news};
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
-use crate::{limits, logging, operator, peer_server, store_calls, suspension};
+use crate::{hints, logging, operator, peer_server, store_calls, suspension};
 
 /// Pause between two looks while a planned stop waits.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -152,7 +152,7 @@
         tokio::spawn(keep::keep(Arc::clone(&daemon.crashes)));
         tokio::spawn(Arc::clone(&daemon.crashes).decide());
         tokio::spawn(Arc::clone(&daemon.crashes).tell_news());
-        limits::spread::spawn_tell(&daemon.limits);
+        hints::spread::spawn_tell(&daemon.hints);
         tokio::spawn(suspension::watch(daemon.fleet.clone()));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon.view)));
         tokio::spawn(server_sync::watch(Arc::clone(&daemon.view)));
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -22,7 +22,7 @@
 use crate::crashes::Crashes;
 use crate::error::Result;
 use crate::fleet::Fleet;
-use crate::limits::Limits;
+use crate::hints::Hints;
 use crate::membership::Membership;
 use crate::metrics::Metrics;
 use crate::peer::PeerPool;
@@ -61,7 +61,7 @@
     /// What is known of servers that crashed, and under which requests.
     pub crashes: Arc<Crashes>,
     /// The limits that servers name, and the permits that follow from them.
-    pub limits: Arc<Limits>,
+    pub hints: Arc<Hints>,
     /// Heartbeats, and what else is told with them.
     pub membership: Arc<Membership>,
     /// Cancelled when the platform's balancer is to send no new connections;
@@ -112,7 +112,7 @@
         let cfg = Arc::clone(&base.cfg);
         let fleet = Fleet::new(base.clone());
         let router = Arc::<Mutex<Router>>::default();
-        let limits = Limits::new(fleet.clone(), Arc::clone(&router));
+        let hints = Hints::new(fleet.clone(), Arc::clone(&router));
         let crashes = Crashes::new(fleet.clone(), Arc::clone(&router), store.clone());
         let table = Arc::<ArcSwapOption<Table>>::default();
         let (leaving, stopping) = (CancellationToken::new(), CancellationToken::new());
@@ -130,11 +130,11 @@
             Arc::clone(&table),
             Arc::clone(&router),
         ));
-        let (crashes, limits) = (Arc::new(crashes), Arc::new(limits));
+        let (crashes, hints) = (Arc::new(crashes), Arc::new(hints));
         let membership = Membership::new(
             Arc::clone(&view),
             Arc::clone(&crashes),
-            Arc::clone(&limits),
+            Arc::clone(&hints),
             stopping.clone(),
         );
         let billing = Billing::new(fleet.clone(), store.clone());
@@ -149,7 +149,7 @@
             budgets: Arc::new(budgets),
             billing: Arc::new(billing),
             peers: base.peers,
-            limits,
+            hints,
             crashes,
             view,
             membership: Arc::new(membership),
--- a/crates/daemon/src/dump.rs
+++ b/crates/daemon/src/dump.rs
@@ -63,7 +63,7 @@
         "owners": daemon.budgets.owners.dump().await,
         "request_log": daemon.billing.logs.dump().await,
         "servers": servers,
-        "limits": daemon.limits.dump(),
+        "limits": daemon.hints.dump(),
         "crashes": daemon.crashes.facts(),
         "crashes_remembered": daemon.crashes.gauge(),
         "marks_kept_for_others": daemon.budgets.marks().len(),
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -14,7 +14,7 @@
 use crate::entry::backends::SendError;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
-use crate::limits::permit::Permit;
+use crate::hints::permit::Permit;
 use crate::open_request::OpenRequest;
 
 /// Largest answer that is no stream, in bytes.
@@ -100,7 +100,7 @@
     let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.incoming.id);
     // Another program may have got the server's address, or its word be that of an earlier one.
     if !is_foreign && (head.is_signed || head.unrun == Some(Unrun::Full)) {
-        entry.daemon.limits.heard(&choice.start(), asked_at, &head.hints.limit);
+        entry.daemon.hints.heard(&choice.start(), asked_at, &head.hints.limit);
         log_hints(call, &choice, &head.hints);
     }
     if let Some(unrun) = head.unrun {
--- a/crates/daemon/src/entry/backends.rs
+++ b/crates/daemon/src/entry/backends.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
 
-use crate::limits::permit::{Expired, Permit};
+use crate::hints::permit::{Expired, Permit};
 
 /// Longest wait for a connection: a server in reach answers within 2 ms, and a
 /// silent one must not use up the 300 ms that callers of plain services allow.
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -19,7 +19,7 @@
 use crate::entry::link_use::LinkUse;
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
-use crate::limits::permit::Permit;
+use crate::hints::permit::Permit;
 
 /// Fewer shared tokens are read anew rather than copied from another server: setting
 /// up a copy takes some 4 ms, in which an engine reads 130 to 230 tokens.
@@ -161,8 +161,8 @@
         let mut last = None;
         for _ in 0..MOST_ASKS {
             let choice = self.choose_or_wait().await?;
-            let limits = &self.entry.daemon.limits;
-            match limits.permit(&self.log, choice, self.plan.rank()).await {
+            let hints = &self.entry.daemon.hints;
+            match hints.permit(&self.log, choice, self.plan.rank()).await {
                 Ok(permit) => return Ok(permit),
                 Err(at_limit) => last = Some(at_limit),
             }
@@ -191,7 +191,7 @@
     fn return_later(&self, at_limit: AtLimit) -> NoServer {
         let AtLimit { first_ms, per_second } = at_limit;
         let daemon = &self.entry.daemon;
-        let first_ms = daemon.limits.next_return(&self.plan.service, first_ms, per_second);
+        let first_ms = daemon.hints.next_return(&self.plan.service, first_ms, per_second);
         let servers = daemon.router.lock().servers_at_limit(daemon.clock.now(), &self.plan.service);
         slog::info!(self.log, "all servers at their limits";
             "service" => %self.plan.service, "per_s" => per_second, "return_ms" => first_ms,
--- a/crates/daemon/src/limits.rs
+++ b/crates/daemon/src/hints.rs
@@ -28,7 +28,7 @@
 
 /// The limits of servers, as this daemon knows and keeps them.
 #[derive(Debug)]
-pub struct Limits {
+pub struct Hints {
     fleet: Fleet,
     router: Arc<Mutex<Router>>,
     book: Mutex<LimitBook>,
@@ -51,11 +51,11 @@
     to_tell: Mutex<Option<mpsc::Receiver<LimitFact>>>,
 }
 
-impl Limits {
+impl Hints {
     /// No limit is known.
     pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>) -> Self {
         let (news, to_tell) = mpsc::channel(MOST_NEWS);
-        Limits {
+        Hints {
             fleet,
             router,
             book: Mutex::default(),
--- a/crates/daemon/src/limits/issue.rs
+++ b/crates/daemon/src/hints/issue.rs
@@ -3,7 +3,7 @@
 use bankcove_core::Millis;
 use bankcove_core::limits::{Issued, LimitFact, Place, Wish};
 
-use crate::limits::Limits;
+use crate::hints::Hints;
 use crate::peer::PermitAnswer;
 
 impl PermitAnswer {
@@ -14,7 +14,7 @@
     }
 }
 
-impl Limits {
+impl Hints {
     /// Issues permits for the server that the asker knows this of.
     pub fn issue(&self, fact: &LimitFact, wish: Wish) -> PermitAnswer {
         self.told(std::slice::from_ref(fact));
--- a/crates/daemon/src/limits/permit.rs
+++ b/crates/daemon/src/hints/permit.rs
@@ -11,7 +11,7 @@
 use bankcove_core::router::{AtLimit, Choice};
 use slog::Logger;
 
-use crate::limits::Limits;
+use crate::hints::Hints;
 use crate::peer::{PeerServiceClient, PermitAnswer};
 
 /// Longest wait for a peer's permits: a request of a caller waits for them.
@@ -28,7 +28,7 @@
 pub struct Permit {
     choice: Choice,
     /// What has to be given back, and until when it may be used; none where no limit binds.
-    lease: Option<(Arc<Limits>, Millis)>,
+    lease: Option<(Arc<Hints>, Millis)>,
 }
 
 /// The time to use a permit is over, as after a suspension of this host.
@@ -48,21 +48,21 @@
     /// [`Expired`] when the time to use it is over.
     pub fn spend(mut self) -> Result<Choice, Expired> {
         let lease = self.lease.take();
-        let is_over = lease.is_some_and(|(limits, until)| limits.fleet.base.clock.now() >= until);
+        let is_over = lease.is_some_and(|(hints, until)| hints.fleet.base.clock.now() >= until);
         if is_over { Err(Expired) } else { Ok(self.choice.clone()) }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        if let Some((limits, until)) = self.lease.take() {
-            let now = limits.fleet.base.clock.now();
-            limits.leases.lock().give_back(now, &self.choice.start(), until);
+        if let Some((hints, until)) = self.lease.take() {
+            let now = hints.fleet.base.clock.now();
+            hints.leases.lock().give_back(now, &self.choice.start(), until);
         }
     }
 }
 
-impl Limits {
+impl Hints {
     /// Takes a permit for the server that was chosen; `log` tells the request, `urgency` is 0
     /// for the most urgent. A server without a permit is not chosen again for a while.
     ///
--- a/crates/daemon/src/limits/spread.rs
+++ b/crates/daemon/src/hints/spread.rs
@@ -10,7 +10,7 @@
 use tokio::sync::mpsc;
 
 use crate::fleet::Fleet;
-use crate::limits::{Limits, Source};
+use crate::hints::{Hints, Source};
 use crate::peer::PeerServiceClient;
 
 /// Peers that are told at once. Each passes on what is new to it; with fewer some of 1,300
@@ -34,9 +34,9 @@
 const PAUSE_PER_FACT: Duration = Duration::from_millis(4);
 
 /// Tells some peers what is new, until nobody finds anything new any more.
-pub fn spawn_tell(limits: &Limits) {
-    if let Some(news) = limits.to_tell.lock().take() {
-        tokio::spawn(tell(limits.fleet.clone(), news));
+pub fn spawn_tell(hints: &Hints) {
+    if let Some(news) = hints.to_tell.lock().take() {
+        tokio::spawn(tell(hints.fleet.clone(), news));
     }
 }
 
@@ -75,7 +75,7 @@
     }
 }
 
-impl Limits {
+impl Hints {
     /// Takes in what a peer has told.
     pub fn told(&self, facts: &[LimitFact]) {
         let now = self.fleet.base.clock.now();
@@ -105,13 +105,13 @@
         if !self.asked.may_ask(self.fleet.base.clock.now(), ASK_PAUSE_MS) {
             return;
         }
-        let (limits, address) = (Arc::clone(self), address.to_owned());
+        let (hints, address) = (Arc::clone(self), address.to_owned());
         tokio::spawn(async move {
             let ask = |client: PeerServiceClient, cx| async move { client.limit_facts(cx).await };
-            match limits.fleet.base.peers.call(&address, CALL_TIMEOUT, ask).await {
-                Some(facts) => limits.told(&facts),
+            match hints.fleet.base.peers.call(&address, CALL_TIMEOUT, ask).await {
+                Some(facts) => hints.told(&facts),
                 None => {
-                    slog::debug!(limits.fleet.base.log, "limits not asked for"; "peer" => &address)
+                    slog::debug!(hints.fleet.base.log, "limits not asked for"; "peer" => &address)
                 }
             }
         });
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -18,7 +18,7 @@
 
 use crate::crashes::Crashes;
 use crate::fleet::Fleet;
-use crate::limits::Limits;
+use crate::hints::Hints;
 use crate::view::{View, hall_sync, server_sync, table_sync};
 
 /// Servers whose pace one heartbeat tells: some 100 bytes. A daemon hears twelve
@@ -54,7 +54,7 @@
     /// What it knows of crashes.
     pub crashes: Arc<Crashes>,
     /// What it knows of limits.
-    pub limits: Arc<Limits>,
+    pub hints: Arc<Hints>,
     /// Told when what servers have to read for this daemon has changed.
     pub unread_changed: Notify,
     /// Rounds of news of that which were told to peers.
@@ -68,14 +68,14 @@
     pub fn new(
         view: Arc<View>,
         crashes: Arc<Crashes>,
-        limits: Arc<Limits>,
+        hints: Arc<Hints>,
         stopping: CancellationToken,
     ) -> Self {
         Membership {
             fleet: view.fleet.clone(),
             view,
             crashes,
-            limits,
+            hints,
             unread_changed: Notify::new(),
             news_told: AtomicU64::new(0),
             fetches: Fetches::default(),
@@ -105,7 +105,7 @@
             view_age_ms: self.fleet.contact.view_age(self.fleet.base.clock.now()),
             paces,
             crashes_digest: self.crashes.digest(),
-            limits_digest: self.limits.digest(),
+            hints_digest: self.hints.digest(),
         }
     }
 }
@@ -150,7 +150,7 @@
 fn take_in(membership: &Arc<Membership>, heartbeat: &Heartbeat) {
     hall_sync::heard(&membership.view, &heartbeat.evacuated);
     membership.crashes.heard_digest(&heartbeat.address, heartbeat.crashes_digest);
-    membership.limits.heard_digest(&heartbeat.address, heartbeat.limits_digest);
+    membership.hints.heard_digest(&heartbeat.address, heartbeat.hints_digest);
     membership.fleet.members.lock().heard(membership.fleet.base.clock.now(), heartbeat);
     membership.view.router.lock().heard_paces(&heartbeat.paces);
 }
@@ -188,7 +188,7 @@
     loop {
         membership.view.router.lock().forget_old_news(membership.fleet.base.clock.now());
         membership.crashes.forget_old();
-        membership.limits.forget_old();
+        membership.hints.forget_old();
         beat(&membership).await;
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -193,7 +193,7 @@
 /// Limits that servers name, and the permits of this daemon.
 #[handler]
 async fn get_limits(depot: &mut Depot, res: &mut Response) {
-    res.render(Json(daemon(depot).limits.dump()));
+    res.render(Json(daemon(depot).hints.dump()));
 }
 
 #[handler]
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -160,15 +160,15 @@
     }
 
     async fn told_limits(self, _: Context, facts: Vec<LimitFact>) {
-        self.daemon.limits.told(&facts);
+        self.daemon.hints.told(&facts);
     }
 
     async fn limit_facts(self, _: Context) -> Vec<LimitFact> {
-        self.daemon.limits.facts()
+        self.daemon.hints.facts()
     }
 
     async fn permits(self, _: Context, fact: LimitFact, wish: Wish) -> PermitAnswer {
-        self.daemon.limits.issue(&fact, wish)
+        self.daemon.hints.issue(&fact, wish)
     }
 
     async fn keep_bill(self, _: Context, bill: Bill) {
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -42,7 +42,7 @@
         view_age_ms: None,
         paces: Vec::new(),
         crashes_digest: 0,
-        limits_digest: 0,
+        hints_digest: 0,
     };
     daemon.fleet.members.lock().heard(0, &heartbeat);
 }
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -26,7 +26,7 @@
         view_age_ms: Some(0),
         paces: Vec::new(),
         crashes_digest: 0,
-        limits_digest: 0,
+        hints_digest: 0,
     }
 }
 
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -9,7 +9,7 @@
     &["peer"],
     &["base"],
     &["fleet"],
-    &["view", "crashes", "limits", "budget", "bill"],
+    &["view", "crashes", "hints", "budget", "bill"],
     &["membership"],
     &["daemon"],
     &["api", "entry", "operator", "peer_server", "open_request", "dump", "controller"],
