--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod budget_load;
 pub mod budget_policy;
 pub mod budget_world;
+pub mod hint_world;
 pub mod limit_world;
 pub mod routing_world;
 pub mod schedule;
--- a/crates/bench/src/routing_world.rs
+++ b/crates/bench/src/routing_world.rs
@@ -306,7 +306,7 @@
             self.reported[n] = running + waiting;
             let name = Name::from(format!("server-{n}"));
             for router in &mut self.routers {
-                let report = LoadReport { running, waiting, leaving: false };
+                let report = LoadReport { running, waiting, leaving: false, started_ms: 0 };
                 router.report(self.now, &name, report);
             }
         }
--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -76,6 +76,8 @@
     Blocked(BlockedCommand),
     /// Show which backend servers name a limit, and what the daemon may send them.
     Limits,
+    /// Show which backend servers get requests from the daemon, and why the others don't.
+    Servers,
     /// Make keys for callers.
     #[command(subcommand)]
     Key(KeyCommand),
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -105,6 +105,14 @@
         self.call(self.request(Method::GET, "limits")).await
     }
 
+    /// What each backend server is to the daemon, one row a server.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] or [`Error::Refused`].
+    pub async fn servers(&self) -> Result<Vec<Value>> {
+        self.call(self.request(Method::GET, "servers")).await
+    }
+
     /// Lets a blocked request run again.
     ///
     /// # Errors
--- a/crates/core/src/hints.rs
+++ b/crates/core/src/hints.rs
@@ -1,9 +1,21 @@
 //! What backend servers say of themselves in the heads of their answers.
 
+mod leaving;
+mod rests;
+
 use std::time::{Duration, SystemTime};
 
+use serde::{Deserialize, Serialize};
+
+pub use leaving::{LeavingFact, LeavingStarts};
+pub use rests::Rests;
+
 use crate::Millis;
-use crate::limits::LimitWord;
+use crate::limits::{LimitFact, LimitWord};
+
+/// How long what a start of a server has said is remembered after it, in milliseconds, when
+/// nobody lists that start: longer than lists of hosts that were cut off lag behind.
+const HOLD_MS: Millis = 600_000;
 
 /// One thing that a head may say.
 #[derive(Debug, Clone, PartialEq, Eq, Default)]
@@ -35,6 +47,44 @@
     }
 }
 
+/// One thing that a server has said, for a peer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub enum HintFact {
+    /// Its limit.
+    Limit(LimitFact),
+    /// That it leaves.
+    Leaving(LeavingFact),
+}
+
+impl HintFact {
+    /// The same fact, told so much later.
+    #[must_use]
+    pub fn aged(mut self, by_ms: Millis) -> Self {
+        match &mut self {
+            HintFact::Limit(fact) => {
+                fact.asked_age_ms += by_ms;
+                fact.heard_age_ms += by_ms;
+            }
+            HintFact::Leaving(fact) => fact.age_ms += by_ms,
+        }
+        self
+    }
+}
+
+/// Why a server must not be sent to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Closed {
+    /// It has said that it leaves.
+    #[error("the server leaves")]
+    Leaving,
+    /// It has asked this daemon for rest.
+    #[error("the server rests for {left_ms} ms")]
+    Resting {
+        /// How much longer, in milliseconds.
+        left_ms: Millis,
+    },
+}
+
 /// Reads a header that marks a server as leaving: `1`. `0` says nothing; of several, one mark
 /// is enough.
 pub fn read_leaving<'a>(values: impl IntoIterator<Item = &'a str>) -> Hint<()> {
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -94,8 +94,8 @@
     pub paces: Vec<ServerPace>,
     /// Hash of what the sender knows of crashes, as [`crate::crashes::CrashBook::digest`].
     pub crashes_digest: u64,
-    /// Hash of what the sender knows of servers by their own word, as
-    /// [`crate::limits::LimitBook::digest`].
+    /// Hash of what servers have said as far as the sender knows: of
+    /// [`crate::limits::LimitBook::digest`] and [`crate::hints::LeavingStarts::digest`].
     pub hints_digest: u64,
 }
 
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -8,20 +8,24 @@
 //! costs a binary search and a few looks, whatever the number of servers.
 
 mod choose;
+mod closed;
 mod elsewhere;
 mod load;
 mod pool;
 mod reading;
+mod status;
 mod view;
 
-pub use choose::{AtLimit, Choice, Homes, NoServer, Wanted};
+pub use choose::{AtLimit, Choice, Homes, NoServer, Resting, Wanted};
 pub use elsewhere::{Unread, UnreadNews};
 pub use reading::{ServerPace, StreamPace};
+pub use status::{Availability, ServerStatus};
 pub use view::{LoadReport, ServerView};
 
 use std::collections::HashMap;
 
 use crate::crashes::ServerStart;
+use crate::hints::{LeavingStarts, Rests};
 use crate::router::elsewhere::Elsewhere;
 use crate::router::pool::{HallPool, Pool};
 use crate::router::reading::{Reading, mean};
@@ -42,6 +46,10 @@
     reading: HashMap<Name, Reading>,
     /// What peers have under way.
     elsewhere: Elsewhere,
+    /// Starts of servers that leave, also of those that are not in the table now.
+    leaving: LeavingStarts,
+    /// Starts of servers that rest.
+    rests: Rests,
 }
 
 impl Router {
@@ -64,6 +72,9 @@
                     ..old.clone()
                 };
             }
+            let speaker = view.speaker();
+            view.said_leaving = self.leaving.contains(&speaker);
+            view.rests_until = self.rests.end(&speaker);
         }
         let indexed = servers.iter().enumerate();
         self.by_name = indexed.map(|(index, view)| (view.name.clone(), index as u32)).collect();
@@ -112,6 +123,7 @@
 
     /// Takes in a server's load report.
     pub fn report(&mut self, now: Millis, name: &Name, report: LoadReport) {
+        self.learn_start(now, name, report.started_ms);
         self.change_load(name, |view| {
             view.reported = report.running + report.waiting;
             view.in_flight_at_report = view.in_flight;
@@ -158,12 +170,13 @@
         self.servers[index].no_permit_until = until;
     }
 
-    /// The servers of a pool that get nothing from this daemon for their limits.
-    pub fn servers_at_limit(&self, now: Millis, pool: &Name) -> Vec<Name> {
+    /// The servers of a pool that get nothing from this daemon for their limits or rests.
+    pub fn servers_held_back(&self, now: Millis, pool: &Name) -> Vec<String> {
         let halls = self.pools.get(pool).map(|pool| &pool.halls);
         let members = halls.into_iter().flatten().flat_map(|hall| &hall.members);
         let views = members.map(|index| &self.servers[*index as usize]);
-        views.filter(|view| view.is_at_limit(now)).map(|view| view.name.clone()).collect()
+        let held_back = views.filter(|view| view.is_at_limit(now) || view.rests(now));
+        held_back.map(|view| view.name.to_string()).collect()
     }
 
     /// Takes in that a request with a prompt of this length was sent to this start of a
@@ -224,7 +237,7 @@
             let members = pool.halls.iter().flat_map(|hall| &hall.members);
             let views = members.map(|index| &self.servers[*index as usize]);
             let (mut all, mut ejected) = (0_usize, 0_usize);
-            for view in views {
+            for view in views.filter(|view| !view.is_leaving(now)) {
                 all += 1;
                 ejected += usize::from(now < view.ejected_until);
             }
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -27,6 +27,17 @@
     OnlyCold(Millis),
     /// All that are left, but for cold ones, take no more than the limits that they name.
     OnlyLimited(AtLimit),
+    /// All that are left, but for cold ones, have asked this daemon for rest.
+    OnlyResting(Resting),
+}
+
+/// Servers that have asked this daemon for rest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Resting {
+    /// After so many milliseconds the first rest is over.
+    pub first_ms: Millis,
+    /// How many servers rest.
+    pub servers: usize,
 }
 
 /// Servers that take no more than the limits that they name.
@@ -163,11 +174,19 @@
             .collect();
         let (cold, warm): (Vec<&ServerView>, Vec<&ServerView>) =
             left.into_iter().partition(|view| view.is_cold(now));
-        let limited = warm.iter().filter(|view| view.is_at_limit(now));
+        let (resting, awake): (Vec<&ServerView>, Vec<&ServerView>) =
+            warm.into_iter().partition(|view| view.rests(now));
+        let limited = awake.iter().filter(|view| view.is_at_limit(now));
         if let Some(first_at) = limited.clone().map(|view| view.no_permit_until).min() {
             let per_second = limited.filter_map(|view| view.limit_per_s).sum();
             return NoServer::OnlyLimited(AtLimit { first_ms: first_at - now, per_second });
         }
+        // One that is at its limit as well comes back when both are over.
+        let opens_at = resting.iter().map(|view| view.rests_until.max(view.no_permit_until));
+        if let Some(first_at) = opens_at.min() {
+            let servers = resting.len();
+            return NoServer::OnlyResting(Resting { first_ms: first_at - now, servers });
+        }
         let warm_at = cold.iter().map(|view| view.cold_until).min();
         warm_at.map_or(NoServer::NoneUsable, |at| NoServer::OnlyCold(at - now))
     }
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -19,7 +19,7 @@
 /// At most one in so many servers of a pool is ejected at once.
 pub(super) const MOST_EJECTED: usize = 2;
 
-/// After an ejection or a limit a server takes its full share again only after this long.
+/// After an ejection, a limit or a rest a server takes its full share again only after this long.
 pub(super) const SLOW_RETURN_MS: Millis = 5_000;
 
 /// A server's own word that it leaves is believed this long.
@@ -35,6 +35,9 @@
     /// Whether the server takes no new work.
     #[serde(default)]
     pub leaving: bool,
+    /// When this start of the server began, in milliseconds since 1970; 0 where it doesn't say.
+    #[serde(default)]
+    pub started_ms: Millis,
 }
 
 /// One server as this daemon sees it.
@@ -48,12 +51,18 @@
     pub address: String,
     /// When this start of it began, in milliseconds since 1970; 0 where nobody tells.
     pub started_ms: Millis,
+    /// The same by its load reports, for a row of the operators, which doesn't tell.
+    pub(super) reported_start_ms: Millis,
     pub(super) cold_until: Millis,
     pub(super) limit: u32,
     pub(super) reports_load: bool,
     pub(super) row_draining: bool,
     pub(super) listed_leaving: bool,
     pub(super) leaving_until: Millis,
+    /// Whether it has said itself that it leaves, for good.
+    pub(super) said_leaving: bool,
+    /// It has asked this daemon for rest until then.
+    pub(super) rests_until: Millis,
     pub(super) in_flight: u32,
     /// Tokens of prompts that were sent there and of which no answer has begun.
     pub(super) unread: Tokens,
@@ -81,12 +90,15 @@
             hall: row.hall.clone(),
             address: row.address.clone(),
             started_ms: row.listed.started_ms,
+            reported_start_ms: 0,
             cold_until: row.listed.cold_until,
             limit: row.limit,
             reports_load: row.kind == ServerKind::Model,
             row_draining: row.state == ServerState::Draining,
             listed_leaving: false,
             leaving_until: 0,
+            said_leaving: false,
+            rests_until: 0,
             in_flight: 0,
             unread: 0,
             unread_elsewhere: 0,
@@ -107,6 +119,13 @@
         ServerStart { name: self.name.clone(), started_ms: self.started_ms }
     }
 
+    /// The start to which its own words belong.
+    pub(super) fn speaker(&self) -> ServerStart {
+        let is_listed = self.started_ms != 0;
+        let started_ms = if is_listed { self.started_ms } else { self.reported_start_ms };
+        ServerStart { name: self.name.clone(), started_ms }
+    }
+
     /// The late report, corrected by what this daemon has sent since.
     pub fn load(&self) -> f64 {
         let since = i64::from(self.in_flight) - i64::from(self.in_flight_at_report);
@@ -121,11 +140,17 @@
 
     /// Whether it must not be given new work.
     pub fn is_leaving(&self, now: Millis) -> bool {
-        self.row_draining || self.listed_leaving || now < self.leaving_until
+        self.said_leaving || self.row_draining || self.listed_leaving || now < self.leaving_until
     }
 
     pub(super) fn is_usable(&self, now: Millis) -> bool {
-        self.could_serve(now) && !self.is_cold(now) && !self.is_at_limit(now)
+        let is_held_back = self.is_cold(now) || self.is_at_limit(now) || self.rests(now);
+        self.could_serve(now) && !is_held_back
+    }
+
+    /// Whether it has asked this daemon for rest.
+    pub(super) fn rests(&self, now: Millis) -> bool {
+        now < self.rests_until
     }
 
     /// Whether this daemon may send it nothing for its limit.
@@ -138,7 +163,7 @@
         now < self.cold_until
     }
 
-    /// Whether it would be usable if it were neither cold nor at its limit.
+    /// Whether it would be usable if it were neither cold nor at its limit, and did not rest.
     pub(super) fn could_serve(&self, now: Millis) -> bool {
         !self.is_leaving(now) && now >= self.ejected_until && self.in_flight < self.limit
     }
@@ -146,7 +171,9 @@
     /// Whether a slow return passes this request on.
     pub(super) fn holds_back(&self, now: Millis, seed: u64) -> bool {
         let ejected_until = (self.ejections > 0).then_some(self.ejected_until);
-        let Some(returned_at) = ejected_until.max(self.lifted_at) else { return false };
+        let rested_until = (self.rests_until > 0).then_some(self.rests_until);
+        let returned_at = ejected_until.max(self.lifted_at).max(rested_until);
+        let Some(returned_at) = returned_at else { return false };
         let since = now.saturating_sub(returned_at);
         since < SLOW_RETURN_MS && seed % SLOW_RETURN_MS >= since
     }
--- a/crates/core/tests/places.rs
+++ b/crates/core/tests/places.rs
@@ -222,7 +222,7 @@
     router.sent(&first, 1_000, 5_000);
     router.sent(&first, 1_000, 5_000);
     router.said_leaving(0, &first, 1_000);
-    router.report(0, &first, LoadReport { running: 7, waiting: 2, leaving: true });
+    router.report(0, &first, LoadReport { running: 7, waiting: 2, leaving: true, started_ms: 0 });
     assert!(router.servers()[0].is_leaving(1));
     router.adopt(&with_start(2_000));
     // The answer to a request of before comes late.
--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -83,7 +83,7 @@
     let mut by_word = router(3, &[1.0]);
     by_word.said_leaving(0, &Name::from("s1"), 0);
     let mut by_report = router(3, &[1.0]);
-    let report = LoadReport { running: 0, waiting: 0, leaving: true };
+    let report = LoadReport { running: 0, waiting: 0, leaving: true, started_ms: 0 };
     by_report.report(0, &Name::from("s1"), report);
     let mut drained = table(3, &[1.0]);
     drained.servers[1].state = bankcove_core::table::ServerState::Draining;
@@ -124,7 +124,7 @@
 fn a_late_report_is_corrected_by_what_was_sent_since() {
     let mut router = router(1, &[1.0]);
     let name = Name::from("s0");
-    router.report(0, &name, LoadReport { running: 5, waiting: 1, leaving: false });
+    router.report(0, &name, LoadReport { running: 5, waiting: 1, leaving: false, started_ms: 0 });
     router.sent(&name, 0, 0);
     router.sent(&name, 0, 0);
     assert!((router.servers()[0].load() - 8.0).abs() < 1e-9);
--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -3,12 +3,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bankcove_core::hints::{Hint, ServerHints, read_leaving, read_rest};
 use bankcove_core::lifecycle::NothingRan;
 use bankcove_core::limits::LimitWord;
 use bankcove_core::router::{Choice, LoadReport};
 use bankcove_core::table::ServerKind;
 use bankcove_core::{AttemptId, Fingerprint, Millis, Name, Tokens};
 use bytes::Bytes;
+use reqwest::header::{DATE, RETRY_AFTER};
 use reqwest::{Method, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
@@ -23,6 +25,9 @@
 /// Orders to cancel a run, and load reports, are no requests and don't count.
 const LIMIT_HEADER: &str = "x-requests-per-second";
 
+/// On any answer of a server that leaves: "1".
+const LEAVING_HEADER: &str = "x-server-leaving";
+
 /// Why a dispatch brought no answer.
 #[derive(Debug)]
 pub enum DispatchError {
@@ -110,7 +115,7 @@
         }
         Err(_) => return Err(DispatchError::Unknown),
     };
-    heard(daemon, &choice, asked_at, &res);
+    observe(daemon, &choice, asked_at, &res);
     // A plain service may say anything in its body; only engines are believed.
     if kind == ServerKind::Service || res.status() != StatusCode::SERVICE_UNAVAILABLE {
         return Ok(res);
@@ -124,11 +129,28 @@
     }
 }
 
-/// Takes in what the head of an answer says of the server's limit.
-fn heard(daemon: &Daemon, choice: &Choice, asked_at: Millis, res: &Response) {
-    let values = res.headers().get_all(LIMIT_HEADER).iter();
-    let word = LimitWord::read(values.map(|value| value.to_str().unwrap_or("?")));
-    daemon.hints.heard(&choice.start(), asked_at, &word);
+/// Takes in what the head of an answer says of its server.
+fn observe(daemon: &Daemon, choice: &Choice, asked_at: Millis, res: &Response) {
+    daemon.hints.observe(&daemon.log, &choice.start(), asked_at, &read_hints(res));
+}
+
+/// The same, of an answer to what is no request, in which no limit is named.
+fn observe_closed(daemon: &Daemon, choice: &Choice, res: &Response) {
+    daemon.hints.observe_closed(&daemon.log, &choice.start(), &read_hints(res));
+}
+
+fn read_hints(res: &Response) -> ServerHints {
+    let values = |name| {
+        let values = res.headers().get_all(name).iter();
+        values.map(|value| value.to_str().unwrap_or("?"))
+    };
+    let asks_for_rest = res.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let rest = || read_rest(values(RETRY_AFTER.as_str()), values(DATE.as_str()).next());
+    ServerHints {
+        limit: LimitWord::read(values(LIMIT_HEADER)),
+        leaving: read_leaving(values(LEAVING_HEADER)),
+        rest: if asks_for_rest { rest() } else { Hint::Absent },
+    }
 }
 
 /// Resumes the stream of a run; never begins one.
@@ -145,7 +167,7 @@
     let req =
         daemon.http.get(url).query(&[("offset", offset.to_string().as_str()), ("model", model)]);
     let res = req.send().await.ok()?;
-    heard(daemon, &choice, asked_at, &res);
+    observe(daemon, &choice, asked_at, &res);
     res.status().is_success().then_some(res)
 }
 
@@ -153,6 +175,7 @@
 pub async fn cancel(daemon: &Daemon, choice: &Choice, run_id: &str) -> Option<CancelledRun> {
     let url = format!("http://{}/v1/runs/{run_id}/cancel", choice.address);
     let res = daemon.http.post(url).timeout(SHORT_CALL).send().await.ok()?;
+    observe_closed(daemon, choice, &res);
     res.error_for_status().ok()?.json().await.ok()
 }
 
@@ -166,7 +189,7 @@
     let asked_at = daemon.clock.now();
     let url = format!("http://{}/v1/tokenize", choice.address);
     let res = daemon.http.post(url).json(body).timeout(SHORT_CALL).send().await.ok()?;
-    heard(daemon, &choice, asked_at, &res);
+    observe(daemon, &choice, asked_at, &res);
     let count: Count = res.error_for_status().ok()?.json().await.ok()?;
     Some(count.count)
 }
@@ -190,7 +213,8 @@
     let most = daemon.cfg.limits.load_reports_at_once;
     let (servers, next) = daemon.router.lock().servers_to_ask(most, turn);
     let reports = servers.into_iter().map(|choice| async move {
-        (choice.server, read_load_report(daemon, &choice.address).await)
+        let report = read_load_report(daemon, &choice).await;
+        (choice.server, report)
     });
     for (name, report) in futures::future::join_all(reports).await {
         if let Some(report) = report {
@@ -200,8 +224,9 @@
     next
 }
 
-async fn read_load_report(daemon: &Daemon, address: &str) -> Option<LoadReport> {
-    let url = format!("http://{address}/v1/load");
+async fn read_load_report(daemon: &Daemon, choice: &Choice) -> Option<LoadReport> {
+    let url = format!("http://{}/v1/load", choice.address);
     let res = daemon.http.get(url).timeout(SHORT_CALL).send().await.ok()?;
+    observe_closed(daemon, choice, &res);
     res.error_for_status().ok()?.json().await.ok()
 }
--- a/crates/daemon/src/api/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -6,7 +6,7 @@
 use bankcove_core::crashes::{Place, Verdict};
 use bankcove_core::lifecycle::{Admitted, Attempt, Dispatched, NotRun};
 use bankcove_core::reqlog::Entry;
-use bankcove_core::router::{AtLimit, Choice, Homes, NoServer, Wanted};
+use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
 use bankcove_core::table::ServerKind;
 use bankcove_core::{Fingerprint, Millis, Name, RequestHash};
 use reqwest::Response;
@@ -67,7 +67,7 @@
     tried: &[Name],
     place: Option<Place>,
 ) -> Result<Permit, NoServer> {
-    // One that got no permit is not chosen again for a while.
+    // One that gave no permit is not chosen again for a while.
     loop {
         let choice = choose_at(daemon, need, tried, place)?;
         if let Ok(permit) = daemon.hints.permit(&daemon.log, choice, 0).await {
@@ -207,15 +207,29 @@
 fn nowhere(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>, why: NoServer) -> Problem {
     let not_run = give_back(daemon, attempt, need);
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    if let NoServer::OnlyLimited(AtLimit { first_ms, per_second }) = why {
-        daemon.metrics.count("refused.only_limited");
-        let return_ms = daemon.hints.next_return(&Name::from(need.pool), first_ms, per_second);
-        let message = "every backend server that is left is at the limit that it names";
-        return Problem::not_run(&not_run, status, "only_limited", message).retry_after(return_ms);
-    }
-    daemon.metrics.count("refused.no_server");
-    let message = "no backend server takes the request now";
-    Problem::not_run(&not_run, status, "no_server", message).retry_after(RETRY_NO_SERVER_MS)
+    let (metric, code, message, return_ms) = match daemon.hints.in_turn(&Name::from(need.pool), why)
+    {
+        NoServer::OnlyLimited(at_limit) => (
+            "refused.only_limited",
+            "only_limited",
+            "every backend server that is left is at the limit that it names",
+            at_limit.first_ms,
+        ),
+        NoServer::OnlyResting(resting) => (
+            "refused.only_resting",
+            "only_resting",
+            "every backend server that is left has asked for rest",
+            resting.first_ms,
+        ),
+        _ => (
+            "refused.no_server",
+            "no_server",
+            "no backend server takes the request now",
+            RETRY_NO_SERVER_MS,
+        ),
+    };
+    daemon.metrics.count(metric);
+    Problem::not_run(&not_run, status, code, message).retry_after(return_ms)
 }
 
 /// Gives back what was set aside and claimed for an attempt that runs nowhere.
--- a/crates/daemon/src/api/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use bankcove_core::bill::Bill;
+use bankcove_core::hints::Closed;
 use bankcove_core::lifecycle::{Attempt, Dispatched};
 use bankcove_core::stream::{Sequence, Verdict};
 use bankcove_core::{Millis, Name, Tokens};
@@ -23,6 +24,7 @@
 use crate::api::sse::{Event, Piece, Splitter, Usage};
 use crate::bill::billing::{self, Billed};
 use crate::daemon::Daemon;
+use crate::hints::permit::NoPermit;
 
 /// Text that ends a stream.
 const END: &[u8] = b"data: [DONE]\n\n";
@@ -258,10 +260,15 @@
             let hints = &self.daemon.hints;
             let permit = match hints.permit(self.log, self.choice.clone(), 0).await {
                 Ok(permit) => permit,
-                Err(at_limit) => {
+                Err(no_permit) => {
                     // The run goes on there, and what it makes is kept.
-                    let wait = Duration::from_millis(at_limit.first_ms);
-                    tokio::time::sleep(wait.min(LONGEST_PERMIT_WAIT)).await;
+                    let wait = match no_permit {
+                        NoPermit::AtLimit(at_limit) => at_limit.first_ms,
+                        NoPermit::Closed(Closed::Resting { left_ms }) => left_ms,
+                        // A server that leaves takes no request for the rest of the stream.
+                        NoPermit::Closed(Closed::Leaving) => return Ending::ServerLost,
+                    };
+                    tokio::time::sleep(Duration::from_millis(wait).min(LONGEST_PERMIT_WAIT)).await;
                     continue;
                 }
             };
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -2,7 +2,6 @@
 
 use std::sync::Arc;
 
-use bankcove_core::hints::{Hint, ServerHints};
 use bankcove_core::router::Choice;
 use bankcove_ports::wire::Unrun;
 use bytes::Bytes;
@@ -74,7 +73,7 @@
             log_try(call, &choice, "no answer in time");
             return Tried::Late;
         }
-        Some(Err(SendError::Expired(e))) => {
+        Some(Err(SendError::NotSpent(e))) => {
             charge.not_run(ran_before);
             log_try(call, &choice, &e.to_string());
             return Tried::Unrun;
@@ -100,8 +99,7 @@
     let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.incoming.id);
     // Another program may have got the server's address, or its word be that of an earlier one.
     if !is_foreign && (head.is_signed || head.unrun == Some(Unrun::Full)) {
-        entry.daemon.hints.heard(&choice.start(), asked_at, &head.hints.limit);
-        log_hints(call, &choice, &head.hints);
+        entry.daemon.hints.observe(&call.log, &choice.start(), asked_at, &head.hints);
     }
     if let Some(unrun) = head.unrun {
         charge.not_run(ran_before);
@@ -161,23 +159,6 @@
     }
 }
 
-/// One line for a head in which the server says something of itself.
-fn log_hints(call: &Call, choice: &Choice, hints: &ServerHints) {
-    if hints.leaving == Hint::Absent && hints.rest == Hint::Absent {
-        return;
-    }
-    let metrics = &call.entry.daemon.metrics;
-    if hints.leaving != Hint::Absent {
-        metrics.count("server.says_leaving");
-    }
-    if hints.rest != Hint::Absent {
-        metrics.count("server.asks_for_rest");
-    }
-    slog::info!(call.log, "server hints";
-        "server" => %choice.server, "started_ms" => choice.started_ms,
-        "leaving" => ?hints.leaving, "rest_ms" => ?hints.rest);
-}
-
 fn unrun_text(unrun: Unrun) -> &'static str {
     match unrun {
         Unrun::Full => "the server has no room",
--- a/crates/daemon/src/entry/backends.rs
+++ b/crates/daemon/src/entry/backends.rs
@@ -17,7 +17,7 @@
 use hyper_util::rt::TokioExecutor;
 use parking_lot::Mutex;
 
-use crate::hints::permit::{Expired, Permit};
+use crate::hints::permit::{NotSpent, Permit};
 
 /// Longest wait for a connection: a server in reach answers within 2 ms, and a
 /// silent one must not use up the 300 ms that callers of plain services allow.
@@ -46,9 +46,9 @@
 /// Why no answer came.
 #[derive(Debug, thiserror::Error)]
 pub enum SendError {
-    /// The permit came too late, so nothing was sent; the server has failed nothing.
+    /// The permit could not be used, so nothing was sent; the server has failed nothing.
     #[error(transparent)]
-    Expired(#[from] Expired),
+    NotSpent(#[from] NotSpent),
     /// No connection could be made, so nothing was sent.
     #[error("no connection: {0}")]
     NotConnected(String),
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bankcove_core::crashes::Verdict;
-use bankcove_core::router::{AtLimit, Choice, Homes, NoServer, Wanted};
+use bankcove_core::router::{Choice, Homes, NoServer, Wanted};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Incoming, Prompt};
 use bytes::Bytes;
@@ -19,7 +19,7 @@
 use crate::entry::link_use::LinkUse;
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
-use crate::hints::permit::Permit;
+use crate::hints::permit::{NoPermit, Permit};
 
 /// Fewer shared tokens are read anew rather than copied from another server: setting
 /// up a copy takes some 4 ms, in which an engine reads 130 to 230 tokens.
@@ -152,51 +152,57 @@
     }
 
     /// Chooses a server among those that were not tried and takes a permit for it. One that
-    /// is at its limit is passed by; when all are, the request waits for a permit that comes
-    /// soon.
+    /// gives none is passed by; when all are at their limits or rest, the request waits for the
+    /// first that opens soon.
     ///
     /// # Errors
     /// [`NoServer`] when none is to be had.
     pub async fn next_server(&self) -> Result<Permit, NoServer> {
-        let mut last = None;
+        let mut last = NoServer::NoneUsable;
         for _ in 0..MOST_ASKS {
             let choice = self.choose_or_wait().await?;
             let hints = &self.entry.daemon.hints;
             match hints.permit(&self.log, choice, self.plan.rank()).await {
                 Ok(permit) => return Ok(permit),
-                Err(at_limit) => last = Some(at_limit),
+                Err(NoPermit::AtLimit(at_limit)) => last = NoServer::OnlyLimited(at_limit),
+                // The router knows it by now.
+                Err(NoPermit::Closed(_)) => {}
             }
         }
-        Err(last.map_or(NoServer::NoneUsable, |at_limit| self.return_later(at_limit)))
+        Err(self.return_later(last))
     }
 
-    /// Chooses a server; while all are at their limits it waits for the first of them, when
-    /// that is soon.
+    /// Chooses a server; while all are at their limits or rest it waits for the first of them,
+    /// when that is soon.
     async fn choose_or_wait(&self) -> Result<Choice, NoServer> {
         let clock = &self.entry.daemon.clock;
         let until = self.deadline.min(self.arrived + self.plan.route.goal_ms / WAIT_PART);
         loop {
-            let at_limit = match self.choose() {
-                Err(NoServer::OnlyLimited(at_limit)) => at_limit,
-                chosen => return chosen,
+            let why = match self.choose() {
+                Ok(choice) => return Ok(choice),
+                Err(why) => why,
             };
-            if clock.now() + at_limit.first_ms > until {
-                return Err(self.return_later(at_limit));
+            let first_ms = match why {
+                NoServer::OnlyLimited(at_limit) => at_limit.first_ms,
+                NoServer::OnlyResting(resting) => resting.first_ms,
+                _ => return Err(why),
+            };
+            if clock.now() + first_ms > until {
+                return Err(self.return_later(why));
             }
-            tokio::time::sleep(Duration::from_millis(at_limit.first_ms)).await;
+            tokio::time::sleep(Duration::from_millis(first_ms)).await;
         }
     }
 
     /// The refusal of a caller that comes back in its turn.
-    fn return_later(&self, at_limit: AtLimit) -> NoServer {
-        let AtLimit { first_ms, per_second } = at_limit;
+    fn return_later(&self, why: NoServer) -> NoServer {
         let daemon = &self.entry.daemon;
-        let first_ms = daemon.hints.next_return(&self.plan.service, first_ms, per_second);
-        let servers = daemon.router.lock().servers_at_limit(daemon.clock.now(), &self.plan.service);
-        slog::info!(self.log, "all servers at their limits";
-            "service" => %self.plan.service, "per_s" => per_second, "return_ms" => first_ms,
-            "servers" => servers.iter().map(Name::as_str).collect::<Vec<_>>().join(", "));
-        NoServer::OnlyLimited(AtLimit { first_ms, per_second })
+        let why = daemon.hints.in_turn(&self.plan.service, why);
+        let servers =
+            daemon.router.lock().servers_held_back(daemon.clock.now(), &self.plan.service);
+        slog::info!(self.log, "all servers at their limits or resting";
+            "service" => %self.plan.service, "why" => ?why, "servers" => servers.join(", "));
+        why
     }
 
     /// Chooses a server among those that were not tried.
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -104,6 +104,9 @@
     /// All servers that are left take no more than the limits that they name.
     #[error("every backend server that is left is at the limit that it names")]
     OnlyLimited(Duration),
+    /// All servers that are left have asked this daemon for rest.
+    #[error("every backend server that is left has asked for rest")]
+    OnlyResting(Duration),
     /// The time was over before any server had the request.
     #[error("the time was over before a backend server had the request")]
     TooLate,
@@ -132,6 +135,9 @@
             NoServer::OnlyLimited(at_limit) => {
                 Refusal::OnlyLimited(Duration::from_millis(at_limit.first_ms))
             }
+            NoServer::OnlyResting(resting) => {
+                Refusal::OnlyResting(Duration::from_millis(resting.first_ms))
+            }
         }
     }
 
@@ -147,6 +153,7 @@
             | Refusal::NoHall
             | Refusal::OnlyCold(_)
             | Refusal::OnlyLimited(_)
+            | Refusal::OnlyResting(_)
             | Refusal::CrashesInDoubt
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -182,6 +189,7 @@
             Refusal::NoHall => "no_hall",
             Refusal::OnlyCold(_) => "only_cold",
             Refusal::OnlyLimited(_) => "only_limited",
+            Refusal::OnlyResting(_) => "only_resting",
             Refusal::CrashesServers => "crashes_servers",
             Refusal::CrashesInDoubt => "crashes_in_doubt",
             Refusal::TooLate => "too_late",
@@ -199,7 +207,9 @@
             Refusal::NoneListed => Some(RETRY_NONE_LISTED),
             Refusal::NoTable(retry_after) => Some(*retry_after),
             Refusal::NoHall => Some(RETRY_NO_HALL),
-            Refusal::OnlyCold(left) | Refusal::OnlyLimited(left) => Some(*left),
+            Refusal::OnlyCold(left) | Refusal::OnlyLimited(left) | Refusal::OnlyResting(left) => {
+                Some(*left)
+            }
             Refusal::CrashesInDoubt => Some(RETRY_IN_DOUBT),
             Refusal::BudgetShort { retry_after, .. }
             | Refusal::BudgetRationed { retry_after, .. }
--- a/crates/daemon/src/hints.rs
+++ b/crates/daemon/src/hints.rs
@@ -1,10 +1,13 @@
-//! Shell around the limits that backend servers name (core `limits`).
+//! Shell around what backend servers say of themselves (core `hints` and `limits`): that they
+//! leave, that they want rest, and how many requests a second they take.
 //!
-//! `permit` is the one gate on the way to a server, `issue` hands out permits to peers, and
-//! `spread` tells them of limits. May call peers, and what is known of the fleet and the
-//! servers; called by the sides for callers, by heartbeats and by `peer_server`.
+//! `permit` is the one gate on the way to a server, `observe` takes in the heads of answers,
+//! `issue` hands out permits to peers, and `spread` tells them what is new. May call peers, and
+//! what is known of the fleet and the servers; called by the sides for callers, by heartbeats
+//! and by `peer_server`.
 
 mod issue;
+pub mod observe;
 pub mod permit;
 pub mod spread;
 
@@ -13,8 +16,9 @@
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 
 use bankcove_core::crashes::ServerStart;
-use bankcove_core::limits::{Change, Issuer, Leases, LimitBook, LimitFact, LimitWord, Returns};
-use bankcove_core::router::Router;
+use bankcove_core::hints::HintFact;
+use bankcove_core::limits::{Issuer, Leases, LimitBook, LimitFact, Returns};
+use bankcove_core::router::{AtLimit, NoServer, Resting, Router};
 use bankcove_core::{Millis, Name};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -26,7 +30,12 @@
 /// Changes that wait to be told to peers; what is left out is brought by heartbeats.
 const MOST_NEWS: usize = 4_096;
 
-/// The limits of servers, as this daemon knows and keeps them.
+/// Callers a second that one daemon tells to come back for each server that rests: each rest
+/// concerns one daemon's requests alone, so that others don't add to them.
+const RETURNS_PER_S: f64 = 20.0;
+
+/// What servers have said, as this daemon knows and keeps it. Who leaves or rests is kept by the
+/// router.
 #[derive(Debug)]
 pub struct Hints {
     fleet: Fleet,
@@ -39,16 +48,20 @@
     known_as: Mutex<(u64, Millis)>,
     /// Issuers that did not answer are passed over until then.
     silent: Mutex<HashMap<Name, Millis>>,
-    /// Servers whose word could not be read; each is logged once.
+    /// Servers of which a hint could not be read; each is logged once.
     unreadable: Mutex<HashMap<ServerStart, String>>,
-    /// Whether any limit is known: while none is, a permit costs one look at this.
-    is_active: AtomicBool,
+    /// Set once a limit is known, so that the common path skips the lock.
+    has_limits: AtomicBool,
+    /// Set once a server leaves or rests, so that the common path skips the lock.
+    has_closed: AtomicBool,
     /// [`LimitBook::digest`] after the last change.
-    digest: AtomicU64,
+    limits_digest: AtomicU64,
+    /// [`Router::leaving_digest`] after the last change.
+    leaving_digest: AtomicU64,
     /// When the facts of a peer were last asked for.
     asked: AskPause,
-    news: mpsc::Sender<LimitFact>,
-    to_tell: Mutex<Option<mpsc::Receiver<LimitFact>>>,
+    news: mpsc::Sender<HintFact>,
+    to_tell: Mutex<Option<mpsc::Receiver<HintFact>>>,
 }
 
 impl Hints {
@@ -65,76 +78,62 @@
             known_as: Mutex::default(),
             silent: Mutex::default(),
             unreadable: Mutex::default(),
-            is_active: AtomicBool::new(false),
-            digest: AtomicU64::new(0),
+            has_limits: AtomicBool::new(false),
+            has_closed: AtomicBool::new(false),
+            limits_digest: AtomicU64::new(0),
+            leaving_digest: AtomicU64::new(0),
             asked: AskPause::default(),
             news,
             to_tell: Mutex::new(Some(to_tell)),
         }
     }
 
-    /// Takes in the head of an answer of this start of a server, to a request that was sent at
-    /// `asked_at`.
-    pub fn heard(&self, server: &ServerStart, asked_at: Millis, word: &LimitWord) {
-        if let LimitWord::Unreadable(text) = word {
-            self.tell_unreadable(server, text);
-        }
-        if *word == LimitWord::None && !self.is_active.load(Ordering::Relaxed) {
-            return;
-        }
-        let now = self.fleet.base.clock.now();
-        let change = self.change(|book| book.heard(now, server, asked_at, word));
-        if let Some(change) = change {
-            self.take_change(&change, &Source::Server);
-        }
-    }
-
-    fn change<T>(&self, change: impl FnOnce(&mut LimitBook) -> T) -> T {
+    fn change_limits<T>(&self, change: impl FnOnce(&mut LimitBook) -> T) -> T {
         let mut book = self.book.lock();
         let changed = change(&mut book);
-        self.is_active.store(!book.is_empty(), Ordering::Relaxed);
-        self.digest.store(book.digest(), Ordering::Relaxed);
-        drop(book);
+        self.has_limits.store(!book.is_empty(), Ordering::Relaxed);
+        self.limits_digest.store(book.digest(), Ordering::Relaxed);
         changed
     }
 
-    /// What changed is put to the router, logged, and told to peers.
-    fn take_change(&self, change: &Change, source: &Source) {
-        let Change { before, fact } = change;
-        let now = self.fleet.base.clock.now();
-        let (before, after) =
-            (before.map(|rate| rate.per_second()), fact.limit.map(|rate| rate.per_second()));
-        self.router.lock().limited(now, &fact.server, after);
-        let what = match (before, after) {
-            (None, _) => "limit heard",
-            (Some(_), Some(_)) => "limit changed",
-            (Some(_), None) => "limit lifted",
-        };
-        self.fleet.base.metrics.count(if after.is_some() { "limit.named" } else { "limit.lifted" });
-        slog::info!(self.fleet.base.log, "{}", what;
-            "server" => %fact.server.name, "started_ms" => fact.server.started_ms,
-            "before_per_s" => before, "per_s" => after, "age_ms" => fact.heard_age_ms,
-            "from" => source.name());
-        if self.news.try_send(fact.clone()).is_err() {
-            self.fleet.base.metrics.count("limit.not_told");
+    /// Changes who leaves or rests.
+    fn change_closed<T>(&self, change: impl FnOnce(&mut Router) -> T) -> T {
+        let mut router = self.router.lock();
+        let changed = change(&mut router);
+        self.has_closed.store(!router.all_open(), Ordering::Relaxed);
+        self.leaving_digest.store(router.leaving_digest(), Ordering::Relaxed);
+        changed
+    }
+
+    /// Peers are to be told this.
+    fn tell(&self, fact: HintFact) {
+        if self.news.try_send(fact).is_err() {
+            self.fleet.base.metrics.count("hint.not_told");
         }
     }
 
-    fn tell_unreadable(&self, server: &ServerStart, text: &str) {
-        let before = self.unreadable.lock().insert(server.clone(), text.to_owned());
-        if before.is_none() {
-            self.fleet.base.metrics.count("limit.unreadable");
-            slog::warn!(self.fleet.base.log, "limit passed over: it is no number from 0 on";
-                "server" => %server.name, "started_ms" => server.started_ms, "said" => text);
+    /// The same answer to a caller whose servers are all at their limits or rest, with its own
+    /// turn to come back: callers come one after the other.
+    pub fn in_turn(&self, service: &Name, why: NoServer) -> NoServer {
+        match why {
+            NoServer::OnlyLimited(at_limit) => {
+                let daemons = self.fleet.members.lock().usable().count() + 1;
+                let per_second = at_limit.per_second / daemons as f64;
+                let first_ms = self.next_return(service, at_limit.first_ms, per_second);
+                NoServer::OnlyLimited(AtLimit { first_ms, ..at_limit })
+            }
+            NoServer::OnlyResting(resting) => {
+                let per_second = RETURNS_PER_S * resting.servers as f64;
+                let first_ms = self.next_return(service, resting.first_ms, per_second);
+                NoServer::OnlyResting(Resting { first_ms, ..resting })
+            }
+            other => other,
         }
     }
 
-    /// When a caller that no server has a permit for comes back, in milliseconds.
-    pub fn next_return(&self, service: &Name, first_ms: Millis, per_second: f64) -> Millis {
-        let daemons = self.fleet.members.lock().usable().count() + 1;
-        let share = per_second / daemons as f64;
+    fn next_return(&self, service: &Name, first_ms: Millis, per_second: f64) -> Millis {
         let now = self.fleet.base.clock.now();
-        self.returns.lock().next(now, service, first_ms, share, rand::random())
+        self.returns.lock().next(now, service, first_ms, per_second, rand::random())
     }
 
     /// Since when the fleet is as it is.
@@ -148,18 +147,22 @@
         known_as.1
     }
 
-    /// Forgets limits that were lifted, and those of servers that are gone.
+    /// Forgets what servers have said that are gone, limits that were lifted and rests that are
+    /// over.
     pub fn forget_old(&self) {
         self.fleet_since();
-        if !self.is_active.load(Ordering::Relaxed) {
+        let now = self.fleet.base.clock.now();
+        if self.has_closed.load(Ordering::Relaxed) {
+            self.change_closed(|router| router.forget_closed(now));
+        }
+        if !self.has_limits.load(Ordering::Relaxed) {
             return;
         }
-        let now = self.fleet.base.clock.now();
         let listed: HashSet<ServerStart> = {
             let router = self.router.lock();
             router.servers().iter().map(|view| view.start()).collect()
         };
-        self.change(|book| book.forget_old(now, |server| listed.contains(server)));
+        self.change_limits(|book| book.forget_old(now, |server| listed.contains(server)));
         let is_limited = |server: &ServerStart| self.book.lock().limit(server).is_some();
         self.issuer.lock().retain(is_limited);
         self.leases.lock().retain(is_limited);
@@ -189,20 +192,3 @@
         facts.iter().map(row).collect()
     }
 }
-
-/// Who told of a limit.
-enum Source {
-    /// The server itself.
-    Server,
-    /// A peer.
-    Peer,
-}
-
-impl Source {
-    fn name(&self) -> &'static str {
-        match self {
-            Source::Server => "server",
-            Source::Peer => "peer",
-        }
-    }
-}
--- a/crates/daemon/src/hints/issue.rs
+++ b/crates/daemon/src/hints/issue.rs
@@ -17,7 +17,7 @@
 impl Hints {
     /// Issues permits for the server that the asker knows this of.
     pub fn issue(&self, fact: &LimitFact, wish: Wish) -> PermitAnswer {
-        self.told(std::slice::from_ref(fact));
+        self.told_limits(std::slice::from_ref(fact));
         let now = self.fleet.base.clock.now();
         let known = self.book.lock().fact(now, &fact.server);
         let newer = known.clone().filter(|known| known.limit != fact.limit);
--- /dev/null
+++ b/crates/daemon/src/hints/observe.rs
@@ -0,0 +1,159 @@
+//! Takes in what servers say in the heads of their answers, and what peers tell of it.
+
+use std::sync::atomic::Ordering;
+
+use bankcove_core::Millis;
+use bankcove_core::crashes::ServerStart;
+use bankcove_core::hints::{Hint, HintFact, LeavingFact, ServerHints};
+use bankcove_core::limits::{Change, LimitFact, LimitWord};
+use slog::Logger;
+
+use crate::hints::Hints;
+
+/// Who told of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Source {
+    /// The server itself.
+    Server,
+    /// A peer.
+    Peer,
+}
+
+impl Source {
+    fn name(self) -> &'static str {
+        match self {
+            Source::Server => "server",
+            Source::Peer => "peer",
+        }
+    }
+}
+
+impl Hints {
+    /// Takes in the head of an answer of this start of a server, to a request that was sent at
+    /// `asked_at`; `log` tells the request.
+    pub fn observe(
+        &self,
+        log: &Logger,
+        server: &ServerStart,
+        asked_at: Millis,
+        hints: &ServerHints,
+    ) {
+        self.observe_limit(server, asked_at, &hints.limit);
+        self.observe_closed(log, server, hints);
+    }
+
+    /// The same, of an answer to what is no request, in which no limit is named.
+    pub fn observe_closed(&self, log: &Logger, server: &ServerStart, hints: &ServerHints) {
+        match &hints.leaving {
+            Hint::Absent => {}
+            Hint::Given(()) => self.observe_leaving(server),
+            Hint::Unreadable(text) => self.log_unreadable(server, "leaving", text),
+        }
+        match &hints.rest {
+            Hint::Absent => {}
+            Hint::Given(rest_ms) => self.observe_rest(log, server, *rest_ms),
+            Hint::Unreadable(text) => self.log_unreadable(server, "rest", text),
+        }
+    }
+
+    fn observe_leaving(&self, server: &ServerStart) {
+        let now = self.fleet.base.clock.now();
+        if let Some(fact) = self.change_closed(|router| router.leaves(now, server)) {
+            self.take_leaving(fact, Source::Server);
+        }
+    }
+
+    fn observe_rest(&self, log: &Logger, server: &ServerStart, rest_ms: Millis) {
+        let now = self.fleet.base.clock.now();
+        if !self.change_closed(|router| router.rests(now, server, rest_ms)) {
+            return;
+        }
+        self.fleet.base.metrics.count("server.asks_for_rest");
+        slog::info!(log, "server asks for rest";
+            "server" => %server.name, "started_ms" => server.started_ms, "rest_ms" => rest_ms);
+    }
+
+    fn observe_limit(&self, server: &ServerStart, asked_at: Millis, word: &LimitWord) {
+        if let LimitWord::Unreadable(text) = word {
+            self.log_unreadable(server, "limit", text);
+        }
+        if *word == LimitWord::None && !self.has_limits.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = self.fleet.base.clock.now();
+        let change = self.change_limits(|book| book.heard(now, server, asked_at, word));
+        if let Some(change) = change {
+            self.take_change(&change, Source::Server);
+        }
+    }
+
+    /// Takes in what a peer has told.
+    pub fn told(&self, facts: &[HintFact]) {
+        let (mut limits, mut leaving) = (Vec::new(), Vec::new());
+        for fact in facts {
+            match fact {
+                HintFact::Limit(fact) => limits.push(fact.clone()),
+                HintFact::Leaving(fact) => leaving.push(fact.clone()),
+            }
+        }
+        if !limits.is_empty() {
+            self.told_limits(&limits);
+        }
+        if !leaving.is_empty() {
+            self.told_leaving(&leaving);
+        }
+    }
+
+    /// Takes in limits that a peer has told.
+    pub(super) fn told_limits(&self, facts: &[LimitFact]) {
+        let now = self.fleet.base.clock.now();
+        for change in &self.change_limits(|book| book.told(now, facts)) {
+            self.take_change(change, Source::Peer);
+        }
+    }
+
+    fn told_leaving(&self, facts: &[LeavingFact]) {
+        let now = self.fleet.base.clock.now();
+        for fact in self.change_closed(|router| router.told_leaving(now, facts)) {
+            self.take_leaving(fact, Source::Peer);
+        }
+    }
+
+    fn take_leaving(&self, fact: LeavingFact, source: Source) {
+        self.fleet.base.metrics.count("server.leaves");
+        slog::info!(self.fleet.base.log, "server leaves";
+            "server" => %fact.server.name, "started_ms" => fact.server.started_ms,
+            "age_ms" => fact.age_ms, "from" => source.name());
+        self.tell(HintFact::Leaving(fact));
+    }
+
+    /// What changed is put to the router, logged, and told to peers.
+    fn take_change(&self, change: &Change, source: Source) {
+        let Change { before, fact } = change;
+        let now = self.fleet.base.clock.now();
+        let (before, after) =
+            (before.map(|rate| rate.per_second()), fact.limit.map(|rate| rate.per_second()));
+        self.router.lock().limited(now, &fact.server, after);
+        let what = match (before, after) {
+            (None, _) => "limit heard",
+            (Some(_), Some(_)) => "limit changed",
+            (Some(_), None) => "limit lifted",
+        };
+        self.fleet.base.metrics.count(if after.is_some() { "limit.named" } else { "limit.lifted" });
+        slog::info!(self.fleet.base.log, "{}", what;
+            "server" => %fact.server.name, "started_ms" => fact.server.started_ms,
+            "before_per_s" => before, "per_s" => after, "age_ms" => fact.heard_age_ms,
+            "from" => source.name());
+        self.tell(HintFact::Limit(fact.clone()));
+    }
+
+    fn log_unreadable(&self, server: &ServerStart, hint: &'static str, text: &str) {
+        let before = self.unreadable.lock().insert(server.clone(), text.to_owned());
+        if before.is_none() {
+            self.fleet.base.metrics.count("hint.unreadable");
+            slog::warn!(self.fleet.base.log, "server hint can't be read and changes nothing";
+                "server" => %server.name, "started_ms" => server.started_ms,
+                "hint" => hint, "said" => text);
+        }
+    }
+}
--- a/crates/daemon/src/hints/permit.rs
+++ b/crates/daemon/src/hints/permit.rs
@@ -6,6 +6,7 @@
 
 use bankcove_core::Millis;
 use bankcove_core::crashes::ServerStart;
+use bankcove_core::hints::Closed;
 use bankcove_core::limits::{ISSUERS, LimitFact, RequestRate, Wish};
 use bankcove_core::members::Peer;
 use bankcove_core::router::{AtLimit, Choice};
@@ -27,14 +28,36 @@
 #[derive(Debug)]
 pub struct Permit {
     choice: Choice,
-    /// What has to be given back, and until when it may be used; none where no limit binds.
-    lease: Option<(Arc<Hints>, Millis)>,
+    hints: Arc<Hints>,
+    /// Until when it may be used and has to be given back; none where no limit binds.
+    lease: Option<Millis>,
 }
 
-/// The time to use a permit is over, as after a suspension of this host.
+/// Why nothing was sent with a permit.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
-#[error("the permit was not used in time")]
-pub struct Expired;
+pub enum NotSpent {
+    /// The time to use it is over, as after a suspension of this host.
+    #[error("the permit was not used in time")]
+    Expired,
+    /// The server has said something since.
+    #[error(transparent)]
+    Closed(#[from] Closed),
+}
+
+/// Why there is no permit for a server now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum NoPermit {
+    /// It takes no more than its limit.
+    AtLimit(AtLimit),
+    /// It leaves or rests.
+    Closed(Closed),
+}
+
+impl From<AtLimit> for NoPermit {
+    fn from(at_limit: AtLimit) -> Self {
+        NoPermit::AtLimit(at_limit)
+    }
+}
 
 impl Permit {
     /// The server.
@@ -45,44 +68,62 @@
     /// Uses it up: the request is sent now.
     ///
     /// # Errors
-    /// [`Expired`] when the time to use it is over.
-    pub fn spend(mut self) -> Result<Choice, Expired> {
+    /// [`NotSpent`] when the time to use it is over, or the server leaves or rests by now.
+    pub fn spend(mut self) -> Result<Choice, NotSpent> {
+        self.hints.check_open(&self.choice)?;
         let lease = self.lease.take();
-        let is_over = lease.is_some_and(|(hints, until)| hints.fleet.base.clock.now() >= until);
-        if is_over { Err(Expired) } else { Ok(self.choice.clone()) }
+        let is_over = lease.is_some_and(|until| self.hints.fleet.base.clock.now() >= until);
+        if is_over { Err(NotSpent::Expired) } else { Ok(self.choice.clone()) }
     }
 }
 
 impl Drop for Permit {
     fn drop(&mut self) {
-        if let Some((hints, until)) = self.lease.take() {
-            let now = hints.fleet.base.clock.now();
-            hints.leases.lock().give_back(now, &self.choice.start(), until);
+        if let Some(until) = self.lease.take() {
+            let now = self.hints.fleet.base.clock.now();
+            self.hints.leases.lock().give_back(now, &self.choice.start(), until);
         }
     }
 }
 
 impl Hints {
+    /// Whether the server that was chosen neither leaves nor rests.
+    fn check_open(&self, choice: &Choice) -> Result<(), Closed> {
+        if !self.has_closed.load(Ordering::Relaxed) {
+            return Ok(());
+        }
+        let now = self.fleet.base.clock.now();
+        let checked = self.router.lock().check_open(now, &choice.start());
+        if checked.is_err() {
+            self.fleet.base.metrics.count("hint.not_sent");
+        }
+        checked
+    }
+
     /// Takes a permit for the server that was chosen; `log` tells the request, `urgency` is 0
     /// for the most urgent. A server without a permit is not chosen again for a while.
     ///
     /// # Errors
-    /// [`AtLimit`] when none is to be had now.
+    /// [`NoPermit`] when none is to be had now.
     pub async fn permit(
         self: &Arc<Self>,
         log: &Logger,
         choice: Choice,
         urgency: u32,
-    ) -> Result<Permit, AtLimit> {
-        if !self.is_active.load(Ordering::Relaxed) {
-            return Ok(Permit { choice, lease: None });
+    ) -> Result<Permit, NoPermit> {
+        if let Err(closed) = self.check_open(&choice) {
+            slog::info!(log, "not sent there"; "server" => %choice.server, "why" => %closed);
+            return Err(NoPermit::Closed(closed));
+        }
+        if !self.has_limits.load(Ordering::Relaxed) {
+            return Ok(self.unlimited(choice));
         }
         let server = choice.start();
         let now = self.fleet.base.clock.now();
         let fact = self.book.lock().fact(now, &server);
         let Some((fact, limit)) = fact.and_then(|fact| fact.limit.map(|limit| (fact, limit)))
         else {
-            return Ok(Permit { choice, lease: None });
+            return Ok(self.unlimited(choice));
         };
         let held = self.leases.lock().take(now, &server);
         if let Some(until) = held {
@@ -90,7 +131,7 @@
         }
         let (issuer, answer) = self.ask_for_some(now, &fact, limit, urgency).await;
         if answer.is_free {
-            return Ok(Permit { choice, lease: None });
+            return Ok(self.unlimited(choice));
         }
         if let Some(until) = self.take_issued(now, &server, answer.issued.permits) {
             self.router.lock().at_limit(&server, limit.per_second(), 0);
@@ -100,7 +141,7 @@
         slog::info!(log, "server at its limit";
             "server" => %server.name, "per_s" => limit.per_second(), "issuer" => issuer,
             "retry_ms" => at_limit.first_ms, "heard_ms_ago" => fact.heard_age_ms);
-        Err(at_limit)
+        Err(at_limit.into())
     }
 
     /// Asks for a permit, and for as many more as are of use. Where permits are scarce, others
@@ -143,8 +184,12 @@
         AtLimit { first_ms, per_second }
     }
 
+    fn unlimited(self: &Arc<Self>, choice: Choice) -> Permit {
+        Permit { choice, hints: Arc::clone(self), lease: None }
+    }
+
     fn leased(self: &Arc<Self>, choice: Choice, until: Millis) -> Permit {
-        Permit { choice, lease: Some((Arc::clone(self), until)) }
+        Permit { choice, hints: Arc::clone(self), lease: Some(until) }
     }
 
     /// Asks the first issuer that answers; tells its name.
@@ -162,7 +207,7 @@
             match self.ask_peer(&peer, &fact, wish).await {
                 Some(answer) => {
                     if let Some(fact) = &answer.newer {
-                        self.told(std::slice::from_ref(fact));
+                        self.told_limits(std::slice::from_ref(fact));
                     }
                     return (peer.name.to_string(), answer);
                 }
--- a/crates/daemon/src/hints/spread.rs
+++ b/crates/daemon/src/hints/spread.rs
@@ -1,4 +1,4 @@
-//! Tells peers of limits: what is new at once, and all of it to one that knows something
+//! Tells peers what servers have said: what is new at once, and all of it to one that knows something
 //! else, by the digests in heartbeats (a start, a return from a cut).
 
 use std::sync::Arc;
@@ -6,23 +6,28 @@
 use std::time::Duration;
 
 use bankcove_core::Millis;
-use bankcove_core::limits::{LimitFact, UNDER_WAY_MS};
+use bankcove_core::hints::HintFact;
+use bankcove_core::limits::UNDER_WAY_MS;
 use tokio::sync::mpsc;
 
 use crate::fleet::Fleet;
-use crate::hints::{Hints, Source};
+use crate::hints::Hints;
 use crate::peer::PeerServiceClient;
 
 /// Peers that are told at once. Each passes on what is new to it; with fewer some of 1,300
 /// daemons are left out, and heartbeats take longer than half a second to reach those.
 const TOLD_AT_ONCE: usize = 10;
 
-/// How long news are gathered: of many servers that name a limit together.
+/// How long news are gathered: of many servers that say something together.
 const GATHER: Duration = Duration::from_millis(20);
 
 /// Most facts of one message; some 60 bytes each.
 const MOST_FACTS: usize = 64;
 
+/// Most facts of one kind in the answer to a peer that knows something else: a start in the
+/// midst of a release knows all within seconds.
+const MOST_PULLED: usize = 512;
+
 /// Shortest time between two questions for what a peer knows, in milliseconds.
 const ASK_PAUSE_MS: Millis = 1_000;
 
@@ -40,7 +45,7 @@
     }
 }
 
-async fn tell(fleet: Fleet, mut news: mpsc::Receiver<LimitFact>) {
+async fn tell(fleet: Fleet, mut news: mpsc::Receiver<HintFact>) {
     while let Some(first) = news.recv().await {
         let at = fleet.base.clock.now();
         tokio::time::sleep(GATHER).await;
@@ -51,49 +56,41 @@
             facts.push(fact);
         }
         let waited = fleet.base.clock.now().saturating_sub(at);
-        for fact in &mut facts {
-            fact.asked_age_ms += waited;
-            fact.heard_age_ms += waited;
-        }
+        let facts: Vec<HintFact> = facts.into_iter().map(|fact| fact.aged(waited)).collect();
         let pause = PAUSE_PER_FACT * facts.len() as u32;
         tell_some(&fleet, &facts);
         tokio::time::sleep(pause).await;
     }
 }
 
-fn tell_some(fleet: &Fleet, facts: &[LimitFact]) {
+fn tell_some(fleet: &Fleet, facts: &[HintFact]) {
     for peer in fleet.members.lock().some(TOLD_AT_ONCE, rand::random()) {
         let (peers, log, facts) =
             (Arc::clone(&fleet.base.peers), fleet.base.log.clone(), facts.to_vec());
         tokio::spawn(async move {
             let told =
-                |client: PeerServiceClient, cx| async move { client.told_limits(cx, facts).await };
+                |client: PeerServiceClient, cx| async move { client.told_hints(cx, facts).await };
             if peers.call(&peer.address, CALL_TIMEOUT, told).await.is_none() {
-                slog::debug!(log, "limits not told"; "peer" => %peer.name);
+                slog::debug!(log, "hints not told"; "peer" => %peer.name);
             }
         });
     }
 }
 
 impl Hints {
-    /// Takes in what a peer has told.
-    pub fn told(&self, facts: &[LimitFact]) {
-        let now = self.fleet.base.clock.now();
-        let changes = self.change(|book| book.told(now, facts));
-        for change in &changes {
-            self.take_change(change, &Source::Peer);
-        }
-    }
-
     /// What is known here, for a peer: some of it, when it is much.
-    pub fn facts(&self) -> Vec<LimitFact> {
+    pub fn facts(&self) -> Vec<HintFact> {
         let now = self.fleet.base.clock.now();
-        self.book.lock().facts(now, MOST_FACTS, rand::random_range(0..usize::MAX))
+        let turn = rand::random_range(0..usize::MAX);
+        let limits = self.book.lock().facts(now, MOST_PULLED, turn);
+        let leaving = self.router.lock().leaving_facts(now, MOST_PULLED, turn);
+        let limits = limits.into_iter().map(HintFact::Limit);
+        limits.chain(leaving.into_iter().map(HintFact::Leaving)).collect()
     }
 
-    /// Hash of all limits that are known here; 0 while there are none.
+    /// Hash of all that is known here; 0 while nothing is.
     pub fn digest(&self) -> u64 {
-        self.digest.load(Ordering::Relaxed)
+        self.limits_digest.load(Ordering::Relaxed) ^ self.leaving_digest.load(Ordering::Relaxed)
     }
 
     /// A peer's heartbeat had this digest: asks it for what it knows if that is something
@@ -107,11 +104,11 @@
         }
         let (hints, address) = (Arc::clone(self), address.to_owned());
         tokio::spawn(async move {
-            let ask = |client: PeerServiceClient, cx| async move { client.limit_facts(cx).await };
+            let ask = |client: PeerServiceClient, cx| async move { client.hint_facts(cx).await };
             match hints.fleet.base.peers.call(&address, CALL_TIMEOUT, ask).await {
                 Some(facts) => hints.told(&facts),
                 None => {
-                    slog::debug!(hints.fleet.base.log, "limits not asked for"; "peer" => &address)
+                    slog::debug!(hints.fleet.base.log, "hints not asked for"; "peer" => &address)
                 }
             }
         });
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -45,6 +45,7 @@
         .push(Router::with_path("blocked").get(get_blocked))
         .push(Router::with_path("blocked/{request}").delete(lift_blocked))
         .push(Router::with_path("limits").get(get_limits))
+        .push(Router::with_path("servers").get(get_servers))
         .push(Router::with_path("status").get(get_status))
         .push(Router::with_path("dump").get(get_dump))
 }
@@ -196,6 +197,14 @@
     res.render(Json(daemon(depot).hints.dump()));
 }
 
+/// What each backend server is to this daemon.
+#[handler]
+async fn get_servers(depot: &mut Depot, res: &mut Response) {
+    let daemon = daemon(depot);
+    let statuses = daemon.router.lock().statuses(daemon.clock.now());
+    res.render(Json(statuses));
+}
+
 #[handler]
 async fn get_status(depot: &mut Depot, res: &mut Response) {
     res.render(Json(dump::status(&daemon(depot))));
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -2,6 +2,7 @@
 
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::CrashFacts;
+use bankcove_core::hints::HintFact;
 use bankcove_core::holder::{Allotted, Ask, Holding};
 use bankcove_core::limits::{Issued, LimitFact, Wish};
 use bankcove_core::members::{Heartbeat, Host};
@@ -142,10 +143,10 @@
     async fn told_crashes(facts: CrashFacts);
     /// All that the receiver knows of crashes.
     async fn crash_facts() -> CrashFacts;
-    /// Tells of limits of servers that are new to the sender.
-    async fn told_limits(facts: Vec<LimitFact>);
-    /// What the receiver knows of limits; some of it, when it is much.
-    async fn limit_facts() -> Vec<LimitFact>;
+    /// Tells what servers have said that is new to the sender.
+    async fn told_hints(facts: Vec<HintFact>);
+    /// What the receiver knows of what servers have said; some of it, when it is much.
+    async fn hint_facts() -> Vec<HintFact>;
     /// Asks the receiver for permits for the server that the sender knows this of.
     async fn permits(fact: LimitFact, wish: Wish) -> PermitAnswer;
     /// Keeps a bill until the store takes it.
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -5,6 +5,7 @@
 
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::CrashFacts;
+use bankcove_core::hints::HintFact;
 use bankcove_core::holder::{Allotted, Ask, Holding};
 use bankcove_core::limits::{LimitFact, Wish};
 use bankcove_core::members::Heartbeat;
@@ -159,11 +160,11 @@
         self.daemon.crashes.facts()
     }
 
-    async fn told_limits(self, _: Context, facts: Vec<LimitFact>) {
+    async fn told_hints(self, _: Context, facts: Vec<HintFact>) {
         self.daemon.hints.told(&facts);
     }
 
-    async fn limit_facts(self, _: Context) -> Vec<LimitFact> {
+    async fn hint_facts(self, _: Context) -> Vec<HintFact> {
         self.daemon.hints.facts()
     }
 
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -98,6 +98,7 @@
 
 struct Engine {
     settings: Settings,
+    started_ms: u64,
     state: Mutex<State>,
     slots: Semaphore,
 }
@@ -126,6 +127,7 @@
     let slots = Semaphore::new(settings.slots);
     let engine = Arc::new(Engine {
         settings,
+        started_ms: unix_ms(),
         state: Mutex::new(State {
             runs: HashMap::new(),
             history: Vec::new(),
@@ -191,6 +193,12 @@
         error(res, StatusCode::BAD_REQUEST, "bad_request");
         return;
     };
+    let faults = engine.state.lock().faults;
+    faults.put_hints(res.headers_mut());
+    if faults.rest_s.is_some() {
+        error(res, StatusCode::SERVICE_UNAVAILABLE, "busy");
+        return;
+    }
     let Some((run, is_new)) = engine.begin(&run_id, &attempt, &body) else {
         error(res, StatusCode::SERVICE_UNAVAILABLE, "leaving");
         return;
@@ -198,8 +206,6 @@
     if is_new {
         tokio::spawn(generate(Arc::clone(&engine), Arc::clone(&run)));
     }
-    let faults = engine.state.lock().faults;
-    faults.name_limit(res.headers_mut());
     let kind = if is_new { "new" } else { "attached" };
     res.headers_mut().insert("x-run", salvo::http::HeaderValue::from_static(kind));
     if body.stream {
@@ -218,7 +224,7 @@
     let model: String = req.query("model").unwrap_or_default();
     let engine = engine(depot);
     let state = engine.state.lock();
-    state.faults.name_limit(res.headers_mut());
+    state.faults.put_hints(res.headers_mut());
     match state.runs.get(&id) {
         Some(run) => stream(Arc::clone(run), model, offset, state.faults, res),
         None => error(res, StatusCode::NOT_FOUND, "no_such_run"),
@@ -343,7 +349,7 @@
 
 #[handler]
 async fn tokenize(req: &mut Request, depot: &mut Depot, res: &mut Response) {
-    engine(depot).state.lock().faults.name_limit(res.headers_mut());
+    engine(depot).state.lock().faults.put_hints(res.headers_mut());
     match req.parse_json_with_max_size::<ChatRequest>(MAX_BODY_BYTES).await {
         Ok(body) => res.render(Json(json!({"count": prompt_tokens(&body.messages)}))),
         Err(_) => error(res, StatusCode::BAD_REQUEST, "bad_request"),
@@ -354,8 +360,12 @@
 async fn load(depot: &mut Depot, res: &mut Response) {
     let engine = engine(depot);
     let state = engine.state.lock();
-    let report =
-        LoadReport { running: state.running, waiting: state.waiting, leaving: state.leaving };
+    let report = LoadReport {
+        running: state.running,
+        waiting: state.waiting,
+        leaving: state.leaving,
+        started_ms: engine.started_ms,
+    };
     res.render(Json(report));
 }
 
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -8,6 +8,9 @@
 /// On answers to requests: how many a second the server takes from all daemons together.
 const LIMIT_HEADER: &str = "x-requests-per-second";
 
+/// On any answer of a server that leaves.
+const LEAVING_HEADER: &str = "x-server-leaving";
+
 /// Faults of any stand-in; each reads the ones that concern it.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default, deny_unknown_fields)]
@@ -28,17 +31,25 @@
     pub repeat: bool,
     /// Requests a second that it says it takes from all daemons together.
     pub limit_per_s: Option<f64>,
+    /// Whether it says that it leaves.
+    pub says_leaving: bool,
+    /// Requests are turned away, and this much rest is asked for, in seconds.
+    pub rest_s: Option<f64>,
     /// Steps take this many times as long; 0 means 1.
     pub slow_factor: u64,
 }
 
 impl Faults {
-    /// Has the answer to a request name the limit, if there is one.
-    pub fn name_limit(&self, headers: &mut HeaderMap) {
-        let limit = self.limit_per_s.map(|limit| HeaderValue::from_str(&limit.to_string()));
-        if let Some(Ok(limit)) = limit {
-            headers.insert(LIMIT_HEADER, limit);
-        }
+    /// Has the answer to a request say what the server says of itself.
+    pub fn put_hints(&self, headers: &mut HeaderMap) {
+        let mut put = |name: &'static str, value: Option<String>| {
+            if let Some(Ok(value)) = value.map(|value| HeaderValue::from_str(&value)) {
+                headers.insert(name, value);
+            }
+        };
+        put(LIMIT_HEADER, self.limit_per_s.map(|limit| limit.to_string()));
+        put(LEAVING_HEADER, self.says_leaving.then(|| "1".to_owned()));
+        put("retry-after", self.rest_s.map(|rest| rest.to_string()));
     }
 
     /// The delay of every call.
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -80,8 +80,8 @@
     };
     let faults = *service.faults.lock();
     tokio::time::sleep(faults.delay()).await;
-    faults.name_limit(res.headers_mut());
-    if faults.down {
+    faults.put_hints(res.headers_mut());
+    if faults.down || faults.rest_s.is_some() {
         res.status_code(StatusCode::SERVICE_UNAVAILABLE);
     } else if answer["method"] == "POST" {
         res.status_code(StatusCode::CREATED);
