--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -10,6 +10,7 @@
 use bankcove_bench::routing_world::table;
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::ServerStart;
+use bankcove_core::hints::{HintFact, LeavingStarts};
 use bankcove_core::holder::{Draw, Holder, Keeps, Terms};
 use bankcove_core::limits::{ISSUERS, Issuer, LimitBook, LimitWord, Place, RequestRate, Wish};
 use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Members};
@@ -179,6 +180,16 @@
     book
 }
 
+/// So many starts of servers that leave.
+fn leaving(servers: usize) -> LeavingStarts {
+    let mut leaving = LeavingStarts::default();
+    for n in 0..servers {
+        let server = ServerStart { name: Name::from(format!("i-{n:010}")), started_ms: 1 };
+        leaving.add(10, &server, 0);
+    }
+    leaving
+}
+
 fn draw(budget: &Name) -> Draw {
     Holder::new(Incarnation(1)).draw(budget, 600, terms(), "10.12.34.56:8081", 0)
 }
@@ -251,6 +262,9 @@
     slope("limits: a server that names one", "B", [16, 160, 1_600, 10_000], |n| {
         held(|| limit_book(n))
     });
+    slope("leaving: a start, by starts that leave", "B", [16, 160, 1_600, 10_000], |n| {
+        held(|| leaving(n))
+    });
     slope("request log: a remembered request", "B", [1_000, 4_000, 16_000, 64_000], |n| {
         held(|| request_log(n))
     });
@@ -277,6 +291,8 @@
     println!("{:<44} {:>9.2} B", "bill submitted", wire_bytes(&Entry::Bill(bill(12_345))));
     let fact = limit_book(1).facts(0, 1, 0).remove(0);
     println!("{:<44} {:>9.2} B", "limit of a server, told", wire_bytes(&fact));
+    let leaves = HintFact::Leaving(leaving(1).facts(0, 1, 0).remove(0));
+    println!("{:<44} {:>9.2} B", "server that leaves, told", wire_bytes(&leaves));
     let wish = Wish { from: Incarnation(7_919), permits: 1, urgency: 0 };
     let asked = wire_bytes(&(fact, wish));
     let answer = PermitAnswer::none(278);
--- /dev/null
+++ b/crates/core/tests/closed_pools.rs
@@ -0,0 +1,132 @@
+//! Servers that leave, rest, are cold, at their limits, ejected, or in halls that are evacuated or
+//! outside a request's homes, all at once.
+
+use bankcove_core::crashes::ServerStart;
+use bankcove_core::router::{Homes, NoServer, Router, Wanted};
+use bankcove_core::table::{ServerState, Table};
+use bankcove_core::{Millis, Name};
+use proptest::prelude::*;
+use serde_json::json;
+
+const SERVERS: usize = 12;
+const HALLS: usize = 3;
+const NOW: Millis = 10_000;
+
+/// What holds one server back.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Held {
+    Nothing,
+    Leaving,
+    Resting(Millis),
+    Cold,
+    AtLimit,
+    Ejected,
+}
+
+fn held() -> impl Strategy<Value = Held> {
+    prop_oneof![
+        2 => Just(Held::Nothing),
+        2 => Just(Held::Leaving),
+        2 => (1..5_000_u64).prop_map(Held::Resting),
+        1 => Just(Held::Cold),
+        1 => Just(Held::AtLimit),
+        1 => Just(Held::Ejected),
+    ]
+}
+
+fn table(evacuated: &[bool]) -> Table {
+    let halls: Vec<_> = (0..HALLS)
+        .map(|n| json!({"name": format!("hall-{n}"), "region": format!("region-{n}")}))
+        .collect();
+    let servers: Vec<_> = (0..SERVERS)
+        .map(|n| {
+            json!({"name": format!("s{n}"), "hall": format!("hall-{}", n % HALLS),
+                   "address": format!("10.0.0.{n}:1"), "kind": "model", "models": ["m"]})
+        })
+        .collect();
+    let mut table: Table =
+        serde_json::from_value(json!({"halls": halls, "servers": servers})).expect("a table");
+    for (hall, is_evacuated) in table.halls.iter_mut().zip(evacuated) {
+        if *is_evacuated {
+            hall.state = ServerState::Draining;
+        }
+    }
+    table
+}
+
+fn start(n: usize) -> ServerStart {
+    ServerStart { name: Name::from(format!("s{n}").as_str()), started_ms: 0 }
+}
+
+fn hold(router: &mut Router, n: usize, held: Held) {
+    let server = start(n);
+    match held {
+        Held::Nothing | Held::Cold => {}
+        Held::Leaving => drop(router.leaves(NOW, &server)),
+        Held::Resting(rest_ms) => drop(router.rests(NOW, &server, rest_ms)),
+        Held::AtLimit => router.at_limit(&server, 1.0, NOW + 700),
+        Held::Ejected => {
+            for _ in 0..3 {
+                router.sent(&server.name, 0, 0);
+                router.ended(NOW, &server.name, 0, false);
+            }
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn a_choice_is_open_and_an_open_server_is_found(
+        evacuated in prop::collection::vec(any::<bool>(), HALLS),
+        helds in prop::collection::vec(held(), SERVERS),
+        homes in prop::collection::vec(0..HALLS, 0..3),
+        tried in prop::collection::vec(0..SERVERS, 0..3),
+        (prefix, seed) in any::<(u64, u64)>(),
+    ) {
+        let mut table = table(&evacuated);
+        for (row, held) in table.servers.iter_mut().zip(&helds) {
+            row.listed.cold_until = if *held == Held::Cold { NOW + 900 } else { 0 };
+        }
+        let mut router = Router::default();
+        router.adopt(&table);
+        for (n, held) in helds.iter().enumerate() {
+            hold(&mut router, n, *held);
+        }
+        // Another table changes nothing of it.
+        router.adopt(&table);
+        let tried: Vec<Name> = tried.iter().map(|n| start(*n).name).collect();
+        let regions: Vec<Name> =
+            homes.iter().map(|n| Name::from(format!("region-{n}").as_str())).collect();
+        let wanted = Wanted {
+            pool: "m", prefix, prompt_tokens: 0, hour: 0, seed, tried: &tried,
+            homes: Homes { route: &regions, workspace: &[] },
+        };
+        let may = |n: usize| {
+            let hall = n % HALLS;
+            let is_home = homes.is_empty() || homes.contains(&hall);
+            !evacuated[hall] && is_home && !tried.contains(&start(n).name)
+        };
+        match router.choose(NOW, &wanted) {
+            Ok(choice) => {
+                let n: usize = choice.server.as_str()[1..].parse().expect("a number");
+                prop_assert!(may(n));
+                // At most half of a pool is ejected, so that one that failed may be left in it.
+                let is_held = !matches!(helds[n], Held::Nothing | Held::Ejected);
+                prop_assert!(!is_held, "{:?}", helds[n]);
+                prop_assert!(router.check_open(NOW, &choice.start()).is_ok());
+            }
+            Err(why) => {
+                let free = (0..SERVERS).filter(|n| may(*n) && helds[*n] == Held::Nothing).count();
+                prop_assert_eq!(free, 0);
+                let rests = (0..SERVERS).filter(|n| may(*n)).filter_map(|n| match helds[n] {
+                    Held::Resting(rest_ms) => Some(rest_ms),
+                    _ => None,
+                });
+                if let NoServer::OnlyResting(resting) = why {
+                    prop_assert_eq!(Some(resting.first_ms), rests.clone().min());
+                    prop_assert_eq!(resting.servers, rests.count());
+                }
+            }
+        }
+    }
+}
