--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -10,7 +10,7 @@
 use bankcove_core::table::Table;
 use bankcove_standins::engine::{self, Settings};
 use bankcove_standins::{Running, service, store};
-use bankcoved::config::Config;
+use bankcoved::base::config::Config;
 use bankcoved::controller;
 use bankcoved::daemon::Daemon;
 use bankcoved::identity::hash_key;
@@ -71,7 +71,7 @@
         let mut daemons = Vec::new();
         for n in 1..=DAEMONS {
             let cfg = settings(n, &table, &store.address().to_string())?;
-            let daemon = Daemon::new(cfg, bankcoved::logging::silent())?;
+            let daemon = Daemon::new(cfg, bankcoved::base::logging::silent())?;
             daemons.push(controller::Running::start(daemon).await?);
         }
         let demo = Demo { store, servers, daemons, http };
@@ -245,7 +245,7 @@
         operator_listen: Some(free_address()?),
         operator_token: Some(OPERATOR_TOKEN.to_owned()),
         store: store.to_owned(),
-        adapter: bankcoved::config::Adapter::Own,
+        adapter: bankcoved::base::config::Adapter::Own,
         entry: None,
         ..Config::example()
     })
--- a/crates/daemon/src/api/admission.rs
+++ b/crates/daemon/src/api/admission.rs
@@ -10,10 +10,10 @@
 use bankcove_core::{Name, RequestHash, Tokens};
 use salvo::prelude::*;
 
+use crate::api::Api;
 use crate::api::answer::{Fate, Problem};
 use crate::bill::request_log;
-use crate::budget::budgets::{self};
-use crate::daemon::Daemon;
+use crate::budget::reserve::reserve;
 use crate::identity::hash_key;
 use crate::peer::Refusal;
 
@@ -52,13 +52,13 @@
 ///
 /// # Errors
 /// The answer for a caller that may not go on.
-pub fn identify(daemon: &Daemon, req: &Request) -> Result<Caller, Problem> {
-    if daemon.stopping.is_cancelled() {
+pub fn identify(api: &Api, req: &Request) -> Result<Caller, Problem> {
+    if api.requests.stopping.is_cancelled() {
         let message = "this daemon is stopping; another one will serve the request";
         return Err(Problem::refused(StatusCode::SERVICE_UNAVAILABLE, "stopping", message)
             .retry_after(RETRY_ELSEWHERE_MS));
     }
-    let Some(table) = daemon.table.load_full() else {
+    let Some(table) = api.requests.table.load_full() else {
         let message = "this daemon has no table yet";
         return Err(Problem::refused(StatusCode::SERVICE_UNAVAILABLE, "no_table", message)
             .retry_after(RETRY_ELSEWHERE_MS));
@@ -71,7 +71,7 @@
             return Err(Problem::bad_request("bad_key", message));
         }
         Some(key) => key.to_owned(),
-        None => format!("auto-{}", daemon.next_attempt()),
+        None => format!("auto-{}", api.next_attempt()),
     };
     let once = header(req, "x-bankcove-repeatable") == Some("false");
     let request = RequestHash::of(&workspace.name, &key);
@@ -112,22 +112,22 @@
 /// # Errors
 /// The refusal, together with the attempt, which may try a smaller cost.
 pub async fn admit(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     caller: &Caller,
     attempt: Attempt<Received>,
     tokens: Tokens,
 ) -> Result<Attempt<Admitted>, (Refusal, Attempt<Received>)> {
     // Nothing is rationed here: requests of this interface have no ranks.
     let wish = Wish { tokens, rank: 0, ration_s: 0.0 };
-    match budgets::reserve(&daemon.budgets, &caller.budget, wish).await {
+    match reserve(&api.requests.budgets, &caller.budget, wish).await {
         Ok(reservation) => Ok(attempt.admit(reservation)),
         Err(refusal) => Err((refusal, attempt)),
     }
 }
 
 /// The answer to a request whose budget does not suffice.
-pub fn short(daemon: &Daemon, not_run: &NotRun, budget: &Budget, refusal: Refusal) -> Problem {
-    daemon.metrics.count("refused.budget");
+pub fn short(api: &Api, not_run: &NotRun, budget: &Budget, refusal: Refusal) -> Problem {
+    api.requests.base.metrics.count("refused.budget");
     let (status, code, message) = if refusal.store_away {
         let message = format!("no tokens of budget '{}' are in reach now", budget.name);
         (StatusCode::SERVICE_UNAVAILABLE, "budget_out_of_reach", message)
@@ -143,18 +143,18 @@
 /// # Errors
 /// The answer for a caller whose attempt did not win.
 pub async fn claim(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     caller: &Caller,
     attempt: Attempt<Admitted>,
 ) -> Result<Attempt<Admitted>, Problem> {
     let entry = Entry::Claim { request: caller.request, attempt: attempt.id };
-    match request_log::submit(&daemon.billing, entry).await {
+    match request_log::submit(&api.billing, entry).await {
         Outcome::ClaimWon => Ok(attempt),
         Outcome::ClaimLost { by, billed } => {
-            let _not_run = attempt.not_run(&mut daemon.budgets.holder());
+            let _not_run = attempt.not_run(&mut api.requests.budgets.holder());
             Err(claimed_elsewhere(by, billed))
         }
-        _ => Err(claim_unsettled(daemon, caller, attempt)),
+        _ => Err(claim_unsettled(api, caller, attempt)),
     }
 }
 
@@ -170,10 +170,10 @@
 
 /// The claim may be in the log all the same: it is given up there, so that a
 /// retry is not held up by it.
-fn claim_unsettled(daemon: &Daemon, caller: &Caller, attempt: Attempt<Admitted>) -> Problem {
+fn claim_unsettled(api: &Api, caller: &Caller, attempt: Attempt<Admitted>) -> Problem {
     let id = attempt.id;
-    let not_run = attempt.not_run(&mut daemon.budgets.holder());
-    daemon.billing.keep(Entry::Release { request: caller.request, attempt: id });
+    let not_run = attempt.not_run(&mut api.requests.budgets.holder());
+    api.billing.keep(Entry::Release { request: caller.request, attempt: id });
     let message = "the store does not answer, so a request that must not repeat can't be claimed";
     let status = StatusCode::SERVICE_UNAVAILABLE;
     Problem::not_run(&not_run, status, "claim_out_of_reach", message).retry_after(RETRY_CLAIMED_MS)
--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -15,7 +15,7 @@
 use serde::Deserialize;
 use serde_json::Value;
 
-use crate::daemon::Daemon;
+use crate::api::Api;
 use crate::hints::permit::Permit;
 
 /// Longest call that is not a request of a caller.
@@ -94,7 +94,7 @@
 /// # Errors
 /// [`DispatchError`] tells whether the request may have run.
 pub async fn dispatch(
-    daemon: &Daemon,
+    api: &Api,
     permit: Permit,
     outgoing: Outgoing,
     kind: ServerKind,
@@ -102,9 +102,9 @@
     let Ok(choice) = permit.spend() else {
         return Err(DispatchError::NotSent(NothingRan::never_sent()));
     };
-    let asked_at = daemon.clock.now();
+    let asked_at = api.requests.base.clock.now();
     let url = format!("http://{}{}", choice.address, outgoing.path);
-    let req = daemon.http.request(outgoing.method, url).headers(outgoing.headers);
+    let req = api.http.request(outgoing.method, url).headers(outgoing.headers);
     let req = req.header("x-run-id", &outgoing.run_id);
     let req = req.header("x-attempt", outgoing.attempt.to_string()).body(outgoing.body);
     let res = match req.send().await {
@@ -115,7 +115,7 @@
         }
         Err(_) => return Err(DispatchError::Unknown),
     };
-    observe(daemon, &choice, asked_at, &res);
+    observe(api, &choice, asked_at, &res);
     // A plain service may say anything in its body; only engines are believed.
     if kind == ServerKind::Service || res.status() != StatusCode::SERVICE_UNAVAILABLE {
         return Ok(res);
@@ -130,13 +130,13 @@
 }
 
 /// Takes in what the head of an answer says of its server.
-fn observe(daemon: &Daemon, choice: &Choice, asked_at: Millis, res: &Response) {
-    daemon.hints.observe(&daemon.log, &choice.start(), asked_at, &read_hints(res));
+fn observe(api: &Api, choice: &Choice, asked_at: Millis, res: &Response) {
+    api.requests.hints.observe(&api.requests.base.log, &choice.start(), asked_at, &read_hints(res));
 }
 
 /// The same, of an answer to what is no request, in which no limit is named.
-fn observe_closed(daemon: &Daemon, choice: &Choice, res: &Response) {
-    daemon.hints.observe_closed(&daemon.log, &choice.start(), &read_hints(res));
+fn observe_closed(api: &Api, choice: &Choice, res: &Response) {
+    api.requests.hints.observe_closed(&api.requests.base.log, &choice.start(), &read_hints(res));
 }
 
 fn read_hints(res: &Response) -> ServerHints {
@@ -155,78 +155,77 @@
 
 /// Resumes the stream of a run; never begins one.
 pub async fn resume(
-    daemon: &Daemon,
+    api: &Api,
     permit: Permit,
     run_id: &str,
     model: &str,
     offset: u64,
 ) -> Option<Response> {
     let choice = permit.spend().ok()?;
-    let asked_at = daemon.clock.now();
+    let asked_at = api.requests.base.clock.now();
     let url = format!("http://{}/v1/runs/{run_id}/stream", choice.address);
-    let req =
-        daemon.http.get(url).query(&[("offset", offset.to_string().as_str()), ("model", model)]);
+    let req = api.http.get(url).query(&[("offset", offset.to_string().as_str()), ("model", model)]);
     let res = req.send().await.ok()?;
-    observe(daemon, &choice, asked_at, &res);
+    observe(api, &choice, asked_at, &res);
     res.status().is_success().then_some(res)
 }
 
 /// Cancels a run and learns what it cost.
-pub async fn cancel(daemon: &Daemon, choice: &Choice, run_id: &str) -> Option<CancelledRun> {
+pub async fn cancel(api: &Api, choice: &Choice, run_id: &str) -> Option<CancelledRun> {
     let url = format!("http://{}/v1/runs/{run_id}/cancel", choice.address);
-    let res = daemon.http.post(url).timeout(SHORT_CALL).send().await.ok()?;
-    observe_closed(daemon, choice, &res);
+    let res = api.http.post(url).timeout(SHORT_CALL).send().await.ok()?;
+    observe_closed(api, choice, &res);
     res.error_for_status().ok()?.json().await.ok()
 }
 
 /// Counts the tokens of a prompt.
-pub async fn count_tokens(daemon: &Daemon, permit: Permit, body: &Value) -> Option<Tokens> {
+pub async fn count_tokens(api: &Api, permit: Permit, body: &Value) -> Option<Tokens> {
     #[derive(Deserialize)]
     struct Count {
         count: Tokens,
     }
     let choice = permit.spend().ok()?;
-    let asked_at = daemon.clock.now();
+    let asked_at = api.requests.base.clock.now();
     let url = format!("http://{}/v1/tokenize", choice.address);
-    let res = daemon.http.post(url).json(body).timeout(SHORT_CALL).send().await.ok()?;
-    observe(daemon, &choice, asked_at, &res);
+    let res = api.http.post(url).json(body).timeout(SHORT_CALL).send().await.ok()?;
+    observe(api, &choice, asked_at, &res);
     let count: Count = res.error_for_status().ok()?.json().await.ok()?;
     Some(count.count)
 }
 
 /// Asks model servers for load reports until the daemon ends.
-pub async fn follow_load(daemon: Arc<Daemon>) {
-    let interval = Duration::from_millis(daemon.cfg.limits.load_report_ms);
+pub async fn follow_load(api: Arc<Api>) {
+    let interval = Duration::from_millis(api.requests.base.cfg.limits.load_report_ms);
     let mut turn = 0;
     loop {
-        turn = read_load_reports(&daemon, turn).await;
+        turn = read_load_reports(&api, turn).await;
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
-            () = daemon.ended.cancelled() => return,
+            () = api.requests.base.ended.cancelled() => return,
         }
     }
 }
 
 /// Reads one round of load reports, so many that its cost does not grow with
 /// the servers; returns whose turn is next.
-async fn read_load_reports(daemon: &Arc<Daemon>, turn: usize) -> usize {
-    let most = daemon.cfg.limits.load_reports_at_once;
-    let (servers, next) = daemon.router.lock().servers_to_ask(most, turn);
+async fn read_load_reports(api: &Arc<Api>, turn: usize) -> usize {
+    let most = api.requests.base.cfg.limits.load_reports_at_once;
+    let (servers, next) = api.requests.router.lock().servers_to_ask(most, turn);
     let reports = servers.into_iter().map(|choice| async move {
-        let report = read_load_report(daemon, &choice).await;
+        let report = read_load_report(api, &choice).await;
         (choice.server, report)
     });
     for (name, report) in futures::future::join_all(reports).await {
         if let Some(report) = report {
-            daemon.router.lock().report(daemon.clock.now(), &name, report);
+            api.requests.router.lock().report(api.requests.base.clock.now(), &name, report);
         }
     }
     next
 }
 
-async fn read_load_report(daemon: &Daemon, choice: &Choice) -> Option<LoadReport> {
+async fn read_load_report(api: &Api, choice: &Choice) -> Option<LoadReport> {
     let url = format!("http://{}/v1/load", choice.address);
-    let res = daemon.http.get(url).timeout(SHORT_CALL).send().await.ok()?;
-    observe_closed(daemon, choice, &res);
+    let res = api.http.get(url).timeout(SHORT_CALL).send().await.ok()?;
+    observe_closed(api, choice, &res);
     res.error_for_status().ok()?.json().await.ok()
 }
--- a/crates/daemon/src/api/chat.rs
+++ b/crates/daemon/src/api/chat.rs
@@ -17,13 +17,14 @@
 use tokio::sync::{mpsc, oneshot};
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::api::Api;
 use crate::api::admission::{self, Caller, identify};
 use crate::api::answer::{ATTEMPT_HEADER, Answer, KEY_HEADER, Problem};
+use crate::api::api;
 use crate::api::backend::{self, Outgoing};
 use crate::api::placement::{self, Need, NotPlaced};
 use crate::api::pump::{self, Run};
-use crate::daemon::Daemon;
-use crate::http::{daemon, read_body};
+use crate::http::read_body;
 
 /// Bytes of a prompt that decide where it goes.
 const PREFIX_BYTES: usize = 512;
@@ -51,18 +52,18 @@
 /// Serves a chat request.
 #[handler]
 pub async fn complete(req: &mut Request, depot: &mut Depot, res: &mut Response) {
-    let daemon = daemon(depot);
-    let id = daemon.next_attempt();
+    let api = api(depot);
+    let id = api.next_attempt();
     put_header(res, ATTEMPT_HEADER, &id.to_string());
-    let chat = match read_chat(&daemon, id, req).await {
+    let chat = match read_chat(&api, id, req).await {
         Ok(chat) => chat,
         Err(problem) => return problem.render(res),
     };
     put_header(res, KEY_HEADER, &chat.caller.key);
     let (tx, rx) = oneshot::channel();
     // A task of its own: a caller that goes away must not cut off accounting.
-    let serving = serve(Arc::clone(&daemon), chat, id, tx);
-    daemon.work.spawn(serving);
+    let serving = serve(Arc::clone(&api), chat, id, tx);
+    api.requests.work.spawn(serving);
     match rx.await {
         Ok(Ok(Answer::Stream(pieces))) => {
             res.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static("text/event-stream"));
@@ -83,8 +84,8 @@
 /// Lists the models that have a route.
 #[handler]
 pub async fn list_models(req: &mut Request, depot: &mut Depot, res: &mut Response) {
-    let daemon = daemon(depot);
-    let caller = match identify(&daemon, req) {
+    let api = api(depot);
+    let caller = match identify(&api, req) {
         Ok(caller) => caller,
         Err(problem) => return problem.render(res),
     };
@@ -102,9 +103,9 @@
     }
 }
 
-async fn read_chat(daemon: &Daemon, id: AttemptId, req: &mut Request) -> Result<Chat, Problem> {
-    let caller = identify(daemon, req)?;
-    let bytes = read_body(daemon, req).await?;
+async fn read_chat(api: &Api, id: AttemptId, req: &mut Request) -> Result<Chat, Problem> {
+    let caller = identify(api, req)?;
+    let bytes = read_body(&api.requests.base.cfg.limits, req).await?;
     let body: Value = serde_json::from_slice(&bytes)
         .map_err(|e| Problem::bad_request("bad_json", format!("the body is no JSON: {e}")))?;
     let model = body["model"].as_str().unwrap_or_default().to_owned();
@@ -127,8 +128,11 @@
     };
     let messages = body["messages"].to_string();
     let prefix = &messages.as_bytes()[..messages.len().min(PREFIX_BYTES)];
-    let log =
-        daemon.log.new(o!("request" => caller.request.to_string(), "attempt" => id.to_string()));
+    let log = api
+        .requests
+        .base
+        .log
+        .new(o!("request" => caller.request.to_string(), "attempt" => id.to_string()));
     Ok(Chat {
         log,
         prefix: xxh3_64(prefix),
@@ -145,61 +149,61 @@
 }
 
 async fn serve(
-    daemon: Arc<Daemon>,
+    api: Arc<Api>,
     chat: Chat,
     id: AttemptId,
     mut tx: oneshot::Sender<Result<Answer, Problem>>,
 ) {
-    let started = daemon.clock.now();
+    let started = api.requests.base.clock.now();
     let deadline = started + chat.deadline.as_millis() as Millis;
     let interrupt = async {
         tokio::select! {
-            () = daemon.clock.sleep_until(deadline) => {}
+            () = api.requests.base.clock.sleep_until(deadline) => {}
             () = tx.closed() => {}
         }
     };
-    let run = match start(&daemon, chat, id, interrupt).await {
+    let run = match start(&api, chat, id, interrupt).await {
         Ok(run) => run,
         Err(problem) => {
-            daemon.metrics.count(problem.code());
+            api.requests.base.metrics.count(problem.code());
             // A caller that went away needs no answer; nothing ran.
             let _gone = tx.send(Err(problem));
             return;
         }
     };
-    daemon.metrics.time("time_to_answer", daemon.clock.now() - started);
+    api.requests.base.metrics.time("time_to_answer", api.requests.base.clock.now() - started);
     if run.stream {
         let (pieces_tx, pieces_rx) = mpsc::channel(STREAM_BUFFER);
         // When the caller has gone, the pump sees its channel closed.
         let _gone = tx.send(Ok(Answer::Stream(pieces_rx)));
-        pump::stream(&daemon, run, pieces_tx, deadline).await;
+        pump::stream(&api, run, pieces_tx, deadline).await;
     } else {
-        pump::whole(&daemon, run, tx, deadline).await;
+        pump::whole(&api, run, tx, deadline).await;
     }
 }
 
 /// Admits, claims and dispatches a request.
 async fn start(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     chat: Chat,
     id: AttemptId,
     interrupt: impl Future<Output = ()>,
 ) -> Result<Run, Problem> {
     let attempt = Attempt::new(chat.caller.request, id);
-    let mut attempt = admit(daemon, &chat, attempt).await?;
+    let mut attempt = admit(api, &chat, attempt).await?;
     if !chat.repeatable {
-        attempt = admission::claim(daemon, &chat.caller, attempt).await?;
+        attempt = admission::claim(api, &chat.caller, attempt).await?;
     }
     let run_id =
         format!("{}-{:016x}", chat.caller.request, xxh3_64(chat.body.to_string().as_bytes()));
     let outgoing = outgoing(&chat, run_id.clone(), id);
     let need = need(&chat);
-    let placed = match placement::place(daemon, attempt, &need, &outgoing, interrupt).await {
+    let placed = match placement::place(api, attempt, &need, &outgoing, interrupt).await {
         Ok(placed) => placed,
         Err(NotPlaced::Refused(problem)) => return Err(problem),
         Err(NotPlaced::Interrupted(given_up)) => {
             let budget = chat.caller.budget.name;
-            return Err(pump::interrupted(daemon, chat.log, budget, &run_id, given_up).await);
+            return Err(pump::interrupted(api, chat.log, budget, &run_id, given_up).await);
         }
     };
     slog::info!(chat.log, "dispatched"; "server" => %placed.choice.server);
@@ -229,34 +233,32 @@
 /// Sets the greatest cost aside. A prompt has at most as many tokens as bytes;
 /// where that is too much, the budget's row may ask for an exact count.
 async fn admit(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     chat: &Chat,
     attempt: Attempt<Received>,
 ) -> Result<Attempt<Admitted>, Problem> {
     let bound = chat.prompt_bytes as Tokens + chat.max_tokens;
     let budget = &chat.caller.budget;
-    let (refusal, attempt) = match admission::admit(daemon, &chat.caller, attempt, bound).await {
+    let (refusal, attempt) = match admission::admit(api, &chat.caller, attempt, bound).await {
         Ok(admitted) => return Ok(admitted),
         Err(refused) => refused,
     };
     let exact = match budget.when_short {
-        WhenShort::Count => count(daemon, chat).await,
+        WhenShort::Count => count(api, chat).await,
         WhenShort::Refuse => None,
     };
     let Some(exact) = exact.filter(|exact| *exact < bound) else {
-        return Err(admission::short(daemon, &attempt.not_run(), budget, refusal));
+        return Err(admission::short(api, &attempt.not_run(), budget, refusal));
     };
-    match admission::admit(daemon, &chat.caller, attempt, exact).await {
+    match admission::admit(api, &chat.caller, attempt, exact).await {
         Ok(admitted) => Ok(admitted),
-        Err((refusal, attempt)) => {
-            Err(admission::short(daemon, &attempt.not_run(), budget, refusal))
-        }
+        Err((refusal, attempt)) => Err(admission::short(api, &attempt.not_run(), budget, refusal)),
     }
 }
 
-async fn count(daemon: &Arc<Daemon>, chat: &Chat) -> Option<Tokens> {
-    let permit = placement::choose(daemon, &need(chat), &[], None).await.ok()?;
-    let prompt = backend::count_tokens(daemon, permit, &chat.body).await?;
+async fn count(api: &Arc<Api>, chat: &Chat) -> Option<Tokens> {
+    let permit = placement::choose(api, &need(chat), &[], None).await.ok()?;
+    let prompt = backend::count_tokens(api, permit, &chat.body).await?;
     Some(prompt + chat.max_tokens)
 }
 
--- a/crates/daemon/src/api/placement.rs
+++ b/crates/daemon/src/api/placement.rs
@@ -12,12 +12,12 @@
 use reqwest::Response;
 use salvo::http::StatusCode;
 
+use crate::api::Api;
 use crate::api::answer::Problem;
 use crate::api::backend::{self, DispatchError, Outgoing};
 use crate::crashes::gate::RunApart;
-use crate::daemon::Daemon;
 use crate::hints::permit::Permit;
-use crate::open_request::OpenRequest;
+use crate::requests::open_request::OpenRequest;
 
 /// When to come back when no server is usable.
 const RETRY_NO_SERVER_MS: u64 = 1_000;
@@ -62,15 +62,15 @@
 /// # Errors
 /// [`NoServer`] when none is to be had.
 pub async fn choose(
-    daemon: &Daemon,
+    api: &Api,
     need: &Need<'_>,
     tried: &[Name],
     place: Option<Place>,
 ) -> Result<Permit, NoServer> {
     // One that gave no permit is not chosen again for a while.
     loop {
-        let choice = choose_at(daemon, need, tried, place)?;
-        if let Ok(permit) = daemon.hints.permit(&daemon.log, choice, 0).await {
+        let choice = choose_at(api, need, tried, place)?;
+        if let Ok(permit) = api.requests.hints.permit(&api.requests.base.log, choice, 0).await {
             return Ok(permit);
         }
     }
@@ -78,7 +78,7 @@
 
 /// Chooses a server, at its place for a suspect.
 fn choose_at(
-    daemon: &Daemon,
+    api: &Api,
     need: &Need,
     tried: &[Name],
     place: Option<Place>,
@@ -87,13 +87,13 @@
         pool: need.pool,
         prefix: place.map_or(need.prefix, |place| place.key),
         prompt_tokens: 0,
-        hour: daemon.clock.hour(),
+        hour: api.requests.base.clock.hour(),
         seed: rand::random(),
         tried,
         homes: need.homes,
     };
     let rank = place.map_or(0, |place| place.rank);
-    daemon.router.lock().choose_apart(daemon.clock.now(), &wanted, rank)
+    api.requests.router.lock().choose_apart(api.requests.base.clock.now(), &wanted, rank)
 }
 
 /// Why no server has begun to answer.
@@ -120,7 +120,7 @@
 /// # Errors
 /// [`NotPlaced`] tells why no server has begun to answer.
 pub async fn place(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     attempt: Attempt<Admitted>,
     need: &Need<'_>,
     outgoing: &Outgoing,
@@ -128,13 +128,13 @@
 ) -> Result<Placed, NotPlaced> {
     tokio::pin!(interrupt);
     let fingerprint = outgoing.fingerprint(need.workspace);
-    let passed = pass_crashes(daemon, attempt, need, fingerprint).await;
+    let passed = pass_crashes(api, attempt, need, fingerprint).await;
     let (mut attempt, mut apart) = passed.map_err(NotPlaced::Refused)?;
-    let place = daemon.crashes.place(|| fingerprint);
+    let place = api.requests.crashes.place(|| fingerprint);
     let mut tried = Vec::new();
     let mut none = NoServer::NoneUsable;
-    while tried.len() < daemon.cfg.limits.max_tries {
-        let permit = match choose(daemon, need, &tried, place).await {
+    while tried.len() < api.requests.base.cfg.limits.max_tries {
+        let permit = match choose(api, need, &tried, place).await {
             Ok(permit) => permit,
             Err(why) => {
                 none = why;
@@ -142,13 +142,13 @@
             }
         };
         let choice = permit.choice().clone();
-        if !may_use(daemon, &choice.server) {
+        if !may_use(api, &choice.server) {
             tried.push(choice.server);
             continue;
         }
-        let mut open = OpenRequest::new(daemon, &choice, 0);
+        let mut open = OpenRequest::new(&api.requests, &choice, 0);
         let dispatched = attempt.dispatch();
-        let dispatching = backend::dispatch(daemon, permit, outgoing.clone(), need.kind);
+        let dispatching = backend::dispatch(api, permit, outgoing.clone(), need.kind);
         let answer = tokio::select! {
             answer = dispatching => answer,
             () = &mut interrupt => {
@@ -168,96 +168,96 @@
             Err(DispatchError::NothingRan { proof, leaving }) => {
                 open.failed();
                 if leaving {
-                    let now = daemon.clock.now();
-                    daemon.router.lock().said_leaving(now, &choice.server, choice.started_ms);
+                    let now = api.requests.base.clock.now();
+                    api.requests.router.lock().said_leaving(now, &choice.server, choice.started_ms);
                 }
                 attempt = dispatched.back_out(proof);
                 tried.push(choice.server);
             }
             Err(DispatchError::Unknown) => {
                 open.failed();
-                daemon.crashes.broke_off(&choice, fingerprint);
-                return Err(NotPlaced::Refused(lost(daemon, dispatched, &choice)));
+                api.requests.crashes.broke_off(&choice, fingerprint);
+                return Err(NotPlaced::Refused(lost(api, dispatched, &choice)));
             }
         }
     }
-    Err(NotPlaced::Refused(nowhere(daemon, attempt, need, none)))
+    Err(NotPlaced::Refused(nowhere(api, attempt, need, none)))
 }
 
 /// Whether new work may go to this server now, given what this daemon can
 /// know of drains.
-fn may_use(daemon: &Daemon, server: &Name) -> bool {
-    let now = daemon.clock.now();
-    if !daemon.fleet.contact.is_isolated(now, daemon.cfg.limits.isolation_ms) {
+fn may_use(api: &Api, server: &Name) -> bool {
+    let now = api.requests.base.clock.now();
+    if !api.requests.fleet.contact.is_isolated(now, api.requests.base.cfg.limits.isolation_ms) {
         return true;
     }
-    let table = daemon.table.load();
+    let table = api.requests.table.load();
     let row = table.as_ref().and_then(|table| table.server(server));
     row.is_some_and(|row| row.checks_orders)
 }
 
 /// The request may have run: its whole reservation counts as spent.
-fn lost(daemon: &Daemon, attempt: Attempt<Dispatched>, choice: &Choice) -> Problem {
-    let _finished = attempt.finish(&mut daemon.budgets.holder(), None);
-    daemon.metrics.count("request.unknown");
+fn lost(api: &Api, attempt: Attempt<Dispatched>, choice: &Choice) -> Problem {
+    let _finished = attempt.finish(&mut api.requests.budgets.holder(), None);
+    api.requests.base.metrics.count("request.unknown");
     let message = format!("server '{}' broke off before its answer began", choice.server);
     Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
 }
 
-fn nowhere(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>, why: NoServer) -> Problem {
-    let not_run = give_back(daemon, attempt, need);
+fn nowhere(api: &Api, attempt: Attempt<Admitted>, need: &Need<'_>, why: NoServer) -> Problem {
+    let not_run = give_back(api, attempt, need);
     let status = StatusCode::SERVICE_UNAVAILABLE;
-    let (metric, code, message, return_ms) = match daemon.hints.in_turn(&Name::from(need.pool), why)
-    {
-        NoServer::OnlyLimited(at_limit) => (
-            "refused.only_limited",
-            "only_limited",
-            "every backend server that is left is at the limit that it names",
-            at_limit.first_ms,
-        ),
-        NoServer::OnlyResting(resting) => (
-            "refused.only_resting",
-            "only_resting",
-            "every backend server that is left has asked for rest",
-            resting.first_ms,
-        ),
-        _ => (
-            "refused.no_server",
-            "no_server",
-            "no backend server takes the request now",
-            RETRY_NO_SERVER_MS,
-        ),
-    };
-    daemon.metrics.count(metric);
+    let (metric, code, message, return_ms) =
+        match api.requests.hints.in_turn(&Name::from(need.pool), why) {
+            NoServer::OnlyLimited(at_limit) => (
+                "refused.only_limited",
+                "only_limited",
+                "every backend server that is left is at the limit that it names",
+                at_limit.first_ms,
+            ),
+            NoServer::OnlyResting(resting) => (
+                "refused.only_resting",
+                "only_resting",
+                "every backend server that is left has asked for rest",
+                resting.first_ms,
+            ),
+            _ => (
+                "refused.no_server",
+                "no_server",
+                "no backend server takes the request now",
+                RETRY_NO_SERVER_MS,
+            ),
+        };
+    api.requests.base.metrics.count(metric);
     Problem::not_run(&not_run, status, code, message).retry_after(return_ms)
 }
 
 /// Gives back what was set aside and claimed for an attempt that runs nowhere.
-fn give_back(daemon: &Daemon, attempt: Attempt<Admitted>, need: &Need<'_>) -> NotRun {
+fn give_back(api: &Api, attempt: Attempt<Admitted>, need: &Need<'_>) -> NotRun {
     let id = attempt.id;
-    let not_run = attempt.not_run(&mut daemon.budgets.holder());
+    let not_run = attempt.not_run(&mut api.requests.budgets.holder());
     if need.claimed {
-        daemon.billing.keep(Entry::Release { request: need.request, attempt: id });
+        api.billing.keep(Entry::Release { request: need.request, attempt: id });
     }
     not_run
 }
 
 /// Passes a request that is not known to crash its servers; waits while that is found out.
 async fn pass_crashes(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     attempt: Attempt<Admitted>,
     need: &Need<'_>,
     fingerprint: Fingerprint,
 ) -> Result<(Attempt<Admitted>, Option<RunApart>), Problem> {
-    let verdict = daemon.crashes.settled(Millis::MAX, || fingerprint).await;
+    let verdict = api.requests.crashes.settled(Millis::MAX, || fingerprint).await;
     let apart =
-        (verdict == Verdict::Apart).then(|| daemon.crashes.run_apart(fingerprint)).flatten();
+        (verdict == Verdict::Apart).then(|| api.requests.crashes.run_apart(fingerprint)).flatten();
     if matches!(verdict, Verdict::Free | Verdict::Suspect) || apart.is_some() {
         return Ok((attempt, apart));
     }
-    let not_run = give_back(daemon, attempt, need);
-    daemon.metrics.count("refused.crashes_servers");
-    slog::info!(daemon.log, "not sent for its crashes";
+    let not_run = give_back(api, attempt, need);
+    api.requests.base.metrics.count("refused.crashes_servers");
+    slog::info!(api.requests.base.log, "not sent for its crashes";
         "request" => %need.request, "fingerprint" => %fingerprint);
     Err(if verdict != Verdict::Blocked {
         let message = "backend servers that ran this request before broke off";
--- a/crates/daemon/src/api/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -16,16 +16,17 @@
 use tokio::sync::oneshot;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::api::Api;
 use crate::api::admission::{self, Caller, identify};
 use crate::api::answer::{ATTEMPT_HEADER, KEY_HEADER, Problem};
+use crate::api::api;
 use crate::api::backend::Outgoing;
 use crate::api::chat::put_header;
 use crate::api::placement::{self, Need, NotPlaced};
-use crate::bill::billing;
+use crate::bill::bills;
 use crate::crashes;
-use crate::daemon::Daemon;
-use crate::http::{daemon, read_body};
-use crate::open_request::OpenRequest;
+use crate::http::read_body;
+use crate::requests::open_request::OpenRequest;
 
 /// Largest answer of a plain service, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -64,17 +65,17 @@
 /// Serves a call of a plain service.
 #[handler]
 pub async fn forward(req: &mut Request, depot: &mut Depot, res: &mut Response) {
-    let daemon = daemon(depot);
-    let id = daemon.next_attempt();
+    let api = api(depot);
+    let id = api.next_attempt();
     put_header(res, ATTEMPT_HEADER, &id.to_string());
-    let call = match read_call(&daemon, id, req).await {
+    let call = match read_call(&api, id, req).await {
         Ok(call) => call,
         Err(problem) => return problem.render(res),
     };
     put_header(res, KEY_HEADER, &call.caller.key);
     let (tx, rx) = oneshot::channel();
-    let serving = serve(Arc::clone(&daemon), call, id, tx);
-    daemon.work.spawn(serving);
+    let serving = serve(Arc::clone(&api), call, id, tx);
+    api.requests.work.spawn(serving);
     match rx.await {
         Ok(Ok(answer)) => {
             res.status_code(answer.status);
@@ -95,8 +96,8 @@
     !NOT_CARRIED.contains(&name) && !name.starts_with("x-bankcove-")
 }
 
-async fn read_call(daemon: &Daemon, id: AttemptId, req: &mut Request) -> Result<Call, Problem> {
-    let caller = identify(daemon, req)?;
+async fn read_call(api: &Api, id: AttemptId, req: &mut Request) -> Result<Call, Problem> {
+    let caller = identify(api, req)?;
     let path = req.uri().path().to_owned();
     let Some(route) = caller.table.route_of_path(&path).cloned() else {
         let message = format!("no route leads from '{path}'");
@@ -109,7 +110,7 @@
         method: Method::from_bytes(req.method().as_str().as_bytes()).unwrap_or(Method::GET),
         path: whole_path,
         headers,
-        body: read_body(daemon, req).await?,
+        body: read_body(&api.requests.base.cfg.limits, req).await?,
         run_id: caller.request.to_string(),
         attempt: id,
     };
@@ -117,22 +118,22 @@
 }
 
 async fn serve(
-    daemon: Arc<Daemon>,
+    api: Arc<Api>,
     call: Call,
     id: AttemptId,
     tx: oneshot::Sender<Result<Answer, Problem>>,
 ) {
     let deadline = Duration::from_millis(call.route.deadline_ms);
-    let answer = run(&daemon, call, id, deadline).await;
+    let answer = run(&api, call, id, deadline).await;
     if let Err(problem) = &answer {
-        daemon.metrics.count(problem.code());
+        api.requests.base.metrics.count(problem.code());
     }
     // A caller that went away has been billed for what ran.
     let _gone = tx.send(answer);
 }
 
 async fn run(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     call: Call,
     id: AttemptId,
     deadline: Duration,
@@ -140,15 +141,15 @@
     let Call { caller, route, outgoing } = call;
     let attempt = Attempt::new(caller.request, id);
     let price = route.call_tokens;
-    let mut attempt = match admission::admit(daemon, &caller, attempt, price).await {
+    let mut attempt = match admission::admit(api, &caller, attempt, price).await {
         Ok(attempt) => attempt,
         Err((refusal, attempt)) => {
-            return Err(admission::short(daemon, &attempt.not_run(), &caller.budget, refusal));
+            return Err(admission::short(api, &attempt.not_run(), &caller.budget, refusal));
         }
     };
     let once = caller.once || !route.repeatable;
     if once {
-        attempt = admission::claim(daemon, &caller, attempt).await?;
+        attempt = admission::claim(api, &caller, attempt).await?;
     }
     let need = Need {
         pool: route.name.as_str(),
@@ -159,38 +160,33 @@
         homes: Homes { route: &route.homes, workspace: &caller.homes },
         claimed: once,
     };
-    let until = daemon.clock.now() + deadline.as_millis() as Millis;
-    let interrupt = daemon.clock.sleep_until(until);
-    let placed = match placement::place(daemon, attempt, &need, &outgoing, interrupt).await {
+    let until = api.requests.base.clock.now() + deadline.as_millis() as Millis;
+    let interrupt = api.requests.base.clock.sleep_until(until);
+    let placed = match placement::place(api, attempt, &need, &outgoing, interrupt).await {
         Ok(placed) => placed,
         Err(NotPlaced::Refused(problem)) => return Err(problem),
         Err(NotPlaced::Interrupted(given_up)) => {
-            return Err(lost(daemon, given_up.attempt, given_up.open, &given_up.choice.server));
+            return Err(lost(api, given_up.attempt, given_up.open, &given_up.choice.server));
         }
     };
     let open = placed.open;
     let status = placed.res.status();
     let headers = placed.res.headers().clone();
-    let body = daemon.clock.before(until, read_answer(placed.res)).await;
+    let body = api.requests.base.clock.before(until, read_answer(placed.res)).await;
     let Some(Some(body)) = body else {
-        daemon.crashes.broke_off(&placed.choice, placed.fingerprint);
-        return Err(lost(daemon, placed.attempt, open, &placed.choice.server));
+        api.requests.crashes.broke_off(&placed.choice, placed.fingerprint);
+        return Err(lost(api, placed.attempt, open, &placed.choice.server));
     };
     let is_framed = crashes::is_framed(&headers);
-    daemon.crashes.ended(&placed.choice, is_framed, || placed.fingerprint);
-    settle_and_bill(daemon, placed.attempt, &caller, price).await;
+    api.requests.crashes.ended(&placed.choice, is_framed, || placed.fingerprint);
+    settle_and_bill(api, placed.attempt, &caller, price).await;
     Ok(Answer { status, headers, body })
 }
 
 /// The service may have done what it was asked: the price counts as spent.
-fn lost(
-    daemon: &Daemon,
-    attempt: Attempt<Dispatched>,
-    mut open: OpenRequest,
-    server: &Name,
-) -> Problem {
+fn lost(api: &Api, attempt: Attempt<Dispatched>, mut open: OpenRequest, server: &Name) -> Problem {
     open.failed();
-    let _finished = attempt.finish(&mut daemon.budgets.holder(), None);
+    let _finished = attempt.finish(&mut api.requests.budgets.holder(), None);
     let message = format!("service '{server}' gave no whole answer in time");
     Problem::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
 }
@@ -207,7 +203,7 @@
 }
 
 async fn settle_and_bill(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     attempt: Attempt<Dispatched>,
     caller: &Caller,
     price: Tokens,
@@ -219,7 +215,7 @@
         prompt_tokens: 0,
         output_tokens: price,
     };
-    let _finished = attempt.finish(&mut daemon.budgets.holder(), Some(price));
-    billing::bill(&daemon.billing, bill).await;
-    daemon.metrics.count("request.done");
+    let _finished = attempt.finish(&mut api.requests.budgets.holder(), Some(price));
+    bills::bill(&api.billing, bill).await;
+    api.requests.base.metrics.count("request.done");
 }
--- a/crates/daemon/src/api/pump.rs
+++ b/crates/daemon/src/api/pump.rs
@@ -18,12 +18,12 @@
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::api::Api;
 use crate::api::answer::{Answer, Problem};
 use crate::api::backend;
 use crate::api::placement::{Interrupted, Placed};
 use crate::api::sse::{Event, Piece, Splitter, Usage};
-use crate::bill::billing::{self, Billed};
-use crate::daemon::Daemon;
+use crate::bill::bills::{self, Billed};
 use crate::hints::permit::NoPermit;
 
 /// Text that ends a stream.
@@ -99,12 +99,12 @@
 }
 
 /// Carries a stream to its caller.
-pub async fn stream(daemon: &Arc<Daemon>, run: Run, pieces: mpsc::Sender<Bytes>, deadline: Millis) {
+pub async fn stream(api: &Arc<Api>, run: Run, pieces: mpsc::Sender<Bytes>, deadline: Millis) {
     let Run { log, budget, model, run_id, max_tokens, placed, .. } = run;
     let Placed { attempt, choice, res, mut open, fingerprint } = placed;
     let account = Account { log, budget, attempt, attached: is_attached(&res) };
     let mut carrier = Carrier {
-        daemon,
+        api,
         log: &account.log,
         choice: &choice,
         model: &model,
@@ -115,24 +115,24 @@
     };
     let ending = tokio::select! {
         ending = carrier.carry(res) => ending,
-        () = daemon.clock.sleep_until(deadline) => Ending::Late,
+        () = api.requests.base.clock.sleep_until(deadline) => Ending::Late,
     };
     match ending {
         Ending::Last(usage, last) => {
-            daemon.crashes.succeeded(|| fingerprint);
-            settle_and_bill(daemon, account, usage).await;
+            api.requests.crashes.succeeded(|| fingerprint);
+            settle_and_bill(api, account, usage).await;
             send_end(&pieces, last).await;
         }
-        Ending::CallerGone => cancel_and_bill(daemon, account, &choice, &run_id).await,
+        Ending::CallerGone => cancel_and_bill(api, account, &choice, &run_id).await,
         Ending::Late => {
-            cancel_and_bill(daemon, account, &choice, &run_id).await;
+            cancel_and_bill(api, account, &choice, &run_id).await;
             send_problem(&pieces, &late()).await;
         }
         Ending::Cancelled | Ending::ServerLost => {
             open.failed();
             // A server that did not keep to its protocol is there, which is found out.
-            daemon.crashes.broke_off(&choice, fingerprint);
-            give_up(daemon, account);
+            api.requests.crashes.broke_off(&choice, fingerprint);
+            give_up(api, account);
             send_problem(&pieces, &server_lost()).await;
         }
     }
@@ -163,7 +163,7 @@
 /// Ends a run that was given up before its answer began; returns what the
 /// caller is told, if it still listens.
 pub async fn interrupted(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     log: Logger,
     budget: Name,
     run_id: &str,
@@ -171,7 +171,7 @@
 ) -> Problem {
     let Interrupted { attempt, choice, open } = interrupted;
     let account = Account { log, budget, attempt, attached: false };
-    cancel_and_bill(daemon, account, &choice, run_id).await;
+    cancel_and_bill(api, account, &choice, run_id).await;
     drop(open);
     late()
 }
@@ -182,7 +182,7 @@
 
 /// Carries a whole answer to its caller.
 pub async fn whole(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     run: Run,
     mut tx: oneshot::Sender<Result<Answer, Problem>>,
     deadline: Millis,
@@ -192,9 +192,9 @@
     let account = Account { log, budget, attempt, attached: is_attached(&res) };
     let body = tokio::select! {
         body = res.bytes() => body.ok(),
-        () = tx.closed() => return cancel_and_bill(daemon, account, &choice, &run_id).await,
-        () = daemon.clock.sleep_until(deadline) => {
-            cancel_and_bill(daemon, account, &choice, &run_id).await;
+        () = tx.closed() => return cancel_and_bill(api, account, &choice, &run_id).await,
+        () = api.requests.base.clock.sleep_until(deadline) => {
+            cancel_and_bill(api, account, &choice, &run_id).await;
             // A caller that went away needs no answer.
             let _gone = tx.send(Err(late()));
             return;
@@ -206,15 +206,15 @@
     };
     match (answer, body) {
         (Some(answer), Some(body)) if answer.id == run_id && !cancelled(&answer) => {
-            daemon.crashes.succeeded(|| fingerprint);
-            settle_and_bill(daemon, account, answer.usage).await;
+            api.requests.crashes.succeeded(|| fingerprint);
+            settle_and_bill(api, account, answer.usage).await;
             // A caller that went away only now has been billed for a whole run.
             let _gone = tx.send(Ok(Answer::Whole(body)));
         }
         _ => {
             open.failed();
-            daemon.crashes.broke_off(&choice, fingerprint);
-            give_up(daemon, account);
+            api.requests.crashes.broke_off(&choice, fingerprint);
+            give_up(api, account);
             // A caller that went away needs no answer.
             let _gone = tx.send(Err(server_lost()));
         }
@@ -222,7 +222,7 @@
 }
 
 struct Carrier<'a> {
-    daemon: &'a Arc<Daemon>,
+    api: &'a Arc<Api>,
     log: &'a Logger,
     choice: &'a bankcove_core::router::Choice,
     model: &'a str,
@@ -257,7 +257,7 @@
             tokio::time::sleep(RESUME_PAUSE * tries).await;
             slog::info!(self.log, "stream resumed"; "offset" => self.sequence.next());
             let offset = self.sequence.next();
-            let hints = &self.daemon.hints;
+            let hints = &self.api.requests.hints;
             let permit = match hints.permit(self.log, self.choice.clone(), 0).await {
                 Ok(permit) => permit,
                 Err(no_permit) => {
@@ -272,7 +272,7 @@
                     continue;
                 }
             };
-            res = backend::resume(self.daemon, permit, self.run_id, self.model, offset).await;
+            res = backend::resume(self.api, permit, self.run_id, self.model, offset).await;
         }
     }
 
@@ -334,7 +334,7 @@
 }
 
 /// Settles the reservation, then has the request billed.
-async fn settle_and_bill(daemon: &Arc<Daemon>, account: Account, usage: Usage) {
+async fn settle_and_bill(api: &Arc<Api>, account: Account, usage: Usage) {
     let tokens = usage.prompt_tokens + usage.completion_tokens;
     // A run that another attempt began is paid for by that attempt's grant.
     let spent = if account.attached { 0 } else { tokens };
@@ -343,7 +343,7 @@
     if tokens > account.attempt.limit() {
         slog::error!(account.log, "the engine says more than the limit"; "tokens" => tokens);
     }
-    let _finished = account.attempt.finish(&mut daemon.budgets.holder(), Some(spent));
+    let _finished = account.attempt.finish(&mut api.requests.budgets.holder(), Some(spent));
     let bill = Bill {
         request,
         attempt,
@@ -351,36 +351,36 @@
         prompt_tokens: usage.prompt_tokens,
         output_tokens: usage.completion_tokens,
     };
-    let billed = billing::bill(&daemon.billing, bill).await;
+    let billed = bills::bill(&api.billing, bill).await;
     if billed == Billed::Repeat {
-        daemon.metrics.count("bill.repeat");
+        api.requests.base.metrics.count("bill.repeat");
     }
-    daemon.metrics.count("request.done");
+    api.requests.base.metrics.count("request.done");
     slog::info!(account.log, "done"; "tokens" => tokens, "bill" => ?billed);
 }
 
 /// Ends a run that nobody waits for, and bills what ran.
 async fn cancel_and_bill(
-    daemon: &Arc<Daemon>,
+    api: &Arc<Api>,
     account: Account,
     choice: &bankcove_core::router::Choice,
     run_id: &str,
 ) {
-    daemon.metrics.count("request.cancelled");
-    match backend::cancel(daemon, choice, run_id).await {
+    api.requests.base.metrics.count("request.cancelled");
+    match backend::cancel(api, choice, run_id).await {
         Some(run) => {
             let usage =
                 Usage { prompt_tokens: run.prompt_tokens, completion_tokens: run.output_tokens };
-            settle_and_bill(daemon, account, usage).await;
+            settle_and_bill(api, account, usage).await;
         }
-        None => give_up(daemon, account),
+        None => give_up(api, account),
     }
 }
 
 /// What ran is not known: the whole reservation counts as spent.
-fn give_up(daemon: &Arc<Daemon>, account: Account) {
-    daemon.metrics.count("request.unknown");
+fn give_up(api: &Arc<Api>, account: Account) {
+    api.requests.base.metrics.count("request.unknown");
     slog::warn!(account.log, "outcome unknown");
     let used = account.attached.then_some(0);
-    let _finished = account.attempt.finish(&mut daemon.budgets.holder(), used);
+    let _finished = account.attempt.finish(&mut api.requests.budgets.holder(), used);
 }
--- a/crates/daemon/src/base.rs
+++ b/crates/daemon/src/base.rs
@@ -1,14 +1,22 @@
 //! What every layer of a daemon stands on.
 
+pub mod clock;
+pub mod config;
+pub mod logging;
+pub mod mailbox;
+pub mod metrics;
+pub mod store_calls;
+pub mod tcp;
+
 use std::sync::Arc;
 
 use bankcove_core::Incarnation;
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 
-use crate::clock::Clock;
-use crate::config::Config;
-use crate::metrics::Metrics;
+use crate::base::clock::Clock;
+use crate::base::config::Config;
+use crate::base::metrics::Metrics;
 use crate::peer::PeerPool;
 
 /// The settings, clocks, logger, metrics and connections to peers; copies share them.
--- a/crates/daemon/src/base/config.rs
+++ b/crates/daemon/src/base/config.rs
@@ -12,7 +12,7 @@
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
-use crate::config::entry::EntrySettings;
+use crate::base::config::entry::EntrySettings;
 use crate::error::{ConfigFault, Error, Result};
 
 /// Shortest operators' token, in bytes.
--- a/crates/daemon/src/base/logging.rs
+++ b/crates/daemon/src/base/logging.rs
@@ -4,7 +4,7 @@
 
 use slog::{Drain, Logger, o};
 
-use crate::config::Config;
+use crate::base::config::Config;
 
 /// Lines that may wait for a slow reader before some are dropped and counted.
 const QUEUE: usize = 4_096;
--- a/crates/daemon/src/bill/request_log.rs
+++ b/crates/daemon/src/bill/request_log.rs
@@ -1,18 +1,16 @@
 //! Shell around the request log: claims and bills on their way to the store.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use bankcove_core::Millis;
 use bankcove_core::reqlog::{Command, Entry, Event, Outcome, RequestLog, Segment};
 use bankcove_ports::{Kind, WriteOutcome, segment_name};
-use parking_lot::Mutex;
-use serde::Serialize;
 use tokio::sync::{mpsc, oneshot};
 
+use crate::base::mailbox::{Tickets, after, later};
 use crate::bill::billing::Billing;
-use crate::mailbox::{Tickets, after, later};
+use crate::bill::log_tasks::{LogDump, Mail};
 
 /// Owners that are tried before this daemon appends itself.
 const OWNERS_TRIED: usize = 1;
@@ -21,48 +19,6 @@
 /// share owners.
 const OWNER_KEY: u64 = 0x6c6f_6700_0000_0000;
 
-enum Mail {
-    Submitted(Entry, oneshot::Sender<Outcome>),
-    Event(Event),
-    Dump(oneshot::Sender<LogDump>),
-}
-
-/// What a log shard tells of itself.
-#[derive(Debug, Clone, Copy, Serialize)]
-pub struct LogDump {
-    /// Requests remembered.
-    pub remembered: usize,
-    /// Entries that wait.
-    pub waiting: usize,
-    /// Appends tried.
-    pub appends: u64,
-    /// Segments read.
-    pub reads: u64,
-}
-
-/// The log shards that this daemon has appended to.
-#[derive(Debug, Default)]
-pub struct RequestLogs {
-    shards: Mutex<HashMap<u32, mpsc::UnboundedSender<Mail>>>,
-}
-
-impl RequestLogs {
-    /// What the log shards tell of themselves.
-    pub async fn dump(&self) -> HashMap<u32, LogDump> {
-        let shards: Vec<_> = self.shards.lock().iter().map(|(n, tx)| (*n, tx.clone())).collect();
-        let mut dumps = HashMap::new();
-        for (shard, log) in shards {
-            let (tx, rx) = oneshot::channel();
-            if log.send(Mail::Dump(tx)).is_ok()
-                && let Ok(dump) = rx.await
-            {
-                dumps.insert(shard, dump);
-            }
-        }
-        dumps
-    }
-}
-
 /// Appends an entry by way of the shard's owner, else by this daemon itself.
 /// Submitting an entry twice does no harm: the log tells what it came to.
 pub async fn submit(billing: &Arc<Billing>, entry: Entry) -> Outcome {
--- a/crates/daemon/src/budget/borrow.rs
+++ b/crates/daemon/src/budget/borrow.rs
@@ -12,7 +12,8 @@
 use bankcove_core::table::Budget;
 use futures::future::join_all;
 
-use crate::budget::budgets::{Budgets, terms};
+use crate::budget::budgets::Budgets;
+use crate::budget::terms::terms;
 use crate::peer::PeerServiceClient;
 
 /// Peers asked at once: all others of a small fleet, others each time in a large
--- a/crates/daemon/src/budget/collect.rs
+++ b/crates/daemon/src/budget/collect.rs
@@ -12,10 +12,9 @@
 use futures::future::join_all;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::base::tcp::{Reach, reach};
 use crate::budget::budgets::{Budgets, OWNER_KEY};
-use crate::budget::owner::ask_local_owner;
 use crate::peer::{GiveAnswer, PeerServiceClient};
-use crate::tcp::{Reach, reach};
 
 /// A holder that did not answer is left out of collections this long.
 const SILENT_HOLDER_MS: Millis = 2_000;
@@ -158,7 +157,8 @@
 /// Takes back what a holder that seems to be gone never opened. Should it live
 /// after all, its closed witness keeps it from opening any more.
 async fn reclaim(budgets: &Arc<Budgets>, budget: &Name, holder: &HolderRef) {
-    let timeout = Duration::from_millis(budgets.fleet.base.cfg.limits.gather_timeout_ms);
+    let limits = &budgets.fleet.base.cfg.limits;
+    let timeout = Duration::from_millis(limits.gather_timeout_ms);
     for witness in &holder.witnesses {
         let (gone, attests, closed) = (holder.incarnation, witness.incarnation, budget.clone());
         let opened = if attests == budgets.fleet.base.incarnation {
@@ -172,8 +172,10 @@
         let Some(opened) = opened else { continue };
         let budget = budget.clone();
         let request = Request::Reclaim { budget, holder: gone, witness: attests, opened };
-        let answer = ask_local_owner(budgets, request).await;
-        slog::info!(budgets.fleet.base.log, "grant reclaimed"; "holder" => %gone, "answer" => ?answer.reply);
+        // Collections are the owner's own work, so that its task runs.
+        let shard = shard_of_budget(request.budget(), limits.budget_shards);
+        let answer = budgets.owners.ask(shard, request).await.map(|answer| answer.reply);
+        slog::info!(budgets.fleet.base.log, "grant reclaimed"; "holder" => %gone, "answer" => ?answer);
         return;
     }
 }
--- a/crates/daemon/src/budget/draws.rs
+++ b/crates/daemon/src/budget/draws.rs
@@ -9,10 +9,11 @@
 use bankcove_core::{Millis, Name, Tokens};
 use futures::future::join_all;
 
-use crate::budget::budgets::{Budgets, OWNER_KEY, terms};
+use crate::budget::budgets::{Budgets, OWNER_KEY};
 use crate::budget::collect::witnesses;
 use crate::budget::hand_over::hand_over;
 use crate::budget::owner::{ask_local_owner, shard_of_request, store_answers};
+use crate::budget::terms::terms;
 use crate::peer::{OwnerAnswer, PeerServiceClient, Refusal};
 
 /// Peers that are asked to write for a daemon that does not reach the store.
--- a/crates/daemon/src/budget/owner.rs
+++ b/crates/daemon/src/budget/owner.rs
@@ -1,74 +1,31 @@
 //! Shell around the owners of budget shards: their tasks and the store.
 
-use std::collections::HashMap;
 use std::sync::{Arc, Weak};
 
 use bankcove_core::holder::Draw;
-use bankcove_core::owner::{Command, Event, Owner, OwnerCounts, RETRY_SOON_MS, Reply, Request};
+use bankcove_core::owner::{Command, Event, Owner, RETRY_SOON_MS, Reply, Request};
 use bankcove_core::shard::{Shard, shard_of_budget};
 use bankcove_core::{Millis, Name, Tokens};
 use bankcove_ports::{Kind, Versioned, WriteOutcome};
-use parking_lot::Mutex;
-use serde::Serialize;
-use tokio::sync::{mpsc, oneshot};
+use tokio::sync::mpsc;
 
-use crate::budget::budgets::{Budgets, terms};
+use crate::base::mailbox::{Tickets, after, later};
+use crate::budget::budgets::Budgets;
 use crate::budget::collect::gather;
-use crate::mailbox::{Tickets, after, later};
+use crate::budget::owner_tasks::{Mail, OwnerDump};
+use crate::budget::terms::terms;
 use crate::peer::OwnerAnswer;
 
-enum Mail {
-    Asked(Request, oneshot::Sender<OwnerAnswer>),
-    Event(Event),
-    Dump(oneshot::Sender<OwnerDump>),
-}
-
-/// What an owner tells of itself.
-#[derive(Debug, Clone, Serialize)]
-pub struct OwnerDump {
-    /// Its figures.
-    pub counts: OwnerCounts,
-    /// The shard as last read or written.
-    pub shard: Option<Shard>,
-}
-
 /// The shard that there is in any number of them.
 const FIRST_SHARD: u32 = 0;
 
-/// The shards that this daemon owns, or has acted as the owner of.
-#[derive(Debug, Default)]
-pub struct Owners {
-    tasks: Mutex<HashMap<u32, mpsc::UnboundedSender<Mail>>>,
-}
-
-impl Owners {
-    /// What the owners in this daemon tell of themselves, by shard.
-    pub async fn dump(&self) -> HashMap<u32, OwnerDump> {
-        let owners: Vec<_> = self.tasks.lock().iter().map(|(n, tx)| (*n, tx.clone())).collect();
-        let mut dumps = HashMap::new();
-        for (shard, owner) in owners {
-            let (tx, rx) = oneshot::channel();
-            if owner.send(Mail::Dump(tx)).is_ok()
-                && let Ok(dump) = rx.await
-            {
-                dumps.insert(shard, dump);
-            }
-        }
-        dumps
-    }
-}
-
 /// Asks this daemon as the owner.
 pub async fn ask_local_owner(budgets: &Arc<Budgets>, request: Request) -> OwnerAnswer {
     let shard = shard_of_request(budgets, &request);
-    let (tx, rx) = oneshot::channel();
-    let owner = local_owner(budgets, shard);
+    begin(budgets, shard);
     let away = Reply::StoreAway { retry_after_ms: RETRY_SOON_MS };
     let away = OwnerAnswer { reply: away, sent: None };
-    if owner.send(Mail::Asked(request, tx)).is_err() {
-        return away;
-    }
-    rx.await.unwrap_or(away)
+    budgets.owners.ask(shard, request).await.unwrap_or(away)
 }
 
 /// The shard that a request is about.
@@ -76,9 +33,10 @@
     shard_of_budget(request.budget(), budgets.fleet.base.cfg.limits.budget_shards)
 }
 
-fn local_owner(budgets: &Arc<Budgets>, shard: u32) -> mpsc::UnboundedSender<Mail> {
+/// Begins the task of a shard unless it runs.
+fn begin(budgets: &Arc<Budgets>, shard: u32) {
     let mut owners = budgets.owners.tasks.lock();
-    let owner = owners.entry(shard).or_insert_with(|| {
+    owners.entry(shard).or_insert_with(|| {
         let (tx, rx) = mpsc::unbounded_channel();
         let task = OwnerTask {
             shard,
@@ -99,7 +57,6 @@
         tokio::spawn(task.run(machine, rx));
         tx
     });
-    owner.clone()
 }
 
 /// The task of one owned shard; it ends when its channel is closed.
--- a/crates/daemon/src/budget/tend.rs
+++ b/crates/daemon/src/budget/tend.rs
@@ -6,9 +6,12 @@
 use bankcove_core::members::Peer;
 use bankcove_core::table::Budget;
 
-use crate::budget::allotment::{ask_for_tokens, owners_to_ask};
-use crate::budget::budgets::{Budgets, Source, prepare, refill, terms};
+use crate::budget::ask::ask_for_tokens;
+use crate::budget::budgets::Budgets;
 use crate::budget::owner::store_answers;
+use crate::budget::ownership::owners_to_ask;
+use crate::budget::reserve::{Source, prepare, refill};
+use crate::budget::terms::terms;
 
 /// Pause between two looks at what is held.
 const TEND: Duration = Duration::from_millis(1_000);
--- a/crates/daemon/src/controller.rs
+++ b/crates/daemon/src/controller.rs
@@ -14,19 +14,21 @@
 use bankcove_platform::store::ObjectStore;
 use bankcove_ports::{Client, Store};
 
-use crate::api::{backend, chat, proxy};
+use crate::api::{Api, backend, chat, proxy};
 use crate::args::{Args, Command};
-use crate::bill::billing;
+use crate::base::config::{Adapter, Config};
+use crate::base::{logging, store_calls};
+use crate::bill::bills;
 use crate::budget::{draws, tend};
-use crate::config::{Adapter, Config};
 use crate::crashes::keep;
 use crate::daemon::Daemon;
 use crate::entry::{self, Entry};
 use crate::error::{Error, Result};
+use crate::fleet::suspension;
 use crate::http::{Side, serve};
 use crate::membership::{self, unread_news};
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
-use crate::{hints, logging, operator, peer_server, store_calls, suspension};
+use crate::{hints, operator, peer_server};
 
 /// Pause between two looks while a planned stop waits.
 const STOP_POLL: Duration = Duration::from_millis(50);
@@ -127,16 +129,19 @@
         match daemon.cfg.entry.clone() {
             Some(settings) => {
                 let wire = Arc::new(Headers);
-                let entry = Entry::new(Arc::clone(&daemon), wire, settings);
-                sides.extend(start_entry(Arc::clone(&entry)).await?);
+                let (requests, view) = (Arc::clone(&daemon.requests), Arc::clone(&daemon.view));
+                let entry = Entry::new(requests, view, wire, settings);
+                sides.extend(start_entry(&daemon, Arc::clone(&entry)).await?);
                 started = Some(entry);
             }
             None => {
-                sides.push(
-                    serve(&daemon.cfg.caller_listen, caller_router(Arc::clone(&daemon))).await?,
-                );
-                tokio::spawn(backend::follow_load(Arc::clone(&daemon)));
-                tokio::spawn(billing::hand_over(Arc::clone(&daemon.billing)));
+                let (requests, billing) =
+                    (Arc::clone(&daemon.requests), Arc::clone(&daemon.billing));
+                let api = Api::new(requests, billing, daemon.http.clone());
+                let callers = caller_router(Arc::clone(&api));
+                sides.push(serve(&daemon.cfg.caller_listen, callers).await?);
+                tokio::spawn(backend::follow_load(api));
+                tokio::spawn(bills::hand_over(Arc::clone(&daemon.billing)));
             }
         }
         if daemon.cfg.limits.witnesses == 0 {
@@ -193,7 +198,8 @@
         let deadline = daemon.clock.now() + daemon.cfg.limits.stop_timeout_ms;
         let finished = match &daemon.cfg.entry {
             Some(entry) => {
-                entry::stop::drain(daemon, Duration::from_secs_f64(entry.stop_grace_s)).await
+                entry::stop::drain(&daemon.requests, Duration::from_secs_f64(entry.stop_grace_s))
+                    .await
             }
             None => end_work(daemon, deadline).await,
         };
@@ -204,10 +210,10 @@
             slog::warn!(daemon.log, "this host stays on the list"; "error" => %e);
         }
         slog::info!(daemon.log, "stopped"; "finished" => finished, "retired" => retired,
-            "open" => daemon.work.len(), "reserved" => daemon.budgets.holder().reserved_in_all(),
+            "open" => daemon.requests.work.len(), "reserved" => daemon.budgets.holder().reserved_in_all(),
             "bills_waiting" => daemon.billing.waiting());
         // What is open may go on until the platform's kill. Time over: the sides end.
-        let _over = daemon.clock.before(deadline, daemon.work.wait()).await;
+        let _over = daemon.clock.before(deadline, daemon.requests.work.wait()).await;
         self.sides.iter().for_each(|side| side.handle.stop_graceful(CLOSE_TIMEOUT));
         // The sides end by themselves; a failed task has ended as well.
         let ends = self.sides.into_iter().map(|side| side.task);
@@ -219,10 +225,10 @@
 /// Takes no more requests and waits until those in flight have ended and are
 /// billed; whether all have ended.
 async fn end_work(daemon: &Arc<Daemon>, deadline: Millis) -> bool {
-    slog::info!(daemon.log, "stopping"; "in_flight" => daemon.work.len());
-    daemon.stopping.cancel();
-    daemon.work.close();
-    let finished = daemon.clock.before(deadline, daemon.work.wait()).await.is_some();
+    slog::info!(daemon.log, "stopping"; "in_flight" => daemon.requests.work.len());
+    daemon.requests.stopping.cancel();
+    daemon.requests.work.close();
+    let finished = daemon.clock.before(deadline, daemon.requests.work.wait()).await.is_some();
     while daemon.billing.waiting() > 0 && daemon.clock.now() < deadline {
         tokio::time::sleep(STOP_POLL).await;
     }
@@ -230,15 +236,15 @@
 }
 
 /// Starts the sides of a platform with a wire of its own.
-async fn start_entry(entry: Arc<Entry>) -> Result<Vec<Side>> {
+async fn start_entry(daemon: &Arc<Daemon>, entry: Arc<Entry>) -> Result<Vec<Side>> {
     let mut sides = Vec::new();
     if let Some(address) = &entry.settings.metrics_listen {
-        sides.push(serve(address, entry::ready::metrics_router(Arc::clone(&entry))).await?);
+        sides.push(serve(address, operator::metrics_router(Arc::clone(daemon))).await?);
     }
     let ready = entry::ready::ready_router(Arc::clone(&entry));
     sides.push(serve(&entry.settings.ready_listen, ready).await?);
     let callers = entry::serve::router(Arc::clone(&entry));
-    sides.push(serve(&entry.daemon.cfg.caller_listen, callers).await?);
+    sides.push(serve(&daemon.cfg.caller_listen, callers).await?);
     Ok(sides)
 }
 
@@ -279,7 +285,7 @@
         tokio::select! {
             () = tokio::time::sleep(pause) => {}
             // A planned stop takes the host off the list; it is not to come back.
-            () = daemon.leaving.cancelled() => return,
+            () = daemon.requests.leaving.cancelled() => return,
             () = daemon.ended.cancelled() => return,
         }
     }
@@ -307,9 +313,9 @@
     }
 }
 
-fn caller_router(daemon: Arc<Daemon>) -> Router {
+fn caller_router(api: Arc<Api>) -> Router {
     Router::new()
-        .hoop(affix_state::inject(daemon))
+        .hoop(affix_state::inject(api))
         .push(Router::with_path("v1/chat/completions").post(chat::complete))
         .push(Router::with_path("v1/models").get(chat::list_models))
         .push(Router::with_path("{**rest}").goal(proxy::forward))
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -7,8 +7,8 @@
 use bankcove_core::Millis;
 use bankcove_core::crashes::ServerStart;
 
+use crate::base::tcp::{Reach, reach_and_hold};
 use crate::crashes::{Crashes, Origin};
-use crate::tcp::{Reach, reach_and_hold};
 
 /// Longest wait for a connection: a host in reach accepts or refuses within 2 ms.
 const REACH_TIMEOUT: Duration = Duration::from_millis(250);
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -2,12 +2,11 @@
 //! the layers below know each only what it is built from.
 
 use std::sync::Arc;
-use std::sync::atomic::{AtomicU64, Ordering};
 
 use arc_swap::ArcSwapOption;
+use bankcove_core::Incarnation;
 use bankcove_core::router::Router;
 use bankcove_core::table::Table;
-use bankcove_core::{AttemptId, Incarnation, Millis};
 use bankcove_ports::{Client, Store};
 use parking_lot::Mutex;
 use slog::Logger;
@@ -15,17 +14,18 @@
 use tokio_util::task::TaskTracker;
 
 use crate::base::Base;
+use crate::base::clock::Clock;
+use crate::base::config::Config;
+use crate::base::metrics::Metrics;
 use crate::bill::billing::Billing;
 use crate::budget::budgets::Budgets;
-use crate::clock::Clock;
-use crate::config::Config;
 use crate::crashes::Crashes;
 use crate::error::Result;
 use crate::fleet::Fleet;
 use crate::hints::Hints;
 use crate::membership::Membership;
-use crate::metrics::Metrics;
 use crate::peer::PeerPool;
+use crate::requests::Requests;
 use crate::view::View;
 
 /// One daemon.
@@ -64,19 +64,10 @@
     pub hints: Arc<Hints>,
     /// Heartbeats, and what else is told with them.
     pub membership: Arc<Membership>,
-    /// Cancelled when the platform's balancer is to send no new connections;
-    /// requests are still taken then.
-    pub leaving: CancellationToken,
-    /// In a planned stop, the time by which a request that is still taken has
-    /// to be expected to end.
-    pub last_end: Mutex<Option<Millis>>,
-    /// Cancelled when a planned stop takes no more requests.
-    pub stopping: CancellationToken,
+    /// What requests of callers are served with.
+    pub requests: Arc<Requests>,
     /// Cancelled when background tasks are to end.
     pub ended: CancellationToken,
-    /// Requests in flight.
-    pub work: TaskTracker,
-    attempts: AtomicU64,
 }
 
 impl Daemon {
@@ -138,6 +129,21 @@
             stopping.clone(),
         );
         let billing = Billing::new(fleet.clone(), store.clone());
+        let budgets = Arc::new(budgets);
+        let requests = Requests {
+            base: base.clone(),
+            fleet: fleet.clone(),
+            table: Arc::clone(&table),
+            router: Arc::clone(&router),
+            budgets: Arc::clone(&budgets),
+            crashes: Arc::clone(&crashes),
+            hints: Arc::clone(&hints),
+            unread_changed: Arc::clone(&membership.unread_changed),
+            leaving,
+            last_end: Mutex::new(None),
+            stopping,
+            work: TaskTracker::new(),
+        };
         Ok(Arc::new(Daemon {
             clock: base.clock,
             metrics: base.metrics,
@@ -146,33 +152,23 @@
             table,
             router,
             fleet,
-            budgets: Arc::new(budgets),
+            budgets,
             billing: Arc::new(billing),
             peers: base.peers,
             hints,
             crashes,
             view,
             membership: Arc::new(membership),
-            leaving,
-            last_end: Mutex::new(None),
-            stopping,
-            ended: base.ended.clone(),
-            work: TaskTracker::new(),
-            attempts: AtomicU64::new(0),
+            requests: Arc::new(requests),
+            ended: base.ended,
             incarnation,
             log,
             cfg,
         }))
     }
 
-    /// Identity for a new attempt.
-    pub fn next_attempt(&self) -> AttemptId {
-        let sequence = self.attempts.fetch_add(1, Ordering::Relaxed);
-        AttemptId { incarnation: self.incarnation, sequence }
-    }
-
     /// Revision of the table in force; 0 when there is none yet.
     pub fn revision(&self) -> u64 {
-        self.table.load().as_ref().map_or(0, |table| table.revision)
+        self.requests.revision()
     }
 }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -5,6 +5,7 @@
 //! caller to a listed server and back. What the wire looks like is the
 //! [`Wire`]'s matter.
 
+pub mod admitted;
 pub mod attempt;
 pub mod backends;
 pub mod call;
@@ -26,14 +27,17 @@
 use bankcove_ports::wire::Wire;
 use parking_lot::Mutex;
 
-use crate::config::entry::EntrySettings;
-use crate::daemon::Daemon;
+use crate::base::config::entry::EntrySettings;
 use crate::entry::backends::Backends;
+use crate::requests::Requests;
+use crate::view::View;
 
 /// What the parts of the entry side share.
 pub struct Entry {
-    /// The daemon's parts below.
-    pub daemon: Arc<Daemon>,
+    /// What its requests are served with.
+    pub requests: Arc<Requests>,
+    /// What is known of the platform.
+    pub view: Arc<View>,
     /// The platform's wire.
     pub wire: Arc<dyn Wire>,
     /// Connections to backend servers.
@@ -52,13 +56,19 @@
         self.retries.lock().set_allowance(settings.retry_allowance());
     }
 
-    /// The entry side of `daemon`.
-    pub fn new(daemon: Arc<Daemon>, wire: Arc<dyn Wire>, settings: EntrySettings) -> Arc<Self> {
+    /// The entry side of a daemon.
+    pub fn new(
+        requests: Arc<Requests>,
+        view: Arc<View>,
+        wire: Arc<dyn Wire>,
+        settings: EntrySettings,
+    ) -> Arc<Self> {
         Arc::new(Entry {
             backends: Backends::new(),
             retries: Mutex::new(RetryBudget::new(settings.retry_allowance())),
             link: Mutex::new(settings.link_mbps.map(Link::new)),
-            daemon,
+            requests,
+            view,
             wire,
             settings,
         })
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -14,7 +14,7 @@
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::hints::permit::Permit;
-use crate::open_request::OpenRequest;
+use crate::requests::open_request::OpenRequest;
 
 /// Largest answer that is no stream, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -56,14 +56,14 @@
 ) -> Tried {
     let entry = Arc::clone(&call.entry);
     let choice = permit.choice().clone();
-    let mut open = OpenRequest::new(&entry.daemon, &choice, call.prompt_tokens());
+    let mut open = OpenRequest::new(&entry.requests, &choice, call.prompt_tokens());
     let outgoing = call.outgoing(&choice, resume_after);
     let ran_before = call.ran;
     charge.sent();
     call.tried.push(choice.server.clone());
     call.link.sent(call.body.len());
     call.link.sent_head();
-    let clock = &entry.daemon.clock;
+    let clock = &entry.requests.base.clock;
     let asked_at = clock.now();
     let sent = clock.before(call.deadline, entry.backends.send(permit, outgoing)).await;
     let res = match sent {
@@ -89,7 +89,7 @@
             call.ran = true;
             open.failed();
             log_try(call, &choice, &problem);
-            entry.daemon.crashes.broke_off(&choice, call.fingerprint());
+            entry.requests.crashes.broke_off(&choice, call.fingerprint());
             return Tried::Lost;
         }
         Some(Ok(res)) => res,
@@ -99,14 +99,14 @@
     let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.incoming.id);
     // Another program may have got the server's address, or its word be that of an earlier one.
     if !is_foreign && (head.is_signed || head.unrun == Some(Unrun::Full)) {
-        entry.daemon.hints.observe(&call.log, &choice.start(), asked_at, &head.hints);
+        entry.requests.hints.observe(&call.log, &choice.start(), asked_at, &head.hints);
     }
     if let Some(unrun) = head.unrun {
         charge.not_run(ran_before);
         if unrun == Unrun::OtherInstance {
             // That start of the server is gone, whatever the lagging list says.
-            let now = entry.daemon.clock.now();
-            entry.daemon.router.lock().said_leaving(now, &choice.server, choice.started_ms);
+            let now = entry.requests.base.clock.now();
+            entry.requests.router.lock().said_leaving(now, &choice.server, choice.started_ms);
         }
         log_try(call, &choice, unrun_text(unrun));
         return Tried::Unrun;
@@ -134,7 +134,7 @@
     let status = res.status();
     let headers = call.entry.wire.answer_headers(res.headers());
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect();
-    match call.entry.daemon.clock.before(call.deadline, body).await {
+    match call.entry.requests.base.clock.before(call.deadline, body).await {
         Some(Ok(body)) => {
             if status.is_server_error() {
                 open.failed();
@@ -147,7 +147,7 @@
             let is_large = e.downcast_ref::<LengthLimitError>().is_some();
             log_try(call, &choice, if is_large { "the answer is too large" } else { "cut short" });
             if !is_large {
-                call.entry.daemon.crashes.broke_off(&choice, call.fingerprint());
+                call.entry.requests.crashes.broke_off(&choice, call.fingerprint());
             }
             Tried::Lost
         }
@@ -168,7 +168,7 @@
 
 /// One line for a try that brought no answer.
 pub fn log_try(call: &Call, choice: &Choice, problem: &str) {
-    call.entry.daemon.metrics.count("try.failed");
+    call.entry.requests.base.metrics.count("try.failed");
     slog::info!(call.log, "try failed";
         "server" => %choice.server, "address" => &choice.address, "problem" => problem,
         "fingerprint" => %call.fingerprint(),
@@ -178,8 +178,8 @@
 /// One line for a request that has ended with a server's answer.
 pub fn log_end(call: &Call, charge: &Charge, outcome: &str, status: StatusCode) {
     let age = call.age_ms();
-    call.entry.daemon.metrics.time("request.ms", age);
-    call.entry.daemon.metrics.count("request.answered");
+    call.entry.requests.base.metrics.time("request.ms", age);
+    call.entry.requests.base.metrics.count("request.answered");
     let server = call.tried.last().map(ToString::to_string);
     slog::info!(call.log, "request ended";
         "outcome" => outcome, "status" => status.as_u16(), "server" => server,
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -73,12 +73,12 @@
 impl Call {
     /// Milliseconds since it came.
     pub fn age_ms(&self) -> Millis {
-        self.entry.daemon.clock.now().saturating_sub(self.arrived)
+        self.entry.requests.base.clock.now().saturating_sub(self.arrived)
     }
 
     /// Whether its caller waits no longer.
     pub fn is_late(&self) -> bool {
-        self.entry.daemon.clock.left(self.deadline).is_zero()
+        self.entry.requests.base.clock.left(self.deadline).is_zero()
     }
 
     /// What it asks for, hashed when it is first needed: no request pays for it but those
@@ -103,7 +103,7 @@
 
     /// What is known of it as one that crashes its servers.
     pub fn verdict(&self) -> Verdict {
-        self.entry.daemon.crashes.verdict(|| self.fingerprint())
+        self.entry.requests.crashes.verdict(|| self.fingerprint())
     }
 
     /// Passes a request that is not known to crash its servers; waits while that is found out.
@@ -111,8 +111,8 @@
     /// # Errors
     /// What the caller of another one is told.
     pub async fn pass_crashes(&mut self) -> Result<(), Refusal> {
-        let daemon = &self.entry.daemon;
-        let refusal = match daemon.crashes.settled(self.deadline, || self.fingerprint()).await {
+        let requests = &self.entry.requests;
+        let refusal = match requests.crashes.settled(self.deadline, || self.fingerprint()).await {
             Verdict::Free | Verdict::Suspect => return Ok(()),
             Verdict::Apart if self.may_run_apart() => return Ok(()),
             Verdict::Apart | Verdict::Held => Refusal::CrashesInDoubt,
@@ -126,7 +126,7 @@
 
     fn may_run_apart(&mut self) -> bool {
         if self.apart.is_none() {
-            self.apart = self.entry.daemon.crashes.run_apart(self.fingerprint());
+            self.apart = self.entry.requests.crashes.run_apart(self.fingerprint());
         }
         self.apart.is_some()
     }
@@ -144,10 +144,10 @@
         if self.verdict() != Verdict::Free {
             return false;
         }
-        let daemon = &self.entry.daemon;
+        let requests = &self.entry.requests;
         // Of a fleet that is not known yet no part of what all may repeat is this one's.
-        let daemons = daemon.fleet.size().unwrap_or(usize::MAX);
-        let now = daemon.clock.now();
+        let daemons = requests.fleet.size().unwrap_or(usize::MAX);
+        let now = requests.base.clock.now();
         self.entry.retries.lock().repeat(&self.plan.service, daemons, now)
     }
 
@@ -161,7 +161,7 @@
         let mut last = NoServer::NoneUsable;
         for _ in 0..MOST_ASKS {
             let choice = self.choose_or_wait().await?;
-            let hints = &self.entry.daemon.hints;
+            let hints = &self.entry.requests.hints;
             match hints.permit(&self.log, choice, self.plan.rank()).await {
                 Ok(permit) => return Ok(permit),
                 Err(NoPermit::AtLimit(at_limit)) => last = NoServer::OnlyLimited(at_limit),
@@ -175,7 +175,7 @@
     /// Chooses a server; while all are at their limits or rest it waits for the first of them,
     /// when that is soon.
     async fn choose_or_wait(&self) -> Result<Choice, NoServer> {
-        let clock = &self.entry.daemon.clock;
+        let clock = &self.entry.requests.base.clock;
         let until = self.deadline.min(self.arrived + self.plan.route.goal_ms / WAIT_PART);
         loop {
             let why = match self.choose() {
@@ -196,10 +196,10 @@
 
     /// The refusal of a caller that comes back in its turn.
     fn return_later(&self, why: NoServer) -> NoServer {
-        let daemon = &self.entry.daemon;
-        let why = daemon.hints.in_turn(&self.plan.service, why);
+        let requests = &self.entry.requests;
+        let why = requests.hints.in_turn(&self.plan.service, why);
         let servers =
-            daemon.router.lock().servers_held_back(daemon.clock.now(), &self.plan.service);
+            requests.router.lock().servers_held_back(requests.base.clock.now(), &self.plan.service);
         slog::info!(self.log, "all servers at their limits or resting";
             "service" => %self.plan.service, "why" => ?why, "servers" => servers.join(", "));
         why
@@ -211,7 +211,7 @@
     /// [`NoServer`] when none is to be had.
     fn choose(&self) -> Result<Choice, NoServer> {
         let seed = rand::random();
-        let place = self.entry.daemon.crashes.place(|| self.fingerprint());
+        let place = self.entry.requests.crashes.place(|| self.fingerprint());
         let wanted = Wanted {
             pool: self.plan.service.as_str(),
             prefix: place.map_or_else(|| self.prefix(seed), |place| place.key),
@@ -221,9 +221,9 @@
             tried: &self.tried,
             homes: Homes { route: &self.plan.route.homes, workspace: &self.plan.workspace_homes },
         };
-        let daemon = &self.entry.daemon;
+        let requests = &self.entry.requests;
         let rank = place.map_or(0, |place| place.rank);
-        daemon.router.lock().choose_apart(daemon.clock.now(), &wanted, rank)
+        requests.router.lock().choose_apart(requests.base.clock.now(), &wanted, rank)
     }
 
     /// What decides which server comes first.
@@ -234,7 +234,7 @@
     /// The request as it goes to this server. `resume_after` is the last event
     /// that the caller has.
     pub fn outgoing(&self, choice: &Choice, resume_after: Option<u64>) -> Outgoing {
-        let left = self.entry.daemon.clock.left(self.deadline);
+        let left = self.entry.requests.base.clock.left(self.deadline);
         let dispatch = Dispatch {
             server: &choice.server,
             workspace: self.plan.workspace.as_ref(),
--- a/crates/daemon/src/entry/charge.rs
+++ b/crates/daemon/src/entry/charge.rs
@@ -7,7 +7,7 @@
 use bankcove_core::holder::Reservation;
 use slog::Logger;
 
-use crate::daemon::Daemon;
+use crate::requests::Requests;
 
 /// Events that a server may have made beyond those that arrived, before it saw
 /// that nobody reads them: it stops within half a second, at 30 ms an event.
@@ -15,7 +15,7 @@
 
 /// The charge of one request; dropping it settles it.
 pub struct Charge {
-    daemon: Arc<Daemon>,
+    requests: Arc<Requests>,
     log: Logger,
     reservation: Option<Reservation>,
     input_tokens: Tokens,
@@ -29,14 +29,14 @@
     /// A charge of `reservation`; none for a request that costs nothing. `log` tells
     /// the request.
     pub fn new(
-        daemon: &Arc<Daemon>,
+        requests: &Arc<Requests>,
         log: &Logger,
         reservation: Option<Reservation>,
         input_tokens: Tokens,
         tokens_per_event: Tokens,
     ) -> Self {
         Charge {
-            daemon: Arc::clone(daemon),
+            requests: Arc::clone(requests),
             log: log.clone(),
             reservation,
             input_tokens,
@@ -90,7 +90,7 @@
                     "budget" => %reservation.budget(), "tokens" => tokens,
                     "reserved" => reservation.tokens(), "events" => self.events);
             }
-            self.daemon.budgets.holder().settle(reservation, tokens);
+            self.requests.budgets.holder().settle(reservation, tokens);
         }
     }
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -5,9 +5,8 @@
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
+use crate::entry::admitted::Admitted;
 use crate::entry::attempt::{Answered, Tried, attempt, log_end};
-use crate::entry::call::Call;
-use crate::entry::charge::Charge;
 use crate::entry::refusal::Refusal;
 use crate::entry::relay::Relay;
 
@@ -23,7 +22,8 @@
 ///
 /// # Errors
 /// What the caller is told instead.
-pub async fn forward(mut call: Call, mut charge: Charge) -> Result<Answer, Refusal> {
+pub async fn forward(admitted: Admitted) -> Result<Answer, Refusal> {
+    let Admitted { mut call, mut charge } = admitted;
     let mut failure = None;
     let mut none = NoServer::NoneUsable;
     loop {
@@ -56,8 +56,8 @@
                 let is_failure = status.is_server_error() && call.plan.may_repeat();
                 if !is_failure {
                     charge.whole();
-                    let daemon = &call.entry.daemon;
-                    daemon.crashes.ended(&choice, is_framed, || call.fingerprint());
+                    let requests = &call.entry.requests;
+                    requests.crashes.ended(&choice, is_framed, || call.fingerprint());
                     call.link.sent(body.len());
                     log_end(&call, &charge, "answered", status);
                     return Ok(Answer::Whole(status, headers, body));
--- a/crates/daemon/src/entry/link_use.rs
+++ b/crates/daemon/src/entry/link_use.rs
@@ -39,7 +39,7 @@
     ) -> Option<Self> {
         let expected = expected(plan, incoming, body);
         let rank = plan.rank();
-        let now = entry.daemon.clock.now();
+        let now = entry.requests.base.clock.now();
         let mut link = entry.link.lock();
         let is_promised = link.as_mut().is_none_or(|link| link.promise(expected, rank, now));
         drop(link);
@@ -60,7 +60,7 @@
 
 impl Drop for LinkUse {
     fn drop(&mut self) {
-        let now = self.entry.daemon.clock.now();
+        let now = self.entry.requests.base.clock.now();
         if let Some(link) = self.entry.link.lock().as_mut() {
             link.ended(self.expected, self.sent, now);
         }
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -99,7 +99,7 @@
     Ok(known)
 }
 
-/// The share that a request falls to: the same one on every daemon.
+/// The share that a request falls to: the same one on every requests.
 fn share_of<'a>(split: &'a [Share], id: &str) -> Option<&'a Share> {
     let total: f64 = split.iter().map(|share| share.weight).sum();
     let point = xxh3_64(id.as_bytes()) as f64 / u64::MAX as f64 * total;
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -21,7 +21,7 @@
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::pace::Pace;
-use crate::open_request::OpenRequest;
+use crate::requests::open_request::OpenRequest;
 
 /// A stream of events on its way to the caller.
 pub struct Relay {
@@ -81,9 +81,9 @@
                 Read::Events(events) => return Some(Ok(events)),
                 Read::End => {
                     self.charge.whole();
-                    let daemon = &self.call.entry.daemon;
+                    let requests = &self.call.entry.requests;
                     let request = || self.call.fingerprint();
-                    daemon.crashes.ended(&self.choice, self.is_framed, request);
+                    requests.crashes.ended(&self.choice, self.is_framed, request);
                     self.tell_pace();
                     log_end(&self.call, &self.charge, "stream ended", StatusCode::OK);
                     return None;
@@ -96,7 +96,7 @@
             };
             self.open.failed();
             log_try(&self.call, &self.choice, problem);
-            self.call.entry.daemon.crashes.broke_off(&self.choice, self.call.fingerprint());
+            self.call.entry.requests.crashes.broke_off(&self.choice, self.call.fingerprint());
             if !self.resume().await {
                 return Some(Err(self.break_off(problem)));
             }
@@ -106,7 +106,7 @@
     /// Reads until there is a whole event, or the stream has ended in some way.
     async fn read(&mut self) -> Read {
         loop {
-            let clock = &self.call.entry.daemon.clock;
+            let clock = &self.call.entry.requests.base.clock;
             let frame = match clock.before(self.call.deadline, self.body.frame()).await {
                 None => return Read::Late,
                 Some(None) if self.splitter.is_empty() => return Read::End,
@@ -158,7 +158,7 @@
                 Tried::Begun(res, open, choice) => {
                     slog::info!(self.call.log, "stream resumed";
                         "server" => %choice.server, "after" => after);
-                    self.call.entry.daemon.metrics.count("stream.resumed");
+                    self.call.entry.requests.base.metrics.count("stream.resumed");
                     self.is_framed = crashes::is_framed(res.headers());
                     self.body = res.into_body();
                     self.open = open;
@@ -175,11 +175,11 @@
 
     /// Tells how the stream came: late by its first event, or by a pause.
     fn tell_pace(&self) {
-        let daemon = &self.call.entry.daemon;
+        let requests = &self.call.entry.requests;
         if let Some(pace) = self.pace.of_server() {
-            daemon.router.lock().streamed(&self.choice.server, self.choice.started_ms, pace);
+            requests.router.lock().streamed(&self.choice.server, self.choice.started_ms, pace);
         }
-        let metrics = &daemon.metrics;
+        let metrics = &requests.base.metrics;
         let (first_ms, pause_ms) = (self.pace.first_ms(), self.pace.longest_pause_ms());
         if let Some(first_ms) = first_ms {
             metrics.time("stream.first_ms", first_ms);
@@ -192,7 +192,7 @@
     }
 
     fn break_off(&self, problem: &'static str) -> io::Error {
-        self.call.entry.daemon.metrics.count("stream.broken_off");
+        self.call.entry.requests.base.metrics.count("stream.broken_off");
         slog::warn!(self.call.log, "stream broken off";
             "fingerprint" => %self.call.fingerprint(),
             "problem" => problem, "after" => self.order.last(), "server" => %self.choice.server,
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -1,14 +1,11 @@
-//! Serves callers: reads a request, sets its cost aside, has it forwarded, and
-//! writes the answer.
+//! Serves callers: reads a request, has it admitted and forwarded, and writes the answer.
 
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bankcove_core::holder::{Reservation, Wish};
 use bankcove_core::outage;
-use bankcove_core::owner::RETRY_LATER_MS;
 use bankcove_core::table::CallerLimits;
-use bankcove_core::{Millis, Name, Tokens};
+use bankcove_core::{Millis, Name};
 use bankcove_ports::wire::Incoming;
 use salvo::affix_state;
 use salvo::http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
@@ -16,26 +13,15 @@
 use salvo::prelude::*;
 use slog::o;
 
-use crate::budget::budgets;
-use crate::budget::ration::ration;
-use crate::daemon::Daemon;
 use crate::entry::Entry;
+use crate::entry::admitted::Admitted;
 use crate::entry::call::Call;
-use crate::entry::charge::Charge;
 use crate::entry::forward::{Answer, forward};
 use crate::entry::link_use::LinkUse;
 use crate::entry::plan::Plan;
 use crate::entry::ready::entry;
 use crate::entry::refusal::Refusal;
-
-/// Longest wait for tokens of a budget: a draw takes two calls of the store at
-/// some 4 ms, and a refusal that comes later than a quarter of a caller's goal
-/// is of little use to it.
-const BUDGET_WAIT: Duration = Duration::from_millis(150);
-
-/// When to come back after tokens did not come in time: another daemon, which the
-/// next try most likely comes to, may hold some now.
-const RETRY_OUT_OF_REACH: Duration = Duration::from_millis(300);
+use crate::requests::Requests;
 
 /// Routes of the callers' side: every path is looked up in the table.
 pub fn router(entry: Arc<Entry>) -> Router {
@@ -46,8 +32,8 @@
 #[handler]
 async fn serve(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let entry = entry(depot);
-    let in_flight = entry.daemon.work.token();
-    if entry.daemon.leaving.is_cancelled() {
+    let in_flight = entry.requests.work.token();
+    if entry.requests.leaving.is_cancelled() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     match handle(&entry, req).await {
@@ -93,29 +79,28 @@
 }
 
 async fn handle(entry: &Arc<Entry>, req: &mut Request) -> Result<Answer, Refusal> {
-    let daemon = &entry.daemon;
-    let arrived = daemon.clock.now();
+    let requests = &entry.requests;
+    let arrived = requests.base.clock.now();
     let path = req.uri().path().to_owned();
     let refused = |refusal: Refusal, incoming: Option<&Incoming>| {
-        daemon.metrics.count(&format!("refused.{}", refusal.code()));
-        slog::info!(daemon.log, "request refused";
+        requests.base.metrics.count(&format!("refused.{}", refusal.code()));
+        slog::info!(requests.base.log, "request refused";
             "request" => incoming.map(|incoming| incoming.id.clone()), "code" => refusal.code(),
-            "why" => %refusal, "table" => daemon.revision(),
+            "why" => %refusal, "table" => requests.revision(),
             "retry_after_ms" => refusal.retry_after().map(|after| after.as_millis() as u64),
             "path" => &path, "tokens" => incoming.and_then(|incoming| incoming.prompt.as_ref())
                 .map(|prompt| prompt.input_tokens + prompt.output_limit),
-            "store_heard_ms" => daemon.fleet.contact.store_age(daemon.clock.now()),
-            "age_ms" => daemon.clock.now() - arrived);
+            "store_heard_ms" => requests.fleet.contact.store_age(requests.base.clock.now()),
+            "age_ms" => requests.base.clock.now() - arrived);
         refusal
     };
     let incoming = entry.wire.read_request(req.headers());
     let incoming = incoming.map_err(|e| refused(e.into(), None))?;
     let read = read_call(entry, req, incoming.clone(), arrived).await;
-    let mut call = read.map_err(|refusal| refused(refusal, Some(&incoming)))?;
-    call.pass_crashes().await.map_err(|refusal| refused(refusal, Some(&incoming)))?;
-    let charge = charge(&call).await.map_err(|refusal| refused(refusal, Some(&incoming)))?;
-    entry.retries.lock().request(&call.plan.service, daemon.clock.now());
-    forward(call, charge).await.map_err(|refusal| refused(refusal, Some(&incoming)))
+    let call = read.map_err(|refusal| refused(refusal, Some(&incoming)))?;
+    let admitted = Admitted::admit(call).await;
+    let admitted = admitted.map_err(|refusal| refused(refusal, Some(&incoming)))?;
+    forward(admitted).await.map_err(|refusal| refused(refusal, Some(&incoming)))
 }
 
 async fn read_call(
@@ -124,28 +109,28 @@
     incoming: Incoming,
     arrived: Millis,
 ) -> Result<Call, Refusal> {
-    let daemon = &entry.daemon;
-    if daemon.stopping.is_cancelled() {
+    let requests = &entry.requests;
+    if requests.stopping.is_cancelled() {
         return Err(Refusal::Stopping);
     }
-    let table = daemon.table.load_full();
-    let table = table.ok_or_else(|| Refusal::NoTable(retry_after_start(daemon)))?;
+    let table = requests.table.load_full();
+    let table = table.ok_or_else(|| Refusal::NoTable(retry_after_start(requests)))?;
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
     let plan = Plan::find(&table, host, req.uri().path(), &incoming)?;
     let host = Name::from(host);
-    let ends = daemon.clock.now() + plan.expected_time(&incoming).as_millis() as Millis;
-    if daemon.last_end.lock().is_some_and(|last_end| ends > last_end) {
+    let ends = requests.base.clock.now() + plan.expected_time(&incoming).as_millis() as Millis;
+    if requests.last_end.lock().is_some_and(|last_end| ends > last_end) {
         return Err(Refusal::Stopping);
     }
     let path = req.uri().path_and_query().cloned();
-    let body = read_body(table.caller_limits, &daemon.cfg.limits, req).await?;
+    let body = read_body(table.caller_limits, &requests.base.cfg.limits, req).await?;
     let link = LinkUse::promise(entry, &plan, &incoming, body.len()).ok_or(Refusal::LinkFull)?;
     let patience = incoming.patience.unwrap_or(Duration::MAX);
     let longest = Duration::from_millis(plan.route.deadline_ms);
     Ok(Call {
         entry: Arc::clone(entry),
-        log: daemon.log.new(o!("request" => incoming.id.clone())),
+        log: requests.base.log.new(o!("request" => incoming.id.clone())),
         method: req.method().clone(),
         host,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
@@ -166,7 +151,7 @@
 
 async fn read_body(
     of_table: Option<CallerLimits>,
-    of_settings: &crate::config::Limits,
+    of_settings: &crate::base::config::Limits,
     req: &mut Request,
 ) -> Result<bytes::Bytes, Refusal> {
     let largest = of_table.map_or(of_settings.max_body_bytes, |limits| limits.max_body_bytes);
@@ -179,64 +164,7 @@
     }
 }
 
-/// Sets aside what the request costs at its most.
-async fn charge(call: &Call) -> Result<Charge, Refusal> {
-    let daemon = &call.entry.daemon;
-    let (Some(prompt), Some(budget)) = (&call.incoming.prompt, &call.plan.budget) else {
-        return Ok(Charge::new(daemon, &call.log, None, 0, 0));
-    };
-    let per_event = call.plan.tokens_per_event;
-    // The last event may hold fewer tokens than the limit leaves room for.
-    let tokens = prompt.input_tokens + prompt.output_limit.next_multiple_of(per_event.max(1));
-    let reservation = reserve(call, budget, tokens).await?;
-    Ok(Charge::new(daemon, &call.log, Some(reservation), prompt.input_tokens, per_event))
-}
-
-async fn reserve(
-    call: &Call,
-    budget: &bankcove_core::table::Budget,
-    tokens: Tokens,
-) -> Result<Reservation, Refusal> {
-    let daemon = &call.entry.daemon;
-    let name = budget.name.to_string();
-    let (ration_s, rank) = (call.entry.settings.ration_s, call.plan.rank());
-    let wish = Wish { tokens, rank, ration_s };
-    let rationed = |ration: Tokens| {
-        let retry_after = Duration::from_millis(RETRY_LATER_MS);
-        Refusal::BudgetRationed { budget: budget.name.to_string(), tokens, ration, retry_after }
-    };
-    let ration = ration(&daemon.budgets, budget, wish).await;
-    if tokens > ration {
-        return Err(rationed(ration));
-    }
-    let reserving = budgets::reserve(&daemon.budgets, budget, wish);
-    match tokio::time::timeout(BUDGET_WAIT, reserving).await {
-        Ok(Ok(reservation)) => Ok(reservation),
-        Ok(Err(refusal)) => {
-            let retry_after = Duration::from_millis(refusal.retry_after_ms);
-            Err(if let Some(ration) = refusal.ration {
-                rationed(ration)
-            } else if refusal.store_away {
-                let retry_after = retry_in_outage(daemon);
-                Refusal::BudgetOutOfReach { budget: name, tokens, retry_after }
-            } else {
-                Refusal::BudgetShort { budget: name, tokens, retry_after }
-            })
-        }
-        Err(_) => {
-            let retry_after = RETRY_OUT_OF_REACH;
-            Err(Refusal::BudgetOutOfReach { budget: name, tokens, retry_after })
-        }
-    }
-}
-
 /// When to come back while this start knows no table.
-fn retry_after_start(daemon: &Daemon) -> Duration {
-    Duration::from_millis(outage::retry_after_start(daemon.clock.now(), rand::random()))
-}
-
-/// When to come back after neither the store nor an owner had tokens.
-fn retry_in_outage(daemon: &Daemon) -> Duration {
-    let outage_ms = daemon.fleet.contact.store_age(daemon.clock.now());
-    Duration::from_millis(outage::retry_after_outage(outage_ms, rand::random()))
+fn retry_after_start(requests: &Requests) -> Duration {
+    Duration::from_millis(outage::retry_after_start(requests.base.clock.now(), rand::random()))
 }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -6,6 +6,7 @@
 
 pub mod ask_pause;
 pub mod health;
+pub mod suspension;
 
 use std::sync::Arc;
 use std::time::Duration;
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,6 +1,5 @@
 //! What the HTTP sides have in common: serving, injected state, bodies.
 
-use std::sync::Arc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,9 +9,9 @@
 use tokio::task::JoinHandle;
 
 use crate::api::answer::Problem;
-use crate::daemon::Daemon;
+use crate::base::config::Limits;
+use crate::base::tcp;
 use crate::error::{Error, Result};
-use crate::tcp;
 
 /// A side that serves.
 pub struct Side {
@@ -22,12 +21,6 @@
     pub task: JoinHandle<()>,
 }
 
-/// The daemon that a request came to.
-pub fn daemon(depot: &Depot) -> Arc<Daemon> {
-    let daemon = depot.obtain::<Arc<Daemon>>();
-    Arc::clone(daemon.expect("the daemon is injected into every route"))
-}
-
 /// Serves `router` on `address`.
 ///
 /// # Errors
@@ -46,8 +39,7 @@
 ///
 /// # Errors
 /// The answer for a caller whose body is too large or too slow.
-pub async fn read_body(daemon: &Daemon, req: &mut Request) -> std::result::Result<Bytes, Problem> {
-    let limits = &daemon.cfg.limits;
+pub async fn read_body(limits: &Limits, req: &mut Request) -> std::result::Result<Bytes, Problem> {
     let reading = req.payload_with_max_size(limits.max_body_bytes);
     match tokio::time::timeout(Duration::from_millis(limits.body_timeout_ms), reading).await {
         Ok(Ok(body)) => Ok(body.clone()),
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -56,7 +56,7 @@
     /// What it knows of limits.
     pub hints: Arc<Hints>,
     /// Told when what servers have to read for this daemon has changed.
-    pub unread_changed: Notify,
+    pub unread_changed: Arc<Notify>,
     /// Rounds of news of that which were told to peers.
     news_told: AtomicU64,
     fetches: Fetches,
@@ -76,7 +76,7 @@
             view,
             crashes,
             hints,
-            unread_changed: Notify::new(),
+            unread_changed: Arc::default(),
             news_told: AtomicU64::new(0),
             fetches: Fetches::default(),
             stopping,
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -1,6 +1,8 @@
 //! The operators' side: table, budgets, status, dump. Everything there needs
 //! the operators' token.
 
+pub mod dump;
+
 use std::sync::Arc;
 
 use bankcove_core::edit::Edit;
@@ -15,8 +17,6 @@
 use crate::budget::draws::ask_owner;
 use crate::budget::statement::statement;
 use crate::daemon::Daemon;
-use crate::dump;
-use crate::http::daemon;
 use crate::identity::tokens_match;
 use crate::view::table_sync::{self, EditError};
 
@@ -33,6 +33,12 @@
     pub tokens: Tokens,
 }
 
+/// The daemon that an operator asks.
+fn daemon(depot: &Depot) -> Arc<Daemon> {
+    let daemon = depot.obtain::<Arc<Daemon>>();
+    Arc::clone(daemon.expect("the daemon is injected into every route"))
+}
+
 /// Routes of the operators' side.
 pub fn router(daemon: Arc<Daemon>) -> Router {
     Router::with_path("v1")
@@ -50,6 +56,14 @@
         .push(Router::with_path("dump").get(get_dump))
 }
 
+/// Routes of the side that tells metrics and state on a platform's own network.
+pub fn metrics_router(daemon: Arc<Daemon>) -> Router {
+    Router::new()
+        .hoop(affix_state::inject(daemon))
+        .push(Router::with_path("metrics").get(get_metrics))
+        .push(Router::with_path("dump").get(get_dump))
+}
+
 fn fail(res: &mut Response, status: StatusCode, code: &str, message: &str) {
     res.status_code(status);
     res.render(Json(json!({"error": {"code": code, "message": message}})));
@@ -210,6 +224,11 @@
     res.render(Json(dump::status(&daemon(depot))));
 }
 
+#[handler]
+async fn get_metrics(depot: &mut Depot, res: &mut Response) {
+    res.render(Text::Plain(daemon(depot).metrics.text()));
+}
+
 #[handler]
 async fn get_dump(depot: &mut Depot, res: &mut Response) {
     res.render(Json(dump::dump(&daemon(depot)).await));
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -29,10 +29,10 @@
         "hall": daemon.cfg.hall,
         "incarnation": daemon.incarnation,
         "revision": daemon.revision(),
-        "stopping": daemon.stopping.is_cancelled(),
+        "stopping": daemon.requests.stopping.is_cancelled(),
         "store_heard_ms_ago": daemon.fleet.contact.store_age(now),
         "isolated": daemon.fleet.contact.is_isolated(now, daemon.cfg.limits.isolation_ms),
-        "requests_in_flight": daemon.work.len(),
+        "requests_in_flight": daemon.requests.work.len(),
         "bills_waiting": daemon.billing.waiting(),
         "peers": peers,
     })
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -20,6 +20,7 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::base::tcp;
 use crate::bill::request_log;
 use crate::budget::allotment;
 use crate::budget::{collect, owner, statement};
@@ -30,7 +31,6 @@
 use crate::peer::{
     AllotAnswer, GiveAnswer, HostsTold, OwnerAnswer, PeerService, PermitAnswer, framed,
 };
-use crate::tcp;
 
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
--- a/crates/daemon/src/requests/open_request.rs
+++ b/crates/daemon/src/requests/open_request.rs
@@ -6,12 +6,12 @@
 use bankcove_core::{Millis, Name, Tokens};
 
 use crate::crashes::gate::RunApart;
-use crate::daemon::Daemon;
 use crate::membership::unread_news::MIN_TOLD_TOKENS;
+use crate::requests::Requests;
 
 /// A request that is open at a server; dropping it counts it as ended.
 pub struct OpenRequest {
-    daemon: Arc<Daemon>,
+    requests: Arc<Requests>,
     server: Name,
     started_ms: Millis,
     well: bool,
@@ -23,13 +23,13 @@
 impl OpenRequest {
     /// Counts a request with a prompt of this length (0 without one) as open at
     /// the server of this choice.
-    pub fn new(daemon: &Arc<Daemon>, choice: &Choice, prompt: Tokens) -> Self {
-        daemon.router.lock().sent(&choice.server, choice.started_ms, prompt);
+    pub fn new(requests: &Arc<Requests>, choice: &Choice, prompt: Tokens) -> Self {
+        requests.router.lock().sent(&choice.server, choice.started_ms, prompt);
         if prompt >= MIN_TOLD_TOKENS {
-            daemon.membership.unread_changed.notify_one();
+            requests.unread_changed.notify_one();
         }
         OpenRequest {
-            daemon: Arc::clone(daemon),
+            requests: Arc::clone(requests),
             server: choice.server.clone(),
             started_ms: choice.started_ms,
             well: true,
@@ -42,10 +42,10 @@
     pub fn begun(&mut self) {
         let prompt = std::mem::take(&mut self.unread);
         if prompt > 0 {
-            self.daemon.router.lock().read(&self.server, self.started_ms, prompt);
+            self.requests.router.lock().read(&self.server, self.started_ms, prompt);
         }
         if prompt >= MIN_TOLD_TOKENS {
-            self.daemon.membership.unread_changed.notify_one();
+            self.requests.unread_changed.notify_one();
         }
     }
 
@@ -58,7 +58,7 @@
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.begun();
-        let now = self.daemon.clock.now();
-        self.daemon.router.lock().ended(now, &self.server, self.started_ms, self.well);
+        let now = self.requests.base.clock.now();
+        self.requests.router.lock().ended(now, &self.server, self.started_ms, self.well);
     }
 }
--- a/crates/daemon/tests/clock.rs
+++ b/crates/daemon/tests/clock.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bankcove_core::freshness::{Freshness, answer_time};
-use bankcoved::clock::{Clock, TimeSource};
+use bankcoved::base::clock::{Clock, TimeSource};
 use parking_lot::Mutex;
 use yare::parameterized;
 
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -12,10 +12,10 @@
 use bankcove_core::members::Heartbeat;
 use bankcove_core::table::Budget;
 use bankcove_core::{Incarnation, Name};
-use bankcoved::budget::allotment::owners_to_ask;
-use bankcoved::config::Config;
+use bankcoved::base::config::Config;
+use bankcoved::base::logging;
+use bankcoved::budget::ownership::owners_to_ask;
 use bankcoved::daemon::Daemon;
-use bankcoved::logging;
 
 /// Fleets up to this size draw each by itself.
 const DIRECT: usize = 12;
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -4,9 +4,9 @@
 
 use bankcove_core::members::Heartbeat;
 use bankcove_core::{Incarnation, Name};
-use bankcoved::config::Config;
+use bankcoved::base::config::Config;
+use bankcoved::base::logging;
 use bankcoved::daemon::Daemon;
-use bankcoved::logging;
 use bankcoved::membership;
 
 /// An address at which nobody answers.
--- a/crates/daemon/tests/locks.rs
+++ b/crates/daemon/tests/locks.rs
@@ -10,9 +10,9 @@
 use std::time::Duration;
 
 use bankcove_core::table::Table;
-use bankcoved::config::Config;
+use bankcoved::base::config::Config;
+use bankcoved::base::logging;
 use bankcoved::daemon::Daemon;
-use bankcoved::logging;
 use bankcoved::view::table_sync;
 
 /// Times that both are done: where they can stop each other, they do so within the first
--- a/crates/daemon/tests/owners.rs
+++ b/crates/daemon/tests/owners.rs
@@ -12,11 +12,13 @@
 use bankcove_core::members::{Host, HostRole, HostState};
 use bankcove_core::table::{Budget, Table};
 use bankcove_core::{Name, Tokens};
-use bankcoved::budget::allotment::{ask_for_tokens, owners_to_ask};
+use bankcoved::base::config::Config;
+use bankcoved::base::logging;
+use bankcoved::budget::ask::ask_for_tokens;
+use bankcoved::budget::ownership::owners_to_ask;
 use bankcoved::budget::tend;
-use bankcoved::config::Config;
 use bankcoved::daemon::Daemon;
-use bankcoved::{logging, peer_server};
+use bankcoved::peer_server;
 
 /// What the owner holds at first.
 const HELD: Tokens = 10_000;
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -3,7 +3,7 @@
 use std::io::Write;
 use std::process::{Command, Output};
 
-use bankcoved::config::Config;
+use bankcoved::base::config::Config;
 use yare::parameterized;
 
 fn bankcoved(args: &[&str]) -> Output {
--- a/crates/daemon/tests/tcp.rs
+++ b/crates/daemon/tests/tcp.rs
@@ -1,6 +1,6 @@
 //! Sockets that callers, peers and operators connect to.
 
-use bankcoved::tcp::listen;
+use bankcoved::base::tcp::listen;
 
 #[tokio::test]
 async fn accepted_connections_send_small_pieces_at_once() {
