Ports of the demo stay reserved until its daemons listen on them

A first user's demo ended at once with 'Address already in use': the port that it had looked up was another program's, or an outgoing connection's, before a daemon listened on it. Now each port is a bound socket until it is listened on. Ruled out: trying again with other ports, which hides a port that is taken for good.

--- a/crates/cli/src/demo.rs
+++ b/crates/cli/src/demo.rs
@@ -1,6 +1,6 @@
 //! The demo: stand-ins and three daemons in this process, on loopback.
 
-use std::net::TcpListener;
+use std::net::{Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bankcove_core::Name;
@@ -16,6 +16,7 @@
 use bankcoved::identity::hash_key;
 use serde::Deserialize;
 use serde_json::{Value, json};
+use tokio::net::TcpSocket;
 
 use crate::error::{Error, Result};
 use crate::table::new_change_id;
@@ -70,7 +71,8 @@
         let (table, servers) = start_servers().await?;
         let mut daemons = Vec::new();
         for n in 1..=DAEMONS {
-            let cfg = settings(n, &table, &store.address().to_string())?;
+            let ports = Ports::reserve()?;
+            let cfg = settings(n, &table, &store.address().to_string(), &ports)?;
             let daemon = Daemon::new(cfg, bankcoved::base::logging::silent())?;
             daemons.push(controller::Running::start(daemon).await?);
         }
@@ -235,14 +237,14 @@
     cfg.operator_listen.as_deref().unwrap_or_default()
 }
 
-fn settings(n: usize, table: &Table, store: &str) -> Result<Config> {
+fn settings(n: usize, table: &Table, store: &str, ports: &Ports) -> Result<Config> {
     let hall = table.halls[n % table.halls.len()].name.clone();
     Ok(Config {
         name: Name::from(format!("entry-{n}")),
         hall,
-        caller_listen: free_address()?,
-        peer_listen: free_address()?,
-        operator_listen: Some(free_address()?),
+        caller_listen: address_of(&ports.callers)?,
+        peer_listen: address_of(&ports.peers)?,
+        operator_listen: Some(address_of(&ports.operators)?),
         operator_token: Some(OPERATOR_TOKEN.to_owned()),
         store: store.to_owned(),
         adapter: bankcoved::base::config::Adapter::Own,
@@ -251,9 +253,33 @@
     })
 }
 
-fn free_address() -> Result<String> {
-    let listener = TcpListener::bind("127.0.0.1:0").map_err(Error::Setup)?;
-    Ok(listener.local_addr().map_err(Error::Setup)?.to_string())
+/// Ports of one daemon. They stay bound until it listens on them: a port that is only looked up
+/// may be another program's, or an outgoing connection's, by then.
+struct Ports {
+    callers: TcpSocket,
+    peers: TcpSocket,
+    operators: TcpSocket,
+}
+
+impl Ports {
+    fn reserve() -> Result<Self> {
+        Ok(Ports { callers: reserve_port()?, peers: reserve_port()?, operators: reserve_port()? })
+    }
+}
+
+/// A port that nobody else gets, and on which whoever sets `SO_REUSEADDR` may listen.
+fn reserve_port() -> Result<TcpSocket> {
+    let reserve = || {
+        let socket = TcpSocket::new_v4()?;
+        socket.set_reuseaddr(true)?;
+        socket.bind(SocketAddr::from((Ipv4Addr::LOCALHOST, 0)))?;
+        Ok(socket)
+    };
+    reserve().map_err(Error::Setup)
+}
+
+fn address_of(socket: &TcpSocket) -> Result<String> {
+    Ok(socket.local_addr().map_err(Error::Setup)?.to_string())
 }
 
 fn body(prompt: &str) -> Value {
