The list of servers goes between daemons as what changed since a version

Cause: a list has a version, its changes had none. Change: entries and removals keep the version at which they changed; a peer is told those since its own version, and the whole list where that is not known (a start, an outage, an entry that lapsed). A digest of the list comes along; where changes have not led to it the whole list is asked for at once.

--- a/crates/core/src/server_list.rs
+++ b/crates/core/src/server_list.rs
@@ -5,10 +5,14 @@
 //! they are back soon after its return. An entry that is missing right after
 //! an outage is therefore kept for [`LAPSE_GRACE_MS`].
 
-use std::collections::{BTreeMap, BTreeSet};
+mod news;
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
 
 use serde::{Deserialize, Serialize};
 
+pub use news::ListNews;
+
 use crate::{Millis, Name};
 
 /// How long after the platform's return a missing entry is still believed, in
@@ -114,9 +118,24 @@
     cold_until: Millis,
     /// When it is dropped, if it does not come back before.
     dropped_at: Option<Millis>,
+    /// Version of the platform's list at which it changed last here.
+    changed_at: u64,
 }
 
 impl Entry {
+    /// This entry of a peer, or what this daemon knows already: of a later start, or of what it
+    /// has read since. A later start of which the peer has not heard lapses with the earlier one.
+    fn merged_with(self, known: Option<&Entry>) -> Entry {
+        let Some(known) = known else { return self };
+        let is_read_since = known.changed_at > self.changed_at;
+        if known.server.started_ms > self.server.started_ms {
+            let lapses = self.dropped_at.filter(|_| !is_read_since);
+            return Entry { dropped_at: known.dropped_at.or(lapses), ..known.clone() };
+        }
+        let is_same_start = known.server.started_ms == self.server.started_ms;
+        if is_same_start && is_read_since { known.clone() } else { self }
+    }
+
     /// Whether what the platform tells of the server now is what is known already: an entry
     /// that counts down how long its server is cold, or says that it is warm when that was
     /// expected, is no news. Each version of the list goes whole to every daemon: with a
@@ -138,6 +157,14 @@
     version: ListVersion,
     entries: BTreeMap<Name, Entry>,
     grace_until: Millis,
+    /// Entries that were removed, and at which version of the platform's list.
+    removed: VecDeque<(u64, Gone)>,
+    /// The version of the platform's list from which on all changes are known.
+    changes_from: u64,
+    /// The version up to which this daemon has read the platform's list itself.
+    read_to: u64,
+    /// See [`ServerList::is_doubtful`].
+    is_doubtful: bool,
 }
 
 impl ServerList {
@@ -165,36 +192,47 @@
     /// has changed for a request's choice.
     pub fn apply(&mut self, now: Millis, changes: ServerChanges) -> bool {
         let mut changed = false;
+        self.read_to = self.read_to.max(changes.at);
+        // Whoever has an older version than this one has not seen them.
+        let at = changes.at.max(self.version.at);
         if changes.whole {
             let missing: Vec<Name> = self.missing_from(&changes);
-            missing.iter().for_each(|name| changed |= self.remove(now, name));
+            for name in missing {
+                changed |= self.remove(now, at, Gone { name, started_ms: Millis::MAX });
+            }
         }
         for gone in &changes.gone {
-            if self.started_ms(&gone.name).is_none_or(|known| known <= gone.started_ms) {
-                changed |= self.remove(now, &gone.name);
+            match self.started_ms(&gone.name) {
+                // It came and went between two reads; peers may have seen it.
+                None => self.remember_removed(at, gone.clone()),
+                Some(known) if known == gone.started_ms => {
+                    changed |= self.remove(now, at, gone.clone());
+                }
+                // No grace: the start that is known was over before.
+                Some(known) if known < gone.started_ms => changed |= self.erase(at, gone.clone()),
+                Some(_) => {}
             }
         }
         for name in changes.unreadable.iter().filter_map(|entry| entry.name.as_ref()) {
             // No grace: the platform has an entry, and it names no server.
-            changed |= self.entries.remove(name).is_some();
+            changed |= self.erase(at, Gone { name: name.clone(), started_ms: Millis::MAX });
         }
         for server in changes.put {
-            changed |= self.put(now, server);
+            changed |= self.put(now, at, server);
         }
         if changed || !self.version.is_some() {
             self.version = self.version.max(ListVersion { at: changes.at, drops: 0 });
         }
+        if changes.whole {
+            // What came and went before is not known.
+            self.forget_changes(at);
+        }
         changed
     }
 
     /// The list for a peer.
     pub fn shared(&self, now: Millis) -> Vec<SharedServer> {
-        let shared = |entry: &Entry| SharedServer {
-            server: entry.server.clone(),
-            dropped_in: entry.dropped_at.map(|at| at.saturating_sub(now)),
-            cold_in: entry.cold_until.saturating_sub(now),
-        };
-        self.entries.values().map(shared).collect()
+        self.entries.values().map(|entry| entry.shared(now)).collect()
     }
 
     /// Takes the whole list of a peer, if it is newer; returns whether it was.
@@ -202,27 +240,42 @@
     /// Entries that lapse at the peer are kept only where they are known: this
     /// daemon may have heard before that they are gone for good.
     pub fn adopt(&mut self, now: Millis, version: ListVersion, servers: Vec<SharedServer>) -> bool {
-        if version <= self.version {
+        let replaces = std::mem::take(&mut self.is_doubtful) && version == self.version;
+        if !replaces && (version <= self.version || self.has_read(version)) {
             return false;
         }
         self.version = version;
+        self.forget_changes(version.at + u64::from(version.drops > 0));
         let old = std::mem::take(&mut self.entries);
         let is_known = |shared: &SharedServer| {
             shared.dropped_in.is_none() || old.contains_key(&shared.server.name)
         };
         let entry = |shared: SharedServer| {
             let dropped_at = shared.dropped_in.map(|left| now + left);
-            let told =
-                Entry { cold_until: now + shared.cold_in, dropped_at, server: shared.server };
+            let told = Entry {
+                cold_until: now + shared.cold_in,
+                dropped_at,
+                server: shared.server,
+                changed_at: version.at,
+            };
             let known = old.get(&told.server.name);
-            let is_later = |known: &&Entry| known.server.started_ms > told.server.started_ms;
-            let entry = known.filter(is_later).cloned().unwrap_or(told);
+            let entry = if replaces { told } else { told.merged_with(known) };
             (entry.server.name.clone(), entry)
         };
         self.entries = servers.into_iter().filter(is_known).map(entry).collect();
         true
     }
 
+    /// Whether this daemon has read all of a peer's version from the platform itself, with
+    /// changes that came and went since: the peer's list would bring them back.
+    fn has_read(&mut self, version: ListVersion) -> bool {
+        let has_read = version.at <= self.read_to;
+        if has_read {
+            self.version = self.version.max(version);
+        }
+        has_read
+    }
+
     /// Drops entries whose grace is over; returns whether there were any.
     pub fn drop_lapsed(&mut self, now: Millis) -> bool {
         let before = self.entries.len();
@@ -230,6 +283,10 @@
         let dropped = before - self.entries.len();
         // Peers that have the list from this daemon have to hear of it.
         self.version.drops += dropped as u32;
+        if dropped > 0 {
+            // A drop has no version of the platform.
+            self.forget_changes(self.version.at.max(self.read_to) + 1);
+        }
         dropped > 0
     }
 
@@ -250,7 +307,7 @@
         self.entries.get(name).map(|entry| entry.server.started_ms)
     }
 
-    fn put(&mut self, now: Millis, server: ListedServer) -> bool {
+    fn put(&mut self, now: Millis, at: u64, server: ListedServer) -> bool {
         if self.started_ms(&server.name).is_some_and(|known| known > server.started_ms) {
             return false;
         }
@@ -258,22 +315,35 @@
             && known.says_the_same(now, &server)
         {
             known.server = server;
-            known.dropped_at = None;
-            return false;
+            // It may have said something else between two reads, and peers have heard that.
+            known.changed_at = at;
+            // Peers that were told that it lapses have to hear that it is back.
+            return known.dropped_at.take().is_some();
         }
         let cold_until = now + server.cold_for_ms;
-        self.entries.insert(server.name.clone(), Entry { server, cold_until, dropped_at: None });
+        let entry = Entry { cold_until, dropped_at: None, changed_at: at, server };
+        self.entries.insert(entry.server.name.clone(), entry);
         true
     }
 
-    fn remove(&mut self, now: Millis, name: &Name) -> bool {
+    fn remove(&mut self, now: Millis, at: u64, gone: Gone) -> bool {
         if now >= self.grace_until {
-            return self.entries.remove(name).is_some();
+            return self.erase(at, gone);
         }
         let grace_until = self.grace_until;
-        if let Some(entry) = self.entries.get_mut(name) {
+        if let Some(entry) = self.entries.get_mut(&gone.name) {
             entry.dropped_at.get_or_insert(grace_until);
+            entry.changed_at = at;
         }
         false
     }
+
+    /// Removes an entry; peers may know a later start of it than this daemon, up to that of `gone`.
+    fn erase(&mut self, at: u64, gone: Gone) -> bool {
+        let is_known = self.entries.remove(&gone.name).is_some();
+        if is_known {
+            self.remember_removed(at, gone);
+        }
+        is_known
+    }
 }
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -9,7 +9,7 @@
 use bankcove_core::owner::{RETRY_LATER_MS, Reply, Request};
 use bankcove_core::reqlog::{Entry, Outcome};
 use bankcove_core::router::UnreadNews;
-use bankcove_core::server_list::{ListVersion, SharedServer};
+use bankcove_core::server_list::{ListNews, ListVersion};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use serde::{Deserialize, Serialize};
 
@@ -104,9 +104,9 @@
     async fn told_unread(news: UnreadNews);
     /// The table in force, when its revision is above this one.
     async fn table_above(revision: u64) -> Option<PackedTable>;
-    /// The receiver's list of backend servers and its version, when that is
-    /// above this one.
-    async fn servers_above(version: ListVersion) -> Option<(ListVersion, Vec<SharedServer>)>;
+    /// What the receiver knows of the list of backend servers beyond this
+    /// version, and its own version, when that is above this one.
+    async fn servers_above(version: ListVersion) -> Option<(ListVersion, ListNews)>;
     /// The platform's host list as the receiver knows it, unless its hash is
     /// this one.
     async fn hosts_unless(hash: u64) -> Option<HostsTold>;
--- a/crates/daemon/src/view/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -108,19 +108,29 @@
     }
 }
 
-/// Fetches the list from a peer that has a newer one.
+/// Fetches what a peer knows of the list beyond this daemon's version; all of it at once where
+/// the changes alone have not led to the peer's list.
 pub async fn fetch_from_peer(view: &Arc<View>, address: &str) {
-    let version = view.servers.lock().version();
+    fetch_news(view, address).await;
+    if view.servers.lock().is_doubtful() {
+        view.fleet.base.metrics.count("servers.list_doubtful");
+        slog::info!(view.fleet.base.log, "servers listed anew: changes led to another list"; "peer" => address);
+        fetch_news(view, address).await;
+    }
+}
+
+async fn fetch_news(view: &Arc<View>, address: &str) {
+    let version = view.servers.lock().version_for_news();
     let fetch = |client: crate::peer::PeerServiceClient, cx| async move {
         client.servers_above(cx, version).await
     };
-    let Some(Some((version, servers))) =
+    let Some(Some((version, news))) =
         view.fleet.base.peers.call(address, FETCH_TIMEOUT, fetch).await
     else {
         return;
     };
     let now = view.fleet.base.clock.now();
-    if view.servers.lock().adopt(now, version, servers) {
+    if view.servers.lock().take_news(now, version, news) {
         routing_table::refresh(view);
     }
 }
