--- a/crates/bench/src/hint_world.rs
+++ b/crates/bench/src/hint_world.rs
@@ -219,7 +219,7 @@
             Event::Leaving { to, facts } => self.told_leaving(to, &facts),
             Event::Rest { to, server, left_ms } => {
                 let now = self.now;
-                self.daemons[to].router.rests(now, &server, left_ms);
+                self.daemons[to].router.observe_rest(now, &server, left_ms);
             }
             Event::Beat { daemon } => self.beat(daemon),
             Event::Start { daemon } => {
--- a/crates/bench/src/hint_world/words.rs
+++ b/crates/bench/src/hint_world/words.rs
@@ -20,7 +20,7 @@
         let (now, start) = (self.now, choice.start());
         if head.leaves {
             self.check.read_leaving(daemon, &start, now);
-            if let Some(fact) = self.daemons[daemon].router.leaves(now, &start) {
+            if let Some(fact) = self.daemons[daemon].router.observe_leaving(now, &start) {
                 self.tell_leaving(daemon, vec![fact]);
                 self.note_known(&start);
             }
@@ -29,7 +29,7 @@
         if self.setup.way == RestWay::Ignored {
             return;
         }
-        let is_new = self.daemons[daemon].router.rests(now, &start, rest_ms);
+        let is_new = self.daemons[daemon].router.observe_rest(now, &start, rest_ms);
         if !is_new || self.setup.way != RestWay::Told {
             return;
         }
@@ -60,7 +60,7 @@
     }
 
     pub(super) fn told_leaving(&mut self, to: usize, facts: &[LeavingFact]) {
-        let new = self.daemons[to].router.told_leaving(self.now, facts);
+        let new = self.daemons[to].router.merge_leaving(self.now, facts);
         for fact in &new {
             self.note_known(&fact.server);
         }
--- a/crates/core/src/hints/rests.rs
+++ b/crates/core/src/hints/rests.rs
@@ -21,7 +21,12 @@
 impl Rests {
     /// A server asks now for a rest of `rest_ms`. Returns its end when that is later than what
     /// was known: a shorter rest does not end a longer one.
-    pub fn ask(&mut self, now: Millis, server: &ServerStart, rest_ms: Millis) -> Option<Millis> {
+    pub fn observe(
+        &mut self,
+        now: Millis,
+        server: &ServerStart,
+        rest_ms: Millis,
+    ) -> Option<Millis> {
         let until = now.saturating_add(rest_ms);
         let known = self.known.entry(server.clone()).or_default();
         known.asked_at = now;
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -72,9 +72,9 @@
                     ..old.clone()
                 };
             }
-            let speaker = view.speaker();
-            view.said_leaving = self.leaving.contains(&speaker);
-            view.rests_until = self.rests.end(&speaker);
+            let start = view.known_start();
+            view.said_leaving = self.leaving.contains(&start);
+            view.rests_until = self.rests.end(&start);
         }
         let indexed = servers.iter().enumerate();
         self.by_name = indexed.map(|(index, view)| (view.name.clone(), index as u32)).collect();
--- a/crates/core/src/router/closed.rs
+++ b/crates/core/src/router/closed.rs
@@ -14,11 +14,11 @@
     /// # Errors
     /// [`Closed`] tells what it has said.
     pub fn check_open(&self, now: Millis, server: &ServerStart) -> Result<(), Closed> {
-        let speaker = self.speaker(server);
-        if self.leaving.contains(&speaker) {
+        let start = self.known_start(server);
+        if self.leaving.contains(&start) {
             return Err(Closed::Leaving);
         }
-        let left_ms = self.rests.end(&speaker).saturating_sub(now);
+        let left_ms = self.rests.end(&start).saturating_sub(now);
         if left_ms > 0 { Err(Closed::Resting { left_ms }) } else { Ok(()) }
     }
 
@@ -29,17 +29,17 @@
 
     /// Takes in that this start of a server says that it leaves; returns the fact for peers
     /// when that is new.
-    pub fn leaves(&mut self, now: Millis, server: &ServerStart) -> Option<LeavingFact> {
-        let server = self.speaker(server);
+    pub fn observe_leaving(&mut self, now: Millis, server: &ServerStart) -> Option<LeavingFact> {
+        let server = self.known_start(server);
         let is_new = self.leaving.add(now, &server, 0);
         self.refresh(&server.name);
         is_new.then_some(LeavingFact { server, age_ms: 0 })
     }
 
     /// Takes in starts of which peers have told that they leave; returns what is new.
-    pub fn told_leaving(&mut self, now: Millis, facts: &[LeavingFact]) -> Vec<LeavingFact> {
-        let views = Views { servers: &self.servers, by_name: &self.by_name };
-        let new = self.leaving.merge(now, facts, |server| views.list(server));
+    pub fn merge_leaving(&mut self, now: Millis, facts: &[LeavingFact]) -> Vec<LeavingFact> {
+        let listed = ListedStarts { servers: &self.servers, by_name: &self.by_name };
+        let new = self.leaving.merge(now, facts, |server| listed.contains(server));
         new.iter().for_each(|fact| self.refresh(&fact.server.name));
         new
     }
@@ -56,18 +56,18 @@
 
     /// Takes in that this start of a server asks now for a rest of so many milliseconds;
     /// returns whether it ends later than what was known.
-    pub fn rests(&mut self, now: Millis, server: &ServerStart, rest_ms: Millis) -> bool {
-        let server = self.speaker(server);
-        let is_longer = self.rests.ask(now, &server, rest_ms).is_some();
+    pub fn observe_rest(&mut self, now: Millis, server: &ServerStart, rest_ms: Millis) -> bool {
+        let server = self.known_start(server);
+        let is_longer = self.rests.observe(now, &server, rest_ms).is_some();
         self.refresh(&server.name);
         is_longer
     }
 
     /// Forgets starts that nobody lists any more, and rests that are over.
     pub fn forget_closed(&mut self, now: Millis) {
-        let views = Views { servers: &self.servers, by_name: &self.by_name };
-        self.leaving.forget_old(now, |server| views.list(server));
-        self.rests.forget_old(now, |server| views.list(server));
+        let listed = ListedStarts { servers: &self.servers, by_name: &self.by_name };
+        self.leaving.forget_old(now, |server| listed.contains(server));
+        self.rests.forget_old(now, |server| listed.contains(server));
     }
 
     /// Takes in a load report's word of when the server was started. What was said by then
@@ -78,45 +78,45 @@
         if started_ms == 0 || view.started_ms != 0 || view.reported_start_ms == started_ms {
             return;
         }
-        let before = view.speaker();
+        let before = view.known_start();
         view.reported_start_ms = started_ms;
-        let speaker = view.speaker();
+        let start = view.known_start();
         if before.started_ms == 0 {
             if self.leaving.contains(&before) {
-                self.leaving.add(now, &speaker, 0);
+                self.leaving.add(now, &start, 0);
             }
-            self.rests.ask(now, &speaker, self.rests.end(&before).saturating_sub(now));
+            self.rests.observe(now, &start, self.rests.end(&before).saturating_sub(now));
         }
         self.refresh(name);
     }
 
     /// The start whose word it is: a choice does not tell when a server of the operators' table
     /// was started.
-    fn speaker(&self, server: &ServerStart) -> ServerStart {
+    fn known_start(&self, server: &ServerStart) -> ServerStart {
         let view = self.by_name.get(&server.name).map(|index| &self.servers[*index as usize]);
         let known = view.filter(|view| server.started_ms == 0 && view.started_ms == 0);
-        known.map_or_else(|| server.clone(), ServerView::speaker)
+        known.map_or_else(|| server.clone(), ServerView::known_start)
     }
 
     /// Puts what is known of a server to its view.
     fn refresh(&mut self, name: &Name) {
         let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
         let view = &mut self.servers[index];
-        let speaker = view.speaker();
-        view.said_leaving = self.leaving.contains(&speaker);
-        view.rests_until = self.rests.end(&speaker);
+        let start = view.known_start();
+        view.said_leaving = self.leaving.contains(&start);
+        view.rests_until = self.rests.end(&start);
     }
 }
 
-/// The servers that are listed.
-struct Views<'a> {
+/// The starts of servers that are listed.
+struct ListedStarts<'a> {
     servers: &'a [ServerView],
     by_name: &'a HashMap<Name, u32>,
 }
 
-impl Views<'_> {
-    fn list(&self, server: &ServerStart) -> bool {
+impl ListedStarts<'_> {
+    fn contains(&self, server: &ServerStart) -> bool {
         let index = self.by_name.get(&server.name).map(|index| *index as usize);
-        index.is_some_and(|index| self.servers[index].speaker() == *server)
+        index.is_some_and(|index| self.servers[index].known_start() == *server)
     }
 }
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -119,8 +119,8 @@
         ServerStart { name: self.name.clone(), started_ms: self.started_ms }
     }
 
-    /// The start to which its own words belong.
-    pub(super) fn speaker(&self) -> ServerStart {
+    /// The start of it, also when only its load reports tell.
+    pub(super) fn known_start(&self) -> ServerStart {
         let is_listed = self.started_ms != 0;
         let started_ms = if is_listed { self.started_ms } else { self.reported_start_ms };
         ServerStart { name: self.name.clone(), started_ms }
--- a/crates/core/tests/closed_pools.rs
+++ b/crates/core/tests/closed_pools.rs
@@ -62,8 +62,8 @@
     let server = start(n);
     match held {
         Held::Nothing | Held::Cold => {}
-        Held::Leaving => drop(router.leaves(NOW, &server)),
-        Held::Resting(rest_ms) => drop(router.rests(NOW, &server, rest_ms)),
+        Held::Leaving => drop(router.observe_leaving(NOW, &server)),
+        Held::Resting(rest_ms) => drop(router.observe_rest(NOW, &server, rest_ms)),
         Held::AtLimit => router.at_limit(&server, 1.0, NOW + 700),
         Held::Ejected => {
             for _ in 0..3 {
--- a/crates/core/tests/closed_servers.rs
+++ b/crates/core/tests/closed_servers.rs
@@ -61,9 +61,9 @@
 #[test]
 fn a_shorter_rest_does_not_end_a_longer_one() {
     let (mut rests, server) = (Rests::default(), start("a", 7));
-    assert_eq!(rests.ask(1_000, &server, 5_000), Some(6_000));
-    assert_eq!(rests.ask(2_000, &server, 1_000), None);
-    assert_eq!(rests.ask(3_000, &server, 4_000), Some(7_000));
+    assert_eq!(rests.observe(1_000, &server, 5_000), Some(6_000));
+    assert_eq!(rests.observe(2_000, &server, 1_000), None);
+    assert_eq!(rests.observe(3_000, &server, 4_000), Some(7_000));
     assert_eq!((rests.end(&server), rests.end(&start("a", 8))), (7_000, 0));
     rests.forget_old(7_000, |_| true);
     assert!(rests.is_empty());
@@ -72,7 +72,7 @@
 #[test]
 fn an_endless_rest_lasts_until_the_start_is_gone() {
     let (mut rests, server) = (Rests::default(), start("a", 7));
-    rests.ask(1_000, &server, Millis::MAX);
+    rests.observe(1_000, &server, Millis::MAX);
     rests.forget_old(LONG, |_| true);
     assert_eq!(rests.end(&server), Millis::MAX);
     rests.forget_old(LONG, |_| false);
@@ -84,10 +84,10 @@
     let mut router = Router::default();
     let server = start("a", 7);
     assert_eq!(router.check_open(0, &server), Ok(()));
-    assert!(router.rests(1_000, &server, 3_000));
+    assert!(router.observe_rest(1_000, &server, 3_000));
     assert_eq!(router.check_open(1_500, &server), Err(Closed::Resting { left_ms: 2_500 }));
     assert_eq!(router.check_open(4_000, &server), Ok(()));
-    assert!(router.leaves(5_000, &server).is_some());
+    assert!(router.observe_leaving(5_000, &server).is_some());
     assert_eq!(router.check_open(LONG, &server), Err(Closed::Leaving));
     assert_eq!(router.check_open(LONG, &start("a", 8)), Ok(()));
 }
@@ -108,7 +108,7 @@
 fn an_engine_of_the_operators_table_leaves_until_its_load_report_tells_of_another_start() {
     let (mut router, name) = (engine(), Name::from("a"));
     // The first answer may come before the first load report.
-    router.leaves(1_000, &start("a", 0));
+    router.observe_leaving(1_000, &start("a", 0));
     router.report(2_000, &name, report(70));
     assert_eq!(router.check_open(2_000, &start("a", 70)), Err(Closed::Leaving));
     assert_eq!(router.check_open(2_000, &start("a", 0)), Err(Closed::Leaving));
@@ -123,7 +123,7 @@
 fn a_table_that_is_adopted_again_keeps_what_was_said() {
     let (mut router, name) = (engine(), Name::from("a"));
     router.report(1_000, &name, report(70));
-    router.leaves(2_000, &start("a", 70));
+    router.observe_leaving(2_000, &start("a", 70));
     let rows = json!({"servers": []});
     let empty: Table = serde_json::from_value(rows).expect("a table");
     router.adopt(&empty);
--- a/crates/daemon/src/hints/observe.rs
+++ b/crates/daemon/src/hints/observe.rs
@@ -58,14 +58,14 @@
 
     fn observe_leaving(&self, server: &ServerStart) {
         let now = self.fleet.base.clock.now();
-        if let Some(fact) = self.change_closed(|router| router.leaves(now, server)) {
+        if let Some(fact) = self.change_closed(|router| router.observe_leaving(now, server)) {
             self.take_leaving(fact, Source::Server);
         }
     }
 
     fn observe_rest(&self, log: &Logger, server: &ServerStart, rest_ms: Millis) {
         let now = self.fleet.base.clock.now();
-        if !self.change_closed(|router| router.rests(now, server, rest_ms)) {
+        if !self.change_closed(|router| router.observe_rest(now, server, rest_ms)) {
             return;
         }
         self.fleet.base.metrics.count("server.asks_for_rest");
@@ -114,7 +114,7 @@
 
     fn told_leaving(&self, facts: &[LeavingFact]) {
         let now = self.fleet.base.clock.now();
-        for fact in self.change_closed(|router| router.told_leaving(now, facts)) {
+        for fact in self.change_closed(|router| router.merge_leaving(now, facts)) {
             self.take_leaving(fact, Source::Peer);
         }
     }
