A list in doubt stays so until the whole list is there; what is unused or no longer true goes

Cause, found as the diff was read: an older whole list that was not adopted took the doubt away; ServerHints::is_empty had no use; a comment told of whole lists for each version.

--- a/crates/core/src/hints.rs
+++ b/crates/core/src/hints.rs
@@ -40,13 +40,6 @@
     pub rest: Hint<Millis>,
 }
 
-impl ServerHints {
-    /// Whether the head says nothing.
-    pub fn is_empty(&self) -> bool {
-        *self == ServerHints::default()
-    }
-}
-
 /// One thing that a server has said, for a peer.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum HintFact {
--- a/crates/core/src/server_list.rs
+++ b/crates/core/src/server_list.rs
@@ -138,9 +138,7 @@
 
     /// Whether what the platform tells of the server now is what is known already: an entry
     /// that counts down how long its server is cold, or says that it is warm when that was
-    /// expected, is no news. Each version of the list goes whole to every daemon: with a
-    /// version for each server that turned warm, 300 daemons before 3,000 servers sent half
-    /// as many bytes more.
+    /// expected, is no news: each version of the list goes to every daemon.
     fn says_the_same(&self, now: Millis, told: &ListedServer) -> bool {
         if self.server == *told {
             return true;
@@ -240,10 +238,11 @@
     /// Entries that lapse at the peer are kept only where they are known: this
     /// daemon may have heard before that they are gone for good.
     pub fn adopt(&mut self, now: Millis, version: ListVersion, servers: Vec<SharedServer>) -> bool {
-        let replaces = std::mem::take(&mut self.is_doubtful) && version == self.version;
+        let replaces = self.is_doubtful && version == self.version;
         if !replaces && (version <= self.version || self.has_read(version)) {
             return false;
         }
+        self.is_doubtful = false;
         self.version = version;
         self.forget_changes(version.at + u64::from(version.drops > 0));
         let old = std::mem::take(&mut self.entries);
--- a/crates/daemon/src/hints.rs
+++ b/crates/daemon/src/hints.rs
@@ -65,7 +65,7 @@
 }
 
 impl Hints {
-    /// No limit is known.
+    /// Nothing is known.
     pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>) -> Self {
         let (news, to_tell) = mpsc::channel(MOST_NEWS);
         Hints {
