Fleet: a daemon looks at its own budgets alone; idle polls go

Members counted all peers for each question after the size of the fleet. Change: a daemon checks the budgets that it has used and those of which it is the first owner; whether it is that is found by the first peer that ranks higher; the size is kept, not counted. Idle polls (ten a second for suspensions, five for each followed list) became waits for what is due: a daemon without a pending wait does not poll for suspensions, and relies on peers until its view would be stale, its rank changes or an entry expires. Tests: each budget has one first owner and a daemon few budgets at 30, 100 and 300 daemons; the size follows heartbeats and lists.

--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -135,6 +135,11 @@
         self.listed && !self.stopping && self.failures < SUSPECT_AFTER_FAILURES
     }
 
+    /// Returns whether it counts as a daemon of the fleet, whether or not it answers.
+    fn is_active(&self) -> bool {
+        self.listed && !self.stopping
+    }
+
     /// Records which incarnation of the peer is running; after a restart, resets what was known
     /// of the earlier one.
     fn set_incarnation(&mut self, incarnation: Incarnation) {
@@ -156,6 +161,8 @@
     peers: BTreeMap<Name, Peer>,
     /// Whether the platform's list was received since this daemon's start, and names it.
     list: ListState,
+    /// Number of peers that are members and not stopping.
+    active: usize,
 }
 
 /// Whether the platform's list was received since this daemon's start, and names it.
@@ -188,7 +195,7 @@
     /// Creates a view without peers for the daemon named `me`.
     pub fn new(me: Name) -> Self {
         let my_key = name_key(&me);
-        Members { me, my_key, peers: BTreeMap::new(), list: ListState::NotReceived }
+        Members { me, my_key, peers: BTreeMap::new(), list: ListState::NotReceived, active: 0 }
     }
 
     /// Iterates over all known peers.
@@ -205,8 +212,7 @@
     /// count: the fleet is no smaller during a network partition, nor right after a restart of
     /// all daemons, before their first heartbeats.
     pub fn fleet_size(&self) -> FleetSize {
-        let active = self.peers.values().filter(|peer| peer.listed && !peer.stopping);
-        let size = 1 + active.count();
+        let size = 1 + self.active;
         match self.list {
             ListState::NotReceived => FleetSize::Unknown,
             ListState::WithoutSelf => FleetSize::AtLeast(size),
@@ -217,7 +223,7 @@
     /// Returns an order-independent hash of the members, whether or not they answer; equal on all
     /// daemons that know the same members.
     pub fn digest(&self) -> u64 {
-        let active = self.peers.values().filter(|peer| peer.listed && !peer.stopping);
+        let active = self.peers.values().filter(|peer| peer.is_active());
         active.fold(self.my_key, |digest, peer| digest ^ peer.key)
     }
 
@@ -248,6 +254,7 @@
             let is_on_list = peer.listed && peer.was_on_list;
             is_on_list || peer.failures < SUSPECT_AFTER_FAILURES
         });
+        self.active = self.peers.values().filter(|peer| peer.is_active()).count();
     }
 
     /// Applies a heartbeat of a peer, received as a request or as a response.
@@ -256,6 +263,7 @@
             return;
         }
         let peer = self.entry(&heartbeat.name, &heartbeat.hall, &heartbeat.address);
+        let was_active = peer.is_active();
         peer.set_incarnation(heartbeat.incarnation);
         peer.address.clone_from(&heartbeat.address);
         peer.revision = peer.revision.max(heartbeat.revision);
@@ -264,6 +272,8 @@
         // A peer that sends heartbeats is a member, even if the lagging list lacks it.
         peer.listed = true;
         peer.heard_at = Some(now);
+        let is_active = peer.is_active();
+        self.active = self.active + usize::from(is_active) - usize::from(was_active);
     }
 
     /// Records which incarnation of a peer has answered a call: in a large fleet most peers
@@ -318,10 +328,17 @@
         self.ranked(key, max_count, self.usable())
     }
 
+    /// Returns whether this daemon is the first of [`Members::owners`]. Most calls look at a few
+    /// peers only, whatever the number of peers.
+    pub fn is_first_owner(&self, key: u64) -> bool {
+        let mine = rendezvous_score(key, self.my_key);
+        !self.usable().any(|peer| rendezvous_score(key, peer.key) > mine)
+    }
+
     /// As [`Members::owners`], including peers that don't answer this daemon: during a network
     /// partition the order is the same on both sides.
     pub fn owners_including_silent(&self, key: u64, max_count: usize) -> Vec<Option<Peer>> {
-        let active = self.peers.values().filter(|peer| peer.listed && !peer.stopping);
+        let active = self.peers.values().filter(|peer| peer.is_active());
         self.ranked(key, max_count, active)
     }
 
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -2,8 +2,9 @@
 
 use std::collections::HashSet;
 
-use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Members};
+use bankcove_core::members::{FleetSize, Heartbeat, Host, HostRole, HostState, Members};
 use bankcove_core::{Incarnation, Name};
+use yare::parameterized;
 
 const FANOUT: usize = 3;
 
@@ -137,6 +138,41 @@
     assert_eq!(owners.len(), 1);
 }
 
+#[parameterized(
+    tens = { 30, 700 },
+    hundreds = { 100, 2_300 },
+    a_thousand = { 300, 7_000 },
+)]
+fn each_budget_has_one_first_owner_and_a_daemon_few_budgets(daemons: usize, budgets: u64) {
+    let keys: Vec<u64> = (0..budgets).map(|n| n.wrapping_mul(0x9e37_79b9_7f4a_7c15)).collect();
+    let mut owned = vec![0; keys.len()];
+    for me in 0..daemons {
+        let members = fleet(me, daemons);
+        let mine: Vec<usize> =
+            (0..keys.len()).filter(|n| members.is_first_owner(keys[*n])).collect();
+        assert!(mine.iter().all(|n| members.owners(keys[*n], 1)[0].is_none()));
+        // A daemon checks these and those that its callers use, whatever the number of budgets.
+        assert!(mine.len() < 70, "daemon {me} owns {}", mine.len());
+        mine.iter().for_each(|n| owned[*n] += 1);
+    }
+    assert!(owned.iter().all(|owners| *owners == 1));
+}
+
+#[test]
+fn the_fleet_size_follows_heartbeats_and_lists() {
+    let mut members = fleet(0, 10);
+    assert_eq!(members.fleet_size(), FleetSize::Listed(10));
+    receive_heartbeat(&mut members, 17, 1);
+    assert_eq!(members.fleet_size(), FleetSize::Listed(11), "a peer that the list lacks");
+    receive_heartbeat(&mut members, 17, 1);
+    assert_eq!(members.fleet_size(), FleetSize::Listed(11));
+    fail(&mut members, &host(3).name);
+    assert_eq!(members.fleet_size(), FleetSize::Listed(11), "a silent peer counts");
+    let hosts: Vec<Host> = (0..5).map(host).collect();
+    members.apply_host_list(&hosts);
+    assert_eq!(members.fleet_size(), FleetSize::Listed(6), "and those that are gone don't");
+}
+
 #[test]
 fn ranks_of_readers_differ_within_a_hall() {
     let rank = |me| fleet(me, 30).store_reader_rank(&host(me).hall);
--- a/crates/daemon/src/base/clock.rs
+++ b/crates/daemon/src/base/clock.rs
@@ -7,6 +7,7 @@
 
 use std::fmt;
 use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use bankcove_core::Millis;
@@ -53,6 +54,32 @@
     start: Duration,
     /// Notified after the host has resumed from a suspension.
     resumed: Arc<Notify>,
+    waits: Arc<Waits>,
+}
+
+/// Pending waits for a moment.
+#[derive(Debug, Default)]
+struct Waits {
+    pending: AtomicUsize,
+    begun: Notify,
+}
+
+/// A pending wait; it ends on drop.
+struct PendingWait<'a>(&'a Waits);
+
+impl<'a> PendingWait<'a> {
+    fn begin(waits: &'a Waits) -> Self {
+        if waits.pending.fetch_add(1, Ordering::Relaxed) == 0 {
+            waits.begun.notify_one();
+        }
+        PendingWait(waits)
+    }
+}
+
+impl Drop for PendingWait<'_> {
+    fn drop(&mut self) {
+        self.0.pending.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Clock {
@@ -64,7 +91,7 @@
     /// Creates a clock that reads `source` and starts now.
     pub fn with_source(source: Arc<dyn TimeSource>) -> Self {
         let start = source.elapsed();
-        Clock { source, start, resumed: Arc::default() }
+        Clock { source, start, resumed: Arc::default(), waits: Arc::default() }
     }
 
     /// Returns the milliseconds since the start, including suspensions; never decreases.
@@ -82,6 +109,13 @@
         self.resumed.notify_waiters();
     }
 
+    /// Completes when any wait for a moment is pending.
+    pub async fn wait_pending(&self) {
+        while self.waits.pending.load(Ordering::Relaxed) == 0 {
+            self.waits.begun.notified().await;
+        }
+    }
+
     /// Returns the time left until `moment`; zero when it has passed.
     pub fn time_until(&self, moment: Millis) -> Duration {
         Duration::from_millis(moment.saturating_sub(self.now()))
@@ -89,6 +123,7 @@
 
     /// Waits until `moment`; time in which the host is suspended counts.
     pub async fn sleep_until(&self, moment: Millis) {
+        let _pending = PendingWait::begin(&self.waits);
         loop {
             let resumed = self.resumed.notified();
             let left = self.time_until(moment);
--- a/crates/daemon/src/budget/ownership.rs
+++ b/crates/daemon/src/budget/ownership.rs
@@ -17,7 +17,7 @@
     if limits.witnesses > 0 || budgets.fleet.is_small() {
         return Vec::new();
     }
-    let key = OWNER_KEY.wrapping_add(xxh3_64(budget.name.as_str().as_bytes()));
+    let key = owner_key(budget);
     let members = budgets.fleet.members.lock();
     let mut ranked = members.owners(key, limits.owners_tried);
     if members.fleet_size() == FleetSize::Unknown {
@@ -28,6 +28,22 @@
     ranked
 }
 
+/// Returns whether this daemon draws on the budget itself: it is the budget's first owner, or the
+/// fleet is so small that each daemon draws for itself.
+pub fn draws_itself(budgets: &Budgets, budget: &Budget) -> bool {
+    if budgets.fleet.base.cfg.limits.witnesses > 0 || budgets.fleet.is_small() {
+        return true;
+    }
+    let members = budgets.fleet.members.lock();
+    // Before the host list is read, no daemon counts itself as an owner.
+    members.fleet_size() != FleetSize::Unknown && members.is_first_owner(owner_key(budget))
+}
+
+/// Returns the key by which the owners of a budget are ranked.
+fn owner_key(budget: &Budget) -> u64 {
+    OWNER_KEY.wrapping_add(xxh3_64(budget.name.as_str().as_bytes()))
+}
+
 /// Returns the peers to ask for tokens, in order. Empty if this daemon is itself the first owner,
 /// or if the fleet is so small that each daemon draws for itself.
 pub fn owners_to_ask(budgets: &Budgets, budget: &Budget) -> Vec<Peer> {
--- a/crates/daemon/src/budget/rebalance.rs
+++ b/crates/daemon/src/budget/rebalance.rs
@@ -1,14 +1,16 @@
 //! Periodic check, once a second, of the tokens that this daemon holds of each budget.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
+use bankcove_core::Name;
 use bankcove_core::members::Peer;
-use bankcove_core::table::Budget;
+use bankcove_core::table::{Budget, Table};
 
 use crate::budget::budgets::Budgets;
 use crate::budget::owner::is_store_reachable;
-use crate::budget::ownership::owners_to_ask;
+use crate::budget::ownership::{draws_itself, owners_to_ask};
 use crate::budget::reserve::{TokenSource, prefetch, refill};
 use crate::budget::terms::draw_terms;
 use crate::budget::token_request::request_tokens;
@@ -33,17 +35,25 @@
         }
         log_holdings(&budgets);
         let Some(table) = budgets.table.load_full() else { continue };
-        let draws = table.budgets.iter().any(|budget| owners_to_ask(&budgets, budget).is_empty());
+        let draws = table.budgets.iter().any(|budget| draws_itself(&budgets, budget));
         if budgets.leaving.is_cancelled() && draws && !is_store_reachable(&budgets).await {
             // Tokens debited before the outage is known could not be handed over to a peer.
             continue;
         }
-        for budget in &table.budgets {
+        for budget in budgets_to_check(&budgets, &table) {
             rebalance_budget(&budgets, budget);
         }
     }
 }
 
+/// Returns the budgets of which this daemon holds tokens or has to hold some: those that it has
+/// used, and those that it draws on for others. In a large fleet they are a small part of all.
+fn budgets_to_check<'a>(budgets: &Budgets, table: &'a Table) -> Vec<&'a Budget> {
+    let used: HashSet<Name> = budgets.holder().accounts().keys().cloned().collect();
+    let is_due = |budget: &&Budget| used.contains(&budget.name) || draws_itself(budgets, budget);
+    table.budgets.iter().filter(is_due).collect()
+}
+
 /// Logs the token totals of this daemon. The last of these lines before a loss of power is the only
 /// record of the tokens lost with it.
 fn log_holdings(budgets: &Budgets) {
--- a/crates/daemon/src/budget/terms.rs
+++ b/crates/daemon/src/budget/terms.rs
@@ -5,7 +5,7 @@
 use bankcove_core::table::Budget;
 
 use crate::budget::budgets::Budgets;
-use crate::budget::ownership::owners_to_ask;
+use crate::budget::ownership::draws_itself;
 
 /// Time after the start of this daemon, in milliseconds, by which the other daemons are known: the
 /// host list is read at once and again after 1 s.
@@ -59,7 +59,7 @@
     // daemons. It holds some before any spending is known: when the store was unavailable as the
     // first callers arrived, no daemon had tokens to allot, and two thirds of the callers were
     // refused for 12 s.
-    let is_owner = budgets.fleet.size().is_some() && owners_to_ask(budgets, budget).is_empty();
+    let is_owner = budgets.fleet.size().is_some() && draws_itself(budgets, budget);
     if is_owner {
         let kept_for_others = KEPT_FOR_OTHERS_FRACTION;
         return DrawTerms {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -22,7 +22,8 @@
 use crate::base::Base;
 use crate::fleet::connectivity::Connectivity;
 
-/// Interval of checks whether this daemon still learns of changes from peers.
+/// Interval of checks, while the store is unavailable, whether this daemon learns of changes from
+/// peers.
 const PEER_SYNC_POLL: Duration = Duration::from_millis(200);
 
 /// Poll interval while a starting daemon waits to receive the store's state from peers.
@@ -63,6 +64,9 @@
     pub connectivity: Arc<Connectivity>,
     /// Notified to send heartbeats at once, which announce this daemon's state to peers.
     pub heartbeat_now: Arc<Notify>,
+    /// Notified when a task that relies on peers must check again what is due: this daemon's rank
+    /// among the possible readers of the store has changed, or an entry expires soon.
+    pub recheck_sync: Arc<Notify>,
 }
 
 impl Fleet {
@@ -70,7 +74,13 @@
     pub fn new(base: Base) -> Self {
         let members = Arc::new(Mutex::new(Members::new(base.cfg.name.clone())));
         let connectivity = Arc::new(Connectivity::new(base.cfg.follows_evacuations()));
-        Fleet { base, members, connectivity, heartbeat_now: Arc::default() }
+        Fleet {
+            base,
+            members,
+            connectivity,
+            heartbeat_now: Arc::default(),
+            recheck_sync: Arc::default(),
+        }
     }
 
     /// Returns the time as of which the response to a watch, which has just arrived, counts as
@@ -120,24 +130,17 @@
 
     /// Returns the time for which this daemon still relies on peers; `None` if it reads the store
     /// itself.
-    fn time_until_stale(&self) -> Option<Duration> {
+    pub fn time_until_stale(&self) -> Option<Duration> {
         let view_age = self.connectivity.view_age(self.base.clock.now());
         self.store_read_policy().time_until_stale(view_age).map(Duration::from_millis)
     }
 
-    /// Returns the pause until the next check whether this daemon still learns of changes from
-    /// peers, at most the time for which it relies on them; `None` if it reads the store itself.
-    pub fn peer_sync_pause(&self) -> Option<Duration> {
-        self.time_until_stale().map(|left| left.min(PEER_SYNC_POLL))
-    }
-
     /// Returns the next step of a task that follows something in the store. Pauses first if the
     /// store need not be read: peers provide the changes or will do so soon, or the store is
     /// unavailable, which the watch of the servers detects. `is_known` is whether the followed
     /// object or list was received before.
     pub async fn next_watch_step(&self, is_known: bool) -> WatchStep {
-        let peer_sync_pause = self.peer_sync_pause().filter(|_| is_known);
-        let pause = if let Some(pause) = peer_sync_pause {
+        let pause = if let Some(pause) = self.time_until_stale().filter(|_| is_known) {
             pause
         } else if self.is_in_startup_wait() {
             STARTUP_POLL
@@ -148,6 +151,7 @@
         };
         tokio::select! {
             () = tokio::time::sleep(pause) => WatchStep::Wait,
+            () = self.recheck_sync.notified() => WatchStep::Wait,
             () = self.base.shutdown.cancelled() => WatchStep::Stop,
         }
     }
--- a/crates/daemon/src/fleet/suspension.rs
+++ b/crates/daemon/src/fleet/suspension.rs
@@ -16,6 +16,11 @@
 pub async fn watch(fleet: Fleet) {
     let mut known_suspended = fleet.base.clock.suspended_time();
     loop {
+        // Without waiting tasks there is nothing to wake, and an idle host need not poll.
+        tokio::select! {
+            () = fleet.base.clock.wait_pending() => {}
+            () = fleet.base.shutdown.cancelled() => return,
+        }
         tokio::select! {
             () = tokio::time::sleep(POLL_INTERVAL) => {}
             () = fleet.base.shutdown.cancelled() => return,
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -195,6 +195,7 @@
 /// ends.
 pub async fn send_heartbeats(membership: Arc<Membership>) {
     let interval = Duration::from_millis(membership.fleet.base.cfg.limits.heartbeat_ms);
+    let mut rank = membership.fleet.store_read_policy().rank;
     loop {
         membership
             .view
@@ -204,6 +205,10 @@
         membership.crashes.remove_expired();
         membership.hints.remove_expired();
         send_round(&membership).await;
+        let rank_now = membership.fleet.store_read_policy().rank;
+        if std::mem::replace(&mut rank, rank_now) != rank_now {
+            membership.fleet.recheck_sync.notify_waiters();
+        }
         tokio::select! {
             () = tokio::time::sleep(interval) => {}
             () = membership.fleet.base.shutdown.cancelled() => return,
--- a/crates/daemon/src/view/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -25,8 +25,7 @@
     let mut failures = 0;
     loop {
         let known = view.servers.lock().version();
-        let peer_sync_pause = view.fleet.peer_sync_pause();
-        if let Some(pause) = peer_sync_pause.filter(|_| known.is_some()) {
+        if let Some(pause) = view.fleet.time_until_stale().filter(|_| known.is_some()) {
             // Heartbeats announce newer lists, which are fetched from peers.
             at = known.at;
             was_unavailable = false;
@@ -34,8 +33,11 @@
             failures = 0;
             drop_expired(&view);
             view.fleet.connectivity.clear_store_unavailable();
+            let next_drop = view.servers.lock().next_drop(view.fleet.base.clock.now());
+            let pause = next_drop.map_or(pause, |left| pause.min(Duration::from_millis(left)));
             tokio::select! {
                 () = tokio::time::sleep(pause) => continue,
+                () = view.fleet.recheck_sync.notified() => continue,
                 () = view.fleet.base.shutdown.cancelled() => return,
             }
         }
@@ -140,5 +142,8 @@
     let now = view.fleet.base.clock.now();
     if view.servers.lock().apply_update(now, version, update) {
         routing_table::refresh(view);
+        if view.servers.lock().next_drop(now).is_some() {
+            view.fleet.recheck_sync.notify_waiters();
+        }
     }
 }
