Rollouts: the thin whole path, with the bound kept

Operators order rollouts/SERVICE; nothing read it, and servers of a version under rollout got what any server got. Now: the order is read like the list of halls (readers watch, heartbeats carry it); a daemon sends the new version a fraction of its own requests, so the sum over the fleet is bound whatever its size; the fraction comes from one daemon, which holds a lease in the store (epoch, taken over after 2 s unseen) and adds up what all report; without its word for 1.5 s the new version gets nothing. Stages use a third of what a bad version may get, then 5 % of the time at most with all requests; failures are compared with the old version's rate, speed by mean event intervals and whole answers. 'done' needs answers; otherwise it is rolled back at the end. States are written on condition of the object's revision.

--- a/crates/bench/benches/decision.rs
+++ b/crates/bench/benches/decision.rs
@@ -3,6 +3,7 @@
 //! `cargo bench -p bankcove-bench --bench decision`
 
 use bankcove_bench::routing_simulation::table;
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Router, RoutingRequest};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 
@@ -23,6 +24,7 @@
                     seed,
                     tried: &[],
                     homes: Default::default(),
+                    versions: Versions::Any,
                 };
                 router.choose(0, &request)
             });
--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -19,6 +19,7 @@
 use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Members};
 use bankcove_core::owner::{Event as OwnerEvent, Owner, Request};
 use bankcove_core::request_log::{Entry, Event, RequestLog, Segment};
+use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::router::Router;
 use bankcove_core::shard::Shard;
 use bankcove_core::table::Table;
@@ -209,6 +210,7 @@
         servers_version: Default::default(),
         evacuated: Default::default(),
         revision: 1_000_000,
+        rollouts: RolloutOrders::default(),
         stopping: false,
         store_heard_ms: Some(120),
         view_age_ms: Some(120),
--- a/crates/bench/src/hint_simulation.rs
+++ b/crates/bench/src/hint_simulation.rs
@@ -15,6 +15,7 @@
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::hints::LeavingFact;
 use bankcove_core::limits::RetrySchedule;
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Choice, Homes, NoServer, Router, RoutingRequest};
 use bankcove_core::table::Table;
 use bankcove_core::{Millis, Name};
@@ -325,6 +326,7 @@
             seed,
             tried: &req.tried,
             homes: Homes::default(),
+            versions: Versions::Any,
         };
         match self.daemons[req.daemon].router.choose(now, &routing_request) {
             Ok(choice) => self.send(req, choice),
--- a/crates/bench/src/routing_simulation.rs
+++ b/crates/bench/src/routing_simulation.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Homes, LoadReport, Router, RoutingRequest};
 use bankcove_core::table::Table;
 use bankcove_core::{Millis, Name};
@@ -274,6 +275,7 @@
                     seed: self.rng.random(),
                     tried,
                     homes: Homes::default(),
+                    versions: Versions::Any,
                 };
                 let choice =
                     self.routers[request.daemon].choose(self.now, &routing_request).ok()?;
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod owner;
 pub mod request_log;
 pub mod retry_budget;
+pub mod rollout;
 pub mod router;
 pub mod server_list;
 pub mod shard;
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -10,6 +10,7 @@
 
 use crate::hall_list::EvacuatedHalls;
 use crate::id::rendezvous_score;
+use crate::rollout::RolloutOrders;
 use crate::router::ServerPace;
 use crate::server_list::{ListVersion, Unreadable};
 use crate::{Incarnation, Millis, Name};
@@ -84,6 +85,8 @@
     pub servers_version: ListVersion,
     /// Halls that take no new work, as known to the sender.
     pub evacuated: EvacuatedHalls,
+    /// Rollouts that were ordered, as known to the sender.
+    pub rollouts: RolloutOrders,
     /// Whether the sender is stopping.
     pub stopping: bool,
     /// Time since the store last answered the sender or a peer that it is in contact with, in
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -68,6 +68,7 @@
                 let row = view.clone();
                 *view = ServerView {
                     cold_until: row.cold_until,
+                    version: row.version,
                     limit: row.limit,
                     hall: row.hall,
                     row_draining: row.row_draining,
@@ -98,6 +99,7 @@
             server: view.name.clone(),
             started_ms: view.started_ms,
             address: view.address.clone(),
+            version: view.version.clone(),
             copy_from: None,
         };
         let busy = self.servers.iter().filter(|view| view.reports_load && view.in_flight > 0);
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -1,6 +1,7 @@
 //! Choice of a server for one request.
 
 use crate::crashes::ServerInstance;
+use crate::rollout::Versions;
 use crate::router::Router;
 use crate::router::load::Load;
 use crate::router::pool::{HallPool, Pool};
@@ -79,6 +80,8 @@
     pub started_ms: Millis,
     /// Its address.
     pub address: String,
+    /// Version of its software; `None` when unknown.
+    pub version: Option<Name>,
     /// Address of the server that presumably holds the prompt's shared prefix in its cache,
     /// when it is another one.
     pub copy_from: Option<String>,
@@ -108,6 +111,15 @@
     pub tried: &'a [Name],
     /// Regions that may serve the request.
     pub homes: Homes<'a>,
+    /// Versions of the servers that may serve it.
+    pub versions: Versions<'a>,
+}
+
+impl RoutingRequest<'_> {
+    /// Returns whether the request may be sent to this server, as far as it depends on the request.
+    fn may_try(&self, view: &ServerView) -> bool {
+        self.versions.allow(view.version.as_ref()) && !self.tried.contains(&view.name)
+    }
 }
 
 /// Result of the search along the ranked halls.
@@ -142,6 +154,7 @@
             server: view.name.clone(),
             started_ms: view.started_ms,
             address: view.address.clone(),
+            version: view.version.clone(),
             copy_from: other.map(|first| first.address.clone()),
         })
     }
@@ -179,9 +192,8 @@
     ) -> NoServer {
         let members = halls.iter().flat_map(|hall| &hall.members);
         let views = members.map(|index| &self.servers[*index as usize]);
-        let eligible: Vec<&ServerView> = views
-            .filter(|view| view.is_eligible(now) && !request.tried.contains(&view.name))
-            .collect();
+        let eligible: Vec<&ServerView> =
+            views.filter(|view| view.is_eligible(now) && request.may_try(view)).collect();
         let (cold, warm): (Vec<&ServerView>, Vec<&ServerView>) =
             eligible.into_iter().partition(|view| view.is_cold(now));
         let (resting, active): (Vec<&ServerView>, Vec<&ServerView>) =
@@ -266,8 +278,7 @@
         hall: &'a HallPool,
         request: &'a RoutingRequest,
     ) -> impl Iterator<Item = &'a ServerView> {
-        let is_usable =
-            move |view: &&ServerView| view.is_usable(now) && !request.tried.contains(&view.name);
+        let is_usable = move |view: &&ServerView| view.is_usable(now) && request.may_try(view);
         self.probe_ring(hall, request.prefix).filter(is_usable)
     }
 
@@ -290,7 +301,7 @@
             let start = request.seed as usize % hall.members.len().max(1);
             let around = hall.members[start..].iter().chain(&hall.members[..start]);
             let mut views = around.map(|index| &self.servers[*index as usize]);
-            views.find(|view| view.is_usable(now) && !request.tried.contains(&view.name))
+            views.find(|view| view.is_usable(now) && request.may_try(view))
         })
     }
 
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -53,6 +53,8 @@
     pub address: String,
     /// When this instance of it was started, in milliseconds since 1970; 0 when unknown.
     pub started_ms: Millis,
+    /// Version of its software; `None` when unknown.
+    pub(super) version: Option<Name>,
     /// Start time from its load reports, for rows of the operators' table, which have none.
     pub(super) reported_start_ms: Millis,
     pub(super) cold_until: Millis,
@@ -93,6 +95,7 @@
             hall: row.hall.clone(),
             address: row.address.clone(),
             started_ms: row.listed.started_ms,
+            version: row.listed.version.clone(),
             reported_start_ms: 0,
             cold_until: row.listed.cold_until,
             limit: row.limit,
--- a/crates/core/src/server_list.rs
+++ b/crates/core/src/server_list.rs
@@ -33,6 +33,9 @@
     pub started_ms: Millis,
     /// The service that it belongs to.
     pub service: Name,
+    /// Version of its software; `None` if unknown.
+    #[serde(default)]
+    pub version: Option<Name>,
     /// Its address, IP number and port.
     pub address: String,
     /// The hall that it is located in.
--- a/crates/core/src/server_list/update.rs
+++ b/crates/core/src/server_list/update.rs
@@ -6,7 +6,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::{Entry, ListVersion, ListedServer, RemovedServer, ServerList, SharedServer};
-use crate::Millis;
+use crate::{Millis, Name};
 
 /// Maximum number of recorded removals: some 60 bytes each, and enough for a release, which
 /// replaces more than half of 10,000 servers.
@@ -150,6 +150,7 @@
     let mut buf = server.name.as_str().as_bytes().to_vec();
     buf.extend_from_slice(&server.started_ms.to_le_bytes());
     buf.extend_from_slice(server.address.as_bytes());
+    buf.extend_from_slice(server.version.as_ref().map_or("", Name::as_str).as_bytes());
     buf.push(u8::from(server.draining));
     xxh3_64(&buf)
 }
--- a/crates/core/src/table/server.rs
+++ b/crates/core/src/table/server.rs
@@ -34,8 +34,10 @@
 }
 
 /// State of a server from the platform's list that its row does not contain.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default)]
 pub struct ListedState {
+    /// Version of its software; `None` when unknown.
+    pub version: Option<Name>,
     /// Start time of its process, in milliseconds since 1970; 0 when unknown.
     pub started_ms: Millis,
     /// Time until which it is cold, on this daemon's clock.
--- a/crates/core/tests/list_changes.rs
+++ b/crates/core/tests/list_changes.rs
@@ -19,6 +19,7 @@
 
 fn server(n: usize, started_ms: Millis, draining: bool) -> ListedServer {
     ListedServer {
+        version: None,
         name: name(n),
         started_ms,
         service: Name::from("engines"),
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use bankcove_core::members::{FleetSize, Heartbeat, Host, HostRole, HostState, Members};
+use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::{Incarnation, Name};
 use yare::parameterized;
 
@@ -45,6 +46,7 @@
         revision: 1,
         servers_version: Default::default(),
         evacuated: Default::default(),
+        rollouts: RolloutOrders::default(),
         stopping: false,
         store_heard_ms: None,
         view_age_ms: None,
@@ -195,6 +197,7 @@
         revision: 0,
         servers_version: Default::default(),
         evacuated: Default::default(),
+        rollouts: RolloutOrders::default(),
         stopping: false,
         store_heard_ms: None,
         view_age_ms: None,
--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{
     Homes, LoadReport, NoServer, Router, RoutingRequest, StreamPace, UnreadReport, UnreadTokens,
 };
@@ -39,6 +40,7 @@
         seed: prefix.rotate_left(17),
         tried,
         homes: Homes::default(),
+        versions: Versions::Any,
     }
 }
 
--- a/crates/core/tests/server_eligibility.rs
+++ b/crates/core/tests/server_eligibility.rs
@@ -2,6 +2,7 @@
 
 use bankcove_core::Name;
 use bankcove_core::hall_list::{EvacuatedHalls, HallChanges, HallList};
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{
     Homes, LoadReport, NoServer, Router, RoutingRequest, UnreadReport, UnreadTokens,
 };
@@ -32,7 +33,16 @@
 fn request<'a>(prefix: u64, homes: Homes<'a>, tried: &'a [Name]) -> RoutingRequest<'a> {
     let prefix = prefix.wrapping_mul(0x9e37_79b9_7f4a_7c15);
     let seed = prefix.rotate_left(17);
-    RoutingRequest { pool: "m", prefix, prompt_tokens: 0, hour: 0, seed, tried, homes }
+    RoutingRequest {
+        pool: "m",
+        prefix,
+        prompt_tokens: 0,
+        hour: 0,
+        seed,
+        tried,
+        homes,
+        versions: Versions::Any,
+    }
 }
 
 fn hall_of(server: &Name) -> usize {
@@ -137,6 +147,7 @@
 
 fn listed(started_ms: Millis) -> ListedServer {
     ListedServer {
+        version: None,
         name: Name::from("s1"),
         started_ms,
         service: Name::from("m"),
--- a/crates/core/tests/server_list.rs
+++ b/crates/core/tests/server_list.rs
@@ -8,6 +8,7 @@
 
 fn server(name: &str, draining: bool) -> ListedServer {
     ListedServer {
+        version: None,
         name: Name::from(name),
         service: Name::from("engines"),
         address: "10.0.0.7:8000".to_owned(),
--- a/crates/core/tests/unavailable_servers.rs
+++ b/crates/core/tests/unavailable_servers.rs
@@ -2,6 +2,7 @@
 //! ejected, in evacuated halls or outside the request's home regions, in any combination.
 
 use bankcove_core::crashes::ServerInstance;
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Homes, NoServer, Router, RoutingRequest};
 use bankcove_core::table::{ServerState, Table};
 use bankcove_core::{Millis, Name};
@@ -100,6 +101,7 @@
         let request = RoutingRequest {
             pool: "m", prefix, prompt_tokens: 0, hour: 0, seed, tried: &tried,
             homes: Homes { route: &regions, workspace: &[] },
+            versions: Versions::Any,
         };
         let may_serve = |n: usize| {
             let hall = n % HALLS;
--- a/crates/daemon/src/api/dispatch.rs
+++ b/crates/daemon/src/api/dispatch.rs
@@ -6,6 +6,7 @@
 use bankcove_core::crashes::{Placement, Verdict};
 use bankcove_core::lifecycle::{Admitted, Attempt, Dispatched, NotRun};
 use bankcove_core::request_log::Entry;
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Choice, Homes, NoServer, RoutingRequest};
 use bankcove_core::table::ServerKind;
 use bankcove_core::{Fingerprint, Millis, Name, RequestHash};
@@ -93,6 +94,7 @@
         seed: rand::random(),
         tried,
         homes: request.homes,
+        versions: Versions::Any,
     };
     let rank = placement.map_or(0, |placement| placement.rank);
     api.requests.router.lock().choose_ranked(api.requests.base.clock.now(), &routing_request, rank)
--- a/crates/daemon/src/base/config.rs
+++ b/crates/daemon/src/base/config.rs
@@ -159,6 +159,12 @@
         self.entry.as_ref().is_some_and(|entry| entry.follow_evacuations)
     }
 
+    /// Returns the fraction of a service's requests that a version under rollout may get; `None` if
+    /// the platform orders no rollouts.
+    pub fn rollout_fraction(&self) -> Option<f64> {
+        self.entry.as_ref().and_then(|entry| entry.rollout_fraction)
+    }
+
     /// Returns example settings with all defaults spelled out.
     pub fn example() -> Self {
         Config {
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -53,6 +53,10 @@
     /// platform's list of evacuated halls and requires it to be recent.
     #[serde(default)]
     pub follow_evacuations: bool,
+    /// Fraction of a service's requests, 0 to 1, that a version under rollout may get before it has
+    /// shown that it works. Omitted if the platform orders no rollouts.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollout_fraction: Option<f64>,
     /// Region of each hall, for requests that may be served only in some regions.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub hall_regions: BTreeMap<Name, Name>,
@@ -115,6 +119,7 @@
             held_ahead: default_held_ahead(),
             ration_s: default_ration_s(),
             follow_evacuations: true,
+            rollout_fraction: Some(0.1),
             hall_regions: BTreeMap::from([(Name::from("hall-1"), Name::from("region-1"))]),
         }
     }
@@ -166,6 +171,12 @@
             "must be above 0 megabits per second",
             "use the link's bandwidth, for example 1000, or omit it",
         );
+        check(
+            self.rollout_fraction.is_some_and(|fraction| !(0.0..=1.0).contains(&fraction)),
+            "entry.rollout_fraction",
+            "must be a fraction of the requests",
+            "use a number from 0 to 1, for example 0.1, or omit it",
+        );
         check(!is_usable(self.ration_s), "entry.ration_s", negative, "use for example 0.9");
         check(
             !(0.0..=1.0).contains(&self.held_ahead),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::membership::Membership;
 use crate::peer::PeerPool;
 use crate::requests::RequestContext;
+use crate::rollouts::Rollouts;
 use crate::view::View;
 
 /// A daemon with all its state.
@@ -58,6 +59,8 @@
     pub crashes: Arc<Crashes>,
     /// Hints of backend servers, and the permits derived from their limits.
     pub hints: Arc<Hints>,
+    /// Rollouts that were ordered, and the outcomes of requests by version.
+    pub rollouts: Arc<Rollouts>,
     /// Heartbeats and the state sent with them.
     pub membership: Arc<Membership>,
     /// State for serving callers' requests.
@@ -117,11 +120,13 @@
             Arc::clone(&table),
             Arc::clone(&router),
         ));
+        let rollouts = Arc::new(Rollouts::new(fleet.clone(), store.clone()));
         let (crashes, hints) = (Arc::new(crashes), Arc::new(hints));
         let membership = Membership::new(
             Arc::clone(&view),
             Arc::clone(&crashes),
             Arc::clone(&hints),
+            Arc::clone(&rollouts),
             stopping.clone(),
         );
         let billing = Billing::new(fleet.clone(), store.clone());
@@ -134,6 +139,7 @@
             budgets: Arc::clone(&budgets),
             crashes: Arc::clone(&crashes),
             hints: Arc::clone(&hints),
+            rollouts: Arc::clone(&rollouts),
             unread_changed: Arc::clone(&membership.unread_changed),
             leaving,
             latest_end: Mutex::new(None),
@@ -152,6 +158,7 @@
             billing: Arc::new(billing),
             peers: base.peers,
             hints,
+            rollouts,
             crashes,
             view,
             membership: Arc::new(membership),
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bankcove_core::Millis;
 use bankcove_core::router::Choice;
 use bankcove_ports::wire::NotRunReason;
 use bytes::Bytes;
@@ -56,8 +57,13 @@
     resume_after: Option<u64>,
 ) -> AttemptOutcome {
     let entry = Arc::clone(&call.entry);
+    // The deadline may have passed while the request waited for a permit.
+    if call.is_late() {
+        return AttemptOutcome::TimedOut;
+    }
     let choice = permit.choice().clone();
-    let mut open_request = OpenRequest::new(&entry.requests, &choice, call.prompt_tokens());
+    let mut open_request = OpenRequest::new(&entry.requests, &choice, call.prompt_tokens())
+        .with_trial(&call.plan.service, &call.plan.route.name, &choice);
     let backend_request = call.backend_request(&choice, resume_after);
     let may_have_run_before = call.may_have_run;
     charge.record_sent();
@@ -128,7 +134,7 @@
     if res.status().is_success() && call.plan.route.streams {
         return AttemptOutcome::StreamStarted(res, open_request, choice);
     }
-    read_body(call, res, open_request, choice).await
+    read_body(call, res, open_request, choice, sent_at).await
 }
 
 /// Reads the rest of an answer that is not streamed.
@@ -137,6 +143,7 @@
     res: Response<Body>,
     mut open_request: OpenRequest,
     choice: Choice,
+    sent_at: Millis,
 ) -> AttemptOutcome {
     let is_framed = crashes::is_framed(res.headers());
     let status = res.status();
@@ -144,6 +151,8 @@
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect();
     match call.entry.requests.base.clock.timeout_at(call.deadline, body).await {
         Some(Ok(body)) => {
+            let took = call.entry.requests.base.clock.now().saturating_sub(sent_at);
+            open_request.record_answer(Some(took as f64));
             if status.is_server_error() {
                 open_request.record_failure();
                 log_failed_attempt(call, &choice, "the server failed");
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bankcove_core::crashes::Verdict;
+use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Choice, Homes, NoServer, RoutingRequest};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Prompt, RequestHead};
@@ -218,6 +219,8 @@
     fn choose(&self) -> Result<Choice, NoServer> {
         let seed = rand::random();
         let placement = self.entry.requests.crashes.placement(|| self.fingerprint());
+        let requests = &self.entry.requests;
+        let rank = placement.map_or(0, |placement| placement.rank);
         let request = RoutingRequest {
             pool: self.plan.service.as_str(),
             prefix: placement.map_or_else(|| self.affinity_or(seed), |placement| placement.key),
@@ -226,10 +229,12 @@
             seed,
             tried: &self.tried_servers,
             homes: Homes { route: &self.plan.route.homes, workspace: &self.plan.workspace_homes },
+            versions: Versions::Any,
         };
-        let requests = &self.entry.requests;
-        let rank = placement.map_or(0, |placement| placement.rank);
-        requests.router.lock().choose_ranked(requests.base.clock.now(), &request, rank)
+        requests.rollouts.choose(&self.plan.service, self.tried_servers.is_empty(), |versions| {
+            let request = RoutingRequest { versions, ..request };
+            requests.router.lock().choose_ranked(requests.base.clock.now(), &request, rank)
+        })
     }
 
     /// Returns the hash that selects the preferred server: `seed` for a request without a prompt.
--- a/crates/daemon/src/entry/pace.rs
+++ b/crates/daemon/src/entry/pace.rs
@@ -16,6 +16,9 @@
 /// Minimum number of event intervals for a result.
 const MIN_INTERVALS: u32 = 8;
 
+/// Minimum number of event intervals for their mean.
+const MIN_MEAN_INTERVALS: u32 = 2;
+
 /// Measures the timing of the events of one stream, as this daemon receives them.
 #[derive(Debug, Clone)]
 pub struct PaceMeter {
@@ -83,6 +86,13 @@
         })
     }
 
+    /// Returns the mean event interval, in milliseconds; `None` if there were too few events.
+    pub fn mean_interval_ms(&self) -> Option<f64> {
+        let total = self.last_event_at - self.requested_at - self.first?;
+        let is_measured = self.count >= MIN_MEAN_INTERVALS;
+        is_measured.then(|| total.as_secs_f64() * 1000.0 / f64::from(self.count))
+    }
+
     /// Returns the time from the request to the first event, in milliseconds.
     pub fn first_ms(&self) -> Option<u64> {
         self.first.map(|first| first.as_millis() as u64)
--- a/crates/daemon/src/entry/ready.rs
+++ b/crates/daemon/src/entry/ready.rs
@@ -26,8 +26,8 @@
 async fn ready(depot: &mut Depot, res: &mut Response) {
     let entry = injected_entry(depot);
     let knows_servers = entry.view.servers.lock().version().is_some();
-    let is_leaving = entry.requests.leaving.is_cancelled();
-    if entry.requests.revision() == 0 || !knows_servers || is_leaving {
+    let knows_rollouts = entry.requests.rollouts.is_known();
+    if entry.requests.revision() == 0 || !knows_servers || !knows_rollouts || entry.requests.leaving.is_cancelled() {
         res.status_code(StatusCode::SERVICE_UNAVAILABLE);
     }
 }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -81,6 +81,7 @@
                 ReadResult::Events(events) => return Some(Ok(events)),
                 ReadResult::End => {
                     self.charge.record_complete();
+                    self.open_request.record_answer(self.pace.mean_interval_ms());
                     let requests = &self.call.entry.requests;
                     let request = || self.call.fingerprint();
                     requests.crashes.record_response_end(&self.choice, self.is_framed, request);
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -117,6 +117,8 @@
         return Err(Refusal::Stopping);
     }
     let table = requests.table.load_full();
+    // A version under rollout must not get more than its part.
+    let table = table.filter(|_| requests.rollouts.is_known());
     let table = table.ok_or_else(|| Refusal::NoTable(no_table_retry_delay(requests)))?;
     let host = req.headers().get(HOST).and_then(|host| host.to_str().ok()).unwrap_or_default();
     let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod peer;
 pub mod peer_server;
 pub mod requests;
+pub mod rollouts;
 pub mod view;
 
 pub use error::{Error, Result};
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -28,7 +28,7 @@
 use crate::http::{HttpListener, serve};
 use crate::membership::{self, unread_reports};
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
-use crate::{hints, operator, peer_server};
+use crate::{hints, operator, peer_server, rollouts};
 
 /// Interval at which a graceful shutdown checks for unrecorded bills.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -165,6 +165,10 @@
         if daemon.cfg.follows_evacuations() {
             tokio::spawn(hall_sync::watch(Arc::clone(&daemon.view)));
         }
+        if daemon.cfg.rollout_fraction().is_some() {
+            tokio::spawn(rollouts::sync::watch(Arc::clone(&daemon.rollouts)));
+            tokio::spawn(rollouts::report::report(Arc::clone(&daemon.rollouts)));
+        }
         let membership = Arc::clone(&daemon.membership);
         tokio::spawn(async move { membership::contact_seed_peers(&membership).await });
         slog::info!(daemon.log, "serving";
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -1,7 +1,7 @@
 //! Heartbeats between daemons, and the synchronization that they trigger.
 //!
 //! Owns the rounds of heartbeats and the reports sent between them (`unread_reports`). May call
-//! `view`, `crashes`, `hints`, `fleet` and peers; called by `peer_server` and the startup code. The
+//! `view`, `crashes`, `hints`, `rollouts`, `fleet` and peers; called by `peer_server` and the startup code. The
 //! layers below trigger heartbeats by a notification in `fleet`, so that they need not call this
 //! one.
 
@@ -20,6 +20,7 @@
 use crate::crashes::Crashes;
 use crate::fleet::Fleet;
 use crate::hints::Hints;
+use crate::rollouts::Rollouts;
 use crate::view::{View, hall_sync, server_sync, table_sync};
 
 /// Number of servers whose pace one heartbeat reports, in some 100 bytes. A daemon receives twelve
@@ -57,6 +58,8 @@
     pub crashes: Arc<Crashes>,
     /// Hints of backend servers.
     pub hints: Arc<Hints>,
+    /// Rollouts that were ordered.
+    pub rollouts: Arc<Rollouts>,
     /// Notified when the number of prompt tokens that servers still have to read for this daemon
     /// has changed.
     pub unread_changed: Arc<Notify>,
@@ -72,6 +75,7 @@
         view: Arc<View>,
         crashes: Arc<Crashes>,
         hints: Arc<Hints>,
+        rollouts: Arc<Rollouts>,
         stopping: CancellationToken,
     ) -> Self {
         Membership {
@@ -79,6 +83,7 @@
             view,
             crashes,
             hints,
+            rollouts,
             unread_changed: Arc::default(),
             unread_reports_sent: AtomicU64::new(0),
             fetches: Fetches::default(),
@@ -93,6 +98,7 @@
         // opposite order.
         let servers_version = self.view.servers.lock().version();
         let evacuated = self.view.halls.lock().evacuated().clone();
+        let rollouts = self.rollouts.orders();
         let first_pace = rand::random_range(0..usize::MAX);
         let paces = self.view.router.lock().paces(PACES_PER_HEARTBEAT, first_pace);
         Heartbeat {
@@ -103,6 +109,7 @@
             revision: self.view.revision(),
             servers_version,
             evacuated,
+            rollouts,
             stopping: self.stopping.is_cancelled(),
             store_heard_ms: self.fleet.connectivity.store_age(self.fleet.base.clock.now()),
             view_age_ms: self.fleet.connectivity.view_age(self.fleet.base.clock.now()),
@@ -155,6 +162,7 @@
 /// Merges the parts of a heartbeat that are valid however long it was in transit.
 fn merge_heartbeat(membership: &Arc<Membership>, heartbeat: &Heartbeat) {
     hall_sync::merge_from_peer(&membership.view, &heartbeat.evacuated);
+    membership.rollouts.merge_from_peer(&heartbeat.rollouts);
     membership.crashes.fetch_if_digest_differs(&heartbeat.address, heartbeat.crashes_digest);
     membership.hints.fetch_if_digest_differs(&heartbeat.address, heartbeat.hints_digest);
     membership.fleet.members.lock().record_heartbeat(membership.fleet.base.clock.now(), heartbeat);
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -16,7 +16,7 @@
 pub use pool::PeerPool;
 pub use protocol::{
     AllotAnswer, GiveAnswer, HostListReply, OwnerAnswer, PeerService, PeerServiceClient,
-    PermitAnswer, Refusal,
+    PermitAnswer, Refusal, RolloutAnswer, RolloutReport,
 };
 
 /// Maximum size of one message, in bytes; a whole table fits.
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -8,6 +8,7 @@
 use bankcove_core::members::{Heartbeat, Host};
 use bankcove_core::owner::{RETRY_LATER_MS, Reply, Request};
 use bankcove_core::request_log::{Entry, Outcome};
+use bankcove_core::rollout::{RolloutKey, ServiceOutcomes};
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
@@ -89,6 +90,25 @@
     Refused(Refusal),
 }
 
+/// Outcomes of a service's requests at one daemon since it learned of the rollout.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct RolloutReport {
+    /// The rollout.
+    pub rollout: RolloutKey,
+    /// The sender.
+    pub from: Incarnation,
+    /// The outcomes.
+    pub outcomes: ServiceOutcomes,
+}
+
+/// Response to a [`RolloutReport`].
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct RolloutAnswer {
+    /// Fraction of the service's requests that the new version may get now; `None` if the receiver
+    /// is not the decider.
+    pub fraction: Option<f64>,
+}
+
 /// The platform's host list, as sent by a peer.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HostListReply {
@@ -154,6 +174,8 @@
     /// Requests permits for a server from the receiver. `fact` is the server's limit as known to
     /// the sender.
     async fn permits(fact: LimitFact, request: PermitRequest) -> PermitAnswer;
+    /// Reports the outcomes of a rollout to the receiver, which may be its decider.
+    async fn rollout_report(report: RolloutReport) -> RolloutAnswer;
     /// Hands the receiver a bill, which it keeps until the store accepts it.
     async fn keep_bill(bill: Bill);
 }
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -29,7 +29,8 @@
 use crate::membership;
 use crate::peer::packed_table::PackedTable;
 use crate::peer::{
-    AllotAnswer, GiveAnswer, HostListReply, OwnerAnswer, PeerService, PermitAnswer, framed,
+    AllotAnswer, GiveAnswer, HostListReply, OwnerAnswer, PeerService, PermitAnswer, RolloutAnswer,
+    RolloutReport, framed,
 };
 
 /// Pause after a failure to accept a connection.
@@ -172,6 +173,10 @@
         self.daemon.hints.issue(&fact, request)
     }
 
+    async fn rollout_report(self, _: Context, report: RolloutReport) -> RolloutAnswer {
+        self.daemon.rollouts.record_report(report)
+    }
+
     async fn keep_bill(self, _: Context, bill: Bill) {
         self.daemon.billing.enqueue(Entry::Bill(bill));
     }
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -23,6 +23,7 @@
 use crate::crashes::Crashes;
 use crate::fleet::Fleet;
 use crate::hints::Hints;
+use crate::rollouts::Rollouts;
 
 /// Shared state for serving requests of callers.
 pub struct RequestContext {
@@ -40,6 +41,8 @@
     pub crashes: Arc<Crashes>,
     /// Hints of backend servers, and the permits derived from their limits.
     pub hints: Arc<Hints>,
+    /// Rollouts that were ordered, and the outcomes of requests by version.
+    pub rollouts: Arc<Rollouts>,
     /// Notified when the unread prompt tokens that this daemon has sent to servers have changed.
     pub unread_changed: Arc<Notify>,
     /// Cancelled when the platform's load balancer should send no new connections; requests are
--- a/crates/daemon/src/requests/open_request.rs
+++ b/crates/daemon/src/requests/open_request.rs
@@ -8,6 +8,7 @@
 use crate::crashes::isolation::IsolatedRun;
 use crate::membership::unread_reports::MIN_REPORTED_TOKENS;
 use crate::requests::RequestContext;
+use crate::rollouts::{TrialOutcome, VersionTrial};
 
 /// A request that is open at a server. Dropping it records the request as ended.
 pub struct OpenRequest {
@@ -19,6 +20,10 @@
     /// Registration of its only further run, if it has the same crashes as another request
     /// ([`bankcove_core::crashes::Verdict::Isolated`]).
     pub isolated_run: Option<IsolatedRun>,
+    /// Version that it tries, during a rollout.
+    trial: Option<VersionTrial>,
+    /// How the attempt ended, as far as it tells of the version.
+    outcome: Option<TrialOutcome>,
 }
 
 impl OpenRequest {
@@ -36,9 +41,24 @@
             succeeded: true,
             unread_prompt: prompt,
             isolated_run: None,
+            trial: None,
+            outcome: None,
         }
     }
 
+    /// Records for the rollout of this service, if there is one, how the attempt ends.
+    #[must_use]
+    pub fn with_trial(mut self, service: &Name, route: &Name, choice: &Choice) -> Self {
+        self.trial = self.requests.rollouts.trial(service, route, choice.version.as_ref());
+        self
+    }
+
+    /// Records that the whole answer was received; `millis` is the time by which versions are
+    /// compared, if it was measured.
+    pub fn record_answer(&mut self, millis: Option<f64>) {
+        self.outcome = Some(TrialOutcome::Answered(millis));
+    }
+
     /// Records that the server has read the prompt, because its response has begun.
     pub fn record_prompt_read(&mut self) {
         let prompt = std::mem::take(&mut self.unread_prompt);
@@ -53,12 +73,16 @@
     /// Records that the server failed to serve the request.
     pub fn record_failure(&mut self) {
         self.succeeded = false;
+        self.outcome = Some(TrialOutcome::Failed);
     }
 }
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
         self.record_prompt_read();
+        if let (Some(trial), Some(outcome)) = (&self.trial, self.outcome) {
+            self.requests.rollouts.record(trial, outcome);
+        }
         let now = self.requests.base.clock.now();
         self.requests.router.lock().record_ended(
             now,
--- a/crates/daemon/src/view/routing_table.rs
+++ b/crates/daemon/src/view/routing_table.rs
@@ -87,7 +87,11 @@
         limit: u32::MAX,
         state: if listed.draining { ServerState::Draining } else { ServerState::Serving },
         checks_orders: false,
-        listed: ListedState { started_ms: listed.started_ms, cold_until: 0 },
+        listed: ListedState {
+            version: listed.version.clone(),
+            started_ms: listed.started_ms,
+            cold_until: 0,
+        },
         version: 0,
     }
 }
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use bankcove_core::members::Heartbeat;
+use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::table::Budget;
 use bankcove_core::{Incarnation, Name};
 use bankcoved::base::config::Config;
@@ -37,6 +38,7 @@
         revision: 1,
         servers_version: Default::default(),
         evacuated: Default::default(),
+        rollouts: RolloutOrders::default(),
         stopping: false,
         store_heard_ms: None,
         view_age_ms: None,
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use bankcove_core::members::Heartbeat;
+use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::{Incarnation, Name};
 use bankcoved::base::config::Config;
 use bankcoved::base::logging;
@@ -24,6 +25,7 @@
         revision: 0,
         servers_version: Default::default(),
         evacuated: Default::default(),
+        rollouts: RolloutOrders::default(),
         stopping: false,
         store_heard_ms: Some(0),
         view_age_ms: Some(0),
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -12,7 +12,7 @@
     &["peer"],
     &["base"],
     &["fleet"],
-    &["view", "crashes", "hints", "budget", "bill"],
+    &["view", "crashes", "hints", "rollouts", "budget", "bill"],
     &["membership"],
     &["requests"],
     &["api", "entry"],
@@ -106,6 +106,7 @@
     fleet = { "fleet" },
     hints = { "hints" },
     peer = { "peer" },
+    rollouts = { "rollouts" },
     view = { "view" },
 )]
 fn the_modules_of_a_layer_have_no_cyclic_dependencies(layer: &str) {
--- a/crates/ports/src/calls.rs
+++ b/crates/ports/src/calls.rs
@@ -24,12 +24,14 @@
     BudgetsRead,
     /// Writes of a budget shard.
     BudgetsWritten,
+    /// Reads and watches of the rollouts, and writes of their states and leases.
+    Rollouts,
     /// All other calls.
     Other,
 }
 
 /// All purposes with their names in logs and metrics, in the order of the counters.
-const PURPOSES: [(Purpose, &str); 8] = [
+const PURPOSES: [(Purpose, &str); 9] = [
     (Purpose::Table, "table"),
     (Purpose::Servers, "servers"),
     (Purpose::Halls, "halls"),
@@ -37,6 +39,7 @@
     (Purpose::Announce, "announce"),
     (Purpose::BudgetsRead, "budgets_read"),
     (Purpose::BudgetsWritten, "budgets_written"),
+    (Purpose::Rollouts, "rollouts"),
     (Purpose::Other, "other"),
 ];
 
@@ -46,6 +49,7 @@
         match kind {
             Kind::Table => Purpose::Table,
             Kind::Budgets => Purpose::BudgetsRead,
+            Kind::RolloutLeases => Purpose::Rollouts,
             Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked => Purpose::Other,
         }
     }
@@ -55,6 +59,7 @@
         match kind {
             Kind::Table => Purpose::Table,
             Kind::Budgets => Purpose::BudgetsWritten,
+            Kind::RolloutLeases => Purpose::Rollouts,
             Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked => Purpose::Other,
         }
     }
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -4,6 +4,7 @@
 
 use bankcove_core::hall_list::HallChanges;
 use bankcove_core::members::{Host, Hosts};
+use bankcove_core::rollout::{RolloutChanges, RolloutOrder, RolloutState};
 use bankcove_core::server_list::ServerChanges;
 use futures::FutureExt;
 use futures::future::BoxFuture;
@@ -214,4 +215,21 @@
         // Whether a hall takes work is set in the table only.
         async { Ok(None) }.boxed()
     }
+
+    fn watch_rollouts(
+        &self,
+        _: Version,
+        _: Duration,
+    ) -> BoxFuture<'_, Result<Option<RolloutChanges>>> {
+        // This platform orders no rollouts.
+        async { Ok(None) }.boxed()
+    }
+
+    fn write_rollout_state<'a>(
+        &'a self,
+        _: &'a RolloutOrder,
+        _: RolloutState,
+    ) -> BoxFuture<'a, WriteOutcome> {
+        async { WriteOutcome::NotSent }.boxed()
+    }
 }
--- a/crates/ports/src/objects.rs
+++ b/crates/ports/src/objects.rs
@@ -19,6 +19,8 @@
     Epochs,
     /// Blocked requests, which no server may run.
     Blocked,
+    /// Leases of the daemons that decide on rollouts.
+    RolloutLeases,
 }
 
 impl Kind {
@@ -30,6 +32,7 @@
             Kind::RequestLog(shard) => format!("log-{shard:02}"),
             Kind::Epochs => "epochs".to_owned(),
             Kind::Blocked => "blocked".to_owned(),
+            Kind::RolloutLeases => "rollout-leases".to_owned(),
         }
     }
 }
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -9,6 +9,7 @@
 
 use bankcove_core::hall_list::HallChanges;
 use bankcove_core::members::{Host, Hosts};
+use bankcove_core::rollout::{RolloutChanges, RolloutOrder, RolloutState};
 use bankcove_core::server_list::ServerChanges;
 use futures::future::BoxFuture;
 use serde::Serialize;
@@ -90,6 +91,21 @@
         after: Version,
         wait: Duration,
     ) -> BoxFuture<'_, Result<Option<HallChanges>>>;
+
+    /// Waits until the list of ordered rollouts has changed, as [`StoreApi::watch_servers`] does.
+    /// Returns `None` if the platform orders no rollouts.
+    fn watch_rollouts(
+        &self,
+        after: Version,
+        wait: Duration,
+    ) -> BoxFuture<'_, Result<Option<RolloutChanges>>>;
+
+    /// Writes the state of a rollout if its object is at the version of `order`.
+    fn write_rollout_state<'a>(
+        &'a self,
+        order: &'a RolloutOrder,
+        state: RolloutState,
+    ) -> BoxFuture<'a, WriteOutcome>;
 }
 
 /// The platform's store as the daemon uses it; clones share the connections.
@@ -170,6 +186,29 @@
         self.api.watch_halls(after, wait).await
     }
 
+    /// Waits for a change of the list of ordered rollouts, as [`StoreApi::watch_rollouts`] does.
+    ///
+    /// # Errors
+    /// [`Error::Unavailable`] or [`Error::HistoryGone`].
+    pub async fn watch_rollouts(
+        &self,
+        after: Version,
+        wait: Duration,
+    ) -> Result<Option<RolloutChanges>> {
+        self.calls.count(Purpose::Rollouts);
+        self.api.watch_rollouts(after, wait).await
+    }
+
+    /// Writes the state of a rollout, as [`StoreApi::write_rollout_state`] does.
+    pub async fn write_rollout_state(
+        &self,
+        order: &RolloutOrder,
+        state: RolloutState,
+    ) -> WriteOutcome {
+        self.calls.count(Purpose::Rollouts);
+        self.api.write_rollout_state(order, state).await
+    }
+
     /// Reads an object; `None` if it does not exist.
     ///
     /// # Errors
