Full link: an overloaded host leaves the load balancer; sends are checked at their moment

Measured: front-nbg-ost-3 (10 Mbit/s) is asked some 200 times a second, bodies of 9 kB, 1.1 MB/s of the 1.25 its link carries, by callers whose new connections a hash keeps leading there; its asks for tokens then take 100 ms and fail, and it answers budget_out_of_reach with 9 s. Change: what has passed the link in half a second counts, of refused requests too; above three quarters the host says it is not ready for 8 s (16 s when it comes again) and closes connections with its answers. A link that is saturated is named in the refusal (link_full, 100 ms) in place of tokens or servers out of reach. Bodies count apart (200, 150, 100 ms by rank) and are admitted by their declared length.

Reading on from a draining server's run is allowed, as before. Test: a_server_that_the_list_drops_or_drains_after_its_choice_is_not_sent_to.

--- a/crates/core/src/hints.rs
+++ b/crates/core/src/hints.rs
@@ -76,6 +76,9 @@
         /// Remaining time, in milliseconds.
         left_ms: Millis,
     },
+    /// The list has this instance no longer, or names it as leaving.
+    #[error("the server is no longer listed as serving")]
+    Unlisted,
 }
 
 /// Parses the header values that mark a server as leaving: `1` means that it is leaving, `0` that
--- a/crates/core/src/router/closed_servers.rs
+++ b/crates/core/src/router/closed_servers.rs
@@ -6,8 +6,8 @@
 
 use crate::crashes::ServerInstance;
 use crate::hints::{Closed, LeavingFact};
-use crate::router::Router;
 use crate::router::view::ServerView;
+use crate::router::{Choice, Router};
 use crate::{Millis, Name};
 
 impl Router {
@@ -25,6 +25,17 @@
         if left_ms > 0 { Err(Closed::Resting { left_ms }) } else { Ok(()) }
     }
 
+    /// Checks that the server chosen earlier may still be sent to: it is listed, not leaving and
+    /// not resting. A request may wait for a permit or a processor between its choice and its send.
+    ///
+    /// # Errors
+    /// [`Closed`] with the reason.
+    pub fn check_choice(&self, now: Millis, choice: &Choice) -> Result<(), Closed> {
+        self.check_open(now, &choice.instance())?;
+        let is_serving = self.is_current_and_not_leaving(now, &choice.server, choice.started_ms);
+        if is_serving { Ok(()) } else { Err(Closed::Unlisted) }
+    }
+
     /// Returns whether no server instance is leaving or has asked for rest.
     pub fn all_open(&self) -> bool {
         self.leaving.is_empty() && self.rests.is_empty()
--- a/crates/core/tests/closed_servers.rs
+++ b/crates/core/tests/closed_servers.rs
@@ -2,8 +2,9 @@
 
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::hints::{Closed, LeavingFact, LeavingServers, RestPeriods};
-use bankcove_core::router::{LoadReport, Router, ServerView};
-use bankcove_core::table::{Server, Table};
+use bankcove_core::rollout::Versions;
+use bankcove_core::router::{Homes, LoadReport, Router, RoutingRequest, ServerView};
+use bankcove_core::table::{Server, ServerState, Table};
 use bankcove_core::{Millis, Name};
 use serde_json::json;
 
@@ -139,6 +140,31 @@
     );
 }
 
+#[test]
+fn a_server_that_the_list_drops_or_drains_after_its_choice_is_not_sent_to() {
+    let mut router = router_with_engine();
+    let request = RoutingRequest {
+        pool: "m",
+        prefix: 1,
+        prompt_tokens: 0,
+        hour: 0,
+        seed: 1,
+        tried: &[],
+        homes: Homes::default(),
+        versions: Versions::Any,
+    };
+    let choice = router.choose(0, &request).expect("a server");
+    assert_eq!(router.check_choice(0, &choice), Ok(()));
+    let mut rows = table_of(&router);
+    rows[0].state = ServerState::Draining;
+    router.adopt(&Table { servers: rows, ..Table::default() });
+    assert_eq!(router.check_choice(10, &choice), Err(Closed::Unlisted), "it drains");
+    router.adopt(&Table { servers: table_of(&router), ..Table::default() });
+    assert_eq!(router.check_choice(20, &choice), Ok(()), "it serves again");
+    router.adopt(&Table::default());
+    assert_eq!(router.check_choice(30, &choice), Err(Closed::Unlisted), "it is gone");
+}
+
 fn table_of(router: &Router) -> Vec<Server> {
     let row = |view: &ServerView| {
         json!({"name": view.name, "hall": view.hall, "address": view.address,
--- a/crates/core/tests/link.rs
+++ b/crates/core/tests/link.rs
@@ -8,7 +8,7 @@
 }
 
 fn traffic(bytes: u64) -> Traffic {
-    Traffic { bytes, chunks: 0 }
+    Traffic { bytes, ..Traffic::default() }
 }
 
 #[test]
@@ -42,7 +42,7 @@
 #[test]
 fn chunks_cost_more_than_their_bytes() {
     let mut link = link();
-    let many = Traffic { bytes: 0, chunks: 20_000 };
+    let many = Traffic { chunks: 20_000, ..Traffic::default() };
     assert!(link.reserve(many, 0, 0));
     assert!(link.backlog_ms(0) > 1_000.0);
 }
--- a/crates/daemon/src/api/delivery.rs
+++ b/crates/daemon/src/api/delivery.rs
@@ -24,7 +24,7 @@
 use crate::api::response::{ErrorResponse, ResponseBody};
 use crate::api::sse::{Chunk, Event, EventSplitter, Usage};
 use crate::bill::bills::{self, Billed};
-use crate::hints::permit::NoPermit;
+use crate::hints::permit::{NoPermit, Purpose};
 
 /// Event that ends a stream.
 const END_EVENT: &[u8] = b"data: [DONE]\n\n";
@@ -270,7 +270,10 @@
             slog::info!(self.log, "stream resumed"; "offset" => self.sequence.next());
             let offset = self.sequence.next();
             let hints = &self.api.requests.hints;
-            let permit = match hints.acquire_permit(self.log, self.choice.clone(), 0).await {
+            let permit = match hints
+                .acquire_permit(self.log, self.choice.clone(), Purpose::RunningWork, 0)
+                .await
+            {
                 Ok(permit) => permit,
                 Err(no_permit) => {
                     // The run continues on the server, which keeps its output.
@@ -279,7 +282,9 @@
                         NoPermit::Closed(Closed::Resting { left_ms }) => left_ms,
                         // A server that is shutting down accepts no request for the rest of the
                         // stream.
-                        NoPermit::Closed(Closed::Leaving) => return StreamEnd::ServerLost,
+                        NoPermit::Closed(Closed::Leaving | Closed::Unlisted) => {
+                            return StreamEnd::ServerLost;
+                        }
                     };
                     tokio::time::sleep(Duration::from_millis(wait).min(MAX_PERMIT_WAIT)).await;
                     continue;
--- a/crates/daemon/src/api/dispatch.rs
+++ b/crates/daemon/src/api/dispatch.rs
@@ -17,7 +17,7 @@
 use crate::api::backend::{self, BackendRequest, SendError};
 use crate::api::response::ErrorResponse;
 use crate::crashes::isolation::IsolatedRun;
-use crate::hints::permit::Permit;
+use crate::hints::permit::{Permit, Purpose};
 use crate::requests::open_request::OpenRequest;
 
 /// Retry delay when no server is usable.
@@ -71,8 +71,11 @@
     // Terminates: a server without a permit is not chosen again for some time.
     loop {
         let choice = choose_with_placement(api, request, tried, placement)?;
-        if let Ok(permit) =
-            api.requests.hints.acquire_permit(&api.requests.base.log, choice, 0).await
+        if let Ok(permit) = api
+            .requests
+            .hints
+            .acquire_permit(&api.requests.base.log, choice, Purpose::NewWork, 0)
+            .await
         {
             return Ok(permit);
         }
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -21,7 +21,7 @@
 
 use std::sync::Arc;
 
-use bankcove_core::link::Link;
+use bankcove_core::link::{Link, Traffic};
 use bankcove_core::retry_budget::RetryBudget;
 use bankcove_ports::wire::Wire;
 use parking_lot::Mutex;
@@ -50,6 +50,31 @@
 }
 
 impl Entry {
+    /// Returns whether new connections should lead to other hosts: this one is shutting down, or its
+    /// link is overloaded.
+    pub fn is_withdrawn(&self) -> bool {
+        let now = self.requests.base.clock.now();
+        let link = self.link.lock();
+        self.requests.leaving.is_cancelled() || link.as_ref().is_some_and(|l| l.is_withdrawn(now))
+    }
+
+    /// Returns whether this host's link is so full that calls to other hosts fail for it.
+    pub fn is_link_saturated(&self) -> bool {
+        let now = self.requests.base.clock.now();
+        self.link.lock().as_mut().is_some_and(|link| link.is_saturated(now))
+    }
+
+    /// Records traffic that has passed the link in one direction.
+    pub fn record_passed(&self, traffic: Traffic) {
+        let now = self.requests.base.clock.now();
+        let begins = self.link.lock().as_mut().and_then(|link| link.record_passed(traffic, now));
+        if let Some(for_ms) = begins {
+            self.requests.base.metrics.count("link.withdrawn");
+            slog::warn!(self.requests.base.log, "link overloaded, leaving the load balancer";
+                "for_ms" => for_ms);
+        }
+    }
+
     /// Applies those settings that may change at run time.
     pub fn reload(&self, settings: EntrySettings) {
         self.retries.lock().set_allowance(settings.retry_allowance());
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -68,7 +68,7 @@
     let may_have_run_before = call.may_have_run;
     charge.record_sent();
     call.tried_servers.push(choice.server.clone());
-    call.link.record_chunk(call.body.len());
+    call.link.record_body(call.body.len());
     call.link.record_head();
     let clock = &entry.requests.base.clock;
     let sent_at = clock.now();
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -20,7 +20,7 @@
 use crate::entry::link_reservation::LinkReservation;
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
-use crate::hints::permit::{NoPermit, Permit};
+use crate::hints::permit::{NoPermit, Permit, Purpose};
 
 /// Minimum number of shared prompt tokens that are copied from another server's cache. Setting up
 /// a copy takes about 4 ms, in which an engine reads 130 to 230 tokens.
@@ -168,7 +168,8 @@
         for _ in 0..MAX_PERMIT_REQUESTS {
             let choice = self.choose_or_wait().await?;
             let hints = &self.entry.requests.hints;
-            match hints.acquire_permit(&self.log, choice, self.plan.rank()).await {
+            match hints.acquire_permit(&self.log, choice, Purpose::NewWork, self.plan.rank()).await
+            {
                 Ok(permit) => return Ok(permit),
                 Err(NoPermit::AtLimit(at_limit)) => last_reason = NoServer::OnlyLimited(at_limit),
                 // The router knows by now that this server is closed.
--- a/crates/daemon/src/entry/link_reservation.rs
+++ b/crates/daemon/src/entry/link_reservation.rs
@@ -30,8 +30,8 @@
 }
 
 impl LinkReservation {
-    /// Reserves the expected traffic of a request with `body` bytes. Returns `None` if too much is
-    /// reserved already for a request of its priority.
+    /// Reserves the expected traffic of a request with a body of `body_bytes`, which need not be
+    /// read yet. Returns `None` if too much is reserved already for a request of its priority.
     pub fn reserve(
         entry: &Arc<Entry>,
         plan: &Plan,
@@ -44,13 +44,23 @@
         let mut link = entry.link.lock();
         let is_reserved = link.as_mut().is_none_or(|link| link.reserve(expected, rank, now));
         drop(link);
+        // The body arrives in any case: by the time of a refusal most of it is on its way.
+        let arriving = body_bytes as u64 + HEAD_BYTES;
+        entry.record_passed(Traffic { bytes: arriving, chunks: 1, ..Traffic::default() });
         let entry = Arc::clone(entry);
         is_reserved.then(|| LinkReservation { entry, expected, sent: Traffic::default() })
     }
 
-    /// Records `bytes` sent: the body of the request, or a chunk of its answer.
+    /// Records the body of the request as sent.
+    pub fn record_body(&mut self, bytes: usize) {
+        self.sent.add(bytes);
+    }
+
+    /// Records a chunk of the answer as received and sent.
     pub fn record_chunk(&mut self, bytes: usize) {
         self.sent.add(bytes);
+        let bytes = bytes as u64;
+        self.entry.record_passed(Traffic { bytes, chunks: 1, ..Traffic::default() });
     }
 
     /// Records the heads of a request and of its answer.
@@ -76,5 +86,5 @@
     });
     let answer_bytes = events.map_or(ANSWER_BYTES, |events| events * EVENT_BYTES);
     let bytes = body_bytes as u64 + HEAD_BYTES + answer_bytes;
-    Traffic { bytes, chunks: 2 + events.unwrap_or(1) }
+    Traffic { body_bytes: body_bytes as u64, bytes, chunks: 2 + events.unwrap_or(1) }
 }
--- a/crates/daemon/src/entry/ready.rs
+++ b/crates/daemon/src/entry/ready.rs
@@ -27,7 +27,7 @@
     let entry = injected_entry(depot);
     let knows_servers = entry.view.servers.lock().version().is_some();
     let knows_rollouts = entry.requests.rollouts.is_known();
-    if entry.requests.revision() == 0 || !knows_servers || !knows_rollouts || entry.requests.leaving.is_cancelled() {
+    if entry.requests.revision() == 0 || !knows_servers || !knows_rollouts || entry.is_withdrawn() {
         res.status_code(StatusCode::SERVICE_UNAVAILABLE);
     }
 }
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -142,6 +142,18 @@
         }
     }
 
+    /// Returns the refusal to send when this host's link may be the cause of it: tokens and servers
+    /// that can't be reached over a saturated link are in reach of other hosts, now.
+    #[must_use]
+    pub fn on_saturated_link(self, is_saturated: bool) -> Self {
+        match self {
+            Refusal::BudgetOutOfReach { .. } | Refusal::NoServer if is_saturated => {
+                Refusal::LinkFull
+            }
+            other => other,
+        }
+    }
+
     /// Returns the HTTP status of the answer.
     pub fn status(&self) -> StatusCode {
         match self {
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -8,7 +8,7 @@
 use bankcove_core::{Millis, Name};
 use bankcove_ports::wire::RequestHead;
 use salvo::affix_state;
-use salvo::http::header::{CONNECTION, HOST, HeaderValue, RETRY_AFTER};
+use salvo::http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER};
 use salvo::http::uri::PathAndQuery;
 use salvo::prelude::*;
 use slog::o;
@@ -33,7 +33,7 @@
 async fn serve(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let entry = injected_entry(depot);
     let in_flight = entry.requests.in_flight.token();
-    if entry.requests.leaving.is_cancelled() {
+    if entry.is_withdrawn() {
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     match handle(&entry, req).await {
@@ -54,6 +54,10 @@
 /// Writes a refusal, with a `Retry-After` header in seconds.
 fn render(refusal: &Refusal, res: &mut Response) {
     res.status_code(refusal.status());
+    if matches!(refusal, Refusal::LinkFull) {
+        // The unread body is still on the connection, and a new one leads to another host.
+        res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+    }
     if let Some(delay) = refusal.retry_after()
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64()))
     {
@@ -100,9 +104,10 @@
     let request_head = request_head.map_err(|e| log_refusal(e.into(), None))?;
     let read = read_call(entry, req, request_head.clone(), arrived_at).await;
     let call = read.map_err(|refusal| log_refusal(refusal, Some(&request_head)))?;
+    let of_link = |refusal: Refusal| refusal.on_saturated_link(entry.is_link_saturated());
     let admitted = AdmittedCall::admit(call).await;
-    let admitted = admitted.map_err(|refusal| log_refusal(refusal, Some(&request_head)))?;
-    forward(admitted).await.map_err(|refusal| log_refusal(refusal, Some(&request_head)))
+    let admitted = admitted.map_err(|e| log_refusal(of_link(e), Some(&request_head)))?;
+    forward(admitted).await.map_err(|e| log_refusal(of_link(e), Some(&request_head)))
 }
 
 /// Looks up the request in the table, reads its body and reserves its traffic on the link.
@@ -130,9 +135,10 @@
         return Err(Refusal::Stopping);
     }
     let path = req.uri().path_and_query().cloned();
-    let body = read_body(table.caller_limits, &requests.base.cfg.limits, req).await?;
-    let link = LinkReservation::reserve(entry, &plan, &request_head, body.len())
+    // A body that is not read need not be received in full.
+    let link = LinkReservation::reserve(entry, &plan, &request_head, declared_length(req))
         .ok_or(Refusal::LinkFull)?;
+    let body = read_body(table.caller_limits, &requests.base.cfg.limits, req).await?;
     let caller_timeout = request_head.timeout.unwrap_or(Duration::MAX);
     let route_deadline = Duration::from_millis(plan.route.deadline_ms);
     Ok(Call {
@@ -156,6 +162,12 @@
     })
 }
 
+/// Returns the length of the body by its header; 0 if there is none, as for a chunked body.
+fn declared_length(req: &Request) -> usize {
+    let length = req.headers().get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
+    length.and_then(|length| length.parse().ok()).unwrap_or_default()
+}
+
 /// Reads the body within the limits of the table or, without them, of the settings.
 async fn read_body(
     table_limits: Option<CallerLimits>,
--- a/crates/daemon/src/hints/permit.rs
+++ b/crates/daemon/src/hints/permit.rs
@@ -7,10 +7,13 @@
 use bankcove_core::Millis;
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::hints::Closed;
-use bankcove_core::limits::{ISSUERS_PER_SERVER, LimitFact, PermitRequest, RequestRate};
+use bankcove_core::limits::{
+    ISSUERS_PER_SERVER, LimitFact, PERMIT_LIFETIME_MS, PermitRequest, RequestRate,
+};
 use bankcove_core::members::Peer;
 use bankcove_core::router::{AtLimit, Choice};
 use slog::Logger;
+use tokio::sync::oneshot;
 
 use crate::hints::Hints;
 use crate::peer::{PeerServiceClient, PermitAnswer};
@@ -18,6 +21,9 @@
 /// Timeout for requesting permits from a peer, for which a caller's request waits.
 const PERMIT_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Timeout for an answer after which its permits have expired.
+const LATE_TIMEOUT: Duration = Duration::from_millis(PERMIT_LIFETIME_MS);
+
 /// Time for which an issuer that did not answer is skipped, in milliseconds.
 const UNRESPONSIVE_MS: Millis = 1_000;
 
@@ -29,17 +35,27 @@
 pub struct Permit {
     choice: Choice,
     hints: Arc<Hints>,
+    purpose: Purpose,
     /// Its expiry time; `None` if the server has no limit.
     expires_at: Option<Millis>,
 }
 
+/// What a request is sent to a server for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Purpose {
+    /// To be run: the server must be listed as serving.
+    NewWork,
+    /// To read on from a run of an earlier request, which a draining server finishes.
+    RunningWork,
+}
+
 /// Reason for which a permit could not be used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
 pub enum PermitError {
     /// It has expired, e.g. because this host was suspended.
     #[error("the permit was not used in time")]
     Expired,
-    /// The server has announced meanwhile that it is leaving or asked for rest.
+    /// The server is leaving, resting or no longer listed by now.
     #[error(transparent)]
     Closed(#[from] Closed),
 }
@@ -49,7 +65,7 @@
 pub enum NoPermit {
     /// The server is at its limit.
     AtLimit(AtLimit),
-    /// The server is leaving or resting.
+    /// The server is leaving, resting or no longer listed.
     Closed(Closed),
 }
 
@@ -68,9 +84,9 @@
     /// Uses the permit, immediately before the request is sent.
     ///
     /// # Errors
-    /// [`PermitError`] when the permit has expired, or the server is leaving or resting by now.
+    /// [`PermitError`] when the permit has expired, or nothing may be sent to the server by now.
     pub fn consume(mut self) -> Result<Choice, PermitError> {
-        self.hints.check_open(&self.choice)?;
+        self.hints.check_choice(&self.choice, self.purpose)?;
         let expires_at = self.expires_at.take();
         let is_expired = expires_at.is_some_and(|until| self.hints.fleet.base.clock.now() >= until);
         if is_expired { Err(PermitError::Expired) } else { Ok(self.choice.clone()) }
@@ -87,13 +103,15 @@
 }
 
 impl Hints {
-    /// Checks that the chosen server is neither leaving nor resting.
-    fn check_open(&self, choice: &Choice) -> Result<(), Closed> {
-        if !self.has_closed.load(Ordering::Relaxed) {
-            return Ok(());
-        }
+    /// Checks that the chosen server may be sent to for this purpose.
+    fn check_choice(&self, choice: &Choice, purpose: Purpose) -> Result<(), Closed> {
         let now = self.fleet.base.clock.now();
-        let checked = self.router.lock().check_open(now, &choice.instance());
+        let router = self.router.lock();
+        let checked = match purpose {
+            Purpose::NewWork => router.check_choice(now, choice),
+            Purpose::RunningWork => router.check_open(now, &choice.instance()),
+        };
+        drop(router);
         if checked.is_err() {
             self.fleet.base.metrics.count("hint.not_sent");
         }
@@ -109,33 +127,34 @@
         self: &Arc<Self>,
         log: &Logger,
         choice: Choice,
+        purpose: Purpose,
         urgency: u32,
     ) -> Result<Permit, NoPermit> {
-        if let Err(closed) = self.check_open(&choice) {
+        if let Err(closed) = self.check_choice(&choice, purpose) {
             slog::info!(log, "not sent there"; "server" => %choice.server, "why" => %closed);
             return Err(NoPermit::Closed(closed));
         }
         if !self.has_limits.load(Ordering::Relaxed) {
-            return Ok(self.unlimited_permit(choice));
+            return Ok(self.unlimited_permit(choice, purpose));
         }
         let server = choice.instance();
         let now = self.fleet.base.clock.now();
         let fact = self.limits.lock().fact(now, &server);
         let Some((fact, limit)) = fact.and_then(|fact| fact.limit.map(|limit| (fact, limit)))
         else {
-            return Ok(self.unlimited_permit(choice));
+            return Ok(self.unlimited_permit(choice, purpose));
         };
         let expires_at = self.leases.lock().take(now, &server);
         if let Some(until) = expires_at {
-            return Ok(self.leased_permit(choice, until));
+            return Ok(self.leased_permit(choice, purpose, until));
         }
         let (issuer, answer) = self.request_permits(now, &fact, limit, urgency).await;
         if answer.is_free {
-            return Ok(self.unlimited_permit(choice));
+            return Ok(self.unlimited_permit(choice, purpose));
         }
         if let Some(until) = self.take_issued(now, &server, answer.issued.permits) {
             self.router.lock().block_for_rate_limit(&server, limit.per_second(), 0);
-            return Ok(self.leased_permit(choice, until));
+            return Ok(self.leased_permit(choice, purpose, until));
         }
         let at_limit = self.block_at_limit(&server, limit, answer.issued.retry_ms);
         slog::info!(log, "server at its limit";
@@ -174,11 +193,17 @@
         if permits == 0 {
             return None;
         }
-        self.fleet.base.metrics.add("limit.permits", u64::from(permits));
+        self.add_issued(requested_at, server, permits);
         let now = self.fleet.base.clock.now();
-        let mut leases = self.leases.lock();
-        leases.add(requested_at, server, permits);
-        leases.take(now, server)
+        self.leases.lock().take(now, server)
+    }
+
+    /// Stores permits that were requested at `requested_at`.
+    fn add_issued(&self, requested_at: Millis, server: &ServerInstance, permits: u32) {
+        if permits > 0 {
+            self.fleet.base.metrics.add("limit.permits", u64::from(permits));
+            self.leases.lock().add(requested_at, server, permits);
+        }
     }
 
     /// Stops sending to a server for `retry_ms`, because no permit was issued for it.
@@ -196,12 +221,12 @@
         AtLimit { first_ms, per_second }
     }
 
-    fn unlimited_permit(self: &Arc<Self>, choice: Choice) -> Permit {
-        Permit { choice, hints: Arc::clone(self), expires_at: None }
+    fn unlimited_permit(self: &Arc<Self>, choice: Choice, purpose: Purpose) -> Permit {
+        Permit { choice, hints: Arc::clone(self), purpose, expires_at: None }
     }
 
-    fn leased_permit(self: &Arc<Self>, choice: Choice, until: Millis) -> Permit {
-        Permit { choice, hints: Arc::clone(self), expires_at: Some(until) }
+    fn leased_permit(self: &Arc<Self>, choice: Choice, purpose: Purpose, until: Millis) -> Permit {
+        Permit { choice, hints: Arc::clone(self), purpose, expires_at: Some(until) }
     }
 
     /// Requests permits from the first issuer that is not known to be unresponsive. Returns the
@@ -236,16 +261,29 @@
         ("nobody".to_owned(), PermitAnswer::denied(NO_ISSUER_RETRY_MS))
     }
 
+    /// Requests permits from a peer; returns `None` if it does not answer in time. Permits that
+    /// arrive later are kept for the next requests.
     async fn ask_peer(
-        &self,
+        self: &Arc<Self>,
         peer: &Peer,
         fact: &LimitFact,
         request: PermitRequest,
     ) -> Option<PermitAnswer> {
-        let fact = fact.clone();
-        let call =
-            |client: PeerServiceClient, cx| async move { client.permits(cx, fact, request).await };
-        self.fleet.base.peers.call(&peer.address, PERMIT_TIMEOUT, call).await
+        let (answer_tx, answer_rx) = oneshot::channel();
+        let (hints, peer, fact) = (Arc::clone(self), peer.clone(), fact.clone());
+        tokio::spawn(async move {
+            let requested_at = hints.fleet.base.clock.now();
+            let server = fact.server.clone();
+            let call = |client: PeerServiceClient, cx| async move {
+                client.permits(cx, fact, request).await
+            };
+            let answer = hints.fleet.base.peers.call(&peer.address, LATE_TIMEOUT, call).await;
+            if let Err(Some(late)) = answer_tx.send(answer) {
+                hints.unresponsive.lock().remove(&peer.name);
+                hints.add_issued(requested_at, &server, late.issued.permits);
+            }
+        });
+        tokio::time::timeout(PERMIT_TIMEOUT, answer_rx).await.ok()?.ok()?
     }
 
     /// Returns the issuers of permits for the server, by rank; `None` stands for this daemon.
