Router: adopts what differs, not all servers anew

Hypothesis, read: each change of one of 10,000 listed servers made every daemon clone the table, build a row and a view for each server, and hash and sort 320,000 ring points: servers x changes at each host. Change: an adoption updates, adds and removes single servers; rings keep their order and take new points by a merge; a ring point has 8 bytes in place of 16. No table of all servers is built in between.

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -8,6 +8,7 @@
 //! long. A decision costs a binary search and a few probes, whatever the number of
 //! servers.
 
+mod adoption;
 mod choose;
 mod closed_servers;
 mod load;
@@ -17,6 +18,7 @@
 mod status;
 mod view;
 
+pub use adoption::{Adopted, ListedRow};
 pub use choose::{AtLimit, Choice, Homes, NoServer, Resting, RoutingRequest};
 pub use peer_unread::{UnreadReport, UnreadTokens};
 pub use prefill::{ServerPace, StreamPace};
@@ -27,14 +29,14 @@
 
 use crate::crashes::ServerInstance;
 use crate::hints::{LeavingServers, RestPeriods};
+use crate::router::adoption::Memberships;
 use crate::router::peer_unread::PeerUnread;
-use crate::router::pool::{HallPool, Pool};
+use crate::router::pool::Pool;
 use crate::router::prefill::{PrefillStats, moving_average};
 use crate::router::view::{
     FAILURES_TO_EJECT, FIRST_EJECTION_MS, LEAVING_REPORT_TTL_MS, MAX_EJECTION_MS,
     MIN_SERVERS_PER_EJECTION, SLOW_START_MS,
 };
-use crate::table::{RouteTarget, Server, ServerKind, Table};
 use crate::{Millis, Name, Tokens};
 
 /// Routing state of one daemon.
@@ -42,8 +44,12 @@
 pub struct Router {
     servers: Vec<ServerView>,
     by_name: HashMap<Name, u32>,
-    pools: HashMap<Name, Pool>,
-    pools_of_server: Vec<Vec<(Name, usize)>>,
+    pools: Vec<Pool>,
+    pools_by_name: HashMap<Name, u32>,
+    /// Pools of each server, with the index of its hall in them.
+    memberships: Vec<Memberships>,
+    /// Number of the current adoption, by which servers that it does not name are found.
+    generation: u32,
     /// Prompt and stream statistics by pool; kept when the table changes.
     prefill: HashMap<Name, PrefillStats>,
     /// Tokens that peers have sent and that servers have not read yet.
@@ -55,34 +61,10 @@
 }
 
 impl Router {
-    /// Replaces the table. The state of servers that are in both tables is kept.
-    pub fn adopt(&mut self, table: &Table) {
-        let mut servers: Vec<ServerView> = table.servers.iter().map(ServerView::new).collect();
-        for view in &mut servers {
-            let old = self.by_name.get(&view.name).map(|index| &self.servers[*index as usize]);
-            // A restarted server shares no state with its previous instance.
-            let is_same = |old: &&ServerView| {
-                old.address == view.address && old.started_ms == view.started_ms
-            };
-            if let Some(old) = old.filter(is_same) {
-                let row = view.clone();
-                *view = ServerView {
-                    cold_until: row.cold_until,
-                    version: row.version,
-                    limit: row.limit,
-                    hall: row.hall,
-                    row_draining: row.row_draining,
-                    ..old.clone()
-                };
-            }
-            let instance = view.known_instance();
-            view.said_leaving = self.leaving.contains(&instance);
-            view.rests_until = self.rests.end(&instance);
-        }
-        let indexed = servers.iter().enumerate();
-        self.by_name = indexed.map(|(index, view)| (view.name.clone(), index as u32)).collect();
-        self.servers = servers;
-        self.rebuild_pools(table);
+    /// Returns the pool of this name, if it has servers.
+    fn pool(&self, name: &str) -> Option<&Pool> {
+        let pool = &self.pools[*self.pools_by_name.get(name)? as usize];
+        pool.halls.iter().any(|hall| !hall.members.is_empty()).then_some(pool)
     }
 
     /// Returns the views of all servers.
@@ -189,7 +171,7 @@
     /// Returns the servers of a pool that this daemon does not send to because they are at their
     /// limits or have asked for rest.
     pub fn throttled_servers(&self, now: Millis, pool: &Name) -> Vec<String> {
-        let halls = self.pools.get(pool).map(|pool| &pool.halls);
+        let halls = self.pool(pool.as_str()).map(|pool| &pool.halls);
         let members = halls.into_iter().flatten().flat_map(|hall| &hall.members);
         let views = members.map(|index| &self.servers[*index as usize]);
         let throttled = views.filter(|view| view.is_at_limit(now) || view.is_resting(now));
@@ -205,8 +187,9 @@
             view.unread += prompt;
         });
         if prompt > 0 {
-            for (pool, _) in &self.pools_of_server[index] {
-                self.prefill.entry(pool.clone()).or_default().record_prompt(prompt);
+            for (pool, _) in &self.memberships[index] {
+                let name = self.pools[*pool as usize].name.clone();
+                self.prefill.entry(name).or_default().record_prompt(prompt);
             }
         }
     }
@@ -251,8 +234,8 @@
     /// a host whose link was full for 8 s refused 1,162 requests in 20 s for lack of a usable
     /// server, half of them after the link was free again.
     fn may_eject(&self, now: Millis, index: usize) -> bool {
-        self.pools_of_server[index].iter().all(|(pool, _)| {
-            let Some(pool) = self.pools.get(pool) else { return true };
+        self.memberships[index].iter().all(|(pool, _)| {
+            let pool = &self.pools[*pool as usize];
             let members = pool.halls.iter().flat_map(|hall| &hall.members);
             let views = members.map(|index| &self.servers[*index as usize]);
             let (mut all, mut ejected) = (0_usize, 0_usize);
@@ -311,9 +294,9 @@
     pub fn record_stream_pace(&mut self, name: &Name, started_ms: Millis, pace: StreamPace) {
         let Some(index) = self.index_of_instance(name, started_ms) else { return };
         self.change_pace(index, pace.event_ms);
-        for (name, _) in &self.pools_of_server[index] {
-            let Some(pool) = self.pools.get(name) else { continue };
-            let prefill = self.prefill.entry(name.clone()).or_default();
+        for (pool, _) in &self.memberships[index] {
+            let pool = &self.pools[*pool as usize];
+            let prefill = self.prefill.entry(pool.name.clone()).or_default();
             prefill.record_stream(&self.servers[index], pace, &pool.mean_pace);
         }
     }
@@ -339,10 +322,8 @@
         let before = self.servers[index].event_ms;
         let after = Some(moving_average(before.unwrap_or(0.0), event_ms));
         self.servers[index].event_ms = after;
-        for (name, _) in &self.pools_of_server[index] {
-            if let Some(pool) = self.pools.get_mut(name) {
-                pool.mean_pace.change(before, after);
-            }
+        for (pool, _) in &self.memberships[index] {
+            self.pools[*pool as usize].mean_pace.change(before, after);
         }
     }
 
@@ -359,67 +340,8 @@
         let before = self.servers[index].total_load();
         change(&mut self.servers[index]);
         let after = self.servers[index].total_load();
-        for (pool, hall) in &self.pools_of_server[index] {
-            if let Some(pool) = self.pools.get_mut(pool) {
-                pool.halls[*hall].load.change(&before, &after);
-            }
-        }
-    }
-
-    /// Rebuilds all pools from the table and the current views.
-    fn rebuild_pools(&mut self, table: &Table) {
-        self.pools.clear();
-        self.pools_of_server = vec![Vec::new(); self.servers.len()];
-        for (index, row) in table.servers.iter().enumerate() {
-            if row.kind == ServerKind::Model {
-                for model in &row.models {
-                    self.add_to_pool(table, model, index, row);
-                }
-            }
-        }
-        for route in &table.routes {
-            if let RouteTarget::Service { servers, .. } = &route.target {
-                for name in servers {
-                    if let Some(index) = self.by_name.get(name).map(|index| *index as usize) {
-                        self.add_to_pool(table, &route.name, index, &table.servers[index]);
-                    }
-                }
-            }
+        for (pool, hall) in &self.memberships[index] {
+            self.pools[*pool as usize].halls[*hall as usize].load.change(&before, &after);
         }
-        for pool in self.pools.values_mut() {
-            for hall in &mut pool.halls {
-                hall.ring.sort_unstable();
-            }
-        }
-        self.set_pause_goals(table);
-    }
-
-    /// Sets each pool's pause goal to the tightest goal of the routes that lead to it.
-    fn set_pause_goals(&mut self, table: &Table) {
-        for route in &table.routes {
-            let RouteTarget::Host { split, .. } = &route.target else { continue };
-            let Some(goal) = route.pause_goal_ms else { continue };
-            for share in split {
-                if let Some(pool) = self.pools.get_mut(&share.service) {
-                    pool.pause_goal = pool.pause_goal.min(goal);
-                }
-            }
-        }
-    }
-
-    /// Adds a server to a pool, unless its weight is 0.
-    fn add_to_pool(&mut self, table: &Table, name: &Name, index: usize, row: &Server) {
-        if row.weight == 0.0 {
-            return;
-        }
-        let pool = self.pools.entry(name.clone()).or_default();
-        let hall_index = pool.halls.iter().position(|hall| hall.hall == row.hall);
-        let hall_index = hall_index.unwrap_or_else(|| {
-            pool.halls.push(HallPool::new(table, &row.hall));
-            pool.halls.len() - 1
-        });
-        pool.mean_pace.change(None, self.servers[index].event_ms);
-        pool.halls[hall_index].add(row, index as u32, self.servers[index].total_load());
-        self.pools_of_server[index].push((name.clone(), hall_index));
     }
 }
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -138,7 +138,7 @@
     /// # Errors
     /// [`NoServer`] when the table has no server for the pool or none is usable now.
     pub fn choose(&self, now: Millis, request: &RoutingRequest) -> Result<Choice, NoServer> {
-        let pool = self.pools.get(request.pool).ok_or(NoServer::NoneInTable)?;
+        let pool = self.pool(request.pool).ok_or(NoServer::NoneInTable)?;
         let halls = self.ranked_halls(pool, request);
         if halls.is_empty() {
             return Err(NoServer::NoHall);
@@ -258,7 +258,7 @@
             .halls
             .iter()
             .filter(|hall| hall.weights[request.hour % HOURS_PER_DAY] > 0.0)
-            .filter(|hall| hall.may_serve(&request.homes))
+            .filter(|hall| !hall.members.is_empty() && hall.may_serve(&request.homes))
             .map(|hall| (failed.contains(&&hall.hall), hall.score(request), hall))
             .collect();
         halls.sort_unstable_by(|a, b| a.0.cmp(&b.0).then(b.1.total_cmp(&a.1)));
@@ -312,7 +312,7 @@
         hall: &'a HallPool,
         prefix: u64,
     ) -> impl Iterator<Item = &'a ServerView> {
-        let start = hall.ring.partition_point(|(point, _)| *point < prefix);
+        let start = hall.ring_position(prefix);
         let around = hall.ring[start..].iter().chain(&hall.ring[..start]);
         let mut last = u32::MAX;
         let distinct =
--- a/crates/core/src/router/closed_servers.rs
+++ b/crates/core/src/router/closed_servers.rs
@@ -116,7 +116,7 @@
     }
 
     /// Copies a server's leaving and rest state into its view.
-    fn refresh_view(&mut self, name: &Name) {
+    pub(super) fn refresh_view(&mut self, name: &Name) {
         let Some(index) = self.by_name.get(name).map(|index| *index as usize) else { return };
         let view = &mut self.servers[index];
         let instance = view.known_instance();
--- a/crates/core/src/router/pool.rs
+++ b/crates/core/src/router/pool.rs
@@ -3,10 +3,11 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::id::rendezvous_score;
+use crate::router::adoption::REMOVED;
 use crate::router::load::Load;
 use crate::router::prefill::MeanPace;
 use crate::router::{Homes, RoutingRequest};
-use crate::table::{HOURS_PER_DAY, Server, Table};
+use crate::table::{HOURS_PER_DAY, Hall};
 use crate::{Millis, Name};
 
 /// Number of ring points of a server of weight 1.
@@ -24,8 +25,11 @@
     pub(super) is_open: bool,
     pub(super) region: Option<Name>,
     pub(super) weights: [f64; HOURS_PER_DAY],
-    /// Hashed points in ascending order, each with an index into the servers.
-    pub(super) ring: Vec<(u64, u32)>,
+    /// Hashed points in ascending order, each with an index into the servers: a quarter of the
+    /// points' hash is kept, since the rings of 10,000 servers are the largest part of the router.
+    pub(super) ring: Vec<(u32, u32)>,
+    /// Number of points at the front of the ring that are in order.
+    sorted: usize,
     pub(super) members: Vec<u32>,
     pub(super) load: Load,
 }
@@ -33,39 +37,52 @@
 /// Servers of one model or service, grouped by hall.
 #[derive(Debug, Clone)]
 pub(super) struct Pool {
+    /// Name of the model or service.
+    pub(super) name: Name,
     pub(super) halls: Vec<HallPool>,
     /// Longest pause of a stream that callers accept, in milliseconds.
     pub(super) pause_goal: Millis,
     pub(super) mean_pace: MeanPace,
 }
 
-impl Default for Pool {
-    fn default() -> Self {
-        Pool { halls: Vec::new(), pause_goal: Millis::MAX, mean_pace: MeanPace::default() }
+impl Pool {
+    /// Creates a pool without servers.
+    pub(super) fn new(name: Name) -> Self {
+        let mean_pace = MeanPace::default();
+        Pool { name, halls: Vec::new(), pause_goal: Millis::MAX, mean_pace }
     }
 }
 
 impl HallPool {
-    /// Creates the hall's part of a pool, without servers. A hall without a row in the table has
-    /// weight 1, no region and is open.
-    pub(super) fn new(table: &Table, hall: &Name) -> Self {
-        let row = table.halls.iter().find(|row| row.name == *hall);
-        let mut weights = [row.map_or(1.0, |row| row.weight); HOURS_PER_DAY];
-        if let Some(row) = row {
-            for (weight, by_hour) in weights.iter_mut().zip(&row.weights_by_hour) {
-                *weight = *by_hour;
-            }
-        }
-        HallPool {
+    /// Creates the hall's part of a pool, without servers.
+    pub(super) fn new(halls: &[Hall], hall: &Name) -> Self {
+        let mut part = HallPool {
             hall: hall.clone(),
             hall_key: xxh3_64(hall.as_str().as_bytes()),
-            is_open: row.is_none_or(|row| row.state.is_serving()),
-            region: row.and_then(|row| row.region.clone()),
-            weights,
+            is_open: true,
+            region: None,
+            weights: [1.0; HOURS_PER_DAY],
             ring: Vec::new(),
+            sorted: 0,
             members: Vec::new(),
             load: Load::default(),
+        };
+        part.refresh(halls);
+        part
+    }
+
+    /// Takes the hall's row over. A hall without a row has weight 1, no region and is
+    /// open.
+    pub(super) fn refresh(&mut self, halls: &[Hall]) {
+        let row = halls.iter().find(|row| row.name == self.hall);
+        self.weights = [row.map_or(1.0, |row| row.weight); HOURS_PER_DAY];
+        if let Some(row) = row {
+            for (weight, by_hour) in self.weights.iter_mut().zip(&row.weights_by_hour) {
+                *weight = *by_hour;
+            }
         }
+        self.is_open = row.is_none_or(|row| row.state.is_serving());
+        self.region = row.and_then(|row| row.region.clone());
     }
 
     /// Returns whether the hall accepts requests with these home regions.
@@ -74,16 +91,51 @@
     }
 
     /// Adds a server with its current load. The caller sorts the ring afterwards.
-    pub(super) fn add(&mut self, row: &Server, index: u32, load: Load) {
+    pub(super) fn add(&mut self, name: &Name, weight: f64, index: u32, load: Load) {
         self.members.push(index);
         self.load.change(&Load::default(), &load);
-        let key = xxh3_64(row.name.as_str().as_bytes());
-        let points = ((row.weight * POINTS_PER_SERVER).ceil() as u32).clamp(1, MAX_POINTS);
+        let key = xxh3_64(name.as_str().as_bytes());
+        let points = ((weight * POINTS_PER_SERVER).ceil() as u32).clamp(1, MAX_POINTS);
         for point in 0..points {
-            self.ring.push((rendezvous_score(u64::from(point), key), index));
+            self.ring.push((ring_hash(rendezvous_score(u64::from(point), key)), index));
         }
     }
 
+    /// Removes servers and gives others a new index, by the new index of each old one.
+    pub(super) fn move_members(&mut self, moved: &[u32]) {
+        let new_index = |index: &mut u32| {
+            *index = moved.get(*index as usize).copied().unwrap_or(*index);
+            *index != REMOVED
+        };
+        self.members.retain_mut(new_index);
+        let mut at = 0;
+        let (sorted, mut removed_sorted) = (self.sorted, 0);
+        self.ring.retain_mut(|(_, index)| {
+            let is_kept = new_index(index);
+            removed_sorted += usize::from(!is_kept && at < sorted);
+            at += 1;
+            is_kept
+        });
+        self.sorted -= removed_sorted;
+    }
+
+    /// Restores the order of the ring after servers were added. Points that are in order are
+    /// merged with the new ones, not sorted again.
+    pub(super) fn sort_ring(&mut self) {
+        if self.sorted == self.ring.len() {
+            return;
+        }
+        self.ring[self.sorted..].sort_unstable();
+        self.ring.sort();
+        self.ring.shrink_to_fit();
+        self.sorted = self.ring.len();
+    }
+
+    /// Returns the index of the first point from the prefix on.
+    pub(super) fn ring_position(&self, prefix: u64) -> usize {
+        self.ring.partition_point(|(point, _)| *point < ring_hash(prefix))
+    }
+
     /// Returns the hall's score in weighted rendezvous hashing: a hall ranks first for a share
     /// of the prefixes proportional to its weight in this hour.
     pub(super) fn score(&self, request: &RoutingRequest) -> f64 {
@@ -92,3 +144,8 @@
         -self.weights[request.hour % HOURS_PER_DAY] / uniform.ln()
     }
 }
+
+/// Returns the part of a hash by which points are ordered on a ring.
+fn ring_hash(hash: u64) -> u32 {
+    (hash >> 32) as u32
+}
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -4,7 +4,8 @@
 
 use crate::crashes::ServerInstance;
 use crate::router::load::Load;
-use crate::table::{Server, ServerKind, ServerState};
+use crate::server_list::ListedServer;
+use crate::table::{ListedState, Server, ServerKind, ServerState};
 use crate::{Millis, Name, Tokens};
 
 /// Number of failures in a row that eject a server.
@@ -58,6 +59,11 @@
     /// Start time from its load reports, for rows of the operators' table, which have none.
     pub(super) reported_start_ms: Millis,
     pub(super) cold_until: Millis,
+    /// Weight of its row, by which it has points on the rings.
+    pub(super) weight: f64,
+    /// Number of the last adoption whose rows named it.
+    #[serde(skip)]
+    pub(super) seen_in: u32,
     pub(super) limit: u32,
     pub(super) reports_load: bool,
     pub(super) row_draining: bool,
@@ -98,6 +104,8 @@
             version: row.listed.version.clone(),
             reported_start_ms: 0,
             cold_until: row.listed.cold_until,
+            weight: row.weight,
+            seen_in: 0,
             limit: row.limit,
             reports_load: row.kind == ServerKind::Model,
             row_draining: row.state == ServerState::Draining,
@@ -120,6 +128,27 @@
         }
     }
 
+    /// Creates the view of a server of the platform's list, without load.
+    pub(super) fn of_listed(server: &ListedServer, cold_until: Millis) -> Self {
+        ServerView::new(&Server {
+            name: server.name.clone(),
+            hall: server.hall.clone(),
+            address: server.address.clone(),
+            kind: ServerKind::Model,
+            models: Vec::new(),
+            weight: 1.0,
+            limit: u32::MAX,
+            state: if server.draining { ServerState::Draining } else { ServerState::Serving },
+            checks_orders: false,
+            listed: ListedState {
+                version: server.version.clone(),
+                started_ms: server.started_ms,
+                cold_until,
+            },
+            version: 0,
+        })
+    }
+
     /// Returns the instance of the server that is in the table.
     pub fn instance(&self) -> ServerInstance {
         ServerInstance { name: self.name.clone(), started_ms: self.started_ms }
--- a/crates/daemon/src/view/routing_table.rs
+++ b/crates/daemon/src/view/routing_table.rs
@@ -3,8 +3,9 @@
 
 use crate::view::View;
 use bankcove_core::hall_list::HallList;
+use bankcove_core::router::{Adopted, ListedRow, Router};
 use bankcove_core::server_list::ListedServer;
-use bankcove_core::table::{Hall, ListedState, Server, ServerKind, ServerState, Table};
+use bankcove_core::table::{Hall, ServerState, Table};
 use bankcove_core::{Millis, Name};
 
 /// Hands the router the table in force combined with the current lists.
@@ -12,28 +13,26 @@
     // The router's lock serializes adoptions: a table loaded before locking may be outdated.
     let mut router = view.router.lock();
     let Some(table) = view.table.load_full() else { return };
-    router.adopt(&with_platform_lists(view, &table));
+    let adopted = adopt(view, &mut router, &table);
     let list = view.servers.lock();
     let draining = list.servers().filter(|server| server.draining).count();
     slog::info!(view.fleet.base.log, "servers changed";
-        "version" => list.version().at, "drops" => list.version().drops, "servers" => list.servers().count(), "draining" => draining);
+        "version" => list.version().at, "drops" => list.version().drops, "servers" => list.servers().count(),
+        "added" => adopted.added, "removed" => adopted.removed, "draining" => draining);
 }
 
-/// Returns the table with additional rows from the platform's lists, for the router: servers,
-/// and halls that take no new work.
+/// Hands the router this table with the rows of the platform's lists: servers, and halls that take
+/// no new work.
 ///
 /// A listed server's pool is its service; its weight in the pool is one.
-pub fn with_platform_lists(view: &View, table: &Table) -> Table {
-    let mut table = table.clone();
-    merge_halls(view, &mut table);
-    let halls = view.halls.lock().clone();
+pub fn adopt(view: &View, router: &mut Router, table: &Table) -> Adopted {
+    let hall_list = view.halls.lock().clone();
     let list = view.servers.lock();
-    for (listed, cold_until) in list.servers_with_cold_until() {
-        let mut row = row_of(listed);
-        row.listed.cold_until = cold_until_of(&table, &halls, listed, cold_until);
-        table.servers.push(row);
-    }
-    table
+    let rows = list.servers_with_cold_until().map(|(server, cold_until)| ListedRow {
+        server,
+        cold_until: cold_until_of(table, &hall_list, server, cold_until),
+    });
+    router.adopt_with_list(table, &merged_halls(view, table), rows)
 }
 
 /// Returns the time until which a listed server counts as cold; 0 if its service has no cold
@@ -53,45 +52,26 @@
     listed_cold_until.max(reopened)
 }
 
-/// Merges the regions from the settings and the platform's evacuated halls into the hall rows.
-fn merge_halls(view: &View, table: &mut Table) {
+/// Returns the hall rows with the regions from the settings and the platform's evacuated halls.
+fn merged_halls(view: &View, table: &Table) -> Vec<Hall> {
+    let mut halls = table.halls.clone();
     let evacuated = view.halls.lock().evacuated().halls.clone();
     let regions = view.fleet.base.cfg.entry.iter().flat_map(|entry| &entry.hall_regions);
     for (hall, region) in regions {
-        hall_row(table, hall).region.get_or_insert_with(|| region.clone());
+        hall_row(&mut halls, hall).region.get_or_insert_with(|| region.clone());
     }
     for hall in &evacuated {
-        hall_row(table, hall).state = ServerState::Draining;
+        hall_row(&mut halls, hall).state = ServerState::Draining;
     }
+    halls
 }
 
 /// Returns the row of this hall; adds one if there is none.
-fn hall_row<'a>(table: &'a mut Table, name: &Name) -> &'a mut Hall {
-    let index = table.halls.iter().position(|row| row.name == *name);
+fn hall_row<'a>(halls: &'a mut Vec<Hall>, name: &Name) -> &'a mut Hall {
+    let index = halls.iter().position(|row| row.name == *name);
     let index = index.unwrap_or_else(|| {
-        table.halls.push(Hall::from_platform(name.clone()));
-        table.halls.len() - 1
+        halls.push(Hall::from_platform(name.clone()));
+        halls.len() - 1
     });
-    &mut table.halls[index]
-}
-
-/// Returns the table row for a listed server.
-fn row_of(listed: &ListedServer) -> Server {
-    Server {
-        name: listed.name.clone(),
-        hall: listed.hall.clone(),
-        address: listed.address.clone(),
-        kind: ServerKind::Model,
-        models: vec![listed.service.clone()],
-        weight: 1.0,
-        limit: u32::MAX,
-        state: if listed.draining { ServerState::Draining } else { ServerState::Serving },
-        checks_orders: false,
-        listed: ListedState {
-            version: listed.version.clone(),
-            started_ms: listed.started_ms,
-            cold_until: 0,
-        },
-        version: 0,
-    }
+    &mut halls[index]
 }
--- a/crates/daemon/src/view/table_sync.rs
+++ b/crates/daemon/src/view/table_sync.rs
@@ -45,7 +45,7 @@
         if table.revision <= view.revision() {
             return;
         }
-        router.adopt(&routing_table::with_platform_lists(view, &table));
+        routing_table::adopt(view, &mut router, &table);
         let old = view.table.load_full();
         orders::send_changed(view, old.as_deref(), &table);
         slog::info!(view.fleet.base.log, "table adopted"; "revision" => table.revision);
