Lists go between daemons compressed

A start of all sends the whole list of servers to each daemon, and each change of the host list all its rows to each: 984 x 984 rows. Both go encoded and compressed now. The host list still goes whole; changes alone would mend its square.

--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -1,9 +1,10 @@
 //! Remote procedure calls between daemons, by tarpc: the protocol (`protocol`), the encoding of
-//! tables (`packed_table`) and the client connections (`pool`).
+//! tables (`packed_table`) and lists (`packed_list`) and the client connections (`pool`).
 //!
 //! Uses no other module of the daemon; called by all layers. The server side, `peer_server`, is
 //! above them.
 
+pub mod packed_list;
 pub mod packed_table;
 mod pool;
 mod protocol;
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -14,6 +14,7 @@
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use serde::{Deserialize, Serialize};
 
+use crate::peer::packed_list::PackedList;
 use crate::peer::packed_table::PackedTable;
 
 /// Response of a shard's owner to a [`Request`], with the tokens sent along.
@@ -113,7 +114,7 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct HostListReply {
     /// The rows.
-    pub hosts: Vec<Host>,
+    pub hosts: PackedList<Vec<Host>>,
     /// Time since the store was asked for it, in milliseconds.
     pub age_ms: i64,
 }
@@ -130,7 +131,7 @@
     async fn table_above(revision: u64) -> Option<PackedTable>;
     /// Returns the changes of the receiver's server list since `version`, with the version of that
     /// list; `None` if it is not above `version`.
-    async fn servers_above(version: ListVersion) -> Option<(ListVersion, ListUpdate)>;
+    async fn servers_above(version: ListVersion) -> Option<(ListVersion, PackedList<ListUpdate>)>;
     /// Returns the receiver's copy of the platform's host list, unless its hash is `hash`.
     async fn hosts_unless(hash: u64) -> Option<HostListReply>;
     /// Sends a request to the receiver as the owner of a budget shard.
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -27,6 +27,7 @@
 use crate::daemon::Daemon;
 use crate::error::Result;
 use crate::membership;
+use crate::peer::packed_list::PackedList;
 use crate::peer::packed_table::PackedTable;
 use crate::peer::{
     AllotAnswer, GiveAnswer, HostListReply, OwnerAnswer, PeerService, PermitAnswer, RolloutAnswer,
@@ -71,13 +72,26 @@
         self,
         _: Context,
         version: ListVersion,
-    ) -> Option<(ListVersion, ListUpdate)> {
+    ) -> Option<(ListVersion, PackedList<ListUpdate>)> {
         let now = self.daemon.clock.now();
-        self.daemon.view.servers.lock().update_since(now, version)
+        let (version, update) = self.daemon.view.servers.lock().update_since(now, version)?;
+        match PackedList::pack(&update) {
+            Ok(packed) => Some((version, packed)),
+            Err(e) => {
+                slog::error!(self.daemon.log, "failed to pack server list"; "error" => %e);
+                None
+            }
+        }
     }
 
     async fn hosts_unless(self, _: Context, hash: u64) -> Option<HostListReply> {
-        self.daemon.view.hosts.load().unless_hash(hash, self.daemon.clock.now())
+        match self.daemon.view.hosts.load().unless_hash(hash, self.daemon.clock.now()) {
+            Ok(reply) => reply,
+            Err(e) => {
+                slog::error!(self.daemon.log, "failed to pack host list"; "error" => %e);
+                None
+            }
+        }
     }
 
     async fn ask_owner(self, _: Context, request: Request) -> OwnerAnswer {
--- a/crates/daemon/src/view/host_list.rs
+++ b/crates/daemon/src/view/host_list.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet::STARTUP_POLL;
 use crate::peer::HostListReply;
+use crate::peer::packed_list::{PackError, PackedList};
 use crate::view::View;
 
 /// Time within which all hosts of a fleet start and are listed: the users' hosts start within
@@ -143,7 +144,14 @@
     };
     let asked_at = view.fleet.base.clock.now() as i64;
     let reply = view.fleet.base.peers.call(address, timeout, request).await.ok_or(NoAnswer)?;
-    Ok(reply.map(|reply| HostList::new(reply.hosts, asked_at - reply.age_ms)))
+    let Some(reply) = reply else { return Ok(None) };
+    match reply.hosts.unpack() {
+        Ok(hosts) => Ok(Some(HostList::new(hosts, asked_at - reply.age_ms))),
+        Err(e) => {
+            slog::warn!(view.fleet.base.log, "failed to unpack host list received from a peer"; "error" => %e);
+            Ok(None)
+        }
+    }
 }
 
 /// Applies a list unless it is older than the known one: a peer that has lost the store still
@@ -199,9 +207,14 @@
 
     /// Returns the list for a peer that has the list with this `hash`; `None` if this list is the
     /// same or was not read yet.
-    pub fn unless_hash(&self, hash: u64, now: Millis) -> Option<HostListReply> {
-        let is_new = self.is_read() && self.hash != hash;
-        is_new
-            .then(|| HostListReply { hosts: self.hosts.clone(), age_ms: now as i64 - self.read_at })
+    ///
+    /// # Errors
+    /// [`PackError`] if the list can't be encoded.
+    pub fn unless_hash(&self, hash: u64, now: Millis) -> Result<Option<HostListReply>, PackError> {
+        if !self.is_read() || self.hash == hash {
+            return Ok(None);
+        }
+        let hosts = PackedList::pack(&self.hosts)?;
+        Ok(Some(HostListReply { hosts, age_ms: now as i64 - self.read_at }))
     }
 }
--- a/crates/daemon/src/view/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -134,11 +134,18 @@
     let fetch = |client: crate::peer::PeerServiceClient, cx| async move {
         client.servers_above(cx, version).await
     };
-    let Some(Some((version, update))) =
+    let Some(Some((version, packed))) =
         view.fleet.base.peers.call(address, FETCH_TIMEOUT, fetch).await
     else {
         return;
     };
+    let update = match packed.unpack() {
+        Ok(update) => update,
+        Err(e) => {
+            slog::warn!(view.fleet.base.log, "failed to unpack server list received from a peer"; "error" => %e);
+            return;
+        }
+    };
     let now = view.fleet.base.clock.now();
     if view.servers.lock().apply_update(now, version, update) {
         routing_table::refresh(view);
