--- a/crates/core/tests/link_withdrawal.rs
+++ b/crates/core/tests/link_withdrawal.rs
@@ -105,8 +105,8 @@
                 used[host] = !withdraws || !links[host].is_withdrawn(asked);
             }
         }
-        for host in 0..HOSTS {
-            queues[host] = (queues[host] - width(host)).max(0.0);
+        for (host, queue) in queues.iter_mut().enumerate() {
+            *queue = (*queue - width(host)).max(0.0);
         }
         for (caller, due) in due.iter_mut().enumerate() {
             // One caller sends half as much again as a link carries, the others little.
--- a/crates/core/tests/router_adoption.rs
+++ b/crates/core/tests/router_adoption.rs
@@ -32,7 +32,7 @@
 fn choices(router: &Router) -> Vec<Option<Name>> {
     let choice = |n: u64| {
         let request = RoutingRequest {
-            pool: ["engines", "plain"][usize::from(n.is_multiple_of(4))],
+            pool: ["engines", "plain"][usize::from(n % 4 == 0)],
             prefix: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             prompt_tokens: 0,
             hour: 0,
--- a/crates/daemon/src/api/chat.rs
+++ b/crates/daemon/src/api/chat.rs
@@ -219,7 +219,7 @@
         Err(DispatchFailure::Interrupted(interrupted)) => {
             let budget = chat.caller.budget.name;
             return Err(
-                delivery::abort_interrupted(api, chat.log, budget, &run_id, interrupted).await
+                delivery::abort_interrupted(api, chat.log, budget, &run_id, *interrupted).await
             );
         }
     };
--- a/crates/daemon/src/api/dispatch.rs
+++ b/crates/daemon/src/api/dispatch.rs
@@ -108,7 +108,7 @@
     /// The request was refused or its server lost, with this response to the caller.
     Refused(ErrorResponse),
     /// The attempt was interrupted; the request may be running on the server.
-    Interrupted(Interrupted),
+    Interrupted(Box<Interrupted>),
 }
 
 /// An attempt that was interrupted after dispatch.
@@ -159,7 +159,7 @@
             response = sending => response,
             () = &mut interrupt => {
                 let interrupted = Interrupted { attempt: dispatched, choice, open_request };
-                return Err(DispatchFailure::Interrupted(interrupted));
+                return Err(DispatchFailure::Interrupted(Box::new(interrupted)));
             }
         };
         match response {
--- a/crates/daemon/src/api/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -20,7 +20,7 @@
 use crate::api::admission::{self, Caller, identify_caller};
 use crate::api::backend::BackendRequest;
 use crate::api::chat::set_header;
-use crate::api::dispatch::{self, DispatchFailure, DispatchRequest};
+use crate::api::dispatch::{self, DispatchFailure, DispatchRequest, Interrupted};
 use crate::api::injected_api;
 use crate::api::response::{ATTEMPT_HEADER, ErrorResponse, KEY_HEADER};
 use crate::bill::bills;
@@ -186,12 +186,8 @@
             Ok(answered) => answered,
             Err(DispatchFailure::Refused(error)) => return Err(error),
             Err(DispatchFailure::Interrupted(interrupted)) => {
-                return Err(finish_unknown(
-                    api,
-                    interrupted.attempt,
-                    interrupted.open_request,
-                    &interrupted.choice.server,
-                ));
+                let Interrupted { attempt, choice, open_request } = *interrupted;
+                return Err(finish_unknown(api, attempt, open_request, &choice.server));
             }
         };
     let open_request = answered.open_request;
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -19,6 +19,7 @@
 
 use crate::crashes::Crashes;
 use crate::fleet::Fleet;
+use crate::fleet::fetch_throttle::FetchThrottle;
 use crate::hints::Hints;
 use crate::rollouts::Rollouts;
 use crate::view::{View, hall_sync, server_sync, table_sync};
@@ -35,16 +36,26 @@
 /// asked if the first is slow or down.
 const MAX_FETCHES: usize = 2;
 
-/// Limits concurrent fetches of the same object from several peers.
+/// Minimum interval between two fetches of the server list, in milliseconds. A daemon of a large
+/// fleet receives a dozen heartbeats a second; while thousands of servers start, each of them
+/// announces a newer list.
+const MIN_LIST_FETCH_INTERVAL_MS: Millis = 200;
+
+/// Limits fetches of the same object from several peers.
 #[derive(Debug)]
 pub struct Fetches {
     table: Semaphore,
     servers: Semaphore,
+    servers_throttle: FetchThrottle,
 }
 
 impl Default for Fetches {
     fn default() -> Self {
-        Fetches { table: Semaphore::new(MAX_FETCHES), servers: Semaphore::new(MAX_FETCHES) }
+        Fetches {
+            table: Semaphore::new(MAX_FETCHES),
+            servers: Semaphore::new(MAX_FETCHES),
+            servers_throttle: FetchThrottle::default(),
+        }
     }
 }
 
@@ -194,6 +205,10 @@
     }
     if heartbeat.servers_version > membership.view.servers.lock().version()
         && let Ok(_running) = membership.fetches.servers.try_acquire()
+        && membership
+            .fetches
+            .servers_throttle
+            .try_acquire(membership.fleet.base.clock.now(), MIN_LIST_FETCH_INTERVAL_MS)
     {
         server_sync::fetch_from_peer(&membership.view, &heartbeat.address).await;
     }
