Server list: an entry keeps its part of the digest

Read: each exchange of changes hashed all entries twice, with an allocation each. The part is kept with the entry; the sum is a pass over numbers. Tests: list_changes (replicas by any way have the same digest), server_list.

--- a/crates/core/src/server_list.rs
+++ b/crates/core/src/server_list.rs
@@ -123,9 +123,22 @@
     dropped_at: Option<Millis>,
     /// Version of the platform's list at which it last changed in this replica.
     changed_at: u64,
+    /// This entry's part of [`ServerList::digest`], which each exchange of changes computes.
+    #[serde(skip)]
+    digest_term: u64,
 }
 
 impl Entry {
+    fn new(
+        server: ListedServer,
+        cold_until: Millis,
+        dropped_at: Option<Millis>,
+        changed_at: u64,
+    ) -> Self {
+        let digest_term = update::digest_term(&server);
+        Entry { server, cold_until, dropped_at, changed_at, digest_term }
+    }
+
     /// Merges this entry, received from a peer, with the local one. The local entry wins if it
     /// describes a later instance, or the same instance at a later version. A later instance that
     /// is unknown to the peer inherits the drop time of the earlier one.
@@ -269,12 +282,7 @@
         };
         let entry = |shared: SharedServer| {
             let dropped_at = shared.dropped_in.map(|left| now + left);
-            let received = Entry {
-                cold_until: now + shared.cold_in,
-                dropped_at,
-                server: shared.server,
-                changed_at: version.at,
-            };
+            let received = Entry::new(shared.server, now + shared.cold_in, dropped_at, version.at);
             let known = old.get(&received.server.name);
             let entry = if replaces { received } else { received.merged_with(known) };
             (entry.server.name.clone(), entry)
@@ -339,7 +347,7 @@
             return known.dropped_at.take().is_some();
         }
         let cold_until = now + server.cold_for_ms;
-        let entry = Entry { cold_until, dropped_at: None, changed_at: platform_version, server };
+        let entry = Entry::new(server, cold_until, None, platform_version);
         self.entries.insert(entry.server.name.clone(), entry);
         true
     }
--- a/crates/core/src/server_list/update.rs
+++ b/crates/core/src/server_list/update.rs
@@ -63,7 +63,7 @@
     /// there are none.
     pub fn digest(&self) -> u64 {
         let registered = self.entries.values().filter(|entry| entry.dropped_at.is_none());
-        registered.fold(0, |sum, entry| sum ^ digest_term(&entry.server))
+        registered.fold(0, |sum, entry| sum ^ entry.digest_term)
     }
 
     /// Returns whether this list differs from a peer's after the peer's changes were applied:
@@ -109,7 +109,7 @@
     fn put_shared(&mut self, now: Millis, platform_version: u64, shared: SharedServer) {
         let SharedServer { server, dropped_in, cold_in } = shared;
         let (cold_until, dropped_at) = (now + cold_in, dropped_in.map(|left| now + left));
-        let entry = Entry { cold_until, dropped_at, changed_at: platform_version, server };
+        let entry = Entry::new(server, cold_until, dropped_at, platform_version);
         let known = self.entries.get(&entry.server.name);
         if dropped_at.is_some() && known.is_none() {
             // This daemon has already removed it.
@@ -146,7 +146,8 @@
     }
 }
 
-fn digest_term(server: &ListedServer) -> u64 {
+/// Returns the part of one entry in [`ServerList::digest`].
+pub(super) fn digest_term(server: &ListedServer) -> u64 {
     let mut buf = server.name.as_str().as_bytes().to_vec();
     buf.extend_from_slice(&server.started_ms.to_le_bytes());
     buf.extend_from_slice(server.address.as_bytes());
