--- a/crates/daemon/src/rollouts/report.rs
+++ b/crates/daemon/src/rollouts/report.rs
@@ -1,6 +1,5 @@
 //! Reports outcomes to the decider of each rollout; its answers set this daemon's share.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -60,14 +59,10 @@
     };
     let report =
         RolloutReport { rollout: key.clone(), from: rollouts.fleet.base.incarnation, outcomes };
-    let mut asked: HashSet<String> = HashSet::new();
     for (rank, candidate) in candidates(rollouts, &key).into_iter().enumerate() {
         let asked_at = rollouts.fleet.base.clock.now();
         let fraction = match candidate {
-            Some(peer) => {
-                asked.insert(peer.address.clone());
-                ask(rollouts, &peer, report.clone()).await
-            }
+            Some(peer) => ask(rollouts, &peer, report.clone()).await,
             None => {
                 let silent_for = asked_at.saturating_sub(last_answer_at);
                 let may_claim = silent_for >= TAKEOVER_MS * rank as Millis;
