Narrow links: fewer connections wait, and nothing new is sent on late news

Cause: the load balancer sends nearly all callers of a hall to one host.

Change: the backlog of the callers' listener holds as many connections as bring 20 ms of requests (entry.connect_queue_ms); while the link is saturated and the last message of the store or of a peer in sync is older than 2.5 s, nothing new is sent (503 link_full).

Ruled out: receive buffers, longer withdrawals, connections kept open in a withdrawal, a backlog set once the link is saturated (docs/design/links.md).

--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -5,8 +5,10 @@
 //! made, streams are late and peers appear to be down. A request that is refused at once
 //! is retried on another host instead.
 
+mod saturation;
 mod withdrawal;
 
+pub use saturation::backlog;
 use withdrawal::Withdrawal;
 
 use crate::Millis;
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -34,6 +34,10 @@
     /// refused at once. Omitted for no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub link_mbps: Option<f64>,
+    /// Time for which the requests of connections that wait to be accepted may occupy the link, in
+    /// milliseconds; further connections are not made. 0 sets no limit.
+    #[serde(default)]
+    pub connect_queue_ms: f64,
     /// How far ahead to draw on a workspace's budget, in seconds of recent spending; a daemon
     /// that is cut off from the store and all peers spends these tokens.
     #[serde(default = "default_horizon_s")]
@@ -114,6 +118,7 @@
             retry_extra: 50.0,
             retry_window_s: default_retry_window_s(),
             link_mbps: Some(1_000.0),
+            connect_queue_ms: 0.0,
             horizon_s: default_horizon_s(),
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
@@ -171,6 +176,12 @@
             "must be above 0 megabits per second",
             "use the link's bandwidth, for example 1000, or omit it",
         );
+        check(
+            !is_usable(self.connect_queue_ms),
+            "entry.connect_queue_ms",
+            negative,
+            "use for example 20, or 0 for no limit",
+        );
         check(
             self.rollout_fraction.is_some_and(|fraction| !(0.0..=1.0).contains(&fraction)),
             "entry.rollout_fraction",
--- a/crates/daemon/src/base/tcp.rs
+++ b/crates/daemon/src/base/tcp.rs
@@ -9,25 +9,26 @@
 
 use crate::error::{Error, Result};
 
-/// Number of connections that may wait to be accepted.
-const BACKLOG: u32 = 1_024;
+/// Number of connections that may wait to be accepted, unless the host's link is narrower.
+pub const MAX_BACKLOG: u32 = 1_024;
 
-/// Listens on `address`. Accepted connections inherit `TCP_NODELAY`: otherwise the second
-/// chunk of a stream would wait some 40 ms for the acknowledgement of the first.
+/// Listens on `address`; at most `backlog` connections wait to be accepted. Accepted connections
+/// inherit `TCP_NODELAY`: otherwise the second chunk of a stream would wait some 40 ms for the
+/// acknowledgement of the first.
 ///
 /// # Errors
 /// [`Error::Listen`] when the port can't be listened on.
-pub fn listen(address: &str) -> Result<TcpListener> {
-    open(address).map_err(|source| Error::Listen { address: address.to_owned(), source })
+pub fn listen(address: &str, backlog: u32) -> Result<TcpListener> {
+    open(address, backlog).map_err(|source| Error::Listen { address: address.to_owned(), source })
 }
 
-fn open(address: &str) -> std::io::Result<TcpListener> {
+fn open(address: &str, backlog: u32) -> std::io::Result<TcpListener> {
     let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
     let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
     socket.set_reuseaddr(true)?;
     socket.set_nodelay(true)?;
     socket.bind(address)?;
-    socket.listen(BACKLOG)
+    socket.listen(backlog)
 }
 
 /// Result of a connection attempt.
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -64,6 +64,14 @@
         self.link.lock().as_mut().is_some_and(|link| link.is_saturated(now))
     }
 
+    /// Returns whether new work may be sent to servers: not while an overloaded link delays the news
+    /// of servers that are leaving.
+    pub fn may_send(&self) -> bool {
+        let now = self.requests.base.clock.now();
+        let news_age = self.requests.fleet.connectivity.news_age(now);
+        self.link.lock().as_mut().is_none_or(|link| link.may_send(news_age, now))
+    }
+
     /// Records traffic that has passed the link in one direction.
     pub fn record_passed(&self, traffic: Traffic) {
         let now = self.requests.base.clock.now();
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -202,6 +202,16 @@
         }
     }
 
+    /// Logs that nothing is sent because the link delays news of the servers; returns the refusal.
+    pub fn refuse_for_link(&self) -> Refusal {
+        let requests = &self.entry.requests;
+        requests.base.metrics.count("link.not_sent");
+        slog::info!(self.log, "not sent: the link is saturated and news of the servers is late";
+            "news_age_ms" => requests.fleet.connectivity.news_age(requests.base.clock.now()),
+            "age_ms" => self.age_ms());
+        Refusal::LinkFull
+    }
+
     /// Logs a refusal and adds a retry delay to it, so that callers return one after the other.
     fn refuse_with_delay(&self, why: NoServer) -> NoServer {
         let requests = &self.entry.requests;
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -36,6 +36,13 @@
         if call.is_late() {
             return Err(if call.may_have_run { Refusal::TimedOut } else { Refusal::TooLate });
         }
+        if !call.entry.may_send() {
+            return Err(if call.may_have_run {
+                Refusal::AnswerLost
+            } else {
+                call.refuse_for_link()
+            });
+        }
         let permit = match call.acquire_server().await {
             Ok(permit) => permit,
             Err(why) => {
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -158,7 +158,7 @@
         if !self.call.plan.route.resumable {
             return false;
         }
-        while self.call.try_claim_attempt() {
+        while self.call.entry.may_send() && self.call.try_claim_attempt() {
             let Ok(permit) = self.call.acquire_server().await else { return false };
             let last_event = self.sequence.last();
             match attempt(&mut self.call, &mut self.charge, permit, last_event).await {
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -105,6 +105,9 @@
     let read = read_call(entry, req, request_head.clone(), arrived_at).await;
     let call = read.map_err(|refusal| log_refusal(refusal, Some(&request_head)))?;
     let of_link = |refusal: Refusal| refusal.on_saturated_link(entry.is_link_saturated());
+    if !entry.may_send() {
+        return Err(log_refusal(call.refuse_for_link(), Some(&request_head)));
+    }
     let admitted = AdmittedCall::admit(call).await;
     let admitted = admitted.map_err(|e| log_refusal(of_link(e), Some(&request_head)))?;
     forward(admitted).await.map_err(|e| log_refusal(of_link(e), Some(&request_head)))
--- a/crates/daemon/src/fleet/connectivity.rs
+++ b/crates/daemon/src/fleet/connectivity.rs
@@ -29,6 +29,8 @@
     marked_unavailable: bool,
     store_paused_until: Millis,
     heartbeats: VecDeque<bool>,
+    /// Time of the last heartbeat after which this daemon had all versions of the peer.
+    peer_synced_at: Option<Millis>,
     view: Freshness,
 }
 
@@ -82,7 +84,18 @@
     /// Records that this daemon is in sync with a peer that, asked at `asked_at`, reported a view
     /// of this `age`.
     pub fn record_peer_sync(&self, asked_at: Millis, age: Millis) {
-        self.state.lock().view.record_peer_sync(asked_at, age);
+        let mut state = self.state.lock();
+        state.peer_synced_at = state.peer_synced_at.max(Some(asked_at));
+        state.view.record_peer_sync(asked_at, age);
+    }
+
+    /// Returns the greatest possible delay of news on its way to this daemon, in milliseconds;
+    /// `None` before any was received. During an outage of the store a daemon in contact with peers
+    /// has an old view, but none of the others knows more.
+    pub fn news_age(&self, now: Millis) -> Option<Millis> {
+        let state = self.state.lock();
+        let synced_age = state.peer_synced_at.map(|at| now.saturating_sub(at));
+        [state.view.age(now), synced_age].into_iter().flatten().min()
     }
 
     /// Returns the greatest possible age of the view, in milliseconds; `None` before all parts of
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -26,7 +26,19 @@
 /// # Errors
 /// [`Error::Listen`] if the address can't be bound.
 pub async fn serve(address: &str, router: Router) -> Result<HttpListener> {
-    let acceptor = TcpAcceptor::try_from(tcp::listen(address)?);
+    serve_with_backlog(address, router, tcp::MAX_BACKLOG).await
+}
+
+/// Like [`serve`], with at most `backlog` connections that wait to be accepted.
+///
+/// # Errors
+/// [`Error::Listen`] if the address can't be bound.
+pub async fn serve_with_backlog(
+    address: &str,
+    router: Router,
+    backlog: u32,
+) -> Result<HttpListener> {
+    let acceptor = TcpAcceptor::try_from(tcp::listen(address, backlog)?);
     let acceptor =
         acceptor.map_err(|source| Error::Listen { address: address.to_owned(), source })?;
     let server = Server::new(acceptor);
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -9,6 +9,7 @@
 use tokio::signal::unix::{SignalKind, signal};
 
 use bankcove_core::Millis;
+use bankcove_core::link;
 use bankcove_core::members::{Host, HostRole, HostState};
 use bankcove_platform::headers::Headers;
 use bankcove_platform::store::ObjectStore;
@@ -17,7 +18,7 @@
 use crate::api::{Api, backend, chat, proxy};
 use crate::args::{Args, Command};
 use crate::base::config::{Adapter, Config};
-use crate::base::{logging, store_calls};
+use crate::base::{logging, store_calls, tcp};
 use crate::bill::bills;
 use crate::budget::{draws, rebalance};
 use crate::crashes::persistence;
@@ -25,7 +26,7 @@
 use crate::entry::{self, Entry};
 use crate::error::{Error, Result};
 use crate::fleet::suspension;
-use crate::http::{HttpListener, serve};
+use crate::http::{HttpListener, serve, serve_with_backlog};
 use crate::membership::{self, unread_reports};
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
 use crate::{hints, operator, peer_server, rollouts};
@@ -251,7 +252,9 @@
     let ready = entry::ready::ready_router(Arc::clone(&entry));
     listeners.push(serve(&entry.settings.ready_listen, ready).await?);
     let callers = entry::serve::router(Arc::clone(&entry));
-    listeners.push(serve(&daemon.cfg.caller_listen, callers).await?);
+    let (mbps, queue_ms) = (entry.settings.link_mbps, entry.settings.connect_queue_ms);
+    let backlog = link::backlog(mbps, queue_ms, tcp::MAX_BACKLOG);
+    listeners.push(serve_with_backlog(&daemon.cfg.caller_listen, callers, backlog).await?);
     Ok(listeners)
 }
 
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -201,7 +201,7 @@
 /// # Errors
 /// Returns [`crate::Error::Listen`] if listening on the peer port fails.
 pub async fn serve(daemon: Arc<Daemon>) -> Result<()> {
-    let listener = tcp::listen(&daemon.cfg.peer_listen)?;
+    let listener = tcp::listen(&daemon.cfg.peer_listen, tcp::MAX_BACKLOG)?;
     tokio::spawn(async move {
         let shutdown = daemon.shutdown.clone();
         tokio::select! {
