Entry: "not run" is a type, and a refusal after a send needs proof

A flag in Call and if-expressions chose between statuses that promise that nothing ran and those that promise nothing. A path that forgot the flag would have told a caller to repeat a request that may have run.

entry/outcome.rs has the states Unrun, Sent and InDoubt. What a caller gets in place of an answer is a Failure. One with a Refusal is built from Unrun, which sending consumes and only NotExecuted gives back: an unused permit, no connection, or an answer that states that nothing ran. After an attempt without such proof no Unrun exists any more.

Refusal keeps its variants except TimedOut and AnswerLost (502 and 504). Statuses, codes, log lines, metrics and behaviour stay.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -11,6 +11,7 @@
 pub mod charge;
 pub mod forward;
 pub mod link_reservation;
+pub mod outcome;
 pub mod pace;
 pub mod plan;
 pub mod ready;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -14,6 +14,7 @@
 use crate::entry::backend::SendError;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
+use crate::entry::outcome::{InDoubt, NotExecuted, RunState};
 use crate::hints::permit::Permit;
 use crate::requests::open_request::OpenRequest;
 
@@ -27,11 +28,13 @@
     /// The server has sent a complete answer.
     Answered(BufferedAnswer),
     /// The request certainly did not run there; other servers may be tried.
-    NotRun,
+    NotRun(RunState),
     /// The request may have run there, and its answer was lost.
-    AnswerLost,
-    /// The request's deadline has passed.
-    TimedOut,
+    AnswerLost(InDoubt),
+    /// The request was sent, and its deadline has passed.
+    TimedOut(InDoubt),
+    /// The request's deadline has passed before it was sent.
+    NotSentInTime(RunState),
 }
 
 /// Complete answer of a server.
@@ -55,17 +58,18 @@
     charge: &mut Charge,
     permit: Permit,
     resume_after: Option<u64>,
+    state: RunState,
 ) -> AttemptOutcome {
     let entry = Arc::clone(&call.entry);
     // The deadline may have passed while the request waited for a permit.
     if call.is_late() {
-        return AttemptOutcome::TimedOut;
+        return AttemptOutcome::NotSentInTime(state);
     }
     let choice = permit.choice().clone();
     let mut open_request = OpenRequest::new(&entry.requests, &choice, call.prompt_tokens())
         .with_trial(&call.plan.service, &call.plan.route.name, &choice);
     let backend_request = call.backend_request(&choice, resume_after);
-    let may_have_run_before = call.may_have_run;
+    let sent = state.send();
     charge.record_sent();
     call.tried_servers.push(choice.server.clone());
     call.link.record_body(call.body.len());
@@ -76,29 +80,26 @@
         clock.timeout_at(call.deadline, entry.backend_client.send(permit, backend_request)).await;
     let res = match answer {
         None => {
-            call.may_have_run = true;
             open_request.record_failure();
-            log_failed_attempt(call, &choice, "no answer in time");
-            return AttemptOutcome::TimedOut;
+            log_failed_attempt(call, &choice, true, "no answer in time");
+            return AttemptOutcome::TimedOut(sent.in_doubt());
         }
-        Some(Err(SendError::Permit(e))) => {
-            charge.record_not_run(may_have_run_before);
-            log_failed_attempt(call, &choice, &e.to_string());
-            return AttemptOutcome::NotRun;
-        }
-        Some(Err(SendError::NotConnected(problem))) => {
-            charge.record_not_run(may_have_run_before);
-            open_request.record_failure();
-            log_failed_attempt(call, &choice, &problem);
-            return AttemptOutcome::NotRun;
-        }
-        Some(Err(SendError::Broken(problem))) => {
+        Some(Err(e)) => {
+            let proof = NotExecuted::from_error(&e);
+            let problem = match e {
+                SendError::Permit(e) => e.to_string(),
+                SendError::NotConnected(problem) | SendError::Broken(problem) => {
+                    open_request.record_failure();
+                    problem
+                }
+            };
+            if let Some(proof) = proof {
+                return end_not_run(call, charge, &choice, sent.not_executed(proof), &problem);
+            }
             call.attempts_sent += 1;
-            call.may_have_run = true;
-            open_request.record_failure();
-            log_failed_attempt(call, &choice, &problem);
+            log_failed_attempt(call, &choice, true, &problem);
             entry.requests.crashes.record_disconnect(&choice, call.fingerprint());
-            return AttemptOutcome::AnswerLost;
+            return AttemptOutcome::AnswerLost(sent.in_doubt());
         }
         Some(Ok(res)) => res,
     };
@@ -110,8 +111,7 @@
     if !is_foreign && (head.is_signed || head.unrun == Some(NotRunReason::Full)) {
         entry.requests.hints.record_response(&call.log, &choice.instance(), sent_at, &head.hints);
     }
-    if let Some(unrun) = head.unrun {
-        charge.record_not_run(may_have_run_before);
+    if let (Some(unrun), Some(proof)) = (head.unrun, NotExecuted::from_head(&head)) {
         if unrun == NotRunReason::OtherInstance {
             // That instance of the server is gone, even if the server list, which lags, still has it.
             let now = entry.requests.base.clock.now();
@@ -121,20 +121,34 @@
                 choice.started_ms,
             );
         }
-        log_failed_attempt(call, &choice, unrun_text(unrun));
-        return AttemptOutcome::NotRun;
+        let state = sent.not_executed(proof);
+        return end_not_run(call, charge, &choice, state, unrun_text(unrun));
     }
-    call.may_have_run = true;
+    let in_doubt = sent.in_doubt();
     let means_not_run = matches!(res.status().as_u16(), 408 | 421 | 429 | 503);
     if is_foreign || head.is_encoded || !head.is_signed || means_not_run {
         open_request.record_failure();
-        log_failed_attempt(call, &choice, "the answer is not the server's answer to this request");
-        return AttemptOutcome::AnswerLost;
+        let problem = "the answer is not the server's answer to this request";
+        log_failed_attempt(call, &choice, true, problem);
+        return AttemptOutcome::AnswerLost(in_doubt);
     }
     if res.status().is_success() && call.plan.route.streams {
         return AttemptOutcome::StreamStarted(res, open_request, choice);
     }
-    read_body(call, res, open_request, choice, sent_at).await
+    read_body(call, res, open_request, choice, sent_at, in_doubt).await
+}
+
+/// Ends an attempt that the server did not execute; `state` is that of the request without it.
+fn end_not_run(
+    call: &Call,
+    charge: &mut Charge,
+    choice: &Choice,
+    state: RunState,
+    problem: &str,
+) -> AttemptOutcome {
+    charge.record_not_run(state.may_have_run());
+    log_failed_attempt(call, choice, state.may_have_run(), problem);
+    AttemptOutcome::NotRun(state)
 }
 
 /// Reads the rest of an answer that is not streamed.
@@ -144,6 +158,7 @@
     mut open_request: OpenRequest,
     choice: Choice,
     sent_at: Millis,
+    in_doubt: InDoubt,
 ) -> AttemptOutcome {
     let is_framed = crashes::is_framed(res.headers());
     let status = res.status();
@@ -155,7 +170,7 @@
             open_request.record_answer(Some(took as f64));
             if status.is_server_error() {
                 open_request.record_failure();
-                log_failed_attempt(call, &choice, "the server failed");
+                log_failed_attempt(call, &choice, true, "the server failed");
             }
             AttemptOutcome::Answered(BufferedAnswer {
                 status,
@@ -168,20 +183,17 @@
         Some(Err(e)) => {
             open_request.record_failure();
             let is_too_large = e.downcast_ref::<LengthLimitError>().is_some();
-            log_failed_attempt(
-                call,
-                &choice,
-                if is_too_large { "the answer is too large" } else { "cut short" },
-            );
+            let problem = if is_too_large { "the answer is too large" } else { "cut short" };
+            log_failed_attempt(call, &choice, true, problem);
             if !is_too_large {
                 call.entry.requests.crashes.record_disconnect(&choice, call.fingerprint());
             }
-            AttemptOutcome::AnswerLost
+            AttemptOutcome::AnswerLost(in_doubt)
         }
         None => {
             open_request.record_failure();
-            log_failed_attempt(call, &choice, "the answer did not end in time");
-            AttemptOutcome::TimedOut
+            log_failed_attempt(call, &choice, true, "the answer did not end in time");
+            AttemptOutcome::TimedOut(in_doubt)
         }
     }
 }
@@ -195,12 +207,13 @@
 }
 
 /// Logs and counts an attempt that brought no answer, or that ended with a server error.
-pub fn log_failed_attempt(call: &Call, choice: &Choice, problem: &str) {
+/// `may_have_run` is whether this attempt or an earlier one may have run.
+pub fn log_failed_attempt(call: &Call, choice: &Choice, may_have_run: bool, problem: &str) {
     call.entry.requests.base.metrics.count("try.failed");
     slog::info!(call.log, "try failed";
         "server" => %choice.server, "address" => &choice.address, "problem" => problem,
         "fingerprint" => %call.fingerprint(),
-        "sent" => call.attempts_sent, "ran" => call.may_have_run, "age_ms" => call.age_ms());
+        "sent" => call.attempts_sent, "ran" => may_have_run, "age_ms" => call.age_ms());
 }
 
 /// Logs and counts a request that has ended with a server's answer.
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -62,8 +62,6 @@
     pub tried_servers: Vec<Name>,
     /// Number of attempts that reached a server.
     pub attempts_sent: u32,
-    /// Whether it may have run on a server.
-    pub may_have_run: bool,
     /// Reservation of its traffic on this host's link.
     pub link: LinkReservation,
     /// See [`Call::fingerprint`].
@@ -112,7 +110,7 @@
     /// servers that ran it have crashed.
     ///
     /// # Errors
-    /// The [`Refusal`] that the caller receives.
+    /// The [`Refusal`] that the caller receives, unless the request may have run.
     pub async fn check_crashes(&mut self) -> Result<(), Refusal> {
         let requests = &self.entry.requests;
         let refusal =
@@ -124,8 +122,7 @@
             };
         slog::info!(self.log, "not sent for its crashes";
             "fingerprint" => %self.fingerprint(), "code" => refusal.code());
-        // If it may have run, the status must not state that it has not.
-        Err(if self.may_have_run { Refusal::AnswerLost } else { refusal })
+        Err(refusal)
     }
 
     /// Returns whether the request may use its isolated run, and claims it if it is free.
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -7,6 +7,7 @@
 
 use crate::entry::admission::AdmittedCall;
 use crate::entry::attempt::{AttemptOutcome, BufferedAnswer, attempt, log_ended};
+use crate::entry::outcome::{Failure, RunState, Unrun};
 use crate::entry::refusal::Refusal;
 use crate::entry::relay::Relay;
 
@@ -21,9 +22,10 @@
 /// Sends a request to a server, or to several in turn, and returns the answer.
 ///
 /// # Errors
-/// The [`Refusal`] that the caller receives.
-pub async fn forward(admitted: AdmittedCall) -> Result<Answer, Refusal> {
+/// The [`Failure`] that the caller receives.
+pub async fn forward(admitted: AdmittedCall, unrun: Unrun) -> Result<Answer, Failure> {
     let AdmittedCall { mut call, mut charge } = admitted;
+    let mut state = RunState::Unrun(unrun);
     let mut error_answer = None;
     let mut no_server = NoServer::NoneUsable;
     loop {
@@ -31,10 +33,12 @@
             break;
         }
         // It may have been blocked while it waited for tokens.
-        call.check_crashes().await?;
+        if let Err(refusal) = call.check_crashes().await {
+            return Err(state.refuse(refusal));
+        }
         // After a suspension of the host, the callers of open requests have disconnected.
         if call.is_late() {
-            return Err(if call.may_have_run { Refusal::TimedOut } else { Refusal::TooLate });
+            return Err(state.refuse_late());
         }
         let permit = match call.acquire_server().await {
             Ok(permit) => permit,
@@ -44,7 +48,7 @@
             }
         };
         let resume_after = call.request_head.resume_after;
-        match attempt(&mut call, &mut charge, permit, resume_after).await {
+        state = match attempt(&mut call, &mut charge, permit, resume_after, state).await {
             AttemptOutcome::StreamStarted(res, open_request, choice) => {
                 let status = res.status();
                 let headers = call.entry.wire.response_headers(res.headers());
@@ -63,17 +67,20 @@
                     return Ok(Answer::Buffered(status, headers, body));
                 }
                 error_answer = Some((status, headers, body));
+                RunState::in_doubt()
             }
-            AttemptOutcome::NotRun => {}
-            AttemptOutcome::AnswerLost if call.plan.is_retryable() => {}
-            AttemptOutcome::AnswerLost => return Err(Refusal::AnswerLost),
-            AttemptOutcome::TimedOut if call.may_have_run => return Err(Refusal::TimedOut),
-            AttemptOutcome::TimedOut => return Err(Refusal::TooLate),
-        }
+            AttemptOutcome::NotRun(state) => state,
+            AttemptOutcome::AnswerLost(in_doubt) if call.plan.is_retryable() => {
+                RunState::InDoubt(in_doubt)
+            }
+            AttemptOutcome::AnswerLost(in_doubt) => return Err(in_doubt.answer_lost()),
+            AttemptOutcome::TimedOut(in_doubt) => return Err(in_doubt.timed_out()),
+            AttemptOutcome::NotSentInTime(state) => return Err(state.refuse_late()),
+        };
     }
     if let Some((status, headers, body)) = error_answer {
         log_ended(&call, &charge, "server failed", status);
         return Ok(Answer::Buffered(status, headers, body));
     }
-    Err(if call.may_have_run { Refusal::AnswerLost } else { Refusal::no_server(no_server) })
+    Err(state.refuse(Refusal::no_server(no_server)))
 }
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -1,8 +1,8 @@
-//! Refusals: reasons for which a caller gets no answer of a backend server, with the HTTP status
-//! and the retry delay of each.
+//! Refusals: reasons for which a request is not run, with the HTTP status and the retry delay of
+//! each.
 //!
-//! Statuses 429 and 503 (and 402, 408) guarantee that the request has not run and never will; 502
-//! and 504 don't.
+//! Their statuses guarantee that the request has not run and never will. A caller gets one only
+//! as part of a `Failure` of the module `outcome`, which needs proof of that.
 
 use std::time::Duration;
 
@@ -29,7 +29,7 @@
 /// nearly always refuses a connection within 2 ms, and one that does not answer is given 5 s.
 const CRASHES_IN_DOUBT_RETRY_DELAY: Duration = Duration::from_secs(1);
 
-/// Reason for which a caller gets no answer of a backend server.
+/// Reason for which a request is not run.
 #[derive(Debug, Clone, PartialEq, Eq, thiserror::Error)]
 pub enum Refusal {
     /// This daemon has no table yet; with the retry delay.
@@ -117,12 +117,6 @@
     /// Servers that ran the request disconnected and may have crashed.
     #[error("backend servers that ran this request before broke off; the cause is not known yet")]
     CrashesInDoubt,
-    /// The request was sent to a server, which did not answer before the deadline.
-    #[error("the time was over before the answer came")]
-    TimedOut,
-    /// The request was sent to a server, and its outcome is unknown.
-    #[error("the backend server's answer was lost")]
-    AnswerLost,
 }
 
 impl Refusal {
@@ -178,8 +172,6 @@
             Refusal::BudgetShort { .. } | Refusal::BudgetRationed { .. } => {
                 StatusCode::TOO_MANY_REQUESTS
             }
-            Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
-            Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
         }
     }
 
@@ -206,13 +198,10 @@
             Refusal::CrashesServers => "crashes_servers",
             Refusal::CrashesInDoubt => "crashes_in_doubt",
             Refusal::TooLate => "too_late",
-            Refusal::TimedOut => "timed_out",
-            Refusal::AnswerLost => "answer_lost",
         }
     }
 
-    /// Returns the retry delay; `None` if a retry is useless or if the caller has to decide whether
-    /// the request may run twice.
+    /// Returns the retry delay; `None` if a retry is useless.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
             Refusal::Stopping | Refusal::LinkFull => Some(OTHER_DAEMON_RETRY_DELAY),
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -19,6 +19,7 @@
 use crate::entry::attempt::{AttemptOutcome, attempt, log_ended, log_failed_attempt};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
+use crate::entry::outcome::RunState;
 use crate::entry::pace::PaceMeter;
 use crate::requests::open_request::OpenRequest;
 
@@ -96,7 +97,7 @@
                 ReadResult::Broken(problem) => problem,
             };
             self.open_request.record_failure();
-            log_failed_attempt(&self.call, &self.choice, problem);
+            log_failed_attempt(&self.call, &self.choice, true, problem);
             self.call
                 .entry
                 .requests
@@ -161,7 +162,8 @@
         while self.call.try_claim_attempt() {
             let Ok(permit) = self.call.acquire_server().await else { return false };
             let last_event = self.sequence.last();
-            match attempt(&mut self.call, &mut self.charge, permit, last_event).await {
+            let state = RunState::in_doubt();
+            match attempt(&mut self.call, &mut self.charge, permit, last_event, state).await {
                 AttemptOutcome::StreamStarted(res, open_request, choice) => {
                     slog::info!(self.call.log, "stream resumed";
                         "server" => %choice.server, "after" => last_event);
@@ -173,8 +175,10 @@
                     self.splitter = EventSplitter::default();
                     return true;
                 }
-                AttemptOutcome::NotRun | AttemptOutcome::AnswerLost => {}
-                AttemptOutcome::Answered(_) | AttemptOutcome::TimedOut => return false,
+                AttemptOutcome::NotRun(_) | AttemptOutcome::AnswerLost(_) => {}
+                AttemptOutcome::Answered(_)
+                | AttemptOutcome::TimedOut(_)
+                | AttemptOutcome::NotSentInTime(_) => return false,
             }
         }
         false
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -18,6 +18,7 @@
 use crate::entry::call::Call;
 use crate::entry::forward::{Answer, forward};
 use crate::entry::link_reservation::LinkReservation;
+use crate::entry::outcome::{Failure, Unrun};
 use crate::entry::plan::Plan;
 use crate::entry::ready::injected_entry;
 use crate::entry::refusal::Refusal;
@@ -47,23 +48,23 @@
             res.headers_mut().extend(headers);
             res.stream(InFlight { stream: Box::pin(relay.into_stream()), _token: in_flight });
         }
-        Err(refusal) => render(&refusal, res),
+        Err(failure) => render(&failure, res),
     }
 }
 
-/// Writes a refusal, with a `Retry-After` header in seconds.
-fn render(refusal: &Refusal, res: &mut Response) {
-    res.status_code(refusal.status());
-    if matches!(refusal, Refusal::LinkFull) {
+/// Writes a failure, with a `Retry-After` header in seconds.
+fn render(failure: &Failure, res: &mut Response) {
+    res.status_code(failure.status());
+    if matches!(failure.refusal(), Some(Refusal::LinkFull)) {
         // The unread body is still on the connection, and a new one leads to another host.
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
-    if let Some(delay) = refusal.retry_after()
+    if let Some(delay) = failure.retry_after()
         && let Ok(value) = HeaderValue::from_str(&format!("{:.3}", delay.as_secs_f64()))
     {
         res.headers_mut().insert(RETRY_AFTER, value);
     }
-    res.render(Text::Plain(refusal.to_string()));
+    res.render(Text::Plain(failure.to_string()));
 }
 
 /// A stream that counts as in flight until it is dropped.
@@ -83,31 +84,37 @@
     }
 }
 
-/// Reads, admits and forwards a request; logs and counts refusals.
-async fn handle(entry: &Arc<Entry>, req: &mut Request) -> Result<Answer, Refusal> {
+/// Reads, admits and forwards a request; logs and counts failures.
+async fn handle(entry: &Arc<Entry>, req: &mut Request) -> Result<Answer, Failure> {
+    let unrun = Unrun::received();
     let requests = &entry.requests;
     let arrived_at = requests.base.clock.now();
     let path = req.uri().path().to_owned();
-    let log_refusal = |refusal: Refusal, request_head: Option<&RequestHead>| {
-        requests.base.metrics.count(&format!("refused.{}", refusal.code()));
+    let log_failure = |failure: Failure, request_head: Option<&RequestHead>| {
+        requests.base.metrics.count(&format!("refused.{}", failure.code()));
         slog::info!(requests.base.log, "request refused";
-            "request" => request_head.map(|request_head| request_head.id.clone()), "code" => refusal.code(),
-            "why" => %refusal, "table" => requests.revision(),
-            "retry_after_ms" => refusal.retry_after().map(|after| after.as_millis() as u64),
+            "request" => request_head.map(|request_head| request_head.id.clone()), "code" => failure.code(),
+            "why" => %failure, "table" => requests.revision(),
+            "retry_after_ms" => failure.retry_after().map(|after| after.as_millis() as u64),
             "path" => &path, "tokens" => request_head.and_then(|request_head| request_head.prompt.as_ref())
                 .map(|prompt| prompt.input_tokens + prompt.output_limit),
             "store_heard_ms" => requests.fleet.connectivity.store_age(requests.base.clock.now()),
             "age_ms" => requests.base.clock.now() - arrived_at);
-        refusal
+        failure
+    };
+    let request_head = match entry.wire.read_request(req.headers()) {
+        Ok(request_head) => request_head,
+        Err(e) => return Err(log_failure(Failure::not_run(unrun, e.into()), None)),
     };
-    let request_head = entry.wire.read_request(req.headers());
-    let request_head = request_head.map_err(|e| log_refusal(e.into(), None))?;
-    let read = read_call(entry, req, request_head.clone(), arrived_at).await;
-    let call = read.map_err(|refusal| log_refusal(refusal, Some(&request_head)))?;
     let of_link = |refusal: Refusal| refusal.on_saturated_link(entry.is_link_saturated());
-    let admitted = AdmittedCall::admit(call).await;
-    let admitted = admitted.map_err(|e| log_refusal(of_link(e), Some(&request_head)))?;
-    forward(admitted).await.map_err(|e| log_refusal(of_link(e), Some(&request_head)))
+    let answer = match read_call(entry, req, request_head.clone(), arrived_at).await {
+        Err(refusal) => Err(Failure::not_run(unrun, refusal)),
+        Ok(call) => match AdmittedCall::admit(call).await {
+            Err(refusal) => Err(Failure::not_run(unrun, of_link(refusal))),
+            Ok(admitted) => forward(admitted, unrun).await.map_err(|e| e.map_refusal(of_link)),
+        },
+    };
+    answer.map_err(|failure| log_failure(failure, Some(&request_head)))
 }
 
 /// Looks up the request in the table, reads its body and reserves its traffic on the link.
@@ -155,7 +162,6 @@
         plan,
         tried_servers: Vec::new(),
         attempts_sent: 0,
-        may_have_run: false,
         link,
         fingerprint: OnceLock::new(),
         isolated_run: None,
