Draws of tokens end in a task of their own; tests of abandoned requests

A draw ran as part of the request that waited for it. When that request was refused after 150 ms, or its caller left, the answer was dropped: the store had granted the tokens and the daemon did not know of them. The next draw repaired it, but where the draw had taken all that was left, the outlook read afterwards said that nothing was left, and each further request got 429 budget_rationed before any draw, until a top-up or the daemon's end. Seen with a budget of 120 tokens, a request of 120 and a store that takes 400 ms: ledger granted 120, holder granted 0.

Both cases of a_request_that_ends_while_it_waits_for_tokens_... failed before and pass now. The other test, that a request abandoned while it waits for a server is not sent, passed before too.

--- a/crates/daemon/src/budget/draws.rs
+++ b/crates/daemon/src/budget/draws.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bankcove_core::holder::Draw;
-use bankcove_core::owner::{PREFETCH_DELAY_MS, Reply, Request};
+use bankcove_core::owner::{PREFETCH_DELAY_MS, RETRY_SOON_MS, Reply, Request};
 use bankcove_core::table::Budget;
 use bankcove_core::{Millis, Name, Tokens};
 use futures::future::join_all;
@@ -20,11 +20,21 @@
 const MAX_RELAYS: usize = 2;
 
 /// Draws `need` more tokens from the store, and some ahead.
+///
+/// In a separate task, because the request that waits for the draw may end before it. If its answer
+/// were lost, tokens would be granted that this daemon does not know of.
 pub(crate) async fn draw(
     budgets: &Arc<Budgets>,
     budget: &Budget,
     need: Tokens,
 ) -> Result<(), Refusal> {
+    let drawing = tokio::spawn(draw_to_end(Arc::clone(budgets), budget.clone(), need));
+    // It fails only when the runtime shuts down.
+    drawing.await.unwrap_or_else(|_| Err(Refusal::out_of_reach(RETRY_SOON_MS)))
+}
+
+async fn draw_to_end(budgets: Arc<Budgets>, budget: Budget, need: Tokens) -> Result<(), Refusal> {
+    let (budgets, budget) = (&budgets, &budget);
     let terms = draw_terms(budgets, budget);
     let now = budgets.fleet.base.clock.now();
     let address = budgets.fleet.base.cfg.peer_address();
