--- a/crates/daemon/src/base/tcp.rs
+++ b/crates/daemon/src/base/tcp.rs
@@ -12,13 +12,20 @@
 /// Number of connections that may wait to be accepted, unless the host's link is narrower.
 pub const MAX_BACKLOG: u32 = 1_024;
 
-/// Listens on `address`; at most `backlog` connections wait to be accepted. Accepted connections
-/// inherit `TCP_NODELAY`: otherwise the second chunk of a stream would wait some 40 ms for the
-/// acknowledgement of the first.
+/// Listens on `address`. Accepted connections inherit `TCP_NODELAY`: otherwise the second
+/// chunk of a stream would wait some 40 ms for the acknowledgement of the first.
 ///
 /// # Errors
 /// [`Error::Listen`] when the port can't be listened on.
-pub fn listen(address: &str, backlog: u32) -> Result<TcpListener> {
+pub fn listen(address: &str) -> Result<TcpListener> {
+    listen_with_backlog(address, MAX_BACKLOG)
+}
+
+/// Like [`listen`], with at most `backlog` connections that wait to be accepted.
+///
+/// # Errors
+/// [`Error::Listen`] when the port can't be listened on.
+pub fn listen_with_backlog(address: &str, backlog: u32) -> Result<TcpListener> {
     open(address, backlog).map_err(|source| Error::Listen { address: address.to_owned(), source })
 }
 
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -38,7 +38,7 @@
     router: Router,
     backlog: u32,
 ) -> Result<HttpListener> {
-    let acceptor = TcpAcceptor::try_from(tcp::listen(address, backlog)?);
+    let acceptor = TcpAcceptor::try_from(tcp::listen_with_backlog(address, backlog)?);
     let acceptor =
         acceptor.map_err(|source| Error::Listen { address: address.to_owned(), source })?;
     let server = Server::new(acceptor);
