--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod events;
 pub mod freshness;
 pub mod hall_list;
+pub mod held_answers;
 pub mod hints;
 pub mod holder;
 pub mod id;
