Answers are read from servers no slower than they come, also for slow callers

Cause: the relay is polled by the caller's connection, so a slow caller slowed the reading from the server, which cuts off answers that stay unread. Once 4 pieces or 32 KB wait in the HTTP server's write queue, a task reads on into a buffer, bounded for the answer and for the host (entry.held_answers_mb, or an eighth of entry.memory_mb). Callers that keep up are polled as before. Ruled out: polling the server within the caller's connection while its write is pending, since hyper does not poll a body then; a task for each answer, which costs every event a wake-up.

Held bytes count until the kernel has taken them, and so does the request as in flight, plain answers too. A stream that breaks off is aborted after what was received before has been passed to the kernel.

Test: 200 callers that read 1 KB a second for 8 s get their 512 KB answers whole.

--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -34,6 +34,14 @@
     /// refused at once. Omitted for no limit.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub link_mbps: Option<f64>,
+    /// Memory of this host, in megabytes; a part of it holds answers for callers that read slowly.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub memory_mb: Option<f64>,
+    /// Maximum size of all answers held for callers that read slowly, in megabytes; derived from
+    /// `memory_mb` if omitted. With 0, answers are read from servers only as fast as callers read
+    /// them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held_answers_mb: Option<f64>,
     /// How far ahead to draw on a workspace's budget, in seconds of recent spending; a daemon
     /// that is cut off from the store and all peers spends these tokens.
     #[serde(default = "default_horizon_s")]
@@ -62,6 +70,16 @@
     pub hall_regions: BTreeMap<Name, Name>,
 }
 
+/// Fraction of the host's memory that may hold answers. The rest is for the daemon's own state (up
+/// to 64 MB), request bodies and the socket buffers of its connections.
+const HELD_ANSWERS_FRACTION: f64 = 0.125;
+
+/// Megabytes of held answers on a host whose memory is not set: an eighth of 128 MB.
+const DEFAULT_HELD_ANSWERS_MB: f64 = 16.0;
+
+/// Number of bytes in a megabyte.
+const MEGABYTE: f64 = 1_048_576.0;
+
 /// Number of milliseconds in a second.
 const SECOND_MS: f64 = 1_000.0;
 
@@ -114,6 +132,8 @@
             retry_extra: 50.0,
             retry_window_s: default_retry_window_s(),
             link_mbps: Some(1_000.0),
+            memory_mb: Some(512.0),
+            held_answers_mb: Some(64.0),
             horizon_s: default_horizon_s(),
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
@@ -133,6 +153,13 @@
         }
     }
 
+    /// Returns the maximum size of all answers held for callers, in bytes.
+    pub fn max_held_answer_bytes(&self) -> u64 {
+        let of_memory = self.memory_mb.map(|memory_mb| memory_mb * HELD_ANSWERS_FRACTION);
+        let megabytes = self.held_answers_mb.or(of_memory).unwrap_or(DEFAULT_HELD_ANSWERS_MB);
+        (megabytes * MEGABYTE) as u64
+    }
+
     /// Sets the draw policy of all budgets in `table` from these settings; on this platform the
     /// table itself specifies none.
     pub fn apply_draw_policy(&self, table: &mut Table) {
@@ -171,6 +198,24 @@
             "must be above 0 megabits per second",
             "use the link's bandwidth, for example 1000, or omit it",
         );
+        check(
+            self.memory_mb.is_some_and(|memory| !is_usable(memory) || memory == 0.0),
+            "entry.memory_mb",
+            "must be above 0 megabytes",
+            "use the host's memory, for example 512, or omit it",
+        );
+        check(
+            self.held_answers_mb.is_some_and(|held| !is_usable(held)),
+            "entry.held_answers_mb",
+            negative,
+            "use a part of the host's memory, for example 16, or omit it",
+        );
+        check(
+            matches!((self.held_answers_mb, self.memory_mb), (Some(held), Some(memory)) if held > memory),
+            "entry.held_answers_mb",
+            "is more than the host's memory, entry.memory_mb",
+            "use a part of it, or omit it",
+        );
         check(
             self.rollout_fraction.is_some_and(|fraction| !(0.0..=1.0).contains(&fraction)),
             "entry.rollout_fraction",
--- a/crates/daemon/src/base/metrics.rs
+++ b/crates/daemon/src/base/metrics.rs
@@ -9,6 +9,7 @@
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -35,6 +36,7 @@
     registry: Registry,
     counters: Family<Event, Counter>,
     times: Family<Event, Histogram, fn() -> Histogram>,
+    levels: Family<Event, Gauge>,
     statsd: Option<StatsdClient>,
 }
 
@@ -53,8 +55,10 @@
         let times = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register("events", "What has happened, by kind", counters.clone());
         registry.register("time_ms", "How long it took, in milliseconds", times.clone());
+        let levels = Family::<Event, Gauge>::default();
+        registry.register("levels", "Current amounts, by kind", levels.clone());
         let statsd = address.map(statsd_client).transpose()?;
-        Ok(Metrics(Arc::new(Inner { registry, counters, times, statsd })))
+        Ok(Metrics(Arc::new(Inner { registry, counters, times, levels, statsd })))
     }
 
     /// Counts one event.
@@ -85,6 +89,12 @@
         }
     }
 
+    /// Returns the gauge of a current amount, which its owner keeps up to date. It is not sent by
+    /// UDP: it may change with every event of every stream.
+    pub fn level(&self, name: &str) -> Gauge {
+        self.0.levels.get_or_create(&Event { event: name.to_owned() }).clone()
+    }
+
     /// Returns all metrics in the OpenMetrics text format.
     pub fn text(&self) -> String {
         let mut text = String::new();
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -26,6 +26,7 @@
 use crate::membership::Membership;
 use crate::peer::PeerPool;
 use crate::requests::RequestContext;
+use crate::requests::held_answers::AnswerMemory;
 use crate::rollouts::Rollouts;
 use crate::view::View;
 
@@ -145,6 +146,7 @@
             latest_end: Mutex::new(None),
             stopping,
             in_flight: TaskTracker::new(),
+            answer_memory: Arc::new(AnswerMemory::new(base.clone())),
         };
         Ok(Arc::new(Daemon {
             clock: base.clock,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -5,6 +5,7 @@
 //! returns the answers; a [`Wire`] reads and writes the platform's headers.
 
 pub mod admission;
+pub mod answer_buffer;
 pub mod attempt;
 pub mod backend;
 pub mod call;
@@ -78,6 +79,7 @@
     /// Applies those settings that may change at run time.
     pub fn reload(&self, settings: EntrySettings) {
         self.retries.lock().set_allowance(settings.retry_allowance());
+        self.requests.answer_memory.set_max_bytes(settings.max_held_answer_bytes());
     }
 
     /// Creates the entry proxy of a daemon.
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use bankcove_core::Millis;
+use bankcove_core::held_answers::MAX_READ_BYTES;
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
@@ -89,6 +90,7 @@
     Client::builder(TokioExecutor::new())
         .pool_idle_timeout(IDLE_TIMEOUT)
         .retry_canceled_requests(true)
+        .http1_max_buf_size(MAX_READ_BYTES as usize)
         .build(connector)
 }
 
--- a/crates/daemon/src/entry/charge.rs
+++ b/crates/daemon/src/entry/charge.rs
@@ -61,7 +61,7 @@
         self.may_be_incomplete = may_have_run_before;
     }
 
-    /// Records that an event was passed to the caller.
+    /// Records that an event was received for the caller.
     pub fn record_event(&mut self) {
         self.events += 1;
     }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -14,6 +14,7 @@
 use hyper::Response;
 use hyper::body::Incoming as Body;
 use salvo::http::StatusCode;
+use slog::Logger;
 
 use crate::crashes;
 use crate::entry::attempt::{AttemptOutcome, attempt, log_ended, log_failed_attempt};
@@ -61,6 +62,11 @@
         Relay { call, charge, body, is_framed, open_request, choice, splitter, sequence, pace }
     }
 
+    /// Returns the log of the request.
+    pub fn log(&self) -> &Logger {
+        &self.call.log
+    }
+
     /// Returns the events as the body of an answer. An error aborts the answer, so that it does not
     /// look complete.
     pub fn into_stream(self) -> impl Stream<Item = io::Result<Bytes>> {
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -15,6 +15,7 @@
 
 use crate::entry::Entry;
 use crate::entry::admission::AdmittedCall;
+use crate::entry::answer_buffer::AnswerBuffer;
 use crate::entry::call::Call;
 use crate::entry::forward::{Answer, forward};
 use crate::entry::link_reservation::LinkReservation;
@@ -22,13 +23,15 @@
 use crate::entry::ready::injected_entry;
 use crate::entry::refusal::Refusal;
 use crate::requests::RequestContext;
+use crate::requests::held_answers::HeldAnswer;
 
 /// Returns the routes for callers: one handler for all paths, which the table resolves.
 pub fn router(entry: Arc<Entry>) -> Router {
     Router::with_path("{**rest}").hoop(affix_state::inject(entry)).goal(serve)
 }
 
-/// Serves one request, and counts it as in flight until its answer has ended.
+/// Serves one request, and counts it as in flight until its answer is passed to the kernel or given
+/// up.
 #[handler]
 async fn serve(req: &mut Request, depot: &mut Depot, res: &mut Response) {
     let entry = injected_entry(depot);
@@ -40,12 +43,15 @@
         Ok(Answer::Buffered(status, headers, body)) => {
             res.status_code(status);
             res.headers_mut().extend(headers);
-            res.body(body);
+            let held = HeldAnswer::new(&entry.requests.answer_memory, in_flight);
+            res.body(held.hold(body));
         }
         Ok(Answer::Stream(status, headers, relay)) => {
             res.status_code(status);
             res.headers_mut().extend(headers);
-            res.stream(InFlight { stream: Box::pin(relay.into_stream()), _token: in_flight });
+            let held = HeldAnswer::new(&entry.requests.answer_memory, in_flight);
+            let log = relay.log().clone();
+            res.stream(AnswerBuffer::new(relay.into_stream(), held, log));
         }
         Err(refusal) => render(&refusal, res),
     }
@@ -66,23 +72,6 @@
     res.render(Text::Plain(refusal.to_string()));
 }
 
-/// A stream that counts as in flight until it is dropped.
-struct InFlight<S> {
-    stream: std::pin::Pin<Box<S>>,
-    _token: tokio_util::task::task_tracker::TaskTrackerToken,
-}
-
-impl<S: futures::Stream> futures::Stream for InFlight<S> {
-    type Item = S::Item;
-
-    fn poll_next(
-        mut self: std::pin::Pin<&mut Self>,
-        cx: &mut std::task::Context<'_>,
-    ) -> std::task::Poll<Option<Self::Item>> {
-        self.stream.as_mut().poll_next(cx)
-    }
-}
-
 /// Reads, admits and forwards a request; logs and counts refusals.
 async fn handle(entry: &Arc<Entry>, req: &mut Request) -> Result<Answer, Refusal> {
     let requests = &entry.requests;
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -1,10 +1,11 @@
 //! State for serving callers' requests, over bankcove's own interface (`api`) and over the
 //! platform's protocol (`entry`).
 //!
-//! Owns the set of open requests (`open_request`, [`RequestContext::in_flight`]) and the flags
-//! by which a graceful shutdown stops the acceptance of new ones. May call the layers that hold
+//! Owns the set of open requests (`open_request`, [`RequestContext::in_flight`]), the answers held
+//! for callers (`held_answers`) and the flags by which a graceful shutdown stops the acceptance of new ones. May call the layers that hold
 //! state; called by `api`, `entry` and `lifecycle`.
 
+pub mod held_answers;
 pub mod open_request;
 
 use std::sync::Arc;
@@ -23,6 +24,7 @@
 use crate::crashes::Crashes;
 use crate::fleet::Fleet;
 use crate::hints::Hints;
+use crate::requests::held_answers::AnswerMemory;
 use crate::rollouts::Rollouts;
 
 /// Shared state for serving requests of callers.
@@ -55,6 +57,8 @@
     pub stopping: CancellationToken,
     /// Requests in flight.
     pub in_flight: TaskTracker,
+    /// Answers that are held for callers.
+    pub answer_memory: Arc<AnswerMemory>,
 }
 
 impl RequestContext {
