--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -4,6 +4,7 @@
 use std::process::{Command, Output};
 
 use bankcoved::base::config::Config;
+use bankcoved::base::config::entry::EntrySettings;
 use yare::parameterized;
 
 fn bankcoved(args: &[&str]) -> Output {
@@ -48,6 +49,9 @@
     bad_entry_address = { "entry", serde_json::json!({"ready_listen": "here"}), "'here' is not an IP address and port" },
     bad_horizon = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "horizon_s": 0}), "entry.horizon_s" },
     bad_ratio = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "retry_ratio": -1}), "entry.retry_ratio" },
+    no_memory = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "memory_mb": 0}), "entry.memory_mb" },
+    negative_held_answers = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "held_answers_mb": -1}), "entry.held_answers_mb" },
+    held_answers_above_memory = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "memory_mb": 64, "held_answers_mb": 65}), "entry.held_answers_mb" },
     adapter_without_entry = { "adapter", serde_json::json!("objects"), "setting 'entry'" },
     zero_limit = { "limits", serde_json::json!({"heartbeat_ms": 0}), "limits.heartbeat_ms" },
 )]
@@ -75,3 +79,16 @@
     assert!(!output.status.success());
     assert!(message.contains("line 1"), "{message}");
 }
+
+#[parameterized(
+    neither = { serde_json::json!({}), 16 << 20 },
+    of_memory = { serde_json::json!({"memory_mb": 160}), 20 << 20 },
+    set = { serde_json::json!({"memory_mb": 160, "held_answers_mb": 1.5}), 3 << 19 },
+    disabled = { serde_json::json!({"memory_mb": 160, "held_answers_mb": 0}), 0 },
+)]
+fn the_bound_of_held_answers_follows_the_hosts_memory(fields: serde_json::Value, expected: u64) {
+    let mut settings = fields;
+    settings["ready_listen"] = serde_json::json!("127.0.0.1:1");
+    let settings: EntrySettings = serde_json::from_value(settings).expect("valid settings");
+    assert_eq!(settings.max_held_answer_bytes(), expected);
+}
