--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -2,8 +2,8 @@
 //! platform's protocol (`entry`).
 //!
 //! Owns the set of open requests (`open_request`, [`RequestContext::in_flight`]), the answers held
-//! for callers (`held_answers`) and the flags by which a graceful shutdown stops the acceptance of new ones. May call the layers that hold
-//! state; called by `api`, `entry` and `lifecycle`.
+//! for callers (`held_answers`) and the flags by which a graceful shutdown stops the acceptance of
+//! new ones. May call the layers that hold state; called by `api`, `entry` and `lifecycle`.
 
 pub mod held_answers;
 pub mod open_request;
