--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod name;
 pub mod outage;
 pub mod owner;
+pub mod places;
 pub mod request_log;
 pub mod retry_budget;
 pub mod rollout;
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -11,6 +11,7 @@
 mod adoption;
 mod choose;
 mod closed_servers;
+mod full_servers;
 mod load;
 mod peer_unread;
 mod pool;
@@ -20,6 +21,7 @@
 
 pub use adoption::{Adopted, ListedRow};
 pub use choose::{AtLimit, Choice, Homes, NoServer, Resting, RoutingRequest};
+pub use full_servers::{AnswerTimes, FullPool, PoolRoom};
 pub use peer_unread::{UnreadReport, UnreadTokens};
 pub use prefill::{ServerPace, StreamPace};
 pub use status::{Availability, ServerStatus};
--- a/crates/core/src/router/adoption.rs
+++ b/crates/core/src/router/adoption.rs
@@ -89,6 +89,7 @@
                 view.row_draining = row.server.draining;
                 view.cold_until = row.cold_until;
                 view.version.clone_from(&row.server.version);
+                view.room.slots = row.server.slots;
             }
         }
     }
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -3,6 +3,7 @@
 use crate::crashes::ServerInstance;
 use crate::rollout::Versions;
 use crate::router::Router;
+use crate::router::full_servers::FullPool;
 use crate::router::load::Load;
 use crate::router::pool::{HallPool, Pool};
 use crate::router::view::ServerView;
@@ -31,6 +32,9 @@
     OnlyLimited(AtLimit),
     /// All remaining servers that are not cold have asked this daemon for rest.
     OnlyResting(Resting),
+    /// All remaining servers that are neither cold, limited nor resting have rejected a request
+    /// because they are full.
+    OnlyFull(FullPool),
 }
 
 /// Servers that have asked this daemon for rest.
@@ -198,6 +202,11 @@
             eligible.into_iter().partition(|view| view.is_cold(now));
         let (resting, active): (Vec<&ServerView>, Vec<&ServerView>) =
             warm.into_iter().partition(|view| view.is_resting(now));
+        // A full server has room again sooner than others become usable.
+        let full = active.iter().filter(|view| view.is_only_full(now));
+        if let Some(first_at) = full.map(|view| view.room.full_until).min() {
+            return NoServer::OnlyFull(FullPool { first_ms: first_at - now });
+        }
         let limited = active.iter().filter(|view| view.is_at_limit(now));
         if let Some(first_at) = limited.clone().map(|view| view.no_permit_until).min() {
             let per_second = limited.filter_map(|view| view.limit_per_s).sum();
--- a/crates/core/src/router/status.rs
+++ b/crates/core/src/router/status.rs
@@ -22,7 +22,8 @@
     Cold,
     /// It has failed too often.
     Ejected,
-    /// This daemon has as many open requests there as its row allows.
+    /// This daemon has as many open requests there as its row allows, or it has rejected one
+    /// because it is full.
     Full,
 }
 
@@ -89,6 +90,8 @@
             (Availability::Ejected, "failures in a row", Some(self.ejected_until))
         } else if self.in_flight >= self.limit {
             (Availability::Full, "open requests", None)
+        } else if self.room.is_full(now) {
+            (Availability::Full, "a rejected request", Some(self.room.full_until))
         } else {
             (Availability::Ready, "", None)
         }
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crashes::ServerInstance;
+use crate::router::full_servers::ServerRoom;
 use crate::router::load::Load;
 use crate::server_list::ListedServer;
 use crate::table::{ListedState, Server, ServerKind, ServerState};
@@ -91,6 +92,8 @@
     pub(super) lifted_at: Option<Millis>,
     /// Usual time between two events of its streams, in milliseconds.
     pub(super) event_ms: Option<f64>,
+    /// Its capacity, and whether it counts as full.
+    pub(super) room: ServerRoom,
 }
 
 impl ServerView {
@@ -125,6 +128,7 @@
             limit_per_s: None,
             lifted_at: None,
             event_ms: None,
+            room: ServerRoom::default(),
         }
     }
 
@@ -183,7 +187,7 @@
     /// Returns whether requests may be sent to the server now.
     pub(super) fn is_usable(&self, now: Millis) -> bool {
         let is_held_back = self.is_cold(now) || self.is_at_limit(now) || self.is_resting(now);
-        self.is_eligible(now) && !is_held_back
+        self.is_eligible(now) && !is_held_back && !self.room.is_full(now)
     }
 
     /// Returns whether a rest that the server has asked this daemon for is in force.
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -108,6 +108,9 @@
     /// All remaining servers have asked this daemon for rest; with the retry delay.
     #[error("every backend server that is left has asked for rest")]
     OnlyResting(Duration),
+    /// All remaining servers are full, and no place is expected in time; with the retry delay.
+    #[error("every backend server that is left is full")]
+    OnlyFull(Duration),
     /// The deadline passed before the request was sent to any server.
     #[error("the time was over before a backend server had the request")]
     TooLate,
@@ -139,6 +142,7 @@
             NoServer::OnlyResting(resting) => {
                 Refusal::OnlyResting(Duration::from_millis(resting.first_ms))
             }
+            NoServer::OnlyFull(full) => Refusal::OnlyFull(Duration::from_millis(full.first_ms)),
         }
     }
 
@@ -167,6 +171,7 @@
             | Refusal::OnlyCold(_)
             | Refusal::OnlyLimited(_)
             | Refusal::OnlyResting(_)
+            | Refusal::OnlyFull(_)
             | Refusal::CrashesInDoubt
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
@@ -203,6 +208,7 @@
             Refusal::OnlyCold(_) => "only_cold",
             Refusal::OnlyLimited(_) => "only_limited",
             Refusal::OnlyResting(_) => "only_resting",
+            Refusal::OnlyFull(_) => "only_full",
             Refusal::CrashesServers => "crashes_servers",
             Refusal::CrashesInDoubt => "crashes_in_doubt",
             Refusal::TooLate => "too_late",
@@ -222,7 +228,8 @@
             Refusal::NoHall => Some(NO_HALL_RETRY_DELAY),
             Refusal::OnlyCold(delay)
             | Refusal::OnlyLimited(delay)
-            | Refusal::OnlyResting(delay) => Some(*delay),
+            | Refusal::OnlyResting(delay)
+            | Refusal::OnlyFull(delay) => Some(*delay),
             Refusal::CrashesInDoubt => Some(CRASHES_IN_DOUBT_RETRY_DELAY),
             Refusal::BudgetShort { retry_after, .. }
             | Refusal::BudgetRationed { retry_after, .. }
