Requests wait for places at full pools

Only pools whose servers have rejected a request as full have a queue. A waiting request is called when a request of this host ends at the pool, when a server no longer counts as full and when the list of servers changes. It leaves at its deadline, at a stop, when the pool has no server left, and when its caller leaves: its future holds the only reference. Refusals are 503 only_full, with a staggered retry delay, and the log line 'no place in the pool' gives the inputs of the decision.

A server that rejected a request as full may be tried again by that request once it has room; before, it was excluded, and with one server left the request was refused.

--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -57,11 +57,19 @@
     /// shown that it works. Omitted if the platform orders no rollouts.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub rollout_fraction: Option<f64>,
+    /// Maximum number of requests that wait on this host for a place in each pool whose servers
+    /// reject requests because they are full. 0 refuses such requests at once.
+    #[serde(default)]
+    pub place_queue: usize,
     /// Region of each hall, for requests that may be served only in some regions.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub hall_regions: BTreeMap<Name, Name>,
 }
 
+/// Longest queue for places: each request that joins or leaves sorts the whole queue, and one that
+/// is behind a thousand others would seldom be answered in time.
+const MAX_PLACE_QUEUE: usize = 1_000;
+
 /// Number of milliseconds in a second.
 const SECOND_MS: f64 = 1_000.0;
 
@@ -120,6 +128,7 @@
             ration_s: default_ration_s(),
             follow_evacuations: true,
             rollout_fraction: Some(0.1),
+            place_queue: 64,
             hall_regions: BTreeMap::from([(Name::from("hall-1"), Name::from("region-1"))]),
         }
     }
@@ -177,6 +186,12 @@
             "must be a fraction of the requests",
             "use a number from 0 to 1, for example 0.1, or omit it",
         );
+        check(
+            self.place_queue > MAX_PLACE_QUEUE,
+            "entry.place_queue",
+            "must be at most 1000 requests",
+            "use for example 64, or 0 to let none wait",
+        );
         check(!is_usable(self.ration_s), "entry.ration_s", negative, "use for example 0.9");
         check(
             !(0.0..=1.0).contains(&self.held_ahead),
--- a/crates/daemon/src/base/metrics.rs
+++ b/crates/daemon/src/base/metrics.rs
@@ -1,14 +1,15 @@
-//! Counters and latency histograms, exposed as text on request and, if an address is
+//! Counters, current values and latency histograms, exposed as text on request and, if an address is
 //! configured, also sent by UDP in the statsd protocol.
 
 use std::net::UdpSocket;
 use std::sync::Arc;
 
-use cadence::{Counted, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
 use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
 use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
 use prometheus_client::registry::Registry;
 
@@ -34,6 +35,7 @@
 struct Inner {
     registry: Registry,
     counters: Family<Event, Counter>,
+    gauges: Family<Event, Gauge>,
     times: Family<Event, Histogram, fn() -> Histogram>,
     statsd: Option<StatsdClient>,
 }
@@ -50,11 +52,13 @@
     pub fn new(address: Option<&str>) -> Result<Self> {
         let mut registry = Registry::with_prefix(PREFIX);
         let counters = Family::<Event, Counter>::default();
+        let gauges = Family::<Event, Gauge>::default();
         let times = Family::new_with_constructor(histogram as fn() -> Histogram);
         registry.register("events", "What has happened, by kind", counters.clone());
+        registry.register("level", "What there is now, by kind", gauges.clone());
         registry.register("time_ms", "How long it took, in milliseconds", times.clone());
         let statsd = address.map(statsd_client).transpose()?;
-        Ok(Metrics(Arc::new(Inner { registry, counters, times, statsd })))
+        Ok(Metrics(Arc::new(Inner { registry, counters, gauges, times, statsd })))
     }
 
     /// Counts one event.
@@ -75,6 +79,16 @@
         }
     }
 
+    /// Sets the current value of a quantity.
+    pub fn set(&self, name: &str, value: u64) {
+        let event = Event { event: name.to_owned() };
+        self.0.gauges.get_or_create(&event).set(i64::try_from(value).unwrap_or(i64::MAX));
+        if let Some(statsd) = &self.0.statsd {
+            // As in `count`.
+            let _unsent = statsd.gauge(name, value);
+        }
+    }
+
     /// Records a duration in milliseconds.
     pub fn time(&self, name: &str, millis: u64) {
         let event = Event { event: name.to_owned() };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,7 +1,7 @@
 //! Assembly of a daemon from its layers. Only `lifecycle` and the code that serves operators and
 //! peers get the whole daemon; each lower layer gets the parts that it depends on.
 
-use std::sync::Arc;
+use std::sync::{Arc, OnceLock};
 
 use arc_swap::ArcSwapOption;
 use bankcove_core::Incarnation;
@@ -20,6 +20,7 @@
 use crate::bill::billing::Billing;
 use crate::budget::budgets::Budgets;
 use crate::crashes::Crashes;
+use crate::entry::Entry;
 use crate::error::Result;
 use crate::fleet::Fleet;
 use crate::hints::Hints;
@@ -65,6 +66,8 @@
     pub membership: Arc<Membership>,
     /// State for serving callers' requests.
     pub requests: Arc<RequestContext>,
+    /// The entry proxy, once it is started; without the `entry` settings there is none.
+    pub entry: OnceLock<Arc<Entry>>,
     /// Cancelled when background tasks must end.
     pub shutdown: CancellationToken,
 }
@@ -163,6 +166,7 @@
             view,
             membership: Arc::new(membership),
             requests: Arc::new(requests),
+            entry: OnceLock::new(),
             shutdown: base.shutdown,
             incarnation,
             log,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -12,6 +12,7 @@
 pub mod forward;
 pub mod link_reservation;
 pub mod pace;
+pub mod places;
 pub mod plan;
 pub mod ready;
 pub mod refusal;
@@ -28,6 +29,7 @@
 
 use crate::base::config::entry::EntrySettings;
 use crate::entry::backend::BackendClient;
+use crate::entry::places::Places;
 use crate::requests::RequestContext;
 use crate::view::View;
 
@@ -45,6 +47,8 @@
     pub retries: Mutex<RetryBudget>,
     /// Reservations of this host's link; `None` when the settings do not give its bandwidth.
     pub link: Mutex<Option<Link>>,
+    /// Queues for places at the servers of full pools.
+    pub places: Arc<Places>,
     /// Settings of the entry proxy.
     pub settings: EntrySettings,
 }
@@ -91,6 +95,7 @@
             backend_client: BackendClient::new(),
             retries: Mutex::new(RetryBudget::new(settings.retry_allowance())),
             link: Mutex::new(settings.link_mbps.map(Link::new)),
+            places: Places::new(Arc::clone(&requests), settings.place_queue),
             requests,
             view,
             wire,
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -28,6 +28,8 @@
     Answered(BufferedAnswer),
     /// The request certainly did not run there; other servers may be tried.
     NotRun,
+    /// The request certainly did not run there, because the server is full; the pool has a queue.
+    Full,
     /// The request may have run there, and its answer was lost.
     AnswerLost,
     /// The request's deadline has passed.
@@ -64,6 +66,7 @@
     let choice = permit.choice().clone();
     let mut open_request = OpenRequest::new(&entry.requests, &choice, call.prompt_tokens())
         .with_trial(&call.plan.service, &call.plan.route.name, &choice);
+    let place = entry.places.hold(&call.plan.service, &choice);
     let backend_request = call.backend_request(&choice, resume_after);
     let may_have_run_before = call.may_have_run;
     charge.record_sent();
@@ -83,11 +86,13 @@
         }
         Some(Err(SendError::Permit(e))) => {
             charge.record_not_run(may_have_run_before);
+            place.cancel();
             log_failed_attempt(call, &choice, &e.to_string());
             return AttemptOutcome::NotRun;
         }
         Some(Err(SendError::NotConnected(problem))) => {
             charge.record_not_run(may_have_run_before);
+            place.cancel();
             open_request.record_failure();
             log_failed_attempt(call, &choice, &problem);
             return AttemptOutcome::NotRun;
@@ -112,6 +117,14 @@
     }
     if let Some(unrun) = head.unrun {
         charge.record_not_run(may_have_run_before);
+        place.cancel();
+        let is_full = unrun == NotRunReason::Full;
+        if is_full && entry.places.record_full(&call.log, &call.plan.service, &choice) {
+            // It may be tried again when it has a place for this request.
+            call.tried_servers.pop();
+            log_failed_attempt(call, &choice, unrun_text(unrun));
+            return AttemptOutcome::Full;
+        }
         if unrun == NotRunReason::OtherInstance {
             // That instance of the server is gone, even if the server list, which lags, still has it.
             let now = entry.requests.base.clock.now();
@@ -125,6 +138,7 @@
         return AttemptOutcome::NotRun;
     }
     call.may_have_run = true;
+    open_request.keep_until_end(Box::new(place));
     let means_not_run = matches!(res.status().as_u16(), 408 | 421 | 429 | 503);
     if is_foreign || head.is_encoded || !head.is_signed || means_not_run {
         open_request.record_failure();
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -3,7 +3,8 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
-use bankcove_core::crashes::Verdict;
+use bankcove_core::crashes::{ServerInstance, Verdict};
+use bankcove_core::places::{PlaceRank, PlaceRequest};
 use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Choice, Homes, NoServer, RoutingRequest};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
@@ -18,6 +19,7 @@
 use crate::entry::Entry;
 use crate::entry::backend::BackendRequest;
 use crate::entry::link_reservation::LinkReservation;
+use crate::entry::places::Applicant;
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
 use crate::hints::permit::{NoPermit, Permit, Purpose};
@@ -186,7 +188,9 @@
         let until =
             self.deadline.min(self.arrived_at + self.plan.route.goal_ms / GOAL_WAIT_DIVISOR);
         loop {
-            let why = match self.choose() {
+            let choose = |freed: Option<&ServerInstance>| self.choose(freed);
+            let chosen = self.entry.places.choose_in_turn(&self.applicant(), choose).await;
+            let why = match chosen {
                 Ok(choice) => return Ok(choice),
                 Err(why) => why,
             };
@@ -213,11 +217,44 @@
         why
     }
 
-    /// Chooses a server that was not tried yet.
+    /// Returns the request as the queue for places orders it. Its goal counts again when a stream
+    /// resumes, which it did not miss so far.
+    fn applicant(&self) -> Applicant<'_> {
+        let now = self.entry.requests.base.clock.now();
+        let plan = &self.plan;
+        let request = PlaceRequest {
+            rank: PlaceRank { workspace: plan.workspace_rank, route: plan.rank() },
+            workspace: plan.workspace.clone(),
+            since: if self.may_have_run { now } else { self.arrived_at },
+            goal_ms: plan.route.goal_ms,
+            deadline: self.deadline,
+        };
+        Applicant { log: &self.log, service: &plan.service, request }
+    }
+
+    /// Returns the reason for which a request that was rejected as full gets no server.
+    pub fn refuse_as_full(&self) -> NoServer {
+        self.entry.places.refuse(&self.applicant())
+    }
+
+    /// Returns the refusal of a request that has not run and gets no server.
+    pub fn refusal(&self, why: NoServer) -> Refusal {
+        match why {
+            // It has left the queue because its deadline has passed, or because of a shutdown.
+            NoServer::OnlyFull(_) if self.is_late() => Refusal::TooLate,
+            NoServer::OnlyFull(_) if self.entry.requests.stopping.is_cancelled() => {
+                Refusal::Stopping
+            }
+            why => Refusal::no_server(why),
+        }
+    }
+
+    /// Chooses a server that was not tried yet. A server at which a request has just been `freed`
+    /// counts as usable even if it has rejected one as full.
     ///
     /// # Errors
     /// [`NoServer`] when no server is available.
-    fn choose(&self) -> Result<Choice, NoServer> {
+    fn choose(&self, freed: Option<&ServerInstance>) -> Result<Choice, NoServer> {
         let seed = rand::random();
         let placement = self.entry.requests.crashes.placement(|| self.fingerprint());
         let requests = &self.entry.requests;
@@ -234,7 +271,8 @@
         };
         requests.rollouts.choose(&self.plan.service, self.tried_servers.is_empty(), |versions| {
             let request = RoutingRequest { versions, ..request };
-            requests.router.lock().choose_ranked(requests.base.clock.now(), &request, rank)
+            let now = requests.base.clock.now();
+            requests.router.lock().choose_with_freed(now, &request, rank, freed)
         })
     }
 
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -26,8 +26,12 @@
     let AdmittedCall { mut call, mut charge } = admitted;
     let mut error_answer = None;
     let mut no_server = NoServer::NoneUsable;
+    let mut was_full = false;
     loop {
         if !call.try_claim_attempt() {
+            if was_full {
+                no_server = call.refuse_as_full();
+            }
             break;
         }
         // It may have been blocked while it waited for tokens.
@@ -64,7 +68,8 @@
                 }
                 error_answer = Some((status, headers, body));
             }
-            AttemptOutcome::NotRun => {}
+            AttemptOutcome::NotRun => was_full = false,
+            AttemptOutcome::Full => was_full = true,
             AttemptOutcome::AnswerLost if call.plan.is_retryable() => {}
             AttemptOutcome::AnswerLost => return Err(Refusal::AnswerLost),
             AttemptOutcome::TimedOut if call.may_have_run => return Err(Refusal::TimedOut),
@@ -75,5 +80,5 @@
         log_ended(&call, &charge, "server failed", status);
         return Ok(Answer::Buffered(status, headers, body));
     }
-    Err(if call.may_have_run { Refusal::AnswerLost } else { Refusal::no_server(no_server) })
+    Err(if call.may_have_run { Refusal::AnswerLost } else { call.refusal(no_server) })
 }
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -31,6 +31,8 @@
     pub tokens_per_event: Tokens,
     /// Workspace of the caller; `None` on a public route without a key.
     pub workspace: Option<Name>,
+    /// Priority rank of the workspace; 0 is the most urgent, and the rank of callers without one.
+    pub workspace_rank: u32,
     /// Regions that may serve the workspace.
     pub workspace_homes: Vec<Name>,
     /// Default budget of the workspace, if the table has it.
@@ -63,6 +65,7 @@
             tokens_per_event: engine.map_or(1, |engine| engine.tokens_per_event),
             service,
             workspace: workspace.map(|row| row.name.clone()),
+            workspace_rank: workspace.map_or(0, |row| row.priority.min(0).unsigned_abs()),
             workspace_homes: workspace.map(|row| row.homes.clone()).unwrap_or_default(),
             budget: budget.cloned(),
         })
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -173,7 +173,7 @@
                     self.splitter = EventSplitter::default();
                     return true;
                 }
-                AttemptOutcome::NotRun | AttemptOutcome::AnswerLost => {}
+                AttemptOutcome::NotRun | AttemptOutcome::Full | AttemptOutcome::AnswerLost => {}
                 AttemptOutcome::Answered(_) | AttemptOutcome::TimedOut => return false,
             }
         }
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -67,6 +67,9 @@
     /// Notified when a task that relies on peers must check again what is due: this daemon's rank
     /// among the possible readers of the store has changed, or an entry expires soon.
     pub recheck_sync: Arc<Notify>,
+    /// Notified (all waiting tasks) when servers were added, removed or closed, or may serve other
+    /// requests than before.
+    pub servers_changed: Arc<Notify>,
 }
 
 impl Fleet {
@@ -80,6 +83,7 @@
             connectivity,
             heartbeat_now: Arc::default(),
             recheck_sync: Arc::default(),
+            servers_changed: Arc::default(),
         }
     }
 
--- a/crates/daemon/src/hints.rs
+++ b/crates/daemon/src/hints.rs
@@ -105,6 +105,8 @@
         let changed = change(&mut router);
         self.has_closed.store(!router.all_open(), Ordering::Relaxed);
         self.leaving_digest.store(router.leaving_digest(), Ordering::Relaxed);
+        drop(router);
+        self.fleet.servers_changed.notify_waiters();
         changed
     }
 
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -132,6 +132,7 @@
                 let wire = Arc::new(Headers);
                 let (requests, view) = (Arc::clone(&daemon.requests), Arc::clone(&daemon.view));
                 let entry = Entry::new(requests, view, wire, settings);
+                daemon.entry.get_or_init(|| Arc::clone(&entry));
                 listeners.extend(start_entry(&daemon, Arc::clone(&entry)).await?);
                 started = Some(entry);
             }
--- a/crates/daemon/src/requests/open_request.rs
+++ b/crates/daemon/src/requests/open_request.rs
@@ -1,8 +1,9 @@
 //! Accounting of requests that are open at a backend server, whichever interface received them.
 
+use std::any::Any;
 use std::sync::Arc;
 
-use bankcove_core::router::Choice;
+use bankcove_core::router::{AnswerTimes, Choice};
 use bankcove_core::{Millis, Name, Tokens};
 
 use crate::crashes::isolation::IsolatedRun;
@@ -15,15 +16,20 @@
     requests: Arc<RequestContext>,
     server: Name,
     started_ms: Millis,
+    sent_at: Millis,
+    /// Time from the send to the beginning of the response.
+    first_ms: Option<Millis>,
     succeeded: bool,
     unread_prompt: Tokens,
     /// Registration of its only further run, if it has the same crashes as another request
     /// ([`bankcove_core::crashes::Verdict::Isolated`]).
     pub isolated_run: Option<IsolatedRun>,
     /// Version that it tries, during a rollout.
-    trial: Option<VersionTrial>,
+    trial: Option<Box<VersionTrial>>,
     /// How the attempt ended, as far as it tells of the version.
     outcome: Option<TrialOutcome>,
+    /// Dropped after the request is recorded as ended.
+    kept: Option<Box<dyn Any + Send>>,
 }
 
 impl OpenRequest {
@@ -38,21 +44,30 @@
             requests: Arc::clone(requests),
             server: choice.server.clone(),
             started_ms: choice.started_ms,
+            sent_at: requests.base.clock.now(),
+            first_ms: None,
             succeeded: true,
             unread_prompt: prompt,
             isolated_run: None,
             trial: None,
             outcome: None,
+            kept: None,
         }
     }
 
     /// Records for the rollout of this service, if there is one, how the attempt ends.
     #[must_use]
     pub fn with_trial(mut self, service: &Name, route: &Name, choice: &Choice) -> Self {
-        self.trial = self.requests.rollouts.trial(service, route, choice.version.as_ref());
+        let trial = self.requests.rollouts.trial(service, route, choice.version.as_ref());
+        self.trial = trial.map(Box::new);
         self
     }
 
+    /// Keeps a value until the request has ended, and drops it after that is recorded.
+    pub fn keep_until_end(&mut self, value: Box<dyn Any + Send>) {
+        self.kept = Some(value);
+    }
+
     /// Records that the whole answer was received; `millis` is the time by which versions are
     /// compared, if it was measured.
     pub fn record_answer(&mut self, millis: Option<f64>) {
@@ -61,6 +76,7 @@
 
     /// Records that the server has read the prompt, because its response has begun.
     pub fn record_prompt_read(&mut self) {
+        self.first_ms.get_or_insert(self.requests.base.clock.now().saturating_sub(self.sent_at));
         let prompt = std::mem::take(&mut self.unread_prompt);
         if prompt > 0 {
             self.requests.router.lock().record_prompt_read(&self.server, self.started_ms, prompt);
@@ -84,11 +100,13 @@
             self.requests.rollouts.record(trial, outcome);
         }
         let now = self.requests.base.clock.now();
-        self.requests.router.lock().record_ended(
-            now,
-            &self.server,
-            self.started_ms,
-            self.succeeded,
-        );
+        let answer_ms = now.saturating_sub(self.sent_at);
+        let is_answered = matches!(self.outcome, Some(TrialOutcome::Answered(_)));
+        let mut router = self.requests.router.lock();
+        router.record_ended(now, &self.server, self.started_ms, self.succeeded);
+        if is_answered {
+            let times = AnswerTimes { first_ms: self.first_ms.unwrap_or(answer_ms), answer_ms };
+            router.record_answer_times(&self.server, self.started_ms, times);
+        }
     }
 }
--- a/crates/daemon/src/view/routing_table.rs
+++ b/crates/daemon/src/view/routing_table.rs
@@ -32,7 +32,9 @@
         server,
         cold_until: cold_until_of(table, &hall_list, server, cold_until),
     });
-    router.adopt_with_list(table, &merged_halls(view, table), rows)
+    let adopted = router.adopt_with_list(table, &merged_halls(view, table), rows);
+    view.fleet.servers_changed.notify_waiters();
+    adopted
 }
 
 /// Returns the time until which a listed server counts as cold; 0 if its service has no cold
