--- a/crates/core/src/places.rs
+++ b/crates/core/src/places.rs
@@ -383,6 +383,7 @@
             position,
             per_second: rates.total() * 1_000.0,
             age_ms: now.saturating_sub(request.since),
+            heard_ms_ago: now.saturating_sub(self.rejected_at.max(self.freed.counted_at())),
             answer_ms: room.first_answer_ms as Millis,
             expected_ms: expected_wait(position, rates, room).min(MAX_EXPECTED_MS) as Millis,
             retry_ms: 0,
--- a/crates/core/src/places/rate.rs
+++ b/crates/core/src/places/rate.rs
@@ -46,6 +46,11 @@
         self.counted_at = now;
     }
 
+    /// Returns the time of the last count.
+    pub(super) fn counted_at(&self) -> Millis {
+        self.counted_at
+    }
+
     /// Returns the rates at which requests are called.
     pub(super) fn rates(&self, now: Millis, room: &PoolRoom) -> CallRates {
         let answer_ms = room.answer_ms.max(1.0);
--- a/crates/core/src/places/request.rs
+++ b/crates/core/src/places/request.rs
@@ -40,6 +40,8 @@
     pub per_second: f64,
     /// Time since which its goal counts, in milliseconds.
     pub age_ms: Millis,
+    /// Age of the latest rejection or end of a request at the pool, in milliseconds.
+    pub heard_ms_ago: Millis,
     /// Time until its answer would begin once it has a place, in milliseconds.
     pub answer_ms: Millis,
     /// Time until a place is expected for it, in milliseconds.
--- a/crates/daemon/src/entry/places.rs
+++ b/crates/daemon/src/entry/places.rs
@@ -144,11 +144,10 @@
         applicant: &Applicant<'_>,
         choose: impl Fn(Option<&ServerInstance>) -> Result<Choice, NoServer>,
     ) -> Result<Choice, NoServer> {
-        if !self.has_waiting(applicant.service) {
-            match choose(None) {
-                Err(NoServer::OnlyFull(_)) => {}
-                chosen => return chosen,
-            }
+        match choose(None) {
+            Ok(choice) if !self.has_waiting(applicant.service) => return Ok(choice),
+            Ok(_) | Err(NoServer::OnlyFull(_)) => {}
+            Err(why) => return Err(why),
         }
         let mut waiting = self.join(applicant)?;
         loop {
@@ -273,7 +272,7 @@
             "service" => %applicant.service, "position" => no_place.position,
             "per_s" => no_place.per_second, "age_ms" => no_place.age_ms,
             "answer_ms" => no_place.answer_ms, "goal_ms" => applicant.request.goal_ms,
-            "expected_ms" => no_place.expected_ms, "retry_ms" => no_place.retry_ms);
+            "heard_ms_ago" => no_place.heard_ms_ago, "expected_ms" => no_place.expected_ms, "retry_ms" => no_place.retry_ms);
         NoServer::OnlyFull(FullPool { first_ms: no_place.retry_ms })
     }
 
