Places: servers' queues are told by the time until answers begin

The whole time of an answer would take streams of different lengths for a queue at the servers, and leave places empty at servers that have none.

--- a/crates/core/src/places.rs
+++ b/crates/core/src/places.rs
@@ -20,8 +20,9 @@
 use crate::router::PoolRoom;
 use crate::{Millis, Name};
 
-/// Ratio of the mean to the shortest time of an answer above which requests wait in queues of the
-/// servers. These keep the servers busy, so that a place left empty costs no throughput.
+/// Ratio of the mean to the shortest time until an answer begins above which requests wait in queues
+/// of the servers. These keep the servers busy, so that a place left empty costs no throughput. The
+/// whole time of an answer would not do: streams differ in length.
 const QUEUED_ANSWER_RATIO: f64 = 2.0;
 
 /// One in this many places that come free is left empty while requests wait in queues of the
@@ -233,7 +234,7 @@
     /// empty while the servers have queues of their own.
     pub fn record_freed(&mut self, now: Millis, server: ServerInstance, room: &PoolRoom) {
         self.ends += 1;
-        let has_queued = room.answer_ms > room.least_answer_ms * QUEUED_ANSWER_RATIO;
+        let has_queued = room.first_answer_ms > room.least_first_ms * QUEUED_ANSWER_RATIO;
         if has_queued && self.ends % LEFT_EMPTY_EVERY == 0 {
             return;
         }
@@ -289,11 +290,6 @@
         self.scheduled(now, no_place, seed)
     }
 
-    /// Returns the position of a waiting request: the number of requests before it.
-    pub fn position(&self, ticket: Ticket) -> Option<usize> {
-        self.index_of(ticket).map(|index| self.expected_position(index))
-    }
-
     fn index_of(&self, ticket: Ticket) -> Option<usize> {
         self.waiting.iter().position(|waiter| waiter.ticket == ticket)
     }
--- a/crates/core/src/router/full_servers.rs
+++ b/crates/core/src/router/full_servers.rs
@@ -16,7 +16,7 @@
 /// times the work of the deployed plain services, whose requests take 30 to 60 ms.
 const UNKNOWN_ANSWER_MS: f64 = 100.0;
 
-/// Weight of a sample that exceeds the shortest time of an answer: a server that has become slower
+/// Weight of a sample that exceeds the shortest time until an answer began: a server that has become slower
 /// for good is known as such after some hundred answers.
 const LEAST_WEIGHT: f64 = 0.005;
 
@@ -38,8 +38,8 @@
     answer_ms: Option<f64>,
     /// Mean time until its answers begin, in milliseconds.
     first_ms: Option<f64>,
-    /// Shortest time of its answers, in milliseconds; rises slowly.
-    least_ms: Option<f64>,
+    /// Shortest time until one of its answers began, in milliseconds; rises slowly.
+    least_first_ms: Option<f64>,
 }
 
 impl ServerRoom {
@@ -75,8 +75,8 @@
     pub answer_ms: f64,
     /// Mean time until an answer begins, in milliseconds.
     pub first_answer_ms: f64,
-    /// Mean of the servers' shortest times of an answer, in milliseconds.
-    pub least_answer_ms: f64,
+    /// Mean of the servers' shortest times until an answer begins, in milliseconds.
+    pub least_first_ms: f64,
 }
 
 impl Router {
@@ -90,9 +90,9 @@
         };
         room.answer_ms = average(room.answer_ms, times.answer_ms);
         room.first_ms = average(room.first_ms, times.first_ms);
-        let sample = times.answer_ms.max(1) as f64;
+        let sample = times.first_ms.max(1) as f64;
         let raised = |least: f64| least + (sample - least) * LEAST_WEIGHT;
-        room.least_ms = Some(room.least_ms.map_or(sample, raised).min(sample));
+        room.least_first_ms = Some(room.least_first_ms.map_or(sample, raised).min(sample));
     }
 
     /// Records that this instance of a server has rejected a request because it is full. Returns
@@ -142,18 +142,18 @@
             in_flight: 0,
             answer_ms: UNKNOWN_ANSWER_MS,
             first_answer_ms: UNKNOWN_ANSWER_MS,
-            least_answer_ms: UNKNOWN_ANSWER_MS,
+            least_first_ms: UNKNOWN_ANSWER_MS,
         };
         let mut first_full_until = Millis::MAX;
         let (mut answered, mut answer_ms, mut first_answer_ms) = (0.0, 0.0, 0.0);
-        let mut least_answer_ms = 0.0;
+        let mut least_first_ms = 0.0;
         for view in members.map(|index| &self.servers[*index as usize]) {
             room.in_flight += view.in_flight;
             if let (Some(whole), Some(first)) = (view.room.answer_ms, view.room.first_ms) {
                 answered += 1.0;
                 answer_ms += whole;
                 first_answer_ms += first;
-                least_answer_ms += view.room.least_ms.unwrap_or(whole);
+                least_first_ms += view.room.least_first_ms.unwrap_or(first);
             }
             if view.is_usable(now) {
                 room.usable += 1;
@@ -166,7 +166,7 @@
         if answered > 0.0 {
             room.answer_ms = answer_ms / answered;
             room.first_answer_ms = first_answer_ms / answered;
-            room.least_answer_ms = least_answer_ms / answered;
+            room.least_first_ms = least_first_ms / answered;
         }
         if room.full > 0 {
             room.first_full_ms = first_full_until - now;
--- a/crates/core/tests/full_servers.rs
+++ b/crates/core/tests/full_servers.rs
@@ -2,6 +2,7 @@
 
 use bankcove_core::Name;
 use bankcove_core::crashes::ServerInstance;
+use bankcove_core::places::{PlaceQueue, PlaceRank, PlaceRequest};
 use bankcove_core::rollout::Versions;
 use bankcove_core::router::{
     AnswerTimes, Availability, FullPool, Homes, NoServer, Router, RoutingRequest,
@@ -104,3 +105,32 @@
     let room = router.room(2, "m");
     assert_eq!((room.usable, room.full), (0, 0));
 }
+
+/// Returns how many of 8 freed places are used after answers that began after these times.
+fn places_used(first_ms: [u64; 2]) -> usize {
+    let mut router = router(1);
+    for first_ms in first_ms.iter().chain([first_ms[1]; 40].iter()) {
+        let times = AnswerTimes { first_ms: *first_ms, answer_ms: first_ms * 10 };
+        router.record_answer_times(&instance(0).name, 0, times);
+    }
+    router.record_full(0, "m", &instance(0));
+    (0..8).for_each(|_| router.record_sent(&instance(0).name, 0, 0));
+    let room = router.room(0, "m");
+    let rank = PlaceRank { workspace: 0, route: 0 };
+    let request =
+        PlaceRequest { rank, workspace: None, since: 0, goal_ms: 60_000, deadline: 60_000 };
+    let mut queue = PlaceQueue::new(0, Name::from("m"), 64);
+    for _ in 0..8 {
+        queue.join(0, request.clone(), &room, 0).expect("the goal is far");
+    }
+    (0..8).for_each(|_| queue.record_freed(1, instance(0), &room));
+    queue.tickets_to_wake().count()
+}
+
+/// Guards against places that stay empty at servers without a queue of their own, whose requests
+/// take long for another reason.
+#[test]
+fn places_are_left_empty_only_while_requests_wait_at_the_servers() {
+    assert_eq!(places_used([50, 55]), 8);
+    assert_eq!(places_used([50, 200]), 6);
+}
--- a/crates/core/tests/places.rs
+++ b/crates/core/tests/places.rs
@@ -25,7 +25,7 @@
         in_flight,
         answer_ms: WORK_MS as f64,
         first_answer_ms: WORK_MS as f64,
-        least_answer_ms: WORK_MS as f64,
+        least_first_ms: WORK_MS as f64,
     }
 }
 
