--- a/crates/daemon/src/base/metrics.rs
+++ b/crates/daemon/src/base/metrics.rs
@@ -1,10 +1,10 @@
-//! Counters and latency histograms, exposed as text on request and, if an address is
+//! Counters, current values and latency histograms, exposed as text on request and, if an address is
 //! configured, also sent by UDP in the statsd protocol.
 
 use std::net::UdpSocket;
 use std::sync::Arc;
 
-use cadence::{Counted, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
+use cadence::{Counted, Gauged, QueuingMetricSink, StatsdClient, Timed, UdpMetricSink};
 use prometheus_client::encoding::EncodeLabelSet;
 use prometheus_client::encoding::text::encode;
 use prometheus_client::metrics::counter::Counter;
@@ -79,6 +79,16 @@
         }
     }
 
+    /// Sets the current value of a quantity.
+    pub fn set(&self, name: &str, value: u64) {
+        let event = Event { event: name.to_owned() };
+        self.0.levels.get_or_create(&event).set(i64::try_from(value).unwrap_or(i64::MAX));
+        if let Some(statsd) = &self.0.statsd {
+            // As in `count`.
+            let _unsent = statsd.gauge(name, value);
+        }
+    }
+
     /// Records a duration in milliseconds.
     pub fn time(&self, name: &str, millis: u64) {
         let event = Event { event: name.to_owned() };
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -29,6 +29,8 @@
     Answered(BufferedAnswer),
     /// The request certainly did not run there; other servers may be tried.
     NotRun(RunState),
+    /// The request certainly did not run there, because the server is full; the pool has a queue.
+    Full(RunState),
     /// The request may have run there, and its answer was lost.
     AnswerLost(InDoubt),
     /// The request was sent, and its deadline has passed.
@@ -68,6 +70,7 @@
     let choice = permit.choice().clone();
     let mut open_request = OpenRequest::new(&entry.requests, &choice, call.prompt_tokens())
         .with_trial(&call.plan.service, &call.plan.route.name, &choice);
+    let place = entry.places.hold(&call.plan.service, &choice);
     let backend_request = call.backend_request(&choice, resume_after);
     let sent = state.send();
     charge.record_sent();
@@ -94,6 +97,7 @@
                 }
             };
             if let Some(proof) = proof {
+                place.cancel();
                 return end_not_run(call, charge, &choice, sent.not_executed(proof), &problem);
             }
             call.attempts_sent += 1;
@@ -112,6 +116,16 @@
         entry.requests.hints.record_response(&call.log, &choice.instance(), sent_at, &head.hints);
     }
     if let (Some(unrun), Some(proof)) = (head.unrun, NotExecuted::from_head(&head)) {
+        place.cancel();
+        let is_full = unrun == NotRunReason::Full;
+        if is_full && entry.places.record_full(&call.log, &call.plan.service, &choice) {
+            // It may be tried again when it has a place for this request.
+            call.tried_servers.pop();
+            charge.record_not_run(sent.may_have_run_before());
+            let state = sent.not_executed(proof);
+            log_failed_attempt(call, &choice, state.may_have_run(), unrun_text(unrun));
+            return AttemptOutcome::Full(state);
+        }
         if unrun == NotRunReason::OtherInstance {
             // That instance of the server is gone, even if the server list, which lags, still has it.
             let now = entry.requests.base.clock.now();
@@ -125,6 +139,7 @@
         return end_not_run(call, charge, &choice, state, unrun_text(unrun));
     }
     let in_doubt = sent.in_doubt();
+    open_request.keep_until_end(Box::new(place));
     let means_not_run = matches!(res.status().as_u16(), 408 | 421 | 429 | 503);
     if is_foreign || head.is_encoded || !head.is_signed || means_not_run {
         open_request.record_failure();
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -28,8 +28,12 @@
     let mut state = RunState::Unrun(unrun);
     let mut error_answer = None;
     let mut refusal = Refusal::no_server(NoServer::NoneUsable);
+    let mut was_full = false;
     loop {
         if !call.try_claim_attempt() {
+            if was_full {
+                refusal = call.refusal(call.refuse_as_full());
+            }
             break;
         }
         // It may have been blocked while it waited for tokens.
@@ -47,7 +51,7 @@
         let permit = match call.acquire_server().await {
             Ok(permit) => permit,
             Err(why) => {
-                refusal = Refusal::no_server(why);
+                refusal = call.refusal(why);
                 break;
             }
         };
@@ -73,7 +77,14 @@
                 error_answer = Some((status, headers, body));
                 RunState::in_doubt()
             }
-            AttemptOutcome::NotRun(state) => state,
+            AttemptOutcome::NotRun(state) => {
+                was_full = false;
+                state
+            }
+            AttemptOutcome::Full(state) => {
+                was_full = true;
+                state
+            }
             AttemptOutcome::AnswerLost(in_doubt) if call.plan.is_retryable() => {
                 RunState::InDoubt(in_doubt)
             }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -165,6 +165,7 @@
         if !self.call.plan.route.resumable {
             return false;
         }
+        self.call.goal_since = self.call.entry.requests.base.clock.now();
         while self.call.entry.may_send() && self.call.try_claim_attempt() {
             let Ok(permit) = self.call.acquire_server().await else { return false };
             let last_event = self.sequence.last();
@@ -181,7 +182,9 @@
                     self.splitter = EventSplitter::default();
                     return true;
                 }
-                AttemptOutcome::NotRun(_) | AttemptOutcome::AnswerLost(_) => {}
+                AttemptOutcome::NotRun(_)
+                | AttemptOutcome::Full(_)
+                | AttemptOutcome::AnswerLost(_) => {}
                 AttemptOutcome::Answered(_)
                 | AttemptOutcome::TimedOut(_)
                 | AttemptOutcome::NotSentInTime(_) => return false,
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -147,6 +147,7 @@
         headers: req.headers().clone(),
         body,
         arrived_at,
+        goal_since: arrived_at,
         deadline: arrived_at + caller_timeout.min(route_deadline).as_millis() as Millis,
         request_head,
         plan,
