Urgency of requests: the workspace's rank, then the route's

Link reservations and permits used the route's rank alone, and servers got no Priority header. Plan::urgency gives one rank for all of them. With workspaces of equal rank it is the route's rank, so the link's limits stay as they were. Servers get 0 to 9 when rows of the table differ in priority; the steps are spread evenly, as servers assume 5 for requests without the header.

--- a/crates/core/src/table.rs
+++ b/crates/core/src/table.rs
@@ -3,12 +3,14 @@
 mod route;
 mod server;
 mod service;
+mod urgency;
 
 use serde::{Deserialize, Serialize};
 
 pub use route::{Route, RouteTarget, ServiceShare};
 pub use server::{ListedState, Server, ServerKind, ServerState};
 pub use service::{CallerLimits, ColdStart, Engine, Service};
+pub use urgency::Urgency;
 
 use crate::{Name, Tokens};
 
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -168,8 +168,8 @@
         for _ in 0..MAX_PERMIT_REQUESTS {
             let choice = self.choose_or_wait().await?;
             let hints = &self.entry.requests.hints;
-            match hints.acquire_permit(&self.log, choice, Purpose::NewWork, self.plan.rank()).await
-            {
+            let rank = self.plan.urgency().rank;
+            match hints.acquire_permit(&self.log, choice, Purpose::NewWork, rank).await {
                 Ok(permit) => return Ok(permit),
                 Err(NoPermit::AtLimit(at_limit)) => last_reason = NoServer::OnlyLimited(at_limit),
                 // The router knows by now that this server is closed.
@@ -252,7 +252,7 @@
             workspace: self.plan.workspace.as_ref(),
             copy_from: choice.copy_from.as_deref().filter(|_| self.is_worth_copying()),
             time_left: time_left.max(Duration::from_millis(1)),
-            urgency: None,
+            urgency: self.plan.urgency().for_servers,
             resume_after,
         };
         BackendRequest {
--- a/crates/daemon/src/entry/link_reservation.rs
+++ b/crates/daemon/src/entry/link_reservation.rs
@@ -39,7 +39,7 @@
         body_bytes: usize,
     ) -> Option<Self> {
         let expected = expected_traffic(plan, request_head, body_bytes);
-        let rank = plan.rank();
+        let rank = plan.urgency().rank;
         let now = entry.requests.base.clock.now();
         let mut link = entry.link.lock();
         let is_reserved = link.as_mut().is_none_or(|link| link.reserve(expected, rank, now));
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use bankcove_core::table::{Budget, Route, RouteTarget, ServiceShare, Table, Workspace};
+use bankcove_core::table::{Budget, Route, RouteTarget, ServiceShare, Table, Urgency, Workspace};
 use bankcove_core::{Name, Tokens};
 use bankcove_ports::wire::RequestHead;
 use xxhash_rust::xxh3::xxh3_64;
@@ -35,6 +35,8 @@
     pub workspace_homes: Vec<Name>,
     /// Default budget of the workspace, if the table has it.
     pub budget: Option<Budget>,
+    /// See [`Plan::urgency`].
+    urgency: Urgency,
 }
 
 impl Plan {
@@ -65,12 +67,20 @@
             workspace: workspace.map(|row| row.name.clone()),
             workspace_homes: workspace.map(|row| row.homes.clone()).unwrap_or_default(),
             budget: budget.cloned(),
+            urgency: table.urgency(workspace, route),
         })
     }
 
-    /// Returns the priority rank of the route; 0 is the most urgent.
+    /// Returns the priority rank of the route, by which requests of one budget are compared; 0 is
+    /// the most urgent.
     pub fn rank(&self) -> u32 {
-        self.route.priority.min(0).unsigned_abs()
+        self.route.rank()
+    }
+
+    /// Returns the urgency among the requests of all workspaces: the workspace's rank is compared
+    /// first, then the route's.
+    pub fn urgency(&self) -> Urgency {
+        self.urgency
     }
 
     /// Returns a conservative estimate of the time that the request takes.
--- a/crates/ports/src/wire.rs
+++ b/crates/ports/src/wire.rs
@@ -72,7 +72,7 @@
     pub copy_from: Option<&'a str>,
     /// Time left for the response.
     pub time_left: Duration,
-    /// Urgency; 0 is the most urgent.
+    /// Urgency from 0, the most urgent, to 9; `None` when all requests are equally urgent.
     pub urgency: Option<u8>,
     /// Last event that the caller received, if a stream is resumed.
     pub resume_after: Option<u64>,
