Router: servers count by their speed relative to their pool

Cause: with a third of 60 servers 2.4 times slower, each server was preferred for as many prefixes as the others, and the slow ones could not read the prompts as fast as they came. Load bounds did not help: a host of a large fleet sees few requests of each server, all within the slack.

A server above SLOW_SERVER_FACTOR has the fraction of the fast servers' speed (time between two events, as told in heartbeats). It is preferred for that fraction of the prefixes, its load counts for so much more against the bounds and in comparisons, and a hall's weight is multiplied by its servers' mean speed. Servers within the factor are chosen exactly as before.

--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -15,6 +15,7 @@
 mod peer_unread;
 mod pool;
 mod prefill;
+mod speed;
 mod status;
 mod view;
 
@@ -322,8 +323,10 @@
         let before = self.servers[index].event_ms;
         let after = Some(moving_average(before.unwrap_or(0.0), event_ms));
         self.servers[index].event_ms = after;
-        for (pool, _) in &self.memberships[index] {
-            self.pools[*pool as usize].mean_pace.change(before, after);
+        for place in 0..self.memberships[index].len() {
+            let pool = self.memberships[index][place].0 as usize;
+            self.pools[pool].mean_pace.change(before, after);
+            self.count_pace(pool);
         }
     }
 
--- a/crates/core/src/router/adoption.rs
+++ b/crates/core/src/router/adoption.rs
@@ -136,6 +136,7 @@
             pool.halls.iter_mut().for_each(|hall| hall.refresh(halls));
         }
         self.set_pause_goals(table);
+        self.refresh_speeds();
         adopted
     }
 
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -144,7 +144,7 @@
             return Err(NoServer::NoHall);
         }
         let search = self.search_halls(now, pool, &halls, request);
-        let any = || halls.iter().find_map(|hall| self.least_loaded(now, hall, request));
+        let any = || halls.iter().find_map(|hall| self.least_loaded(now, pool, hall, request));
         let view = search
             .fitting
             .or_else(any)
@@ -230,14 +230,15 @@
         let slack = Load { requests: SLACK_REQUESTS, unread: prefill.unread_slack() };
         let mut search = HallSearch::default();
         for hall in halls {
-            let bound = hall.load.bound(hall.members.len(), slack);
+            let bound = hall.load.bound(hall.capacity, slack);
             let has_room = |view: &ServerView| {
-                view.total_load().is_within(&bound)
+                view.total_load().at_speed(pool.speed(view)).is_within(&bound)
                     && !view.is_shed_by_slow_start(now, request.seed)
             };
-            for view in
-                self.usable_candidates(now, hall, request).filter(|view| !exceeds_goal(view))
-            {
+            let preferred = self
+                .usable_candidates(now, hall, request)
+                .filter(|view| !exceeds_goal(view) && pool.may_prefer(view, request.prefix));
+            for view in preferred {
                 search.first.get_or_insert(view);
                 if has_room(view) {
                     search.fitting = Some(view);
@@ -287,16 +288,14 @@
     fn least_loaded<'a>(
         &'a self,
         now: Millis,
+        pool: &Pool,
         hall: &'a HallPool,
         request: &'a RoutingRequest,
     ) -> Option<&'a ServerView> {
         let near = self.usable_candidates(now, hall, request);
+        let load = |view: &ServerView| view.total_load().at_speed(pool.speed(view));
         let least =
-            near.reduce(
-                |least, view| {
-                    if view.total_load().is_less(&least.total_load()) { view } else { least }
-                },
-            );
+            near.reduce(|least, view| if load(view).is_less(&load(least)) { view } else { least });
         least.or_else(|| {
             let start = request.seed as usize % hall.members.len().max(1);
             let around = hall.members[start..].iter().chain(&hall.members[..start]);
--- a/crates/core/src/router/load.rs
+++ b/crates/core/src/router/load.rs
@@ -13,16 +13,23 @@
 }
 
 impl Load {
-    /// Returns the load bound of one server when `members` servers together have this load.
-    /// `slack` is added, so that idle halls keep prefix affinity.
-    pub(super) fn bound(&self, members: usize, slack: Load) -> Load {
-        let share = MAX_LOAD_FACTOR / members.max(1) as f64;
+    /// Returns the load bound of a server of speed 1 when servers whose speeds add up to
+    /// `capacity` together have this load. `slack` is added, so that idle halls keep prefix
+    /// affinity.
+    pub(super) fn bound(&self, capacity: f64, slack: Load) -> Load {
+        let share = MAX_LOAD_FACTOR / capacity;
         Load {
             requests: self.requests * share + slack.requests,
             unread: self.unread * share + slack.unread,
         }
     }
 
+    /// Returns the load of a server of speed 1 that delays requests as much as this load delays
+    /// them at a server of this speed.
+    pub(super) fn at_speed(&self, speed: f64) -> Load {
+        Load { requests: self.requests / speed, unread: self.unread / speed }
+    }
+
     /// Returns whether neither dimension exceeds the bound.
     pub(super) fn is_within(&self, bound: &Load) -> bool {
         self.requests <= bound.requests && self.unread <= bound.unread
--- a/crates/core/src/router/pool.rs
+++ b/crates/core/src/router/pool.rs
@@ -6,6 +6,7 @@
 use crate::router::adoption::REMOVED;
 use crate::router::load::Load;
 use crate::router::prefill::MeanPace;
+use crate::router::speed::PoolSpeeds;
 use crate::router::{Homes, RoutingRequest};
 use crate::table::{HOURS_PER_DAY, Hall};
 use crate::{Millis, Name};
@@ -31,6 +32,8 @@
     /// Number of points at the front of the ring that are in order.
     sorted: usize,
     pub(super) members: Vec<u32>,
+    /// Sum of the members' speeds; their number in a pool of equal servers.
+    pub(super) capacity: f64,
     pub(super) load: Load,
 }
 
@@ -43,13 +46,19 @@
     /// Longest pause of a stream that callers accept, in milliseconds.
     pub(super) pause_goal: Millis,
     pub(super) mean_pace: MeanPace,
+    pub(super) speeds: PoolSpeeds,
 }
 
 impl Pool {
     /// Creates a pool without servers.
     pub(super) fn new(name: Name) -> Self {
-        let mean_pace = MeanPace::default();
-        Pool { name, halls: Vec::new(), pause_goal: Millis::MAX, mean_pace }
+        Pool {
+            name,
+            halls: Vec::new(),
+            pause_goal: Millis::MAX,
+            mean_pace: MeanPace::default(),
+            speeds: PoolSpeeds::default(),
+        }
     }
 }
 
@@ -65,6 +74,7 @@
             ring: Vec::new(),
             sorted: 0,
             members: Vec::new(),
+            capacity: 0.0,
             load: Load::default(),
         };
         part.refresh(halls);
@@ -137,11 +147,11 @@
     }
 
     /// Returns the hall's score in weighted rendezvous hashing: a hall ranks first for a share
-    /// of the prefixes proportional to its weight in this hour.
+    /// of the prefixes proportional to its weight in this hour and to its servers' mean speed.
     pub(super) fn score(&self, request: &RoutingRequest) -> f64 {
         let hash = rendezvous_score(request.prefix, self.hall_key);
         let uniform = (hash as f64 + 1.0) / (u64::MAX as f64 + 2.0);
-        -self.weights[request.hour % HOURS_PER_DAY] / uniform.ln()
+        -self.weights[request.hour % HOURS_PER_DAY] * self.mean_speed() / uniform.ln()
     }
 }
 
--- a/crates/core/src/router/prefill.rs
+++ b/crates/core/src/router/prefill.rs
@@ -91,7 +91,7 @@
     }
 
     /// Returns whether the server's event interval is above the mean by [`SLOW_SERVER_FACTOR`].
-    fn is_slower(&self, view: &ServerView) -> bool {
+    pub(super) fn is_slower(&self, view: &ServerView) -> bool {
         let mean_ms = self.sum_ms / f64::from(self.servers.max(1));
         view.event_ms.is_some_and(|event_ms| event_ms > mean_ms * SLOW_SERVER_FACTOR)
     }
