Router: a slower or late server is left for one that answers sooner

Cause: a request went to the server of its prefix as long as that was within its load bound, however long its requests had waited there. A host of a large fleet sees few requests of a server, so the bound was never reached.

A server whose oldest unanswered request of this daemon has waited for more than 8 times the expected time counts as slower until it answers. Where the chosen server is late, or is a slower one with unread tokens, the server with the least expected time to the first event is taken instead, in any hall and within its load bound; a server that holds the prefix is kept while reading the shared part elsewhere takes longer than the wait. Without a late request, equal servers are chosen as before, and such a decision costs no more probes.

Log line 'server passed over for a sooner one', counter server.passed_over, speed and oldest wait in the servers' status.

--- a/crates/bench/benches/decision.rs
+++ b/crates/bench/benches/decision.rs
@@ -20,6 +20,7 @@
                     pool: "m",
                     prefix: seed,
                     prompt_tokens: 0,
+                    shared_tokens: 0,
                     hour: 0,
                     seed,
                     tried: &[],
--- a/crates/bench/src/hint_simulation.rs
+++ b/crates/bench/src/hint_simulation.rs
@@ -322,6 +322,7 @@
             pool: "m",
             prefix: req.prefix,
             prompt_tokens: 0,
+            shared_tokens: 0,
             hour: 0,
             seed,
             tried: &req.tried,
--- a/crates/bench/src/routing_simulation.rs
+++ b/crates/bench/src/routing_simulation.rs
@@ -271,6 +271,7 @@
                     pool: "m",
                     prefix: request.prefix.wrapping_mul(0x9e37_79b9_7f4a_7c15),
                     prompt_tokens: 0,
+                    shared_tokens: 0,
                     hour: 0,
                     seed: self.rng.random(),
                     tried,
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -15,12 +15,14 @@
 mod peer_unread;
 mod pool;
 mod prefill;
+mod search;
 mod speed;
 mod status;
 mod view;
+mod wait;
 
 pub use adoption::{Adopted, ListedRow};
-pub use choose::{AtLimit, Choice, Homes, NoServer, Resting, RoutingRequest};
+pub use choose::{AtLimit, Choice, Homes, NoServer, Passed, Resting, RoutingRequest};
 pub use peer_unread::{UnreadReport, UnreadTokens};
 pub use prefill::{ServerPace, StreamPace};
 pub use status::{Availability, ServerStatus};
@@ -84,6 +86,7 @@
             address: view.address.clone(),
             version: view.version.clone(),
             copy_from: None,
+            passed: None,
         };
         let busy = self.servers.iter().filter(|view| view.reports_load && view.in_flight > 0);
         // Servers with open requests come first in only half of the places, rounded up, so that the
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -3,16 +3,12 @@
 use crate::crashes::ServerInstance;
 use crate::rollout::Versions;
 use crate::router::Router;
-use crate::router::load::Load;
 use crate::router::pool::{HallPool, Pool};
+use crate::router::search::Search;
 use crate::router::view::ServerView;
 use crate::table::HOURS_PER_DAY;
 use crate::{Millis, Name, Tokens};
 
-/// Requests that a server may have above its share of the hall's load, so that idle halls keep
-/// prefix affinity.
-const SLACK_REQUESTS: f64 = 4.0;
-
 /// Servers probed along the ring before any usable one is taken.
 const MAX_PROBES: usize = 16;
 
@@ -85,6 +81,23 @@
     /// Address of the server that presumably holds the prompt's shared prefix in its cache,
     /// when it is another one.
     pub copy_from: Option<String>,
+    /// The server that was passed over for its expected time to the first event.
+    pub passed: Option<Passed>,
+}
+
+/// State of a server that was passed over because another one is expected to answer sooner.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Passed {
+    /// The server's name.
+    pub server: Name,
+    /// Its speed relative to the fast servers of the pool, in percent.
+    pub speed_percent: u32,
+    /// Time for which its oldest unanswered request of this daemon has waited, in milliseconds.
+    pub oldest_wait_ms: Millis,
+    /// That time as a multiple of the expected one, in percent; 100 unless it is late.
+    pub slowness_percent: u32,
+    /// Tokens that it has still to read, as known to this daemon.
+    pub unread_tokens: Tokens,
 }
 
 impl Choice {
@@ -103,6 +116,8 @@
     pub prefix: u64,
     /// Length of the prompt in tokens; 0 when unknown.
     pub prompt_tokens: Tokens,
+    /// Tokens of the prompt's parts that other requests share; 0 when unknown.
+    pub shared_tokens: Tokens,
     /// Hour of the day, UTC.
     pub hour: usize,
     /// Random number, by which slow start and the last fallback select.
@@ -122,16 +137,6 @@
     }
 }
 
-/// Result of the search along the ranked halls.
-#[derive(Debug, Default)]
-struct HallSearch<'a> {
-    /// First usable server where the prompt would not exceed the pause goal. Equal prefixes go
-    /// there unless it is above its load bound.
-    first: Option<&'a ServerView>,
-    /// First of these servers that is also within its load bound.
-    fitting: Option<&'a ServerView>,
-}
-
 impl Router {
     /// Chooses a server.
     ///
@@ -143,19 +148,26 @@
         if halls.is_empty() {
             return Err(NoServer::NoHall);
         }
-        let search = self.search_halls(now, pool, &halls, request);
+        let search = Search::new(self, now, pool, &halls, request);
+        let found = search.run();
         let any = || halls.iter().find_map(|hall| self.least_loaded(now, pool, hall, request));
-        let view = search
+        let view = found
             .fitting
             .or_else(any)
             .ok_or_else(|| self.no_server_reason(now, &halls, request))?;
-        let other = search.first.filter(|first| first.name != view.name);
+        let holds_prefix = found.first.is_some_and(|first| first.name == view.name);
+        let (view, passed) = match search.sooner(view, holds_prefix) {
+            Some((sooner, passed)) => (sooner, Some(passed)),
+            None => (view, None),
+        };
+        let other = found.first.filter(|first| first.name != view.name);
         Ok(Choice {
             server: view.name.clone(),
             started_ms: view.started_ms,
             address: view.address.clone(),
             version: view.version.clone(),
             copy_from: other.map(|first| first.address.clone()),
+            passed,
         })
     }
 
@@ -213,42 +225,6 @@
         warm_at.map_or(NoServer::NoneUsable, |at| NoServer::OnlyCold(at - now))
     }
 
-    /// Searches the halls in order until a server fits. Going to another hall costs less than
-    /// a long wait or paused streams.
-    fn search_halls<'a>(
-        &'a self,
-        now: Millis,
-        pool: &Pool,
-        halls: &[&'a HallPool],
-        request: &'a RoutingRequest,
-    ) -> HallSearch<'a> {
-        let prefill = self.prefill.get(request.pool).copied().unwrap_or_default();
-        let is_long = prefill.is_long(request.prompt_tokens);
-        let exceeds_goal = |view: &ServerView| {
-            is_long && prefill.exceeds_pause_goal(view, pool.pause_goal, &pool.mean_pace)
-        };
-        let slack = Load { requests: SLACK_REQUESTS, unread: prefill.unread_slack() };
-        let mut search = HallSearch::default();
-        for hall in halls {
-            let bound = hall.load.bound(hall.capacity, slack);
-            let has_room = |view: &ServerView| {
-                view.total_load().at_speed(pool.speed(view)).is_within(&bound)
-                    && !view.is_shed_by_slow_start(now, request.seed)
-            };
-            let preferred = self
-                .usable_candidates(now, hall, request)
-                .filter(|view| !exceeds_goal(view) && pool.may_prefer(view, request.prefix));
-            for view in preferred {
-                search.first.get_or_insert(view);
-                if has_room(view) {
-                    search.fitting = Some(view);
-                    return search;
-                }
-            }
-        }
-        search
-    }
-
     /// Returns the pool's halls that accept the request in this hour, ranked by rendezvous
     /// score.
     fn ranked_halls<'a>(&self, pool: &'a Pool, request: &RoutingRequest) -> Vec<&'a HallPool> {
@@ -273,7 +249,7 @@
     }
 
     /// Returns the usable servers among the first [`MAX_PROBES`] on the hall's ring.
-    fn usable_candidates<'a>(
+    pub(super) fn usable_candidates<'a>(
         &'a self,
         now: Millis,
         hall: &'a HallPool,
@@ -293,7 +269,7 @@
         request: &'a RoutingRequest,
     ) -> Option<&'a ServerView> {
         let near = self.usable_candidates(now, hall, request);
-        let load = |view: &ServerView| view.total_load().at_speed(pool.speed(view));
+        let load = |view: &ServerView| view.total_load().at_speed(pool.present_speed(now, view));
         let least =
             near.reduce(|least, view| if load(view).is_less(&load(least)) { view } else { least });
         least.or_else(|| {
--- a/crates/core/src/router/prefill.rs
+++ b/crates/core/src/router/prefill.rs
@@ -11,6 +11,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::router::view::ServerView;
+use crate::router::wait::ReadingTime;
 use crate::{Millis, Name, Tokens};
 
 /// Weight of a new sample in the moving averages of prompt length and event interval:
@@ -74,6 +75,8 @@
     mean_prompt: f64,
     /// Longest pause of a stream, as a multiple of the usual time between two events.
     stretch: f64,
+    /// Time that servers take to read a prompt.
+    pub(super) reading: ReadingTime,
 }
 
 /// Mean time between two events over the servers of a pool.
--- a/crates/core/src/router/speed.rs
+++ b/crates/core/src/router/speed.rs
@@ -9,6 +9,7 @@
 //! The fast servers' mean interval is computed over all servers of a pool, after a number of new
 //! paces in proportion to the pool's size, so that its cost per pace does not grow with the pool.
 
+use crate::Millis;
 use crate::id::rendezvous_score;
 use crate::router::Router;
 use crate::router::pool::{HallPool, Pool};
@@ -58,6 +59,11 @@
         }
     }
 
+    /// Returns the speed of a server at present, which a passing slowness lowers.
+    pub(super) fn present_speed(&self, now: Millis, view: &ServerView) -> f64 {
+        self.speed(view) / view.slowness(now)
+    }
+
     /// Returns whether the server may be the preferred one of requests with this prefix: a slower
     /// server is for a part of the prefixes equal to its speed. The result is the same for equal
     /// prefixes as long as the server's speed stays the same.
--- a/crates/core/src/router/status.rs
+++ b/crates/core/src/router/status.rs
@@ -45,17 +45,28 @@
     pub limit_per_s: Option<f64>,
     /// When this instance of it was started, in milliseconds since 1970; 0 when unknown.
     pub started_ms: Millis,
+    /// Speed relative to the fast servers of its pool, 1 or less.
+    pub speed: f64,
+    /// Time for which the oldest unanswered request of this daemon has waited there, in
+    /// milliseconds.
+    pub oldest_wait_ms: Millis,
 }
 
 impl Router {
     /// Returns the current status of each server.
     pub fn statuses(&self, now: Millis) -> Vec<ServerStatus> {
-        self.servers.iter().map(|view| view.status(now)).collect()
+        let numbered = self.servers.iter().enumerate();
+        numbered
+            .map(|(index, view)| {
+                let speed = self.pool_of(index).map_or(1.0, |pool| pool.speed(view));
+                view.status(now, speed)
+            })
+            .collect()
     }
 }
 
 impl ServerView {
-    fn status(&self, now: Millis) -> ServerStatus {
+    fn status(&self, now: Millis, speed: f64) -> ServerStatus {
         let (state, why, until) = self.availability(now);
         ServerStatus {
             server: self.name.clone(),
@@ -66,6 +77,8 @@
             open: self.in_flight,
             limit_per_s: self.limit_per_s,
             started_ms: self.started_ms,
+            speed,
+            oldest_wait_ms: self.oldest_wait_ms(now),
         }
     }
 
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -4,6 +4,7 @@
 
 use crate::crashes::ServerInstance;
 use crate::router::load::Load;
+use crate::router::wait::Unanswered;
 use crate::server_list::ListedServer;
 use crate::table::{ListedState, Server, ServerKind, ServerState};
 use crate::{Millis, Name, Tokens};
@@ -91,6 +92,9 @@
     pub(super) lifted_at: Option<Millis>,
     /// Usual time between two events of its streams, in milliseconds.
     pub(super) event_ms: Option<f64>,
+    /// Requests of this daemon without a first event yet, oldest first.
+    #[serde(skip)]
+    pub(super) unanswered: Vec<Unanswered>,
 }
 
 impl ServerView {
@@ -125,6 +129,7 @@
             limit_per_s: None,
             lifted_at: None,
             event_ms: None,
+            unanswered: Vec::new(),
         }
     }
 
--- a/crates/core/tests/closed_servers.rs
+++ b/crates/core/tests/closed_servers.rs
@@ -147,6 +147,7 @@
         pool: "m",
         prefix: 1,
         prompt_tokens: 0,
+        shared_tokens: 0,
         hour: 0,
         seed: 1,
         tried: &[],
--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -36,6 +36,7 @@
         pool: "m",
         prefix,
         prompt_tokens: 0,
+        shared_tokens: 0,
         hour: 0,
         seed: prefix.rotate_left(17),
         tried,
--- a/crates/core/tests/router_adoption.rs
+++ b/crates/core/tests/router_adoption.rs
@@ -35,6 +35,7 @@
             pool: ["engines", "plain"][usize::from(n % 4 == 0)],
             prefix: n.wrapping_mul(0x9e37_79b9_7f4a_7c15),
             prompt_tokens: 0,
+            shared_tokens: 0,
             hour: 0,
             seed: n,
             tried: &[],
--- a/crates/core/tests/server_eligibility.rs
+++ b/crates/core/tests/server_eligibility.rs
@@ -37,6 +37,7 @@
         pool: "m",
         prefix,
         prompt_tokens: 0,
+        shared_tokens: 0,
         hour: 0,
         seed,
         tried,
--- a/crates/core/tests/unavailable_servers.rs
+++ b/crates/core/tests/unavailable_servers.rs
@@ -99,7 +99,7 @@
         let regions: Vec<Name> =
             homes.iter().map(|n| Name::from(format!("region-{n}").as_str())).collect();
         let request = RoutingRequest {
-            pool: "m", prefix, prompt_tokens: 0, hour: 0, seed, tried: &tried,
+            pool: "m", prefix, prompt_tokens: 0, shared_tokens: 0, hour: 0, seed, tried: &tried,
             homes: Homes { route: &regions, workspace: &[] },
             versions: Versions::Any,
         };
--- a/crates/core/tests/uneven_fleet/mod.rs
+++ b/crates/core/tests/uneven_servers/fleet.rs
@@ -22,6 +22,10 @@
 const EVENTS: f64 = 42.0;
 /// Prefixes whose cache an engine holds.
 const CACHED_PREFIXES: usize = 12;
+/// Number of servers that are slower for a while at the same time.
+const SLOW_AT_ONCE: f64 = 2.4;
+/// Number of callers, each with its own prefixes.
+const CALLERS: u64 = 24;
 /// Part of a prompt that its prefix makes up.
 const SHARED_PART: f64 = 0.5;
 
@@ -55,8 +59,8 @@
     pub hosts: usize,
     /// Every third server is slower by this factor.
     pub slow_factor: f64,
-    /// Whether any server is at times 2.5 times slower for 600 ms.
-    pub passing_slowness: bool,
+    /// Factor by which some servers are slower for a while, and for how long.
+    pub passing_slowness: (f64, Millis),
     /// Relative demand of the replay.
     pub demand: f64,
     pub seconds: u64,
@@ -165,9 +169,10 @@
                     self.send(kind);
                 }
             }
-            if self.replay.passing_slowness && self.rng.random_bool(0.004) {
+            let (factor, lasts_ms) = self.replay.passing_slowness;
+            if factor > 1.0 && self.rng.random_bool(SLOW_AT_ONCE / lasts_ms as f64) {
                 let server = self.rng.random_range(0..SERVERS);
-                self.engines[server].slow_until = self.now + 600;
+                self.engines[server].slow_until = self.now + lasts_ms;
             }
             for server in 0..SERVERS {
                 self.advance(server);
@@ -184,28 +189,30 @@
         self.now >= 5_000
     }
 
-    /// Draws the host of a caller: the demand of the halls swings, one after the other.
-    fn draw_host(&mut self) -> usize {
+    /// Draws a prefix and the host of its caller: the load balancer sends all requests of a caller
+    /// to one host, and the demand of the halls swings, one after the other.
+    fn draw_prefix(&mut self, kind: Kind) -> (u64, usize) {
         loop {
-            let host = self.rng.random_range(0..self.replay.hosts);
+            // The square favors low numbers, so that many requests share few prefixes.
+            let part: f64 = self.rng.random();
+            let number = (part * part * kind.prefixes() as f64) as u64;
+            let host = (number % CALLERS * 7) as usize % self.replay.hosts;
             let turns = self.now as f64 / 17_000.0 + (host % HALLS) as f64 / HALLS as f64;
             let demand = 1.0 + 0.55 * (turns * std::f64::consts::TAU).sin();
             if self.rng.random_bool(demand / 1.55) {
-                return host;
+                return (number, host);
             }
         }
     }
 
     fn send(&mut self, kind: Kind) {
-        let host = self.draw_host();
-        // The square favors low numbers, so that many requests share few prefixes.
-        let part: f64 = self.rng.random();
-        let number = (part * part * kind.prefixes() as f64) as u64;
+        let (number, host) = self.draw_prefix(kind);
         let prefix = (number + 10_000 * (kind as u64 + 1)).wrapping_mul(0x9e37_79b9_7f4a_7c15);
         let request = RoutingRequest {
             pool: "m",
             prefix,
             prompt_tokens: kind.prompt(),
+            shared_tokens: (kind.prompt() as f64 * SHARED_PART) as u64,
             hour: 0,
             seed: self.rng.random(),
             tried: &[],
@@ -215,6 +222,7 @@
         let router = &mut self.routers[host];
         let choice = router.choose(self.now, &request).expect("a server is usable");
         router.record_sent(&choice.server, 0, kind.prompt());
+        router.record_wait(self.now, &choice.server, 0, kind.prompt());
         let server: usize = choice.server.as_str()[1..].parse().expect("a number");
         let engine = &mut self.engines[server];
         let cached = engine.cache.iter().position(|known| *known == (kind, number));
@@ -244,7 +252,8 @@
     fn advance(&mut self, server: usize) {
         let lasting = if server % 3 == 0 { self.replay.slow_factor } else { 1.0 };
         let engine = &mut self.engines[server];
-        let passing = if self.now < engine.slow_until { 2.5 } else { 1.0 };
+        let passing =
+            if self.now < engine.slow_until { self.replay.passing_slowness.0 } else { 1.0 };
         let speed = 1.0 / (lasting * passing);
         let mut tokens = READ_PER_MS * speed;
         while let Some(request) = engine.reading.front_mut() {
@@ -258,6 +267,7 @@
             request.began_at = self.now;
             let router = &mut self.routers[request.host];
             router.record_prompt_read(&name(server), 0, request.kind.prompt());
+            router.record_wait_ended(self.now, &name(server), 0, request.sent_at, true);
             if self.now >= 5_000 {
                 let first_ms = self.now - request.sent_at;
                 let times = match request.kind {
--- a/crates/core/tests/uneven_servers.rs
+++ b/crates/core/tests/uneven_servers/speed.rs
@@ -1,77 +1,17 @@
-//! Servers of different speed: a third of a pool is 2.4 times slower than the rest.
+//! Servers that are slower for good: a third of a pool is 2.4 times slower than the rest.
 
-mod uneven_fleet;
+use bankcove_core::router::{Router, StreamPace};
 
-use bankcove_core::rollout::Versions;
-use bankcove_core::router::{Homes, Router, RoutingRequest, StreamPace};
-use uneven_fleet::{Fleet, Outcome, Replay, SERVERS, name, quantile, router};
-
-const REPLAY: Replay = Replay {
-    hosts: 16,
-    slow_factor: 2.4,
-    passing_slowness: false,
-    demand: 1.0,
-    seconds: 30,
-    seed: 1,
-};
-
-/// Returns whether the replay's server of this number is slow.
-fn is_slow(server: usize) -> bool {
-    server % 3 == 0
-}
-
-/// Returns the mean number of requests of a slow server as a fraction of a fast one's.
-fn slow_ratio(by_server: &[u32]) -> f64 {
-    let sum = |slow: bool| -> f64 {
-        let numbered = by_server.iter().enumerate().filter(|(n, _)| is_slow(*n) == slow);
-        numbered.map(|(_, count)| f64::from(*count)).sum()
-    };
-    let slow = (0..by_server.len()).filter(|n| is_slow(*n)).count();
-    sum(true) / slow as f64 * (by_server.len() - slow) as f64 / sum(false)
-}
-
-/// Records event intervals of all servers; `None` leaves a server's pace unknown.
-fn record_paces(router: &mut Router, event_ms: impl Fn(usize) -> Option<f64>) {
-    for _ in 0..20 {
-        for server in 0..SERVERS {
-            if let Some(event_ms) = event_ms(server) {
-                let pace = StreamPace { event_ms, longest_pause_ms: event_ms * 3.0 };
-                router.record_stream_pace(&name(server), 0, pace);
-            }
-        }
-    }
-}
-
-/// Returns the server that each of 6,000 prefixes goes to.
-fn choices(router: &Router) -> Vec<usize> {
-    let choose = |n: u64| {
-        let prefix = n.wrapping_mul(0x9e37_79b9_7f4a_7c15);
-        let request = RoutingRequest {
-            pool: "m",
-            prefix,
-            prompt_tokens: 0,
-            hour: 0,
-            seed: prefix.rotate_left(17),
-            tried: &[],
-            homes: Homes::default(),
-            versions: Versions::Any,
-        };
-        let choice = router.choose(0, &request).expect("a server is usable");
-        choice.server.as_str()[1..].parse().expect("a number")
-    };
-    (0..6_000).map(choose).collect()
-}
+use crate::fleet::{Fleet, Replay, SERVERS, name, quantile, router};
+use crate::{REPLAY, choices, is_slow, record_paces, run, slow_ratio};
 
+/// Returns the number of prefixes by server.
 fn counts(choices: &[usize]) -> Vec<u32> {
     let mut counts = vec![0; SERVERS];
     choices.iter().for_each(|server| counts[*server] += 1);
     counts
 }
 
-fn run(replay: Replay) -> Outcome {
-    Fleet::new(replay).run()
-}
-
 /// Guards against a change for deployments whose servers differ by load alone.
 #[test]
 fn servers_within_the_usual_spread_are_chosen_as_if_no_pace_were_known() {
--- a/crates/daemon/src/api/dispatch.rs
+++ b/crates/daemon/src/api/dispatch.rs
@@ -93,6 +93,7 @@
         pool: request.pool,
         prefix: placement.map_or(request.prefix, |placement| placement.key),
         prompt_tokens: 0,
+        shared_tokens: 0,
         hour: api.requests.base.clock.utc_hour(),
         seed: rand::random(),
         tried,
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -5,7 +5,7 @@
 
 use bankcove_core::crashes::Verdict;
 use bankcove_core::rollout::Versions;
-use bankcove_core::router::{Choice, Homes, NoServer, RoutingRequest};
+use bankcove_core::router::{Choice, Homes, NoServer, Passed, RoutingRequest};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Prompt, RequestHead};
 use bytes::Bytes;
@@ -99,8 +99,12 @@
 
     /// Returns whether copying the cache of its shared prompt parts is faster than reading them.
     fn is_worth_copying(&self) -> bool {
-        let shared = self.request_head.prompt.as_ref().map_or(0, Prompt::shared_tokens);
-        shared >= MIN_COPIED_TOKENS
+        self.shared_tokens() >= MIN_COPIED_TOKENS
+    }
+
+    /// Returns the length of the prompt parts that other requests may share.
+    fn shared_tokens(&self) -> Tokens {
+        self.request_head.prompt.as_ref().map_or(0, Prompt::shared_tokens)
     }
 
     /// Returns the verdict on whether the request crashes servers, as known to this daemon.
@@ -226,16 +230,33 @@
             pool: self.plan.service.as_str(),
             prefix: placement.map_or_else(|| self.affinity_or(seed), |placement| placement.key),
             prompt_tokens: self.prompt_tokens(),
+            shared_tokens: self.shared_tokens(),
             hour: 0,
             seed,
             tried: &self.tried_servers,
             homes: Homes { route: &self.plan.route.homes, workspace: &self.plan.workspace_homes },
             versions: Versions::Any,
         };
-        requests.rollouts.choose(&self.plan.service, self.tried_servers.is_empty(), |versions| {
+        let is_first = self.tried_servers.is_empty();
+        let choice = requests.rollouts.choose(&self.plan.service, is_first, |versions| {
             let request = RoutingRequest { versions, ..request };
             requests.router.lock().choose_ranked(requests.base.clock.now(), &request, rank)
-        })
+        })?;
+        if let Some(passed) = &choice.passed {
+            self.log_passed(&choice, passed);
+        }
+        Ok(choice)
+    }
+
+    /// Logs and counts a server that was passed over for a sooner one. The unread tokens are this
+    /// daemon's and its peers' of the last 1.5 s; the speed is an average over some ten streams.
+    fn log_passed(&self, choice: &Choice, passed: &Passed) {
+        self.entry.requests.base.metrics.count("server.passed_over");
+        slog::info!(self.log, "server passed over for a sooner one";
+            "server" => %passed.server, "chosen" => %choice.server,
+            "speed_percent" => passed.speed_percent, "unread_tokens" => passed.unread_tokens,
+            "oldest_wait_ms" => passed.oldest_wait_ms,
+            "slowness_percent" => passed.slowness_percent);
     }
 
     /// Returns the hash that selects the preferred server: `seed` for a request without a prompt.
--- a/crates/daemon/src/requests/open_request.rs
+++ b/crates/daemon/src/requests/open_request.rs
@@ -16,6 +16,7 @@
     server: Name,
     started_ms: Millis,
     succeeded: bool,
+    sent_at: Millis,
     unread_prompt: Tokens,
     /// Registration of its only further run, if it has the same crashes as another request
     /// ([`bankcove_core::crashes::Verdict::Isolated`]).
@@ -30,7 +31,12 @@
     /// Records a request as open at the chosen server. `prompt` is the length of its prompt in
     /// tokens, 0 without one.
     pub fn new(requests: &Arc<RequestContext>, choice: &Choice, prompt: Tokens) -> Self {
-        requests.router.lock().record_sent(&choice.server, choice.started_ms, prompt);
+        let sent_at = requests.base.clock.now();
+        {
+            let mut router = requests.router.lock();
+            router.record_sent(&choice.server, choice.started_ms, prompt);
+            router.record_wait(sent_at, &choice.server, choice.started_ms, prompt);
+        }
         if prompt >= MIN_REPORTED_TOKENS {
             requests.unread_changed.notify_one();
         }
@@ -39,6 +45,7 @@
             server: choice.server.clone(),
             started_ms: choice.started_ms,
             succeeded: true,
+            sent_at,
             unread_prompt: prompt,
             isolated_run: None,
             trial: None,
@@ -61,9 +68,18 @@
 
     /// Records that the server has read the prompt, because its response has begun.
     pub fn record_prompt_read(&mut self) {
+        self.end_wait(true);
+    }
+
+    /// Records that the server has read the prompt, or that the request was abandoned.
+    fn end_wait(&mut self, is_answered: bool) {
         let prompt = std::mem::take(&mut self.unread_prompt);
         if prompt > 0 {
-            self.requests.router.lock().record_prompt_read(&self.server, self.started_ms, prompt);
+            let now = self.requests.base.clock.now();
+            let mut router = self.requests.router.lock();
+            router.record_prompt_read(&self.server, self.started_ms, prompt);
+            let (server, started_ms) = (&self.server, self.started_ms);
+            router.record_wait_ended(now, server, started_ms, self.sent_at, is_answered);
         }
         if prompt >= MIN_REPORTED_TOKENS {
             self.requests.unread_changed.notify_one();
@@ -79,7 +95,7 @@
 
 impl Drop for OpenRequest {
     fn drop(&mut self) {
-        self.record_prompt_read();
+        self.end_wait(false);
         if let (Some(trial), Some(outcome)) = (&self.trial, self.outcome) {
             self.requests.rollouts.record(trial, outcome);
         }
