--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -5,8 +5,10 @@
 //! weights. Within a hall, a consistent-hash ring assigns each prefix a first
 //! server. Requests move on to the next server on the ring when that one exceeds
 //! its load bound, and long prompts skip servers whose streams would pause for too
-//! long. A decision costs a binary search and a few probes, whatever the number of
-//! servers.
+//! long. Servers that are slower than their pool get fewer requests (`speed`), and a
+//! late or busy one may be left for one that answers sooner (`search`, `wait`). A
+//! decision costs a binary search and a few probes, whatever the number of servers;
+//! one that compares servers probes up to 16 in each hall.
 
 mod adoption;
 mod choose;
