--- a/crates/core/src/router/status.rs
+++ b/crates/core/src/router/status.rs
@@ -45,7 +45,7 @@
     pub limit_per_s: Option<f64>,
     /// When this instance of it was started, in milliseconds since 1970; 0 when unknown.
     pub started_ms: Millis,
-    /// Speed relative to the fast servers of its pool, 1 or less.
+    /// Speed relative to the fast servers of its pool, 1 or less, to two decimal places.
     pub speed: f64,
     /// Time for which the oldest unanswered request of this daemon has waited there, in
     /// milliseconds.
@@ -77,7 +77,7 @@
             open: self.in_flight,
             limit_per_s: self.limit_per_s,
             started_ms: self.started_ms,
-            speed,
+            speed: (speed * 100.0).round() / 100.0,
             oldest_wait_ms: self.oldest_wait_ms(now),
         }
     }
