Core: protection levels of budgets for more urgent requests

Requests are counted by budget and rank (holder/usage.rs). A less urgent request is admitted only if the tokens left afterwards cover the expected use of more urgent ranks over the horizon and one standard deviation (holder/protection.rs). Counts are cumulative, with those already answered, so that a report that is repeated after a lost answer counts once, and are spread over the time in which they were gathered: otherwise counts gathered during an outage would raise the forecast.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -10,17 +10,23 @@
 mod draw;
 mod holdings;
 mod prefetch;
+mod protection;
 mod rate;
 mod ration;
 mod statement;
+mod usage;
 
 pub use account::Account;
 pub use allot::{Allotted, LEFT_TO_HELD_RATIO, TokenRequest, held_fraction};
 pub use draw::{Draw, DrawTerms};
 pub use holdings::{BudgetHolding, Holdings, RunningAttempts};
 pub use prefetch::PrefetchScope;
+pub use protection::{
+    HostDecision, Protected, ProtectionRecord, ProtectionState, ProtectionTerms, RankProtection,
+};
 pub use ration::{Outlook, RequestDemand};
 pub use statement::{DaemonHolding, Statement};
+pub use usage::{RankCount, RankForecast, Usage, UsageReport};
 
 use std::collections::HashMap;
 
--- a/crates/core/src/holder/account.rs
+++ b/crates/core/src/holder/account.rs
@@ -7,8 +7,10 @@
 use crate::holder::draw::DrawTerms;
 use crate::holder::holdings::RunningAttempts;
 use crate::holder::prefetch::PrefetchScope;
+use crate::holder::protection::ProtectionRecord;
 use crate::holder::rate::Rate;
 use crate::holder::ration::Outlook;
+use crate::holder::usage::Usage;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Tokens};
 
@@ -68,6 +70,12 @@
     pub(super) kept_for_needs: Tokens,
     /// Tokens that other daemons requested ahead since the last draw and did not receive.
     pub(super) unmet: Tokens,
+    /// Tokens of the table row that `outlook` is based on.
+    pub(super) outlook_row: Option<Tokens>,
+    /// Requests by rank.
+    pub usage: Usage,
+    /// What is known about the protection of the budget.
+    pub(super) protection: ProtectionRecord,
 }
 
 impl Account {
--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -10,7 +10,9 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::holder::{Account, DrawTerms, Holder, Outlook, RequestDemand, Shortfall};
+use crate::holder::{
+    Account, DrawTerms, Holder, Outlook, ProtectionState, RequestDemand, Shortfall, UsageReport,
+};
 use crate::{Incarnation, Millis, Name, Tokens};
 
 /// Reserve that an owner keeps for other daemons, in seconds of its recent allotment
@@ -57,6 +59,12 @@
     pub want: Tokens,
     /// Recent spending rate of the requester, in tokens per second.
     pub rate: Tokens,
+    /// The requester's requests by rank since the last answer.
+    #[serde(default)]
+    pub usage: UsageReport,
+    /// Rank from which on the requester spends no held tokens without the owner.
+    #[serde(default)]
+    pub held_back_from: Option<u32>,
 }
 
 /// Tokens that an owner has allotted, or a peer has lent.
@@ -69,6 +77,9 @@
     /// State of the budget as the owner sees it for the requester; none for a loan, or when
     /// the owner has not drawn on the budget yet and does not know the state.
     pub outlook: Option<Outlook>,
+    /// What is protected of the budget; none for a loan, or without protection.
+    #[serde(default)]
+    pub protection: Option<ProtectionState>,
 }
 
 impl Account {
@@ -132,6 +143,8 @@
             demand: None,
             want: need.saturating_add(ahead),
             rate: account.rate.per_second_with(need, now) as Tokens,
+            usage: account.usage.report(now),
+            held_back_from: account.held_back_from(now),
         }
     }
 
@@ -184,7 +197,8 @@
             self.asked_for.add(request.need, now);
             self.requests.add(1, now);
         }
-        Ok(Allotted { owner, cumulative, outlook: has_outlook.then_some(outlook) })
+        let outlook = has_outlook.then_some(outlook);
+        Ok(Allotted { owner, cumulative, outlook, protection: None })
     }
 
     /// Adds the wanted tokens of an unserved request to the next draw.
@@ -209,7 +223,7 @@
         let sent = account.sent.entry(request.holder).or_default();
         let in_transit = if addresses_me { sent.saturating_sub(request.received) } else { 0 };
         *sent += request.want.saturating_sub(in_transit).min(spare);
-        Allotted { owner, cumulative: *sent, outlook: None }
+        Allotted { owner, cumulative: *sent, outlook: None, protection: None }
     }
 
     /// Debits all free tokens for `receiver`, which keeps running; returns the cumulative sum
--- a/crates/core/src/holder/prefetch.rs
+++ b/crates/core/src/holder/prefetch.rs
@@ -62,7 +62,8 @@
                 within_share(wanted.max(mean_request * MIN_PREFETCHED_REQUESTS)) + self.unmet
             }
             PrefetchScope::LeftToOwner => {
-                let batch = (own_rate * BATCH_S.min(terms.horizon_s)) as Tokens;
+                let rate = self.rate_to_prefetch(now);
+                let batch = (rate * BATCH_S.min(terms.horizon_s)) as Tokens;
                 // Less than one request needs would stay unused here and be missing elsewhere.
                 let covers_a_request = batch >= mean_request;
                 self.unmet + if covers_a_request { within_share(batch) } else { 0 }
--- a/crates/core/src/holder/rate.rs
+++ b/crates/core/src/holder/rate.rs
@@ -27,6 +27,21 @@
         self.since.get_or_insert(now);
     }
 
+    /// Counts `units` that came evenly during the last `span_ms` milliseconds.
+    pub(super) fn add_over(&mut self, units: u64, span_ms: Millis, now: Millis) {
+        let span = span_ms as f64 / RATE_WINDOW_MS;
+        let remaining = if span_ms == 0 { 1.0 } else { (1.0 - (-span).exp()) / span };
+        self.sum = self.decayed(now) + units as f64 * remaining;
+        self.at = now;
+        let began = now.saturating_sub(span_ms);
+        self.since = Some(self.since.map_or(began, |since| since.min(began)));
+    }
+
+    /// Returns the decaying sum of all that was counted.
+    pub(super) fn sum(&self, now: Millis) -> f64 {
+        self.decayed(now)
+    }
+
     /// Counts the decrease of a level from `before` to `level`, or subtracts its increase.
     pub(super) fn record_decrease(&mut self, before: Tokens, level: Tokens, now: Millis) {
         self.add(before.saturating_sub(level), now);
--- a/crates/core/src/holder/ration.rs
+++ b/crates/core/src/holder/ration.rs
@@ -48,12 +48,24 @@
         demand: &RequestDemand,
         is_store_unavailable: bool,
         now: Millis,
+    ) -> Tokens {
+        self.ration_beyond(budget, demand, 0, is_store_unavailable, now)
+    }
+
+    /// Returns the same where `protected` tokens of what is left are not for this request.
+    pub fn ration_beyond(
+        &self,
+        budget: &Name,
+        demand: &RequestDemand,
+        protected: Tokens,
+        is_store_unavailable: bool,
+        now: Millis,
     ) -> Tokens {
         let Some(account) = self.accounts.get(budget) else { return Tokens::MAX };
         let Some(outlook) = account.outlook else { return Tokens::MAX };
         let free = account.free();
         let left = if is_store_unavailable { free * OUTAGE_FACTOR } else { outlook.left + free };
-        self.equal_share(account, left, demand, now)
+        self.equal_share(account, left.saturating_sub(protected), demand, now)
     }
 
     fn equal_share(
--- a/crates/core/tests/allotment.rs
+++ b/crates/core/tests/allotment.rs
@@ -217,7 +217,7 @@
 fn owner_draws_what_others_requested_ahead() {
     let mut world = World::new();
     let outlook = Some(Outlook { share: 5 * TOTAL, ..full_outlook() });
-    let nothing = Allotted { owner: Incarnation(1), cumulative: 0, outlook };
+    let nothing = Allotted { owner: Incarnation(1), cumulative: 0, outlook, protection: None };
     let mut owner = Holder::new(Incarnation(1));
     owner.set_outlook(&budget(), full_outlook(), 0);
     world.holders[1].record_allotted(&budget(), nothing, 0);
--- a/crates/core/tests/owner_reserve.rs
+++ b/crates/core/tests/owner_reserve.rs
@@ -9,7 +9,7 @@
 
 mod common;
 
-use bankcove_core::holder::{DrawTerms, Holder, Outlook, TokenRequest};
+use bankcove_core::holder::{DrawTerms, Holder, Outlook, TokenRequest, UsageReport};
 use bankcove_core::{Incarnation, Millis, Tokens};
 use common::budget;
 
@@ -49,6 +49,8 @@
         demand: None,
         want,
         rate,
+        usage: UsageReport::default(),
+        held_back_from: None,
     }
 }
 
