Daemons protect the last tokens of budgets for more urgent requests

Each daemon counts its requests by rank. In a large fleet token requests carry the counts to the budget's owner, which decides; its answers state the protected amounts and from which rank on tokens held may not be spent. Without an owner it decides by the last amounts, then by its own counts. In a small fleet each daemon decides by its own counts times the number of daemons. Refusal: 429 budget_protected.

The state of an outlook's table row is recorded with it: a raised row counts before the next draw, since an owner that refuses requests may not draw again for long.

Test with processes: with the setting off, both large requests are served that are refused with it (platform/tests/path/protection.rs).

--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -244,6 +244,7 @@
         self.record_received(budget, allotted.owner, allotted.cumulative);
         if let Some(outlook) = allotted.outlook {
             self.set_outlook(budget, outlook, now);
+            self.accounts.entry(budget.clone()).or_default().outlook_row = None;
         }
     }
 
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -49,6 +49,10 @@
     /// the window; the window doubles with each lower rank. 0 disables rationing.
     #[serde(default = "default_ration_s")]
     pub ration_s: f64,
+    /// How long the last tokens of a budget are kept for more urgent requests, in seconds of their
+    /// expected use: the time that an operator needs to raise the budget. 0 keeps none.
+    #[serde(default)]
+    pub protect_horizon_s: f64,
     /// Whether operators evacuate halls through the platform. If so, the daemon watches the
     /// platform's list of evacuated halls and requires it to be recent.
     #[serde(default)]
@@ -118,6 +122,7 @@
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
             ration_s: default_ration_s(),
+            protect_horizon_s: 0.0,
             follow_evacuations: true,
             rollout_fraction: Some(0.1),
             hall_regions: BTreeMap::from([(Name::from("hall-1"), Name::from("region-1"))]),
@@ -178,6 +183,8 @@
             "use a number from 0 to 1, for example 0.1, or omit it",
         );
         check(!is_usable(self.ration_s), "entry.ration_s", negative, "use for example 0.9");
+        let horizon = self.protect_horizon_s;
+        check(!is_usable(horizon), "entry.protect_horizon_s", negative, "use for example 60");
         check(
             !(0.0..=1.0).contains(&self.held_ahead),
             "entry.held_ahead",
--- a/crates/daemon/src/budget.rs
+++ b/crates/daemon/src/budget.rs
@@ -8,6 +8,7 @@
 //!   daemons, and reports about tokens
 //! * `owner`: the shards that this daemon writes; `ration`, `draws`: reads of the store and draws
 //!   on it
+//! * `protection`: keeps the last tokens of a budget for more urgent requests
 //! * `reserve`: reserves tokens for a request and obtains more
 //! * `allotment`, `rebalance`: allots tokens to other daemons, prefetches, and gives back surplus
 //!   tokens
@@ -24,6 +25,7 @@
 pub mod owner;
 pub mod owner_tasks;
 pub mod ownership;
+pub mod protection;
 pub mod ration;
 pub mod rebalance;
 pub mod reserve;
--- a/crates/daemon/src/budget/budgets.rs
+++ b/crates/daemon/src/budget/budgets.rs
@@ -19,6 +19,10 @@
 /// Minimum interval between the starts of two prefetches of a budget, in milliseconds.
 const MIN_PREFETCH_INTERVAL_MS: Millis = 500;
 
+/// Time in milliseconds for which a refusal also answers other requests that need as much. A draw
+/// for each request would keep owners and peers busy just when a budget runs out.
+const REFUSAL_REUSE_MS: Millis = 100;
+
 /// Added to the shard number to form the rendezvous hashing key, so that budget shards and log
 /// shards have different owners.
 pub const OWNER_KEY: u64 = 0x6275_6467_6574_0000;
@@ -31,6 +35,19 @@
     pub(super) refusal: Option<Refusal>,
 }
 
+impl LastShortDraw {
+    /// Returns the refusal that also applies to a request that arrived at `arrived` and lacks
+    /// `missing` tokens: the draw began afterwards, or shortly before. Refusals that depend on the
+    /// request's size or rank apply to no other.
+    pub(super) fn refusal_for(&self, missing: Tokens, arrived: Millis) -> Option<Refusal> {
+        let is_recent = self.asked_at + REFUSAL_REUSE_MS > arrived;
+        self.refusal.filter(|refusal| {
+            let is_for_all = refusal.ration.is_none() && refusal.protected.is_none();
+            is_for_all && is_recent && missing >= self.need
+        })
+    }
+}
+
 /// The most recent prefetch of a budget.
 #[derive(Debug, Default, Clone, Copy)]
 struct Prefetch {
@@ -55,6 +72,9 @@
     pub owner_tasks: OwnerTasks,
     /// Per budget; the inner lock serializes the attempts to obtain tokens.
     pub(super) last_short_draws: Mutex<HashMap<Name, Arc<tokio::sync::Mutex<LastShortDraw>>>>,
+    /// Per budget: requests of ranks that are held back, which ask the owner one after the other.
+    /// More urgent requests, which wait for `last_short_draws`, do not wait for them.
+    pub(super) last_short_asks: Mutex<HashMap<Name, Arc<tokio::sync::Mutex<LastShortDraw>>>>,
     /// Prefetches are kept apart from `last_short_draws`: they wait at the owner for other draws,
     /// and requests that need tokens now must not wait for them.
     prefetches: Mutex<HashMap<Name, Prefetch>>,
@@ -82,6 +102,7 @@
             holder,
             owner_tasks: OwnerTasks::default(),
             last_short_draws: Mutex::new(HashMap::new()),
+            last_short_asks: Mutex::new(HashMap::new()),
             prefetches: Mutex::new(HashMap::new()),
             unresponsive: Mutex::new(HashMap::new()),
             witness_records: Mutex::new(WitnessRecords::default()),
--- a/crates/daemon/src/budget/draws.rs
+++ b/crates/daemon/src/budget/draws.rs
@@ -50,6 +50,7 @@
             holder.set_earlier_start(&budget.name, earlier_start);
             if let Some(outlook) = outlook {
                 holder.set_outlook(&budget.name, outlook, now);
+                holder.record_outlook_row(&budget.name, budget.tokens);
             }
             holder.record_granted(&budget.name, granted);
             holder.record_opened(&budget.name, opened);
--- a/crates/daemon/src/budget/owner.rs
+++ b/crates/daemon/src/budget/owner.rs
@@ -171,7 +171,9 @@
         ledger.update_row(row.tokens, row.version);
         let terms = draw_terms(budgets, row);
         let outlook = ledger.outlook(budgets.fleet.base.incarnation, &terms);
-        budgets.holder().set_outlook(budget, outlook, now);
+        let mut holder = budgets.holder();
+        holder.set_outlook(budget, outlook, now);
+        holder.record_outlook_row(budget, row.tokens);
     }
 }
 
--- a/crates/daemon/src/budget/ration.rs
+++ b/crates/daemon/src/budget/ration.rs
@@ -9,6 +9,7 @@
 
 use crate::budget::budgets::Budgets;
 use crate::budget::owner::refresh_outlook;
+use crate::budget::terms::protection_terms;
 
 /// Age in milliseconds above which the outlook of a budget is read again before a request is
 /// refused because of it: a top-up or tokens given back by other daemons may be available by then.
@@ -29,23 +30,34 @@
         return Tokens::MAX;
     }
     let known = known_ration(budgets, budget, demand);
-    if demand.tokens <= known || !is_outlook_stale(budgets, budget) {
+    if demand.tokens <= known {
         return known;
     }
-    if !budgets.begin_prefetch(&budget.name, budgets.fleet.base.clock.now()) {
-        return known;
+    refresh_stale_outlook(budgets, budget).await;
+    known_ration(budgets, budget, demand)
+}
+
+/// Reads the outlook of a budget again if it is stale and no prefetch is running or has just
+/// started.
+pub(super) async fn refresh_stale_outlook(budgets: &Arc<Budgets>, budget: &Budget) {
+    if !is_outlook_stale(budgets, budget)
+        || !budgets.begin_prefetch(&budget.name, budgets.fleet.base.clock.now())
+    {
+        return;
     }
     // In a separate task, so that the prefetch is ended also if the caller disconnects meanwhile.
     let reading = tokio::spawn(read_outlook(Arc::clone(budgets), budget.clone()));
     // After a timeout the known outlook applies.
     let _outcome = tokio::time::timeout(OUTLOOK_READ_TIMEOUT, reading).await;
-    known_ration(budgets, budget, demand)
 }
 
 /// Returns the most that a request may reserve according to the known outlook.
 fn known_ration(budgets: &Budgets, budget: &Budget, demand: RequestDemand) -> Tokens {
     let now = budgets.fleet.base.clock.now();
-    budgets.holder().ration(&budget.name, demand.ration_s, demand.rank, now)
+    let terms = protection_terms(budgets, budget, now);
+    let holder = budgets.holder();
+    let protected = holder.protected(&budget.name, &demand, &terms, now);
+    holder.ration_beyond(&budget.name, &demand, protected, false, now)
 }
 
 /// Returns whether the known outlook has to be read again before a refusal.
--- a/crates/daemon/src/budget/reserve.rs
+++ b/crates/daemon/src/budget/reserve.rs
@@ -13,6 +13,7 @@
 use crate::budget::collect::open;
 use crate::budget::draws::draw;
 use crate::budget::ownership::owners;
+use crate::budget::protection::{cached_refusal, decide_as_owner};
 use crate::budget::terms::draw_terms;
 use crate::budget::token_request::request_tokens;
 use crate::peer::Refusal;
@@ -21,10 +22,6 @@
 /// tokens of each draw first.
 const MAX_DRAWS: u32 = 8;
 
-/// Time in milliseconds for which a refusal also answers other requests that need as much. A draw
-/// for each request would keep owners and peers busy just when a budget runs out.
-const REFUSAL_REUSE_MS: Millis = 100;
-
 /// Source of more tokens.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum TokenSource {
@@ -72,13 +69,11 @@
             Ok(obtained) => return Ok(obtained),
             Err(shortfall) => shortfall,
         };
-        // The refusal of a draw that began after this request arrived, or shortly before, applies
-        // to this request too.
-        let is_recent = last.asked_at + REFUSAL_REUSE_MS > arrived;
-        if let Some(refusal) = last.refusal
-            && refusal.ration.is_none()
-            && is_recent
-            && missing >= last.need
+        if let Some(refusal) = last.refusal_for(missing, arrived) {
+            return Err(refusal);
+        }
+        if let TokenSource::Owner(Some(demand)) = source
+            && let Some(refusal) = cached_refusal(budgets, budget, &demand)
         {
             return Err(refusal);
         }
@@ -115,7 +110,11 @@
     };
     let has_owners = !owners.is_empty();
     for owner in owners {
-        let Some(owner) = owner else { return draw(budgets, budget, need).await };
+        let Some(owner) = owner else {
+            // Requests of this daemon get no more leave than those of others.
+            demand.map_or(Ok(()), |demand| decide_as_owner(budgets, budget, demand))?;
+            return draw(budgets, budget, need).await;
+        };
         if let Some(outcome) = request_tokens(budgets, budget, need, demand, &owner).await {
             return outcome;
         }
--- a/crates/daemon/src/budget/terms.rs
+++ b/crates/daemon/src/budget/terms.rs
@@ -1,7 +1,8 @@
-//! Draw terms: how many tokens of a budget this daemon holds ahead, and for which daemons.
+//! Terms of a budget: how many tokens this daemon holds ahead, for which daemons, and what
+//! protects the last ones.
 
 use bankcove_core::Millis;
-use bankcove_core::holder::{DrawTerms, PrefetchScope};
+use bankcove_core::holder::{DrawTerms, PrefetchScope, ProtectionTerms};
 use bankcove_core::table::Budget;
 
 use crate::budget::budgets::Budgets;
@@ -71,3 +72,20 @@
     }
     DrawTerms { held_ahead: 0.0, prefetch: PrefetchScope::LeftToOwner, ..terms }
 }
+
+/// Returns what the protection of a budget depends on now.
+pub(crate) fn protection_terms(budgets: &Budgets, budget: &Budget, now: Millis) -> ProtectionTerms {
+    let cfg = &budgets.fleet.base.cfg;
+    let is_store_unavailable = budgets.fleet.connectivity.is_store_unavailable(now);
+    // In an outage only the tokens held here are in reach, and only requests here can use them.
+    let counts_for_fleet = !is_store_unavailable && budgets.fleet.is_small();
+    let fleet_size = budgets.fleet.size().filter(|_| counts_for_fleet);
+    ProtectionTerms {
+        horizon_s: cfg.entry.as_ref().map_or(0.0, |entry| entry.protect_horizon_s),
+        outage_horizon_s: budget.horizon_s,
+        is_store_unavailable,
+        daemons: fleet_size.map_or(1.0, |size| size as f64),
+        row_tokens: budget.tokens,
+        row_version: budget.version,
+    }
+}
--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -9,11 +9,13 @@
 use bankcove_core::owner::RETRY_LATER_MS;
 use bankcove_core::table::Budget;
 
+use crate::budget::protection;
 use crate::budget::ration::ration;
 use crate::budget::reserve;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::refusal::Refusal;
+use crate::peer::Refusal as TokenRefusal;
 use crate::requests::RequestContext;
 
 /// Longest wait for tokens of a budget. A draw takes two store calls of about 4 ms each, and a
@@ -75,6 +77,20 @@
         let retry_after = Duration::from_millis(RETRY_LATER_MS);
         Refusal::BudgetRationed { budget: budget.name.to_string(), tokens, ration, retry_after }
     };
+    let refused = |refusal: TokenRefusal| {
+        let retry_after = Duration::from_millis(refusal.retry_after_ms);
+        if let Some(protected) = refusal.protected {
+            Refusal::BudgetProtected { budget: name.clone(), tokens, protected, retry_after }
+        } else if let Some(ration) = refusal.ration {
+            rationed(ration)
+        } else if refusal.store_away {
+            let retry_after = outage_retry_delay(requests);
+            Refusal::BudgetOutOfReach { budget: name.clone(), tokens, retry_after }
+        } else {
+            Refusal::BudgetShort { budget: name.clone(), tokens, retry_after }
+        }
+    };
+    protection::admit(&requests.budgets, budget, demand).await.map_err(refused)?;
     let ration = ration(&requests.budgets, budget, demand).await;
     if tokens > ration {
         return Err(rationed(ration));
@@ -82,17 +98,7 @@
     let reservation = reserve::reserve(&requests.budgets, budget, demand);
     match tokio::time::timeout(BUDGET_TIMEOUT, reservation).await {
         Ok(Ok(reservation)) => Ok(reservation),
-        Ok(Err(refusal)) => {
-            let retry_after = Duration::from_millis(refusal.retry_after_ms);
-            Err(if let Some(ration) = refusal.ration {
-                rationed(ration)
-            } else if refusal.store_away {
-                let retry_after = outage_retry_delay(requests);
-                Refusal::BudgetOutOfReach { budget: name, tokens, retry_after }
-            } else {
-                Refusal::BudgetShort { budget: name, tokens, retry_after }
-            })
-        }
+        Ok(Err(refusal)) => Err(refused(refusal)),
         Err(_) => {
             let retry_after = TIMEOUT_RETRY_DELAY;
             Err(Refusal::BudgetOutOfReach { budget: name, tokens, retry_after })
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -80,6 +80,20 @@
         /// Retry delay.
         retry_after: Duration,
     },
+    /// The rest of the budget is needed for more urgent requests.
+    #[error(
+        "{tokens} tokens of budget '{budget}' are not available: {protected} are kept for more urgent requests"
+    )]
+    BudgetProtected {
+        /// Name of the budget.
+        budget: String,
+        /// Maximum cost of the request in tokens.
+        tokens: u64,
+        /// Tokens kept for more urgent requests.
+        protected: u64,
+        /// Retry delay.
+        retry_after: Duration,
+    },
     /// The budget may have tokens left, but this daemon can't obtain them now.
     #[error("{tokens} tokens of budget '{budget}' are not in reach now")]
     BudgetOutOfReach {
@@ -175,9 +189,9 @@
             Refusal::Malformed(_) | Refusal::CrashesServers => StatusCode::BAD_REQUEST,
             Refusal::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
             Refusal::BodyTooSlow(_) => StatusCode::REQUEST_TIMEOUT,
-            Refusal::BudgetShort { .. } | Refusal::BudgetRationed { .. } => {
-                StatusCode::TOO_MANY_REQUESTS
-            }
+            Refusal::BudgetShort { .. }
+            | Refusal::BudgetRationed { .. }
+            | Refusal::BudgetProtected { .. } => StatusCode::TOO_MANY_REQUESTS,
             Refusal::TimedOut => StatusCode::GATEWAY_TIMEOUT,
             Refusal::AnswerLost => StatusCode::BAD_GATEWAY,
         }
@@ -196,6 +210,7 @@
             Refusal::BodyTooSlow(_) => "body_too_slow",
             Refusal::BudgetShort { .. } => "budget_short",
             Refusal::BudgetRationed { .. } => "budget_rationed",
+            Refusal::BudgetProtected { .. } => "budget_protected",
             Refusal::BudgetOutOfReach { .. } => "budget_out_of_reach",
             Refusal::NoServer => "no_server",
             Refusal::NoneListed => "none_listed",
@@ -226,6 +241,7 @@
             Refusal::CrashesInDoubt => Some(CRASHES_IN_DOUBT_RETRY_DELAY),
             Refusal::BudgetShort { retry_after, .. }
             | Refusal::BudgetRationed { retry_after, .. }
+            | Refusal::BudgetProtected { retry_after, .. }
             | Refusal::BudgetOutOfReach { retry_after, .. } => Some(*retry_after),
             _ => None,
         }
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -3,7 +3,7 @@
 use bankcove_core::bill::Bill;
 use bankcove_core::crashes::CrashFacts;
 use bankcove_core::hints::HintFact;
-use bankcove_core::holder::{Allotted, DaemonHolding, TokenRequest};
+use bankcove_core::holder::{Allotted, DaemonHolding, ProtectionState, TokenRequest};
 use bankcove_core::limits::{Issued, LimitFact, PermitRequest};
 use bankcove_core::members::{Heartbeat, Host};
 use bankcove_core::owner::{RETRY_LATER_MS, Reply, Request};
@@ -62,23 +62,31 @@
     /// Maximum number of tokens that the request may take of the rest of the budget, if it was
     /// refused for requiring more.
     pub ration: Option<Tokens>,
+    /// Tokens protected for more urgent requests, if the request was refused because of them.
+    #[serde(default)]
+    pub protected: Option<Tokens>,
 }
 
 impl Refusal {
     /// Creates a refusal for a budget with too few tokens left.
     pub(crate) fn short(retry_after_ms: Millis) -> Self {
-        Refusal { retry_after_ms, store_away: false, ration: None }
+        Refusal { retry_after_ms, store_away: false, ration: None, protected: None }
     }
 
     /// Creates a refusal for a budget that may have more tokens in the unavailable store.
     pub(crate) fn out_of_reach(retry_after_ms: Millis) -> Self {
-        Refusal { retry_after_ms, store_away: true, ration: None }
+        Refusal { store_away: true, ..Refusal::short(retry_after_ms) }
     }
 
     /// Creates a refusal for a request that requires more than its `ration` of a nearly spent
     /// budget.
     pub(crate) fn rationed(ration: Tokens) -> Self {
-        Refusal { retry_after_ms: RETRY_LATER_MS, store_away: false, ration: Some(ration) }
+        Refusal { ration: Some(ration), ..Refusal::short(RETRY_LATER_MS) }
+    }
+
+    /// Creates a refusal for a request that would use tokens `protected` for more urgent ones.
+    pub(crate) fn protected(protected: Tokens, retry_after_ms: Millis) -> Self {
+        Refusal { protected: Some(protected), ..Refusal::short(retry_after_ms) }
     }
 }
 
@@ -87,8 +95,8 @@
 pub enum AllotAnswer {
     /// Tokens were allotted.
     Allotted(Allotted),
-    /// No tokens were allotted.
-    Refused(Refusal),
+    /// No tokens were allotted; with what the owner protects of the budget.
+    Refused(Refusal, Option<ProtectionState>),
 }
 
 /// Outcomes of a service's requests at one daemon since it learned of the rollout.
