What is protected of a budget is told in the dump and by 'bankcove budget show'

A rank's first request alone begins its measurement: counted, it stood for 15 requests within the horizon. Refusals within 10 s of each other form a row, whose first one begins the horizon that the retry delay counts down.

--- a/crates/cli/src/budget.rs
+++ b/crates/cli/src/budget.rs
@@ -42,6 +42,7 @@
         "of daemons that are silent": part("silent"),
     });
     output::rows(&[line], format);
+    print_protection(&budget["protection"], format);
     let Some(holders) = budget["statement"]["holders"].as_array() else { return };
     let holders: Vec<Value> = holders
         .iter()
@@ -55,3 +56,18 @@
     println!();
     output::rows(&holders, format);
 }
+
+/// Prints which ranks leave how many tokens to more urgent ones, where any do.
+fn print_protection(protection: &Value, format: Format) {
+    let ranks = protection["ranks"].as_array().filter(|ranks| !ranks.is_empty());
+    let Some(ranks) = ranks else { return };
+    let line = |rank: &Value| {
+        json!({
+            "from rank": rank["from_rank"], "protected": rank["protected"],
+            "held back": rank["held_back"], "within reach": protection["reachable"],
+            "age ms": protection["age_ms"],
+        })
+    };
+    println!();
+    output::rows(&ranks.iter().map(line).collect::<Vec<Value>>(), format);
+}
--- a/crates/core/src/holder/protection.rs
+++ b/crates/core/src/holder/protection.rs
@@ -261,18 +261,14 @@
     /// Returns what is protected of a budget, for other daemons and operators; `None` if nothing
     /// is known of its use.
     pub fn protection_state(
-        &mut self,
+        &self,
         budget: &Name,
         terms: &ProtectionTerms,
         now: Millis,
     ) -> Option<ProtectionState> {
-        let account = self.accounts.get_mut(budget)?;
+        let account = self.accounts.get(budget)?;
         account.usage.age(now)?;
-        let state = account.state(terms, now)?;
-        if state.held_back_from.is_none() {
-            account.protection.refusing_since = None;
-        }
-        Some(state)
+        account.state(terms, now)
     }
 
     /// Records the tokens of the table row that the current outlook is based on.
@@ -292,7 +288,7 @@
         terms: &ProtectionTerms,
         now: Millis,
     ) -> Protected {
-        let since = *self.protection.refusing_since.get_or_insert(now);
+        let since = self.protection.record_refusal(now);
         let horizon_ms = (terms.horizon_s() * 1_000.0) as Millis;
         let remaining = horizon_ms.saturating_sub(now.saturating_sub(since));
         let fits = reachable >= demand.tokens;
--- a/crates/core/src/holder/protection/host.rs
+++ b/crates/core/src/holder/protection/host.rs
@@ -17,6 +17,10 @@
 /// it, each refused retry would cost a message to the owner.
 const REFUSAL_REUSE_MS: Millis = 1_000;
 
+/// Time in milliseconds without a refusal after which the next one begins a new row, for which an
+/// operator gets the whole horizon again.
+const MAX_REFUSAL_GAP_MS: Millis = 10_000;
+
 /// Time in milliseconds after an unanswered token request during which a daemon decides by itself,
 /// since each further attempt would wait for the same timeout.
 const NO_OWNER_MS: Millis = 1_000;
@@ -59,8 +63,8 @@
     refusals: BTreeMap<u32, CachedRefusal>,
     /// Time of the last token request that no owner answered.
     unanswered_at: Option<Millis>,
-    /// Time since which requests are refused for protection.
-    pub(super) refusing_since: Option<Millis>,
+    /// Times of the first and the last refusal in a row.
+    refused: Option<(Millis, Millis)>,
 }
 
 impl Account {
@@ -161,6 +165,12 @@
         }
     }
 
+    /// Returns the last answer of an owner about the protection of a budget, and its age.
+    pub fn last_protection(&self, budget: &Name, now: Millis) -> Option<(ProtectionState, Millis)> {
+        let (state, at) = self.accounts.get(budget)?.protection.state?;
+        Some((state, now.saturating_sub(at)))
+    }
+
     /// Records that no owner has answered a token request.
     pub fn record_no_owner(&mut self, budget: &Name, now: Millis) {
         let account = self.accounts.entry(budget.clone()).or_default();
@@ -186,6 +196,14 @@
 }
 
 impl ProtectionRecord {
+    /// Records a refusal and returns the time of the first one in a row.
+    pub(super) fn record_refusal(&mut self, now: Millis) -> Millis {
+        let in_row = self.refused.filter(|(_, last)| now < last + MAX_REFUSAL_GAP_MS);
+        let first = in_row.map_or(now, |(first, _)| first);
+        self.refused = Some((first, now));
+        first
+    }
+
     /// Returns the recent refusal that applies to a request: of the same or a more urgent rank,
     /// and of the same or a smaller size.
     fn cached_refusal(
--- a/crates/core/src/holder/usage.rs
+++ b/crates/core/src/holder/usage.rs
@@ -12,14 +12,16 @@
 /// for them.
 pub const MAX_REPORTED_RANKS: usize = 4;
 
-/// Ranks with fewer requests than this in the decaying sum are forgotten, so that the rate of a
-/// rank that comes back is measured anew.
+/// Ranks with fewer requests than this in the decaying sum are forgotten after [`MAX_GAP_MS`], so
+/// that the rate of a rank that comes back is measured anew.
 const MIN_COUNTED: f64 = 0.01;
 
-/// Time in milliseconds for which an owner remembers what a daemon has reported. Daemons whose
-/// token requests get no answer repeat their counts for this long at most before their share of
-/// the rates has decayed.
-const REPORTER_MEMORY_MS: Millis = 60_000;
+/// Time in milliseconds after the last report of a daemon until an owner forgets what it has counted
+/// of it. A daemon whose reports get no answer repeats them at least each second.
+const REPORTER_MEMORY_MS: Millis = 30_000;
+
+/// Time in milliseconds after which the next request of a rank counts as its first.
+const MAX_GAP_MS: Millis = 60_000;
 
 /// Requests of one rank, with the sums of their maximum costs and of the squares of these.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
@@ -85,12 +87,23 @@
 }
 
 /// What an owner has counted of one daemon's reports.
-#[derive(Debug, Clone, Default, Serialize)]
+#[derive(Debug, Clone, Default)]
 struct Reporter {
-    counted: BTreeMap<u32, RankCount>,
+    counted: Vec<RankCount>,
     at: Millis,
 }
 
+impl Reporter {
+    fn counted_of(&mut self, rank: u32) -> &mut RankCount {
+        let index = self.counted.iter().position(|count| count.rank == rank);
+        let index = index.unwrap_or_else(|| {
+            self.counted.push(RankCount { rank, ..RankCount::default() });
+            self.counted.len() - 1
+        });
+        &mut self.counted[index]
+    }
+}
+
 /// Requests on one budget: the rates of all that this daemon knows of, and the counts of its own.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Usage {
@@ -100,6 +113,7 @@
     answered: BTreeMap<u32, RankCount>,
     /// Time of the last answered report, or of the first request.
     answered_at: Option<Millis>,
+    #[serde(skip)]
     reporters: HashMap<Incarnation, Reporter>,
     reporters_pruned_at: Millis,
 }
@@ -152,7 +166,7 @@
         let mut new = Vec::new();
         for (index, total) in report.totals.iter().take(MAX_REPORTED_RANKS).enumerate() {
             let answered = report.answered.get(index).copied().unwrap_or_default();
-            let counted = reporter.counted.entry(total.rank).or_default();
+            let counted = reporter.counted_of(total.rank);
             let (known, span_ms) = if counted.requests > answered.requests {
                 (*counted, report.span_ms.min(heard_before_ms))
             } else {
@@ -168,9 +182,16 @@
         }
     }
 
-    /// Adds requests that came evenly during the last `span_ms`.
+    /// Adds requests that came evenly during the last `span_ms`. A single first one only begins
+    /// the measurement: counted, it would stand for a rate of one in four seconds.
     fn add(&mut self, count: RankCount, span_ms: Millis, now: Millis) {
-        self.rates.retain(|_, rates| rates.requests.sum(now) >= MIN_COUNTED);
+        self.rates.retain(|_, rates| {
+            rates.requests.sum(now) >= MIN_COUNTED || rates.requests.idle_ms(now) < MAX_GAP_MS
+        });
+        let is_first = !self.rates.contains_key(&count.rank);
+        let is_alone = is_first && count.requests == 1 && span_ms == 0;
+        let count =
+            if is_alone { RankCount { rank: count.rank, ..RankCount::default() } } else { count };
         let rates = self.rates.entry(count.rank).or_default();
         rates.requests.add_over(count.requests, span_ms, now);
         rates.tokens.add_over(count.tokens, span_ms, now);
@@ -203,7 +224,7 @@
     }
 
     /// Returns the time since the last count, in milliseconds; `None` before the first.
-    pub(super) fn age(&self, now: Millis) -> Option<Millis> {
+    pub fn age(&self, now: Millis) -> Option<Millis> {
         self.counted_at.map(|at| now.saturating_sub(at))
     }
 }
--- a/crates/core/tests/protection.rs
+++ b/crates/core/tests/protection.rs
@@ -203,6 +203,40 @@
     assert_eq!(report.totals[0].requests - report.answered[0].requests, 1);
 }
 
+/// Guards against many times the expected use protected after one request of a rarely used rank.
+#[test]
+fn a_single_request_does_not_make_a_rate() {
+    let mut holder = Holder::new(OWNER);
+    let amount = |holder: &Holder, now| {
+        holder.protected(&budget(), &demand(1, LARGE), &protection(60.0), now)
+    };
+    holder.count_request(&budget(), 0, URGENT, 0);
+    assert_eq!(amount(&holder, 0), 0);
+    // One in 30 s: two are expected, and one standard deviation.
+    for now in [30_000, 60_000, 90_000] {
+        holder.count_request(&budget(), 0, URGENT, now);
+        let mean =
+            (0..30_000).step_by(1_000).map(|after| amount(&holder, now + after)).sum::<Tokens>()
+                / 30;
+        assert!(mean < 4 * URGENT, "{mean} on average after the request at {now}");
+    }
+}
+
+/// Guards against a retry delay that grows with each refusal, or that is shorter than a budget
+/// without tokens names.
+#[test]
+fn a_refusal_names_the_rest_of_the_horizon() {
+    let mut holder = counted(LARGE, &[(0, URGENT)]);
+    let mut retry_after = |after_ms| {
+        let now = COUNTED_MS + after_ms;
+        let refused = holder.check_protection(&budget(), &demand(1, LARGE), &protection(60.0), now);
+        refused.expect_err("it is protected").retry_after_ms
+    };
+    assert_eq!([0, 5_000, 14_000].map(&mut retry_after), [60_000, 55_000, 46_000]);
+    assert_eq!(retry_after(24_000), 60_000);
+    assert_eq!([32_000, 40_000, 48_000, 56_000].map(&mut retry_after)[3], 30_000);
+}
+
 /// Guards against a new owner without a forecast.
 #[test]
 fn the_next_owner_learns_the_rates_from_the_next_report() {
--- a/crates/daemon/src/budget/protection.rs
+++ b/crates/daemon/src/budget/protection.rs
@@ -6,10 +6,11 @@
 
 use bankcove_core::Millis;
 use bankcove_core::holder::{
-    HostDecision, Protected, ProtectionState, RequestDemand, TokenRequest,
+    HostDecision, Protected, ProtectionState, RankProtection, RequestDemand, TokenRequest,
 };
 use bankcove_core::owner::{RETRY_LATER_MS, RETRY_SOON_MS};
 use bankcove_core::table::Budget;
+use serde_json::{Value, json};
 
 use crate::budget::budgets::{Budgets, LastShortDraw};
 use crate::budget::ownership::owners;
@@ -196,7 +197,7 @@
 }
 
 /// Returns what this daemon, as the owner or in a small fleet, protects of a budget.
-pub fn state(budgets: &Budgets, budget: &Budget) -> Option<ProtectionState> {
+fn state(budgets: &Budgets, budget: &Budget) -> Option<ProtectionState> {
     let now = budgets.fleet.base.clock.now();
     let terms = protection_terms(budgets, budget, now);
     if !terms.is_enabled() {
@@ -205,6 +206,39 @@
     budgets.holder().protection_state(&budget.name, &terms, now)
 }
 
+/// Returns what is protected of a budget, for operators: by this daemon's own decision, or by the
+/// last answer of the owner.
+pub fn report(budgets: &Budgets, budget: &Budget) -> Option<Value> {
+    let now = budgets.fleet.base.clock.now();
+    let is_owner_elsewhere = owners(budgets, budget).first().is_some_and(Option::is_some);
+    let (state, age_ms) = if is_owner_elsewhere {
+        budgets.holder().last_protection(&budget.name, now)?
+    } else {
+        (state(budgets, budget)?, 0)
+    };
+    let (forecast, forecast_age_ms) = {
+        let holder = budgets.holder();
+        let usage = holder.accounts().get(&budget.name).map(|account| &account.usage);
+        (usage.map(|usage| usage.forecasts(now)), usage.and_then(|usage| usage.age(now)))
+    };
+    let is_held_back = |amount: &RankProtection| {
+        state.held_back_from.is_some_and(|from| from <= amount.rank)
+            || state.reachable <= amount.tokens
+    };
+    let is_used = |amount: &&RankProtection| amount.tokens > 0;
+    let ranks = state.amounts.iter().filter(is_used).map(|amount| {
+        json!({
+            "from_rank": amount.rank, "protected": amount.tokens,
+            "held_back": is_held_back(amount),
+        })
+    });
+    Some(json!({
+        "reachable": state.reachable, "ranks": ranks.collect::<Vec<Value>>(), "age_ms": age_ms,
+        "decided_here": !is_owner_elsewhere, "counted_here": forecast,
+        "counted_age_ms": forecast_age_ms,
+    }))
+}
+
 /// Logs a refusal with the inputs of the decision and returns it. A request that would not fit
 /// either without protection is refused as it would be then.
 fn refuse(
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -16,6 +16,7 @@
 use crate::api::admission;
 use crate::auth::tokens_match;
 use crate::budget::draws::ask_owner;
+use crate::budget::protection;
 use crate::budget::statement::statement;
 use crate::daemon::Daemon;
 use crate::view::table_sync::{self, EditError};
@@ -149,7 +150,7 @@
     res.render(Json(json!({
         "name": name, "total": ledger.total(), "available": ledger.available(),
         "committed": ledger.committed(), "statement": statement, "ledger": ledger,
-        "held_here": held,
+        "held_here": held, "protection": protection::report(&daemon.budgets, &row),
     })));
 }
 
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -4,10 +4,11 @@
 use std::sync::Arc;
 
 use bankcove_core::holder::DaemonHolding;
+use bankcove_core::table::Budget;
 use bankcove_core::{Name, Tokens};
 use serde_json::{Value, json};
 
-use crate::budget::statement;
+use crate::budget::{protection, statement};
 use crate::daemon::Daemon;
 
 /// Returns a summary of the daemon's state and its peers.
@@ -48,6 +49,14 @@
         .collect();
     let held = |name: &String| statement::holding(&daemon.budgets, &Name::from(name.as_str()));
     let holdings: Vec<DaemonHolding> = free.keys().map(held).collect();
+    let protection: HashMap<String, Value> = {
+        let table = daemon.table.load_full();
+        let rows = table.iter().flat_map(|table| &table.budgets);
+        let used = rows.filter(|row| holder.accounts().contains_key(&row.name));
+        let report =
+            |row: &Budget| Some((row.name.to_string(), protection::report(&daemon.budgets, row)?));
+        used.filter_map(report).collect()
+    };
     let mut table = daemon.table.load().as_ref().map(|table| (**table).clone());
     if let Some(table) = &mut table {
         // A dump contains no hashes of keys either.
@@ -60,6 +69,7 @@
         "holder": holder,
         "free": free,
         "holdings": holdings,
+        "protection": protection,
         "owners": daemon.budgets.owner_tasks.dump().await,
         "request_log": daemon.billing.log_tasks.dump().await,
         "servers": servers,
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -48,6 +48,7 @@
     bad_entry_address = { "entry", serde_json::json!({"ready_listen": "here"}), "'here' is not an IP address and port" },
     bad_horizon = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "horizon_s": 0}), "entry.horizon_s" },
     bad_ratio = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "retry_ratio": -1}), "entry.retry_ratio" },
+    bad_protection = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "protect_horizon_s": -1}), "entry.protect_horizon_s" },
     adapter_without_entry = { "adapter", serde_json::json!("objects"), "setting 'entry'" },
     zero_limit = { "limits", serde_json::json!({"heartbeat_ms": 0}), "limits.heartbeat_ms" },
 )]
