--- a/crates/core/src/holder/protection.rs
+++ b/crates/core/src/holder/protection.rs
@@ -8,6 +8,8 @@
 
 mod host;
 
+use std::fmt;
+
 use serde::{Deserialize, Serialize};
 
 use crate::holder::usage::{MAX_REPORTED_RANKS, RankForecast, Usage, UsageReport};
@@ -79,7 +81,7 @@
 }
 
 /// What an owner tells other daemons about the protection of a budget.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ProtectionState {
     /// Most urgent rank that may not be admitted from tokens held, only by the owner.
     pub held_back_from: Option<u32>,
@@ -90,6 +92,19 @@
     pub amounts: [RankProtection; MAX_REPORTED_RANKS],
 }
 
+/// Without unused entries: each token request is logged with its answer.
+impl fmt::Debug for ProtectionState {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let used = self.amounts.iter().filter(|amount| amount.tokens > 0);
+        let amounts: Vec<(u32, Tokens)> = used.map(|amount| (amount.rank, amount.tokens)).collect();
+        f.debug_struct("Protection")
+            .field("held_back_from", &self.held_back_from)
+            .field("reachable", &self.reachable)
+            .field("amounts", &amounts)
+            .finish()
+    }
+}
+
 impl ProtectionState {
     /// Returns the tokens that requests of `rank` may not reserve.
     pub fn amount(&self, rank: u32) -> Tokens {
