--- a/crates/core/src/holder/protection/host.rs
+++ b/crates/core/src/holder/protection/host.rs
@@ -160,7 +160,9 @@
         let account = self.accounts.entry(request.budget.clone()).or_default();
         account.usage.record_answered(&request.usage, sent_at);
         account.protection.unanswered_at = None;
-        if let Some(state) = state {
+        // Answers may arrive in another order than they were requested.
+        let is_newer = account.protection.state.is_none_or(|(_, known_at)| sent_at >= known_at);
+        if let Some(state) = state.filter(|_| is_newer) {
             account.protection.state = Some((state, sent_at));
         }
     }
