--- a/crates/core/src/holder/protection.rs
+++ b/crates/core/src/holder/protection.rs
@@ -22,8 +22,8 @@
 /// Margin for the spread of the expected use, in standard deviations.
 const SAFETY_FACTOR: f64 = 1.0;
 
-/// Expected requests within the horizon below which nothing is protected for a rank: it has as
-/// good as stopped.
+/// Expected requests within the horizon below which nothing is protected for a rank: its requests
+/// have most likely stopped.
 const MIN_EXPECTED_REQUESTS: f64 = 1.0;
 
 /// Age in milliseconds above which the owner's answer no longer allows a daemon to spend held
--- a/crates/core/src/holder/protection/host.rs
+++ b/crates/core/src/holder/protection/host.rs
@@ -79,8 +79,9 @@
         self.recent_state(MAX_AMOUNTS_AGE_MS, now)?.held_back_from
     }
 
-    /// Returns the spending rate to prefetch for: without the ranks that need the owner's leave
-    /// for each request, whose tokens would be kept from the more urgent ones.
+    /// Returns the spending rate to prefetch for: without the ranks that are held back. The owner
+    /// decides on each of their requests, and tokens prefetched for them would be missing for the
+    /// more urgent ranks.
     pub(in crate::holder) fn rate_to_prefetch(&self, now: Millis) -> f64 {
         let own_rate = self.rate.per_second(now);
         match self.held_back_from(now) {
--- a/crates/core/tests/protection.rs
+++ b/crates/core/tests/protection.rs
@@ -269,7 +269,7 @@
     assert_eq!(want(Some(1)), 5_000);
 }
 
-/// Guards against a daemon that prefetches for requests which need the owner's leave anyway.
+/// Guards against a daemon that prefetches for requests on which the owner decides anyway.
 #[test]
 fn a_daemon_prefetches_only_for_ranks_that_are_not_held_back() {
     let mut host = Holder::new(HOST);
--- a/crates/core/tests/protection_replay.rs
+++ b/crates/core/tests/protection_replay.rs
@@ -42,6 +42,7 @@
 /// An owner, its successor, hosts, and the budget in the store.
 struct Fleet {
     horizon_s: f64,
+    ration_s: f64,
     now: Millis,
     row: Tokens,
     /// Tokens that the store has granted, to any owner.
@@ -59,6 +60,7 @@
     fn new(horizon_s: f64) -> Self {
         Fleet {
             horizon_s,
+            ration_s: 0.0,
             now: 0,
             row: ROW,
             granted: 0,
@@ -121,6 +123,7 @@
         owner.record_given_back(&at_owner, now);
         let checked = owner.check_token_request(&mut at_owner, &terms, now);
         let allotted = match checked {
+            Ok(()) if self.exceeds_ration(demand) => None,
             Ok(()) => {
                 let mut allotted = self.owners[self.owner].allot(&at_owner, now);
                 if let Err(short) = allotted
@@ -146,10 +149,20 @@
         allotted.is_some()
     }
 
+    /// Returns whether the owner refuses a request for exceeding its ration.
+    fn exceeds_ration(&self, demand: Option<RequestDemand>) -> bool {
+        let Some(demand) = demand.filter(|demand| demand.ration_s > 0.0) else { return false };
+        let owner = &self.owners[self.owner];
+        let protected = owner.protected(&budget(), &demand, &self.terms(), self.now);
+        let is_unavailable = self.store_unavailable;
+        let ration = owner.ration_beyond(&budget(), &demand, protected, is_unavailable, self.now);
+        demand.tokens > ration
+    }
+
     /// Runs a request at a host; returns whether it was served.
     fn request(&mut self, host: usize, rank: u32, tokens: Tokens) -> bool {
         let now = self.now;
-        let demand = RequestDemand { tokens, rank, ration_s: 0.0 };
+        let demand = RequestDemand { tokens, rank, ration_s: self.ration_s };
         let mut decision = HostDecision::Admit;
         if self.terms().is_enabled() {
             self.hosts[host].count_request(&budget(), rank, tokens, now);
@@ -236,6 +249,19 @@
     assert!(fleet.spent * 100 >= ROW * 99, "{} of {ROW} are spent", fleet.spent);
 }
 
+/// Guards against a ration of the protected tokens: it would hand them to less urgent requests, or
+/// refuse urgent ones early. The last ones before the end are rationed as without protection.
+#[test]
+fn urgent_requests_are_served_to_the_end_with_the_ration() {
+    let served = |horizon_s| {
+        let mut fleet = Fleet { ration_s: 0.9, ..Fleet::new(horizon_s) };
+        let [urgent, _] = fleet.run(65_000, BOTH);
+        urgent.served(0, 65_000)
+    };
+    let (without, with) = (served(0.0), served(HORIZON_S));
+    assert!(with > 0.99 && without < 0.9, "{with} with protection, {without} without");
+}
+
 /// Guards against tokens held back for requests that nobody sends.
 #[test]
 fn nothing_is_held_back_when_no_urgent_requests_come() {
--- a/crates/daemon/src/budget/reserve.rs
+++ b/crates/daemon/src/budget/reserve.rs
@@ -111,7 +111,7 @@
     let has_owners = !owners.is_empty();
     for owner in owners {
         let Some(owner) = owner else {
-            // Requests of this daemon get no more leave than those of others.
+            // The same decision as on the token requests of other daemons.
             demand.map_or(Ok(()), |demand| decide_as_owner(budgets, budget, demand))?;
             return draw(budgets, budget, need).await;
         };
