Protection: less memory for each budget; counts of idle budgets are forgotten

A daemon may have used all of 39,000 budgets. The state of the protection added 328 bytes to each account and three trees; it is a boxed list now, 8 bytes without protection, and is dropped 180 s after the last request.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -22,7 +22,7 @@
 pub use holdings::{BudgetHolding, Holdings, RunningAttempts};
 pub use prefetch::PrefetchScope;
 pub use protection::{
-    HostDecision, Protected, ProtectionRecord, ProtectionState, ProtectionTerms, RankProtection,
+    BudgetProtection, HostDecision, Protected, ProtectionState, ProtectionTerms, RankProtection,
 };
 pub use ration::{Outlook, RequestDemand};
 pub use statement::{DaemonHolding, Statement};
--- a/crates/core/src/holder/account.rs
+++ b/crates/core/src/holder/account.rs
@@ -7,10 +7,9 @@
 use crate::holder::draw::DrawTerms;
 use crate::holder::holdings::RunningAttempts;
 use crate::holder::prefetch::PrefetchScope;
-use crate::holder::protection::ProtectionRecord;
+use crate::holder::protection::BudgetProtection;
 use crate::holder::rate::Rate;
 use crate::holder::ration::Outlook;
-use crate::holder::usage::Usage;
 use crate::witness::Witness;
 use crate::{Incarnation, Millis, Tokens};
 
@@ -72,10 +71,9 @@
     pub(super) unmet: Tokens,
     /// Tokens of the table row that `outlook` is based on.
     pub(super) outlook_row: Option<Tokens>,
-    /// Requests by rank.
-    pub usage: Usage,
-    /// What is known about the protection of the budget.
-    pub(super) protection: ProtectionRecord,
+    /// What is known about the protection of the budget; none without protection, and after a time
+    /// without requests. Boxed, since a daemon may have 39,000 accounts.
+    pub(super) protection: Option<Box<BudgetProtection>>,
 }
 
 impl Account {
--- a/crates/core/src/holder/allot.rs
+++ b/crates/core/src/holder/allot.rs
@@ -143,7 +143,7 @@
             demand: None,
             want: need.saturating_add(ahead),
             rate: account.rate.per_second_with(need, now) as Tokens,
-            usage: account.usage.report(now),
+            usage: account.usage_report(now),
             held_back_from: account.held_back_from(now),
         }
     }
--- a/crates/core/src/holder/protection.rs
+++ b/crates/core/src/holder/protection.rs
@@ -17,7 +17,9 @@
 use crate::owner::RETRY_LATER_MS;
 use crate::{Millis, Name, Tokens};
 
-pub use host::{HostDecision, ProtectionRecord};
+use host::ProtectionRecord;
+
+pub use host::HostDecision;
 
 /// Margin for the spread of the expected use, in standard deviations.
 const SAFETY_FACTOR: f64 = 1.0;
@@ -31,6 +33,10 @@
 /// it sends a token request at least that often while it spends.
 pub(super) const MAX_ANSWER_AGE_MS: Millis = 2_000;
 
+/// Time in milliseconds without requests after which the counts of a budget are forgotten: all rates
+/// have decayed by then.
+const IDLE_MS: Millis = 180_000;
+
 /// What a decision on protection depends on besides the account.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct ProtectionTerms {
@@ -138,11 +144,32 @@
     pub forecast_age_ms: Option<Millis>,
 }
 
+/// What a daemon knows about the requests on a budget and their protection.
+#[derive(Debug, Clone, Default, Serialize)]
+pub struct BudgetProtection {
+    pub(super) usage: Usage,
+    record: ProtectionRecord,
+}
+
 impl Account {
+    fn usage(&self) -> Option<&Usage> {
+        self.protection.as_ref().map(|protection| &protection.usage)
+    }
+
+    fn protection_mut(&mut self) -> &mut BudgetProtection {
+        self.protection.get_or_insert_default()
+    }
+
+    /// Returns the counts for the next token request.
+    pub(super) fn usage_report(&self, now: Millis) -> UsageReport {
+        self.usage().map(|usage| usage.report(now)).unwrap_or_default()
+    }
+
     /// Returns the tokens that a request of this rank and cost may not reserve. Only ranks whose
     /// mean cost is at most that of the request count: a request that costs less than an urgent
     /// one displaces none.
     fn protected(&self, rank: u32, cost: f64, terms: &ProtectionTerms, now: Millis) -> Tokens {
+        let Some(usage) = self.usage() else { return 0 };
         let horizon_s = terms.horizon_s();
         let displaced =
             |forecast: &RankForecast| forecast.rank < rank && forecast.mean.round() <= cost;
@@ -153,7 +180,7 @@
             }
             expected * forecast.mean + SAFETY_FACTOR * (expected * forecast.mean_square).sqrt()
         };
-        self.usage.forecast(now).filter(displaced).map(amount).sum::<f64>() as Tokens
+        usage.forecast(now).filter(displaced).map(amount).sum::<f64>() as Tokens
     }
 
     /// Returns the tokens within reach: those held and, unless the store is unavailable, those
@@ -171,11 +198,12 @@
 
     /// Returns what is protected; `None` if it is not known what is left.
     fn state(&self, terms: &ProtectionTerms, now: Millis) -> Option<ProtectionState> {
+        let usage = self.usage()?;
         let reachable = self.reachable(terms)?;
         let mut state = ProtectionState { reachable, ..ProtectionState::default() };
         // The root mean square stands for the large requests of a rank with mixed ones.
         let usual = |forecast: RankForecast| (forecast.rank, forecast.mean_square.sqrt());
-        let mut ranks: Vec<(u32, f64)> = self.usage.forecast(now).map(usual).collect();
+        let mut ranks: Vec<(u32, f64)> = usage.forecast(now).map(usual).collect();
         ranks.truncate(MAX_REPORTED_RANKS);
         let Some((last, _)) = ranks.last().copied() else { return Some(state) };
         if ranks.len() == MAX_REPORTED_RANKS {
@@ -187,7 +215,7 @@
             state.amounts[index] = RankProtection { rank, tokens };
             // Other daemons spend for some time before they learn of this answer.
             let until_known_s = MAX_ANSWER_AGE_MS as f64 / 1_000.0;
-            let until_known = self.usage.token_rate_from(rank, now) * terms.daemons * until_known_s;
+            let until_known = usage.token_rate_from(rank, now) * terms.daemons * until_known_s;
             let is_held_back = (reachable as f64) < tokens as f64 + cost + until_known;
             if tokens > 0 && is_held_back && state.held_back_from.is_none() {
                 state.held_back_from = Some(rank);
@@ -204,12 +232,13 @@
 impl Holder {
     /// Counts a request for the forecast, whether it is admitted or not.
     pub fn count_request(&mut self, budget: &Name, rank: u32, tokens: Tokens, now: Millis) {
-        self.accounts.entry(budget.clone()).or_default().usage.count(rank, tokens, now);
+        let account = self.accounts.entry(budget.clone()).or_default();
+        account.protection_mut().usage.count(rank, tokens, now);
     }
 
     /// Returns the counts for the next token request.
     pub fn usage_report(&self, budget: &Name, now: Millis) -> UsageReport {
-        self.accounts.get(budget).map(|account| account.usage.report(now)).unwrap_or_default()
+        self.accounts.get(budget).map(|account| account.usage_report(now)).unwrap_or_default()
     }
 
     /// Returns the tokens that the request of a caller may not reserve.
@@ -261,7 +290,7 @@
         now: Millis,
     ) -> Result<(), Protected> {
         let account = self.accounts.entry(request.budget.clone()).or_default();
-        account.usage.record_report(request.holder, &request.usage, now);
+        account.protection_mut().usage.record_report(request.holder, &request.usage, now);
         let held_back_from = account.state(terms, now).and_then(|state| state.held_back_from);
         let is_known = |rank: u32| request.held_back_from.is_some_and(|known| known <= rank);
         if held_back_from.is_some_and(|rank| !is_known(rank)) {
@@ -282,10 +311,31 @@
         now: Millis,
     ) -> Option<ProtectionState> {
         let account = self.accounts.get(budget)?;
-        account.usage.age(now)?;
+        account.usage()?.age(now)?;
         account.state(terms, now)
     }
 
+    /// Returns the forecast of each rank from the counts known here, the most urgent first.
+    pub fn forecast(&self, budget: &Name, now: Millis) -> Vec<RankForecast> {
+        let usage = self.accounts.get(budget).and_then(Account::usage);
+        usage.map(|usage| usage.forecast(now).collect()).unwrap_or_default()
+    }
+
+    /// Returns the time since the last count, in milliseconds; `None` before the first.
+    pub fn forecast_age(&self, budget: &Name, now: Millis) -> Option<Millis> {
+        self.accounts.get(budget)?.usage()?.age(now)
+    }
+
+    /// Forgets the counts of budgets that have had no requests for some time.
+    pub fn forget_idle_usage(&mut self, now: Millis) {
+        for account in self.accounts.values_mut() {
+            let age = account.usage().and_then(|usage| usage.age(now));
+            if age.is_some_and(|age| age >= IDLE_MS) {
+                account.protection = None;
+            }
+        }
+    }
+
     /// Records the tokens of the table row that the current outlook is based on.
     pub fn record_outlook_row(&mut self, budget: &Name, row_tokens: Tokens) {
         self.accounts.entry(budget.clone()).or_default().outlook_row = Some(row_tokens);
@@ -303,28 +353,18 @@
         terms: &ProtectionTerms,
         now: Millis,
     ) -> Protected {
-        let since = self.protection.record_refusal(now);
+        let since = self.protection_mut().record.record_refusal(now);
         let horizon_ms = (terms.horizon_s() * 1_000.0) as Millis;
         let remaining = horizon_ms.saturating_sub(now.saturating_sub(since));
         let fits = reachable >= demand.tokens;
+        let forecast = self.usage().into_iter().flat_map(|usage| usage.forecast(now));
         Protected {
             reachable,
             protected,
             fits,
             retry_after_ms: if fits { remaining.max(RETRY_LATER_MS) } else { RETRY_LATER_MS },
-            forecast: self
-                .usage
-                .forecast(now)
-                .filter(|forecast| forecast.rank < demand.rank)
-                .collect(),
-            forecast_age_ms: self.usage.age(now),
+            forecast: forecast.filter(|forecast| forecast.rank < demand.rank).collect(),
+            forecast_age_ms: self.usage().and_then(|usage| usage.age(now)),
         }
     }
 }
-
-impl Usage {
-    /// Returns the forecasts of all ranks.
-    pub fn forecasts(&self, now: Millis) -> Vec<RankForecast> {
-        self.forecast(now).collect()
-    }
-}
--- a/crates/core/src/holder/protection/host.rs
+++ b/crates/core/src/holder/protection/host.rs
@@ -56,7 +56,7 @@
 
 /// What a daemon knows about the protection of one budget.
 #[derive(Debug, Clone, Default, Serialize)]
-pub struct ProtectionRecord {
+pub(super) struct ProtectionRecord {
     /// The last answer of an owner, and the time at which it was requested.
     state: Option<(ProtectionState, Millis)>,
     /// Refusals by rank.
@@ -70,7 +70,7 @@
 impl Account {
     /// Returns the last answer of an owner if it is not older than `max_age`.
     fn recent_state(&self, max_age: Millis, now: Millis) -> Option<ProtectionState> {
-        let (state, at) = self.protection.state?;
+        let (state, at) = self.protection.as_ref()?.record.state?;
         (now.saturating_sub(at) <= max_age).then_some(state)
     }
 
@@ -85,7 +85,10 @@
     pub(in crate::holder) fn rate_to_prefetch(&self, now: Millis) -> f64 {
         let own_rate = self.rate.per_second(now);
         match self.held_back_from(now) {
-            Some(rank) => own_rate.min(self.usage.token_rate_above(rank, now)),
+            Some(rank) => {
+                let usage = self.usage();
+                own_rate.min(usage.map_or(0.0, |usage| usage.token_rate_above(rank, now)))
+            }
             None => own_rate,
         }
     }
@@ -102,11 +105,13 @@
         now: Millis,
     ) -> HostDecision {
         let Some(account) = self.accounts.get(budget) else { return HostDecision::Admit };
-        if let Some(refusal) = account.protection.cached_refusal(demand, terms, now) {
+        let Some(protection) = &account.protection else { return HostDecision::Admit };
+        let record = &protection.record;
+        if let Some(refusal) = record.cached_refusal(demand, terms, now) {
             let CachedRefusal { protected, retry_after_ms, .. } = refusal;
             return HostDecision::Refuse { protected, retry_after_ms };
         }
-        let needs_owner = match account.protection.state {
+        let needs_owner = match record.state {
             Some((state, at)) if now.saturating_sub(at) <= MAX_ANSWER_AGE_MS => {
                 state.holds_back(demand.rank)
             }
@@ -116,7 +121,7 @@
         if !needs_owner {
             return HostDecision::Admit;
         }
-        let unanswered_at = account.protection.unanswered_at;
+        let unanswered_at = record.unanswered_at;
         if unanswered_at.is_some_and(|at| now < at + NO_OWNER_MS) {
             return HostDecision::Alone;
         }
@@ -159,25 +164,30 @@
         sent_at: Millis,
     ) {
         let account = self.accounts.entry(request.budget.clone()).or_default();
-        account.usage.record_answered(&request.usage, sent_at);
-        account.protection.unanswered_at = None;
+        if account.protection.is_none() && state.is_none() {
+            return;
+        }
+        let protection = account.protection_mut();
+        protection.usage.record_answered(&request.usage, sent_at);
+        let record = &mut protection.record;
+        record.unanswered_at = None;
         // Answers may arrive in another order than they were requested.
-        let is_newer = account.protection.state.is_none_or(|(_, known_at)| sent_at >= known_at);
+        let is_newer = record.state.is_none_or(|(_, known_at)| sent_at >= known_at);
         if let Some(state) = state.filter(|_| is_newer) {
-            account.protection.state = Some((state, sent_at));
+            record.state = Some((state, sent_at));
         }
     }
 
     /// Returns the last answer of an owner about the protection of a budget, and its age.
     pub fn last_protection(&self, budget: &Name, now: Millis) -> Option<(ProtectionState, Millis)> {
-        let (state, at) = self.accounts.get(budget)?.protection.state?;
+        let (state, at) = self.accounts.get(budget)?.protection.as_ref()?.record.state?;
         Some((state, now.saturating_sub(at)))
     }
 
     /// Records that no owner has answered a token request.
     pub fn record_no_owner(&mut self, budget: &Name, now: Millis) {
         let account = self.accounts.entry(budget.clone()).or_default();
-        account.protection.unanswered_at = Some(now);
+        account.protection_mut().record.unanswered_at = Some(now);
     }
 
     /// Records that an owner has refused a request for protection.
@@ -194,7 +204,7 @@
         let row = (terms.row_tokens, terms.row_version);
         let refusal =
             CachedRefusal { tokens: demand.tokens, protected, retry_after_ms, at: now, row };
-        account.protection.refusals.insert(demand.rank, refusal);
+        account.protection_mut().record.refusals.insert(demand.rank, refusal);
     }
 }
 
--- a/crates/core/src/holder/usage.rs
+++ b/crates/core/src/holder/usage.rs
@@ -1,7 +1,7 @@
 //! What requests of each rank ask of a budget: counts that daemons report to the budget's owner,
 //! and the rates that follow from them.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::HashMap;
 
 use serde::{Deserialize, Serialize};
 
@@ -81,11 +81,20 @@
 /// Decaying rates of the requests of one rank.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 struct RankRates {
+    rank: u32,
     requests: Rate,
     tokens: Rate,
     squares: Rate,
 }
 
+/// This daemon's own requests of one rank.
+#[derive(Debug, Clone, Copy, Default, Serialize)]
+struct OwnCount {
+    total: RankCount,
+    /// The total at the last answered report.
+    answered: RankCount,
+}
+
 /// What an owner has counted of one daemon's reports.
 #[derive(Debug, Clone, Default)]
 struct Reporter {
@@ -107,10 +116,10 @@
 /// Requests on one budget: the rates of all that this daemon knows of, and the counts of its own.
 #[derive(Debug, Clone, Default, Serialize)]
 pub struct Usage {
-    rates: BTreeMap<u32, RankRates>,
+    /// In ascending order of ranks, as the counts.
+    rates: Vec<RankRates>,
     counted_at: Option<Millis>,
-    own: BTreeMap<u32, RankCount>,
-    answered: BTreeMap<u32, RankCount>,
+    own: Vec<OwnCount>,
     /// Time of the last answered report, or of the first request.
     answered_at: Option<Millis>,
     #[serde(skip)]
@@ -121,8 +130,14 @@
 impl Usage {
     /// Counts a request of this daemon, whether it is admitted or not.
     pub(super) fn count(&mut self, rank: u32, tokens: Tokens, now: Millis) {
-        let own = self.own.entry(rank).or_insert(RankCount { rank, ..RankCount::default() });
-        own.add(tokens);
+        let new = RankCount { rank, ..RankCount::default() };
+        let own = entry(
+            &mut self.own,
+            rank,
+            |own| own.total.rank,
+            || OwnCount { total: new, answered: new },
+        );
+        own.total.add(tokens);
         self.answered_at.get_or_insert(now);
         let mut one = RankCount { rank, ..RankCount::default() };
         one.add(tokens);
@@ -131,11 +146,9 @@
 
     /// Returns the report for the next token request.
     pub(super) fn report(&self, now: Millis) -> UsageReport {
-        let answered = |rank| self.answered.get(&rank).copied().unwrap_or_default();
-        let is_new = |own: &&RankCount| own.requests > answered(own.rank).requests;
-        let totals: Vec<RankCount> =
-            self.own.values().filter(is_new).take(MAX_REPORTED_RANKS).copied().collect();
-        let answered = totals.iter().map(|own| answered(own.rank)).collect();
+        let new = self.own.iter().filter(|own| own.total.requests > own.answered.requests);
+        let new = new.take(MAX_REPORTED_RANKS);
+        let (totals, answered) = new.map(|own| (own.total, own.answered)).unzip();
         let span_ms = now.saturating_sub(self.answered_at.unwrap_or(now));
         UsageReport { totals, answered, span_ms }
     }
@@ -143,9 +156,9 @@
     /// Records that an owner has answered the report that was sent at `sent_at`.
     pub(super) fn record_answered(&mut self, report: &UsageReport, sent_at: Millis) {
         for total in &report.totals {
-            let known = self.answered.entry(total.rank).or_default();
-            if total.requests > known.requests {
-                *known = *total;
+            let own = self.own.iter_mut().find(|own| own.total.rank == total.rank);
+            if let Some(own) = own.filter(|own| total.requests > own.answered.requests) {
+                own.answered = *total;
             }
         }
         self.answered_at = self.answered_at.max(Some(sent_at));
@@ -162,6 +175,10 @@
         }
         let reporter = self.reporters.entry(from).or_default();
         let heard_before_ms = now.saturating_sub(reporter.at);
+        if heard_before_ms >= REPORTER_MEMORY_MS {
+            // The daemon may have forgotten its counts in the meantime.
+            reporter.counted.clear();
+        }
         reporter.at = now;
         let mut new = Vec::new();
         for (index, total) in report.totals.iter().take(MAX_REPORTED_RANKS).enumerate() {
@@ -185,14 +202,15 @@
     /// Adds requests that came evenly during the last `span_ms`. A single first one only begins
     /// the measurement: counted, it would stand for a rate of one in four seconds.
     fn add(&mut self, count: RankCount, span_ms: Millis, now: Millis) {
-        self.rates.retain(|_, rates| {
+        self.rates.retain(|rates| {
             rates.requests.sum(now) >= MIN_COUNTED || rates.requests.idle_ms(now) < MAX_GAP_MS
         });
-        let is_first = !self.rates.contains_key(&count.rank);
+        let is_first = !self.rates.iter().any(|rates| rates.rank == count.rank);
         let is_alone = is_first && count.requests == 1 && span_ms == 0;
         let count =
             if is_alone { RankCount { rank: count.rank, ..RankCount::default() } } else { count };
-        let rates = self.rates.entry(count.rank).or_default();
+        let new = || RankRates { rank: count.rank, ..RankRates::default() };
+        let rates = entry(&mut self.rates, count.rank, |rates| rates.rank, new);
         rates.requests.add_over(count.requests, span_ms, now);
         rates.tokens.add_over(count.tokens, span_ms, now);
         rates.squares.add_over(count.squares, span_ms, now);
@@ -201,10 +219,10 @@
 
     /// Returns the forecast of each rank, the most urgent first.
     pub(super) fn forecast(&self, now: Millis) -> impl Iterator<Item = RankForecast> {
-        self.rates.iter().filter_map(move |(rank, rates)| {
+        self.rates.iter().filter_map(move |rates| {
             let requests_per_s = rates.requests.per_second(now);
             (requests_per_s > 0.0).then(|| RankForecast {
-                rank: *rank,
+                rank: rates.rank,
                 requests_per_s,
                 mean: rates.tokens.per_second(now) / requests_per_s,
                 mean_square: rates.squares.per_second(now) / requests_per_s,
@@ -215,12 +233,17 @@
     /// Returns the rate at which requests of ranks more urgent than `rank` ask for tokens, per
     /// second.
     pub(super) fn token_rate_above(&self, rank: u32, now: Millis) -> f64 {
-        self.rates.range(..rank).map(|(_, rates)| rates.tokens.per_second(now)).sum()
+        self.sum_tokens(|known| known < rank, now)
     }
 
     /// Returns the rate at which requests of `rank` and of less urgent ones ask for tokens.
     pub(super) fn token_rate_from(&self, rank: u32, now: Millis) -> f64 {
-        self.rates.range(rank..).map(|(_, rates)| rates.tokens.per_second(now)).sum()
+        self.sum_tokens(|known| known >= rank, now)
+    }
+
+    fn sum_tokens(&self, includes: impl Fn(u32) -> bool, now: Millis) -> f64 {
+        let included = self.rates.iter().filter(|rates| includes(rates.rank));
+        included.map(|rates| rates.tokens.per_second(now)).sum()
     }
 
     /// Returns the time since the last count, in milliseconds; `None` before the first.
@@ -228,3 +251,20 @@
         self.counted_at.map(|at| now.saturating_sub(at))
     }
 }
+
+/// Returns the entry of `rank` in a list in ascending order of ranks; adds it if there is none.
+fn entry<T>(
+    list: &mut Vec<T>,
+    rank: u32,
+    rank_of: impl Fn(&T) -> u32,
+    new: impl FnOnce() -> T,
+) -> &mut T {
+    let index = match list.binary_search_by_key(&rank, rank_of) {
+        Ok(index) => index,
+        Err(index) => {
+            list.insert(index, new());
+            index
+        }
+    };
+    &mut list[index]
+}
--- a/crates/daemon/src/budget/protection.rs
+++ b/crates/daemon/src/budget/protection.rs
@@ -218,8 +218,7 @@
     };
     let (forecast, forecast_age_ms) = {
         let holder = budgets.holder();
-        let usage = holder.accounts().get(&budget.name).map(|account| &account.usage);
-        (usage.map(|usage| usage.forecasts(now)), usage.and_then(|usage| usage.age(now)))
+        (holder.forecast(&budget.name, now), holder.forecast_age(&budget.name, now))
     };
     let is_held_back = |amount: &RankProtection| {
         state.held_back_from.is_some_and(|from| from <= amount.rank)
--- a/crates/daemon/src/budget/rebalance.rs
+++ b/crates/daemon/src/budget/rebalance.rs
@@ -34,6 +34,7 @@
             () = budgets.fleet.base.shutdown.cancelled() => return,
         }
         log_holdings(&budgets);
+        budgets.holder().forget_idle_usage(budgets.fleet.base.clock.now());
         let Some(table) = budgets.table.load_full() else { continue };
         let draws = table.budgets.iter().any(|budget| draws_itself(&budgets, budget));
         if budgets.leaving.is_cancelled() && draws && !is_store_reachable(&budgets).await {
