--- a/crates/core/src/holder/account.rs
+++ b/crates/core/src/holder/account.rs
@@ -7,6 +7,7 @@
 use crate::holder::draw::DrawTerms;
 use crate::holder::holdings::RunningAttempts;
 use crate::holder::prefetch::PrefetchScope;
+use crate::holder::protection::BudgetProtection;
 use crate::holder::rate::Rate;
 use crate::holder::ration::Outlook;
 use crate::witness::Witness;
@@ -68,6 +69,11 @@
     pub(super) kept_for_needs: Tokens,
     /// Tokens that other daemons requested ahead since the last draw and did not receive.
     pub(super) unmet: Tokens,
+    /// Tokens of the table row that `outlook` is based on.
+    pub(super) outlook_row: Option<Tokens>,
+    /// What is known about the protection of the budget; none without protection, and after a time
+    /// without requests. Boxed, since a daemon may have 39,000 accounts.
+    pub(super) protection: Option<Box<BudgetProtection>>,
 }
 
 impl Account {
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -61,6 +61,10 @@
     /// the window; the window doubles with each lower rank. 0 disables rationing.
     #[serde(default = "default_ration_s")]
     pub ration_s: f64,
+    /// How long the last tokens of a budget are kept for more urgent requests, in seconds of their
+    /// expected use: the time that an operator needs to raise the budget. 0 keeps none.
+    #[serde(default)]
+    pub protect_horizon_s: f64,
     /// Whether operators evacuate halls through the platform. If so, the daemon watches the
     /// platform's list of evacuated halls and requires it to be recent.
     #[serde(default)]
@@ -150,6 +154,7 @@
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
             ration_s: default_ration_s(),
+            protect_horizon_s: 0.0,
             follow_evacuations: true,
             rollout_fraction: Some(0.1),
             place_queue: 64,
@@ -248,6 +253,8 @@
             "use for example 64, or 0 to let none wait",
         );
         check(!is_usable(self.ration_s), "entry.ration_s", negative, "use for example 0.9");
+        let horizon = self.protect_horizon_s;
+        check(!is_usable(horizon), "entry.protect_horizon_s", negative, "use for example 60");
         check(
             !(0.0..=1.0).contains(&self.held_ahead),
             "entry.held_ahead",
