--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -254,7 +254,7 @@
         );
         check(!is_usable(self.ration_s), "entry.ration_s", negative, "use for example 0.9");
         let horizon = self.protect_horizon_s;
-        check(!is_usable(horizon), "entry.protect_horizon_s", negative, "use for example 60");
+        check(!is_usable(horizon), "entry.protect_horizon_s", negative, "use for example 30");
         check(
             !(0.0..=1.0).contains(&self.held_ahead),
             "entry.held_ahead",
