Freshness: a view may be older than the daemon

Cause: times before a daemon's start were cut off at 0.

Change: times of events are signed. Ruled out: the order of recording and adopting a read.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -18,12 +18,29 @@
     if received_at.saturating_sub(asked_at) > longest_ms { asked_at } else { received_at }
 }
 
+/// Time of an event, which may have happened before this daemon started at 0. If it could not, a
+/// daemon that has just started would take an old view of a peer for a recent one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
+pub struct EventTime(i64);
+
+impl EventTime {
+    /// Returns the time of an event that happened `age` before `now`.
+    pub fn before(now: Millis, age: Millis) -> Self {
+        EventTime(now as i64 - age as i64)
+    }
+
+    /// Returns the time since the event, in milliseconds; 0 if it is yet to come.
+    pub fn age(self, now: Millis) -> Millis {
+        (now as i64 - self.0).max(0) as Millis
+    }
+}
+
 /// Times up to which the table and the lists are known to be complete.
 #[derive(Debug, Clone, Copy, Default, Serialize)]
 pub struct Freshness {
-    table_at: Option<Millis>,
-    servers_at: Option<Millis>,
-    halls_at: Option<Millis>,
+    table_at: Option<EventTime>,
+    servers_at: Option<EventTime>,
+    halls_at: Option<EventTime>,
     follows_halls: bool,
 }
 
@@ -36,26 +53,26 @@
 
     /// Records that the table was read from the store as of `at`.
     pub fn record_table_read(&mut self, at: Millis) {
-        self.table_at = self.table_at.max(Some(at));
+        self.table_at = self.table_at.max(Some(EventTime::before(at, 0)));
     }
 
     /// Records that the server list was read from the store as of `at`.
     pub fn record_servers_read(&mut self, at: Millis) {
-        self.servers_at = self.servers_at.max(Some(at));
+        self.servers_at = self.servers_at.max(Some(EventTime::before(at, 0)));
     }
 
     /// Records that the list of evacuated halls was read from the store as of `at`.
     pub fn record_halls_read(&mut self, at: Millis) {
-        self.halls_at = self.halls_at.max(Some(at));
+        self.halls_at = self.halls_at.max(Some(EventTime::before(at, 0)));
     }
 
     /// Records that this daemon has all versions of a peer which, asked at `asked_at`, reported
     /// a view of this `age`.
     pub fn record_peer_sync(&mut self, asked_at: Millis, age: Millis) {
-        let at = asked_at.saturating_sub(age);
-        self.record_table_read(at);
-        self.record_servers_read(at);
-        self.record_halls_read(at);
+        let at = Some(EventTime::before(asked_at, age));
+        self.table_at = self.table_at.max(at);
+        self.servers_at = self.servers_at.max(at);
+        self.halls_at = self.halls_at.max(at);
     }
 
     /// Returns the age of the oldest part of the view; none before all parts were received.
@@ -64,7 +81,7 @@
         if self.follows_halls {
             at = at.min(self.halls_at?);
         }
-        Some(now.saturating_sub(at))
+        Some(at.age(now))
     }
 
     /// Returns whether the view may be older than `limit`; true before all parts were received.
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -32,3 +32,13 @@
     assert!(!view.is_older_than(100, 110));
     assert!(view.is_older_than(100, 111));
 }
+
+/// Guards against a daemon that has just started and takes a peer's old view for one as recent as
+/// its own start. It told others that age, who then waited for news that they should have read.
+#[test]
+fn a_view_may_be_older_than_the_daemon() {
+    let mut view = Freshness::new(true);
+    view.record_peer_sync(4, 2_528);
+    assert_eq!(view.age(42), Some(2_566));
+    assert!(view.is_older_than(2_500, 42));
+}
--- a/crates/daemon/src/fleet/connectivity.rs
+++ b/crates/daemon/src/fleet/connectivity.rs
@@ -6,7 +6,7 @@
 use std::collections::VecDeque;
 
 use bankcove_core::Millis;
-use bankcove_core::freshness::Freshness;
+use bankcove_core::freshness::{EventTime, Freshness};
 use parking_lot::Mutex;
 
 /// Number of heartbeats whose outcome is remembered.
@@ -25,7 +25,7 @@
 
 #[derive(Debug, Default)]
 struct State {
-    store_answered_at: Option<Millis>,
+    store_answered_at: Option<EventTime>,
     marked_unavailable: bool,
     store_paused_until: Millis,
     heartbeats: VecDeque<bool>,
@@ -58,7 +58,7 @@
     /// Records that the store answered.
     pub fn record_store_answer(&self, now: Millis) {
         let mut state = self.state.lock();
-        state.store_answered_at = Some(now);
+        state.store_answered_at = Some(EventTime::before(now, 0));
         state.marked_unavailable = false;
         state.store_paused_until = 0;
     }
@@ -136,7 +136,7 @@
     /// Records that the store answered a peer, or a daemon that the peer is in contact with, this
     /// `age` before `now`.
     pub fn record_peer_store_age(&self, now: Millis, age: Option<Millis>) {
-        let Some(answered_at) = age.map(|age| now.saturating_sub(age)) else { return };
+        let Some(answered_at) = age.map(|age| EventTime::before(now, age)) else { return };
         let mut state = self.state.lock();
         state.store_answered_at = state.store_answered_at.max(Some(answered_at));
     }
@@ -144,7 +144,7 @@
     /// Returns the time since the store last answered this daemon or a peer that it is in contact
     /// with, in milliseconds.
     pub fn store_age(&self, now: Millis) -> Option<Millis> {
-        self.state.lock().store_answered_at.map(|at| now.saturating_sub(at))
+        self.state.lock().store_answered_at.map(|at| at.age(now))
     }
 
     /// Records whether a heartbeat was answered. Returns whether this is the first answer after
@@ -169,8 +169,7 @@
     /// heartbeats were not answered, or too few were sent.
     pub fn is_isolated(&self, now: Millis, limit: Millis) -> bool {
         let state = self.state.lock();
-        let is_store_recent =
-            state.store_answered_at.is_some_and(|at| now.saturating_sub(at) <= limit);
+        let is_store_recent = state.store_answered_at.is_some_and(|at| at.age(now) <= limit);
         if is_store_recent {
             return false;
         }
