--- a/crates/core/src/router/search.rs
+++ b/crates/core/src/router/search.rs
@@ -69,9 +69,10 @@
     }
 
     /// Returns a server with room where the first event of the request is expected sooner than at
-    /// `chosen`, if there is one. A server that holds the prompt's prefix is kept unless the
-    /// wait exceeds the reading of the shared part elsewhere by [`AFFINITY_FACTOR`]. In a pool of equal servers only a late one
-    /// is left: there, taking the least expected time always lost 8 % of the replay's prefix hits.
+    /// `chosen`, if there is one. A server that holds the prompt's prefix is kept unless the wait
+    /// exceeds the reading of the shared part elsewhere by [`AFFINITY_FACTOR`]. In a pool of equal
+    /// servers only a late one is left: there, taking the least expected time always lost 8 % of
+    /// the replay's prefix hits.
     pub(super) fn sooner(
         &self,
         chosen: &'a ServerView,
