Freshness: an unchanged watch counts as of the end of the store's wait

Change: without changes it counts as of the end of the wait at most. Test: a_response_without_changes_is_no_newer_than_the_wait_of_the_store.

--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -18,6 +18,19 @@
     if received_at.saturating_sub(asked_at) > longest_ms { asked_at } else { received_at }
 }
 
+/// Returns the time as of which the response to a watch counts as current if it reports no change
+/// after `wait_ms`, the time for which the store was asked to wait: the store gave it no later than
+/// that. A response that was delayed on its way counted as new, and a server that had said that it
+/// leaves got a request 3.1 s later.
+pub fn unchanged_since(
+    asked_at: Millis,
+    received_at: Millis,
+    wait_ms: Millis,
+    longest_ms: Millis,
+) -> Millis {
+    answer_time(asked_at, received_at, longest_ms).min(asked_at + wait_ms)
+}
+
 /// Time of an event, which may have happened before this daemon started at 0. If it could not, a
 /// daemon that has just started would take an old view of a peer for a recent one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize)]
--- a/crates/core/tests/freshness.rs
+++ b/crates/core/tests/freshness.rs
@@ -1,6 +1,6 @@
 //! Age of a daemon's view, read from the store or received from peers.
 
-use bankcove_core::freshness::Freshness;
+use bankcove_core::freshness::{Freshness, unchanged_since};
 
 #[test]
 fn the_age_of_a_view_is_that_of_its_oldest_part() {
@@ -42,3 +42,14 @@
     assert_eq!(view.age(42), Some(2_566));
     assert!(view.is_older_than(2_500, 42));
 }
+
+/// Guards against a response without changes that was delayed on its way and counted as new: a
+/// change that the store accepted meanwhile was not noticed for 3.1 s.
+#[test]
+fn a_response_without_changes_is_no_newer_than_the_wait_of_the_store() {
+    let (wait_ms, longest_ms) = (1_500, 2_500);
+    assert_eq!(unchanged_since(1_000, 2_504, wait_ms, longest_ms), 2_500);
+    assert_eq!(unchanged_since(1_000, 3_400, wait_ms, longest_ms), 2_500, "delayed by 0.9 s");
+    assert_eq!(unchanged_since(1_000, 1_200, wait_ms, longest_ms), 1_200, "answered early");
+    assert_eq!(unchanged_since(1_000, 60_000, wait_ms, longest_ms), 1_000, "after a suspension");
+}
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -12,7 +12,7 @@
 use std::time::Duration;
 
 use bankcove_core::Millis;
-use bankcove_core::freshness::answer_time;
+use bankcove_core::freshness::{answer_time, unchanged_since};
 use bankcove_core::members::{FleetSize, Members};
 use bankcove_core::store_read_policy::{STALE_VIEW_MS, StoreReadPolicy};
 
@@ -88,9 +88,14 @@
     }
 
     /// Returns the time as of which the response to a watch, which has just arrived, counts as
-    /// current; see [`answer_time`].
-    pub fn watch_answer_time(&self, asked_at: Millis) -> Millis {
-        answer_time(asked_at, self.base.clock.now(), WATCH_ANSWER_TIMEOUT_MS)
+    /// current; see [`answer_time`] and [`unchanged_since`].
+    pub fn watch_answer_time(&self, asked_at: Millis, has_changes: bool) -> Millis {
+        let now = self.base.clock.now();
+        if has_changes {
+            return answer_time(asked_at, now, WATCH_ANSWER_TIMEOUT_MS);
+        }
+        let wait_ms = WATCH_TIMEOUT.as_millis() as Millis;
+        unchanged_since(asked_at, now, wait_ms, WATCH_ANSWER_TIMEOUT_MS)
     }
 
     /// Returns the number of daemons in the fleet, by the platform's list; `None` while the list
--- a/crates/daemon/src/view/hall_sync.rs
+++ b/crates/daemon/src/view/hall_sync.rs
@@ -49,7 +49,9 @@
 fn apply_changes(view: &Arc<View>, asked_at: Millis, changes: HallChanges) {
     let now = view.fleet.base.clock.now();
     let was_current = view.fleet.is_current();
-    view.fleet.connectivity.record_halls_read(view.fleet.watch_answer_time(asked_at));
+    let has_changes =
+        changes.whole || !changes.evacuated.is_empty() || !changes.reopened.is_empty();
+    view.fleet.connectivity.record_halls_read(view.fleet.watch_answer_time(asked_at, has_changes));
     view.unreadable.log_new(&view.fleet.base.log, "evacuations", &changes.unreadable);
     let is_changed = view.halls.lock().apply(now, changes);
     if is_changed {
--- a/crates/daemon/src/view/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -91,7 +91,9 @@
 ) -> bool {
     let now = view.fleet.base.clock.now();
     let was_current = view.fleet.is_current();
-    view.fleet.connectivity.record_servers_read(view.fleet.watch_answer_time(asked_at));
+    let has_changes = changes.whole || !changes.put.is_empty() || !changes.gone.is_empty();
+    let read_at = view.fleet.watch_answer_time(asked_at, has_changes);
+    view.fleet.connectivity.record_servers_read(read_at);
     view.fleet.announce_if_current_again(was_current);
     view.unreadable.log_new(&view.fleet.base.log, "servers", &changes.unreadable);
     let mut list = view.servers.lock();
--- a/crates/daemon/src/view/table_sync.rs
+++ b/crates/daemon/src/view/table_sync.rs
@@ -75,7 +75,8 @@
         match watched {
             Ok(watched) => {
                 let was_current = view.fleet.is_current();
-                view.fleet.connectivity.record_table_read(view.fleet.watch_answer_time(asked_at));
+                let read_at = view.fleet.watch_answer_time(asked_at, watched.changed.is_some());
+                view.fleet.connectivity.record_table_read(read_at);
                 view.fleet.announce_if_current_again(was_current);
                 let is_missing = watched.version == 0 && watched.changed.is_none();
                 at = watched.version;
