Paths: probes and log lines that tell a lost path from failing servers

Servers of one pool in one hall form a group. A failed connection, a broken one or silence of 400 ms of a whole group has up to three of its servers probed; nothing is probed while nothing is wrong. When no probe connects the path counts as lost, which is logged, counted and dumped. Nothing else acts on it yet, so what callers get does not change.

entry.source_ip sets the address from which servers are called, as proxies on hosts with several addresses have it; tests tell hosts apart by it.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod name;
 pub mod outage;
 pub mod owner;
+pub mod paths;
 pub mod places;
 pub mod request_log;
 pub mod retry_budget;
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -14,6 +14,7 @@
 mod choose;
 mod closed_servers;
 mod full_servers;
+mod groups;
 mod load;
 mod peer_unread;
 mod pool;
@@ -27,6 +28,7 @@
 pub use adoption::{Adopted, ListedRow};
 pub use choose::{AtLimit, Choice, Homes, NoServer, Passed, Resting, RoutingRequest};
 pub use full_servers::{AnswerTimes, FullPool, PoolRoom};
+pub use groups::ProbeTarget;
 pub use peer_unread::{UnreadReport, UnreadTokens};
 pub use prefill::{ServerPace, StreamPace};
 pub use status::{Availability, ServerStatus};
@@ -86,6 +88,7 @@
         let count = self.servers.len();
         let choice = |view: &ServerView| Choice {
             server: view.name.clone(),
+            hall: view.hall.clone(),
             started_ms: view.started_ms,
             address: view.address.clone(),
             version: view.version.clone(),
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -76,6 +76,8 @@
 pub struct Choice {
     /// The server's name.
     pub server: Name,
+    /// Its hall.
+    pub hall: Name,
     /// When the chosen instance of it was started, as [`ServerView::started_ms`].
     pub started_ms: Millis,
     /// Its address.
@@ -167,6 +169,7 @@
         let other = found.first.filter(|first| first.name != view.name);
         Ok(Choice {
             server: view.name.clone(),
+            hall: view.hall.clone(),
             started_ms: view.started_ms,
             address: view.address.clone(),
             version: view.version.clone(),
--- a/crates/daemon/src/base/config.rs
+++ b/crates/daemon/src/base/config.rs
@@ -2,6 +2,7 @@
 
 pub mod entry;
 
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::path::Path;
 
@@ -159,6 +160,11 @@
         self.entry.as_ref().is_some_and(|entry| entry.follow_evacuations)
     }
 
+    /// Returns the IP address from which connections to backend servers are made, if it is set.
+    pub fn source_ip(&self) -> Option<IpAddr> {
+        self.entry.as_ref().and_then(|entry| entry.source_ip)
+    }
+
     /// Returns the fraction of a service's requests that a version under rollout may get; `None` if
     /// the platform orders no rollouts.
     pub fn rollout_fraction(&self) -> Option<f64> {
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -1,6 +1,7 @@
 //! Settings of the entry proxy, which serves callers over the platform's protocol.
 
 use std::collections::BTreeMap;
+use std::net::IpAddr;
 
 use bankcove_core::retry_budget::Allowance;
 use bankcove_core::table::Table;
@@ -77,6 +78,10 @@
     /// reject requests because they are full. 0 refuses such requests at once.
     #[serde(default)]
     pub place_queue: usize,
+    /// IP address of this host from which it connects to backend servers. Omitted, the system
+    /// chooses one for each connection.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub source_ip: Option<IpAddr>,
     /// Region of each hall, for requests that may be served only in some regions.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub hall_regions: BTreeMap<Name, Name>,
@@ -158,6 +163,7 @@
             follow_evacuations: true,
             rollout_fraction: Some(0.1),
             place_queue: 64,
+            source_ip: None,
             hall_regions: BTreeMap::from([(Name::from("hall-1"), Name::from("region-1"))]),
         }
     }
--- a/crates/daemon/src/base/tcp.rs
+++ b/crates/daemon/src/base/tcp.rs
@@ -1,7 +1,7 @@
 //! Listening sockets with `TCP_NODELAY`, and probes of other hosts' ports.
 
 use std::io::ErrorKind;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
@@ -49,11 +49,30 @@
     NoAnswer,
 }
 
-/// Tries to connect to `address`, and checks that the connection then stays open for `hold`.
-/// The port of a process that has just ended may still accept connections for a short time, and
-/// resets them at once. Such a connection counts as [`ProbeResult::NoAnswer`].
-pub async fn probe_and_hold(address: &str, timeout: Duration, hold: Duration) -> ProbeResult {
-    match tokio::time::timeout(timeout, TcpStream::connect(address)).await {
+/// Connects to the IPv4 or IPv6 `address`, from the IP address `source` if it is set.
+///
+/// # Errors
+/// The error of the operating system, or one for an address that can't be parsed.
+pub async fn connect(address: &str, source: Option<IpAddr>) -> std::io::Result<TcpStream> {
+    let address: SocketAddr = address.parse().map_err(std::io::Error::other)?;
+    let socket = if address.is_ipv4() { TcpSocket::new_v4()? } else { TcpSocket::new_v6()? };
+    if let Some(source) = source {
+        socket.bind(SocketAddr::new(source, 0))?;
+    }
+    socket.set_nodelay(true)?;
+    socket.connect(address).await
+}
+
+/// Tries to connect to `address` from `source`, and checks that the connection then stays open for
+/// `hold`. The port of a process that has just ended may still accept connections for a short time,
+/// and resets them at once. Such a connection counts as [`ProbeResult::NoAnswer`].
+pub async fn probe_and_hold(
+    address: &str,
+    source: Option<IpAddr>,
+    timeout: Duration,
+    hold: Duration,
+) -> ProbeResult {
+    match tokio::time::timeout(timeout, connect(address, source)).await {
         Ok(Ok(stream)) => {
             // No request was sent, so a readable stream means that it was closed or reset.
             let closed = tokio::time::timeout(hold, stream.readable()).await;
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -42,8 +42,9 @@
 /// server list. A server that is still in doubt after `MAX_CHECK_MS` counts as running.
 async fn has_crashed(crashes: &Crashes, server: &ServerInstance, address: &str) -> bool {
     let deadline = crashes.fleet.base.clock.now() + MAX_CHECK_MS;
+    let source = crashes.fleet.base.cfg.source_ip();
     loop {
-        match probe_and_hold(address, REACH_TIMEOUT, MIN_OPEN_TIME).await {
+        match probe_and_hold(address, source, REACH_TIMEOUT, MIN_OPEN_TIME).await {
             ProbeResult::Refused => return true,
             ProbeResult::Accepted => return false,
             ProbeResult::NoAnswer => {}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -25,6 +25,7 @@
 use crate::fleet::Fleet;
 use crate::hints::Hints;
 use crate::membership::Membership;
+use crate::paths::Paths;
 use crate::peer::PeerPool;
 use crate::requests::RequestContext;
 use crate::requests::held_answers::AnswerMemory;
@@ -63,6 +64,8 @@
     pub hints: Arc<Hints>,
     /// Rollouts that were ordered, and the outcomes of requests by version.
     pub rollouts: Arc<Rollouts>,
+    /// Network paths to the backend servers.
+    pub paths: Arc<Paths>,
     /// Heartbeats and the state sent with them.
     pub membership: Arc<Membership>,
     /// State for serving callers' requests.
@@ -106,6 +109,7 @@
         let cfg = Arc::clone(&base.cfg);
         let fleet = Fleet::new(base.clone());
         let router = Arc::<Mutex<Router>>::default();
+        let paths = Arc::new(Paths::new(fleet.clone(), Arc::clone(&router)));
         let hints = Hints::new(fleet.clone(), Arc::clone(&router));
         let crashes = Crashes::new(fleet.clone(), Arc::clone(&router), store.clone());
         let table = Arc::<ArcSwapOption<Table>>::default();
@@ -144,6 +148,7 @@
             crashes: Arc::clone(&crashes),
             hints: Arc::clone(&hints),
             rollouts: Arc::clone(&rollouts),
+            paths: Arc::clone(&paths),
             unread_changed: Arc::clone(&membership.unread_changed),
             leaving,
             latest_end: Mutex::new(None),
@@ -166,6 +171,7 @@
             rollouts,
             crashes,
             view,
+            paths,
             membership: Arc::new(membership),
             requests: Arc::new(requests),
             entry: OnceLock::new(),
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -103,7 +103,7 @@
         settings: EntrySettings,
     ) -> Arc<Self> {
         Arc::new(Entry {
-            backend_client: BackendClient::new(),
+            backend_client: BackendClient::new(settings.source_ip),
             retries: Mutex::new(RetryBudget::new(settings.retry_allowance())),
             link: Mutex::new(settings.link_mbps.map(Link::new)),
             places: Places::new(Arc::clone(&requests), settings.place_queue),
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use bankcove_core::Millis;
+use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
 use bankcove_ports::wire::NotRunReason;
 use bytes::Bytes;
@@ -16,6 +17,7 @@
 use crate::entry::charge::Charge;
 use crate::entry::outcome::{InDoubt, NotExecuted, RunState};
 use crate::hints::permit::Permit;
+use crate::paths::contact::Contact;
 use crate::requests::open_request::OpenRequest;
 
 /// Maximum size of an answer that is not streamed, in bytes.
@@ -24,9 +26,9 @@
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
     /// The server has started a stream.
-    StreamStarted(Response<Body>, OpenRequest, Choice),
+    StreamStarted(Box<StartedStream>),
     /// The server has sent a complete answer.
-    Answered(BufferedAnswer),
+    Answered(Box<BufferedAnswer>),
     /// The request certainly did not run there; other servers may be tried.
     NotRun(RunState),
     /// The request certainly did not run there, because the server is full; the pool has a queue.
@@ -39,6 +41,18 @@
     NotSentInTime(RunState),
 }
 
+/// Stream of a server whose head was received.
+pub struct StartedStream {
+    /// Head and body.
+    pub res: Response<Body>,
+    /// Accounting of the request at the server.
+    pub open_request: OpenRequest,
+    /// Server that has answered.
+    pub choice: Choice,
+    /// Contact with the server.
+    pub contact: Contact,
+}
+
 /// Complete answer of a server.
 pub struct BufferedAnswer {
     /// HTTP status.
@@ -79,8 +93,12 @@
     call.link.record_head();
     let clock = &entry.requests.base.clock;
     let sent_at = clock.now();
-    let answer =
-        clock.timeout_at(call.deadline, entry.backend_client.send(permit, backend_request)).await;
+    let mut contact = entry.requests.paths.contact(&call.group_of(&choice));
+    let send = clock.timeout_at(call.deadline, entry.backend_client.send(permit, backend_request));
+    let answer = tokio::select! {
+        answer = send => answer,
+        never = contact.watch_silence() => match never {},
+    };
     let res = match answer {
         None => {
             open_request.record_failure();
@@ -91,8 +109,14 @@
             let proof = NotExecuted::from_error(&e);
             let problem = match e {
                 SendError::Permit(e) => e.to_string(),
-                SendError::NotConnected(problem) | SendError::Broken(problem) => {
+                SendError::NotConnected(problem) => {
                     open_request.record_failure();
+                    contact.record_failure(Evidence::ConnectFailed);
+                    problem
+                }
+                SendError::Broken(problem) => {
+                    open_request.record_failure();
+                    contact.record_failure(Evidence::Broken);
                     problem
                 }
             };
@@ -108,6 +132,7 @@
         Some(Ok(res)) => res,
     };
     call.attempts_sent += 1;
+    contact.record_data();
     let head = entry.wire.read_response(res.status(), res.headers());
     let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.request_head.id);
     // Hints count only from this instance of the server: another program, or another instance,
@@ -148,9 +173,10 @@
         return AttemptOutcome::AnswerLost(in_doubt);
     }
     if res.status().is_success() && call.plan.route.streams {
-        return AttemptOutcome::StreamStarted(res, open_request, choice);
+        let started = StartedStream { res, open_request, choice, contact };
+        return AttemptOutcome::StreamStarted(Box::new(started));
     }
-    read_body(call, res, open_request, choice, sent_at, in_doubt).await
+    read_body(call, StartedStream { res, open_request, choice, contact }, sent_at, in_doubt).await
 }
 
 /// Ends an attempt that the server did not execute; `state` is that of the request without it.
@@ -169,17 +195,21 @@
 /// Reads the rest of an answer that is not streamed.
 async fn read_body(
     call: &Call,
-    res: Response<Body>,
-    mut open_request: OpenRequest,
-    choice: Choice,
+    started: StartedStream,
     sent_at: Millis,
     in_doubt: InDoubt,
 ) -> AttemptOutcome {
+    let StartedStream { res, mut open_request, choice, contact } = started;
     let is_framed = crashes::is_framed(res.headers());
     let status = res.status();
     let headers = call.entry.wire.response_headers(res.headers());
     let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect();
-    match call.entry.requests.base.clock.timeout_at(call.deadline, body).await {
+    let body = call.entry.requests.base.clock.timeout_at(call.deadline, body);
+    let body = tokio::select! {
+        body = body => body,
+        never = contact.watch_silence() => match never {},
+    };
+    match body {
         Some(Ok(body)) => {
             let took = call.entry.requests.base.clock.now().saturating_sub(sent_at);
             open_request.record_answer(Some(took as f64));
@@ -187,13 +217,13 @@
                 open_request.record_failure();
                 log_failed_attempt(call, &choice, true, "the server failed");
             }
-            AttemptOutcome::Answered(BufferedAnswer {
+            AttemptOutcome::Answered(Box::new(BufferedAnswer {
                 status,
                 headers,
                 body: body.to_bytes(),
                 choice,
                 is_framed,
-            })
+            }))
         }
         Some(Err(e)) => {
             open_request.record_failure();
@@ -201,6 +231,7 @@
             let problem = if is_too_large { "the answer is too large" } else { "cut short" };
             log_failed_attempt(call, &choice, true, problem);
             if !is_too_large {
+                contact.record_failure(Evidence::Broken);
                 call.entry.requests.crashes.record_disconnect(&choice, call.fingerprint());
             }
             AttemptOutcome::AnswerLost(in_doubt)
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -4,6 +4,7 @@
 //! escapes), and a server must receive the path as the caller wrote it.
 
 use std::collections::HashMap;
+use std::net::IpAddr;
 use std::time::Duration;
 
 use bankcove_core::Millis;
@@ -68,6 +69,8 @@
     shared: HttpClient,
     /// Latest instance of the server at each address.
     instances: Mutex<HashMap<String, Instance>>,
+    /// IP address from which connections are made, if it is set.
+    source: Option<IpAddr>,
 }
 
 /// The instance of a server to which requests are sent.
@@ -79,9 +82,10 @@
     own: Option<HttpClient>,
 }
 
-/// Creates a client without connections.
-fn new_client() -> HttpClient {
+/// Creates a client without connections, which makes them from `source`.
+fn new_client(source: Option<IpAddr>) -> HttpClient {
     let mut connector = HttpConnector::new();
+    connector.set_local_address(source);
     connector.set_nodelay(true);
     connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
     connector.set_tcp_user_timeout(Some(TCP_USER_TIMEOUT));
@@ -95,9 +99,10 @@
 }
 
 impl BackendClient {
-    /// Creates a client without connections.
-    pub fn new() -> Self {
-        BackendClient { shared: new_client(), instances: Mutex::default() }
+    /// Creates a client without connections, which makes them from the IP address `source` if it
+    /// is set.
+    pub fn new(source: Option<IpAddr>) -> Self {
+        BackendClient { shared: new_client(source), instances: Mutex::default(), source }
     }
 
     /// Returns the client for this instance of a server.
@@ -108,7 +113,7 @@
         let mut instances = self.instances.lock();
         if let Some(known) = instances.get_mut(address) {
             if known.started_ms != started_ms {
-                *known = Instance { started_ms, own: Some(new_client()) };
+                *known = Instance { started_ms, own: Some(new_client(self.source)) };
             }
             return known.own.clone().unwrap_or_else(|| self.shared.clone());
         }
@@ -152,9 +157,3 @@
     let sources = std::iter::successors(e.source(), |e| e.source());
     sources.fold(e.to_string(), |text, cause| format!("{text}: {cause}"))
 }
-
-impl Default for BackendClient {
-    fn default() -> Self {
-        BackendClient::new()
-    }
-}
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bankcove_core::crashes::{ServerInstance, Verdict};
+use bankcove_core::paths::ServerGroup;
 use bankcove_core::places::{PlaceRank, PlaceRequest};
 use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Choice, Homes, NoServer, Passed, RoutingRequest};
@@ -310,6 +311,11 @@
         self.request_head.prompt.as_ref().map_or(seed, affinity)
     }
 
+    /// Returns the group of servers that the chosen one belongs to.
+    pub fn group_of(&self, choice: &Choice) -> ServerGroup {
+        ServerGroup { pool: self.plan.service.clone(), hall: choice.hall.clone() }
+    }
+
     /// Returns the request to send to this server. `resume_after` is the last event that the
     /// caller has received.
     pub fn backend_request(&self, choice: &Choice, resume_after: Option<u64>) -> BackendRequest {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -57,14 +57,14 @@
         };
         let resume_after = call.request_head.resume_after;
         state = match attempt(&mut call, &mut charge, permit, resume_after, state).await {
-            AttemptOutcome::StreamStarted(res, open_request, choice) => {
-                let status = res.status();
-                let headers = call.entry.wire.response_headers(res.headers());
-                let relay = Relay::new(call, charge, res, open_request, choice);
+            AttemptOutcome::StreamStarted(started) => {
+                let status = started.res.status();
+                let headers = call.entry.wire.response_headers(started.res.headers());
+                let relay = Relay::new(call, charge, *started);
                 return Ok(Answer::Stream(status, headers, Box::new(relay)));
             }
             AttemptOutcome::Answered(answered) => {
-                let BufferedAnswer { status, headers, body, choice, is_framed } = answered;
+                let BufferedAnswer { status, headers, body, choice, is_framed } = *answered;
                 let is_retryable_error = status.is_server_error() && call.plan.is_retryable();
                 if !is_retryable_error {
                     charge.record_complete();
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -7,21 +7,24 @@
 use std::time::Duration;
 
 use bankcove_core::events::{EventAction, EventSequence, EventSplitter};
+use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use http_body_util::BodyExt;
-use hyper::Response;
 use hyper::body::Incoming as Body;
 use salvo::http::StatusCode;
 use slog::Logger;
 
 use crate::crashes;
-use crate::entry::attempt::{AttemptOutcome, attempt, log_ended, log_failed_attempt};
+use crate::entry::attempt::{
+    AttemptOutcome, StartedStream, attempt, log_ended, log_failed_attempt,
+};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::outcome::RunState;
 use crate::entry::pace::PaceMeter;
+use crate::paths::contact::Contact;
 use crate::requests::open_request::OpenRequest;
 
 /// Stream of events that is forwarded to the caller.
@@ -33,6 +36,7 @@
     is_framed: bool,
     open_request: OpenRequest,
     choice: Choice,
+    contact: Contact,
     splitter: EventSplitter,
     sequence: EventSequence,
     pace: PaceMeter,
@@ -48,19 +52,25 @@
 
 impl Relay {
     /// Creates the relay of a stream whose head has been received.
-    pub fn new(
-        call: Call,
-        charge: Charge,
-        res: Response<Body>,
-        open_request: OpenRequest,
-        choice: Choice,
-    ) -> Self {
+    pub fn new(call: Call, charge: Charge, started: StartedStream) -> Self {
+        let StartedStream { res, open_request, choice, contact } = started;
         let is_framed = crashes::is_framed(res.headers());
         let body = res.into_body();
         let sequence = EventSequence::after(call.request_head.resume_after);
         let pace = PaceMeter::started_before(Duration::from_millis(call.age_ms()));
         let splitter = EventSplitter::default();
-        Relay { call, charge, body, is_framed, open_request, choice, splitter, sequence, pace }
+        Relay {
+            call,
+            charge,
+            body,
+            is_framed,
+            open_request,
+            choice,
+            contact,
+            splitter,
+            sequence,
+            pace,
+        }
     }
 
     /// Returns the log of the request.
@@ -103,6 +113,7 @@
                 ReadResult::Broken(problem) => problem,
             };
             self.open_request.record_failure();
+            self.contact.record_failure(Evidence::Broken);
             log_failed_attempt(&self.call, &self.choice, true, problem);
             self.call
                 .entry
@@ -119,13 +130,19 @@
     async fn read(&mut self) -> ReadResult {
         loop {
             let clock = &self.call.entry.requests.base.clock;
-            let frame = match clock.timeout_at(self.call.deadline, self.body.frame()).await {
+            let frame = clock.timeout_at(self.call.deadline, self.body.frame());
+            let frame = tokio::select! {
+                frame = frame => frame,
+                never = self.contact.watch_silence() => match never {},
+            };
+            let frame = match frame {
                 None => return ReadResult::TimedOut,
                 Some(None) if self.splitter.is_empty() => return ReadResult::End,
                 Some(None) => return ReadResult::Broken("the stream ended within an event"),
                 Some(Some(Err(_))) => return ReadResult::Broken("the stream broke off"),
                 Some(Some(Ok(frame))) => frame,
             };
+            self.contact.record_data();
             let Ok(data) = frame.into_data() else { continue };
             self.splitter.push(&data);
             match self.take_events() {
@@ -171,7 +188,8 @@
             let last_event = self.sequence.last();
             let state = RunState::in_doubt();
             match attempt(&mut self.call, &mut self.charge, permit, last_event, state).await {
-                AttemptOutcome::StreamStarted(res, open_request, choice) => {
+                AttemptOutcome::StreamStarted(started) => {
+                    let StartedStream { res, open_request, choice, contact } = *started;
                     slog::info!(self.call.log, "stream resumed";
                         "server" => %choice.server, "after" => last_event);
                     self.call.entry.requests.base.metrics.count("stream.resumed");
@@ -179,6 +197,7 @@
                     self.body = res.into_body();
                     self.open_request = open_request;
                     self.choice = choice;
+                    self.contact = contact;
                     self.splitter = EventSplitter::default();
                     return true;
                 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod lifecycle;
 pub mod membership;
 pub mod operator;
+pub mod paths;
 pub mod peer;
 pub mod peer_server;
 pub mod requests;
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -28,6 +28,7 @@
 use crate::fleet::suspension;
 use crate::http::{HttpListener, serve, serve_with_backlog};
 use crate::membership::{self, unread_reports};
+use crate::paths::probe;
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
 use crate::{hints, operator, peer_server, rollouts};
 
@@ -162,6 +163,7 @@
         tokio::spawn(Arc::clone(&daemon.crashes).send_facts());
         hints::gossip::spawn_sender(&daemon.hints);
         tokio::spawn(suspension::watch(daemon.fleet.clone()));
+        tokio::spawn(probe::run(Arc::clone(&daemon.paths)));
         tokio::spawn(table_sync::watch(Arc::clone(&daemon.view)));
         tokio::spawn(server_sync::watch(Arc::clone(&daemon.view)));
         if daemon.cfg.follows_evacuations() {
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -24,6 +24,7 @@
 use crate::crashes::Crashes;
 use crate::fleet::Fleet;
 use crate::hints::Hints;
+use crate::paths::Paths;
 use crate::requests::held_answers::AnswerMemory;
 use crate::rollouts::Rollouts;
 
@@ -45,6 +46,8 @@
     pub hints: Arc<Hints>,
     /// Rollouts that were ordered, and the outcomes of requests by version.
     pub rollouts: Arc<Rollouts>,
+    /// Network paths to the backend servers.
+    pub paths: Arc<Paths>,
     /// Notified when the unread prompt tokens that this daemon has sent to servers have changed.
     pub unread_changed: Arc<Notify>,
     /// Cancelled when the platform's load balancer should send no new connections; requests are
--- a/crates/daemon/tests/layers.rs
+++ b/crates/daemon/tests/layers.rs
@@ -8,10 +8,11 @@
 use yare::parameterized;
 
 /// The layers, from the lowest up; layers on one line don't use each other.
-const LAYERS: [&[&str]; 9] = [
+const LAYERS: [&[&str]; 10] = [
     &["peer"],
     &["base"],
     &["fleet"],
+    &["paths"],
     &["view", "crashes", "hints", "rollouts", "budget", "bill"],
     &["membership"],
     &["requests"],
@@ -105,6 +106,7 @@
     entry = { "entry" },
     fleet = { "fleet" },
     hints = { "hints" },
+    paths = { "paths" },
     peer = { "peer" },
     rollouts = { "rollouts" },
     view = { "view" },
