--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -1,7 +1,7 @@
 //! Settings of the entry proxy, which serves callers over the platform's protocol.
 
 use std::collections::BTreeMap;
-use std::net::IpAddr;
+use std::net::{IpAddr, Ipv4Addr};
 
 use bankcove_core::retry_budget::Allowance;
 use bankcove_core::table::Table;
@@ -163,7 +163,7 @@
             follow_evacuations: true,
             rollout_fraction: Some(0.1),
             place_queue: 64,
-            source_ip: None,
+            source_ip: Some(IpAddr::V4(Ipv4Addr::LOCALHOST)),
             hall_regions: BTreeMap::from([(Name::from("hall-1"), Name::from("region-1"))]),
         }
     }
