Paths: a host without a path to servers reaches them through a peer

When probes show that the path to a group of servers is lost, connections to it are opened through a peer that reports no loss: a tunnel, one for each request. The peer connects and copies bytes; the host that has the request still chooses the server, holds its permit, pays, counts attempts and knows whether it may have run. So nothing of what a caller is promised changes hands, a second hop does not exist, and data from the server comes in frames with an end mark, so that a peer that dies is not taken for the end of a response. Peers are taken two at a time, the less loaded first, those of the hall before others. A regained path takes a growing part of requests once probes have connected for a while, longer after each loss, on new connections. Failures from the time of the loss do not eject servers.

A request under way on a lost path ends after a second without data: repeatable ones go elsewhere, others get 502. Where no path leads anywhere callers get 503 no_path at once.

--- a/crates/bench/benches/slopes.rs
+++ b/crates/bench/benches/slopes.rs
@@ -18,6 +18,7 @@
 };
 use bankcove_core::members::{Heartbeat, Host, HostRole, HostState, Members};
 use bankcove_core::owner::{Event as OwnerEvent, Owner, Request};
+use bankcove_core::paths::PathReport;
 use bankcove_core::request_log::{Entry, Event, RequestLog, Segment};
 use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::router::Router;
@@ -217,6 +218,7 @@
         paces: Vec::new(),
         crashes_digest: 0,
         hints_digest: 0,
+        paths: PathReport::default(),
     }
 }
 
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -10,6 +10,7 @@
 
 use crate::hall_list::EvacuatedHalls;
 use crate::id::rendezvous_score;
+use crate::paths::{PathReport, ServerGroup};
 use crate::rollout::RolloutOrders;
 use crate::router::ServerPace;
 use crate::server_list::{ListVersion, Unreadable};
@@ -101,6 +102,8 @@
     /// Hash of the server hints known to the sender, from
     /// [`crate::limits::LimitTracker::digest`] and [`crate::hints::LeavingServers::digest`].
     pub hints_digest: u64,
+    /// The sender's paths to backend servers.
+    pub paths: PathReport,
 }
 
 /// This daemon's view of a peer.
@@ -129,6 +132,8 @@
     pub failures: u32,
     /// Time of its last heartbeat.
     pub heard_at: Option<Millis>,
+    /// Its paths to backend servers, by its last heartbeat.
+    pub paths: PathReport,
 }
 
 impl Peer {
@@ -211,6 +216,18 @@
         self.peers.values().filter(|peer| peer.is_usable())
     }
 
+    /// Iterates over the usable peers that accept tunnels and may reach a group of servers, as far
+    /// as they have reported.
+    pub fn tunnel_peers<'a>(&'a self, group: &'a ServerGroup) -> impl Iterator<Item = &'a Peer> {
+        let accepts = |peer: &&Peer| peer.paths.tunnel_address.is_some();
+        self.usable().filter(accepts).filter(|peer| peer.paths.may_reach(group))
+    }
+
+    /// Returns whether this incarnation is that of a known peer.
+    pub fn is_peer(&self, incarnation: Incarnation) -> bool {
+        self.peers.values().any(|peer| peer.incarnation == Some(incarnation))
+    }
+
     /// Returns the number of daemons in the fleet, including this one. Peers that don't answer
     /// count: the fleet is no smaller during a network partition, nor right after a restart of
     /// all daemons, before their first heartbeats.
@@ -275,6 +292,7 @@
         // A peer that sends heartbeats is a member, even if the lagging list lacks it.
         peer.listed = true;
         peer.heard_at = Some(now);
+        peer.paths.clone_from(&heartbeat.paths);
         let is_active = peer.is_active();
         self.active = self.active + usize::from(is_active) - usize::from(was_active);
     }
@@ -403,6 +421,7 @@
             stopping: false,
             failures: 0,
             heard_at: None,
+            paths: PathReport::default(),
         })
     }
 }
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -34,10 +34,11 @@
 pub use status::{Availability, ServerStatus};
 pub use view::{LoadReport, ServerView};
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 
 use crate::crashes::ServerInstance;
 use crate::hints::{LeavingServers, RestPeriods};
+use crate::paths::ServerGroup;
 use crate::router::adoption::Memberships;
 use crate::router::peer_unread::PeerUnread;
 use crate::router::pool::Pool;
@@ -67,6 +68,8 @@
     leaving: LeavingServers,
     /// Server instances that have asked this daemon for rest.
     rests: RestPeriods,
+    /// Groups of servers to which no path leads.
+    unreachable: HashSet<ServerGroup>,
 }
 
 impl Router {
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -22,6 +22,8 @@
     NoneUsable,
     /// All halls of the pool are evacuated or outside the request's home regions.
     NoHall,
+    /// No path leads from this host to the servers that may serve the request.
+    NoPath,
     /// All remaining servers are cold; the first of them is warm after this many milliseconds.
     OnlyCold(Millis),
     /// All remaining servers that are not cold have reached the limits that they announced.
@@ -150,10 +152,14 @@
     /// [`NoServer`] when the table has no server for the pool or none is usable now.
     pub fn choose(&self, now: Millis, request: &RoutingRequest) -> Result<Choice, NoServer> {
         let pool = self.pool(request.pool).ok_or(NoServer::NoneInTable)?;
-        let halls = self.ranked_halls(pool, request);
+        let mut halls = self.ranked_halls(pool, request);
         if halls.is_empty() {
             return Err(NoServer::NoHall);
         }
+        halls.retain(|hall| self.is_reachable(&pool.name, &hall.hall));
+        if halls.is_empty() {
+            return Err(NoServer::NoPath);
+        }
         let search = Search::new(self, now, pool, &halls, request);
         let found = search.run();
         let any = || halls.iter().find_map(|hall| self.least_loaded(now, pool, hall, request));
--- a/crates/core/tests/members.rs
+++ b/crates/core/tests/members.rs
@@ -3,6 +3,7 @@
 use std::collections::HashSet;
 
 use bankcove_core::members::{FleetSize, Heartbeat, Host, HostRole, HostState, Members};
+use bankcove_core::paths::PathReport;
 use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::{Incarnation, Name};
 use yare::parameterized;
@@ -53,6 +54,7 @@
         paces: Vec::new(),
         crashes_digest: 0,
         hints_digest: 0,
+        paths: PathReport::default(),
     };
     members.record_heartbeat(0, &heartbeat);
 }
@@ -204,6 +206,7 @@
         paces: Vec::new(),
         crashes_digest: 0,
         hints_digest: 0,
+        paths: PathReport::default(),
     };
     members.record_heartbeat(1, &heartbeat);
     members.clear_failures();
--- a/crates/daemon/src/base/config.rs
+++ b/crates/daemon/src/base/config.rs
@@ -2,8 +2,7 @@
 
 pub mod entry;
 
-use std::net::IpAddr;
-use std::net::SocketAddr;
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 
 use bankcove_core::Name;
@@ -195,6 +194,21 @@
         self.peer_advertise.as_deref().unwrap_or(&self.peer_listen)
     }
 
+    /// Returns the IP address announced to peers; `None` if `peer_address` is not an address.
+    pub fn peer_ip(&self) -> Option<IpAddr> {
+        self.peer_address().parse::<SocketAddr>().ok().map(|address| address.ip())
+    }
+
+    /// Returns the address on which tunnels of peers are accepted.
+    pub fn tunnel_listen(&self) -> String {
+        let set = self.entry.as_ref().and_then(|entry| entry.tunnel_listen.clone());
+        set.unwrap_or_else(|| {
+            let peer = self.peer_listen.parse::<SocketAddr>();
+            let ip = peer.map_or(IpAddr::V4(Ipv4Addr::UNSPECIFIED), |address| address.ip());
+            SocketAddr::new(ip, 0).to_string()
+        })
+    }
+
     /// Returns whether the seed peers include a daemon other than this one.
     pub fn has_other_seeds(&self) -> bool {
         self.seed_peers.iter().any(|seed| seed != self.peer_address())
@@ -245,6 +259,9 @@
             addresses.extend(
                 entry.metrics_listen.as_ref().map(|address| ("entry.metrics_listen", address)),
             );
+            addresses.extend(
+                entry.tunnel_listen.as_ref().map(|address| ("entry.tunnel_listen", address)),
+            );
         }
         addresses.extend(self.peer_advertise.as_ref().map(|address| ("peer_advertise", address)));
         addresses.extend(self.metrics.as_ref().map(|address| ("metrics", address)));
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -19,6 +19,10 @@
     /// Address on which metrics and the dump are served; omitted to serve none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub metrics_listen: Option<String>,
+    /// Address on which peers that have lost their path to backend servers open connections to them
+    /// through this host. Omitted, a free port at the address of `peer_listen`.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub tunnel_listen: Option<String>,
     /// Time between the stop signal and the end of the process, in seconds.
     #[serde(default = "default_stop_grace_s")]
     pub stop_grace_s: f64,
@@ -147,6 +151,7 @@
         EntrySettings {
             ready_listen: "127.0.0.1:8083".to_owned(),
             metrics_listen: Some("127.0.0.1:8084".to_owned()),
+            tunnel_listen: Some("127.0.0.1:8085".to_owned()),
             stop_grace_s: default_stop_grace_s(),
             retry_ratio: default_retry_ratio(),
             retry_extra: 50.0,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -135,6 +135,7 @@
             Arc::clone(&crashes),
             Arc::clone(&hints),
             Arc::clone(&rollouts),
+            Arc::clone(&paths),
             stopping.clone(),
         );
         let billing = Billing::new(fleet.clone(), store.clone());
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -21,6 +21,7 @@
 pub mod relay;
 pub mod serve;
 pub mod stop;
+pub mod tunnels;
 
 use std::sync::Arc;
 
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -12,17 +12,22 @@
 use hyper::{HeaderMap, Response, StatusCode};
 
 use crate::crashes;
-use crate::entry::backend::SendError;
+use crate::entry::backend::{SendError, send_through};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::outcome::{InDoubt, NotExecuted, RunState};
 use crate::hints::permit::Permit;
+use crate::paths::Route;
 use crate::paths::contact::Contact;
+use crate::paths::tunnels::NoTunnel;
 use crate::requests::open_request::OpenRequest;
 
 /// Maximum size of an answer that is not streamed, in bytes.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
+/// Log text for an attempt that was given up because this host has lost its path to the server.
+pub const PATH_LOST: &str = "the path to the server was lost";
+
 /// Outcome of an attempt.
 pub enum AttemptOutcome {
     /// The server has started a stream.
@@ -85,19 +90,34 @@
     let mut open_request = OpenRequest::new(&entry.requests, &choice, call.prompt_tokens())
         .with_trial(&call.plan.service, &call.plan.route.name, &choice);
     let place = entry.places.hold(&call.plan.service, &choice);
+    call.tried_servers.push(choice.server.clone());
+    let Route { mut contact, tunnel } = match call.route(&choice).await {
+        Ok(route) => route,
+        Err(e) => {
+            if e != NoTunnel::NoPeer {
+                open_request.record_failure();
+            }
+            place.cancel();
+            return end_not_run(call, charge, &choice, state, &e.to_string());
+        }
+    };
     let backend_request = call.backend_request(&choice, resume_after);
     let sent = state.send();
     charge.record_sent();
-    call.tried_servers.push(choice.server.clone());
     call.link.record_body(call.body.len());
     call.link.record_head();
     let clock = &entry.requests.base.clock;
     let sent_at = clock.now();
-    let mut contact = entry.requests.paths.contact(&call.group_of(&choice));
-    let send = clock.timeout_at(call.deadline, entry.backend_client.send(permit, backend_request));
+    let path_losses = contact.losses();
+    let send = async {
+        match tunnel {
+            None => entry.backend_client.send(permit, path_losses, backend_request).await,
+            Some(tunnel) => send_through(tunnel, permit, backend_request).await,
+        }
+    };
     let answer = tokio::select! {
-        answer = send => answer,
-        never = contact.watch_silence() => match never {},
+        answer = clock.timeout_at(call.deadline, send) => answer,
+        () = contact.lost() => Some(Err(SendError::PathLost)),
     };
     let res = match answer {
         None => {
@@ -119,6 +139,11 @@
                     contact.record_failure(Evidence::Broken);
                     problem
                 }
+                SendError::PathLost => {
+                    call.attempts_sent += 1;
+                    log_failed_attempt(call, &choice, true, PATH_LOST);
+                    return AttemptOutcome::AnswerLost(sent.in_doubt());
+                }
             };
             if let Some(proof) = proof {
                 place.cancel();
@@ -207,7 +232,10 @@
     let body = call.entry.requests.base.clock.timeout_at(call.deadline, body);
     let body = tokio::select! {
         body = body => body,
-        never = contact.watch_silence() => match never {},
+        () = contact.lost() => {
+            log_failed_attempt(call, &choice, true, PATH_LOST);
+            return AttemptOutcome::AnswerLost(in_doubt);
+        }
     };
     match body {
         Some(Ok(body)) => {
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -16,10 +16,11 @@
 use hyper::{HeaderMap, Method, Request, Response};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::TokioExecutor;
+use hyper_util::rt::{TokioExecutor, TokioIo};
 use parking_lot::Mutex;
 
 use crate::hints::permit::{Permit, PermitError};
+use crate::peer::tunnel::TunnelStream;
 
 /// Timeout for connecting. A reachable server accepts within 2 ms, and an unreachable one must not
 /// use up the 300 ms that callers of plain services allow.
@@ -57,6 +58,9 @@
     /// The connection broke; the request may have run.
     #[error("the connection broke: {0}")]
     Broken(String),
+    /// This host has lost its path to the server; the request may have run.
+    #[error("the path to the server was lost")]
+    PathLost,
 }
 
 /// Client with the connections to servers at one or more addresses.
@@ -77,8 +81,10 @@
 #[derive(Debug)]
 struct Instance {
     started_ms: Millis,
-    /// Its own client, if requests were sent to an earlier instance at the same address: if
-    /// that instance's host lost power, connections to it may hang for [`TCP_USER_TIMEOUT`].
+    /// How many times the path to it was lost.
+    path_losses: u64,
+    /// Its own client, if requests were sent to an earlier instance at the same address, or before
+    /// the path was lost: connections from before may hang for [`TCP_USER_TIMEOUT`].
     own: Option<HttpClient>,
 }
 
@@ -105,29 +111,35 @@
         BackendClient { shared: new_client(source), instances: Mutex::default(), source }
     }
 
-    /// Returns the client for this instance of a server.
-    fn client_for(&self, address: &str, started_ms: Millis) -> HttpClient {
-        if started_ms == 0 {
+    /// Returns the client for this instance of a server, the path to which was lost `path_losses`
+    /// times.
+    fn client_for(&self, address: &str, started_ms: Millis, path_losses: u64) -> HttpClient {
+        if started_ms == 0 && path_losses == 0 {
             return self.shared.clone();
         }
         let mut instances = self.instances.lock();
         if let Some(known) = instances.get_mut(address) {
-            if known.started_ms != started_ms {
-                *known = Instance { started_ms, own: Some(new_client(self.source)) };
+            if (known.started_ms, known.path_losses) != (started_ms, path_losses) {
+                let own = Some(new_client(self.source));
+                *known = Instance { started_ms, path_losses, own };
             }
             return known.own.clone().unwrap_or_else(|| self.shared.clone());
         }
-        instances.insert(address.to_owned(), Instance { started_ms, own: None });
-        self.shared.clone()
+        let own = (path_losses > 0).then(|| new_client(self.source));
+        let client = own.clone().unwrap_or_else(|| self.shared.clone());
+        instances.insert(address.to_owned(), Instance { started_ms, path_losses, own });
+        client
     }
 
-    /// Sends a request and returns the answer when its head has been received.
+    /// Sends a request over this host's own path, which was lost `path_losses` times, and returns the
+    /// answer when its head has been received.
     ///
     /// # Errors
     /// [`SendError`], by which the caller knows whether anything was sent.
     pub async fn send(
         &self,
         permit: Permit,
+        path_losses: u64,
         backend_request: BackendRequest,
     ) -> Result<Response<Incoming>, SendError> {
         let choice = permit.consume()?;
@@ -137,11 +149,9 @@
             .path_and_query(backend_request.path)
             .build()
             .map_err(|e| SendError::NotConnected(e.to_string()))?;
-        let mut req = Request::new(Full::new(backend_request.body));
-        *req.method_mut() = backend_request.method;
-        *req.uri_mut() = uri;
-        *req.headers_mut() = backend_request.headers;
-        let client = self.client_for(&choice.address, choice.started_ms);
+        let req =
+            new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
+        let client = self.client_for(&choice.address, choice.started_ms, path_losses);
         client.request(req).await.map_err(|e| {
             if e.is_connect() {
                 SendError::NotConnected(format_with_sources(&e))
@@ -152,6 +162,39 @@
     }
 }
 
+/// Sends a request through a tunnel, which it uses alone, and returns the answer when its head has
+/// been received. Dropping the answer closes the tunnel.
+///
+/// # Errors
+/// As [`BackendClient::send`].
+pub async fn send_through(
+    tunnel: TunnelStream,
+    permit: Permit,
+    backend_request: BackendRequest,
+) -> Result<Response<Incoming>, SendError> {
+    permit.consume()?;
+    let mut http1 = hyper::client::conn::http1::Builder::new();
+    http1.max_buf_size(MAX_READ_BYTES as usize);
+    let (mut sender, connection) = http1
+        .handshake(TokioIo::new(tunnel))
+        .await
+        .map_err(|e| SendError::NotConnected(format_with_sources(&e)))?;
+    // It ends when the answer is complete or dropped.
+    tokio::spawn(connection);
+    let uri = Uri::from(backend_request.path);
+    let req =
+        new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
+    sender.send_request(req).await.map_err(|e| SendError::Broken(format_with_sources(&e)))
+}
+
+fn new_request(method: Method, uri: Uri, headers: HeaderMap, body: Bytes) -> Request<Full<Bytes>> {
+    let mut req = Request::new(Full::new(body));
+    *req.method_mut() = method;
+    *req.uri_mut() = uri;
+    *req.headers_mut() = headers;
+    req
+}
+
 /// Formats an error and its sources on one line.
 fn format_with_sources(e: &dyn std::error::Error) -> String {
     let sources = std::iter::successors(e.source(), |e| e.source());
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -24,6 +24,8 @@
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
 use crate::hints::permit::{NoPermit, Permit, Purpose};
+use crate::paths::Route;
+use crate::paths::tunnels::NoTunnel;
 
 /// Minimum number of shared prompt tokens that are copied from another server's cache. Setting up
 /// a copy takes about 4 ms, in which an engine reads 130 to 230 tokens.
@@ -258,7 +260,10 @@
             NoServer::OnlyFull(_) if self.entry.requests.stopping.is_cancelled() => {
                 Refusal::Stopping
             }
-            why => Refusal::no_server(why),
+            why => {
+                let paths = &self.entry.requests.paths;
+                Refusal::no_server(why, || paths.retry_delay(&self.plan.service))
+            }
         }
     }
 
@@ -311,9 +316,15 @@
         self.request_head.prompt.as_ref().map_or(seed, affinity)
     }
 
-    /// Returns the group of servers that the chosen one belongs to.
-    pub fn group_of(&self, choice: &Choice) -> ServerGroup {
-        ServerGroup { pool: self.plan.service.clone(), hall: choice.hall.clone() }
+    /// Returns how the request is to reach the chosen server; waits for a peer if this host has no
+    /// path to it.
+    ///
+    /// # Errors
+    /// [`NoTunnel`] when it can't reach the server. Nothing was sent.
+    pub async fn route(&self, choice: &Choice) -> Result<Route, NoTunnel> {
+        let group = ServerGroup { pool: self.plan.service.clone(), hall: choice.hall.clone() };
+        let paths = &self.entry.requests.paths;
+        paths.route(&self.log, &group, &choice.instance(), &self.request_head.id).await
     }
 
     /// Returns the request to send to this server. `resume_after` is the last event that the
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -1,7 +1,6 @@
 //! Attempts of one request: another server is tried if the previous one certainly did not run the
 //! request, or if the request may be retried.
 
-use bankcove_core::router::NoServer;
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
@@ -27,7 +26,7 @@
     let AdmittedCall { mut call, mut charge } = admitted;
     let mut state = RunState::Unrun(unrun);
     let mut error_answer = None;
-    let mut refusal = Refusal::no_server(NoServer::NoneUsable);
+    let mut refusal = Refusal::NoServer;
     let mut was_full = false;
     loop {
         if !call.try_claim_attempt() {
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -113,6 +113,10 @@
     /// Every hall of the service is evacuated or outside the request's home regions.
     #[error("every hall that may serve the request is evacuated or outside its homes")]
     NoHall,
+    /// This host has no path to the servers, neither directly nor through another host; with the
+    /// retry delay.
+    #[error("this host has no path to a backend server that may serve the request")]
+    NoPath(Duration),
     /// All remaining servers have just started; the first of them is warm after this time.
     #[error("every backend server that is left is cold for {} ms", .0.as_millis())]
     OnlyCold(Duration),
@@ -137,9 +141,11 @@
 }
 
 impl Refusal {
-    /// Returns the refusal for a request for which the router finds no server.
-    pub fn no_server(why: NoServer) -> Self {
+    /// Returns the refusal for a request for which the router finds no server. `path_retry_delay`
+    /// is when callers may retry if no path leads to the servers.
+    pub fn no_server(why: NoServer, path_retry_delay: impl FnOnce() -> Duration) -> Self {
         match why {
+            NoServer::NoPath => Refusal::NoPath(path_retry_delay()),
             NoServer::NoneUsable => Refusal::NoServer,
             NoServer::NoneInTable => Refusal::NoneListed,
             NoServer::NoHall => Refusal::NoHall,
@@ -159,7 +165,9 @@
     #[must_use]
     pub fn on_saturated_link(self, is_saturated: bool) -> Self {
         match self {
-            Refusal::BudgetOutOfReach { .. } | Refusal::NoServer if is_saturated => {
+            Refusal::BudgetOutOfReach { .. } | Refusal::NoServer | Refusal::NoPath(_)
+                if is_saturated =>
+            {
                 Refusal::LinkFull
             }
             other => other,
@@ -176,6 +184,7 @@
             | Refusal::NoServer
             | Refusal::NoneListed
             | Refusal::NoHall
+            | Refusal::NoPath(_)
             | Refusal::OnlyCold(_)
             | Refusal::OnlyLimited(_)
             | Refusal::OnlyResting(_)
@@ -212,6 +221,7 @@
             Refusal::NoServer => "no_server",
             Refusal::NoneListed => "none_listed",
             Refusal::NoHall => "no_hall",
+            Refusal::NoPath(_) => "no_path",
             Refusal::OnlyCold(_) => "only_cold",
             Refusal::OnlyLimited(_) => "only_limited",
             Refusal::OnlyResting(_) => "only_resting",
@@ -230,7 +240,8 @@
             Refusal::NoneListed => Some(NONE_LISTED_RETRY_DELAY),
             Refusal::NoTable(retry_after) => Some(*retry_after),
             Refusal::NoHall => Some(NO_HALL_RETRY_DELAY),
-            Refusal::OnlyCold(delay)
+            Refusal::NoPath(delay)
+            | Refusal::OnlyCold(delay)
             | Refusal::OnlyLimited(delay)
             | Refusal::OnlyResting(delay)
             | Refusal::OnlyFull(delay) => Some(*delay),
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -18,7 +18,7 @@
 
 use crate::crashes;
 use crate::entry::attempt::{
-    AttemptOutcome, StartedStream, attempt, log_ended, log_failed_attempt,
+    AttemptOutcome, PATH_LOST, StartedStream, attempt, log_ended, log_failed_attempt,
 };
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
@@ -47,6 +47,7 @@
     Events(Bytes),
     End,
     Broken(&'static str),
+    PathLost,
     TimedOut,
 }
 
@@ -110,16 +111,16 @@
                     self.open_request.record_failure();
                     return Some(Err(self.abort("the time is over")));
                 }
-                ReadResult::Broken(problem) => problem,
+                ReadResult::PathLost => PATH_LOST,
+                ReadResult::Broken(problem) => {
+                    self.open_request.record_failure();
+                    self.contact.record_failure(Evidence::Broken);
+                    let crashes = &self.call.entry.requests.crashes;
+                    crashes.record_disconnect(&self.choice, self.call.fingerprint());
+                    problem
+                }
             };
-            self.open_request.record_failure();
-            self.contact.record_failure(Evidence::Broken);
             log_failed_attempt(&self.call, &self.choice, true, problem);
-            self.call
-                .entry
-                .requests
-                .crashes
-                .record_disconnect(&self.choice, self.call.fingerprint());
             if !self.resume().await {
                 return Some(Err(self.abort(problem)));
             }
@@ -133,7 +134,7 @@
             let frame = clock.timeout_at(self.call.deadline, self.body.frame());
             let frame = tokio::select! {
                 frame = frame => frame,
-                never = self.contact.watch_silence() => match never {},
+                () = self.contact.lost() => return ReadResult::PathLost,
             };
             let frame = match frame {
                 None => return ReadResult::TimedOut,
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -136,6 +136,7 @@
                 let entry = Entry::new(requests, view, wire, settings);
                 daemon.entry.get_or_init(|| Arc::clone(&entry));
                 listeners.extend(start_entry(&daemon, Arc::clone(&entry)).await?);
+                entry::tunnels::serve(Arc::clone(&entry))?;
                 started = Some(entry);
             }
             None => {
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -21,6 +21,7 @@
 use crate::fleet::Fleet;
 use crate::fleet::fetch_throttle::FetchThrottle;
 use crate::hints::Hints;
+use crate::paths::Paths;
 use crate::rollouts::Rollouts;
 use crate::view::{View, hall_sync, server_sync, table_sync};
 
@@ -71,6 +72,8 @@
     pub hints: Arc<Hints>,
     /// Rollouts that were ordered.
     pub rollouts: Arc<Rollouts>,
+    /// Network paths to the backend servers.
+    pub paths: Arc<Paths>,
     /// Notified when the number of prompt tokens that servers still have to read for this daemon
     /// has changed.
     pub unread_changed: Arc<Notify>,
@@ -87,6 +90,7 @@
         crashes: Arc<Crashes>,
         hints: Arc<Hints>,
         rollouts: Arc<Rollouts>,
+        paths: Arc<Paths>,
         stopping: CancellationToken,
     ) -> Self {
         Membership {
@@ -95,6 +99,7 @@
             crashes,
             hints,
             rollouts,
+            paths,
             unread_changed: Arc::default(),
             unread_reports_sent: AtomicU64::new(0),
             fetches: Fetches::default(),
@@ -127,6 +132,7 @@
             paces,
             crashes_digest: self.crashes.digest(),
             hints_digest: self.hints.digest(),
+            paths: self.paths.report(),
         }
     }
 }
@@ -178,6 +184,7 @@
     membership.hints.fetch_if_digest_differs(&heartbeat.address, heartbeat.hints_digest);
     membership.fleet.members.lock().record_heartbeat(membership.fleet.base.clock.now(), heartbeat);
     membership.view.router.lock().merge_paces(&heartbeat.paces);
+    membership.paths.merge_report();
 }
 
 /// Returns whether this daemon's table and server list are no older than the sender's.
--- a/crates/daemon/src/paths.rs
+++ b/crates/daemon/src/paths.rs
@@ -1,25 +1,40 @@
 //! Network paths from this host to the backend servers (core `paths`).
 //!
 //! Owns the state of the direct path to each group of servers, which `entry` updates with the
-//! outcome of its attempts (`contact`) and `probe` with probes. Depends on `fleet` and the router's
-//! state; called by all layers above.
+//! outcome of its attempts (`contact`) and `probe` with probes, and opens tunnels through peers to
+//! groups whose path is lost (`tunnels`). Depends on `fleet` and the router's state; called by all
+//! layers above.
 
 pub mod contact;
 pub mod probe;
+pub mod tunnels;
 
-use std::collections::HashMap;
-use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, Ordering};
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
+use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
-use bankcove_core::paths::{Evidence, PathChange, PathTracker, ProbeRound, ServerGroup};
+use bankcove_core::crashes::ServerInstance;
+use bankcove_core::paths::{
+    Evidence, PROBE_INTERVAL_MS, PathChange, PathReport, PathState, PathTracker, ProbeRound,
+    ServerGroup,
+};
 use bankcove_core::router::Router;
 use bankcove_core::{Millis, Name};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
+use slog::Logger;
 use tokio::sync::Notify;
 
 use crate::fleet::Fleet;
-use crate::paths::contact::GroupContact;
+use crate::paths::contact::{Contact, GroupContact};
+use crate::paths::tunnels::{Carriers, NoTunnel};
+use crate::peer::tunnel::TunnelStream;
+
+/// Retry delay while this host has no path to the servers and another one reports one: a retry
+/// reaches another host.
+const OTHER_HOST_RETRY_DELAY: Duration = Duration::from_millis(100);
 
 /// Paths to the groups of servers as known to this daemon.
 pub struct Paths {
@@ -32,8 +47,31 @@
     contacts: Mutex<HashMap<ServerGroup, Arc<GroupContact>>>,
     /// Notified when groups are to be probed.
     probe_due: Notify,
-    /// Notified (all waiting tasks) when a path was lost.
-    path_lost: Notify,
+    /// Notified (all waiting tasks) when the state of a path has changed.
+    changed: Notify,
+    /// Peers as carriers of tunnels.
+    carriers: Mutex<Carriers>,
+    /// Address at which this daemon accepts tunnels of peers.
+    tunnel_address: OnceLock<SocketAddr>,
+    /// Number of tunnels that this daemon carries for peers.
+    carried: AtomicU32,
+}
+
+/// How a request reaches a server.
+pub struct Route {
+    /// Contact with the server.
+    pub contact: Contact,
+    /// Connection through a peer; `None` if the server is reached directly.
+    pub tunnel: Option<TunnelStream>,
+}
+
+/// A tunnel that this daemon carries for a peer; counted until it is dropped.
+pub struct CarriedTunnel<'a>(&'a Paths);
+
+impl Drop for CarriedTunnel<'_> {
+    fn drop(&mut self) {
+        self.0.carried.fetch_sub(1, Ordering::Relaxed);
+    }
 }
 
 impl Paths {
@@ -46,7 +84,10 @@
             has_trouble: AtomicBool::new(false),
             contacts: Mutex::default(),
             probe_due: Notify::new(),
-            path_lost: Notify::new(),
+            changed: Notify::new(),
+            carriers: Mutex::default(),
+            tunnel_address: OnceLock::new(),
+            carried: AtomicU32::new(0),
         }
     }
 
@@ -71,6 +112,46 @@
         self.read(|_, tracker| tracker.is_lost(group)).unwrap_or(false)
     }
 
+    /// Returns how a request is to reach a server of a group: directly, or through a peer while
+    /// this host has no path to the group. `request` is the request's identifier; `log` adds it.
+    ///
+    /// # Errors
+    /// [`NoTunnel`] when it can't reach the server. Nothing was sent.
+    pub async fn route(
+        self: &Arc<Self>,
+        log: &Logger,
+        group: &ServerGroup,
+        server: &ServerInstance,
+        request: &str,
+    ) -> Result<Route, NoTunnel> {
+        let state = self.read(|now, tracker| {
+            (tracker.is_direct(now, group, rand::random()), tracker.state(group))
+        });
+        let is_direct = match state {
+            None | Some((true, _)) => true,
+            // While the path recovers it is better than none.
+            Some((false, Some(PathState::Recovering { .. }))) => !self.has_carrier(group),
+            Some((false, _)) => false,
+        };
+        if is_direct {
+            return Ok(Route { contact: self.direct_contact(group), tunnel: None });
+        }
+        let (peer, stream) = self.open_tunnel(log, group, server, request).await?;
+        Ok(Route { contact: Contact::ThroughPeer(peer), tunnel: Some(stream) })
+    }
+
+    /// Waits until it is decided whether the path to a group is lost; returns whether it is.
+    pub async fn await_decision(&self, group: &ServerGroup) -> bool {
+        loop {
+            let changed = self.changed.notified();
+            match self.read(|_, tracker| tracker.state(group)).flatten() {
+                Some(PathState::Lost { .. }) => return true,
+                Some(PathState::Suspected { .. }) => changed.await,
+                _ => return false,
+            }
+        }
+    }
+
     /// Records evidence that the path to a group may be lost.
     pub fn record_evidence(&self, group: &ServerGroup, evidence: Evidence) {
         let is_new = self.change(|now, tracker| tracker.record_evidence(now, group, evidence));
@@ -87,6 +168,11 @@
     /// accept a connection.
     fn record_round(&self, group: &ServerGroup, round: ProbeRound, unreached: &[Name]) {
         let change = self.change(|now, tracker| tracker.record_round(now, group, round));
+        if change.is_some() {
+            // Failures on a lost path are not the servers' own.
+            self.router.lock().clear_failures(group);
+            self.fleet.heartbeat_now.notify_one();
+        }
         match change {
             Some(PathChange::Lost) => self.apply_loss(group, round, unreached),
             Some(PathChange::Regained { lost_ms }) => {
@@ -96,9 +182,56 @@
             }
             None => {}
         }
+        self.refresh_unreachable();
+        self.changed.notify_waiters();
         self.probe_due.notify_one();
     }
 
+    /// Tells the router which groups no path leads to: this host's own is lost, and no peer is known
+    /// to reach them.
+    pub fn refresh_unreachable(&self) {
+        let lost = self.read(|_, tracker| tracker.lost().cloned().collect::<Vec<_>>());
+        let unreachable: HashSet<ServerGroup> =
+            lost.into_iter().flatten().filter(|group| !self.has_carrier(group)).collect();
+        self.fleet.base.metrics.set("path.unreachable_groups", unreachable.len() as u64);
+        self.router.lock().set_unreachable(unreachable);
+    }
+
+    /// Updates what depends on the reports of peers, after one was received.
+    pub fn merge_report(&self) {
+        if self.has_trouble.load(Ordering::Relaxed) {
+            self.refresh_unreachable();
+        }
+    }
+
+    /// Returns the retry delay for callers of a pool to which no path leads from this host. Another
+    /// host serves them now if a peer reports a path.
+    pub fn retry_delay(&self, pool: &Name) -> Duration {
+        let groups = self.router.lock().groups();
+        let mut of_pool = groups.iter().filter(|group| group.pool == *pool);
+        let members = self.fleet.members.lock();
+        if of_pool.any(|group| members.tunnel_peers(group).next().is_some()) {
+            return OTHER_HOST_RETRY_DELAY;
+        }
+        let spread = rand::random_range(0..=PROBE_INTERVAL_MS);
+        Duration::from_millis(PROBE_INTERVAL_MS + spread)
+    }
+
+    /// Returns what this daemon reports to peers.
+    pub fn report(&self) -> PathReport {
+        let lost = self.read(|_, tracker| tracker.lost().cloned().collect::<Vec<_>>());
+        let address = self.tunnel_address.get().map(ToString::to_string);
+        let carried = self.carried.load(Ordering::Relaxed);
+        PathReport::new(lost.unwrap_or_default(), address, carried)
+    }
+
+    /// Counts a tunnel that this daemon carries; `None` if it carries `max` already.
+    pub fn carry(&self, max: u32) -> Option<CarriedTunnel<'_>> {
+        let add = |carried: u32| (carried < max).then_some(carried + 1);
+        let added = self.carried.fetch_update(Ordering::Relaxed, Ordering::Relaxed, add);
+        added.is_ok().then_some(CarriedTunnel(self))
+    }
+
     /// Logs and counts that a path was lost, and suspects those to all other groups.
     fn apply_loss(&self, group: &ServerGroup, round: ProbeRound, unreached: &[Name]) {
         let unreached: Vec<&str> = unreached.iter().map(Name::as_str).collect();
@@ -108,7 +241,9 @@
             "has_data" => round.has_data, "heard_ms_ago" => self.contact_age(group));
         let groups = self.router.lock().groups();
         self.change(|now, tracker| tracker.suspect_all(now, groups));
-        self.path_lost.notify_waiters();
+        if let Some(contact) = self.contacts.lock().get(group) {
+            contact.record_loss();
+        }
     }
 
     /// Returns the time since data was last received directly from a group, in milliseconds.
@@ -124,6 +259,10 @@
             let row = |(group, state)| json!({"group": group, "path": state});
             tracker.states().map(row).collect::<Vec<Value>>()
         });
-        json!(rows.unwrap_or_default())
+        json!({
+            "own": rows.unwrap_or_default(),
+            "tunnel_address": self.tunnel_address.get(),
+            "tunnels_carried": self.carried.load(Ordering::Relaxed),
+        })
     }
 }
--- a/crates/daemon/src/paths/contact.rs
+++ b/crates/daemon/src/paths/contact.rs
@@ -1,11 +1,10 @@
 //! Contact of one attempt with its group of servers, and how it notices that the path is lost.
 
-use std::convert::Infallible;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 
-use bankcove_core::Millis;
 use bankcove_core::paths::{Evidence, ServerGroup};
+use bankcove_core::{Millis, Name};
 
 use crate::paths::Paths;
 
@@ -13,11 +12,16 @@
 /// milliseconds.
 const SILENCE_MS: Millis = 400;
 
+/// Time without data after which an attempt on a lost path is given up, in milliseconds.
+const GIVE_UP_MS: Millis = 1_000;
+
 /// Data received directly from the servers of one group.
 #[derive(Debug, Default)]
 pub(super) struct GroupContact {
     /// Time of the latest data.
     heard_at: AtomicU64,
+    /// Number of times that the path was lost.
+    losses: AtomicU64,
 }
 
 impl GroupContact {
@@ -31,13 +35,26 @@
         self.heard_at.load(Ordering::Relaxed)
     }
 
+    /// Records that the path was lost.
+    pub(super) fn record_loss(&self) {
+        self.losses.fetch_add(1, Ordering::Relaxed);
+    }
+
     fn record(&self, now: Millis) {
         self.heard_at.fetch_max(now, Ordering::Relaxed);
     }
 }
 
+/// Contact of one attempt with its server.
+pub enum Contact {
+    /// Over this host's own path.
+    Direct(DirectContact),
+    /// Through this peer.
+    ThroughPeer(Name),
+}
+
 /// Contact of one attempt with its group over the direct path.
-pub struct Contact {
+pub struct DirectContact {
     paths: Arc<Paths>,
     group: ServerGroup,
     of_group: Arc<GroupContact>,
@@ -48,35 +65,66 @@
 impl Contact {
     /// Records data for this attempt.
     pub fn record_data(&mut self) {
-        self.heard_at = self.paths.fleet.base.clock.now();
-        self.of_group.record(self.heard_at);
+        if let Contact::Direct(contact) = self {
+            contact.heard_at = contact.paths.fleet.base.clock.now();
+            contact.of_group.record(contact.heard_at);
+        }
     }
 
     /// Records that the attempt has failed in this way.
     pub fn record_failure(&self, evidence: Evidence) {
-        self.paths.record_evidence(&self.group, evidence);
+        if let Contact::Direct(contact) = self {
+            contact.paths.record_evidence(&contact.group, evidence);
+        }
+    }
+
+    /// Returns how many times the direct path to the group was lost: connections from before the
+    /// last loss may be dead.
+    pub fn losses(&self) -> u64 {
+        match self {
+            Contact::Direct(contact) => contact.of_group.losses.load(Ordering::Relaxed),
+            Contact::ThroughPeer(_) => 0,
+        }
+    }
+
+    /// Waits until the direct path is lost and nothing has been received for some time, neither for
+    /// this attempt nor from its group. Has the group probed when it is silent.
+    pub async fn lost(&self) {
+        match self {
+            Contact::Direct(contact) => contact.lost().await,
+            Contact::ThroughPeer(_) => std::future::pending().await,
+        }
     }
+}
 
-    /// Waits for the time after which silence is suspicious, and has the group probed if no other
-    /// request has received data from it either. Never returns.
-    pub async fn watch_silence(&self) -> Infallible {
+impl DirectContact {
+    async fn lost(&self) {
         let clock = &self.paths.fleet.base.clock;
-        let mut quiet_since = self.heard_at;
+        clock.sleep_until(self.heard_at + SILENCE_MS).await;
         loop {
-            clock.sleep_until(quiet_since + SILENCE_MS).await;
-            quiet_since = clock.now();
-            if self.of_group.age(quiet_since) >= SILENCE_MS {
+            let changed = self.paths.changed.notified();
+            let now = clock.now();
+            let silent_ms = now.saturating_sub(self.heard_at).min(self.of_group.age(now));
+            if self.paths.is_lost(&self.group) && silent_ms >= GIVE_UP_MS {
+                return;
+            }
+            if silent_ms >= SILENCE_MS {
                 self.paths.record_evidence(&self.group, Evidence::Silent);
             }
+            tokio::select! {
+                () = changed => {}
+                () = clock.sleep_until(now + SILENCE_MS) => {}
+            }
         }
     }
 }
 
 impl Paths {
     /// Returns the contact of an attempt that is about to be sent directly.
-    pub fn contact(self: &Arc<Self>, group: &ServerGroup) -> Contact {
+    pub(super) fn direct_contact(self: &Arc<Self>, group: &ServerGroup) -> Contact {
         let heard_at = self.fleet.base.clock.now();
         let of_group = Arc::clone(self.contacts.lock().entry(group.clone()).or_default());
-        Contact { paths: Arc::clone(self), group: group.clone(), of_group, heard_at }
+        let paths = Arc::clone(self);
+        Contact::Direct(DirectContact { paths, group: group.clone(), of_group, heard_at })
     }
 }
--- a/crates/daemon/src/peer.rs
+++ b/crates/daemon/src/peer.rs
@@ -8,6 +8,7 @@
 pub mod packed_table;
 mod pool;
 mod protocol;
+pub mod tunnel;
 
 use std::time::Duration;
 
--- a/crates/daemon/tests/fleet_size.rs
+++ b/crates/daemon/tests/fleet_size.rs
@@ -9,6 +9,7 @@
 use std::sync::Arc;
 
 use bankcove_core::members::Heartbeat;
+use bankcove_core::paths::PathReport;
 use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::table::Budget;
 use bankcove_core::{Incarnation, Name};
@@ -45,6 +46,7 @@
         paces: Vec::new(),
         crashes_digest: 0,
         hints_digest: 0,
+        paths: PathReport::default(),
     };
     daemon.fleet.members.lock().record_heartbeat(0, &heartbeat);
 }
--- a/crates/daemon/tests/freshness.rs
+++ b/crates/daemon/tests/freshness.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 
 use bankcove_core::members::Heartbeat;
+use bankcove_core::paths::PathReport;
 use bankcove_core::rollout::RolloutOrders;
 use bankcove_core::{Incarnation, Name};
 use bankcoved::base::config::Config;
@@ -32,6 +33,7 @@
         paces: Vec::new(),
         crashes_digest: 0,
         hints_digest: 0,
+        paths: PathReport::default(),
     }
 }
 
