Crashes: a refused connection on a lost path is no crash

Cause: a host takes a refused connection for the crash of a server. On a cut that refuses connections, each of four hosts recorded crashes of all sixteen servers, which had not crashed, and told the others: 52 to 57 at each host of the fleet on the record. The requests that ran there count as possible causes of crashes everywhere.

A failed connection shows nothing while this host has lost its path to the server; then a peer that reaches the server's group is asked to connect. The server has crashed if it refuses the peer too. If no peer can tell, its entry in the list decides, as for a server that does not answer. A daemon without peers decides by itself, as before.

--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -29,6 +29,7 @@
 use crate::crashes::isolation::IsolatedRuns;
 use crate::fleet::Fleet;
 use crate::fleet::fetch_throttle::FetchThrottle;
+use crate::paths::Paths;
 
 /// Number of daemons responsible for a request: they store a block of it that a peer reported, and
 /// send it if it may run only once more.
@@ -38,6 +39,7 @@
 pub struct Crashes {
     fleet: Fleet,
     router: Arc<Mutex<Router>>,
+    paths: Arc<Paths>,
     store: Store,
     tracker: Mutex<CrashTracker>,
     /// Whether the tracker has any state; without any, no request is hashed or looked up.
@@ -61,10 +63,11 @@
 
 impl Crashes {
     /// Creates an empty crash state whose blocks are kept in `store`.
-    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>, store: Store) -> Self {
+    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>, paths: Arc<Paths>, store: Store) -> Self {
         Crashes {
             fleet,
             router,
+            paths,
             store,
             tracker: Mutex::default(),
             is_active: AtomicBool::new(false),
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -6,6 +6,7 @@
 
 use bankcove_core::Millis;
 use bankcove_core::crashes::ServerInstance;
+use bankcove_core::paths::ServerGroup;
 
 use crate::base::tcp::{ProbeResult, probe_and_hold};
 use crate::crashes::{Crashes, Origin};
@@ -38,16 +39,25 @@
     }
 }
 
+/// What a check of a server shows.
+enum Finding {
+    /// It runs.
+    Running,
+    /// It does not.
+    Crashed,
+    /// Neither is certain yet.
+    InDoubt,
+}
+
 /// Returns whether a server has crashed: it refuses connections, or its entry is gone from the
 /// server list. A server that is still in doubt after `MAX_CHECK_MS` counts as running.
 async fn has_crashed(crashes: &Crashes, server: &ServerInstance, address: &str) -> bool {
     let deadline = crashes.fleet.base.clock.now() + MAX_CHECK_MS;
-    let source = crashes.fleet.base.cfg.source_ip();
     loop {
-        match probe_and_hold(address, source, REACH_TIMEOUT, MIN_OPEN_TIME).await {
-            ProbeResult::Refused => return true,
-            ProbeResult::Accepted => return false,
-            ProbeResult::NoAnswer => {}
+        match check(crashes, server, address).await {
+            Finding::Running => return false,
+            Finding::Crashed => return true,
+            Finding::InDoubt => {}
         }
         // The server is gone from the list, or another instance of it is listed.
         if !crashes.router.lock().is_current_instance(&server.name, server.started_ms) {
@@ -60,3 +70,32 @@
         tokio::time::sleep(RETRY_INTERVAL).await;
     }
 }
+
+/// Checks a server from this host. If the host has lost its path to the server, a failed connection
+/// shows nothing, and peers are asked.
+async fn check(crashes: &Crashes, server: &ServerInstance, address: &str) -> Finding {
+    let source = crashes.fleet.base.cfg.source_ip();
+    let finding = match probe_and_hold(address, source, REACH_TIMEOUT, MIN_OPEN_TIME).await {
+        ProbeResult::Accepted => return Finding::Running,
+        ProbeResult::Refused => Finding::Crashed,
+        ProbeResult::NoAnswer => Finding::InDoubt,
+    };
+    let Some(group) = lost_group(crashes, server).await else { return finding };
+    match crashes.paths.ask_peers_about(&group, server).await {
+        Some(true) => Finding::Running,
+        Some(false) => Finding::Crashed,
+        None if crashes.fleet.members.lock().usable().next().is_none() => finding,
+        None => Finding::InDoubt,
+    }
+}
+
+/// Returns a group of the server to which this host has lost its path.
+async fn lost_group(crashes: &Crashes, server: &ServerInstance) -> Option<ServerGroup> {
+    let groups = crashes.router.lock().groups_of(&server.name);
+    for group in groups {
+        if crashes.paths.await_decision(&group).await {
+            return Some(group);
+        }
+    }
+    None
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -111,7 +111,8 @@
         let router = Arc::<Mutex<Router>>::default();
         let paths = Arc::new(Paths::new(fleet.clone(), Arc::clone(&router)));
         let hints = Hints::new(fleet.clone(), Arc::clone(&router));
-        let crashes = Crashes::new(fleet.clone(), Arc::clone(&router), store.clone());
+        let crashes =
+            Crashes::new(fleet.clone(), Arc::clone(&router), Arc::clone(&paths), store.clone());
         let table = Arc::<ArcSwapOption<Table>>::default();
         let (leaving, stopping) = (CancellationToken::new(), CancellationToken::new());
         let budgets = Budgets::new(
