Relay: a stream that can't resume elsewhere goes on after a short cut

Cause: a stream on a lost path was given up also where it may not resume. Now a resume is tried; if there is none the stream is read on until its deadline.

--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -37,6 +37,8 @@
     open_request: OpenRequest,
     choice: Choice,
     contact: Contact,
+    /// Whether a lost path to the server is a reason to resume the stream elsewhere.
+    watches_path: bool,
     splitter: EventSplitter,
     sequence: EventSequence,
     pace: PaceMeter,
@@ -68,6 +70,7 @@
             open_request,
             choice,
             contact,
+            watches_path: true,
             splitter,
             sequence,
             pace,
@@ -111,16 +114,19 @@
                     self.open_request.record_failure();
                     return Some(Err(self.abort("the time is over")));
                 }
-                ReadResult::PathLost => PATH_LOST,
-                ReadResult::Broken(problem) => {
-                    self.open_request.record_failure();
-                    self.contact.record_failure(Evidence::Broken);
-                    let crashes = &self.call.entry.requests.crashes;
-                    crashes.record_disconnect(&self.choice, self.call.fingerprint());
-                    problem
+                ReadResult::PathLost => {
+                    log_failed_attempt(&self.call, &self.choice, true, PATH_LOST);
+                    // Otherwise the rest may still arrive when the path is back.
+                    self.watches_path = self.resume().await;
+                    continue;
                 }
+                ReadResult::Broken(problem) => problem,
             };
+            self.open_request.record_failure();
+            self.contact.record_failure(Evidence::Broken);
             log_failed_attempt(&self.call, &self.choice, true, problem);
+            let crashes = &self.call.entry.requests.crashes;
+            crashes.record_disconnect(&self.choice, self.call.fingerprint());
             if !self.resume().await {
                 return Some(Err(self.abort(problem)));
             }
@@ -134,7 +140,7 @@
             let frame = clock.timeout_at(self.call.deadline, self.body.frame());
             let frame = tokio::select! {
                 frame = frame => frame,
-                () = self.contact.lost() => return ReadResult::PathLost,
+                () = self.contact.lost(), if self.watches_path => return ReadResult::PathLost,
             };
             let frame = match frame {
                 None => return ReadResult::TimedOut,
