Tunnels: a rest that a server asks for reaches the host that carried the request

A server that asks for rest in an answer which came through a peer means the peer's host: that is the sender it knows. The peer copies bytes and does not read them, so it went on sending there. The host that reads the answer now tells the peer; both keep the rest.

--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -163,7 +163,11 @@
     // Hints count only from this instance of the server: another program, or another instance,
     // may answer at its address.
     if !is_foreign && (head.is_signed || head.unrun == Some(NotRunReason::Full)) {
-        entry.requests.hints.record_response(&call.log, &choice.instance(), sent_at, &head.hints);
+        let (hints, server) = (&entry.requests.hints, choice.instance());
+        hints.record_response(&call.log, &server, sent_at, &head.hints);
+        if let Contact::ThroughPeer(peer) = &contact {
+            hints.forward_rest(peer, &server, &head.hints.rest);
+        }
     }
     if let (Some(unrun), Some(proof)) = (head.unrun, NotExecuted::from_head(&head)) {
         place.cancel();
--- a/crates/daemon/src/hints/record.rs
+++ b/crates/daemon/src/hints/record.rs
@@ -1,14 +1,16 @@
 //! Records the hints in response headers of servers, and merges those received from peers.
 
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
-use bankcove_core::Millis;
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::hints::{Hint, HintFact, LeavingFact, ServerHints};
 use bankcove_core::limits::{LimitChange, LimitFact, LimitHeader};
+use bankcove_core::{Millis, Name};
 use slog::Logger;
 
 use crate::hints::Hints;
+use crate::peer::PeerServiceClient;
 
 /// Origin of a hint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -69,7 +71,8 @@
         }
     }
 
-    fn record_rest(&self, log: &Logger, server: &ServerInstance, rest_ms: Millis) {
+    /// Records that a server asks this daemon for rest.
+    pub fn record_rest(&self, log: &Logger, server: &ServerInstance, rest_ms: Millis) {
         let now = self.fleet.base.clock.now();
         if !self.change_closed(|router| router.record_rest(now, server, rest_ms)) {
             return;
@@ -79,6 +82,27 @@
             "server" => %server.name, "started_ms" => server.started_ms, "rest_ms" => rest_ms);
     }
 
+    /// Tells the peer through which a response was received that the server asks it for rest: the
+    /// server knows that host as the sender.
+    pub fn forward_rest(&self, peer: &Name, server: &ServerInstance, rest: &Hint<Millis>) {
+        let Hint::Given(rest_ms) = *rest else { return };
+        let address = {
+            let members = self.fleet.members.lock();
+            members.peers().find(|known| known.name == *peer).map(|known| known.address.clone())
+        };
+        let Some(address) = address else { return };
+        let (base, server) = (self.fleet.base.clone(), server.clone());
+        tokio::spawn(async move {
+            let timeout = Duration::from_millis(base.cfg.limits.peer_timeout_ms);
+            let call = |client: PeerServiceClient, cx| async move {
+                client.told_rest(cx, server, rest_ms).await
+            };
+            if base.peers.call(&address, timeout, call).await.is_none() {
+                base.metrics.count("hint.not_told");
+            }
+        });
+    }
+
     fn record_limit(&self, server: &ServerInstance, sent_at: Millis, header: &LimitHeader) {
         if let LimitHeader::Unreadable(text) = header {
             self.log_unreadable(server, "limit", text);
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -1,7 +1,7 @@
 //! The RPC protocol between daemons.
 
 use bankcove_core::bill::Bill;
-use bankcove_core::crashes::CrashFacts;
+use bankcove_core::crashes::{CrashFacts, ServerInstance};
 use bankcove_core::hints::HintFact;
 use bankcove_core::holder::{Allotted, DaemonHolding, ProtectionState, TokenRequest};
 use bankcove_core::limits::{Issued, LimitFact, PermitRequest};
@@ -180,6 +180,9 @@
     async fn told_hints(facts: Vec<HintFact>);
     /// Returns the server hints known to the receiver; a part of them if there are many.
     async fn hint_facts() -> Vec<HintFact>;
+    /// Reports that a server has asked the receiver for a rest of `rest_ms`, in its response to a
+    /// request that the receiver carried.
+    async fn told_rest(server: ServerInstance, rest_ms: Millis);
     /// Requests permits for a server from the receiver. `fact` is the server's limit as known to
     /// the sender.
     async fn permits(fact: LimitFact, request: PermitRequest) -> PermitAnswer;
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bankcove_core::bill::Bill;
-use bankcove_core::crashes::CrashFacts;
+use bankcove_core::crashes::{CrashFacts, ServerInstance};
 use bankcove_core::hints::HintFact;
 use bankcove_core::holder::{Allotted, DaemonHolding, TokenRequest};
 use bankcove_core::limits::{LimitFact, PermitRequest};
@@ -13,7 +13,7 @@
 use bankcove_core::request_log::{Entry, Outcome};
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
-use bankcove_core::{Incarnation, Name, Tokens};
+use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use futures::StreamExt;
 use tarpc::context::Context;
 use tarpc::server::{BaseChannel, Channel};
@@ -183,6 +183,10 @@
         self.daemon.hints.facts()
     }
 
+    async fn told_rest(self, _: Context, server: ServerInstance, rest_ms: Millis) {
+        self.daemon.hints.record_rest(&self.daemon.log, &server, rest_ms);
+    }
+
     async fn permits(self, _: Context, fact: LimitFact, request: PermitRequest) -> PermitAnswer {
         self.daemon.hints.issue(&fact, request)
     }
