Brittle servers: a host's open requests are bounded by what the server rejects

New on the users' pages: a server that says Server-Brittle: N in its answers may let fewer wait, and falls over when it has to reject more than N in a second. Nothing read it; it fell into the class of hints that servers send and nobody reads.

Each host bounds its open requests at such a server: an equal share of its slots at first, one less than were open after a rejection, and one more at random times, so rarely that the attempts of all hosts stay at a fifth of what the server bears. What exceeds the bound is handled as at a full server: it waits in the queue for places or is refused with a time to come back. The bound belongs to one start of the server and ends with the announcement.

Not gossiped: a host learns of it by its own first answer.

--- a/crates/core/src/hints.rs
+++ b/crates/core/src/hints.rs
@@ -11,7 +11,7 @@
 pub use rest_periods::RestPeriods;
 
 use crate::Millis;
-use crate::limits::{LimitFact, LimitHeader};
+use crate::limits::{LimitFact, LimitHeader, RequestRate};
 
 /// Time for which a hint of an unlisted server instance is kept, in milliseconds: longer than the
 /// server list of a daemon that was cut off lags.
@@ -38,6 +38,19 @@
     pub leaving: Hint<()>,
     /// Time for which this daemon must send nothing to the server, in milliseconds.
     pub rest: Hint<Millis>,
+    /// Requests per second that the server can reject for lack of room, from all daemons together,
+    /// before it falls over.
+    pub brittle: Hint<RequestRate>,
+}
+
+/// Parses the values of the header by which a server announces that it is brittle. The lowest of
+/// several numbers applies.
+pub fn read_brittle<'a>(values: impl IntoIterator<Item = &'a str>) -> Hint<RequestRate> {
+    match LimitHeader::parse(values) {
+        LimitHeader::Absent => Hint::Absent,
+        LimitHeader::Limit(rate) => Hint::Given(rate),
+        LimitHeader::Unreadable(text) => Hint::Unreadable(text),
+    }
 }
 
 /// A hint of a server, as daemons exchange it.
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -225,7 +225,7 @@
             warm.into_iter().partition(|view| view.is_resting(now));
         // A full server has room again sooner than others become usable.
         let full = active.iter().filter(|view| view.is_only_full(now));
-        if let Some(first_at) = full.map(|view| view.room.full_until).min() {
+        if let Some(first_at) = full.filter_map(|view| view.full_until(now)).min() {
             return NoServer::OnlyFull(FullPool { first_ms: first_at - now });
         }
         let limited = active.iter().filter(|view| view.is_at_limit(now));
--- a/crates/core/src/router/full_servers.rs
+++ b/crates/core/src/router/full_servers.rs
@@ -158,9 +158,10 @@
             if view.is_usable(now) {
                 room.usable += 1;
                 room.usable_slots += view.room.slots.max(1);
-            } else if view.is_only_full(now) {
+            } else if let Some(full_until) = view.full_until(now).filter(|_| view.is_only_full(now))
+            {
                 room.full += 1;
-                first_full_until = first_full_until.min(view.room.full_until);
+                first_full_until = first_full_until.min(full_until);
             }
         }
         if answered > 0.0 {
@@ -179,6 +180,15 @@
     /// Returns whether the server would be usable if it were not full.
     pub(super) fn is_only_full(&self, now: Millis) -> bool {
         let is_held_back = self.is_cold(now) || self.is_at_limit(now) || self.is_resting(now);
-        self.is_eligible(now) && !is_held_back && self.room.is_full(now)
+        self.is_eligible(now) && !is_held_back && self.full_until(now).is_some()
+    }
+
+    /// Returns the time until which the server counts as full: it has rejected a request, or this
+    /// daemon has as many open there as it bears. `None` if it has room.
+    pub(super) fn full_until(&self, now: Millis) -> Option<Millis> {
+        let marked = self.room.is_full(now).then_some(self.room.full_until);
+        let answer_ms = self.room.answer_ms.unwrap_or(UNKNOWN_ANSWER_MS).ceil() as Millis;
+        let at_window = self.is_at_window(now).then_some(now + answer_ms);
+        marked.max(at_window)
     }
 }
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crashes::ServerInstance;
+use crate::router::brittle_servers::Brittle;
 use crate::router::full_servers::ServerRoom;
 use crate::router::load::Load;
 use crate::router::wait::Unanswered;
@@ -95,6 +96,8 @@
     pub(super) event_ms: Option<f64>,
     /// Its capacity, and whether it counts as full.
     pub(super) room: ServerRoom,
+    /// Bound on this daemon's open requests, if it falls over when it rejects too many.
+    pub(super) brittle: Option<Brittle>,
     /// Requests of this daemon without a first event yet, oldest first.
     #[serde(skip)]
     pub(super) unanswered: Vec<Unanswered>,
@@ -133,6 +136,7 @@
             lifted_at: None,
             event_ms: None,
             room: ServerRoom::default(),
+            brittle: None,
             unanswered: Vec::new(),
         }
     }
@@ -192,7 +196,7 @@
     /// Returns whether requests may be sent to the server now.
     pub(super) fn is_usable(&self, now: Millis) -> bool {
         let is_held_back = self.is_cold(now) || self.is_at_limit(now) || self.is_resting(now);
-        self.is_eligible(now) && !is_held_back && !self.room.is_full(now)
+        self.is_eligible(now) && !is_held_back && self.full_until(now).is_none()
     }
 
     /// Returns whether a rest that the server has asked this daemon for is in force.
--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -162,6 +162,8 @@
         limit: LimitHeader::parse(values(LIMIT_HEADER)),
         leaving: read_leaving(values(LEAVING_HEADER)),
         rest: if asks_for_rest { rest() } else { Hint::Absent },
+        // Servers of bankcove's own interface don't announce it.
+        brittle: Hint::Absent,
     }
 }
 
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -172,6 +172,9 @@
     if let (Some(unrun), Some(proof)) = (head.unrun, NotExecuted::from_head(&head)) {
         place.cancel();
         let is_full = unrun == NotRunReason::Full;
+        if is_full {
+            entry.requests.hints.record_rejection(&choice.instance());
+        }
         if is_full && entry.places.record_full(&call.log, &call.plan.service, &choice) {
             // It may be tried again when it has a place for this request.
             call.tried_servers.pop();
--- a/crates/daemon/src/hints.rs
+++ b/crates/daemon/src/hints.rs
@@ -54,6 +54,8 @@
     has_limits: AtomicBool,
     /// Whether any server is leaving or resting; if not, requests skip the lock of `router`.
     has_closed: AtomicBool,
+    /// Whether any server is brittle; if not, responses without the hint skip the lock of `router`.
+    has_brittle: AtomicBool,
     /// [`LimitTracker::digest`] after the last change.
     limits_digest: AtomicU64,
     /// [`Router::leaving_digest`] after the last change.
@@ -82,6 +84,7 @@
             unreadable: Mutex::default(),
             has_limits: AtomicBool::new(false),
             has_closed: AtomicBool::new(false),
+            has_brittle: AtomicBool::new(false),
             limits_digest: AtomicU64::new(0),
             leaving_digest: AtomicU64::new(0),
             fetch_throttle: FetchThrottle::default(),
--- a/crates/daemon/src/hints/record.rs
+++ b/crates/daemon/src/hints/record.rs
@@ -5,7 +5,7 @@
 
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::hints::{Hint, HintFact, LeavingFact, ServerHints};
-use bankcove_core::limits::{LimitChange, LimitFact, LimitHeader};
+use bankcove_core::limits::{LimitChange, LimitFact, LimitHeader, RequestRate};
 use bankcove_core::{Millis, Name};
 use slog::Logger;
 
@@ -41,6 +41,7 @@
         hints: &ServerHints,
     ) {
         self.record_limit(server, sent_at, &hints.limit);
+        self.record_brittle(log, server, &hints.brittle);
         self.record_control_response(log, server, hints);
     }
 
@@ -82,6 +83,37 @@
             "server" => %server.name, "started_ms" => server.started_ms, "rest_ms" => rest_ms);
     }
 
+    /// Records that a server is brittle, or no longer.
+    fn record_brittle(&self, log: &Logger, server: &ServerInstance, brittle: &Hint<RequestRate>) {
+        let rejections = match brittle {
+            Hint::Absent if !self.has_brittle.load(Ordering::Relaxed) => return,
+            Hint::Absent => None,
+            Hint::Given(rate) => Some(*rate),
+            Hint::Unreadable(text) => return self.log_unreadable(server, "brittle", text),
+        };
+        let now = self.fleet.base.clock.now();
+        // While the fleet size is unknown, this daemon has no share of the rejections.
+        let daemons = self.fleet.size().unwrap_or(usize::MAX >> 32);
+        let mut router = self.router.lock();
+        if !router.set_brittle(now, server, rejections, daemons, rand::random()) {
+            return;
+        }
+        self.has_brittle.store(router.has_brittle(), Ordering::Relaxed);
+        drop(router);
+        self.fleet.base.metrics.count("server.brittle");
+        slog::info!(log, "server is brittle";
+            "server" => %server.name, "started_ms" => server.started_ms,
+            "rejections_per_s" => rejections.map(RequestRate::per_second), "daemons" => daemons);
+    }
+
+    /// Records that a server has rejected a request of this daemon because it is full.
+    pub fn record_rejection(&self, server: &ServerInstance) {
+        if self.has_brittle.load(Ordering::Relaxed) {
+            let now = self.fleet.base.clock.now();
+            self.router.lock().record_rejection(now, server, rand::random());
+        }
+    }
+
     /// Tells the peer through which a response was received that the server asks it for rest: the
     /// server knows that host as the sender.
     pub fn forward_rest(&self, peer: &Name, server: &ServerInstance, rest: &Hint<Millis>) {
--- a/crates/daemon/src/requests/open_request.rs
+++ b/crates/daemon/src/requests/open_request.rs
@@ -41,6 +41,7 @@
             let mut router = requests.router.lock();
             router.record_sent(&choice.server, choice.started_ms, prompt);
             router.record_wait(sent_at, &choice.server, choice.started_ms, prompt);
+            router.raise_window(sent_at, &choice.server, choice.started_ms, rand::random());
         }
         if prompt >= MIN_REPORTED_TOKENS {
             requests.unread_changed.notify_one();
