--- a/crates/cli/src/args.rs
+++ b/crates/cli/src/args.rs
@@ -76,6 +76,9 @@
     Blocked(BlockedCommand),
     /// Show which backend servers announce a limit, and how many requests the daemon may send them.
     Limits,
+    /// Show which backend servers the daemon and its peers have no path to, and the tunnels that
+    /// they carry for each other.
+    Paths,
     /// Show which backend servers get requests from the daemon, and why the others don't.
     Servers,
     /// Create and hash keys for callers.
--- a/crates/cli/src/client.rs
+++ b/crates/cli/src/client.rs
@@ -106,6 +106,14 @@
         self.call(self.request(Method::GET, "limits")).await
     }
 
+    /// Returns which servers the daemon and its peers do not reach directly, one row per daemon.
+    ///
+    /// # Errors
+    /// [`Error::Unreachable`] or [`Error::Refused`].
+    pub async fn paths(&self) -> Result<Vec<Value>> {
+        self.call(self.request(Method::GET, "paths")).await
+    }
+
     /// Returns the state of each backend server on the daemon, one row per server.
     ///
     /// # Errors
--- a/crates/cli/src/commands.rs
+++ b/crates/cli/src/commands.rs
@@ -7,7 +7,7 @@
 use crate::client::Client;
 use crate::config::Config;
 use crate::error::{Error, Result};
-use crate::{blocked, budget, demo, drain, limits, load, output, servers, standin, table};
+use crate::{blocked, budget, demo, drain, limits, load, output, paths, servers, standin, table};
 
 /// Length of a new key, in bytes.
 const KEY_BYTES: usize = 32;
@@ -29,6 +29,7 @@
         Command::Budget(command) => budget::run(cfg, command).await,
         Command::Blocked(command) => blocked::run(cfg, command).await,
         Command::Limits => limits::run(cfg).await,
+        Command::Paths => paths::run(cfg).await,
         Command::Servers => servers::run(cfg).await,
         Command::Key(command) => key(command),
         Command::Drain { name } => drain::run(cfg, "servers", &name, true).await,
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,6 +12,7 @@
 mod limits;
 mod load;
 mod output;
+mod paths;
 mod servers;
 mod standin;
 mod table;
--- a/crates/daemon/src/operator.rs
+++ b/crates/daemon/src/operator.rs
@@ -52,6 +52,7 @@
         .push(Router::with_path("blocked").get(get_blocked))
         .push(Router::with_path("blocked/{request}").delete(lift_blocked))
         .push(Router::with_path("limits").get(get_limits))
+        .push(Router::with_path("paths").get(get_paths))
         .push(Router::with_path("servers").get(get_servers))
         .push(Router::with_path("status").get(get_status))
         .push(Router::with_path("dump").get(get_dump))
@@ -212,6 +213,12 @@
     res.render(Json(injected_daemon(depot).hints.dump()));
 }
 
+/// Lists the paths of this daemon and its peers to the backend servers.
+#[handler]
+async fn get_paths(depot: &mut Depot, res: &mut Response) {
+    res.render(Json(injected_daemon(depot).paths.rows()));
+}
+
 /// Lists the state of each backend server on this daemon.
 #[handler]
 async fn get_servers(depot: &mut Depot, res: &mut Response) {
--- a/crates/daemon/src/paths.rs
+++ b/crates/daemon/src/paths.rs
@@ -265,4 +265,28 @@
             "tunnels_carried": self.carried.load(Ordering::Relaxed),
         })
     }
+
+    /// Returns one row as JSON for this daemon and for each peer with recent heartbeats: the groups
+    /// that it does not reach, the tunnels that it carries, and how many of these this daemon has
+    /// opened since the peer's last report.
+    pub fn rows(&self) -> Vec<Value> {
+        let now = self.fleet.base.clock.now();
+        let row = |host: &Name, report: &PathReport, heard_ms_ago, opened_here| {
+            let lost = report.lost.iter().map(|group| format!("{} in {}", group.pool, group.hall));
+            json!({
+                "host": host, "lost": lost.collect::<Vec<String>>().join(", "),
+                "has_lost_more": report.has_lost_more, "tunnels_carried": report.tunnels,
+                "opened_here": opened_here, "heard_ms_ago": heard_ms_ago,
+            })
+        };
+        let mut rows = vec![row(&self.fleet.base.cfg.name, &self.report(), Some(0), 0)];
+        let members = self.fleet.members.lock();
+        let carriers = self.carriers.lock();
+        let heard = members.peers().filter(|peer| peer.heard_at.is_some());
+        rows.extend(heard.map(|peer| {
+            let heard_ms_ago = peer.heard_at.map(|at| now.saturating_sub(at));
+            row(&peer.name, &peer.paths, heard_ms_ago, carriers.opened(peer))
+        }));
+        rows
+    }
 }
--- a/crates/daemon/src/paths/tunnels.rs
+++ b/crates/daemon/src/paths/tunnels.rs
@@ -61,8 +61,14 @@
     /// Returns the number of tunnels that a peer carries: those of its last report, and those that
     /// this daemon has opened since.
     fn tunnels(&self, peer: &Peer) -> u32 {
+        peer.paths.tunnels.saturating_add(self.opened(peer))
+    }
+
+    /// Returns the number of tunnels that this daemon has opened through a peer since its last
+    /// report.
+    pub(super) fn opened(&self, peer: &Peer) -> u32 {
         let opened = self.opened.get(&peer.name).filter(|(heard_at, _)| *heard_at == peer.heard_at);
-        peer.paths.tunnels.saturating_add(opened.map_or(0, |(_, opened)| *opened))
+        opened.map_or(0, |(_, opened)| *opened)
     }
 
     fn record_opened(&mut self, peer: &Peer) {
--- a/crates/proofs/tests/limits.rs
+++ b/crates/proofs/tests/limits.rs
@@ -98,3 +98,12 @@
         |n: usize| report["servers"][n]["requests"].as_u64().expect("the count is a number");
     assert_eq!(requests(0) + requests(1), 20, "{report}");
 }
+
+#[tokio::test(flavor = "multi_thread")]
+async fn operators_see_the_paths_of_all_daemons() {
+    let fleet = Fleet::start(&FleetConfig { daemons: 2, ..FleetConfig::default() }).await;
+    let shown = fleet.run_cli(0, &["paths", "--output", "json"]);
+    let shown: Vec<Value> = serde_json::from_slice(&shown.stdout).expect("the client prints JSON");
+    assert_eq!(shown.len(), 2, "{shown:?}");
+    assert!(shown.iter().all(|row| row["lost"] == "" && row["tunnels_carried"] == 0), "{shown:?}");
+}
