Tunnels: a connection to a silent host breaks after 2 s

A request that waits for its answer through a peer which loses power hung until its deadline: nothing is left to be acknowledged, so no time-out of TCP runs. Keep-alive probes after 1 s, with a user timeout of 2 s, which decides on Linux when they give up, end both connections of a tunnel.

--- a/crates/daemon/src/base/tcp.rs
+++ b/crates/daemon/src/base/tcp.rs
@@ -4,6 +4,7 @@
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
+use socket2::{SockRef, TcpKeepalive};
 use tokio::net::{TcpListener, TcpSocket, TcpStream};
 use tokio::time::error::Elapsed;
 
@@ -12,6 +13,14 @@
 /// Number of connections that may wait to be accepted, unless the host's link is narrower.
 pub const MAX_BACKLOG: u32 = 1_024;
 
+/// Time without an acknowledgement after which a connection that must not be silent breaks.
+const SILENCE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Time without data after which the first keep-alive probe is sent, and the interval of further
+/// ones.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(1);
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
 /// Listens on `address`. Accepted connections inherit `TCP_NODELAY`: otherwise the second
 /// chunk of a stream would wait some 40 ms for the acknowledgement of the first.
 ///
@@ -38,6 +47,17 @@
     socket.listen(backlog)
 }
 
+/// Makes a connection break once the other side has been silent for [`SILENCE_TIMEOUT`], whether
+/// or not data is waiting to be acknowledged. With a user timeout the system gives up on keep-alive
+/// probes by that time, whatever their number.
+pub fn break_when_silent(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    let keepalive = TcpKeepalive::new().with_time(KEEPALIVE_IDLE).with_interval(KEEPALIVE_INTERVAL);
+    // A connection that is gone already needs no options.
+    let _gone = socket.set_tcp_keepalive(&keepalive);
+    let _gone = socket.set_tcp_user_timeout(Some(SILENCE_TIMEOUT));
+}
+
 /// Result of a connection attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ProbeResult {
--- a/crates/daemon/src/entry/tunnels.rs
+++ b/crates/daemon/src/entry/tunnels.rs
@@ -66,6 +66,7 @@
 
 /// Carries one tunnel until it ends.
 async fn carry(entry: Arc<Entry>, stream: TcpStream) {
+    tcp::break_when_silent(&stream);
     let requested = tokio::time::timeout(REQUEST_TIMEOUT, RequestedTunnel::read(stream)).await;
     let Ok(Ok(tunnel)) = requested else { return };
     let request = tunnel.request.clone();
@@ -135,7 +136,10 @@
 async fn connect(entry: &Entry, address: &str) -> std::result::Result<TcpStream, TunnelRefusal> {
     let connecting = tcp::connect(address, entry.settings.source_ip);
     match tokio::time::timeout(CONNECT_TIMEOUT, connecting).await {
-        Ok(Ok(server)) => Ok(server),
+        Ok(Ok(server)) => {
+            tcp::break_when_silent(&server);
+            Ok(server)
+        }
         Ok(Err(e)) if e.kind() == io::ErrorKind::ConnectionRefused => {
             Err(TunnelRefusal::ServerRefused)
         }
--- a/crates/daemon/src/paths/tunnels.rs
+++ b/crates/daemon/src/paths/tunnels.rs
@@ -169,6 +169,7 @@
         let source = self.fleet.base.cfg.source_ip();
         let connecting = tokio::time::timeout(PEER_TIMEOUT, tcp::connect(address, source));
         let stream = connecting.await.ok().and_then(Result::ok).ok_or(None)?;
+        tcp::break_when_silent(&stream);
         let answer = tokio::time::timeout(ANSWER_TIMEOUT, tunnel::open(stream, request)).await;
         match answer {
             Ok(Ok(Ok(stream))) => Ok(stream),
