Sight: versions of servers, and streams that callers take up, in the log

'try failed', 'stream resumed', 'stream came' and 'stream broken off' now name the version that the host believes in, 'stream resumed' also that of the server before. 'stream taken up' is new, with the attempt that the caller names and its last event; 'request refused' names that attempt too. No decision is changed.

--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -113,6 +113,11 @@
     pub fn instance(&self) -> ServerInstance {
         ServerInstance { name: self.server.clone(), started_ms: self.started_ms }
     }
+
+    /// Returns the version for a log line; `None` when unknown.
+    pub fn version_text(&self) -> Option<&str> {
+        self.version.as_ref().map(Name::as_str)
+    }
 }
 
 /// Inputs for choosing a server for one request.
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -292,7 +292,8 @@
 pub fn log_failed_attempt(call: &Call, choice: &Choice, may_have_run: bool, problem: &str) {
     call.entry.requests.base.metrics.count("try.failed");
     slog::info!(call.log, "try failed";
-        "server" => %choice.server, "address" => &choice.address, "problem" => problem,
+        "server" => %choice.server, "version" => choice.version_text(),
+        "address" => &choice.address, "problem" => problem,
         "fingerprint" => %call.fingerprint(),
         "sent" => call.attempts_sent, "ran" => may_have_run, "age_ms" => call.age_ms());
 }
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -1,11 +1,13 @@
 //! Attempts of one request: another server is tried if the previous one certainly did not run the
 //! request, or if the request may be retried.
 
+use bankcove_core::router::Choice;
 use bytes::Bytes;
 use hyper::{HeaderMap, StatusCode};
 
 use crate::entry::admission::AdmittedCall;
 use crate::entry::attempt::{AttemptOutcome, BufferedAnswer, attempt, log_ended};
+use crate::entry::call::Call;
 use crate::entry::outcome::{Failure, RunState, Unrun};
 use crate::entry::refusal::Refusal;
 use crate::entry::relay::Relay;
@@ -18,6 +20,15 @@
     Stream(StatusCode, HeaderMap, Box<Relay>),
 }
 
+/// Logs and counts a stream that was begun by another attempt of the caller and goes on here.
+fn log_taken_up(call: &Call, choice: &Choice) {
+    let Some(after) = call.request_head.resume_after else { return };
+    call.entry.requests.base.metrics.count("stream.taken_up");
+    slog::info!(call.log, "stream taken up";
+        "resumes" => call.request_head.resumes.as_ref(), "after" => after,
+        "server" => %choice.server, "version" => choice.version_text());
+}
+
 /// Sends a request to a server, or to several in turn, and returns the answer.
 ///
 /// # Errors
@@ -59,6 +70,7 @@
             AttemptOutcome::StreamStarted(started) => {
                 let status = started.res.status();
                 let headers = call.entry.wire.response_headers(started.res.headers());
+                log_taken_up(&call, &started.choice);
                 let relay = Relay::new(call, charge, *started);
                 return Ok(Answer::Stream(status, headers, Box::new(relay)));
             }
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -198,7 +198,9 @@
                 AttemptOutcome::StreamStarted(started) => {
                     let StartedStream { res, open_request, choice, contact } = *started;
                     slog::info!(self.call.log, "stream resumed";
-                        "server" => %choice.server, "after" => last_event);
+                        "server" => %choice.server, "version" => choice.version_text(),
+                        "from_server" => %self.choice.server,
+                        "from_version" => self.choice.version_text(), "after" => last_event);
                     self.call.entry.requests.base.metrics.count("stream.resumed");
                     self.is_framed = crashes::is_framed(res.headers());
                     self.body = res.into_body();
@@ -237,6 +239,7 @@
         metrics.time("stream.pause_ms", pause_ms);
         slog::info!(self.call.log, "stream came";
             "route" => %self.call.plan.route.name, "server" => %self.choice.server,
+            "version" => self.choice.version_text(),
             "first_ms" => first_ms, "longest_pause_ms" => pause_ms,
             "prompt_tokens" => self.call.request_head.prompt.as_ref().map(|prompt| prompt.input_tokens));
     }
@@ -247,7 +250,7 @@
         slog::warn!(self.call.log, "stream broken off";
             "fingerprint" => %self.call.fingerprint(),
             "problem" => problem, "after" => self.sequence.last(), "server" => %self.choice.server,
-            "sent" => self.call.attempts_sent, "tokens" => self.charge.tokens(),
+            "version" => self.choice.version_text(), "sent" => self.call.attempts_sent, "tokens" => self.charge.tokens(),
             "age_ms" => self.call.age_ms());
         io::Error::other(problem)
     }
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -82,7 +82,8 @@
     let log_failure = |failure: Failure, request_head: Option<&RequestHead>| {
         requests.base.metrics.count(&format!("refused.{}", failure.code()));
         slog::info!(requests.base.log, "request refused";
-            "request" => request_head.map(|request_head| request_head.id.clone()), "code" => failure.code(),
+            "request" => request_head.map(|request_head| request_head.id.clone()),
+            "resumes" => request_head.and_then(|request_head| request_head.resumes.clone()), "code" => failure.code(),
             "why" => %failure, "table" => requests.revision(),
             "retry_after_ms" => failure.retry_after().map(|after| after.as_millis() as u64),
             "path" => &path, "tokens" => request_head.and_then(|request_head| request_head.prompt.as_ref())
--- a/crates/ports/src/wire.rs
+++ b/crates/ports/src/wire.rs
@@ -48,6 +48,8 @@
     pub prompt: Option<Prompt>,
     /// Last event that the caller received of an interrupted stream that it resumes.
     pub resume_after: Option<u64>,
+    /// Identifier of the caller's attempt that received the first event of that stream.
+    pub resumes: Option<String>,
 }
 
 /// A header that can't be parsed.
