Streams go on at the version that began them

Cause: the version of the server that begins a stream is chosen by the first step and kept nowhere. A resume within an answer took any server, by a rollout's rule even the old version on purpose; a host at which a caller takes a stream up knew nothing of it and treated it as a first attempt.

Now the first event that is forwarded binds the stream to the version of its server, as it was listed when the server was chosen. Resumes ask the router for that version alone, outside a rollout's turns, and use an ejected server if there is no other. Before the first event a host tells three peers, selected by a hash of service, workspace and attempt; the next host asks its own records, then the peers, at once. A host that has seen a single version for as long as a stream can last, without a gap in its news, concludes it and tells nobody. Streams begin at a version that was listed for 2 s, so that no host concludes that there is one version while another begins streams at a second. What is not known, contradictory, or has no server of its version left is refused at once, as not run. A server of unknown version, or whose entry has named two, shares streams with no other.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod shard;
 pub mod store_read_policy;
 pub mod stream;
+pub mod stream_versions;
 pub mod table;
 pub mod table_check;
 pub mod witness;
--- a/crates/core/src/rollout/exposure.rs
+++ b/crates/core/src/rollout/exposure.rs
@@ -21,6 +21,11 @@
     Only(&'a Name),
     /// All versions but this one.
     Except(&'a Name),
+    /// All versions but these.
+    ExceptNew(&'a [Name]),
+    /// This version alone, for a stream that servers of it have begun. Ejected servers are used if
+    /// there are no others.
+    OfStream(&'a Name),
 }
 
 impl Versions<'_> {
@@ -28,8 +33,9 @@
     pub fn allow(&self, version: Option<&Name>) -> bool {
         match self {
             Versions::Any => true,
-            Versions::Only(only) => version == Some(only),
+            Versions::Only(only) | Versions::OfStream(only) => version == Some(only),
             Versions::Except(except) => version != Some(except),
+            Versions::ExceptNew(new) => version.is_none_or(|version| !new.contains(version)),
         }
     }
 }
--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -23,6 +23,7 @@
 mod search;
 mod speed;
 mod status;
+mod versions;
 mod view;
 mod wait;
 
@@ -48,6 +49,7 @@
     FAILURES_TO_EJECT, FIRST_EJECTION_MS, LEAVING_REPORT_TTL_MS, MAX_EJECTION_MS,
     MIN_SERVERS_PER_EJECTION, SLOW_START_MS,
 };
+use crate::stream_versions::VersionHistory;
 use crate::{Millis, Name, Tokens};
 
 /// Routing state of one daemon.
@@ -71,6 +73,8 @@
     rests: RestPeriods,
     /// Groups of servers to which no path leads.
     unreachable: HashSet<ServerGroup>,
+    /// Versions of each pool's servers over time.
+    versions: VersionHistory,
 }
 
 impl Router {
--- a/crates/core/src/router/adoption.rs
+++ b/crates/core/src/router/adoption.rs
@@ -88,7 +88,7 @@
                 view.limit = u32::MAX;
                 view.row_draining = row.server.draining;
                 view.cold_until = row.cold_until;
-                view.version.clone_from(&row.server.version);
+                view.update_version(row.server.version.as_ref());
                 view.room.slots = row.server.slots;
             }
         }
--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -171,6 +171,7 @@
         let view = found
             .fitting
             .or_else(any)
+            .or_else(|| self.ejected_for_stream(now, &halls, request))
             .ok_or_else(|| self.no_server_reason(now, &halls, request))?;
         let holds_prefix = found.first.is_some_and(|first| first.name == view.name);
         let (view, passed) = match search.sooner(view, holds_prefix) {
@@ -303,6 +304,22 @@
         })
     }
 
+    /// Returns a server that is unusable only because it is ejected, for a stream that may not go
+    /// on at servers of other versions.
+    fn ejected_for_stream<'a>(
+        &'a self,
+        now: Millis,
+        halls: &[&'a HallPool],
+        request: &RoutingRequest,
+    ) -> Option<&'a ServerView> {
+        if !matches!(request.versions, Versions::OfStream(_)) {
+            return None;
+        }
+        let members = halls.iter().flat_map(|hall| &hall.members);
+        let mut views = members.map(|index| &self.servers[*index as usize]);
+        views.find(|view| view.is_usable_unless_ejected(now) && request.may_try(view))
+    }
+
     /// Returns the first [`MAX_PROBES`] servers on the hall's ring from the prefix on; adjacent
     /// points of one server count once.
     fn probe_ring<'a>(
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -59,6 +59,8 @@
     pub started_ms: Millis,
     /// Version of its software; `None` when unknown.
     pub(super) version: Option<Name>,
+    /// Whether its entry has named different versions, so that the version is unknown for good.
+    pub(super) is_version_doubtful: bool,
     /// Start time from its load reports, for rows of the operators' table, which have none.
     pub(super) reported_start_ms: Millis,
     pub(super) cold_until: Millis,
@@ -112,6 +114,7 @@
             address: row.address.clone(),
             started_ms: row.listed.started_ms,
             version: row.listed.version.clone(),
+            is_version_doubtful: false,
             reported_start_ms: 0,
             cold_until: row.listed.cold_until,
             weight: row.weight,
@@ -162,6 +165,14 @@
         })
     }
 
+    /// Applies the version in the entry of this instance, whose software does not change: after two
+    /// different ones the version is unknown.
+    pub(super) fn update_version(&mut self, listed: Option<&Name>) {
+        let Some(listed) = listed.filter(|_| !self.is_version_doubtful) else { return };
+        self.is_version_doubtful = self.version.as_ref().is_some_and(|known| known != listed);
+        self.version = (!self.is_version_doubtful).then(|| listed.clone());
+    }
+
     /// Returns the instance of the server that is in the table.
     pub fn instance(&self) -> ServerInstance {
         ServerInstance { name: self.name.clone(), started_ms: self.started_ms }
@@ -195,8 +206,14 @@
 
     /// Returns whether requests may be sent to the server now.
     pub(super) fn is_usable(&self, now: Millis) -> bool {
+        now >= self.ejected_until && self.is_usable_unless_ejected(now)
+    }
+
+    /// Returns whether requests may be sent to the server now, or could be if it were not ejected.
+    pub(super) fn is_usable_unless_ejected(&self, now: Millis) -> bool {
         let is_held_back = self.is_cold(now) || self.is_at_limit(now) || self.is_resting(now);
-        self.is_eligible(now) && !is_held_back && self.full_until(now).is_none()
+        let may_take = !self.is_leaving(now) && self.in_flight < self.limit;
+        may_take && !is_held_back && self.full_until(now).is_none()
     }
 
     /// Returns whether a rest that the server has asked this daemon for is in force.
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::peer::PeerPool;
 use crate::requests::RequestContext;
 use crate::requests::held_answers::AnswerMemory;
+use crate::requests::stream_versions::StreamVersions;
 use crate::rollouts::Rollouts;
 use crate::view::View;
 
@@ -151,6 +152,7 @@
             hints: Arc::clone(&hints),
             rollouts: Arc::clone(&rollouts),
             paths: Arc::clone(&paths),
+            stream_versions: StreamVersions::new(fleet.clone(), Arc::clone(&router)),
             unread_changed: Arc::clone(&membership.unread_changed),
             leaving,
             latest_end: Mutex::new(None),
--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -35,12 +35,14 @@
 }
 
 impl AdmittedCall {
-    /// Admits a request. Waits while it is checked whether the request has crashed servers, and
-    /// for tokens of its budget.
+    /// Admits a request. Waits while peers are asked for the version of a stream that it goes on
+    /// with, while it is checked whether the request has crashed servers, and for tokens of its
+    /// budget.
     ///
     /// # Errors
     /// The [`Refusal`] that the caller receives.
     pub async fn admit(mut call: Call) -> Result<Self, Refusal> {
+        call.bind_to_origin().await?;
         call.check_crashes().await?;
         let charge = reserve_charge(&call).await?;
         let now = call.entry.requests.base.clock.now();
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -8,6 +8,7 @@
 use bankcove_core::places::{PlaceRank, PlaceRequest};
 use bankcove_core::rollout::Versions;
 use bankcove_core::router::{Choice, Homes, NoServer, Passed, RoutingRequest};
+use bankcove_core::stream_versions::{Binding, MAX_LIFE_MS, StreamKey};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Prompt, RequestHead};
 use bytes::Bytes;
@@ -26,6 +27,7 @@
 use crate::hints::permit::{NoPermit, Permit, Purpose};
 use crate::paths::Route;
 use crate::paths::tunnels::NoTunnel;
+use crate::requests::stream_versions::{NotKnown, StreamId};
 
 /// Minimum number of shared prompt tokens that are copied from another server's cache. Setting up
 /// a copy takes about 4 ms, in which an engine reads 130 to 230 tokens.
@@ -35,6 +37,10 @@
 /// peer.
 const MAX_PERMIT_REQUESTS: usize = 3;
 
+/// Multiple of the route's deadline, or of the caller's patience if it is longer, for which a stream
+/// can go on over several attempts.
+const STREAM_LIFE_FACTOR: Millis = 2;
+
 /// Divisor of the route's goal for the longest wait for a permit: a refusal after more than a
 /// quarter of the goal is of little use to the caller.
 const GOAL_WAIT_DIVISOR: Millis = 4;
@@ -71,6 +77,8 @@
     pub attempts_sent: u32,
     /// Reservation of its traffic on this host's link.
     pub link: LinkReservation,
+    /// Versions at which its stream may go on.
+    pub binding: Binding,
     /// See [`Call::fingerprint`].
     pub fingerprint: OnceLock<Fingerprint>,
     /// Its isolated run, when another request has the same crashes.
@@ -254,6 +262,9 @@
 
     /// Returns the refusal of a request that has not run and gets no server.
     pub fn refusal(&self, why: NoServer) -> Refusal {
+        if let Err(refusal) = self.check_version_served() {
+            return refusal;
+        }
         match why {
             // It has left the queue because its deadline has passed, or because of a shutdown.
             NoServer::OnlyFull(_) if self.is_late() => Refusal::TooLate,
@@ -267,6 +278,79 @@
         }
     }
 
+    /// Returns whether the caller takes up a stream that another of its attempts has begun.
+    fn takes_up_stream(&self) -> bool {
+        let head = &self.request_head;
+        self.plan.route.streams && (head.resume_after.is_some() || head.resumes.is_some())
+    }
+
+    /// Returns the identity of its stream: that of the attempt that began it.
+    fn stream_id(&self) -> StreamId {
+        let head = &self.request_head;
+        let began = if self.takes_up_stream() { head.resumes.as_ref() } else { Some(&head.id) };
+        let (service, workspace) = (&self.plan.service, self.plan.workspace.as_ref());
+        let patience = head.timeout.map_or(0, |timeout| timeout.as_millis() as Millis);
+        let life_ms = self.plan.route.deadline_ms.max(patience) * STREAM_LIFE_FACTOR;
+        StreamId {
+            key: began.map(|id| StreamKey::of(service, workspace, id)),
+            service: service.clone(),
+            life_ms: life_ms.min(MAX_LIFE_MS),
+        }
+    }
+
+    /// Binds a stream that the caller takes up to the version that began it.
+    ///
+    /// # Errors
+    /// The [`Refusal`] that the caller receives if no daemon in reach knows the version, or if no
+    /// server of it is left.
+    pub async fn bind_to_origin(&mut self) -> Result<(), Refusal> {
+        if !self.takes_up_stream() {
+            return Ok(());
+        }
+        let requests = &self.entry.requests;
+        let head = &self.request_head;
+        match requests.stream_versions.find(&self.stream_id()).await {
+            Ok(known) => {
+                slog::info!(self.log, "version of the stream found";
+                    "resumes" => head.resumes.as_ref(), "version" => %known.version,
+                    "by" => known.by.text(), "peer" => known.by.peer(), "known_ms" => known.age_ms,
+                    "age_ms" => self.age_ms());
+                self.binding = Binding::Bound(known.version);
+                self.check_version_served()
+            }
+            Err(why) => {
+                slog::info!(self.log, "version of the stream not found";
+                    "resumes" => head.resumes.as_ref(), "why" => ?why, "age_ms" => self.age_ms());
+                let may_be_known = why == NotKnown::Unanswered;
+                Err(Refusal::VersionUnknown { may_be_known })
+            }
+        }
+    }
+
+    /// Checks that servers of the version of its stream are left.
+    fn check_version_served(&self) -> Result<(), Refusal> {
+        let requests = &self.entry.requests;
+        let Binding::Bound(version) = &self.binding else { return Ok(()) };
+        let now = requests.base.clock.now();
+        let service = self.plan.service.as_str();
+        if requests.router.lock().has_version(now, service, version) {
+            return Ok(());
+        }
+        Err(Refusal::VersionGone(version.to_string()))
+    }
+
+    /// Binds the stream to the version of the server whose first event is about to be forwarded, and
+    /// records it for other daemons if the stream can be resumed.
+    pub async fn bind(&mut self, choice: &Choice) {
+        if self.binding == Binding::Unbound {
+            self.binding = Binding::to(choice.version.as_ref());
+        }
+        if let (true, Binding::Bound(version)) = (self.plan.route.resumable, &self.binding) {
+            let streams = &self.entry.requests.stream_versions;
+            streams.record(&self.log, &self.stream_id(), version).await;
+        }
+    }
+
     /// Chooses a server that was not tried yet. A server at which a request has just been `freed`
     /// counts as usable even if it has rejected one as full.
     ///
@@ -288,18 +372,43 @@
             homes: Homes { route: &self.plan.route.homes, workspace: &self.plan.workspace_homes },
             versions: Versions::Any,
         };
-        let is_first = self.tried_servers.is_empty();
-        let choice = requests.rollouts.choose(&self.plan.service, is_first, |versions| {
+        let choose = |versions: Versions<'_>| {
             let request = RoutingRequest { versions, ..request };
             let now = requests.base.clock.now();
             requests.router.lock().choose_with_freed(now, &request, rank, freed)
-        })?;
+        };
+        let choice = match &self.binding {
+            // Its version was chosen when it began, so it is no attempt that a rollout counts.
+            Binding::Bound(version) => choose(Versions::OfStream(version)),
+            Binding::Unknown => Err(NoServer::NoneUsable),
+            Binding::Unbound => self.choose_version(choose),
+        }?;
         if let Some(passed) = &choice.passed {
             self.log_passed(&choice, passed);
         }
         Ok(choice)
     }
 
+    /// Chooses by `choose` a server of a version that may begin a request. Streams that can be resumed
+    /// begin at a new version only if there is no other.
+    fn choose_version(
+        &self,
+        choose: impl Fn(Versions) -> Result<Choice, NoServer>,
+    ) -> Result<Choice, NoServer> {
+        let requests = &self.entry.requests;
+        let is_first = self.tried_servers.is_empty();
+        requests.rollouts.choose(&self.plan.service, is_first, |versions| {
+            if versions != Versions::Any || !self.plan.route.resumable {
+                return choose(versions);
+            }
+            let new = requests.stream_versions.new_versions(&self.plan.service);
+            if new.is_empty() {
+                return choose(versions);
+            }
+            choose(Versions::ExceptNew(&new)).or_else(|_| choose(versions))
+        })
+    }
+
     /// Logs and counts a server that was passed over for a sooner one. The unread tokens are this
     /// daemon's and its peers' of the last 1.5 s; the speed is an average over some ten streams.
     fn log_passed(&self, choice: &Choice, passed: &Passed) {
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -129,6 +129,17 @@
     /// All remaining servers are full, and no place is expected in time; with the retry delay.
     #[error("every backend server that is left is full")]
     OnlyFull(Duration),
+    /// No daemon in reach knows which version of the servers began the stream.
+    #[error("the version that began the stream is not known; send the request anew")]
+    VersionUnknown {
+        /// Whether daemons that did not answer may know it.
+        may_be_known: bool,
+    },
+    /// No server of the version that began the stream is left.
+    #[error(
+        "no backend server of version '{0}', which began the stream, is left; send the request anew"
+    )]
+    VersionGone(String),
     /// The deadline passed before the request was sent to any server.
     #[error("the time was over before a backend server had the request")]
     TooLate,
@@ -190,6 +201,8 @@
             | Refusal::OnlyResting(_)
             | Refusal::OnlyFull(_)
             | Refusal::CrashesInDoubt
+            | Refusal::VersionUnknown { .. }
+            | Refusal::VersionGone(_)
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
@@ -228,6 +241,8 @@
             Refusal::OnlyFull(_) => "only_full",
             Refusal::CrashesServers => "crashes_servers",
             Refusal::CrashesInDoubt => "crashes_in_doubt",
+            Refusal::VersionUnknown { .. } => "version_unknown",
+            Refusal::VersionGone(_) => "version_gone",
             Refusal::TooLate => "too_late",
         }
     }
@@ -235,7 +250,9 @@
     /// Returns the retry delay; `None` if a retry is useless.
     pub fn retry_after(&self) -> Option<Duration> {
         match self {
-            Refusal::Stopping | Refusal::LinkFull => Some(OTHER_DAEMON_RETRY_DELAY),
+            Refusal::Stopping
+            | Refusal::LinkFull
+            | Refusal::VersionUnknown { may_be_known: true } => Some(OTHER_DAEMON_RETRY_DELAY),
             Refusal::NoServer => Some(NO_SERVER_RETRY_DELAY),
             Refusal::NoneListed => Some(NONE_LISTED_RETRY_DELAY),
             Refusal::NoTable(retry_after) => Some(*retry_after),
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -9,6 +9,7 @@
 use bankcove_core::events::{EventAction, EventSequence, EventSplitter};
 use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
+use bankcove_core::stream_versions::Binding;
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
 use http_body_util::BodyExt;
@@ -41,6 +42,8 @@
     watches_path: bool,
     splitter: EventSplitter,
     sequence: EventSequence,
+    /// Whether events were forwarded, so that the stream is bound to a version.
+    is_bound: bool,
     pace: PaceMeter,
 }
 
@@ -73,6 +76,7 @@
             watches_path: true,
             splitter,
             sequence,
+            is_bound: false,
             pace,
         }
     }
@@ -99,7 +103,12 @@
     async fn next(&mut self) -> Option<io::Result<Bytes>> {
         loop {
             let problem = match self.read().await {
-                ReadResult::Events(events) => return Some(Ok(events)),
+                ReadResult::Events(events) => {
+                    if !std::mem::replace(&mut self.is_bound, true) {
+                        self.call.bind(&self.choice).await;
+                    }
+                    return Some(Ok(events));
+                }
                 ReadResult::End => {
                     self.charge.record_complete();
                     self.open_request.record_answer(self.pace.mean_interval_ms());
@@ -184,9 +193,9 @@
     }
 
     /// Resumes the stream on another server, after the last event that the caller has; returns
-    /// whether it did.
+    /// whether it did. Once the caller has events, only servers of their version are tried.
     async fn resume(&mut self) -> bool {
-        if !self.call.plan.route.resumable {
+        if !self.call.plan.route.resumable || self.call.binding == Binding::Unknown {
             return false;
         }
         self.call.goal_since = self.call.entry.requests.base.clock.now();
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bankcove_core::outage;
+use bankcove_core::stream_versions::Binding;
 use bankcove_core::table::CallerLimits;
 use bankcove_core::{Millis, Name};
 use bankcove_ports::wire::RequestHead;
@@ -155,6 +156,7 @@
         tried_servers: Vec::new(),
         attempts_sent: 0,
         link,
+        binding: Binding::default(),
         fingerprint: OnceLock::new(),
         isolated_run: None,
     })
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -232,6 +232,7 @@
             .router
             .lock()
             .remove_expired_unread_reports(membership.fleet.base.clock.now());
+        check_version_news(&membership);
         membership.crashes.remove_expired();
         membership.hints.remove_expired();
         send_round(&membership).await;
@@ -246,6 +247,13 @@
     }
 }
 
+/// Checks whether this daemon may have missed versions of servers.
+fn check_version_news(membership: &Membership) {
+    let now = membership.fleet.base.clock.now();
+    let news_age = membership.fleet.connectivity.news_age(now);
+    membership.view.router.lock().check_version_news(now, news_age);
+}
+
 /// Sends an additional round of heartbeats whenever one is triggered, until the daemon ends. A
 /// round that waits for a silent peer delays no other round.
 pub async fn send_triggered_heartbeats(membership: Arc<Membership>) {
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -78,6 +78,7 @@
         "paths": daemon.paths.dump(),
         "places": daemon.entry.get().map(|entry| entry.places.dump()),
         "rollouts": daemon.rollouts.dump(),
+        "stream_versions": daemon.requests.stream_versions.dump(),
         "crashes": daemon.crashes.facts(),
         "crashes_remembered": daemon.crashes.stats(),
         "marks_kept_for_others": daemon.budgets.witness_records().len(),
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -11,6 +11,7 @@
 use bankcove_core::rollout::{RolloutKey, ServiceOutcomes};
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
+use bankcove_core::stream_versions::{StreamAnswer, StreamKey};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use serde::{Deserialize, Serialize};
 
@@ -188,6 +189,12 @@
     async fn permits(fact: LimitFact, request: PermitRequest) -> PermitAnswer;
     /// Reports the outcomes of a rollout to the receiver, which may be its decider.
     async fn rollout_report(report: RolloutReport) -> RolloutAnswer;
+    /// Records the version of a stream that the sender carries and that can go on for `life_ms`.
+    async fn told_stream(key: StreamKey, version: Name, life_ms: Millis);
+    /// Returns what the receiver knows of the version of a stream of this service. `key` is missing
+    /// if the caller does not name the attempt that began the stream.
+    async fn stream_version(key: Option<StreamKey>, service: Name, life_ms: Millis)
+    -> StreamAnswer;
     /// Hands the receiver a bill, which it keeps until the store accepts it.
     async fn keep_bill(bill: Bill);
 }
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -13,6 +13,7 @@
 use bankcove_core::request_log::{Entry, Outcome};
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
+use bankcove_core::stream_versions::{StreamAnswer, StreamKey};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use futures::StreamExt;
 use tarpc::context::Context;
@@ -195,6 +196,20 @@
         self.daemon.rollouts.record_report(report)
     }
 
+    async fn told_stream(self, _: Context, key: StreamKey, version: Name, life_ms: Millis) {
+        self.daemon.requests.stream_versions.record_told(key, &version, life_ms);
+    }
+
+    async fn stream_version(
+        self,
+        _: Context,
+        key: Option<StreamKey>,
+        service: Name,
+        life_ms: Millis,
+    ) -> StreamAnswer {
+        self.daemon.requests.stream_versions.answer(key, &service, life_ms)
+    }
+
     async fn keep_bill(self, _: Context, bill: Bill) {
         self.daemon.billing.enqueue(Entry::Bill(bill));
     }
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -7,6 +7,7 @@
 
 pub mod held_answers;
 pub mod open_request;
+pub mod stream_versions;
 
 use std::sync::Arc;
 
@@ -26,6 +27,7 @@
 use crate::hints::Hints;
 use crate::paths::Paths;
 use crate::requests::held_answers::AnswerMemory;
+use crate::requests::stream_versions::StreamVersions;
 use crate::rollouts::Rollouts;
 
 /// Shared state for serving requests of callers.
@@ -48,6 +50,8 @@
     pub rollouts: Arc<Rollouts>,
     /// Network paths to the backend servers.
     pub paths: Arc<Paths>,
+    /// Versions of the servers at which streams have begun.
+    pub stream_versions: StreamVersions,
     /// Notified when the unread prompt tokens that this daemon has sent to servers have changed.
     pub unread_changed: Arc<Notify>,
     /// Cancelled when the platform's load balancer should send no new connections; requests are
--- /dev/null
+++ b/crates/daemon/src/requests/stream_versions.rs
@@ -0,0 +1,283 @@
+//! Versions of interrupted streams: this daemon's records, those that peers keep for it, and the
+//! versions that the list of servers allows.
+//!
+//! While a pool may have servers of several versions, a daemon tells a few peers the version of each
+//! stream that can be resumed, before it forwards the first event. The peers are selected by the
+//! stream's key, so that any daemon finds them when a caller takes the stream up there.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bankcove_core::members::Peer;
+use bankcove_core::router::Router;
+use bankcove_core::stream_versions::{Lookup, Source, StreamAnswer, StreamKey, StreamRecords};
+use bankcove_core::{Millis, Name};
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use parking_lot::Mutex;
+use serde_json::{Value, json};
+use slog::Logger;
+
+use crate::fleet::Fleet;
+use crate::peer::PeerServiceClient;
+
+/// Number of peers that keep a record of a stream. With the daemon that carries it, the record
+/// survives the loss of any three daemons at once.
+const COPIES: usize = 3;
+
+/// Number of peers that are asked for a record: those that keep it, also if this daemon ranks them
+/// differently.
+const MAX_ASKED: usize = 8;
+
+/// Longest wait for the first peer to accept a record, while the first event is held back.
+const TELL_TIMEOUT: Duration = Duration::from_millis(100);
+
+/// A stream whose version is needed or known.
+#[derive(Debug, Clone)]
+pub struct StreamId {
+    /// Its identity on all daemons; `None` if the caller does not name the attempt that began it.
+    pub key: Option<StreamKey>,
+    /// Its pool.
+    pub service: Name,
+    /// Time for which a stream can go on, in milliseconds.
+    pub life_ms: Millis,
+}
+
+/// How the version of a stream is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum KnownBy {
+    /// By a record of this daemon.
+    Record(Source),
+    /// This daemon has seen no other version.
+    OnlyVersion,
+    /// By the record of this peer.
+    PeerRecord(Name),
+    /// This peer has seen no other version.
+    PeerOnlyVersion(Name),
+}
+
+impl KnownBy {
+    /// Returns the text for a log line.
+    pub fn text(&self) -> &'static str {
+        match self {
+            KnownBy::Record(Source::Own) => "own record",
+            KnownBy::Record(Source::Peer) => "told by a peer",
+            KnownBy::OnlyVersion => "only version",
+            KnownBy::PeerRecord(_) => "record of a peer",
+            KnownBy::PeerOnlyVersion(_) => "only version at a peer",
+        }
+    }
+
+    /// Returns the peer that knows it.
+    pub fn peer(&self) -> Option<&str> {
+        match self {
+            KnownBy::PeerRecord(peer) | KnownBy::PeerOnlyVersion(peer) => Some(peer.as_str()),
+            _ => None,
+        }
+    }
+}
+
+/// A known version.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct KnownVersion {
+    /// The version.
+    pub version: Name,
+    /// How it is known.
+    pub by: KnownBy,
+    /// Age of the record, in milliseconds.
+    pub age_ms: Option<Millis>,
+}
+
+/// Reason why the version of a stream is not known.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum NotKnown {
+    /// Every peer that was asked has answered that it does not know it.
+    Nowhere,
+    /// Peers that may know it did not answer.
+    Unanswered,
+    /// There are records of two versions.
+    Contradictory,
+}
+
+/// Versions of streams as known to this daemon.
+#[derive(Debug)]
+pub struct StreamVersions {
+    fleet: Fleet,
+    router: Arc<Mutex<Router>>,
+    records: Mutex<StreamRecords>,
+}
+
+impl StreamVersions {
+    /// Creates the state without records.
+    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>) -> Self {
+        StreamVersions { fleet, router, records: Mutex::default() }
+    }
+
+    fn now(&self) -> Millis {
+        self.fleet.base.clock.now()
+    }
+
+    /// Returns the version that all servers of the pool have had for as long as the stream can last.
+    fn only_version(&self, service: &Name, life_ms: Millis) -> Option<Name> {
+        let now = self.now();
+        let news_age = self.fleet.connectivity.news_age(now);
+        let router = self.router.lock();
+        router.version_history().only_version(now, service, life_ms, news_age).cloned()
+    }
+
+    /// Returns the versions of a pool at which no streams should begin yet.
+    pub fn new_versions(&self, service: &Name) -> Vec<Name> {
+        self.router.lock().version_history().new_versions(self.now(), service)
+    }
+
+    /// Records the version of a stream that this daemon carries, and tells peers unless all daemons
+    /// can conclude it. Waits until one of them has the record, for [`TELL_TIMEOUT`] at most.
+    pub async fn record(&self, log: &Logger, stream: &StreamId, version: &Name) {
+        let Some(key) = stream.key else { return };
+        if self.only_version(&stream.service, stream.life_ms).as_ref() == Some(version) {
+            return;
+        }
+        let (now, life_ms) = (self.now(), stream.life_ms);
+        self.records.lock().record(now, key, version, Source::Own, life_ms);
+        let peers: Vec<Peer> = {
+            let owners = self.fleet.members.lock().owners(key.hash(), COPIES + 1);
+            owners.into_iter().flatten().take(COPIES).collect()
+        };
+        let asked = peers.len();
+        let mut calls: FuturesUnordered<_> =
+            peers.into_iter().map(|peer| self.spawn_tell(peer, key, version, life_ms)).collect();
+        let first_accepted = async {
+            while let Some(outcome) = calls.next().await {
+                if outcome.is_ok_and(|accepted| accepted) {
+                    return true;
+                }
+            }
+            false
+        };
+        let accepted = tokio::time::timeout(TELL_TIMEOUT, first_accepted).await.unwrap_or(false);
+        let metrics = &self.fleet.base.metrics;
+        metrics.count(if accepted { "stream.told" } else { "stream.not_told" });
+        slog::debug!(log, "stream version recorded"; "version" => %version, "peers" => asked,
+            "accepted" => accepted);
+        if !accepted && asked > 0 {
+            slog::info!(log, "no peer has the version of the stream";
+                "version" => %version, "asked" => asked);
+        }
+    }
+
+    /// Sends a record to a peer, also after the caller has stopped to wait for it.
+    fn spawn_tell(
+        &self,
+        peer: Peer,
+        key: StreamKey,
+        version: &Name,
+        life_ms: Millis,
+    ) -> tokio::task::JoinHandle<bool> {
+        let (fleet, version) = (self.fleet.clone(), version.clone());
+        tokio::spawn(async move {
+            let timeout = Duration::from_millis(fleet.base.cfg.limits.peer_timeout_ms);
+            let tell = |client: PeerServiceClient, cx| async move {
+                client.told_stream(cx, key, version, life_ms).await
+            };
+            fleet.base.peers.call(&peer.address, timeout, tell).await.is_some()
+        })
+    }
+
+    /// Records the version of a stream that a peer carries.
+    pub fn record_told(&self, key: StreamKey, version: &Name, life_ms: Millis) {
+        self.records.lock().record(self.now(), key, version, Source::Peer, life_ms);
+    }
+
+    /// Returns what this daemon knows, for a peer.
+    pub fn answer(&self, key: Option<StreamKey>, service: &Name, life_ms: Millis) -> StreamAnswer {
+        match self.lookup(key) {
+            Lookup::Recorded(version, _, age_ms) => StreamAnswer::Recorded { version, age_ms },
+            Lookup::Contradictory => StreamAnswer::Contradictory,
+            Lookup::Unknown => self
+                .only_version(service, life_ms)
+                .map_or(StreamAnswer::Unknown, StreamAnswer::OnlyVersion),
+        }
+    }
+
+    fn lookup(&self, key: Option<StreamKey>) -> Lookup {
+        let now = self.now();
+        key.map_or(Lookup::Unknown, |key| self.records.lock().lookup(now, key))
+    }
+
+    /// Returns the version of a stream that a caller takes up; asks peers if this daemon does not
+    /// know it.
+    ///
+    /// # Errors
+    /// [`NotKnown`] if no daemon in reach knows it.
+    pub async fn find(&self, stream: &StreamId) -> Result<KnownVersion, NotKnown> {
+        match self.lookup(stream.key) {
+            Lookup::Recorded(version, source, age_ms) => {
+                let (by, age_ms) = (KnownBy::Record(source), Some(age_ms));
+                return Ok(KnownVersion { version, by, age_ms });
+            }
+            Lookup::Contradictory => return Err(NotKnown::Contradictory),
+            Lookup::Unknown => {}
+        }
+        if let Some(version) = self.only_version(&stream.service, stream.life_ms) {
+            return Ok(KnownVersion { version, by: KnownBy::OnlyVersion, age_ms: None });
+        }
+        self.ask_peers(stream).await
+    }
+
+    /// Asks peers at the same time, and returns the first version that one of them knows.
+    async fn ask_peers(&self, stream: &StreamId) -> Result<KnownVersion, NotKnown> {
+        let rank_key = stream.key.map_or_else(rand::random, StreamKey::hash);
+        let peers: Vec<Peer> = {
+            let members = self.fleet.members.lock();
+            let ranked = members.owners_including_silent(rank_key, MAX_ASKED + 1);
+            ranked.into_iter().flatten().take(MAX_ASKED).collect()
+        };
+        let mut answers: FuturesUnordered<_> =
+            peers.into_iter().map(|peer| self.ask(peer, stream)).collect();
+        let mut not_known = NotKnown::Nowhere;
+        while let Some((peer, answer)) = answers.next().await {
+            let (version, by, age_ms) = match answer {
+                Some(StreamAnswer::Recorded { version, age_ms }) => {
+                    (version, KnownBy::PeerRecord(peer), Some(age_ms))
+                }
+                Some(StreamAnswer::OnlyVersion(version)) => {
+                    (version, KnownBy::PeerOnlyVersion(peer), None)
+                }
+                Some(StreamAnswer::Contradictory) => return Err(NotKnown::Contradictory),
+                Some(StreamAnswer::Unknown) => continue,
+                None => {
+                    not_known = NotKnown::Unanswered;
+                    continue;
+                }
+            };
+            return Ok(KnownVersion { version, by, age_ms });
+        }
+        Err(not_known)
+    }
+
+    /// Asks one peer; returns its name and its answer, if there was one.
+    async fn ask(&self, peer: Peer, stream: &StreamId) -> (Name, Option<StreamAnswer>) {
+        let timeout = Duration::from_millis(self.fleet.base.cfg.limits.peer_timeout_ms);
+        let StreamId { key, service, life_ms } = stream.clone();
+        let ask = |client: PeerServiceClient, cx| async move {
+            client.stream_version(cx, key, service, life_ms).await
+        };
+        let answer = self.fleet.base.peers.call(&peer.address, timeout, ask).await;
+        (peer.name, answer)
+    }
+
+    /// Returns the numbers of records and the versions of each pool as JSON, for operators.
+    pub fn dump(&self) -> Value {
+        let now = self.now();
+        let (records, evicted) = {
+            let records = self.records.lock();
+            (records.len(), records.evicted())
+        };
+        let news_age_ms = self.fleet.connectivity.news_age(now);
+        let router = self.router.lock();
+        json!({
+            "records": records, "evicted": evicted, "news_age_ms": news_age_ms, "now_ms": now,
+            "versions": router.version_history(),
+        })
+    }
+}
--- a/crates/daemon/src/view/routing_table.rs
+++ b/crates/daemon/src/view/routing_table.rs
@@ -33,6 +33,7 @@
         cold_until: cold_until_of(table, &hall_list, server, cold_until),
     });
     let adopted = router.adopt_with_list(table, &merged_halls(view, table), rows);
+    router.record_versions(view.fleet.base.clock.now());
     view.fleet.servers_changed.notify_waiters();
     adopted
 }
