Streams of the only version go on after the loss of all hosts

Callers whose hosts were all lost at once were refused although servers of a single version serve: after a start a host concludes nothing for as long as a stream can last, and no peer is left to ask.

Cause: which versions streams may have begun at was known to the hosts alone. Now the store keeps it: a host admits a listed version there before streams that can be resumed begin at it, and removes it two minutes after its last server was listed. A host that knows no more reads it once for all callers that wait, after they have come: with one version there, no stream began at another. While that is so, peers are not told of streams; those under way when a second version is admitted are told then. A host without any news for a minute begins no such streams.

--- a/crates/core/src/stream_versions.rs
+++ b/crates/core/src/stream_versions.rs
@@ -3,11 +3,14 @@
 //!
 //! The daemon that carries a stream knows its version. Other daemons learn it from records
 //! (`records`), or conclude it from the pool's servers: `history` shows whether all that were listed
-//! for as long as a stream can last had one version. A version that is not known is never assumed.
+//! for as long as a stream can last had one version. The store keeps the versions at which streams may
+//! have begun (`admitted`). A version that is not known is never assumed.
 
+mod admitted;
 mod history;
 mod records;
 
+pub use admitted::AdmittedVersions;
 pub use history::{MAX_LIFE_MS, MAX_NEWS_AGE_MS, NEW_VERSION_DELAY_MS, VersionHistory};
 pub use records::{Lookup, MAX_RECORDS, Source, StreamKey, StreamRecords};
 
--- a/crates/core/src/stream_versions/history.rs
+++ b/crates/core/src/stream_versions/history.rs
@@ -97,6 +97,32 @@
         only.version.as_ref().filter(|_| seen.next().is_none())
     }
 
+    /// Iterates over the listed versions, each with its pool.
+    pub fn listed(&self) -> impl Iterator<Item = (&Name, Option<&Name>)> {
+        self.pools.iter().flat_map(|(name, pool)| {
+            let listed = pool.versions.iter().filter(|seen| seen.gone_at.is_none());
+            listed.map(move |seen| (name, seen.version.as_ref()))
+        })
+    }
+
+    /// Iterates over the listed versions of a pool.
+    pub fn listed_in(&self, pool: &Name) -> impl Iterator<Item = Option<&Name>> {
+        let versions = self.pools.get(pool).into_iter().flat_map(|pool| &pool.versions);
+        versions.filter(|seen| seen.gone_at.is_none()).map(|seen| seen.version.as_ref())
+    }
+
+    /// Returns whether this daemon knows that no server of the pool has had this version for longer
+    /// than a stream can last.
+    pub fn is_unused(&self, now: Millis, pool: &Name, version: Option<&Name>) -> bool {
+        let is_checked = now.saturating_sub(self.checked_at) <= MAX_NEWS_AGE_MS;
+        let Some(since) = now.checked_sub(MEMORY_MS).filter(|_| is_checked) else { return false };
+        self.pools.get(pool).is_some_and(|pool| {
+            let seen = pool.versions.iter().find(|seen| seen.version.as_ref() == version);
+            let is_gone = seen.is_none_or(|seen| !seen.is_seen_since(since));
+            pool.complete_since <= since && is_gone
+        })
+    }
+
     /// Returns the versions of a pool at which no streams should begin yet.
     pub fn new_versions(&self, now: Millis, pool: &Name) -> Vec<Name> {
         let Some(pool) = self.pools.get(pool) else { return Vec::new() };
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -152,7 +152,11 @@
             hints: Arc::clone(&hints),
             rollouts: Arc::clone(&rollouts),
             paths: Arc::clone(&paths),
-            stream_versions: StreamVersions::new(fleet.clone(), Arc::clone(&router)),
+            stream_versions: Arc::new(StreamVersions::new(
+                fleet.clone(),
+                Arc::clone(&router),
+                store.clone(),
+            )),
             unread_changed: Arc::clone(&membership.unread_changed),
             leaving,
             latest_end: Mutex::new(None),
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -27,7 +27,7 @@
 use crate::hints::permit::{NoPermit, Permit, Purpose};
 use crate::paths::Route;
 use crate::paths::tunnels::NoTunnel;
-use crate::requests::stream_versions::{NotKnown, StreamId};
+use crate::requests::stream_versions::{NotKnown, StreamId, UntoldStream};
 
 /// Minimum number of shared prompt tokens that are copied from another server's cache. Setting up
 /// a copy takes about 4 ms, in which an engine reads 130 to 230 tokens.
@@ -340,15 +340,17 @@
     }
 
     /// Binds the stream to the version of the server whose first event is about to be forwarded, and
-    /// records it for other daemons if the stream can be resumed.
-    pub async fn bind(&mut self, choice: &Choice) {
+    /// records it for other daemons if the stream can be resumed. The result is to be kept while the
+    /// stream is open.
+    pub async fn bind(&mut self, choice: &Choice) -> Option<UntoldStream> {
         if self.binding == Binding::Unbound {
             self.binding = Binding::to(choice.version.as_ref());
         }
         if let (true, Binding::Bound(version)) = (self.plan.route.resumable, &self.binding) {
             let streams = &self.entry.requests.stream_versions;
-            streams.record(&self.log, &self.stream_id(), version).await;
+            return streams.record(&self.log, &self.stream_id(), version).await;
         }
+        None
     }
 
     /// Chooses a server that was not tried yet. A server at which a request has just been `freed`
@@ -390,22 +392,29 @@
     }
 
     /// Chooses by `choose` a server of a version that may begin a request. Streams that can be resumed
-    /// begin at a new version only if there is no other.
+    /// begin only at admitted versions, and at a new version only if there is no other.
     fn choose_version(
         &self,
         choose: impl Fn(Versions) -> Result<Choice, NoServer>,
     ) -> Result<Choice, NoServer> {
         let requests = &self.entry.requests;
         let is_first = self.tried_servers.is_empty();
-        requests.rollouts.choose(&self.plan.service, is_first, |versions| {
-            if versions != Versions::Any || !self.plan.route.resumable {
-                return choose(versions);
+        let (streams, service) = (&requests.stream_versions, &self.plan.service);
+        let is_resumable = self.plan.route.streams && self.plan.route.resumable;
+        let may_begin = |choice: Choice| {
+            let may_begin = !is_resumable || streams.is_admitted(service, choice.version.as_ref());
+            may_begin.then_some(choice).ok_or(NoServer::NoneUsable)
+        };
+        requests.rollouts.choose(service, is_first, |versions| {
+            if versions != Versions::Any || !is_resumable {
+                return choose(versions).and_then(may_begin);
             }
-            let new = requests.stream_versions.new_versions(&self.plan.service);
-            if new.is_empty() {
-                return choose(versions);
+            let held_back = streams.versions_held_back(service);
+            if held_back.is_empty() {
+                return choose(versions).and_then(may_begin);
             }
-            choose(Versions::ExceptNew(&new)).or_else(|_| choose(versions))
+            let settled = choose(Versions::ExceptNew(&held_back));
+            settled.or_else(|_| choose(versions)).and_then(may_begin)
         })
     }
 
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -27,6 +27,7 @@
 use crate::entry::pace::PaceMeter;
 use crate::paths::contact::Contact;
 use crate::requests::open_request::OpenRequest;
+use crate::requests::stream_versions::UntoldStream;
 
 /// Stream of events that is forwarded to the caller.
 pub struct Relay {
@@ -44,6 +45,7 @@
     sequence: EventSequence,
     /// Whether events were forwarded, so that the stream is bound to a version.
     is_bound: bool,
+    untold: Option<UntoldStream>,
     pace: PaceMeter,
 }
 
@@ -77,6 +79,7 @@
             splitter,
             sequence,
             is_bound: false,
+            untold: None,
             pace,
         }
     }
@@ -105,7 +108,7 @@
             let problem = match self.read().await {
                 ReadResult::Events(events) => {
                     if !std::mem::replace(&mut self.is_bound, true) {
-                        self.call.bind(&self.choice).await;
+                        self.untold = self.call.bind(&self.choice).await;
                     }
                     return Some(Ok(events));
                 }
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -29,6 +29,7 @@
 use crate::http::{HttpListener, serve, serve_with_backlog};
 use crate::membership::{self, unread_reports};
 use crate::paths::probe;
+use crate::requests::stream_versions::admission;
 use crate::view::{hall_sync, host_list, server_sync, table_sync};
 use crate::{hints, operator, peer_server, rollouts};
 
@@ -137,6 +138,9 @@
                 daemon.entry.get_or_init(|| Arc::clone(&entry));
                 listeners.extend(start_entry(&daemon, Arc::clone(&entry)).await?);
                 entry::tunnels::serve(Arc::clone(&entry))?;
+                let streams = &daemon.requests.stream_versions;
+                tokio::spawn(admission::keep_admitted(Arc::clone(streams)));
+                tokio::spawn(admission::remove_unused(Arc::clone(streams)));
                 started = Some(entry);
             }
             None => {
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -11,7 +11,7 @@
 use bankcove_core::rollout::{RolloutKey, ServiceOutcomes};
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
-use bankcove_core::stream_versions::{StreamAnswer, StreamKey};
+use bankcove_core::stream_versions::{AdmittedVersions, StreamAnswer, StreamKey};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use serde::{Deserialize, Serialize};
 
@@ -195,6 +195,8 @@
     /// if the caller does not name the attempt that began the stream.
     async fn stream_version(key: Option<StreamKey>, service: Name, life_ms: Millis)
     -> StreamAnswer;
+    /// Returns the versions of servers at which streams may begin, as known to the receiver.
+    async fn admitted_versions() -> AdmittedVersions;
     /// Hands the receiver a bill, which it keeps until the store accepts it.
     async fn keep_bill(bill: Bill);
 }
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -13,7 +13,7 @@
 use bankcove_core::request_log::{Entry, Outcome};
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
-use bankcove_core::stream_versions::{StreamAnswer, StreamKey};
+use bankcove_core::stream_versions::{AdmittedVersions, StreamAnswer, StreamKey};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use futures::StreamExt;
 use tarpc::context::Context;
@@ -210,6 +210,10 @@
         self.daemon.requests.stream_versions.answer(key, &service, life_ms)
     }
 
+    async fn admitted_versions(self, _: Context) -> AdmittedVersions {
+        self.daemon.requests.stream_versions.admitted()
+    }
+
     async fn keep_bill(self, _: Context, bill: Bill) {
         self.daemon.billing.enqueue(Entry::Bill(bill));
     }
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -51,7 +51,7 @@
     /// Network paths to the backend servers.
     pub paths: Arc<Paths>,
     /// Versions of the servers at which streams have begun.
-    pub stream_versions: StreamVersions,
+    pub stream_versions: Arc<StreamVersions>,
     /// Notified when the unread prompt tokens that this daemon has sent to servers have changed.
     pub unread_changed: Arc<Notify>,
     /// Cancelled when the platform's load balancer should send no new connections; requests are
--- a/crates/daemon/src/requests/stream_versions.rs
+++ b/crates/daemon/src/requests/stream_versions.rs
@@ -5,13 +5,20 @@
 //! stream that can be resumed, before it forwards the first event. The peers are selected by the
 //! stream's key, so that any daemon finds them when a caller takes the stream up there.
 
+pub mod admission;
+
+use std::collections::HashMap;
+use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
 
 use bankcove_core::members::Peer;
 use bankcove_core::router::Router;
-use bankcove_core::stream_versions::{Lookup, Source, StreamAnswer, StreamKey, StreamRecords};
+use bankcove_core::stream_versions::{
+    AdmittedVersions, Lookup, Source, StreamAnswer, StreamKey, StreamRecords,
+};
 use bankcove_core::{Millis, Name};
+use bankcove_ports::Store;
 use futures::StreamExt;
 use futures::stream::FuturesUnordered;
 use parking_lot::Mutex;
@@ -20,6 +27,7 @@
 
 use crate::fleet::Fleet;
 use crate::peer::PeerServiceClient;
+use crate::requests::stream_versions::admission::ReadVersions;
 
 /// Number of peers that keep a record of a stream. With the daemon that carries it, the record
 /// survives the loss of any three daemons at once.
@@ -54,6 +62,8 @@
     PeerRecord(Name),
     /// This peer has seen no other version.
     PeerOnlyVersion(Name),
+    /// Streams begin at no other version, by the store.
+    OnlyAdmitted,
 }
 
 impl KnownBy {
@@ -65,6 +75,7 @@
             KnownBy::OnlyVersion => "only version",
             KnownBy::PeerRecord(_) => "record of a peer",
             KnownBy::PeerOnlyVersion(_) => "only version at a peer",
+            KnownBy::OnlyAdmitted => "only version in the store",
         }
     }
 
@@ -88,6 +99,19 @@
     pub age_ms: Option<Millis>,
 }
 
+/// An open stream whose version peers were not told; dropping it ends the stream.
+#[derive(Debug)]
+pub struct UntoldStream {
+    streams: Arc<StreamVersions>,
+    key: StreamKey,
+}
+
+impl Drop for UntoldStream {
+    fn drop(&mut self) {
+        self.streams.untold.lock().remove(&self.key);
+    }
+}
+
 /// Reason why the version of a stream is not known.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum NotKnown {
@@ -100,17 +124,37 @@
 }
 
 /// Versions of streams as known to this daemon.
-#[derive(Debug)]
 pub struct StreamVersions {
     fleet: Fleet,
     router: Arc<Mutex<Router>>,
+    store: Store,
     records: Mutex<StreamRecords>,
+    /// Open streams of this daemon whose versions peers were not told.
+    untold: Mutex<HashMap<StreamKey, (StreamId, Name)>>,
+    /// Versions that this daemon knows to be admitted.
+    admitted: Mutex<AdmittedVersions>,
+    /// Last read of the admitted versions for a caller that took up a stream.
+    last_read: tokio::sync::Mutex<ReadVersions>,
+}
+
+impl fmt::Debug for StreamVersions {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("StreamVersions").field("records", &self.records).finish_non_exhaustive()
+    }
 }
 
 impl StreamVersions {
     /// Creates the state without records.
-    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>) -> Self {
-        StreamVersions { fleet, router, records: Mutex::default() }
+    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>, store: Store) -> Self {
+        StreamVersions {
+            fleet,
+            router,
+            store,
+            records: Mutex::default(),
+            untold: Mutex::default(),
+            admitted: Mutex::default(),
+            last_read: tokio::sync::Mutex::default(),
+        }
     }
 
     fn now(&self) -> Millis {
@@ -125,20 +169,68 @@
         router.version_history().only_version(now, service, life_ms, news_age).cloned()
     }
 
-    /// Returns the versions of a pool at which no streams should begin yet.
-    pub fn new_versions(&self, service: &Name) -> Vec<Name> {
-        self.router.lock().version_history().new_versions(self.now(), service)
+    /// Returns whether any daemon can conclude that the stream has this version: from the store, or,
+    /// if that is away, by its own news.
+    fn is_only_version(&self, stream: &StreamId, version: &Name) -> bool {
+        let is_store_away = self.fleet.connectivity.is_store_unavailable(self.now());
+        let is_only_admitted = self.admitted.lock().only(&stream.service) == Some(version);
+        let is_in_store = is_only_admitted && !is_store_away;
+        is_in_store || self.only_version(&stream.service, stream.life_ms).as_ref() == Some(version)
+    }
+
+    /// Returns the versions of a pool at which no streams should begin if there are others: those
+    /// that are new, and those that are not admitted.
+    pub fn versions_held_back(&self, service: &Name) -> Vec<Name> {
+        let router = self.router.lock();
+        let history = router.version_history();
+        let mut held_back = history.new_versions(self.now(), service);
+        let admitted = self.admitted.lock();
+        let listed = history.listed_in(service).flatten();
+        held_back.extend(listed.filter(|v| !admitted.contains(service, Some(v))).cloned());
+        held_back
     }
 
     /// Records the version of a stream that this daemon carries, and tells peers unless all daemons
     /// can conclude it. Waits until one of them has the record, for [`TELL_TIMEOUT`] at most.
-    pub async fn record(&self, log: &Logger, stream: &StreamId, version: &Name) {
-        let Some(key) = stream.key else { return };
-        if self.only_version(&stream.service, stream.life_ms).as_ref() == Some(version) {
-            return;
+    ///
+    /// The result must be kept while the stream is open: peers are told when further versions are
+    /// admitted.
+    pub async fn record(
+        self: &Arc<Self>,
+        log: &Logger,
+        stream: &StreamId,
+        version: &Name,
+    ) -> Option<UntoldStream> {
+        let key = stream.key?;
+        if self.is_only_version(stream, version) {
+            self.untold.lock().insert(key, (stream.clone(), version.clone()));
+            return Some(UntoldStream { streams: Arc::clone(self), key });
+        }
+        self.tell(log, key, version, stream.life_ms).await;
+        None
+    }
+
+    /// Tells peers the versions of the open streams that can no longer be concluded.
+    async fn tell_untold(&self) {
+        let mut to_tell = Vec::new();
+        {
+            let admitted = self.admitted.lock();
+            self.untold.lock().retain(|key, (stream, version)| {
+                let is_only = admitted.only(&stream.service).is_some();
+                if !is_only {
+                    to_tell.push((*key, version.clone(), stream.life_ms));
+                }
+                is_only
+            });
         }
-        let (now, life_ms) = (self.now(), stream.life_ms);
-        self.records.lock().record(now, key, version, Source::Own, life_ms);
+        let log = &self.fleet.base.log;
+        let tells = to_tell.iter().map(|(key, version, life)| self.tell(log, *key, version, *life));
+        futures::future::join_all(tells).await;
+    }
+
+    /// Records the version of a stream here and at peers; waits for the first of them.
+    async fn tell(&self, log: &Logger, key: StreamKey, version: &Name, life_ms: Millis) {
+        self.records.lock().record(self.now(), key, version, Source::Own, life_ms);
         let peers: Vec<Peer> = {
             let owners = self.fleet.members.lock().owners(key.hash(), COPIES + 1);
             owners.into_iter().flatten().take(COPIES).collect()
@@ -221,7 +313,23 @@
         if let Some(version) = self.only_version(&stream.service, stream.life_ms) {
             return Ok(KnownVersion { version, by: KnownBy::OnlyVersion, age_ms: None });
         }
-        self.ask_peers(stream).await
+        // The store can't tell streams of several versions apart, and peers have records only of
+        // streams whose caller names the attempt that began them.
+        if stream.key.is_none()
+            && let Some(known) = self.find_in_store(&stream.service).await
+        {
+            return Ok(known);
+        }
+        match self.ask_peers(stream).await {
+            Ok(known) => Ok(known),
+            Err(NotKnown::Contradictory) => Err(NotKnown::Contradictory),
+            Err(why) => self.find_in_store(&stream.service).await.ok_or(why),
+        }
+    }
+
+    async fn find_in_store(&self, service: &Name) -> Option<KnownVersion> {
+        let version = self.only_admitted(service).await?;
+        Some(KnownVersion { version, by: KnownBy::OnlyAdmitted, age_ms: None })
     }
 
     /// Asks peers at the same time, and returns the first version that one of them knows.
@@ -275,9 +383,10 @@
         };
         let news_age_ms = self.fleet.connectivity.news_age(now);
         let router = self.router.lock();
+        let untold = self.untold.lock().len();
         json!({
-            "records": records, "evicted": evicted, "news_age_ms": news_age_ms, "now_ms": now,
-            "versions": router.version_history(),
+            "untold": untold, "records": records, "evicted": evicted, "news_age_ms": news_age_ms, "now_ms": now,
+            "versions": router.version_history(), "admitted": *self.admitted.lock(),
         })
     }
 }
--- a/crates/ports/src/calls.rs
+++ b/crates/ports/src/calls.rs
@@ -50,7 +50,9 @@
             Kind::Table => Purpose::Table,
             Kind::Budgets => Purpose::BudgetsRead,
             Kind::RolloutLeases => Purpose::Rollouts,
-            Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked => Purpose::Other,
+            Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked | Kind::StreamVersions => {
+                Purpose::Other
+            }
         }
     }
 
@@ -60,7 +62,9 @@
             Kind::Table => Purpose::Table,
             Kind::Budgets => Purpose::BudgetsWritten,
             Kind::RolloutLeases => Purpose::Rollouts,
-            Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked => Purpose::Other,
+            Kind::RequestLog(_) | Kind::Epochs | Kind::Blocked | Kind::StreamVersions => {
+                Purpose::Other
+            }
         }
     }
 }
--- a/crates/ports/src/objects.rs
+++ b/crates/ports/src/objects.rs
@@ -21,6 +21,8 @@
     Blocked,
     /// Leases of the daemons that decide on rollouts.
     RolloutLeases,
+    /// Versions of servers at which streams may begin.
+    StreamVersions,
 }
 
 impl Kind {
@@ -33,6 +35,7 @@
             Kind::Epochs => "epochs".to_owned(),
             Kind::Blocked => "blocked".to_owned(),
             Kind::RolloutLeases => "rollout-leases".to_owned(),
+            Kind::StreamVersions => "stream-versions".to_owned(),
         }
     }
 }
