Stream versions: a take-up reads the store also after a failed call

The reset had also hit the hosts' connections to the store, and a host that has seen a call fail does not call it for half a second. A caller that takes up a stream is rare, and nothing else can serve it: it now reads anyway, twice within 250 ms, and callers that wait at the same time share the outcome, also a failure.

--- a/crates/daemon/src/requests/stream_versions/admission.rs
+++ b/crates/daemon/src/requests/stream_versions/admission.rs
@@ -40,12 +40,16 @@
 /// Longest wait for the store when a caller takes up a stream.
 const READ_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// Number of reads for the callers that wait: the first may fail because its connection was reset.
+const MAX_READS: usize = 2;
+
 /// Versions that the store had at a time.
 #[derive(Debug, Default)]
 pub(super) struct ReadVersions {
     /// When the read was sent; `None` before the first one.
     asked_at: Option<Millis>,
-    versions: AdmittedVersions,
+    /// `None` if the store did not answer.
+    versions: Option<AdmittedVersions>,
 }
 
 /// Keeps all listed versions admitted, until the daemon ends.
@@ -213,18 +217,21 @@
     /// the store; requests that wait at the same time share one read.
     pub(super) async fn only_admitted(&self, service: &Name) -> Option<Name> {
         let arrived_at = self.now();
-        if self.fleet.connectivity.is_store_unavailable(arrived_at) {
-            return None;
+        let mut last = self.last_read.lock().await;
+        if last.asked_at.is_none_or(|asked_at| asked_at <= arrived_at) {
+            *last = ReadVersions { asked_at: Some(self.now()), versions: None };
+            let read = tokio::time::timeout(READ_TIMEOUT, self.read_for_callers()).await;
+            last.versions = read.ok().flatten();
         }
-        let read = async {
-            let mut last = self.last_read.lock().await;
-            if last.asked_at.is_none_or(|asked_at| asked_at < arrived_at) {
-                let asked_at = self.now();
-                let (_, versions) = self.read_admitted().await?;
-                *last = ReadVersions { asked_at: Some(asked_at), versions };
+        last.versions.as_ref()?.only(service).cloned()
+    }
+
+    async fn read_for_callers(&self) -> Option<AdmittedVersions> {
+        for _ in 0..MAX_READS {
+            if let Some((_, versions)) = self.read_admitted().await {
+                return Some(versions);
             }
-            last.versions.only(service).cloned()
-        };
-        tokio::time::timeout(READ_TIMEOUT, read).await.ok().flatten()
+        }
+        None
     }
 }
