Split routes: a stream that is taken up stays at its service

Callers whose route is split between services got streams that another service went on with: the share is drawn by a hash of the attempt's id, and each attempt has its own.

The share now follows from the attempt that began the stream, which the caller names, so every host computes the same. Evidence: a_stream_of_a_split_route_goes_on_at_its_service, red before (14 of 24 streams of two services, real daemons), passes; the other 14 cases of path stream_versions pass.

--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -57,8 +57,9 @@
         let RouteTarget::Host { split, .. } = &route.target else {
             return Err(Refusal::NoRoute);
         };
-        let service =
-            select_share(split, &request_head.id).ok_or(Refusal::NoRoute)?.service.clone();
+        // A stream that is taken up stays at the service of the attempt that began it.
+        let first_attempt = request_head.resumes.as_ref().unwrap_or(&request_head.id);
+        let service = select_share(split, first_attempt).ok_or(Refusal::NoRoute)?.service.clone();
         let engine = table.service(&service).and_then(|row| row.engine.as_ref());
         let budget = workspace.and_then(|row| table.budget(&row.default_budget));
         Ok(Plan {
@@ -115,7 +116,7 @@
     Ok(workspace)
 }
 
-/// Selects a share of the traffic split by a hash of the request's id, with the shares' weights.
+/// Selects a share of the traffic split by a hash of an attempt's id, with the shares' weights.
 /// The result is the same on all daemons.
 fn select_share<'a>(split: &'a [ServiceShare], id: &str) -> Option<&'a ServiceShare> {
     let total: f64 = split.iter().map(|share| share.weight).sum();
