Router: a prompt's cache is copied between servers of one version alone

Now both must have the same known version. The router's tests of copying give their servers a version; what they check is unchanged. caches_are_copied_between_servers_of_one_version: another and an unknown version red before, 3 of 3 pass.

--- a/crates/core/src/router/choose.rs
+++ b/crates/core/src/router/choose.rs
@@ -178,7 +178,7 @@
             Some((sooner, passed)) => (sooner, Some(passed)),
             None => (view, None),
         };
-        let other = found.first.filter(|first| first.name != view.name);
+        let other = found.first.filter(|first| first.name != view.name && first.shares_cache(view));
         Ok(Choice {
             server: view.name.clone(),
             hall: view.hall.clone(),
--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -173,6 +173,12 @@
         self.version = (!self.is_version_doubtful).then(|| listed.clone());
     }
 
+    /// Returns whether the cache of this server can be used by another one: both have the same known
+    /// version.
+    pub(super) fn shares_cache(&self, other: &ServerView) -> bool {
+        self.version.is_some() && self.version == other.version
+    }
+
     /// Returns the instance of the server that is in the table.
     pub fn instance(&self) -> ServerInstance {
         ServerInstance { name: self.name.clone(), started_ms: self.started_ms }
--- a/crates/core/tests/router.rs
+++ b/crates/core/tests/router.rs
@@ -190,6 +190,9 @@
         "split": [{"service": "m"}], "pause_goal_ms": PAUSE_GOAL_MS,
     });
     table.routes.push(serde_json::from_value(route).expect("a route"));
+    for server in &mut table.servers {
+        server.listed.version = Some(Name::from("v1"));
+    }
     let mut router = Router::default();
     router.adopt(&table);
     router
--- a/crates/core/tests/stream_versions.rs
+++ b/crates/core/tests/stream_versions.rs
@@ -224,7 +224,11 @@
 }
 
 fn choose(router: &Router, versions: Versions, seed: u64) -> Result<Name, NoServer> {
-    let request = RoutingRequest {
+    router.choose(1_000, &request(versions, seed)).map(|choice| choice.server)
+}
+
+fn request(versions: Versions<'_>, seed: u64) -> RoutingRequest<'_> {
+    RoutingRequest {
         pool: "engines",
         prefix: seed,
         prompt_tokens: 0,
@@ -234,8 +238,7 @@
         tried: &[],
         homes: Homes::default(),
         versions,
-    };
-    router.choose(1_000, &request).map(|choice| choice.server)
+    }
 }
 
 #[test]
@@ -261,6 +264,27 @@
     assert_eq!(choose(&router, Versions::OfStream(&name("v1")), 0), Ok(name("a")));
 }
 
+/// Guards against a prompt's cache that is copied from a server of another or an unknown version.
+#[parameterized(
+    another = { Some("v2"), false },
+    unknown = { None, false },
+    the_same = { Some("v1"), true },
+)]
+fn caches_are_copied_between_servers_of_one_version(of_first: Option<&str>, is_copied: bool) {
+    let servers = [("a", Some("v1")), ("b", Some("v1")), ("c", Some("v1"))];
+    let first = choose(&router(&servers), Versions::Any, 7).expect("a server is usable");
+    let listed = servers.map(|(server, version)| {
+        (server, if server == first.as_str() { of_first } else { version })
+    });
+    let mut router = router(&listed);
+    for _ in 0..8 {
+        router.record_sent(&first, 0, 1_000);
+    }
+    let other = router.choose(1_000, &request(Versions::Any, 7)).expect("a server is usable");
+    assert_ne!(other.server, first);
+    assert_eq!(other.copy_from.is_some(), is_copied);
+}
+
 /// Guards against a stream that goes on at a server whose entry was rewritten to its version.
 #[test]
 fn a_server_whose_entry_names_two_versions_has_none() {
