--- a/crates/core/src/router/status.rs
+++ b/crates/core/src/router/status.rs
@@ -34,6 +34,8 @@
     pub server: Name,
     /// Its hall.
     pub hall: Name,
+    /// Version of its software; `None` when unknown.
+    pub version: Option<Name>,
     /// Whether it gets requests, and if not, why.
     pub state: Availability,
     /// The source of the state; empty when the server is ready.
@@ -72,6 +74,7 @@
         ServerStatus {
             server: self.name.clone(),
             hall: self.hall.clone(),
+            version: self.version.clone(),
             state,
             why,
             left_ms: until.map(|until| until - now),
