--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -2,8 +2,9 @@
 //! platform's protocol (`entry`).
 //!
 //! Owns the set of open requests (`open_request`, [`RequestContext::in_flight`]), the answers held
-//! for callers (`held_answers`) and the flags by which a graceful shutdown stops the acceptance of
-//! new ones. May call the layers that hold state; called by `api`, `entry` and `lifecycle`.
+//! for callers (`held_answers`), the versions at which streams have begun (`stream_versions`) and the
+//! flags by which a graceful shutdown stops the acceptance of new ones. May call the layers that hold
+//! state, the store and peers; called by `api`, `entry`, `lifecycle` and `peer_server`.
 
 pub mod held_answers;
 pub mod open_request;
--- a/crates/daemon/src/requests/stream_versions/admission.rs
+++ b/crates/daemon/src/requests/stream_versions/admission.rs
@@ -146,7 +146,9 @@
             if missing == AdmittedVersions::default() {
                 return true;
             }
+            // An object that was lost is written anew as a whole.
             let mut next = stored;
+            next.merge(&self.admitted());
             next.merge(&missing);
             if self.write_admitted(object_version, &next).await {
                 slog::info!(self.fleet.base.log, "versions admitted"; "versions" => ?missing);
