Stream versions: a host that may begin no stream says why, and asks the store sooner

A host that does not know yet that a version is admitted refused streams as 'no_server', and no line told the reason. It is logged and counted now. In a large fleet such a host asked peers for 0.9 s before the store, in which it refuses streams after a start of the whole fleet; now for 0.2 s.

--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -402,8 +402,13 @@
         let (streams, service) = (&requests.stream_versions, &self.plan.service);
         let is_resumable = self.plan.route.streams && self.plan.route.resumable;
         let may_begin = |choice: Choice| {
-            let may_begin = !is_resumable || streams.is_admitted(service, choice.version.as_ref());
-            may_begin.then_some(choice).ok_or(NoServer::NoneUsable)
+            if !is_resumable || streams.is_admitted(service, choice.version.as_ref()) {
+                return Ok(choice);
+            }
+            requests.base.metrics.count("stream.version_not_admitted");
+            slog::info!(self.log, "no stream begins at the server: its version is not admitted";
+                "server" => %choice.server, "version" => choice.version_text());
+            Err(NoServer::NoneUsable)
         };
         requests.rollouts.choose(service, is_first, |versions| {
             if versions != Versions::Any || !is_resumable {
--- a/crates/daemon/src/requests/stream_versions/admission.rs
+++ b/crates/daemon/src/requests/stream_versions/admission.rs
@@ -21,11 +21,14 @@
 /// Pause after a failed read or write.
 const RETRY_INTERVAL: Duration = Duration::from_millis(300);
 
+/// Pause after peers were asked that do not know all versions.
+const PEER_RETRY_INTERVAL: Duration = Duration::from_millis(100);
+
 /// Number of peers that are asked for the versions that they know to be admitted.
 const MAX_PEERS_ASKED: usize = 2;
 
 /// Number of times for which a daemon that learns of changes from peers asks them before the store.
-const MAX_PEER_ROUNDS: u32 = 3;
+const MAX_PEER_ROUNDS: u32 = 2;
 
 /// Number of conditional writes before a pause; other daemons write the same versions.
 const MAX_WRITES: usize = 3;
@@ -59,8 +62,10 @@
         loop {
             streams.forget_outdated();
             if streams.has_missing() && !streams.admit_missing(failures).await {
+                let asked_peers = failures < MAX_PEER_ROUNDS;
                 failures += 1;
-                tokio::time::sleep(RETRY_INTERVAL).await;
+                let pause = if asked_peers { PEER_RETRY_INTERVAL } else { RETRY_INTERVAL };
+                tokio::time::sleep(pause).await;
                 continue;
             }
             failures = 0;
