Rollouts: times of two versions are compared within the same periods

What callers saw: nothing; operators saw a good version rolled back as slow when the load rose late in a rollout.

Cause: the times of the new version, which gets most of its requests in the last tenth of the time, were compared with those of the old one from the beginning. In the closing stage the old version got nothing, so whatever slowed all servers then was taken for a fault of the new one. The daemons' logs of the failed plays say `Slow`, ratio 2.2 to 3.0, in the last stage or the closing. Ruled out: too few answers (21 to 42 of 12 needed), failures (none), the loss of the decider (its successor decided in all plays).

Now the difference of the mean logarithms is taken in each sixtieth of the duration and weighted by the answers of both versions in it; the spread is that within the periods. The first period of a stage does not count, since the daemons' fractions change in it. What is worse by failures is judged as before.

Evidence: core rollout, two new cases of a good version while all slow down: red before, green after; two new cases of slow versions hold before and after.

--- a/crates/core/src/rollout.rs
+++ b/crates/core/src/rollout.rs
@@ -11,6 +11,7 @@
 mod order;
 mod outcomes;
 mod plan;
+mod speeds;
 
 pub use exposure::{DECISION_VALID_MS, Exposure, Versions};
 pub use lease::{LEASE_MS, Lease, LeaseRecord};
--- a/crates/core/src/rollout/outcomes.rs
+++ b/crates/core/src/rollout/outcomes.rs
@@ -1,4 +1,4 @@
-//! Outcomes of a service's requests by route and version, and whether the new version is worse.
+//! Outcomes of a service's requests by route and version, and whether the new version fails more.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -9,20 +9,11 @@
 
 /// Standard deviations by which the new version has to be worse than the old one. The outcomes are
 /// judged some thirty times in a rollout, and a good version must not be rolled back by chance.
-const MIN_DEVIATIONS: f64 = 4.5;
+pub(super) const MIN_DEVIATIONS: f64 = 4.5;
 
 /// Number of failures beyond the expected ones that are never taken as a sign.
 const TOLERATED_FAILURES: f64 = 3.0;
 
-/// Smallest number of timed answers of each version from which their speed is compared.
-const MIN_TIMED: u32 = 8;
-
-/// Ratio of the new version's typical time to the old one's from which it counts as slow.
-const SLOW_RATIO: f64 = 1.5;
-
-/// Smallest variance of logarithmic times that is assumed, against chance in a few equal samples.
-const MIN_VARIANCE: f64 = 0.01;
-
 /// Outcomes of requests to one version on one route.
 #[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
 pub struct Outcomes {
@@ -73,16 +64,6 @@
             ln_squares: self.ln_squares - before.ln_squares,
         }
     }
-
-    fn mean_ln(&self) -> f64 {
-        self.ln_sum / f64::from(self.timed.max(1))
-    }
-
-    fn variance_of_mean(&self) -> f64 {
-        let count = f64::from(self.timed.max(1));
-        let mean = self.ln_sum / count;
-        (self.ln_squares / count - mean * mean).max(MIN_VARIANCE) / count
-    }
 }
 
 /// Outcomes of both versions on one route.
@@ -128,11 +109,6 @@
 }
 
 impl RouteOutcomes {
-    /// Returns why the new version is worse on this route, if it is.
-    pub fn fault(&self) -> Option<Fault> {
-        self.excess_failures().or_else(|| self.slowness())
-    }
-
     fn excess_failures(&self) -> Option<Fault> {
         let Outcomes { answers, failed, .. } = self.new;
         // With few answers of the old version its rate is not known well.
@@ -142,16 +118,6 @@
         let allowed = expected + MIN_DEVIATIONS * deviation + TOLERATED_FAILURES;
         (f64::from(failed) > allowed).then_some(Fault::Fails { failed, answers })
     }
-
-    fn slowness(&self) -> Option<Fault> {
-        if self.new.timed < MIN_TIMED || self.old.timed < MIN_TIMED {
-            return None;
-        }
-        let difference = self.new.mean_ln() - self.old.mean_ln();
-        let deviation = (self.new.variance_of_mean() + self.old.variance_of_mean()).sqrt();
-        let is_slow = difference > SLOW_RATIO.ln() && difference > MIN_DEVIATIONS * deviation;
-        is_slow.then(|| Fault::Slow { ratio: difference.exp() })
-    }
 }
 
 impl ServiceOutcomes {
@@ -164,32 +130,42 @@
         }
     }
 
-    /// Returns the outcomes of the new version since `before`, an earlier sum, with all those of the
-    /// old one, which gets few requests in the last stage.
+    /// Returns the outcomes since `before`, an earlier sum.
     #[must_use]
     pub fn since(&self, before: &ServiceOutcomes) -> ServiceOutcomes {
         let part = |(route, now): (&Name, &RouteOutcomes)| {
             let before = before.routes.get(route).copied().unwrap_or_default();
-            let since = RouteOutcomes { new: now.new.since(&before.new), old: now.old };
-            (route.clone(), since)
+            let (new, old) = (now.new.since(&before.new), now.old.since(&before.old));
+            (route.clone(), RouteOutcomes { new, old })
         };
         ServiceOutcomes { routes: self.routes.iter().map(part).collect() }
     }
 
+    /// Returns the outcomes of the new version since `before`, an earlier sum, with all those of the
+    /// old one, which gets few requests in the last stage.
+    #[must_use]
+    pub fn new_since(&self, before: &ServiceOutcomes) -> ServiceOutcomes {
+        let mut since = self.since(before);
+        for (route, outcomes) in &mut since.routes {
+            outcomes.old = self.routes.get(route).map_or(outcomes.old, |all| all.old);
+        }
+        since
+    }
+
     /// Returns the number of requests that the new version has answered or failed.
     pub fn new_answers(&self) -> u32 {
         self.routes.values().map(|route| route.new.answers).sum()
     }
 
-    /// Returns why the new version is worse on a route or on all together, with the route.
+    /// Returns why the new version fails too often on a route or on all together, with the route.
     pub fn fault(&self) -> Option<(Option<Name>, Fault)> {
         let mut all = RouteOutcomes::default();
         for (route, outcomes) in &self.routes {
-            if let Some(fault) = outcomes.fault() {
+            if let Some(fault) = outcomes.excess_failures() {
                 return Some((Some(route.clone()), fault));
             }
-            all.new.add(&Outcomes { timed: 0, ..outcomes.new });
-            all.old.add(&Outcomes { timed: 0, ..outcomes.old });
+            all.new.add(&outcomes.new);
+            all.old.add(&outcomes.old);
         }
         all.excess_failures().map(|fault| (None, fault))
     }
--- a/crates/core/tests/rollout.rs
+++ b/crates/core/tests/rollout.rs
@@ -126,6 +126,8 @@
     bad_route: Option<usize>,
     /// Daemons below this index are cut off from the decider in this time.
     cut: (usize, Millis, Millis),
+    /// From when on all servers are slower, and by which factor.
+    slowed: (Millis, f64),
     /// When the decider is lost; another takes over after the lease has ended.
     lost_at: Option<Millis>,
     seed: u64,
@@ -142,6 +144,7 @@
             bad_above: 0.0,
             bad_route: None,
             cut: (0, 0, 0),
+            slowed: (0, 1.0),
             lost_at: None,
             seed: 1,
         }
@@ -202,7 +205,9 @@
                 if is_bad {
                     outcomes.record_failure();
                 } else {
-                    let millis = 40.0 * (0.5 + rng.next()) * version.slower;
+                    let (slowed_from, factor) = self.slowed;
+                    let load = if now >= slowed_from { factor } else { 1.0 };
+                    let millis = 40.0 * (0.5 + rng.next()) * version.slower * load;
                     outcomes.record_answer(Some(millis));
                 }
             }
@@ -248,6 +253,8 @@
     when_it_gets_all = { Play { new: FAILING, bad_above: 0.9, ..Play::default() } },
     on_one_route = { Play { new: FAILING, bad_route: Some(1), ..Play::default() } },
     slow = { Play { new: Version { fails: 0.0, slower: 3.0 }, ..Play::default() } },
+    slow_while_all_speed_up = { Play { new: Version { fails: 0.0, slower: 3.0 }, slowed: (5_000, 0.2), ..Play::default() } },
+    slow_under_load = { Play { new: Version { fails: 0.0, slower: 2.5 }, bad_above: 0.1, ..Play::default() } },
     decider_lost_early = { Play { new: FAILING, lost_at: Some(500), ..Play::default() } },
     decider_lost_late = { Play { new: FAILING, bad_from: 9_700, lost_at: Some(9_800), ..Play::default() } },
 )]
@@ -263,6 +270,8 @@
     large_fleet = { Play { daemons: 984, per_second: 650, ..Play::default() } },
     while_all_fail_often = { Play { old: Version { fails: 0.2, slower: 1.0 }, new: Version { fails: 0.2, slower: 1.0 }, ..Play::default() } },
     decider_lost = { Play { lost_at: Some(4_000), ..Play::default() } },
+    all_slow_down_in_a_stage = { Play { slowed: (9_000, 3.0), ..Play::default() } },
+    all_slow_down_when_it_gets_most = { Play { slowed: (10_850, 3.0), ..Play::default() } },
 )]
 fn a_good_version_is_done_before_its_time_is_over(play: Play) {
     assert_eq!(play.run().end, Some(RolloutState::Done));
