Streams: the end of an event is searched once, and by memchr

What callers saw: on a host short of processor time, answers of 512 KB that slow callers read broke off after 230 to 350 KB. The servers had cut them off as unread for 2 s.

Cause: the splitter looked for the end of an event with two passes that compare slices at each byte, then split the event in lines for its id with a third, and looked through the start of a partial event anew after each read. In the debug build that took 0.87 of a core of a daemon through all of the 8 s of the test, so sockets filled up; a sender's socket counts as writable only after a good part of it was taken, which at this pace took longer than the servers wait.

Now line feeds are found by memchr, and what was searched is not searched again; also in the splitter of our own interface.

--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -1,6 +1,10 @@
 //! Server-sent events with increasing ids: splitting a byte stream into events,
 //! and detecting duplicates and gaps.
 
+use std::iter;
+
+use memchr::memchr_iter;
+
 /// Maximum size of an event, in bytes; a stream with a larger one is invalid.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
@@ -20,6 +24,8 @@
     /// Length of the events at the start of `buf` that were returned. They are removed with the next
     /// push: removing each by itself would move the rest of a read for each event.
     returned: usize,
+    /// Length of the partial event after these that contains no end.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -33,8 +39,13 @@
     /// Removes and returns the next complete event; none if more bytes are needed.
     pub fn next_event(&mut self) -> Option<RawEvent> {
         let rest = &self.buf[self.returned..];
-        let raw = rest[..end_of_event(rest)?].to_vec();
-        self.returned += raw.len();
+        let Some(end) = end_of_event(rest, self.searched) else {
+            self.searched = rest.len();
+            return None;
+        };
+        let raw = rest[..end].to_vec();
+        self.returned += end;
+        self.searched = 0;
         Some(RawEvent { id: id_of(&raw), raw })
     }
 
@@ -44,21 +55,28 @@
     }
 }
 
-fn end_of_event(buf: &[u8]) -> Option<usize> {
-    let lf = buf.windows(2).position(|bytes| bytes == b"\n\n").map(|at| at + 2);
-    // Only an earlier end counts; searching all of a read for each event would take 12 ms for 64 KB
-    // of small events.
-    let before = lf.map_or(buf, |end| &buf[..end]);
-    let crlf = before.windows(4).position(|bytes| bytes == b"\r\n\r\n").map(|at| at + 4);
-    lf.into_iter().chain(crlf).min()
+/// Returns the length of the first event in `buf`, of which the first `searched` bytes contain no
+/// end.
+fn end_of_event(buf: &[u8], searched: usize) -> Option<usize> {
+    let mut line_ends = memchr_iter(b'\n', &buf[searched..]).map(|at| searched + at + 1);
+    line_ends.find(|end| buf[..*end].ends_with(b"\n\n") || buf[..*end].ends_with(b"\r\n\r\n"))
 }
 
 fn id_of(raw: &[u8]) -> Option<u64> {
-    let lines = raw.split(|byte| *byte == b'\n');
-    let id = lines.filter_map(|line| line.strip_prefix(b"id:")).next_back()?;
+    let id = lines(raw).filter_map(|line| line.strip_prefix(b"id:")).last()?;
     std::str::from_utf8(id).ok()?.trim().parse().ok()
 }
 
+/// Iterates over the lines, without the line feeds that end them.
+fn lines(raw: &[u8]) -> impl Iterator<Item = &[u8]> {
+    let mut begin = 0;
+    memchr_iter(b'\n', raw).chain(iter::once(raw.len())).map(move |end| {
+        let line = &raw[begin..end];
+        begin = end + 1;
+        line
+    })
+}
+
 /// How a received event is handled, by its position in the stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum EventAction {
--- a/crates/daemon/src/api/sse.rs
+++ b/crates/daemon/src/api/sse.rs
@@ -1,6 +1,7 @@
 //! Parser for the server-sent events of a chat completion stream.
 
 use bytes::{Bytes, BytesMut};
+use memchr::memmem;
 use serde::Deserialize;
 
 /// Maximum size of an event in bytes; a larger one ends the connection.
@@ -66,6 +67,8 @@
 #[derive(Debug, Default)]
 pub struct EventSplitter {
     buf: BytesMut,
+    /// Length of the start of `buf` that contains no end of an event.
+    searched: usize,
 }
 
 impl EventSplitter {
@@ -76,12 +79,16 @@
 
     /// Removes and returns the next complete event, or `None` if more bytes are needed.
     pub fn next_event(&mut self) -> Option<Event> {
-        if let Some(end) = self.buf.windows(2).position(|pair| pair == b"\n\n") {
-            let raw = self.buf.split_to(end + 2).freeze();
+        if let Some(at) = memmem::find(&self.buf[self.searched..], b"\n\n") {
+            let raw = self.buf.split_to(self.searched + at + 2).freeze();
+            self.searched = 0;
             return Some(parse_event(raw));
         }
+        // The last byte may be the first of the end.
+        self.searched = self.buf.len().saturating_sub(1);
         if self.buf.len() > MAX_EVENT_BYTES {
             self.buf.clear();
+            self.searched = 0;
             return Some(Event::Malformed);
         }
         None
