Places: a stream that may go on at one version waits for that version

What callers saw: while servers of several versions are full, a stream that was taken up and waited for its version held up requests that had room at other servers: they joined the queue behind it and were called only by probes. Its own wait was judged by the places of all versions, so it could wait to its goal for a place that one version does not free in time. A place freed at another version went to it first, and was lost if nobody else waited.

Cause: the queue of a pool does not know that a request may use only part of the servers.

Now a request names its version. Freed places name theirs and are passed only to requests that may use them, or are kept for the next one; the expected wait counts rivals, ended requests and room at the version alone; a request that has room at a server waits only behind those that may use it.

Evidence: core places, three new cases: red with the version ignored, green with it. Not measured under load with real daemons.

--- a/crates/core/src/places.rs
+++ b/crates/core/src/places.rs
@@ -9,14 +9,16 @@
 mod rate;
 mod request;
 mod spare;
+mod waiter;
 
-pub use request::{NoPlace, PlaceRank, PlaceRequest, PlaceState, Ticket};
+pub use request::{FreedPlace, NoPlace, PlaceRank, PlaceRequest, PlaceState, Ticket};
 
 use crate::crashes::ServerInstance;
 use crate::limits::RetrySchedule;
 use crate::places::order::{OTHER_RANKS_EVERY, Turns};
 use crate::places::rate::{FreedRate, expected_wait};
 use crate::places::spare::SparePlaces;
+use crate::places::waiter::{Call, Waiter};
 use crate::router::PoolRoom;
 use crate::{Millis, Name};
 
@@ -47,23 +49,6 @@
 /// Lowest rate by which retry delays are spaced, in requests per millisecond.
 const MIN_RETRY_RATE: f64 = 0.001;
 
-#[derive(Debug, Clone)]
-struct Waiter {
-    ticket: Ticket,
-    request: PlaceRequest,
-    until: Millis,
-    call: Option<Call>,
-    /// Number of the last call after which it found no server.
-    declined: u64,
-}
-
-/// A call for one request to ask for a server. It is passed on if the request finds none.
-#[derive(Debug, Clone)]
-struct Call {
-    number: u64,
-    freed: Option<ServerInstance>,
-}
-
 /// Queue of one pool.
 #[derive(Debug, Clone)]
 pub struct PlaceQueue {
@@ -154,8 +139,8 @@
         let start_by = goal.saturating_sub(room.first_answer_ms as Millis);
         let until = start_by.min(request.deadline);
         self.waiting.push(Waiter { ticket, request, until, call: None, declined: 0 });
-        let has_spare = self.waiting.len() <= self.spare.len();
         let index = self.waiting.len() - 1;
+        let has_spare = self.rivals(index) < self.spare.count_for(&self.waiting[index].request);
         let mut no_place = self.no_place(now, index, room);
         if has_spare {
             no_place.expected_ms = 0;
@@ -175,7 +160,8 @@
             }
             self.removed.push((evicted_ticket, no_place));
         }
-        if let Some(freed) = self.spare.take() {
+        let joined = self.index_of(ticket).map(|index| &self.waiting[index].request);
+        if let Some(freed) = joined.and_then(|request| self.spare.take(request)) {
             self.call_next(Some(freed));
         }
         Ok(ticket)
@@ -188,7 +174,7 @@
         }
         let waiter = self.waiting.iter().find(|waiter| waiter.ticket == ticket)?;
         Some(match &waiter.call {
-            Some(call) => PlaceState::Called(call.freed.clone()),
+            Some(call) => PlaceState::Called(call.freed.as_ref().map(|freed| freed.server.clone())),
             None => PlaceState::Waiting(waiter.until),
         })
     }
@@ -232,18 +218,18 @@
     /// Records that a request of this daemon has ended at a server of the pool, and calls the next
     /// one. While nothing waits, the place is kept for the time of an answer. Some places are left
     /// empty while the servers have queues of their own.
-    pub fn record_freed(&mut self, now: Millis, server: ServerInstance, room: &PoolRoom) {
+    pub fn record_freed(&mut self, now: Millis, place: FreedPlace, room: &PoolRoom) {
         self.ends += 1;
         let has_queued = room.first_answer_ms > room.least_first_ms * QUEUED_ANSWER_RATIO;
         if has_queued && self.ends % LEFT_EMPTY_EVERY == 0 {
             return;
         }
-        self.freed.record(now);
-        if self.call_next(Some(server.clone())) {
+        self.freed.record(now, place.version());
+        if self.call_next(Some(place.clone())) {
             return;
         }
         let until = now + room.answer_ms.ceil() as Millis;
-        self.spare.add(now, server, until, self.capacity);
+        self.spare.add(now, place, until, self.capacity);
     }
 
     /// Removes a called request that has got a place.
@@ -308,7 +294,7 @@
     }
 
     /// Calls the next request; returns whether there was one.
-    fn call_next(&mut self, freed: Option<ServerInstance>) -> bool {
+    fn call_next(&mut self, freed: Option<FreedPlace>) -> bool {
         let call = Call { number: self.last_call + 1, freed };
         let is_called = self.pass(call);
         self.last_call += u64::from(is_called);
@@ -319,7 +305,9 @@
     fn pass(&mut self, call: Call) -> bool {
         let is_candidate = |index: &usize| {
             let waiter = &self.waiting[*index];
-            waiter.call.is_none() && waiter.declined < call.number
+            let may_use = |place: &FreedPlace| waiter.request.may_use(place.version());
+            let has_declined = waiter.declined >= call.number;
+            waiter.call.is_none() && !has_declined && call.freed.as_ref().is_none_or(may_use)
         };
         let order: Vec<usize> = self.order().into_iter().filter(is_candidate).collect();
         let Some(first) = order.first().copied() else { return false };
@@ -337,10 +325,24 @@
         true
     }
 
+    /// Returns whether a request waits that may use a server of this version.
+    pub fn has_waiting_for(&self, version: Option<&Name>) -> bool {
+        self.waiting.iter().any(|waiter| waiter.request.may_use(version))
+    }
+
+    /// Returns the number of other requests that may use the same servers as the one at `index`.
+    fn rivals(&self, index: usize) -> usize {
+        let request = &self.waiting[index].request;
+        let rivals = self.waiting.iter().filter(|other| other.request.is_rival_of(request));
+        rivals.count() - 1
+    }
+
     /// Returns the number of requests that get places before the one at `index`. A rank that is not
     /// the first one gets its part of the places that are kept for the other ranks.
     fn expected_position(&self, index: usize) -> usize {
-        let order = self.order();
+        let request = &self.waiting[index].request;
+        let is_rival = |other: &usize| self.waiting[*other].request.is_rival_of(request);
+        let order: Vec<usize> = self.order().into_iter().filter(is_rival).collect();
         let rank_of = |index: &usize| self.waiting[*index].request.rank;
         let rank = rank_of(&index);
         let strict = order.iter().position(|at| *at == index).unwrap_or(order.len());
@@ -373,8 +375,8 @@
     /// Returns the inputs of the decision on the request at `index`.
     fn no_place(&self, now: Millis, index: usize, room: &PoolRoom) -> NoPlace {
         let position = self.expected_position(index);
-        let rates = self.freed.rates(now, room);
         let request = &self.waiting[index].request;
+        let rates = self.freed.rates(now, room, request.version.as_ref());
         NoPlace {
             position,
             per_second: rates.total() * 1_000.0,
--- a/crates/core/src/places/request.rs
+++ b/crates/core/src/places/request.rs
@@ -25,6 +25,20 @@
     pub goal_ms: Millis,
     /// Deadline of the caller.
     pub deadline: Millis,
+    /// Version of the only servers that it may use; `None` if it may use all.
+    pub version: Option<Name>,
+}
+
+impl PlaceRequest {
+    /// Returns whether it may use a server of this version.
+    pub(super) fn may_use(&self, version: Option<&Name>) -> bool {
+        self.version.is_none() || self.version.as_ref() == version
+    }
+
+    /// Returns whether there is a version whose servers both requests may use.
+    pub(super) fn is_rival_of(&self, other: &PlaceRequest) -> bool {
+        self.version.is_none() || other.version.is_none() || self.version == other.version
+    }
 }
 
 /// Identifies a waiting request.
@@ -50,6 +64,21 @@
     pub retry_ms: Millis,
 }
 
+/// Place at a server where a request has ended.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct FreedPlace {
+    /// The server.
+    pub server: ServerInstance,
+    /// Version of its software; `None` when unknown.
+    pub version: Option<Name>,
+}
+
+impl FreedPlace {
+    pub(super) fn version(&self) -> Option<&Name> {
+        self.version.as_ref()
+    }
+}
+
 /// State of a request that has joined the queue.
 #[derive(Debug, Clone, PartialEq)]
 pub enum PlaceState {
--- a/crates/core/src/router/full_servers.rs
+++ b/crates/core/src/router/full_servers.rs
@@ -7,6 +7,7 @@
 use serde::Serialize;
 
 use crate::crashes::ServerInstance;
+use crate::rollout::Versions;
 use crate::router::prefill::moving_average;
 use crate::router::view::ServerView;
 use crate::router::{Choice, NoServer, Router, RoutingRequest};
@@ -131,9 +132,15 @@
 
     /// Returns the room at the servers of a pool.
     pub fn room(&self, now: Millis, pool: &str) -> PoolRoom {
+        self.room_of(now, pool, Versions::Any)
+    }
+
+    /// Returns the room at the servers of a pool that have one of these versions.
+    pub fn room_of(&self, now: Millis, pool: &str, versions: Versions) -> PoolRoom {
         let halls = self.pool(pool).map(|pool| &pool.halls);
         let open = halls.into_iter().flatten().filter(|hall| hall.is_open);
         let members = open.flat_map(|hall| &hall.members);
+        let views = members.map(|index| &self.servers[*index as usize]);
         let mut room = PoolRoom {
             usable: 0,
             full: 0,
@@ -147,7 +154,7 @@
         let mut first_full_until = Millis::MAX;
         let (mut answered, mut answer_ms, mut first_answer_ms) = (0.0, 0.0, 0.0);
         let mut least_first_ms = 0.0;
-        for view in members.map(|index| &self.servers[*index as usize]) {
+        for view in views.filter(|view| versions.allow(view.version.as_ref())) {
             room.in_flight += view.in_flight;
             if let (Some(whole), Some(first)) = (view.room.answer_ms, view.room.first_ms) {
                 answered += 1.0;
--- a/crates/core/src/stream_versions.rs
+++ b/crates/core/src/stream_versions.rs
@@ -35,6 +35,11 @@
     pub fn to(version: Option<&Name>) -> Self {
         version.map_or(Binding::Unknown, |version| Binding::Bound(version.clone()))
     }
+
+    /// Returns the only version at which the stream may go on, if it is bound to one.
+    pub fn version(&self) -> Option<&Name> {
+        if let Binding::Bound(version) = self { Some(version) } else { None }
+    }
 }
 
 /// What a daemon knows of the version of a stream, as it tells a peer.
--- a/crates/core/tests/full_servers.rs
+++ b/crates/core/tests/full_servers.rs
@@ -2,7 +2,7 @@
 
 use bankcove_core::Name;
 use bankcove_core::crashes::ServerInstance;
-use bankcove_core::places::{PlaceQueue, PlaceRank, PlaceRequest};
+use bankcove_core::places::{FreedPlace, PlaceQueue, PlaceRank, PlaceRequest};
 use bankcove_core::rollout::Versions;
 use bankcove_core::router::{
     AnswerTimes, Availability, FullPool, Homes, NoServer, Router, RoutingRequest,
@@ -118,13 +118,15 @@
     (0..8).for_each(|_| router.record_sent(&instance(0).name, 0, 0));
     let room = router.room(0, "m");
     let rank = PlaceRank { workspace: 0, route: 0 };
+    let (goal_ms, deadline) = (60_000, 60_000);
     let request =
-        PlaceRequest { rank, workspace: None, since: 0, goal_ms: 60_000, deadline: 60_000 };
+        PlaceRequest { rank, workspace: None, since: 0, goal_ms, deadline, version: None };
     let mut queue = PlaceQueue::new(0, Name::from("m"), 64);
     for _ in 0..8 {
         queue.join(0, request.clone(), &room, 0).expect("the goal is far");
     }
-    (0..8).for_each(|_| queue.record_freed(1, instance(0), &room));
+    let freed = FreedPlace { server: instance(0), version: None };
+    (0..8).for_each(|_| queue.record_freed(1, freed.clone(), &room));
     queue.tickets_to_wake().count()
 }
 
--- a/crates/core/tests/places.rs
+++ b/crates/core/tests/places.rs
@@ -3,7 +3,7 @@
 use std::collections::HashMap;
 
 use bankcove_core::crashes::ServerInstance;
-use bankcove_core::places::{PlaceQueue, PlaceRank, PlaceRequest, PlaceState, Ticket};
+use bankcove_core::places::{FreedPlace, PlaceQueue, PlaceRank, PlaceRequest, PlaceState, Ticket};
 use bankcove_core::router::PoolRoom;
 use bankcove_core::{Millis, Name};
 use proptest::prelude::*;
@@ -15,6 +15,10 @@
     ServerInstance { name: Name::from("s-1"), started_ms: 1 }
 }
 
+fn place() -> FreedPlace {
+    FreedPlace { server: server(), version: None }
+}
+
 /// Returns the room at a pool of one full server with this many open requests of this daemon.
 fn full_room(in_flight: u32) -> PoolRoom {
     PoolRoom {
@@ -36,6 +40,7 @@
         since: now,
         goal_ms: GOAL_MS,
         deadline: now + 3_000,
+        version: None,
     }
 }
 
@@ -45,7 +50,7 @@
 
 /// Frees one place and returns the request that gets it.
 fn serve_next(queue: &mut PlaceQueue, now: Millis) -> Option<Ticket> {
-    queue.record_freed(now, server(), &full_room(6));
+    queue.record_freed(now, place(), &full_room(6));
     let called = queue.tickets_to_wake().next()?;
     assert_eq!(queue.state(called), Some(PlaceState::Called(Some(server()))));
     queue.take(called);
@@ -119,7 +124,7 @@
         self.running.retain(|end| *end > now);
         for _ in 0..ended {
             let room = self.room();
-            self.queue.record_freed(now, server(), &room);
+            self.queue.record_freed(now, place(), &room);
             self.start_called(now);
         }
     }
@@ -274,7 +279,7 @@
 fn requests_are_refused_at_once_when_no_place_comes_free() {
     let mut queue = queue(64);
     for now in 0..10 {
-        queue.record_freed(now, server(), &full_room(6));
+        queue.record_freed(now, place(), &full_room(6));
     }
     queue.record_rejected(10, &server());
     let room = PoolRoom { first_full_ms: 2_000, answer_ms: 2_000.0, ..full_room(6) };
@@ -288,7 +293,7 @@
     let mut queue = queue(64);
     let first = join(&mut queue, request(0, (0, 0), "w"));
     let second = join(&mut queue, request(0, (0, 0), "w"));
-    queue.record_freed(5, server(), &full_room(5));
+    queue.record_freed(5, place(), &full_room(5));
     assert!(matches!(queue.state(first), Some(PlaceState::Called(_))));
     queue.leave(first);
     assert_eq!((queue.state(first), queue.len()), (None, 1));
@@ -302,7 +307,7 @@
     let mut queue = queue(64);
     let first = join(&mut queue, request(0, (0, 0), "w"));
     let second = join(&mut queue, request(0, (0, 0), "w"));
-    queue.record_freed(5, server(), &full_room(5));
+    queue.record_freed(5, place(), &full_room(5));
     queue.decline(first);
     assert!(matches!(queue.state(first), Some(PlaceState::Waiting(_))));
     assert!(matches!(queue.state(second), Some(PlaceState::Called(_))));
@@ -345,13 +350,64 @@
 #[test]
 fn a_place_that_came_free_while_nothing_waited_is_used_once() {
     let mut queue = queue(64);
-    queue.record_freed(0, server(), &full_room(5));
+    queue.record_freed(0, place(), &full_room(5));
     let first = join(&mut queue, request(1, (0, 0), "w"));
     let second = join(&mut queue, request(1, (0, 0), "w"));
     assert!(matches!(queue.state(first), Some(PlaceState::Called(Some(_)))));
     assert!(matches!(queue.state(second), Some(PlaceState::Waiting(_))));
 }
 
+/// Returns a request for servers of this version alone.
+fn bound(now: Millis, version: &str) -> PlaceRequest {
+    PlaceRequest { version: Some(Name::from(version)), ..request(now, (0, 0), "w") }
+}
+
+fn freed_at(version: &str) -> FreedPlace {
+    FreedPlace { version: Some(Name::from(version)), ..place() }
+}
+
+/// Guards against a place that is lost on a stream which may not go on there.
+#[test]
+fn a_place_at_another_version_is_kept_for_a_request_that_may_use_it() {
+    let mut queue = queue(8);
+    let stream = join(&mut queue, bound(0, "v1"));
+    queue.record_freed(1, freed_at("v2"), &full_room(6));
+    assert!(matches!(queue.state(stream), Some(PlaceState::Waiting(_))));
+    let other = join(&mut queue, request(2, (1, 0), "w"));
+    assert!(matches!(queue.state(other), Some(PlaceState::Called(_))));
+    queue.record_freed(3, freed_at("v1"), &full_room(6));
+    assert!(matches!(queue.state(stream), Some(PlaceState::Called(_))));
+}
+
+/// Guards against streams that hold up requests which have room at other servers.
+#[test]
+fn a_stream_that_waits_for_its_version_is_before_nobody_at_another() {
+    let mut queue = queue(8);
+    join(&mut queue, bound(0, "v1"));
+    assert!(queue.has_waiting_for(Some(&Name::from("v1"))));
+    assert!(!queue.has_waiting_for(Some(&Name::from("v2"))));
+    assert!(!queue.has_waiting_for(None));
+    join(&mut queue, request(0, (0, 0), "w"));
+    assert!(queue.has_waiting_for(Some(&Name::from("v2"))));
+}
+
+/// Guards against a stream that waits to its deadline because other versions have places.
+#[test]
+fn a_stream_is_refused_at_once_if_its_version_frees_no_place_in_time() {
+    let joined = |freed: &str| {
+        let mut queue = queue(8);
+        (0..GOAL_MS).step_by(10).for_each(|at| {
+            queue.record_freed(at, freed_at(freed), &full_room(6));
+            queue.record_rejected(at, &server());
+        });
+        let room = PoolRoom { answer_ms: GOAL_MS as f64 / 3.0, ..full_room(1) };
+        let mut join = |_: &_| queue.join(GOAL_MS, bound(GOAL_MS, "v1"), &room, 0).is_ok();
+        (0..8).filter(|n| join(n)).count()
+    };
+    assert_eq!(joined("v1"), 8);
+    assert!(joined("v2") < 4, "places come free at the other version alone");
+}
+
 proptest! {
     /// Whatever happens, the queue keeps its bound, and no call is lost or doubled: each freed
     /// place is called for at most once at a time.
@@ -369,7 +425,7 @@
                     tickets.extend(queue.join(now, request(now, (0, pick), name), &full_room(6), 0));
                 }
                 (2, _) => {
-                    queue.record_freed(now, server(), &full_room(6));
+                    queue.record_freed(now, place(), &full_room(6));
                     freed += 1;
                 }
                 (3, Some(ticket)) => {
--- a/crates/core/tests/places_fleet.rs
+++ b/crates/core/tests/places_fleet.rs
@@ -4,7 +4,7 @@
 use std::collections::{BTreeMap, VecDeque};
 
 use bankcove_core::crashes::ServerInstance;
-use bankcove_core::places::{PlaceQueue, PlaceRank, PlaceRequest, PlaceState, Ticket};
+use bankcove_core::places::{FreedPlace, PlaceQueue, PlaceRank, PlaceRequest, PlaceState, Ticket};
 use bankcove_core::rollout::Versions;
 use bankcove_core::router::{AnswerTimes, Choice, Homes, NoServer, Router, RoutingRequest};
 use bankcove_core::table::Table;
@@ -182,6 +182,7 @@
             since: self.calls[call].arrived_at,
             goal_ms: GOAL_MS,
             deadline: self.calls[call].arrived_at + DEADLINE_MS,
+            version: None,
         };
         let at = &mut self.hosts[host];
         let room = at.router.room(now, POOL);
@@ -259,7 +260,7 @@
             let room = at.router.room(now, POOL);
             if let Some(queue) = &mut at.queue {
                 let server = ServerInstance { name: name.clone(), started_ms: 0 };
-                queue.record_freed(now, server, &room);
+                queue.record_freed(now, FreedPlace { server, version: None }, &room);
             }
             self.start_called(host);
         }
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -251,6 +251,7 @@
             since: self.goal_since,
             goal_ms: plan.route.goal_ms,
             deadline: self.deadline,
+            version: self.binding.version().cloned(),
         };
         Applicant { log: &self.log, service: &plan.service, request }
     }
--- a/crates/daemon/src/entry/places.rs
+++ b/crates/daemon/src/entry/places.rs
@@ -8,8 +8,9 @@
 use std::sync::Arc;
 
 use bankcove_core::crashes::ServerInstance;
-use bankcove_core::places::{NoPlace, PlaceQueue, PlaceRequest, PlaceState, Ticket};
-use bankcove_core::router::{Choice, FullPool, NoServer};
+use bankcove_core::places::{FreedPlace, NoPlace, PlaceQueue, PlaceRequest, PlaceState, Ticket};
+use bankcove_core::rollout::Versions;
+use bankcove_core::router::{Choice, FullPool, NoServer, PoolRoom};
 use bankcove_core::{Millis, Name};
 use parking_lot::Mutex;
 use serde_json::{Value, json};
@@ -80,7 +81,7 @@
 pub struct PlaceHold {
     places: Arc<Places>,
     service: Name,
-    server: ServerInstance,
+    place: FreedPlace,
     /// Whether it is not to be recorded as freed.
     is_free: bool,
 }
@@ -95,7 +96,7 @@
 impl Drop for PlaceHold {
     fn drop(&mut self) {
         if !self.is_free {
-            self.places.record_freed(&self.service, &self.server);
+            self.places.record_freed(&self.service, &self.place);
         }
     }
 }
@@ -131,7 +132,8 @@
             pool.queue.record_sent(&server);
         }
         let (places, service) = (Arc::clone(self), service.clone());
-        PlaceHold { places, service, server, is_free: self.capacity == 0 }
+        let place = FreedPlace { server, version: choice.version.clone() };
+        PlaceHold { places, service, place, is_free: self.capacity == 0 }
     }
 
     /// Chooses a server with `choose`; while the pool is full, waits in its queue first. `choose`
@@ -145,7 +147,7 @@
         choose: impl Fn(Option<&ServerInstance>) -> Result<Choice, NoServer>,
     ) -> Result<Choice, NoServer> {
         match choose(None) {
-            Ok(choice) if !self.has_waiting(applicant.service) => return Ok(choice),
+            Ok(choice) if !self.has_waiting(applicant.service, &choice) => return Ok(choice),
             Ok(_) | Err(NoServer::OnlyFull(_)) => {}
             Err(why) => return Err(why),
         }
@@ -172,7 +174,7 @@
     /// Returns the reason for a request that was rejected as full and may not be sent again.
     pub fn refuse(&self, applicant: &Applicant<'_>) -> NoServer {
         let now = self.now();
-        let room = self.requests.router.lock().room(now, applicant.service.as_str());
+        let room = self.room(now, applicant);
         let seed = rand::random();
         let mut pools = self.pools.lock();
         let pool = self.pool(&mut pools, now, applicant.service);
@@ -218,15 +220,24 @@
         })
     }
 
-    fn has_waiting(&self, service: &Name) -> bool {
-        let is_waiting = |pool: &PoolState| !pool.queue.is_empty();
+    /// Returns the room at the servers that a request may use.
+    fn room(&self, now: Millis, applicant: &Applicant<'_>) -> PoolRoom {
+        let version = applicant.request.version.as_ref();
+        let versions = version.map_or(Versions::Any, Versions::OfStream);
+        self.requests.router.lock().room_of(now, applicant.service.as_str(), versions)
+    }
+
+    /// Returns whether a request waits that may use the chosen server.
+    fn has_waiting(&self, service: &Name, choice: &Choice) -> bool {
+        let version = choice.version.as_ref();
+        let is_waiting = |pool: &PoolState| pool.queue.has_waiting_for(version);
         self.capacity > 0 && self.pools.lock().get(service).is_some_and(is_waiting)
     }
 
     /// Adds a request to the queue of its pool.
     fn join<'a>(&'a self, applicant: &'a Applicant<'a>) -> Result<Waiting<'a>, NoServer> {
         let now = self.now();
-        let room = self.requests.router.lock().room(now, applicant.service.as_str());
+        let room = self.room(now, applicant);
         let request = applicant.request.clone();
         let waker = Arc::<Notify>::default();
         let mut pools = self.pools.lock();
@@ -257,12 +268,12 @@
     }
 
     /// Calls the next request after one has ended at this server.
-    fn record_freed(&self, service: &Name, server: &ServerInstance) {
+    fn record_freed(&self, service: &Name, place: &FreedPlace) {
         if !self.pools.lock().contains_key(service) {
             return;
         }
         let room = self.requests.router.lock().room(self.now(), service.as_str());
-        self.change(service, |now, queue| queue.record_freed(now, server.clone(), &room));
+        self.change(service, |now, queue| queue.record_freed(now, place.clone(), &room));
     }
 
     /// Logs and counts a refusal.
@@ -332,7 +343,7 @@
     fn give_up(&self) -> NoPlace {
         let places = self.places;
         let service = self.applicant.service;
-        let room = places.requests.router.lock().room(places.now(), service.as_str());
+        let room = places.room(places.now(), self.applicant);
         let refuse = |now, queue: &mut PlaceQueue| {
             queue.leave(self.ticket);
             queue.refuse(now, &self.applicant.request, &room, rand::random())
