Router: the slots of a server are known from its first listing

What callers saw: after a host's start, and at each new server until the list changed again, a host took a server of many slots for one of a single slot. It bounded its requests at a brittle server to 1 in place of its share of the slots, and called requests that waited for places at a full pool by probes at a pace of one slot.

Cause: a listed server's slots were copied into its view only when it was updated, which a server that is new to the router is not. Now they are set with the view.

--- a/crates/core/src/router/view.rs
+++ b/crates/core/src/router/view.rs
@@ -146,7 +146,7 @@
 
     /// Creates the view of a server of the platform's list, without load.
     pub(super) fn of_listed(server: &ListedServer, cold_until: Millis) -> Self {
-        ServerView::new(&Server {
+        let mut view = ServerView::new(&Server {
             name: server.name.clone(),
             hall: server.hall.clone(),
             address: server.address.clone(),
@@ -162,7 +162,9 @@
                 cold_until,
             },
             version: 0,
-        })
+        });
+        view.room.slots = server.slots;
+        view
     }
 
     /// Applies the version in the entry of this instance, whose software does not change: after two
--- a/crates/core/tests/router_adoption.rs
+++ b/crates/core/tests/router_adoption.rs
@@ -105,3 +105,12 @@
         prop_assert_eq!(router.servers().len(), last.len());
     }
 }
+
+/// Guards against servers whose slots are unknown until the list changes again.
+#[test]
+fn slots_of_a_new_server_are_known_at_once() {
+    let mut router = Router::default();
+    let server = server(1, 1);
+    adopt(&mut router, std::slice::from_ref(&server));
+    assert_eq!(router.room(0, "engines").usable_slots, server.slots);
+}
