--- a/crates/core/src/rollout/exposure.rs
+++ b/crates/core/src/rollout/exposure.rs
@@ -22,7 +22,7 @@
     /// All versions but this one.
     Except(&'a Name),
     /// All versions but these.
-    ExceptNew(&'a [Name]),
+    ExceptAll(&'a [Name]),
     /// This version alone, for a stream that servers of it have begun. Ejected servers are used if
     /// there are no others.
     OfStream(&'a Name),
@@ -35,7 +35,9 @@
             Versions::Any => true,
             Versions::Only(only) | Versions::OfStream(only) => version == Some(only),
             Versions::Except(except) => version != Some(except),
-            Versions::ExceptNew(new) => version.is_none_or(|version| !new.contains(version)),
+            Versions::ExceptAll(excluded) => {
+                version.is_none_or(|version| !excluded.contains(version))
+            }
         }
     }
 }
--- a/crates/core/tests/stream_versions.rs
+++ b/crates/core/tests/stream_versions.rs
@@ -246,7 +246,7 @@
     let router = router(&[("a", Some("v1")), ("b", Some("v2")), ("c", None)]);
     for seed in 0..100 {
         assert_eq!(choose(&router, Versions::OfStream(&name("v1")), seed), Ok(name("a")));
-        assert_ne!(choose(&router, Versions::ExceptNew(&[name("v2")]), seed), Ok(name("b")));
+        assert_ne!(choose(&router, Versions::ExceptAll(&[name("v2")]), seed), Ok(name("b")));
     }
     assert!(choose(&router, Versions::OfStream(&name("v3")), 0).is_err());
     assert!(router.has_version(1_000, "engines", &name("v2")));
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -419,7 +419,7 @@
             if held_back.is_empty() {
                 return choose(versions).and_then(may_begin);
             }
-            let settled = choose(Versions::ExceptNew(&held_back));
+            let settled = choose(Versions::ExceptAll(&held_back));
             settled.or_else(|_| choose(versions)).and_then(may_begin)
         })
     }
