Stream versions: peers are told of open streams when the store goes away

Cause: a host does not tell peers of a stream as long as the version can be read from the store, and when the store goes away it told of those that begin from then on, not of those that were open. Hosts conclude the version without the store only after they have followed the list for twice the route's deadline.

Now the check that tells open streams when a second version is admitted asks the same question as at their begin: whether the store, or without it this host's own news, shows the version. Each stream is told once at most.

A host that dies before it notices the outage (up to 200 ms after its watch failed) has told nobody. The burst of calls in a fleet that has just started was not measured.

--- a/crates/daemon/src/requests/stream_versions.rs
+++ b/crates/daemon/src/requests/stream_versions.rs
@@ -7,7 +7,7 @@
 
 pub mod admission;
 
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::fmt;
 use std::sync::Arc;
 use std::time::Duration;
@@ -169,13 +169,13 @@
         router.version_history().only_version(now, service, life_ms, news_age).cloned()
     }
 
-    /// Returns whether any daemon can conclude that the stream has this version: from the store, or,
-    /// if that is away, by its own news.
-    fn is_only_version(&self, stream: &StreamId, version: &Name) -> bool {
+    /// Returns whether any daemon can conclude that streams of the pool have this version: from the
+    /// store, or, if that is away, by its own news.
+    fn is_only_version(&self, service: &Name, life_ms: Millis, version: &Name) -> bool {
         let is_store_away = self.fleet.connectivity.is_store_unavailable(self.now());
-        let is_only_admitted = self.admitted.lock().only(&stream.service) == Some(version);
+        let is_only_admitted = self.admitted.lock().only(service) == Some(version);
         let is_in_store = is_only_admitted && !is_store_away;
-        is_in_store || self.only_version(&stream.service, stream.life_ms).as_ref() == Some(version)
+        is_in_store || self.only_version(service, life_ms).as_ref() == Some(version)
     }
 
     /// Returns the versions of a pool at which no streams should begin if there are others: those
@@ -193,8 +193,8 @@
     /// Records the version of a stream that this daemon carries, and tells peers unless all daemons
     /// can conclude it. Waits until one of them has the record, for [`TELL_TIMEOUT`] at most.
     ///
-    /// The result must be kept while the stream is open: peers are told when further versions are
-    /// admitted.
+    /// The result must be kept while the stream is open: peers are told when daemons can no longer
+    /// conclude it, because further versions are admitted or the store goes away.
     pub async fn record(
         self: &Arc<Self>,
         log: &Logger,
@@ -202,7 +202,7 @@
         version: &Name,
     ) -> Option<UntoldStream> {
         let key = stream.key?;
-        if self.is_only_version(stream, version) {
+        if self.is_only_version(&stream.service, stream.life_ms, version) {
             self.untold.lock().insert(key, (stream.clone(), version.clone()));
             return Some(UntoldStream { streams: Arc::clone(self), key });
         }
@@ -212,17 +212,25 @@
 
     /// Tells peers the versions of the open streams that can no longer be concluded.
     async fn tell_untold(&self) {
-        let mut to_tell = Vec::new();
-        {
-            let admitted = self.admitted.lock();
-            self.untold.lock().retain(|key, (stream, version)| {
-                let is_only = admitted.only(&stream.service).is_some();
-                if !is_only {
-                    to_tell.push((*key, version.clone(), stream.life_ms));
-                }
-                is_only
-            });
+        let kind = |stream: &StreamId, version: &Name| {
+            (stream.service.clone(), version.clone(), stream.life_ms)
+        };
+        let mut kinds: HashSet<_> =
+            self.untold.lock().values().map(|(stream, version)| kind(stream, version)).collect();
+        kinds.retain(|(service, version, life_ms)| {
+            !self.is_only_version(service, *life_ms, version)
+        });
+        if kinds.is_empty() {
+            return;
         }
+        let mut to_tell = Vec::new();
+        self.untold.lock().retain(|key, (stream, version)| {
+            let is_only = !kinds.contains(&kind(stream, version));
+            if !is_only {
+                to_tell.push((*key, version.clone(), stream.life_ms));
+            }
+            is_only
+        });
         let log = &self.fleet.base.log;
         let tells = to_tell.iter().map(|(key, version, life)| self.tell(log, *key, version, *life));
         futures::future::join_all(tells).await;
