Stream versions: the replay of a fleet has hosts that are not heard

A host that hears news while its own calls are not answered was not replayed by itself. The replay also tells open streams by the same question as the daemon.

--- a/crates/core/tests/stream_version_fleet.rs
+++ b/crates/core/tests/stream_version_fleet.rs
@@ -39,6 +39,8 @@
     Suspended,
     /// Hosts are cut off from the store and from each other.
     CutOff,
+    /// Hosts hear news, but nobody hears them.
+    Unheard,
     /// The store is away, and hosts are killed.
     StoreAway,
     /// All of these.
@@ -46,12 +48,13 @@
 }
 
 impl Fault {
-    const ALL: [Fault; 6] = [
+    const ALL: [Fault; 7] = [
         Fault::OneHost,
         Fault::Third,
         Fault::AllHosts,
         Fault::Suspended,
         Fault::CutOff,
+        Fault::Unheard,
         Fault::StoreAway,
     ];
 }
@@ -65,6 +68,7 @@
     news_at: Option<Millis>,
     suspended_until: Millis,
     cut_until: Millis,
+    unheard_until: Millis,
 }
 
 struct OpenStream {
@@ -119,6 +123,11 @@
         self.is_up(n) && self.hosts[n].cut_until <= self.now
     }
 
+    /// Returns whether calls between this host and others, or the store, are answered.
+    fn can_call(&self, n: usize) -> bool {
+        self.is_connected(n) && self.hosts[n].unheard_until <= self.now
+    }
+
     fn is_store_away(&self) -> bool {
         self.now < self.store_away_until
     }
@@ -159,7 +168,7 @@
 
     /// Admits listed versions, and removes unused ones.
     fn admit(&mut self, n: usize) {
-        if !self.is_connected(n) || self.is_store_away() {
+        if !self.can_call(n) || self.is_store_away() {
             return;
         }
         let (now, service) = (self.now, self.service.clone());
@@ -190,8 +199,8 @@
 
     fn tell(&mut self, n: usize, key: StreamKey, version: &Name) {
         self.hosts[n].records.record(self.now, key, version, Source::Own, LIFE);
-        let peers = self.owners(key).filter(|peer| *peer != n && self.is_connected(*peer));
-        let copies = if self.is_connected(n) { COPIES } else { 0 };
+        let peers = self.owners(key).filter(|peer| *peer != n && self.can_call(*peer));
+        let copies = if self.can_call(n) { COPIES } else { 0 };
         let peers: Vec<usize> = peers.take(copies).collect();
         for peer in peers {
             // Messages are lost now and then.
@@ -221,9 +230,7 @@
         }
         self.begun += 1;
         let key = StreamKey::of(&self.service, None, &self.begun.to_string());
-        let is_in_store = host.admitted.only(&self.service) == Some(&version);
-        let is_only = self.only_version(n).as_ref() == Some(&version);
-        let is_told = !is_only && (!is_in_store || self.is_store_away());
+        let is_told = !self.is_concluded(n, &version);
         if is_told {
             self.tell(n, key, &version);
         }
@@ -231,12 +238,18 @@
         self.streams.push(OpenStream { key, host: n, version, begun_at, is_told });
     }
 
+    /// Returns whether any host can conclude that streams have this version.
+    fn is_concluded(&self, n: usize, version: &Name) -> bool {
+        let is_in_store = self.hosts[n].admitted.only(&self.service) == Some(version);
+        let is_only = self.only_version(n).as_ref() == Some(version);
+        is_only || (is_in_store && !self.is_store_away())
+    }
+
     /// Tells of the open streams whose version can no longer be concluded.
     fn tell_untold(&mut self) {
         for i in 0..self.streams.len() {
             let OpenStream { key, host, ref version, is_told, .. } = self.streams[i];
-            let is_only = self.hosts[host].admitted.only(&self.service).is_some();
-            if !is_told && !is_only && self.is_up(host) {
+            if !is_told && !self.is_concluded(host, version) && self.is_up(host) {
                 let version = version.clone();
                 self.tell(host, key, &version);
                 self.streams[i].is_told = true;
@@ -246,8 +259,8 @@
 
     /// Returns the version of a stream as a host finds it.
     fn find(&self, n: usize, key: StreamKey) -> Option<Name> {
-        let peers = self.owners(key).filter(|peer| *peer != n && self.is_connected(*peer));
-        let asked = [n].into_iter().chain(peers.filter(|_| self.is_connected(n)));
+        let peers = self.owners(key).filter(|peer| *peer != n && self.can_call(*peer));
+        let asked = [n].into_iter().chain(peers.filter(|_| self.can_call(n)));
         for host in asked {
             match self.hosts[host].records.lookup(self.now, key) {
                 Lookup::Recorded(version, _, _) => return Some(version),
@@ -258,7 +271,7 @@
                 return Some(version);
             }
         }
-        let can_read = self.is_connected(n) && !self.is_store_away();
+        let can_read = self.can_call(n) && !self.is_store_away();
         can_read.then(|| self.stored.only(&self.service).cloned()).flatten()
     }
 
@@ -299,6 +312,10 @@
                 self.hosts[n].cut_until = self.now + time;
                 self.kill(&[(n + 1) % HOSTS]);
             }
+            Fault::Unheard => {
+                self.hosts[n].unheard_until = self.now + time;
+                self.kill(&[(n + 1) % HOSTS]);
+            }
             Fault::StoreAway => {
                 self.store_away_until = self.now + time;
                 self.kill(&[n]);
@@ -313,7 +330,8 @@
     /// Kills hosts, which start again at once, and has the callers of their streams go on elsewhere.
     fn kill(&mut self, hosts: &[usize]) {
         for n in hosts {
-            self.hosts[*n] = Host { cut_until: self.hosts[*n].cut_until, ..Host::default() };
+            let Host { cut_until, unheard_until, .. } = self.hosts[*n];
+            self.hosts[*n] = Host { cut_until, unheard_until, ..Host::default() };
         }
         (0..HOSTS).for_each(|n| self.sync(n));
         let streams = std::mem::take(&mut self.streams);
@@ -363,6 +381,7 @@
     one_host = { Fault::OneHost },
     a_third = { Fault::Third },
     cut_off = { Fault::CutOff },
+    unheard = { Fault::Unheard },
     store_away = { Fault::StoreAway },
 )]
 fn streams_of_lost_hosts_go_on(fault: Fault) {
