--- a/crates/core/src/router/full_servers.rs
+++ b/crates/core/src/router/full_servers.rs
@@ -68,7 +68,8 @@
     pub full: usize,
     /// Milliseconds until the first of these no longer counts as full.
     pub first_full_ms: Millis,
-    /// Number of requests that the usable servers run at the same time; at least `usable`.
+    /// Number of requests that the usable servers run at the same time beside those of this daemon;
+    /// at least `usable`.
     pub usable_slots: u32,
     /// Number of this daemon's open requests at the pool.
     pub in_flight: u32,
@@ -164,7 +165,8 @@
             }
             if view.is_usable(now) {
                 room.usable += 1;
-                room.usable_slots += view.room.slots.max(1);
+                // The ends of this daemon's requests are known.
+                room.usable_slots += view.room.slots.saturating_sub(view.in_flight).max(1);
             } else if let Some(full_until) = view.full_until(now).filter(|_| view.is_only_full(now))
             {
                 room.full += 1;
