Sight: rejections of brittle servers, with the requests that this host has open there

Which host's requests a brittle server rejects, and how many that host has open there, stood in no line and no counter, so that servers that fall over at light load looked like overloaded ones. Each such rejection is now a line ('brittle server rejected a request') and counts as server.brittle_rejection. No decision changes.

--- a/crates/core/src/router/brittle_servers.rs
+++ b/crates/core/src/router/brittle_servers.rs
@@ -89,14 +89,19 @@
     }
 
     /// Records that this instance of a server has rejected a request of this daemon because it is
-    /// full. The request still counts as open. `seed` is random.
-    pub fn record_rejection(&mut self, now: Millis, server: &ServerInstance, seed: u64) {
-        let Some(index) = self.index_of_instance(&server.name, server.started_ms) else { return };
+    /// full. The request still counts as open. Returns the number of open requests of this daemon at
+    /// the server, if it is brittle. `seed` is random.
+    pub fn record_rejection(
+        &mut self,
+        now: Millis,
+        server: &ServerInstance,
+        seed: u64,
+    ) -> Option<u32> {
+        let index = self.index_of_instance(&server.name, server.started_ms)?;
         let view = &mut self.servers[index];
         let in_flight = view.in_flight;
-        if let Some(brittle) = &mut view.brittle {
-            brittle.record_rejection(now, in_flight, seed);
-        }
+        view.brittle.as_mut()?.record_rejection(now, in_flight, seed);
+        Some(in_flight)
     }
 
     /// Updates the bound of this instance of a server after a request was sent to it. `seed` is
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -173,7 +173,7 @@
         place.cancel();
         let is_full = unrun == NotRunReason::Full;
         if is_full {
-            entry.requests.hints.record_rejection(&choice.instance());
+            entry.requests.hints.record_rejection(&call.log, &choice.instance());
         }
         if is_full && entry.places.record_full(&call.log, &call.plan.service, &choice) {
             // It may be tried again when it has a place for this request.
--- a/crates/daemon/src/hints/record.rs
+++ b/crates/daemon/src/hints/record.rs
@@ -107,10 +107,18 @@
     }
 
     /// Records that a server has rejected a request of this daemon because it is full.
-    pub fn record_rejection(&self, server: &ServerInstance) {
-        if self.has_brittle.load(Ordering::Relaxed) {
-            let now = self.fleet.base.clock.now();
-            self.router.lock().record_rejection(now, server, rand::random());
+    pub fn record_rejection(&self, log: &Logger, server: &ServerInstance) {
+        if !self.has_brittle.load(Ordering::Relaxed) {
+            return;
+        }
+        let now = self.fleet.base.clock.now();
+        let mut router = self.router.lock();
+        let open = router.record_rejection(now, server, rand::random());
+        drop(router);
+        if let Some(open) = open {
+            self.fleet.base.metrics.count("server.brittle_rejection");
+            slog::info!(log, "brittle server rejected a request"; "server" => %server.name,
+                "started_ms" => server.started_ms, "open_here" => open);
         }
     }
 
