Sight: the prompt parts of failed tries in the log

The lines of tries that ended with a crash named the request by its fingerprint alone, so that which parts the crashed requests had in common could not be told from any log. 'try failed' and 'stream broken off' now name the shared parts (all but the last). No decision changes.

--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -295,7 +295,7 @@
     slog::info!(call.log, "try failed";
         "server" => %choice.server, "version" => choice.version_text(),
         "address" => &choice.address, "problem" => problem,
-        "fingerprint" => %call.fingerprint(),
+        "fingerprint" => %call.fingerprint(), "parts" => call.parts_text(),
         "sent" => call.attempts_sent, "ran" => may_have_run, "age_ms" => call.age_ms());
 }
 
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -137,6 +137,14 @@
         })
     }
 
+    /// Returns the ids of the prompt parts that other requests may share, for a log line; `None`
+    /// without any.
+    pub fn parts_text(&self) -> Option<String> {
+        let parts = self.request_head.prompt.as_ref()?.shared_parts();
+        let ids: Vec<String> = parts.iter().map(|part| format!("{:x}", part.id)).collect();
+        (!ids.is_empty()).then(|| ids.join(","))
+    }
+
     /// Returns the length of its prompt in tokens; 0 without a prompt.
     pub fn prompt_tokens(&self) -> Tokens {
         self.request_head.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens)
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -260,7 +260,7 @@
     fn abort(&self, problem: &'static str) -> io::Error {
         self.call.entry.requests.base.metrics.count("stream.broken_off");
         slog::warn!(self.call.log, "stream broken off";
-            "fingerprint" => %self.call.fingerprint(),
+            "fingerprint" => %self.call.fingerprint(), "parts" => self.call.parts_text(),
             "problem" => problem, "after" => self.sequence.last(), "server" => %self.choice.server,
             "version" => self.choice.version_text(), "sent" => self.call.attempts_sent, "tokens" => self.charge.tokens(),
             "age_ms" => self.call.age_ms());
--- a/crates/ports/src/wire.rs
+++ b/crates/ports/src/wire.rs
@@ -28,10 +28,14 @@
 }
 
 impl Prompt {
+    /// Returns the parts that other requests may share: all but the last one.
+    pub fn shared_parts(&self) -> &[PromptPart] {
+        &self.parts[..self.parts.len().saturating_sub(1)]
+    }
+
     /// Returns the length of the parts that other requests may share.
     pub fn shared_tokens(&self) -> Tokens {
-        let parts = self.parts.len().saturating_sub(1);
-        self.parts[..parts].iter().map(|part| part.tokens).sum()
+        self.shared_parts().iter().map(|part| part.tokens).sum()
     }
 }
 
