--- a/crates/core/src/crashes/decision.rs
+++ b/crates/core/src/crashes/decision.rs
@@ -9,6 +9,7 @@
 
 use super::facts::{Block, CrashFacts};
 use super::history::Evidence;
+use super::parts::crashes_to_block;
 use super::tracker::CrashTracker;
 use crate::{Fingerprint, Millis, Name};
 
@@ -29,6 +30,10 @@
 /// about 300 ms more.
 pub const DECISION_DELAY_MS: Millis = 600;
 
+/// Minimum number of crashes that a part of prompts has beside those of a request for which it may be
+/// the cause of the request's crashes.
+const MIN_FURTHER_PART_CRASHES: usize = 2;
+
 /// Maximum number of servers that requests with the same crashes are spread over: each one costs
 /// a further routing choice.
 const MAX_RANKS: usize = 8;
@@ -67,8 +72,11 @@
         requests: impl IntoIterator<Item = Fingerprint>,
     ) {
         for request in requests {
-            let due = self.due.entry(request).or_default();
-            *due = (*due).max(now + DECISION_DELAY_MS);
+            let due = self.due.entry(request).or_insert(now + DECISION_DELAY_MS);
+            // A part may crash servers faster than decisions follow.
+            if !request.is_part() {
+                *due = (*due).max(now + DECISION_DELAY_MS);
+            }
         }
     }
 
@@ -85,8 +93,9 @@
     /// Schedules a decision for those of the requests that have enough crashes. `running` are the
     /// requests of a crash, or those that share a crash with a cleared request.
     pub(super) fn reconsider(&mut self, now: Millis, running: &[Fingerprint]) {
-        let has_enough =
-            |request: &Fingerprint| self.history.crash_count(*request) >= CRASHES_TO_BLOCK;
+        let has_enough = |request: &Fingerprint| {
+            self.history.crash_count(*request) >= crashes_to_block(*request)
+        };
         self.pending.schedule(now, running.iter().copied().filter(has_enough));
     }
 
@@ -98,8 +107,10 @@
     /// Decides on the requests whose waiting time for reports of peers is over; returns the new
     /// blocks, for peers.
     pub fn decide(&mut self, now: Millis) -> CrashFacts {
-        let candidates = self.pending.take_due(now);
-        let mut blocks = Vec::new();
+        let (parts, candidates): (Vec<Fingerprint>, Vec<Fingerprint>) =
+            self.pending.take_due(now).into_iter().partition(|one| one.is_part());
+        // A blocked part explains the crashes of the requests that were there.
+        let mut blocks = self.block_parts(now, &parts);
         // Requests with the most crashes are blocked first: they explain the crashes of others.
         loop {
             let unblocked = candidates.iter().filter(|request| !self.is_blocked(**request));
@@ -121,7 +132,8 @@
             self.evidence_against(*other).servers.len() + 1 >= CRASHES_TO_BLOCK
                 && !self.is_blocked(*other)
         };
-        let running: BTreeSet<Fingerprint> = self.history.crashed_with(request).collect();
+        let running = self.history.crashed_with(request).filter(|other| !other.is_part());
+        let running: BTreeSet<Fingerprint> = running.collect();
         let mut group: BTreeSet<Fingerprint> = running.into_iter().filter(is_suspect).collect();
         group.insert(request);
         let first = group.first().copied().unwrap_or(request);
@@ -148,12 +160,16 @@
         let mut others = others.filter(|other| !self.is_blocked(*other));
         others.any(|other| {
             let other_servers = self.evidence_against(other).servers;
-            evidence.iter().all(|server| other_servers.contains(server))
+            // The parts of the request itself have its crashes, but rarely others as well.
+            let needed =
+                evidence.len() + if other.is_part() { MIN_FURTHER_PART_CRASHES } else { 0 };
+            other_servers.len() >= needed
+                && evidence.iter().all(|server| other_servers.contains(server))
         })
     }
 
     /// Blocks the request on the current evidence.
-    fn block(&mut self, now: Millis, request: Fingerprint) -> Block {
+    pub(super) fn block(&mut self, now: Millis, request: Fingerprint) -> Block {
         let evidence = self.evidence_against(request).servers;
         let servers: Vec<Name> = evidence.iter().map(|server| server.name.clone()).collect();
         let block = Block { request, age_ms: 0, servers };
--- a/crates/core/src/crashes/history.rs
+++ b/crates/core/src/crashes/history.rs
@@ -3,6 +3,8 @@
 
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 
+use xxhash_rust::xxh3::xxh3_64;
+
 use super::facts::{Crash, ServerInstance};
 use crate::{Fingerprint, Millis};
 
@@ -20,6 +22,9 @@
 /// Maximum number of requests per crash: twice what an engine runs concurrently.
 const MAX_REQUESTS_PER_CRASH: usize = 128;
 
+/// Maximum number of prompt parts per crash: four for each of these requests.
+const MAX_PARTS_PER_CRASH: usize = 512;
+
 /// Crashes within this time of the first one, in milliseconds, may have a common cause: hosts
 /// detect the crashes of a rack within about 10 ms, and a message between hosts takes about
 /// 10 ms more.
@@ -39,13 +44,42 @@
 struct CrashRecord {
     at: Millis,
     running: BTreeSet<Fingerprint>,
+    /// Number of prompt parts in `running`.
+    parts: usize,
+    /// Sum of the hashes of the server with each of `running`.
+    digest: u64,
+}
+
+impl CrashRecord {
+    /// Returns whether there is room for a further one of this kind.
+    fn has_room_for(&self, one: Fingerprint) -> bool {
+        if one.is_part() {
+            self.parts < MAX_PARTS_PER_CRASH
+        } else {
+            self.running.len() - self.parts < MAX_REQUESTS_PER_CRASH
+        }
+    }
+}
+
+/// Returns what a server's run of a request or part adds to the digest.
+fn digest_term(server: &ServerInstance, one: Fingerprint) -> u64 {
+    let name = server.name.as_str().as_bytes();
+    xxh3_64(&[name, &server.started_ms.to_le_bytes(), &one.0.to_le_bytes()].concat())
+}
+
+/// Servers that crashed while they were running a request or part.
+#[derive(Debug, Clone, Default)]
+struct CrashedServers {
+    servers: BTreeSet<ServerInstance>,
+    /// Time of the last of these crashes.
+    last_at: Millis,
 }
 
 /// Recent crashes, bounded in age and number.
 #[derive(Debug, Clone, Default)]
 pub(super) struct CrashHistory {
     crashes: BTreeMap<ServerInstance, CrashRecord>,
-    by_request: HashMap<Fingerprint, BTreeSet<ServerInstance>>,
+    by_request: HashMap<Fingerprint, CrashedServers>,
     dropped: u64,
 }
 
@@ -67,7 +101,7 @@
     /// Returns the number of crashes of servers that were running this request, whatever their
     /// cause.
     pub(super) fn crash_count(&self, request: Fingerprint) -> usize {
-        self.by_request.get(&request).map_or(0, BTreeSet::len)
+        self.by_request.get(&request).map_or(0, |crashed| crashed.servers.len())
     }
 
     /// Returns the requests that this server instance was running when it crashed.
@@ -77,8 +111,12 @@
 
     /// Returns the requests that share a crash with this one, and this one.
     pub(super) fn crashed_with(&self, request: Fingerprint) -> impl Iterator<Item = Fingerprint> {
-        let servers = self.by_request.get(&request).into_iter().flatten();
-        servers.flat_map(|server| self.requests_of(server))
+        self.servers_of(request).flat_map(|server| self.requests_of(server))
+    }
+
+    /// Returns the servers that crashed while they were running this request or part.
+    fn servers_of(&self, one: Fingerprint) -> impl Iterator<Item = &ServerInstance> {
+        self.by_request.get(&one).into_iter().flat_map(|crashed| &crashed.servers)
     }
 
     /// Adds a crash, or requests to a known crash; returns the requests that are new for it.
@@ -91,15 +129,22 @@
         let crash = self
             .crashes
             .entry(server.clone())
-            .or_insert_with(|| CrashRecord { at, running: BTreeSet::new() });
+            .or_insert_with(|| CrashRecord { at, ..CrashRecord::default() });
         let mut new = Vec::new();
         for request in running {
-            if crash.running.len() >= MAX_REQUESTS_PER_CRASH && !crash.running.contains(&request) {
+            if crash.running.contains(&request) {
+                continue;
+            }
+            if !crash.has_room_for(request) {
                 self.dropped += 1;
                 continue;
             }
             if crash.running.insert(request) {
-                self.by_request.entry(request).or_default().insert(server.clone());
+                crash.parts += usize::from(request.is_part());
+                crash.digest = crash.digest.wrapping_add(digest_term(server, request));
+                let crashed = self.by_request.entry(request).or_default();
+                crashed.servers.insert(server.clone());
+                crashed.last_at = crashed.last_at.max(crash.at);
                 new.push(request);
             }
         }
@@ -120,6 +165,42 @@
         age_ms < MAX_REPORTED_AGE_MS
     }
 
+    /// Returns an order-independent hash of the crashes that are sent to peers.
+    pub(super) fn digest(&self, now: Millis) -> u64 {
+        let reportable =
+            self.crashes.values().filter(|crash| Self::is_reportable(now.saturating_sub(crash.at)));
+        reportable.fold(0, |sum, crash| sum.wrapping_add(crash.digest))
+    }
+
+    /// Returns the time of a crash.
+    pub(super) fn time_of(&self, server: &ServerInstance) -> Option<Millis> {
+        self.crashes.get(server).map(|crash| crash.at)
+    }
+
+    /// Returns the servers of a pool that crashed from `since` on, as far as prompt parts were there
+    /// and none of the requests and parts there `explains` the crash.
+    pub(super) fn crashes_of_pool(
+        &self,
+        pool: u32,
+        since: Millis,
+        explains: impl Fn(&Fingerprint) -> bool,
+    ) -> usize {
+        let is_of_pool = |one: &Fingerprint| one.is_part() && one.part_pool() == pool;
+        let counts = |crash: &&CrashRecord| {
+            crash.at >= since
+                && crash.running.iter().any(is_of_pool)
+                && !crash.running.iter().any(&explains)
+        };
+        self.crashes.values().filter(counts).count()
+    }
+
+    /// Returns the number of crashes of servers that were running this request or part, after `from`
+    /// and up to `to`.
+    pub(super) fn crashes_between(&self, one: Fingerprint, from: Millis, to: Millis) -> usize {
+        let crashes = self.servers_of(one).filter_map(|server| self.crashes.get(server));
+        crashes.filter(|crash| crash.at > from && crash.at <= to).count()
+    }
+
     /// Returns the crashes that are sent to peers.
     pub(super) fn reportable(&self, now: Millis) -> impl Iterator<Item = Crash> {
         let crashes = self.crashes.iter().map(move |(server, crash)| Crash {
@@ -140,8 +221,13 @@
         since: Option<Millis>,
         explains: impl Fn(&Fingerprint) -> bool,
     ) -> Evidence<'_> {
-        let servers = self.by_request.get(&request).into_iter().flatten();
-        let crashes = servers.filter_map(|server| self.crashes.get_key_value(server));
+        let last_at = self.by_request.get(&request).map_or(0, |crashed| crashed.last_at);
+        // Popular parts are at many crashes, and nearly always cleared.
+        if since.is_some_and(|since| since >= last_at) {
+            return Evidence::default();
+        }
+        let crashes =
+            self.servers_of(request).filter_map(|server| self.crashes.get_key_value(server));
         let mut crashes: Vec<(&ServerInstance, &CrashRecord)> = crashes
             .filter(|(_, crash)| since.is_none_or(|since| crash.at > since))
             .filter(|(_, crash)| {
@@ -163,13 +249,6 @@
         Evidence { servers: crashes.into_iter().map(|(server, _)| server).collect(), incidents }
     }
 
-    /// Returns whether a server that was running the request crashed after `from` and up to `to`.
-    pub(super) fn crashed_between(&self, request: Fingerprint, from: Millis, to: Millis) -> bool {
-        let servers = self.by_request.get(&request).into_iter().flatten();
-        let mut crashes = servers.filter_map(|server| self.crashes.get(server));
-        crashes.any(|crash| crash.at > from && crash.at <= to)
-    }
-
     /// Returns whether both crashes happened at the same time as the crash of a server that was not
     /// running `request`.
     fn has_common_cause(
@@ -197,9 +276,9 @@
     fn remove(&mut self, server: &ServerInstance) {
         let Some(crash) = self.crashes.remove(server) else { return };
         for request in &crash.running {
-            let Some(servers) = self.by_request.get_mut(request) else { continue };
-            servers.remove(server);
-            if servers.is_empty() {
+            let Some(crashed) = self.by_request.get_mut(request) else { continue };
+            crashed.servers.remove(server);
+            if crashed.servers.is_empty() {
                 self.by_request.remove(request);
             }
         }
--- a/crates/core/src/crashes/tracker.rs
+++ b/crates/core/src/crashes/tracker.rs
@@ -8,6 +8,7 @@
 use super::decision::{CRASHES_TO_BLOCK, PendingDecisions, is_sufficient};
 use super::facts::{Block, Cleared, Crash, CrashFacts, ServerInstance};
 use super::history::CrashHistory;
+use super::parts::{CRASHES_TO_SUSPECT_PART, RunOutcomes, crashes_to_block};
 use crate::{Fingerprint, Millis, Name};
 
 /// Duration of a block, in milliseconds. A caller that never stops crashes three servers a day,
@@ -69,6 +70,15 @@
     voids_block: bool,
 }
 
+/// End of a response that is delimited by its connection.
+#[derive(Debug, Clone, Copy)]
+struct UnframedEnd {
+    at: Millis,
+    request: Fingerprint,
+    /// Hash of the server's version.
+    version: u64,
+}
+
 /// Crashes, clearances and blocks that one daemon knows.
 #[derive(Debug, Clone, Default)]
 pub struct CrashTracker {
@@ -79,6 +89,10 @@
     blocked: BTreeMap<Fingerprint, Blocked>,
     /// Requests waiting for a decision.
     pub(super) pending: PendingDecisions,
+    /// How runs of this daemon ended lately, by pool.
+    pub(super) outcomes: RunOutcomes,
+    /// Requests whose responses have ended with their connections to a server that may have crashed.
+    ended: BTreeMap<ServerInstance, Vec<UnframedEnd>>,
     dropped: u64,
 }
 
@@ -139,14 +153,45 @@
 
     /// Records that a disconnected server has crashed; returns updates for peers.
     pub fn record_crash(&mut self, now: Millis, server: &ServerInstance) -> CrashFacts {
+        self.ended.remove(server);
         let running = self.unverified.remove(server).unwrap_or_default();
         self.add_crash(now, now, server, running)
     }
 
-    /// Records that a disconnected server is still running: the connection was reset or the
-    /// network partitioned.
-    pub fn record_alive(&mut self, server: &ServerInstance) {
+    /// Records that a disconnected server is still running: the connection was reset, the network
+    /// partitioned, or a response ended with its connection, which then was a success. Returns
+    /// updates for peers.
+    pub fn record_alive(&mut self, server: &ServerInstance) -> CrashFacts {
         self.unverified.remove(server);
+        let mut updates = CrashFacts::default();
+        for UnframedEnd { at, request, version } in self.ended.remove(server).unwrap_or_default() {
+            updates.merge(&self.record_success(at, request));
+            if request.is_part() {
+                self.record_outcome(at, request, version, false);
+            }
+        }
+        updates
+    }
+
+    /// Records that a response of a server has ended with its connection: a success, if the server
+    /// turns out to be still running. `version` is a hash of the server's version. As
+    /// [`CrashTracker::record_disconnect`].
+    pub fn record_unframed_end(
+        &mut self,
+        now: Millis,
+        server: &ServerInstance,
+        request: Fingerprint,
+        version: u64,
+    ) -> (bool, CrashFacts) {
+        let outcome = self.record_disconnect(now, server, request);
+        if self.unverified.contains_key(server) {
+            self.ended.entry(server.clone()).or_default().push(UnframedEnd {
+                at: now,
+                request,
+                version,
+            });
+        }
+        outcome
     }
 
     /// Records that a request succeeded. Returns updates for peers if two crashes count against
@@ -192,6 +237,7 @@
             facts.crashes.into_iter().filter(|crash| CrashHistory::is_reportable(crash.age_ms))
         {
             // A peer's report settles a crash that this daemon has not verified yet.
+            self.ended.remove(&crash.server);
             let mut running = self.unverified.remove(&crash.server).unwrap_or_default();
             running.extend(crash.running);
             let at = now.saturating_sub(crash.age_ms);
@@ -236,15 +282,8 @@
     /// Returns an order-independent hash of all facts that are sent to peers; 0 if there are none.
     /// Two daemons with the same hash need not exchange facts.
     pub fn digest(&self, now: Millis) -> u64 {
-        let mut sum = 0_u64;
+        let mut sum = self.history.digest(now);
         let mut add = |bytes: &[u8]| sum = sum.wrapping_add(xxh3_64(bytes));
-        for crash in self.history.reportable(now) {
-            let server = crash.server.name.as_str().as_bytes();
-            for request in &crash.running {
-                add(&[server, &crash.server.started_ms.to_le_bytes(), &request.0.to_le_bytes()]
-                    .concat());
-            }
-        }
         self.blocked.keys().for_each(|request| add(&request.0.to_le_bytes()));
         let announced =
             self.cleared.iter().filter(|(_, clearance)| clearance.announced_at.is_some());
@@ -255,6 +294,7 @@
     /// Removes expired crashes, blocks and clearances.
     pub fn remove_expired(&mut self, now: Millis) {
         self.history.remove_expired(now);
+        self.outcomes.remove_expired(now);
         self.blocked.retain(|_, blocked| now.saturating_sub(blocked.at) < BLOCK_DURATION_MS);
         let history = &self.history;
         self.cleared.retain(|request, clearance| {
@@ -328,8 +368,9 @@
         self.reconsider(at, &running);
         let Some(blocked) = self.blocked.get(&request) else { return };
         // The report of a success may arrive after the block that it refutes.
-        let has_enough_crashes = self.history.crash_count(request) >= CRASHES_TO_BLOCK;
-        let is_refuted = has_enough_crashes && self.crashes_against(request) < CRASHES_TO_BLOCK;
+        let to_block = crashes_to_block(request);
+        let has_enough_crashes = self.history.crash_count(request) >= to_block;
+        let is_refuted = has_enough_crashes && self.crashes_against(request) < to_block;
         if is_refuted || at >= blocked.at {
             self.blocked.remove(&request);
             self.cleared.entry(request).and_modify(|clearance| clearance.voids_block = true);
@@ -353,8 +394,14 @@
         let mut updates = CrashFacts::default();
         let Some(clearance) = self.cleared.get_mut(&request) else { return updates };
         let announced_at = clearance.announced_at.unwrap_or(0);
-        let is_needed = self.history.crashed_between(request, announced_at, clearance.at);
-        if is_needed && self.history.crash_count(request) + 1 >= CRASHES_TO_BLOCK {
+        let crashes = self.history.crashes_between(request, announced_at, clearance.at);
+        let is_needed = if request.is_part() {
+            // Popular parts have a crash before nearly each success.
+            crashes >= CRASHES_TO_SUSPECT_PART
+        } else {
+            crashes > 0 && self.history.crash_count(request) + 1 >= CRASHES_TO_BLOCK
+        };
+        if is_needed {
             clearance.announced_at = Some(clearance.at);
             updates.cleared.push(Cleared { request, age_ms: now.saturating_sub(clearance.at) });
         }
--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -18,10 +18,14 @@
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RequestHash(pub u128);
 
-/// Content hash of a request, the same for all attempts of its caller on any host: the first 128
-/// bits of the SHA-256 of host, path with query, workspace and body. Headers and the attempt id
-/// are not included. A cryptographic hash keeps a caller from forging a request with the
+/// Identity of a request or of a part of prompts, by which crashes are attributed.
+///
+/// That of a request is a content hash, the same for all attempts of its caller on any host: the
+/// first 128 bits of the SHA-256 of host, path with query, workspace and body. Headers and the
+/// attempt id are not included. A cryptographic hash keeps a caller from forging a request with the
 /// fingerprint of another caller's request.
+///
+/// That of a part is [`PART_TAG`], a hash of the pool in 32 bits, and the part's id in 64 bits.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Fingerprint(pub u128);
 
@@ -55,7 +59,26 @@
     }
 }
 
+/// First 32 bits of the fingerprint of a part of prompts.
+const PART_TAG: u128 = 0xffff_ffff;
+
 impl Fingerprint {
+    /// Returns the identity of a part of prompts that go to the servers of a pool.
+    pub fn of_part(pool: &Name, part: u64) -> Self {
+        let pool = xxh3_64(pool.as_str().as_bytes()) as u32;
+        Fingerprint(PART_TAG << 96 | u128::from(pool) << 64 | u128::from(part))
+    }
+
+    /// Returns whether it is that of a part of prompts.
+    pub fn is_part(self) -> bool {
+        self.0 >> 96 == PART_TAG
+    }
+
+    /// Returns a number that is the same for all parts of one pool.
+    pub fn part_pool(self) -> u32 {
+        (self.0 >> 64) as u32
+    }
+
     /// Hashes host, path with query, the caller's workspace (empty where no API key is required)
     /// and body.
     pub fn of(host: &str, path: &str, workspace: &str, body: &[u8]) -> Self {
--- a/crates/core/tests/crash_fleet/main.rs
+++ b/crates/core/tests/crash_fleet/main.rs
@@ -11,7 +11,9 @@
 
 use simulation::{
     CONCURRENT, FATAL, Fault, FaultKind, MAX_LATE_SENDS, Simulation, TICK_MS, TIME_TO_CRASH_MS,
+    fatal_part, part,
 };
+use yare::parameterized;
 
 fn fault(daemons: usize) -> impl Strategy<Value = Fault> {
     let kinds = prop_oneof![
@@ -54,6 +56,31 @@
         prop_assert!(sim.late_sends <= MAX_LATE_SENDS, "{} late sends", sim.late_sends);
     }
 
+    /// Requests with a part that crashes its servers, no two alike, beside sound ones.
+    #[test]
+    fn a_part_that_crashes_its_servers_is_blocked_after_five_crashes(
+        seed in any::<u64>(),
+        daemons in 1..24_usize,
+        servers in 6..16_usize,
+        pause in 10..120_u64,
+        faults in prop::collection::vec(fault(24), 0..8),
+    ) {
+        let faults = faults.into_iter().filter(|fault| fault.daemon < daemons).collect();
+        let mut sim = Simulation::new(seed, daemons, servers, faults);
+        let mut prompts = Prompts::default();
+        while sim.now < 20_000 {
+            sim.tick();
+            if sim.now % (pause * TICK_MS) == 0 {
+                prompts.send_fatal(&mut sim);
+            }
+            if sim.now % 20 == 0 {
+                prompts.send_sound(&mut sim);
+            }
+        }
+        let late = sim.late_part_sends;
+        prop_assert!(late <= MAX_LATE_SENDS, "{late} late sends, {} crashes", sim.part_crashes);
+    }
+
     /// All daemons are lost at the same time, in any state: blocked requests stay blocked.
     #[test]
     fn a_blocked_request_stays_blocked_through_the_loss_of_all_daemons(
@@ -161,3 +188,96 @@
         assert!(sim.refused.is_empty(), "{:?}", sim.refused);
     }
 }
+
+/// Prompts with a system part, one of some topics, and often a part of their session.
+#[derive(Default)]
+struct Prompts {
+    sent: u128,
+}
+
+impl Prompts {
+    fn next_request(&mut self) -> Fingerprint {
+        self.sent += 1;
+        Fingerprint(1 << 64 | self.sent)
+    }
+
+    /// Sends a sound request, which its caller repeats up to three times.
+    fn send_sound(&mut self, sim: &mut Simulation) {
+        let topic = part(10 + sim.rng.random_range(0..20_u64));
+        let session = part(1_000 + sim.rng.random_range(0..300_u64));
+        let run_ms = sim.rng.random_range(50..1_500);
+        let daemon = sim.rng.random_range(0..sim.trackers.len());
+        let request = self.next_request();
+        sim.send_prompt(daemon, request, vec![part(1), topic, session], run_ms, 3);
+    }
+
+    /// Sends a request with the part that crashes its servers.
+    fn send_fatal(&mut self, sim: &mut Simulation) {
+        let daemon = sim.rng.random_range(0..sim.trackers.len());
+        let request = self.next_request();
+        sim.send_prompt(daemon, request, vec![part(1), fatal_part()], TIME_TO_CRASH_MS, 0);
+    }
+}
+
+/// Guards against parts that are blocked although they crash no server: servers crash by themselves
+/// at an interval, all at once, or under everything that they run.
+#[parameterized(
+    storm = { 700, 0, 0 },
+    pool_lost_at_once = { 0, 6_000, 0 },
+    release_that_crashes_under_everything = { 0, 0, 6 },
+    whole_pool_crashes_under_everything = { 0, 0, 12 },
+    storm_beside_a_bad_release = { 700, 0, 3 },
+)]
+fn crashes_of_servers_block_almost_no_prompt(storm_ms: u64, lost_ms: u64, broken: usize) {
+    let (mut sent, mut refused) = (0, 0);
+    for seed in 0..5 {
+        let mut sim = Simulation::new(seed, 8, 12, Vec::new());
+        sim.broken_servers = broken;
+        let mut prompts = Prompts::default();
+        while sim.now < 30_000 {
+            sim.tick();
+            if sim.now % 20 == 0 {
+                prompts.send_sound(&mut sim);
+            }
+            if storm_ms > 0 && sim.now % storm_ms == 0 {
+                let number = sim.rng.random_range(0..12);
+                sim.crash(number);
+            }
+            if lost_ms > 0 && sim.now % lost_ms == 0 {
+                (0..12).for_each(|number| sim.crash(number));
+            }
+        }
+        sent += prompts.sent;
+        refused += sim.refused.len();
+    }
+    println!("{refused} of {sent} prompts refused");
+    let fraction = refused as f64 / sent as f64;
+    assert!(fraction < MAX_REFUSED_FRACTION, "{refused} of {sent} refused");
+}
+
+/// Guards against innocent parts that are blocked beside one that crashes servers.
+#[test]
+fn prompts_beside_a_part_that_crashes_its_servers_are_not_refused() {
+    let (mut sent, mut refused, mut unblocked) = (0, 0, 0);
+    for seed in 0..30 {
+        let mut sim = Simulation::new(seed, 8, 12, Vec::new());
+        let mut prompts = Prompts::default();
+        while sim.now < 15_000 {
+            sim.tick();
+            if sim.now % 20 == 0 {
+                prompts.send_sound(&mut sim);
+            }
+            if sim.now > 3_000 && sim.now % 170 == 0 {
+                prompts.send_fatal(&mut sim);
+            }
+        }
+        sent += prompts.sent;
+        let blocks = sim.trackers[0].blocks(sim.now);
+        unblocked += usize::from(!blocks.iter().any(|block| block.request == fatal_part()));
+        refused += usize::from(blocks.len() > 1);
+        assert!(sim.late_part_sends <= MAX_LATE_SENDS, "seed {seed}: {}", sim.late_part_sends);
+    }
+    println!("{refused} of 30 fleets block more than the part, {unblocked} don't, {sent} sent");
+    assert_eq!(unblocked, 0);
+    assert!(refused <= 1, "{refused} fleets block others as well");
+}
--- a/crates/core/tests/crash_fleet/simulation.rs
+++ b/crates/core/tests/crash_fleet/simulation.rs
@@ -2,7 +2,9 @@
 
 use std::collections::BTreeMap;
 
-use bankcove_core::crashes::{CRASHES_TO_BLOCK, CrashFacts, CrashTracker, ServerInstance, Verdict};
+use bankcove_core::crashes::{
+    CRASHES_TO_BLOCK, CRASHES_TO_BLOCK_PART, CrashFacts, CrashTracker, ServerInstance, Verdict,
+};
 use bankcove_core::{Fingerprint, Millis, Name};
 use rand::rngs::StdRng;
 use rand::seq::IndexedRandom;
@@ -23,6 +25,16 @@
 /// A harmless request that is always sent together with the one that crashes its servers.
 pub const CONCURRENT: Fingerprint = Fingerprint(2);
 
+/// Returns the identity of a prompt part.
+pub fn part(id: u64) -> Fingerprint {
+    Fingerprint::of_part(&Name::from("model"), id)
+}
+
+/// Returns the part that crashes its servers.
+pub fn fatal_part() -> Fingerprint {
+    part(0xbad)
+}
+
 #[derive(Debug, Clone, Copy)]
 pub struct Fault {
     pub daemon: usize,
@@ -41,6 +53,8 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     pub request: Fingerprint,
+    /// Shared parts of its prompt.
+    pub parts: Vec<Fingerprint>,
     pub daemon: usize,
     pub ends_at: Millis,
     pub tries_left: u32,
@@ -65,6 +79,12 @@
     pub crashes: usize,
     pub third_crash_at: Option<Millis>,
     pub late_sends: usize,
+    /// Crashes under [`fatal_part`].
+    pub part_crashes: usize,
+    pub fifth_part_crash_at: Option<Millis>,
+    pub late_part_sends: usize,
+    /// Servers with numbers below this crash under everything that they run.
+    pub broken_servers: usize,
     pub refused: Vec<Fingerprint>,
 }
 
@@ -82,6 +102,10 @@
             crashes: 0,
             third_crash_at: None,
             late_sends: 0,
+            part_crashes: 0,
+            fifth_part_crash_at: None,
+            late_part_sends: 0,
+            broken_servers: 0,
             refused: Vec::new(),
         }
     }
@@ -207,10 +231,30 @@
     /// Handles a request that arrives at this daemon: refuses it, holds it back or sends it to a
     /// server.
     pub fn send(&mut self, daemon: usize, request: Fingerprint, run_ms: Millis, tries_left: u32) {
+        self.send_prompt(daemon, request, Vec::new(), run_ms, tries_left);
+    }
+
+    /// Handles a request whose prompt has these shared parts.
+    pub fn send_prompt(
+        &mut self,
+        daemon: usize,
+        request: Fingerprint,
+        parts: Vec<Fingerprint>,
+        run_ms: Millis,
+        tries_left: u32,
+    ) {
         if self.is_down(daemon) {
             return;
         }
-        let verdict = self.trackers[daemon].verdict(request);
+        let tracker = &self.trackers[daemon];
+        let verdict = tracker.verdict(request);
+        let part_verdicts = || parts.iter().map(|part| tracker.part_verdict(*part));
+        if part_verdicts().any(|verdict| verdict == Verdict::Blocked) {
+            return self.refused.push(request);
+        }
+        if part_verdicts().any(|verdict| verdict == Verdict::Undecided) {
+            return;
+        }
         match verdict {
             Verdict::Blocked => return self.refused.push(request),
             Verdict::Undecided => return,
@@ -230,7 +274,12 @@
             (placement.key as usize).wrapping_add(placement.rank) % available.len()
         };
         let server = available.into_iter().nth(at).expect("the index is in range");
-        server.runs.push(Run { request, daemon, ends_at: now + run_ms, tries_left });
+        let is_fatal_part = parts.contains(&fatal_part());
+        server.runs.push(Run { request, parts, daemon, ends_at: now + run_ms, tries_left });
+        let is_late = |at: Option<Millis>| at.is_some_and(|at| now > at + PROPAGATION_MS);
+        if is_fatal_part && is_late(self.fifth_part_crash_at) && self.is_connected(daemon) {
+            self.late_part_sends += 1;
+        }
         let is_late = self.third_crash_at.is_some_and(|crash_at| now > crash_at + PROPAGATION_MS);
         if request == FATAL && is_late && self.is_connected(daemon) {
             self.late_sends += 1;
@@ -246,7 +295,8 @@
         match server {
             Some(server) if is_allowed => {
                 let ends_at = self.now + run_ms;
-                self.servers[server].runs.push(Run { request, daemon, ends_at, tries_left: 0 });
+                let run = Run { request, parts: Vec::new(), daemon, ends_at, tries_left: 0 };
+                self.servers[server].runs.push(run);
             }
             _ => self.send(daemon, request, run_ms, 0),
         }
@@ -266,9 +316,23 @@
                 self.third_crash_at = Some(self.now);
             }
         }
+        if runs.iter().any(|run| run.parts.contains(&fatal_part())) {
+            self.part_crashes += 1;
+            if self.part_crashes == CRASHES_TO_BLOCK_PART {
+                self.fifth_part_crash_at = Some(self.now);
+            }
+        }
+        let version = self.version(number);
         for run in &runs {
-            if !self.is_down(run.daemon) {
-                self.trackers[run.daemon].record_disconnect(self.now, &instance, run.request);
+            if self.is_down(run.daemon) {
+                continue;
+            }
+            let tracker = &mut self.trackers[run.daemon];
+            for one in run.parts.iter().chain([&run.request]) {
+                tracker.record_disconnect(self.now, &instance, *one);
+            }
+            if let Some(part) = run.parts.first() {
+                tracker.record_outcome(self.now, *part, version, true);
             }
         }
         for daemon in 0..self.trackers.len() {
@@ -280,26 +344,45 @@
         for run in runs.into_iter().filter(|run| run.tries_left > 0 && run.request != FATAL) {
             let daemon = self.rng.random_range(0..self.trackers.len());
             let run_ms = self.rng.random_range(50..1_500);
-            self.send(daemon, run.request, run_ms, run.tries_left - 1);
+            self.send_prompt(daemon, run.request, run.parts, run_ms, run.tries_left - 1);
         }
     }
 
+    /// Returns the software version of a server: broken ones have another one.
+    fn version(&self, number: usize) -> u64 {
+        u64::from(number < self.broken_servers)
+    }
+
     /// Ends the runs that are due: with a crash or with a success.
     pub fn finish_runs(&mut self) {
         for number in 0..self.servers.len() {
             let is_due = |run: &Run| run.ends_at <= self.now;
-            if self.servers[number].runs.iter().any(|run| run.request == FATAL && is_due(run)) {
+            let is_fatal = |run: &Run| {
+                run.request == FATAL
+                    || run.parts.contains(&fatal_part())
+                    || number < self.broken_servers
+            };
+            if self.servers[number].runs.iter().any(|run| is_fatal(run) && is_due(run)) {
                 self.crash(number);
                 continue;
             }
             let (ended, running): (Vec<Run>, Vec<Run>) =
                 self.servers[number].runs.drain(..).partition(is_due);
             self.servers[number].runs = running;
+            let version = self.version(number);
             for run in ended {
-                if !self.is_down(run.daemon) {
-                    let updates = self.trackers[run.daemon].record_success(self.now, run.request);
-                    self.send_facts(run.daemon, &updates);
+                if self.is_down(run.daemon) {
+                    continue;
+                }
+                let tracker = &mut self.trackers[run.daemon];
+                let mut updates = tracker.record_success(self.now, run.request);
+                for part in &run.parts {
+                    updates.merge(&tracker.record_success(self.now, *part));
+                }
+                if let Some(part) = run.parts.first().filter(|_| !tracker.is_empty()) {
+                    tracker.record_outcome(self.now, *part, version, false);
                 }
+                self.send_facts(run.daemon, &updates);
             }
         }
     }
--- a/crates/daemon/src/api/delivery.rs
+++ b/crates/daemon/src/api/delivery.rs
@@ -127,7 +127,7 @@
     };
     match end {
         StreamEnd::Complete(usage, last) => {
-            api.requests.crashes.record_success(|| fingerprint);
+            api.requests.crashes.record_success(&choice, || fingerprint.into());
             settle_and_bill(api, settlement, usage).await;
             send_end(&chunks, last).await;
         }
@@ -139,7 +139,7 @@
         StreamEnd::Cancelled | StreamEnd::ServerLost => {
             open_request.record_failure();
             // After a protocol violation the server may be running: the crash check finds that out.
-            api.requests.crashes.record_disconnect(&choice, fingerprint);
+            api.requests.crashes.record_disconnect(&choice, fingerprint.into());
             finish_unknown(api, settlement);
             send_error(&chunks, &server_lost_response()).await;
         }
@@ -216,14 +216,14 @@
     };
     match (response, body) {
         (Some(response), Some(body)) if response.id == run_id && !cancelled(&response) => {
-            api.requests.crashes.record_success(|| fingerprint);
+            api.requests.crashes.record_success(&choice, || fingerprint.into());
             settle_and_bill(api, settlement, response.usage).await;
             // Fails if the caller has just disconnected; it is billed for the complete run.
             let _gone = tx.send(Ok(ResponseBody::Complete(body)));
         }
         _ => {
             open_request.record_failure();
-            api.requests.crashes.record_disconnect(&choice, fingerprint);
+            api.requests.crashes.record_disconnect(&choice, fingerprint.into());
             finish_unknown(api, settlement);
             // Fails if the caller has disconnected; no response is needed then.
             let _gone = tx.send(Err(server_lost_response()));
--- a/crates/daemon/src/api/dispatch.rs
+++ b/crates/daemon/src/api/dispatch.rs
@@ -193,7 +193,7 @@
             }
             Err(SendError::Unknown) => {
                 open_request.record_failure();
-                api.requests.crashes.record_disconnect(&choice, fingerprint);
+                api.requests.crashes.record_disconnect(&choice, fingerprint.into());
                 return Err(DispatchFailure::Refused(finish_unknown(api, dispatched, &choice)));
             }
         }
@@ -278,7 +278,7 @@
     request: &DispatchRequest<'_>,
     fingerprint: Fingerprint,
 ) -> Result<(Attempt<Admitted>, Option<IsolatedRun>), ErrorResponse> {
-    let verdict = api.requests.crashes.await_verdict(Millis::MAX, || fingerprint).await;
+    let verdict = api.requests.crashes.await_verdict(Millis::MAX, || fingerprint.into()).await;
     let isolated_run = (verdict == Verdict::Isolated)
         .then(|| api.requests.crashes.begin_isolated_run(fingerprint))
         .flatten();
--- a/crates/daemon/src/api/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -195,11 +195,13 @@
     let headers = answered.res.headers().clone();
     let body = api.requests.base.clock.timeout_at(until, read_response_body(answered.res)).await;
     let Some(Some(body)) = body else {
-        api.requests.crashes.record_disconnect(&answered.choice, answered.fingerprint);
+        api.requests.crashes.record_disconnect(&answered.choice, answered.fingerprint.into());
         return Err(finish_unknown(api, answered.attempt, open_request, &answered.choice.server));
     };
     let is_framed = crashes::is_framed(&headers);
-    api.requests.crashes.record_response_end(&answered.choice, is_framed, || answered.fingerprint);
+    api.requests
+        .crashes
+        .record_response_end(&answered.choice, is_framed, || answered.fingerprint.into());
     settle_and_bill(api, answered.attempt, &caller, price).await;
     Ok(ServiceResponse { status, headers, body })
 }
--- a/crates/daemon/src/crashes.rs
+++ b/crates/daemon/src/crashes.rs
@@ -25,6 +25,7 @@
 use hyper::header::{CONTENT_LENGTH, TRANSFER_ENCODING};
 use parking_lot::Mutex;
 use tokio::sync::Notify;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::crashes::isolation::IsolatedRuns;
 use crate::fleet::Fleet;
@@ -105,8 +106,23 @@
     }
 
     /// Returns the verdict for a request that is about to run.
-    pub fn verdict(&self, request: impl FnOnce() -> Fingerprint) -> Verdict {
-        self.read(|tracker| tracker.verdict(request())).unwrap_or(Verdict::Allowed)
+    pub fn verdict<'a>(&self, request: impl FnOnce() -> Identity<'a>) -> Verdict {
+        let verdict = self.read(|tracker| {
+            let Identity { request, parts } = request();
+            let parts = parts.iter().map(|part| tracker.part_verdict(*part));
+            parts.fold(tracker.verdict(request), strictest)
+        });
+        verdict.unwrap_or(Verdict::Allowed)
+    }
+
+    /// Returns the blocked one among the parts of a prompt.
+    pub fn blocked_part(&self, parts: &[Fingerprint]) -> Option<Fingerprint> {
+        let is_blocked = |tracker: &CrashTracker, part: Fingerprint| {
+            tracker.part_verdict(part) == Verdict::Blocked
+        };
+        let find =
+            |tracker: &CrashTracker| parts.iter().copied().find(|part| is_blocked(tracker, *part));
+        self.read(find).flatten()
     }
 
     /// Returns where a suspect or isolated request has to run; `None` if it may run anywhere.
@@ -122,15 +138,37 @@
 
     /// Records that the connection to a server that was running a request broke, and checks whether
     /// the server has crashed.
-    pub fn record_disconnect(self: &Arc<Self>, choice: &Choice, request: Fingerprint) {
+    pub fn record_disconnect(self: &Arc<Self>, choice: &Choice, request: Identity<'_>) {
+        if let Some(part) = request.parts.first() {
+            let now = self.fleet.base.clock.now();
+            self.tracker.lock().record_outcome(now, *part, version_hash(choice), true);
+        }
+        self.record_end(choice, request, CrashTracker::record_disconnect);
+    }
+
+    /// Records by `record` that the connection to a server that was running a request has ended, and
+    /// checks whether the server has crashed.
+    fn record_end(
+        self: &Arc<Self>,
+        choice: &Choice,
+        request: Identity<'_>,
+        record: impl Fn(&mut CrashTracker, Millis, &ServerInstance, Fingerprint) -> (bool, CrashFacts),
+    ) {
         let now = self.fleet.base.clock.now();
         // A server that is leaving ends its running requests: that is not a crash.
         if !self.router.lock().is_current_and_not_leaving(now, &choice.server, choice.started_ms) {
             return;
         }
         let server = ServerInstance { name: choice.server.clone(), started_ms: choice.started_ms };
-        let outcome = self.change(now, |tracker| tracker.record_disconnect(now, &server, request));
-        let (needs_check, updates) = outcome;
+        let (needs_check, updates) = self.change(now, |tracker| {
+            let (mut needs_check, mut updates) = (false, CrashFacts::default());
+            for one in request.all() {
+                let (is_new, further) = record(tracker, now, &server, one);
+                needs_check |= is_new;
+                updates.merge(&further);
+            }
+            (needs_check, updates)
+        });
         self.process_updates(&updates, Origin::Local);
         if needs_check {
             tokio::spawn(verify::verify(Arc::clone(self), server, choice.address.clone()));
@@ -138,30 +176,62 @@
     }
 
     /// Records the end of a response. A response that is delimited only by the end of its
-    /// connection looks complete also if its server crashed, so it is no evidence of a success.
-    pub fn record_response_end(
+    /// connection looks complete also if its server crashed, so it is a success only if the server
+    /// turns out to be still running.
+    pub fn record_response_end<'a>(
         self: &Arc<Self>,
         choice: &Choice,
         is_framed: bool,
-        request: impl FnOnce() -> Fingerprint,
+        request: impl FnOnce() -> Identity<'a>,
     ) {
         if is_framed {
-            self.record_success(request);
+            self.record_success(choice, request);
         } else {
-            self.record_disconnect(choice, request());
+            let version = version_hash(choice);
+            self.record_end(choice, request(), |tracker, now, server, one| {
+                tracker.record_unframed_end(now, server, one, version)
+            });
         }
     }
 
-    /// Records that a request succeeded.
-    pub fn record_success(self: &Arc<Self>, request: impl FnOnce() -> Fingerprint) {
+    /// Records that a server has run a stream with these prompt parts for some time: a part that
+    /// crashes servers does so when its answer begins.
+    pub fn record_survived(self: &Arc<Self>, parts: &[Fingerprint]) {
+        let now = self.fleet.base.clock.now();
+        self.clear(now, parts);
+    }
+
+    /// Records that a request succeeded at a server.
+    pub fn record_success<'a>(
+        self: &Arc<Self>,
+        choice: &Choice,
+        request: impl FnOnce() -> Identity<'a>,
+    ) {
+        let now = self.fleet.base.clock.now();
         // Nearly all requests ran only on servers that have not crashed; they return here.
-        let tracked = self.read(|tracker| {
-            let request = request();
-            tracker.tracks(request).then_some(request)
+        let Some(request) = self.read(|_| request()) else { return };
+        if let Some(part) = request.parts.first() {
+            self.tracker.lock().record_outcome(now, *part, version_hash(choice), false);
+        }
+        self.clear(now, &request.all().collect::<Vec<Fingerprint>>());
+    }
+
+    /// Records that these have not crashed their server.
+    fn clear(self: &Arc<Self>, now: Millis, all: &[Fingerprint]) {
+        let tracked = |tracker: &CrashTracker| {
+            all.iter().copied().filter(|one| tracker.tracks(*one)).collect()
+        };
+        let tracked: Vec<Fingerprint> = self.read(tracked).unwrap_or_default();
+        if tracked.is_empty() {
+            return;
+        }
+        let updates = self.change(now, |tracker| {
+            let mut updates = CrashFacts::default();
+            for one in tracked {
+                updates.merge(&tracker.record_success(now, one));
+            }
+            updates
         });
-        let Some(request) = tracked.flatten() else { return };
-        let now = self.fleet.base.clock.now();
-        let updates = self.change(now, |tracker| tracker.record_success(now, request));
         self.process_updates(&updates, Origin::Local);
     }
 
@@ -188,7 +258,10 @@
 
     /// Returns whether the request is blocked.
     pub fn is_blocked(&self, request: Fingerprint) -> bool {
-        self.verdict(|| request) == Verdict::Blocked
+        let is_blocked = |tracker: &CrashTracker| {
+            tracker.blocks(self.fleet.base.clock.now()).iter().any(|block| block.request == request)
+        };
+        self.read(is_blocked).unwrap_or(false)
     }
 
     /// Lifts the block of a request on this daemon and all peers.
@@ -219,17 +292,27 @@
             self.fleet.base.metrics.count("server.crashed");
             slog::info!(self.fleet.base.log, "server crashed";
                 "server" => %crash.server.name, "started_ms" => crash.server.started_ms,
-                "age_ms" => crash.age_ms, "aboard" => list(&crash.running),
+                "age_ms" => crash.age_ms,
+                "aboard" => list(crash.running.iter().filter(|one| !one.is_part())),
+                "parts" => list(crash.running.iter().filter(|one| one.is_part())),
                 "found_here" => is_local);
         }
         for cleared in &updates.cleared {
-            slog::info!(self.fleet.base.log, "request cleared";
+            let message =
+                if cleared.request.is_part() { "prompt part cleared" } else { "request cleared" };
+            slog::info!(self.fleet.base.log, "{}", message;
                 "fingerprint" => %cleared.request, "age_ms" => cleared.age_ms,
                 "found_here" => is_local);
         }
         for block in &updates.blocks {
-            self.fleet.base.metrics.count("request.blocked");
-            slog::warn!(self.fleet.base.log, "request blocked";
+            let is_part = block.request.is_part();
+            let (counter, message) = if is_part {
+                ("prompt_part.blocked", "prompt part blocked")
+            } else {
+                ("request.blocked", "request blocked")
+            };
+            self.fleet.base.metrics.count(counter);
+            slog::warn!(self.fleet.base.log, "{}", message;
                 "fingerprint" => %block.request, "servers" => list(&block.servers),
                 "age_ms" => block.age_ms, "found_here" => is_local);
         }
@@ -254,6 +337,45 @@
     headers.contains_key(CONTENT_LENGTH) || headers.contains_key(TRANSFER_ENCODING)
 }
 
+/// A request as crashes are attributed: to itself, or to the parts of its prompt that other requests
+/// may share.
+#[derive(Debug, Clone, Copy)]
+pub struct Identity<'a> {
+    /// Its fingerprint.
+    pub request: Fingerprint,
+    /// Fingerprints of the shared parts.
+    pub parts: &'a [Fingerprint],
+}
+
+impl From<Fingerprint> for Identity<'_> {
+    fn from(request: Fingerprint) -> Self {
+        Identity { request, parts: &[] }
+    }
+}
+
+impl Identity<'_> {
+    fn all(&self) -> impl Iterator<Item = Fingerprint> {
+        std::iter::once(self.request).chain(self.parts.iter().copied())
+    }
+}
+
+/// Returns the stricter of two verdicts.
+fn strictest(one: Verdict, other: Verdict) -> Verdict {
+    let strictness = |verdict: &Verdict| match verdict {
+        Verdict::Allowed => 0,
+        Verdict::Suspect => 1,
+        Verdict::Isolated => 2,
+        Verdict::Undecided => 3,
+        Verdict::Blocked => 4,
+    };
+    std::cmp::max_by_key(one, other, strictness)
+}
+
+/// Returns a hash of the version of the chosen server.
+fn version_hash(choice: &Choice) -> u64 {
+    xxh3_64(choice.version_text().unwrap_or_default().as_bytes())
+}
+
 /// Origin of new facts.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Origin {
--- a/crates/daemon/src/crashes/isolation.rs
+++ b/crates/daemon/src/crashes/isolation.rs
@@ -9,7 +9,7 @@
 use bankcove_core::{Fingerprint, Millis};
 use parking_lot::Mutex;
 
-use crate::crashes::Crashes;
+use crate::crashes::{Crashes, Identity};
 
 /// Pause between two checks for a verdict.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
@@ -39,10 +39,10 @@
 impl Crashes {
     /// Returns the verdict for the request as soon as it is known; [`Verdict::Undecided`] if it is
     /// still unknown at `deadline` or after `MAX_WAIT_MS`.
-    pub async fn await_verdict(
+    pub async fn await_verdict<'a>(
         &self,
         deadline: Millis,
-        request: impl Fn() -> Fingerprint,
+        request: impl Fn() -> Identity<'a>,
     ) -> Verdict {
         let until = deadline.min(self.fleet.base.clock.now() + MAX_WAIT_MS);
         loop {
--- a/crates/daemon/src/crashes/verify.rs
+++ b/crates/daemon/src/crashes/verify.rs
@@ -35,7 +35,8 @@
         crashes.process_updates(&updates, Origin::Local);
     } else {
         slog::info!(crashes.fleet.base.log, "server broke off and has not crashed"; "server" => %server.name);
-        crashes.change(now, |tracker| tracker.record_alive(&server));
+        let updates = crashes.change(now, |tracker| tracker.record_alive(&server));
+        crashes.process_updates(&updates, Origin::Local);
     }
 }
 
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -152,7 +152,7 @@
             }
             call.attempts_sent += 1;
             log_failed_attempt(call, &choice, true, &problem);
-            entry.requests.crashes.record_disconnect(&choice, call.fingerprint());
+            entry.requests.crashes.record_disconnect(&choice, call.identity());
             return AttemptOutcome::AnswerLost(sent.in_doubt());
         }
         Some(Ok(res)) => res,
@@ -268,7 +268,7 @@
             log_failed_attempt(call, &choice, true, problem);
             if !is_too_large {
                 contact.record_failure(Evidence::Broken);
-                call.entry.requests.crashes.record_disconnect(&choice, call.fingerprint());
+                call.entry.requests.crashes.record_disconnect(&choice, call.identity());
             }
             AttemptOutcome::AnswerLost(in_doubt)
         }
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -17,6 +17,7 @@
 use slog::Logger;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::crashes::Identity;
 use crate::crashes::isolation::IsolatedRun;
 use crate::entry::Entry;
 use crate::entry::backend::BackendRequest;
@@ -113,6 +114,8 @@
     pub binding: Binding,
     /// See [`Call::fingerprint`].
     pub fingerprint: OnceLock<Fingerprint>,
+    /// Fingerprints of the prompt parts that other requests may share.
+    pub parts: OnceLock<Vec<Fingerprint>>,
     /// Its isolated run, when another request has the same crashes.
     pub isolated_run: Option<IsolatedRun>,
 }
@@ -145,6 +148,16 @@
         (!ids.is_empty()).then(|| ids.join(","))
     }
 
+    /// Returns the request as crashes are attributed. It is computed as [`Call::fingerprint`] is.
+    pub fn identity(&self) -> Identity<'_> {
+        let pool = &self.plan.service;
+        let shared = || {
+            let parts = self.request_head.prompt.as_ref().map_or(&[][..], Prompt::shared_parts);
+            parts.iter().map(|part| Fingerprint::of_part(pool, part.id)).collect()
+        };
+        Identity { request: self.fingerprint(), parts: self.parts.get_or_init(shared) }
+    }
+
     /// Returns the length of its prompt in tokens; 0 without a prompt.
     pub fn prompt_tokens(&self) -> Tokens {
         self.request_head.prompt.as_ref().map_or(0, |prompt| prompt.input_tokens)
@@ -162,7 +175,7 @@
 
     /// Returns the verdict on whether the request crashes servers, as known to this daemon.
     pub fn verdict(&self) -> Verdict {
-        self.entry.requests.crashes.verdict(|| self.fingerprint())
+        self.entry.requests.crashes.verdict(|| self.identity())
     }
 
     /// Checks that the request is not known to crash servers. Waits while daemons check whether
@@ -171,19 +184,25 @@
     /// # Errors
     /// The [`Refusal`] that the caller receives, unless the request may have run.
     pub async fn check_crashes(&mut self) -> Result<(), Refusal> {
-        let requests = &self.entry.requests;
-        let refusal =
-            match requests.crashes.await_verdict(self.deadline, || self.fingerprint()).await {
-                Verdict::Allowed | Verdict::Suspect => return Ok(()),
-                Verdict::Isolated if self.claim_isolated_run() => return Ok(()),
-                Verdict::Isolated | Verdict::Undecided => Refusal::CrashesInDoubt,
-                Verdict::Blocked => Refusal::CrashesServers,
-            };
+        let crashes = Arc::clone(&self.entry.requests.crashes);
+        let refusal = match crashes.await_verdict(self.deadline, || self.identity()).await {
+            Verdict::Allowed | Verdict::Suspect => return Ok(()),
+            Verdict::Isolated if self.claim_isolated_run() => return Ok(()),
+            Verdict::Isolated | Verdict::Undecided => Refusal::CrashesInDoubt,
+            Verdict::Blocked => Refusal::CrashesServers,
+        };
         slog::info!(self.log, "not sent for its crashes";
-            "fingerprint" => %self.fingerprint(), "code" => refusal.code());
+            "fingerprint" => %self.fingerprint(), "code" => refusal.code(),
+            "blocked_part" => crashes.blocked_part(self.identity().parts)
+                .map(|part| part.to_string()));
         Err(refusal)
     }
 
+    /// Returns whether the request must not be sent now, because it may crash its server.
+    pub fn is_held_back(&self) -> bool {
+        matches!(self.verdict(), Verdict::Blocked | Verdict::Undecided)
+    }
+
     /// Returns whether the request may use its isolated run, and claims it if it is free.
     fn claim_isolated_run(&mut self) -> bool {
         if self.isolated_run.is_none() {
--- a/crates/daemon/src/entry/forward.rs
+++ b/crates/daemon/src/entry/forward.rs
@@ -65,6 +65,11 @@
                 break;
             }
         };
+        // It may have been blocked while it waited for a server.
+        if call.is_held_back() {
+            drop(permit);
+            continue;
+        }
         let resume_after = call.request_head.resume_after;
         state = match attempt(&mut call, &mut charge, permit, resume_after, state).await {
             AttemptOutcome::StreamStarted(started) => {
@@ -80,7 +85,7 @@
                 if !is_retryable_error {
                     charge.record_complete();
                     let requests = &call.entry.requests;
-                    requests.crashes.record_response_end(&choice, is_framed, || call.fingerprint());
+                    requests.crashes.record_response_end(&choice, is_framed, || call.identity());
                     call.link.record_chunk(body.len());
                     log_ended(&call, &charge, "answered", status);
                     return Ok(Answer::Buffered(status, headers, body));
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::time::Duration;
 
+use bankcove_core::Millis;
 use bankcove_core::events::{EventAction, EventSequence, EventSplitter};
 use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
@@ -29,6 +30,9 @@
 use crate::requests::open_request::OpenRequest;
 use crate::requests::stream_versions::UntoldStream;
 
+/// Time from the first event after which a stream has not crashed its server, in milliseconds.
+const SURVIVED_MS: Millis = 1_000;
+
 /// Stream of events that is forwarded to the caller.
 pub struct Relay {
     call: Call,
@@ -46,6 +50,10 @@
     /// Whether events were forwarded, so that the stream is bound to a version.
     is_bound: bool,
     untold: Option<UntoldStream>,
+    /// When the first event of the current server was received.
+    began_at: Option<Millis>,
+    /// Whether that server has run the stream for [`SURVIVED_MS`] since.
+    has_survived: bool,
     pace: PaceMeter,
 }
 
@@ -80,6 +88,8 @@
             sequence,
             is_bound: false,
             untold: None,
+            began_at: None,
+            has_survived: false,
             pace,
         }
     }
@@ -116,7 +126,7 @@
                     self.charge.record_complete();
                     self.open_request.record_answer(self.pace.mean_interval_ms());
                     let requests = &self.call.entry.requests;
-                    let request = || self.call.fingerprint();
+                    let request = || self.call.identity();
                     requests.crashes.record_response_end(&self.choice, self.is_framed, request);
                     self.report_pace();
                     log_ended(&self.call, &self.charge, "stream ended", StatusCode::OK);
@@ -138,7 +148,7 @@
             self.contact.record_failure(Evidence::Broken);
             log_failed_attempt(&self.call, &self.choice, true, problem);
             let crashes = &self.call.entry.requests.crashes;
-            crashes.record_disconnect(&self.choice, self.call.fingerprint());
+            crashes.record_disconnect(&self.choice, self.call.identity());
             if !self.resume().await {
                 return Some(Err(self.abort(problem)));
             }
@@ -169,6 +179,7 @@
                 Ok(events) if events.is_empty() => {}
                 Ok(events) => {
                     self.pace.record_event();
+                    self.record_survived();
                     self.open_request.record_prompt_read();
                     self.call.link.record_chunk(events.len());
                     return ReadResult::Events(events);
@@ -177,6 +188,17 @@
         }
     }
 
+    /// Records that the server runs the stream for some time without a crash, once.
+    fn record_survived(&mut self) {
+        let now = self.call.entry.requests.base.clock.now();
+        let since = *self.began_at.get_or_insert(now);
+        if self.has_survived || now < since + SURVIVED_MS {
+            return;
+        }
+        self.has_survived = true;
+        self.call.entry.requests.crashes.record_survived(self.call.identity().parts);
+    }
+
     /// Removes the complete events from the splitter; returns those that the caller does not have.
     fn take_events(&mut self) -> Result<Bytes, &'static str> {
         let mut out = BytesMut::new();
@@ -204,6 +226,9 @@
         self.call.goal_since = self.call.entry.requests.base.clock.now();
         while self.call.entry.may_send() && self.call.try_claim_attempt() {
             let Ok(permit) = self.call.acquire_server().await else { return false };
+            if self.call.is_held_back() {
+                return false;
+            }
             let last_event = self.sequence.last();
             let state = RunState::in_doubt();
             match attempt(&mut self.call, &mut self.charge, permit, last_event, state).await {
@@ -220,6 +245,7 @@
                     self.choice = choice;
                     self.contact = contact;
                     self.splitter = EventSplitter::default();
+                    (self.began_at, self.has_survived) = (None, false);
                     return true;
                 }
                 AttemptOutcome::NotRun(_)
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -158,6 +158,7 @@
         link,
         binding: Binding::default(),
         fingerprint: OnceLock::new(),
+        parts: OnceLock::new(),
         isolated_run: None,
     })
 }
--- a/crates/daemon/tests/crash_verification.rs
+++ b/crates/daemon/tests/crash_verification.rs
@@ -117,7 +117,7 @@
     let group = ServerGroup { pool: Name::from("engines"), hall: choice.hall.clone() };
     daemon.paths.record_evidence(&group, Evidence::Broken);
     let request = Fingerprint::of("host", "/path", "workspace", b"body");
-    daemon.crashes.record_disconnect(&choice, request);
+    daemon.crashes.record_disconnect(&choice, request.into());
     let mut is_decided = false;
     for _ in 0..MAX_POLLS {
         let metrics = daemon.metrics.text();
