Slots: issuers that answer late are waited for, and waiting hosts are granted slots in time

Cause: an issuer that had not answered for 100 ms was skipped for 1 s by that host, so that hosts used several issuers of a server at once, each with a bound of its own. Now it is skipped when it refuses a call or has not answered for 500 ms; a request waits 250 ms, and a slot that is leased later goes to another one.

Slots that come free with time (expired leases, a bound that rises) were granted only when a host asked again: grant_due, with a test.

What permits and slots had twice, the issuers that did not answer, is one type (SilentIssuers).

--- a/crates/core/src/slot_leases/issuer.rs
+++ b/crates/core/src/slot_leases/issuer.rs
@@ -155,6 +155,14 @@
         server.grant_free(now)
     }
 
+    /// Grants slots that have come free with time, because leases have expired or the bound rises, to
+    /// waiting daemons.
+    pub fn grant_due(&mut self, now: Millis) -> Vec<(ServerInstance, Vec<Grant>)> {
+        let waiting = self.servers.iter_mut().filter(|(_, slots)| !slots.waiting.is_empty());
+        let granted = waiting.map(|(server, slots)| (server.clone(), slots.grant_free(now)));
+        granted.filter(|(_, grants)| !grants.is_empty()).collect()
+    }
+
     /// Renews leases of a daemon. Those that are not known, because another daemon was the issuer,
     /// are added.
     pub fn renew(
--- a/crates/core/tests/slot_leases.rs
+++ b/crates/core/tests/slot_leases.rs
@@ -80,6 +80,17 @@
     assert!(served.contains(&2), "{served:?}");
 }
 
+/// Guards against daemons that wait for a slot which no release frees.
+#[test]
+fn a_waiting_daemon_gets_the_slot_of_an_expired_lease() {
+    let mut issuer = SlotIssuer::default();
+    assert_eq!(request(&mut issuer, 0, 1, 1, 1), SlotAnswer::Granted);
+    assert!(matches!(request(&mut issuer, LEASE_MS - 10, 2, 1, 1), SlotAnswer::Denied { .. }));
+    assert!(issuer.grant_due(LEASE_MS - 1).is_empty());
+    let granted = issuer.grant_due(LEASE_MS);
+    assert_eq!(granted, [(server(), vec![Grant { to: Incarnation(2), id: SlotId(1) }])]);
+}
+
 /// Guards against servers that take less than they list and are asked for it again and again.
 #[test]
 fn the_bound_falls_to_what_the_server_takes() {
--- a/crates/daemon/src/hints.rs
+++ b/crates/daemon/src/hints.rs
@@ -10,6 +10,7 @@
 mod issue;
 pub mod permit;
 pub mod record;
+mod silent_issuers;
 pub mod slots;
 
 use std::collections::{HashMap, HashSet};
@@ -27,6 +28,7 @@
 
 use crate::fleet::Fleet;
 use crate::fleet::fetch_throttle::FetchThrottle;
+use crate::hints::silent_issuers::SilentIssuers;
 use crate::hints::slots::Slots;
 
 /// Capacity of the queue of facts to send to peers. Facts that don't fit reach peers by heartbeats.
@@ -48,8 +50,7 @@
     retry_schedule: Mutex<RetrySchedule>,
     /// Last [`bankcove_core::members::Members::digest`], and since when it is the current one.
     members_digest: Mutex<(u64, Millis)>,
-    /// Issuers that did not answer, and the times until which they are skipped.
-    unresponsive: Mutex<HashMap<Name, Millis>>,
+    silent_issuers: SilentIssuers,
     /// Servers with a hint that could not be parsed, which is logged once for each server.
     unreadable: Mutex<HashMap<ServerInstance, String>>,
     /// Whether any limit is known; if not, requests skip the lock of `limits`.
@@ -83,7 +84,7 @@
             leases: Mutex::default(),
             retry_schedule: Mutex::default(),
             members_digest: Mutex::default(),
-            unresponsive: Mutex::default(),
+            silent_issuers: SilentIssuers::default(),
             unreadable: Mutex::default(),
             has_limits: AtomicBool::new(false),
             has_closed: AtomicBool::new(false),
@@ -176,7 +177,7 @@
         let is_limited = |server: &ServerInstance| self.limits.lock().limit(server).is_some();
         self.issuer.lock().retain(is_limited);
         self.leases.lock().retain(is_limited);
-        self.unresponsive.lock().retain(|_, until| now < *until);
+        self.silent_issuers.remove_expired(now);
         self.unreadable.lock().retain(|server, _| listed.contains(server));
     }
 
--- a/crates/daemon/src/hints/permit.rs
+++ b/crates/daemon/src/hints/permit.rs
@@ -25,9 +25,6 @@
 /// Timeout for an answer after which its permits have expired.
 const LATE_TIMEOUT: Duration = Duration::from_millis(PERMIT_LIFETIME_MS);
 
-/// Time for which an issuer that did not answer is skipped, in milliseconds.
-const UNRESPONSIVE_MS: Millis = 1_000;
-
 /// Time for which a server is skipped when no issuer can be asked, in milliseconds.
 const NO_ISSUER_RETRY_MS: Millis = 200;
 
@@ -284,7 +281,7 @@
             let Some(peer) = issuer else {
                 return ("here".to_owned(), self.issue(&fact, request));
             };
-            if self.is_unresponsive(&peer) {
+            if self.silent_issuers.contains(self.fleet.base.clock.now(), &peer) {
                 continue;
             }
             match self.ask_peer(&peer, &fact, request).await {
@@ -320,7 +317,7 @@
             };
             let answer = hints.fleet.base.peers.call(&peer.address, LATE_TIMEOUT, call).await;
             if let Err(Some(late)) = answer_tx.send(answer) {
-                hints.unresponsive.lock().remove(&peer.name);
+                hints.silent_issuers.remove(&peer);
                 hints.add_issued(requested_at, &server, late.issued.permits);
             }
         });
@@ -332,15 +329,9 @@
         self.fleet.members.lock().owners_including_silent(server.key(), ISSUERS_PER_SERVER)
     }
 
-    fn is_unresponsive(&self, peer: &Peer) -> bool {
-        let now = self.fleet.base.clock.now();
-        self.unresponsive.lock().get(&peer.name).is_some_and(|until| now < *until)
-    }
-
-    /// Marks an issuer that did not answer; it is skipped for [`UNRESPONSIVE_MS`].
+    /// Skips an issuer that did not answer for some time.
     fn mark_unresponsive(&self, peer: &Peer) {
-        let until = self.fleet.base.clock.now() + UNRESPONSIVE_MS;
-        self.unresponsive.lock().insert(peer.name.clone(), until);
+        self.silent_issuers.add(self.fleet.base.clock.now(), peer);
         self.fleet.base.metrics.count("limit.issuer_silent");
         slog::info!(self.fleet.base.log, "issuer of permits does not answer"; "peer" => %peer.name);
     }
--- a/crates/daemon/src/hints/slots.rs
+++ b/crates/daemon/src/hints/slots.rs
@@ -24,6 +24,7 @@
 use tokio::sync::{Notify, mpsc};
 
 use crate::fleet::Fleet;
+use crate::hints::silent_issuers::SilentIssuers;
 use crate::peer::ReleasedSlot;
 
 /// Capacity of the queue of released slots. Leases of those that don't fit expire.
@@ -32,8 +33,12 @@
 /// Capacity of the queue of servers at which slots were granted to waiting requests.
 const GRANT_QUEUE_CAPACITY: usize = 1_024;
 
+/// Minimum time for which a server without a free slot counts as full while requests wait for a
+/// grant, in milliseconds: each request that asks again takes the issuer's time.
+const MIN_WAIT_MS: Millis = 150;
+
 /// Time for which a granted slot is kept for a waiting request.
-const GRANT_KEPT: Duration = Duration::from_millis(30);
+const GRANT_KEPT: Duration = Duration::from_millis(100);
 
 /// Slots of this daemon, and those that it issues.
 #[derive(Debug)]
@@ -54,8 +59,7 @@
     /// Slots that were granted to waiting requests and are not used yet.
     granted: Mutex<Vec<(ServerInstance, SlotId)>>,
     issuer: Mutex<SlotIssuer>,
-    /// Issuers that did not answer, and the times until which they are skipped.
-    unresponsive: Mutex<HashMap<Name, Millis>>,
+    silent_issuers: SilentIssuers,
     /// Queue of released slots for [`report::spawn`].
     released: mpsc::Sender<ReleasedSlot>,
     release_receiver: Mutex<Option<mpsc::Receiver<ReleasedSlot>>>,
@@ -108,7 +112,7 @@
             held: Mutex::default(),
             granted: Mutex::default(),
             issuer: Mutex::default(),
-            unresponsive: Mutex::default(),
+            silent_issuers: SilentIssuers::default(),
             released,
             release_receiver: Mutex::new(Some(release_receiver)),
             grants,
@@ -154,7 +158,9 @@
             SlotAnswer::Granted => return Ok(self.hold(server, id)),
             SlotAnswer::Denied { retry_ms } => retry_ms,
         };
-        self.router.lock().mark_full(&server, self.now() + retry_ms);
+        // A grant removes the mark.
+        let marked_ms = if waits { retry_ms.max(MIN_WAIT_MS) } else { retry_ms };
+        self.router.lock().mark_full(&server, self.now() + marked_ms);
         self.fleet.base.metrics.count("slot.denied");
         slog::info!(log, "no slot at the server"; "server" => %server.name, "issuer" => issuer,
             "borne_per_s" => borne.per_second(), "retry_ms" => retry_ms);
@@ -173,15 +179,18 @@
 
     /// Accepts a slot that was granted to a waiting request; returns whether one may still use it.
     pub fn accept_grant(self: &Arc<Self>, server: &ServerInstance, id: SlotId) -> bool {
-        if self.waiting.load(Ordering::Relaxed) == 0 {
-            return false;
+        {
+            let mut router = self.router.lock();
+            if !router.is_current_instance(&server.name, server.started_ms) {
+                return false;
+            }
+            router.clear_full(server);
         }
-        if !self.router.lock().is_current_instance(&server.name, server.started_ms) {
+        if self.waiting.load(Ordering::Relaxed) == 0 {
             return false;
         }
         self.granted.lock().push((server.clone(), id));
         self.held.lock().add(server, id);
-        self.router.lock().clear_full(server);
         if self.grants.try_send(server.clone()).is_err() {
             self.drop_granted(server, id);
             return false;
@@ -266,7 +275,7 @@
         self.brittle.lock().remove_expired(now, |server| listed.contains(server));
         self.robust.lock().retain(|server| listed.contains(server));
         self.issuer.lock().retain(|server| listed.contains(server));
-        self.unresponsive.lock().retain(|_, until| now < *until);
+        self.silent_issuers.remove_expired(now);
         self.refresh();
     }
 
--- a/crates/daemon/src/hints/slots/issue.rs
+++ b/crates/daemon/src/hints/slots/issue.rs
@@ -36,6 +36,15 @@
         answer
     }
 
+    /// Grants slots that have come free with time.
+    pub(super) fn grant_due(self: &Arc<Self>) {
+        let now = self.now();
+        let granted = self.issuer.lock().grant_due(now);
+        for (server, grants) in granted {
+            self.send_grants(&server, grants);
+        }
+    }
+
     /// Ends leases of a daemon.
     pub fn record_released(self: &Arc<Self>, from: Incarnation, released: &[ReleasedSlot]) {
         for ReleasedSlot { server, id, is_rejected } in released {
--- a/crates/daemon/src/hints/slots/issuers.rs
+++ b/crates/daemon/src/hints/slots/issuers.rs
@@ -8,19 +8,25 @@
 use bankcove_core::limits::RequestRate;
 use bankcove_core::members::Peer;
 use bankcove_core::slot_leases::{SLOT_ISSUERS, SlotAnswer, SlotRequest};
+use tokio::sync::oneshot;
 
 use crate::hints::slots::Slots;
 use crate::peer::PeerServiceClient;
 
-/// Timeout for requesting a slot from a peer, for which a caller's request waits.
-pub(super) const SLOT_TIMEOUT: Duration = Duration::from_millis(100);
+/// Time for which a caller's request waits for an issuer.
+const MAX_WAIT: Duration = Duration::from_millis(250);
 
-/// Time for which an issuer that did not answer is skipped, in milliseconds.
-const UNRESPONSIVE_MS: Millis = 1_000;
+/// Timeout of calls about slots. An issuer is skipped only when it does not answer for so long: a
+/// host that is short of processor time answers late, and two issuers of a server that don't know
+/// of each other lease more slots than it has.
+pub(super) const SLOT_TIMEOUT: Duration = Duration::from_millis(500);
 
-/// Delay after which a daemon asks again that does not know the fleet, or whose issuer does not know
-/// that it is one, in milliseconds: by then heartbeats have updated the membership.
-const UNKNOWN_FLEET_RETRY_MS: Millis = 100;
+/// Delay after which a daemon asks again whose issuer answers late or does not know that it is one,
+/// or that knows none, in milliseconds.
+const NO_ANSWER_RETRY_MS: Millis = 100;
+
+/// Answer in place of one that is missing.
+const NO_ANSWER: SlotAnswer = SlotAnswer::Denied { retry_ms: NO_ANSWER_RETRY_MS };
 
 impl Slots {
     /// Requests a slot from the first issuer that answers. Returns the issuer's name and its answer.
@@ -31,29 +37,56 @@
         request: SlotRequest,
     ) -> (String, SlotAnswer) {
         let Some(hosts) = self.fleet.size() else {
-            let answer = SlotAnswer::Denied { retry_ms: UNKNOWN_FLEET_RETRY_MS };
-            return ("unknown fleet".to_owned(), answer);
+            return ("unknown fleet".to_owned(), NO_ANSWER);
         };
         for issuer in self.responsive_issuers(server) {
             let Some(peer) = issuer else {
                 return ("here".to_owned(), self.issue_locally(server, borne, request));
             };
+            if let Some(answer) = self.ask_peer(&peer, server, borne, request).await {
+                return (peer.name.to_string(), answer);
+            }
+        }
+        if self.fleet.members.lock().usable().next().is_some() {
+            return ("none answers".to_owned(), NO_ANSWER);
+        }
+        // Cut off from all hosts, each may use its part of the slots.
+        let slots = (request.slots / hosts.max(1) as u32).max(1);
+        let request = SlotRequest { slots, ..request };
+        ("alone".to_owned(), self.issue_locally(server, borne, request))
+    }
+
+    /// Requests a slot from a peer; `None` if it can't be reached. A slot that is leased later than the
+    /// request waits for goes to another request.
+    async fn ask_peer(
+        self: &Arc<Self>,
+        peer: &Peer,
+        server: &ServerInstance,
+        borne: RequestRate,
+        request: SlotRequest,
+    ) -> Option<SlotAnswer> {
+        let (answer_tx, answer_rx) = oneshot::channel();
+        let (slots, peer, server) = (Arc::clone(self), peer.clone(), server.clone());
+        tokio::spawn(async move {
             let asked = server.clone();
             let call = |client: PeerServiceClient, cx| async move {
                 client.slot(cx, asked, borne, request).await
             };
-            match self.fleet.base.peers.call(&peer.address, SLOT_TIMEOUT, call).await {
-                Some(answer) => {
-                    let denied = SlotAnswer::Denied { retry_ms: UNKNOWN_FLEET_RETRY_MS };
-                    return (peer.name.to_string(), answer.unwrap_or(denied));
-                }
-                None => self.mark_unresponsive(&peer),
+            let answer = slots.fleet.base.peers.call(&peer.address, SLOT_TIMEOUT, call).await;
+            if answer.is_none() {
+                slots.mark_unresponsive(&peer);
             }
+            let answer = answer.map(|answer| answer.unwrap_or(NO_ANSWER));
+            if answer_tx.send(answer) == Err(Some(SlotAnswer::Granted))
+                && !slots.accept_grant(&server, request.id)
+            {
+                slots.queue_release(&server, request.id, false);
+            }
+        });
+        match tokio::time::timeout(MAX_WAIT, answer_rx).await {
+            Ok(answer) => answer.ok().flatten(),
+            Err(_) => Some(NO_ANSWER),
         }
-        // Cut off from all issuers, each host may use its part of the slots.
-        let slots = (request.slots / hosts.max(1) as u32).max(1);
-        let request = SlotRequest { slots, ..request };
-        ("alone".to_owned(), self.issue_locally(server, borne, request))
     }
 
     /// Returns the first issuer of the server that is not known to be unresponsive; `None` stands for
@@ -67,10 +100,9 @@
         self.fleet.size().is_some() && self.issuers(server).iter().any(Option::is_none)
     }
 
-    /// Skips an issuer that did not answer for [`UNRESPONSIVE_MS`].
+    /// Skips an issuer that did not answer for some time.
     pub(super) fn mark_unresponsive(&self, peer: &Peer) {
-        let until = self.now() + UNRESPONSIVE_MS;
-        self.unresponsive.lock().insert(peer.name.clone(), until);
+        self.silent_issuers.add(self.now(), peer);
         self.fleet.base.metrics.count("slot.issuer_silent");
         slog::info!(self.fleet.base.log, "issuer of slots does not answer"; "peer" => %peer.name);
     }
@@ -78,8 +110,7 @@
     fn responsive_issuers(&self, server: &ServerInstance) -> Vec<Option<Peer>> {
         let now = self.now();
         let mut issuers = self.issuers(server);
-        let unresponsive = self.unresponsive.lock();
-        let is_skipped = |peer: &Peer| unresponsive.get(&peer.name).is_some_and(|at| now < *at);
+        let is_skipped = |peer: &Peer| self.silent_issuers.contains(now, peer);
         issuers.retain(|issuer| !issuer.as_ref().is_some_and(is_skipped));
         issuers
     }
