Sight: grants of slots that hosts decline, the wait for an issuer, the age of refused requests

What callers saw: with 40 hosts at 0.42 of the room of brittle servers, and with 87 hosts at 0.39 of the room of a small service, most requests were refused although slots were free. The counters could not tell grants that nobody uses from grants that are used, nor refusals at once from refusals after a wait.

slot.grant_declined counts grants that a host declines, slot.ask_ms times the wait for an issuer, places.refused_age_ms the age at which requests are refused.

--- a/crates/daemon/src/entry/places.rs
+++ b/crates/daemon/src/entry/places.rs
@@ -305,6 +305,7 @@
     /// Logs and counts a refusal.
     fn refused(&self, applicant: &Applicant<'_>, no_place: NoPlace) -> NoServer {
         self.requests.base.metrics.count("places.refused");
+        self.requests.base.metrics.time("places.refused_age_ms", no_place.age_ms);
         slog::info!(applicant.log, "no place in the pool";
             "service" => %applicant.service, "position" => no_place.position,
             "per_s" => no_place.per_second, "age_ms" => no_place.age_ms,
--- a/crates/daemon/src/hints/slots.rs
+++ b/crates/daemon/src/hints/slots.rs
@@ -153,7 +153,9 @@
         let slots = self.router.lock().listed_slots(&server);
         let waits = self.waits.load(Ordering::Relaxed);
         let request = SlotRequest { from: self.fleet.base.incarnation, id, urgency, slots, waits };
+        let asked_at = self.now();
         let (issuer, answer) = self.ask_issuers(&server, borne, request).await;
+        self.fleet.base.metrics.time("slot.ask_ms", self.now().saturating_sub(asked_at));
         let retry_ms = match answer {
             SlotAnswer::Granted => return Ok(self.hold(server, id)),
             SlotAnswer::Denied { retry_ms } => retry_ms,
--- a/crates/daemon/src/hints/slots/issue.rs
+++ b/crates/daemon/src/hints/slots/issue.rs
@@ -90,6 +90,7 @@
             let (slots, server) = (Arc::clone(self), server.clone());
             tokio::spawn(async move {
                 if !slots.send_grant(&server, grant).await {
+                    slots.fleet.base.metrics.count("slot.grant_declined");
                     slots.end_lease(&server, grant.to, grant.id, false);
                 }
             });
