Brittle servers: a request waits for a slot in its own call to the issuer

What callers saw: with 40 hosts at 0.42 of the room of brittle servers, or 87 hosts at 0.39 of a small service, more than half of the requests were refused after their goal, although slots were free.

Cause: a host that got no slot was queued at the issuer of each server that it had asked, by its name and for 600 ms. The next free slots were granted to the host, also when the request had been served elsewhere, was asking elsewhere, or was sent to another server. Each such grant held a slot until the issuer knew; that denied more requests, which queued at more issuers.

A request now waits at the issuer in the call in which it asks, so a grant is the answer that it waits for; a request that is given up cancels its call, which ends the wait or the lease. The issuer denies at once what it can't expect to serve before the route's goal, and a request asks three servers at most, so that overload costs fewer calls. Grants as calls of their own, the queue of granted servers and the waiting by host are gone.

--- a/crates/core/src/slot_leases.rs
+++ b/crates/core/src/slot_leases.rs
@@ -4,7 +4,7 @@
 //! of requests that all daemons have open there is therefore bounded in one place: each request
 //! holds a slot, leased by the server's issuer, the first daemon by rendezvous hashing that answers.
 //!
-//! `issuer` leases the slots of a server and queues the daemons that wait for one, `window` bounds
+//! `issuer` leases the slots of a server and queues the requests that wait for one, `window` bounds
 //! the number of leases by what the server rejects, and `held` are the slots of one daemon.
 
 mod held;
@@ -12,7 +12,7 @@
 mod window;
 
 pub use held::HeldSlots;
-pub use issuer::{Grant, SlotAnswer, SlotIssuer, SlotRequest, SlotStats};
+pub use issuer::{Grant, Requested, SlotAnswer, SlotIssuer, SlotRequest, SlotStats};
 
 use serde::{Deserialize, Serialize};
 
--- a/crates/core/src/slot_leases/issuer.rs
+++ b/crates/core/src/slot_leases/issuer.rs
@@ -1,7 +1,7 @@
 //! Leases the slots of brittle servers to daemons.
 //!
-//! A daemon that gets no slot may wait for one: the next slot that comes free is granted to the most
-//! urgent waiting request. Leases of daemons that stop renewing them expire. An issuer that takes
+//! A request that finds no free slot may wait for one for a short time: the next slot that comes free is
+//! granted to the most urgent waiting request. Leases of daemons that stop renewing them expire. An issuer that takes
 //! over from another one learns of its leases when the daemons renew them; until then the bound of
 //! the window rises slowly.
 
@@ -15,9 +15,6 @@
 use crate::slot_leases::{LEASE_MS, SlotId};
 use crate::{Incarnation, Millis};
 
-/// Time for which a daemon waits unless it asks again, in milliseconds.
-const WAIT_MS: Millis = 600;
-
 /// One in this many slots goes to the request that has waited for the longest time, whatever its
 /// urgency.
 const OLDEST_EVERY: u64 = 4;
@@ -28,7 +25,7 @@
 /// Weight of one released slot in the mean time for which slots are held.
 const HOLD_WEIGHT: f64 = 0.1;
 
-/// Bounds of the delay after which a daemon without a slot asks again, in milliseconds.
+/// Bounds of the delay after which a request without a slot may ask again, in milliseconds.
 const MIN_RETRY_MS: f64 = 20.0;
 const MAX_RETRY_MS: f64 = 400.0;
 
@@ -43,7 +40,7 @@
     pub urgency: u32,
     /// Slots of the server by its listing; 0 if unknown.
     pub slots: u32,
-    /// Whether the daemon waits if there is none.
+    /// Whether the request waits if there is none.
     pub waits: bool,
 }
 
@@ -59,10 +56,19 @@
     },
 }
 
-/// Slot that came free for a waiting daemon.
+/// Outcome of a [`SlotRequest`] at the issuer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Requested {
+    /// The request is answered at once.
+    Answered(SlotAnswer),
+    /// The request waits until it is granted a slot, at most until this time.
+    Waiting(Millis),
+}
+
+/// Slot that came free for a waiting request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Grant {
-    /// The daemon.
+    /// Its daemon.
     pub to: Incarnation,
     /// The id that it requested.
     pub id: SlotId,
@@ -75,7 +81,7 @@
     pub leased: usize,
     /// Bound on the number of leases.
     pub limit: u32,
-    /// Number of waiting daemons.
+    /// Number of waiting requests.
     pub waiting: usize,
 }
 
@@ -87,8 +93,8 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Waiter {
-    from: Incarnation,
-    id: SlotId,
+    /// The grant that ends its wait.
+    grant: Grant,
     urgency: u32,
     since: Millis,
     until: Millis,
@@ -97,13 +103,13 @@
 /// Slots of one server.
 #[derive(Debug, Clone)]
 struct ServerSlots {
-    leases: HashMap<(Incarnation, SlotId), Lease>,
+    leases: HashMap<Grant, Lease>,
     waiting: Vec<Waiter>,
     window: Window,
     slots: u32,
     asked_at: Millis,
     hold_ms: f64,
-    /// Number of slots granted, by which waiting daemons take turns.
+    /// Number of slots granted, by which waiting requests take turns.
     granted: u64,
 }
 
@@ -114,34 +120,49 @@
 }
 
 impl SlotIssuer {
-    /// Leases a slot of a server that bears `borne` rejections a second, if one is free. Returns the
-    /// grants to other daemons that have waited for longer.
+    /// Leases a slot of a server that bears `borne` rejections a second, if one is free. A request that can
+    /// expect one before `until` waits for it. Returns the grants to other requests as well.
     pub fn request(
         &mut self,
         now: Millis,
         server: &ServerInstance,
         borne: RequestRate,
         request: SlotRequest,
-    ) -> (SlotAnswer, Vec<Grant>) {
+        until: Millis,
+    ) -> (Requested, Vec<Grant>) {
         let new = || ServerSlots::new(now, borne, request.slots);
         let server = self.servers.entry(server.clone()).or_insert_with(new);
         server.begin(now, borne, request.slots);
-        server.wait(now, request);
+        let SlotRequest { from, id, urgency, .. } = request;
+        let grant = Grant { to: from, id };
+        server.waiting.push(Waiter { grant, urgency, since: now, until: until.max(now + 1) });
         let mut grants = server.grant_free(now);
-        let own = Grant { to: request.from, id: request.id };
-        if let Some(index) = grants.iter().position(|grant| *grant == own) {
+        if let Some(index) = grants.iter().position(|other| *other == grant) {
             grants.swap_remove(index);
-            return (SlotAnswer::Granted, grants);
+            return (Requested::Answered(SlotAnswer::Granted), grants);
         }
-        let retry_ms = server.expected_wait_ms(now, request.from);
-        if !request.waits {
-            server.waiting.retain(|waiter| waiter.from != request.from);
+        let expected_ms = server.expected_wait_ms(now, urgency);
+        if request.waits && now as f64 + expected_ms < until as f64 {
+            return (Requested::Waiting(until), grants);
         }
-        (SlotAnswer::Denied { retry_ms }, grants)
+        server.stop_waiting(grant);
+        (Requested::Answered(denied(expected_ms)), grants)
     }
 
-    /// Ends a lease; `is_rejected` is whether the server has rejected its request. Returns the grants
-    /// to waiting daemons.
+    /// Ends the wait of a request. Returns its answer: it may have been granted a slot by now.
+    pub fn end_wait(&mut self, now: Millis, server: &ServerInstance, request: Grant) -> SlotAnswer {
+        let Some(server) = self.servers.get_mut(server) else { return denied(MAX_RETRY_MS) };
+        if server.leases.contains_key(&request) {
+            return SlotAnswer::Granted;
+        }
+        let waiter = server.waiting.iter().find(|waiter| waiter.grant == request);
+        let urgency = waiter.map_or(0, |waiter| waiter.urgency);
+        server.stop_waiting(request);
+        denied(server.expected_wait_ms(now, urgency))
+    }
+
+    /// Ends a lease, or the wait for one; `is_rejected` is whether the server has rejected its request.
+    /// Returns the grants to waiting requests.
     pub fn release(
         &mut self,
         now: Millis,
@@ -151,12 +172,12 @@
         is_rejected: bool,
     ) -> Vec<Grant> {
         let Some(server) = self.servers.get_mut(server) else { return Vec::new() };
-        server.release(now, from, id, is_rejected);
+        server.release(now, Grant { to: from, id }, is_rejected);
         server.grant_free(now)
     }
 
     /// Grants slots that have come free with time, because leases have expired or the bound rises, to
-    /// waiting daemons.
+    /// waiting requests.
     pub fn grant_due(&mut self, now: Millis) -> Vec<(ServerInstance, Vec<Grant>)> {
         let waiting = self.servers.iter_mut().filter(|(_, slots)| !slots.waiting.is_empty());
         let granted = waiting.map(|(server, slots)| (server.clone(), slots.grant_free(now)));
@@ -178,7 +199,8 @@
         let server = self.servers.entry(server.clone()).or_insert_with(new);
         for id in ids {
             let lease = Lease { since: now, until: now };
-            server.leases.entry((from, *id)).or_insert(lease).until = now + LEASE_MS;
+            let held = Grant { to: from, id: *id };
+            server.leases.entry(held).or_insert(lease).until = now + LEASE_MS;
         }
         server.window.record_running(server.leases.len() as u32, slots);
     }
@@ -224,17 +246,11 @@
         SlotStats { leased, limit: self.window.limit(now), waiting }
     }
 
-    /// Adds a waiting daemon, or updates its request: it waits once.
-    fn wait(&mut self, now: Millis, request: SlotRequest) {
-        let SlotRequest { from, id, urgency, .. } = request;
-        let until = now + WAIT_MS;
-        match self.waiting.iter_mut().find(|waiter| waiter.from == from) {
-            Some(waiter) => *waiter = Waiter { id, urgency, until, ..*waiter },
-            None => self.waiting.push(Waiter { from, id, urgency, since: now, until }),
-        }
+    fn stop_waiting(&mut self, request: Grant) {
+        self.waiting.retain(|waiter| waiter.grant != request);
     }
 
-    /// Leases free slots to waiting daemons.
+    /// Leases free slots to waiting requests.
     fn grant_free(&mut self, now: Millis) -> Vec<Grant> {
         self.leases.retain(|_, lease| now < lease.until);
         self.waiting.retain(|waiter| now < waiter.until);
@@ -245,13 +261,13 @@
             let waiter = self.waiting.swap_remove(next);
             self.granted += 1;
             let lease = Lease { since: now, until: now + LEASE_MS };
-            self.leases.insert((waiter.from, waiter.id), lease);
-            grants.push(Grant { to: waiter.from, id: waiter.id });
+            self.leases.insert(waiter.grant, lease);
+            grants.push(waiter.grant);
         }
         grants
     }
 
-    /// Returns the index of the daemon that gets the next slot.
+    /// Returns the index of the request that gets the next slot.
     fn next_waiter(&self) -> Option<usize> {
         let is_oldest_due = self.granted % OLDEST_EVERY == OLDEST_EVERY - 1;
         let order = |index: &usize| {
@@ -261,10 +277,10 @@
         (0..self.waiting.len()).min_by_key(order)
     }
 
-    fn release(&mut self, now: Millis, from: Incarnation, id: SlotId, is_rejected: bool) {
+    fn release(&mut self, now: Millis, request: Grant, is_rejected: bool) {
         let leased = self.leases.len() as u32;
-        self.waiting.retain(|waiter| (waiter.from, waiter.id) != (from, id));
-        let lease = self.leases.remove(&(from, id));
+        self.stop_waiting(request);
+        let lease = self.leases.remove(&request);
         match lease {
             Some(_) if is_rejected => self.window.record_rejection(now, leased),
             // Sent before its daemon knew that the server is brittle.
@@ -277,11 +293,15 @@
         }
     }
 
-    /// Returns the time until a waiting daemon is expected to get a slot, in milliseconds.
-    fn expected_wait_ms(&self, now: Millis, from: Incarnation) -> Millis {
-        let position = self.waiting.iter().position(|waiter| waiter.from == from);
-        let ahead = position.unwrap_or(self.waiting.len()) + 1;
-        let wait_ms = ahead as f64 * self.hold_ms / f64::from(self.window.limit(now));
-        wait_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) as Millis
+    /// Returns the time until the last waiting request of this urgency is expected to get a slot, in
+    /// milliseconds.
+    fn expected_wait_ms(&self, now: Millis, urgency: u32) -> f64 {
+        let before = self.waiting.iter().filter(|waiter| waiter.urgency <= urgency).count();
+        before.max(1) as f64 * self.hold_ms / f64::from(self.window.limit(now))
     }
 }
+
+/// Returns the answer to a request that is expected to get a slot after this time.
+fn denied(expected_ms: f64) -> SlotAnswer {
+    SlotAnswer::Denied { retry_ms: expected_ms.clamp(MIN_RETRY_MS, MAX_RETRY_MS) as Millis }
+}
--- a/crates/core/tests/brittle_servers.rs
+++ b/crates/core/tests/brittle_servers.rs
@@ -11,7 +11,7 @@
 use bankcove_core::router::{Homes, ListedRow, Router, RoutingRequest};
 use bankcove_core::server_list::ListedServer;
 use bankcove_core::slot_leases::{
-    HeldSlots, RENEW_INTERVAL_MS, SlotAnswer, SlotId, SlotIssuer, SlotRequest,
+    HeldSlots, RENEW_INTERVAL_MS, Requested, SlotAnswer, SlotId, SlotIssuer, SlotRequest,
 };
 use bankcove_core::table::Table;
 use bankcove_core::{Incarnation, Millis, Name};
@@ -184,8 +184,8 @@
             let slots = SLOTS as u32;
             let request = SlotRequest { from, id, urgency: 0, slots, waits: false };
             let issuer = self.issuer(now, host);
-            let (answer, _) = issuer.request(now, &instance(n), borne(), request);
-            if let SlotAnswer::Denied { retry_ms } = answer {
+            let (requested, _) = issuer.request(now, &instance(n), borne(), request, now);
+            if let Requested::Answered(SlotAnswer::Denied { retry_ms }) = requested {
                 self.hosts[host].mark_full(&instance(n), now + retry_ms);
                 return None;
             }
@@ -367,7 +367,8 @@
         waits: false,
     };
     let is_granted = |issuer: &mut SlotIssuer, server: &ServerInstance, id| {
-        issuer.request(0, server, borne(), request(id)).0 == SlotAnswer::Granted
+        let requested = issuer.request(0, server, borne(), request(id), 0).0;
+        requested == Requested::Answered(SlotAnswer::Granted)
     };
     assert!(is_granted(&mut issuer, &instance(0), 1));
     assert!(!is_granted(&mut issuer, &instance(0), 2), "its only slot is leased");
--- a/crates/core/tests/slot_leases.rs
+++ b/crates/core/tests/slot_leases.rs
@@ -3,7 +3,7 @@
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::limits::RequestRate;
 use bankcove_core::slot_leases::{
-    Grant, LEASE_MS, SlotAnswer, SlotId, SlotIssuer, SlotRequest, SlotStats,
+    Grant, LEASE_MS, Requested, SlotAnswer, SlotId, SlotIssuer, SlotRequest, SlotStats,
 };
 use bankcove_core::{Incarnation, Millis, Name};
 use proptest::prelude::*;
@@ -16,22 +16,31 @@
     RequestRate::new(per_s).expect("a rate")
 }
 
-/// Requests a slot of a server with this many slots, and waits for it.
-fn request(issuer: &mut SlotIssuer, now: Millis, from: u64, id: u64, slots: u32) -> SlotAnswer {
-    request_urgent(issuer, now, from, id, slots, 5)
+/// Time until which requests wait.
+const UNTIL: Millis = 100_000;
+
+/// Requests a slot of a server with this many slots; returns whether it is leased at once.
+fn is_leased(issuer: &mut SlotIssuer, now: Millis, from: u64, id: u64, slots: u32) -> bool {
+    let request = SlotRequest { waits: false, ..request(from, id, slots, 0) };
+    let (requested, _) = issuer.request(now, &server(), borne(5.0), request, UNTIL);
+    requested == Requested::Answered(SlotAnswer::Granted)
+}
+
+fn request(from: u64, id: u64, slots: u32, urgency: u32) -> SlotRequest {
+    SlotRequest { from: Incarnation(from), id: SlotId(id), urgency, slots, waits: true }
 }
 
-fn request_urgent(
+/// Requests the only slot of a server until `until`; returns whether the request waits for it.
+fn is_waiting(
     issuer: &mut SlotIssuer,
     now: Millis,
     from: u64,
-    id: u64,
-    slots: u32,
     urgency: u32,
-) -> SlotAnswer {
-    let from = Incarnation(from);
-    let request = SlotRequest { from, id: SlotId(id), urgency, slots, waits: true };
-    issuer.request(now, &server(), borne(5.0), request).0
+    until: Millis,
+) -> bool {
+    let request = request(from, 1, 1, urgency);
+    let (requested, _) = issuer.request(now, &server(), borne(5.0), request, until);
+    requested == Requested::Waiting(until)
 }
 
 fn release(issuer: &mut SlotIssuer, now: Millis, from: u64, id: u64, rejected: bool) -> Vec<Grant> {
@@ -46,9 +55,9 @@
 #[test]
 fn leases_of_a_dead_host_expire() {
     let mut issuer = SlotIssuer::default();
-    assert_eq!(request(&mut issuer, 0, 1, 1, 1), SlotAnswer::Granted);
-    assert!(matches!(request(&mut issuer, 10, 2, 1, 1), SlotAnswer::Denied { .. }));
-    assert_eq!(request(&mut issuer, LEASE_MS, 2, 2, 1), SlotAnswer::Granted);
+    assert!(is_leased(&mut issuer, 0, 1, 1, 1));
+    assert!(!is_leased(&mut issuer, 10, 2, 1, 1));
+    assert!(is_leased(&mut issuer, LEASE_MS, 2, 2, 1));
 }
 
 /// Guards against an issuer that issues the slots again which its predecessor has issued.
@@ -57,40 +66,69 @@
     let mut issuer = SlotIssuer::default();
     let ids = [SlotId(1), SlotId(2)];
     issuer.renew(0, &server(), borne(5.0), 2, Incarnation(1), &ids);
-    assert!(matches!(request(&mut issuer, 10, 2, 1, 2), SlotAnswer::Denied { .. }));
+    assert!(!is_leased(&mut issuer, 10, 2, 1, 2));
+    let waiting = request(2, 2, 2, 0);
+    let (requested, _) = issuer.request(10, &server(), borne(5.0), waiting, UNTIL);
+    assert_eq!(requested, Requested::Waiting(UNTIL));
     release(&mut issuer, 20, 1, 1, false);
-    assert_eq!(stats(&issuer, 20).leased, 2, "the waiting daemon has got it");
+    assert_eq!(stats(&issuer, 20).leased, 2, "the waiting request has got it");
 }
 
 #[test]
-fn waiting_daemons_get_free_slots_by_urgency_and_the_oldest_is_not_starved() {
+fn waiting_requests_get_free_slots_by_urgency_and_the_oldest_is_not_starved() {
     let mut issuer = SlotIssuer::default();
-    assert_eq!(request(&mut issuer, 0, 1, 1, 1), SlotAnswer::Granted);
-    request_urgent(&mut issuer, 1, 2, 1, 1, 9);
+    assert!(is_leased(&mut issuer, 0, 1, 1, 1));
+    assert!(is_waiting(&mut issuer, 1, 2, 9, UNTIL));
     let mut holder = (1, 1);
     let mut served = Vec::new();
     for turn in 0..8 {
-        request_urgent(&mut issuer, 2 + turn, 3, 1 + turn, 1, 0);
+        assert!(is_waiting(&mut issuer, 2 + turn, 10 + turn, 0, UNTIL));
         let grants = release(&mut issuer, 2 + turn, holder.0, holder.1, false);
         let [Grant { to, id }] = grants[..] else { panic!("one grant: {grants:?}") };
         holder = (to.0, id.0);
         served.push(to.0);
     }
-    assert_eq!(served[0], 3, "the more urgent one is first");
+    assert_eq!(served[0], 10, "the more urgent one is first");
     assert!(served.contains(&2), "{served:?}");
 }
 
-/// Guards against daemons that wait for a slot which no release frees.
+/// Guards against requests that wait for a slot which no release frees.
 #[test]
-fn a_waiting_daemon_gets_the_slot_of_an_expired_lease() {
+fn a_waiting_request_gets_the_slot_of_an_expired_lease() {
     let mut issuer = SlotIssuer::default();
-    assert_eq!(request(&mut issuer, 0, 1, 1, 1), SlotAnswer::Granted);
-    assert!(matches!(request(&mut issuer, LEASE_MS - 10, 2, 1, 1), SlotAnswer::Denied { .. }));
+    assert!(is_leased(&mut issuer, 0, 1, 1, 1));
+    assert!(is_waiting(&mut issuer, LEASE_MS - 10, 2, 5, UNTIL));
     assert!(issuer.grant_due(LEASE_MS - 1).is_empty());
     let granted = issuer.grant_due(LEASE_MS);
     assert_eq!(granted, [(server(), vec![Grant { to: Incarnation(2), id: SlotId(1) }])]);
 }
 
+/// Guards against slots that are granted to requests which no longer wait, and stay idle.
+#[test]
+fn a_request_that_no_longer_waits_is_granted_nothing() {
+    let mut issuer = SlotIssuer::default();
+    assert!(is_leased(&mut issuer, 0, 1, 1, 1));
+    assert!(is_waiting(&mut issuer, 1, 2, 5, UNTIL));
+    assert!(is_waiting(&mut issuer, 2, 3, 5, 300));
+    let ended = issuer.end_wait(100, &server(), Grant { to: Incarnation(2), id: SlotId(1) });
+    assert!(matches!(ended, SlotAnswer::Denied { .. }));
+    assert!(release(&mut issuer, 300, 1, 1, false).is_empty());
+    assert_eq!(stats(&issuer, 300).leased, 0);
+}
+
+/// Guards against requests that wait in vain until their time is over.
+#[test]
+fn a_request_that_can_expect_no_slot_in_time_is_denied_at_once() {
+    let mut issuer = SlotIssuer::default();
+    assert!(is_leased(&mut issuer, 0, 1, 1, 1));
+    for from in 2..6 {
+        assert!(is_waiting(&mut issuer, 1, from, 5, UNTIL));
+    }
+    assert!(!is_waiting(&mut issuer, 1, 6, 5, 101), "four wait before it, 50 ms each");
+    assert!(is_waiting(&mut issuer, 1, 7, 0, 101), "it is the most urgent");
+    assert_eq!(stats(&issuer, 1).waiting, 5);
+}
+
 /// Guards against servers that take less than they list and are asked for it again and again.
 #[test]
 fn the_bound_falls_to_what_the_server_takes() {
@@ -106,7 +144,7 @@
         // Until 10 s the server takes as many as it lists.
         let taken = if now < 10_000 { LISTED as usize } else { TAKEN };
         let id = now + 1;
-        if request(&mut issuer, now, 1, id, LISTED) != SlotAnswer::Granted {
+        if !is_leased(&mut issuer, now, 1, id, LISTED) {
             continue;
         }
         if open.len() < taken {
@@ -154,11 +192,11 @@
             let grants = match step {
                 Step::Request { from, waits } => {
                     id += 1;
-                    let own = SlotRequest {
-                        from: Incarnation(from), id: SlotId(id), urgency: 0, slots, waits,
-                    };
-                    let (answer, grants) = issuer.request(now, &server(), borne(5.0), own);
-                    if answer == SlotAnswer::Granted {
+                    let own = SlotRequest { waits, ..request(from, id, slots, 0) };
+                    let until = now + 600;
+                    let (requested, grants) =
+                        issuer.request(now, &server(), borne(5.0), own, until);
+                    if requested == Requested::Answered(SlotAnswer::Granted) {
                         held.push((from, id));
                     }
                     grants
--- a/crates/daemon/src/api/delivery.rs
+++ b/crates/daemon/src/api/delivery.rs
@@ -271,7 +271,7 @@
             let offset = self.sequence.next();
             let hints = &self.api.requests.hints;
             let permit = match hints
-                .acquire_permit(self.log, self.choice.clone(), Purpose::RunningWork, 0)
+                .acquire_permit(self.log, self.choice.clone(), Purpose::RunningWork, 0, 0)
                 .await
             {
                 Ok(permit) => permit,
--- a/crates/daemon/src/api/dispatch.rs
+++ b/crates/daemon/src/api/dispatch.rs
@@ -74,7 +74,7 @@
         if let Ok(permit) = api
             .requests
             .hints
-            .acquire_permit(&api.requests.base.log, choice, Purpose::NewWork, 0)
+            .acquire_permit(&api.requests.base.log, choice, Purpose::NewWork, 0, 0)
             .await
         {
             return Ok(permit);
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -7,7 +7,7 @@
 use bankcove_core::paths::ServerGroup;
 use bankcove_core::places::{PlaceRank, PlaceRequest};
 use bankcove_core::rollout::Versions;
-use bankcove_core::router::{Choice, FullPool, Homes, NoServer, Passed, RoutingRequest};
+use bankcove_core::router::{Choice, Homes, NoServer, Passed, RoutingRequest};
 use bankcove_core::stream_versions::{Binding, MAX_LIFE_MS, StreamKey};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Prompt, RequestHead};
@@ -46,37 +46,9 @@
 /// quarter of the goal is of little use to the caller.
 const GOAL_WAIT_DIVISOR: Millis = 4;
 
-/// Number of servers without a free slot after which a request waits to be granted one.
-const MAX_SLOT_REQUESTS: u32 = 4;
-
-/// Servers at which a request got no slot.
-#[derive(Debug, Default)]
-struct SlotDenials {
-    count: u32,
-    /// Time until which the request asks for no slot unless it is granted one.
-    waits_until: Millis,
-}
-
-impl SlotDenials {
-    fn record(&mut self, now: Millis, full: FullPool) {
-        self.count += 1;
-        if self.count >= MAX_SLOT_REQUESTS {
-            self.waits_until = now + full.first_ms;
-        }
-    }
-
-    /// Checks that the request may ask for a slot; `freed` is the server that has granted one.
-    ///
-    /// # Errors
-    /// [`NoServer::OnlyFull`] if it has to wait.
-    fn check(&self, now: Millis, freed: Option<&ServerInstance>) -> Result<(), NoServer> {
-        let first_ms = self.waits_until.saturating_sub(now);
-        if freed.is_some() || first_ms == 0 {
-            return Ok(());
-        }
-        Err(NoServer::OnlyFull(FullPool { first_ms }))
-    }
-}
+/// Maximum number of servers that one request asks for a slot. Those that have none to expect in time are
+/// most likely not alone.
+const MAX_SLOT_REQUESTS: u32 = 3;
 
 /// Request of a caller while it is served.
 pub struct Call {
@@ -240,19 +212,23 @@
     /// [`NoServer`] when no server is available.
     pub async fn acquire_server(&self) -> Result<Permit, NoServer> {
         let mut last_reason = NoServer::NoneUsable;
-        let mut denials = SlotDenials::default();
+        let mut slot_denials = 0;
         let mut permit_requests = 0;
         while permit_requests < MAX_PERMIT_REQUESTS {
-            let choice = self.choose_or_wait(&denials).await?;
+            let choice = self.choose_or_wait().await?;
             let hints = &self.entry.requests.hints;
             let rank = self.plan.urgency().rank;
-            match hints.acquire_permit(&self.log, choice, Purpose::NewWork, rank).await {
+            let (purpose, patience_ms) = (Purpose::NewWork, self.patience_ms());
+            match hints.acquire_permit(&self.log, choice, purpose, rank, patience_ms).await {
                 Ok(permit) => return Ok(permit),
                 Err(NoPermit::AtLimit(at_limit)) => last_reason = NoServer::OnlyLimited(at_limit),
                 // The router knows by now that this server is closed.
                 Err(NoPermit::Closed(_)) => {}
-                Err(NoPermit::Full(full)) => {
-                    denials.record(self.entry.requests.base.clock.now(), full);
+                Err(NoPermit::Full(_)) => {
+                    slot_denials += 1;
+                    if slot_denials >= MAX_SLOT_REQUESTS {
+                        return Err(self.refuse_as_full());
+                    }
                     continue;
                 }
             }
@@ -261,17 +237,21 @@
         Err(self.refuse_with_delay(last_reason))
     }
 
+    /// Returns the time until the route's goal or the deadline, in milliseconds: an answer that begins later
+    /// is of little use to the caller.
+    fn patience_ms(&self) -> Millis {
+        let until = self.deadline.min(self.goal_since.saturating_add(self.plan.route.goal_ms));
+        until.saturating_sub(self.entry.requests.base.clock.now())
+    }
+
     /// Chooses a server. While all are at their limits or resting, waits for the first one that
     /// becomes available, if that is soon enough.
-    async fn choose_or_wait(&self, denials: &SlotDenials) -> Result<Choice, NoServer> {
+    async fn choose_or_wait(&self) -> Result<Choice, NoServer> {
         let clock = &self.entry.requests.base.clock;
         let until =
             self.deadline.min(self.arrived_at + self.plan.route.goal_ms / GOAL_WAIT_DIVISOR);
         loop {
-            let choose = |freed: Option<&ServerInstance>| {
-                denials.check(clock.now(), freed)?;
-                self.choose(freed)
-            };
+            let choose = |freed: Option<&ServerInstance>| self.choose(freed);
             let chosen = self.entry.places.choose_in_turn(&self.applicant(), choose).await;
             let why = match chosen {
                 Ok(choice) => return Ok(choice),
--- a/crates/daemon/src/entry/places.rs
+++ b/crates/daemon/src/entry/places.rs
@@ -5,7 +5,7 @@
 //! the request from its queue.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Weak};
+use std::sync::Arc;
 
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::places::{FreedPlace, NoPlace, PlaceQueue, PlaceRequest, PlaceState, Ticket};
@@ -15,7 +15,7 @@
 use parking_lot::Mutex;
 use serde_json::{Value, json};
 use slog::Logger;
-use tokio::sync::{Notify, mpsc};
+use tokio::sync::Notify;
 
 use crate::requests::RequestContext;
 
@@ -104,13 +104,7 @@
 impl Places {
     /// Creates empty queues for at most `capacity` requests for each pool; 0 disables them.
     pub fn new(requests: Arc<RequestContext>, capacity: usize) -> Arc<Self> {
-        let places = Arc::new(Places { requests, capacity, pools: Mutex::default() });
-        if capacity > 0
-            && let Some(grants) = places.requests.hints.slots.take_grants()
-        {
-            tokio::spawn(call_for_grants(Arc::downgrade(&places), grants));
-        }
-        places
+        Arc::new(Places { requests, capacity, pools: Mutex::default() })
     }
 
     /// Records that a server has rejected a request because it is full. Returns whether the pool
@@ -284,24 +278,6 @@
         self.change(service, |now, queue| queue.record_freed(now, place.clone(), &room));
     }
 
-    /// Calls the next request after this daemon has got a slot at a brittle server. Without a waiting
-    /// request the slot is released at once.
-    fn record_granted(&self, server: ServerInstance) {
-        let (services, version) = {
-            let router = self.requests.router.lock();
-            let groups = router.groups_of(&server.name);
-            let services: Vec<Name> = groups.into_iter().map(|group| group.pool).collect();
-            (services, router.version_of(&server))
-        };
-        let place = FreedPlace { server, version };
-        let call = |service: &Name| {
-            self.change(service, |now, queue| queue.record_granted(now, place.clone()))
-        };
-        if !services.iter().any(|service| call(service).unwrap_or(false)) {
-            self.requests.hints.slots.decline_grant(&place.server);
-        }
-    }
-
     /// Logs and counts a refusal.
     fn refused(&self, applicant: &Applicant<'_>, no_place: NoPlace) -> NoServer {
         self.requests.base.metrics.count("places.refused");
@@ -316,19 +292,10 @@
 
     fn report_waiting(&self) {
         let waiting: usize = self.pools.lock().values().map(|pool| pool.queue.len()).sum();
-        self.requests.hints.slots.set_waiting(waiting);
         self.requests.base.metrics.set("places.waiting", waiting as u64);
     }
 }
 
-/// Calls waiting requests when slots are granted, until the queue of grants is closed.
-async fn call_for_grants(places: Weak<Places>, mut grants: mpsc::Receiver<ServerInstance>) {
-    while let Some(server) = grants.recv().await {
-        let Some(places) = places.upgrade() else { return };
-        places.record_granted(server);
-    }
-}
-
 impl Waiting<'_> {
     /// Waits until the request is called or refused, or the servers change.
     async fn wait(&self) -> WaitEnd {
--- a/crates/daemon/src/hints/permit.rs
+++ b/crates/daemon/src/hints/permit.rs
@@ -130,7 +130,8 @@
     }
 
     /// Acquires a permit for the chosen server. `log` adds the request's id; an `urgency` of 0 is
-    /// the most urgent. A server without a permit is not chosen again for some time.
+    /// the most urgent. The request waits for a slot of a brittle server for at most
+    /// `patience_ms`. A server without a permit is not chosen again for some time.
     ///
     /// # Errors
     /// [`NoPermit`] when no permit is available now.
@@ -140,12 +141,14 @@
         choice: Choice,
         purpose: Purpose,
         urgency: u32,
+        patience_ms: Millis,
     ) -> Result<Permit, NoPermit> {
         if let Err(closed) = self.check_choice(&choice, purpose) {
             slog::info!(log, "not sent there"; "server" => %choice.server, "why" => %closed);
             return Err(NoPermit::Closed(closed));
         }
-        let slot = self.slots.acquire(log, &choice, urgency).await.map_err(NoPermit::Full)?;
+        let slot = self.slots.acquire(log, &choice, urgency, patience_ms).await;
+        let slot = slot.map_err(NoPermit::Full)?;
         let mut permit = self.acquire_rate_permit(log, choice, purpose, urgency).await?;
         if self.slots.is_brittle(&permit.choice.instance()) {
             permit.slot_expires_at = self.fleet.base.clock.now() + PERMIT_LIFETIME_MS;
--- a/crates/daemon/src/hints/slots.rs
+++ b/crates/daemon/src/hints/slots.rs
@@ -5,12 +5,12 @@
 //! releases and renews slots. Without a brittle server no message is sent.
 
 mod issue;
-mod issuers;
+pub mod issuers;
 pub mod report;
 
 use std::collections::{HashMap, HashSet};
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::time::Duration;
 
 use bankcove_core::crashes::ServerInstance;
@@ -25,20 +25,15 @@
 
 use crate::fleet::Fleet;
 use crate::hints::silent_issuers::SilentIssuers;
+use crate::hints::slots::issue::WaitingRequests;
 use crate::peer::ReleasedSlot;
 
 /// Capacity of the queue of released slots. Leases of those that don't fit expire.
 const RELEASE_QUEUE_CAPACITY: usize = 4_096;
 
-/// Capacity of the queue of servers at which slots were granted to waiting requests.
-const GRANT_QUEUE_CAPACITY: usize = 1_024;
-
-/// Minimum time for which a server without a free slot counts as full while requests wait for a
-/// grant, in milliseconds: each request that asks again takes the issuer's time.
-const MIN_WAIT_MS: Millis = 150;
-
-/// Time for which a granted slot is kept for a waiting request.
-const GRANT_KEPT: Duration = Duration::from_millis(100);
+/// Longest wait of a request for a slot of one server, in milliseconds. An issuer that does not answer is
+/// replaced only after that.
+const MAX_PATIENCE_MS: Millis = 1_000;
 
 /// Slots of this daemon, and those that it issues.
 #[derive(Debug)]
@@ -56,20 +51,13 @@
     /// [`LimitTracker::digest`] after the last change.
     digest: AtomicU64,
     held: Mutex<HeldSlots>,
-    /// Slots that were granted to waiting requests and are not used yet.
-    granted: Mutex<Vec<(ServerInstance, SlotId)>>,
     issuer: Mutex<SlotIssuer>,
+    /// Requests that wait for slots of this issuer.
+    waiting: Mutex<WaitingRequests>,
     silent_issuers: SilentIssuers,
     /// Queue of released slots for [`report::spawn`].
     released: mpsc::Sender<ReleasedSlot>,
     release_receiver: Mutex<Option<mpsc::Receiver<ReleasedSlot>>>,
-    /// Servers at which slots were granted, for the queues of waiting requests.
-    grants: mpsc::Sender<ServerInstance>,
-    grant_receiver: Mutex<Option<mpsc::Receiver<ServerInstance>>>,
-    /// Whether requests of this daemon wait for slots.
-    waits: AtomicBool,
-    /// Number of waiting requests.
-    waiting: AtomicUsize,
     /// Notified when a server has become brittle.
     became_brittle: Notify,
 }
@@ -100,7 +88,6 @@
     /// Creates the state without brittle servers.
     pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>) -> Self {
         let (released, release_receiver) = mpsc::channel(RELEASE_QUEUE_CAPACITY);
-        let (grants, grant_receiver) = mpsc::channel(GRANT_QUEUE_CAPACITY);
         Slots {
             fleet,
             router,
@@ -110,28 +97,17 @@
             has_brittle: AtomicBool::new(false),
             digest: AtomicU64::new(0),
             held: Mutex::default(),
-            granted: Mutex::default(),
             issuer: Mutex::default(),
+            waiting: Mutex::default(),
             silent_issuers: SilentIssuers::default(),
             released,
             release_receiver: Mutex::new(Some(release_receiver)),
-            grants,
-            grant_receiver: Mutex::new(Some(grant_receiver)),
-            waits: AtomicBool::new(false),
-            waiting: AtomicUsize::new(0),
             became_brittle: Notify::new(),
         }
     }
 
-    /// Returns the receiver of the servers at which slots are granted to waiting requests; `None`
-    /// after the first call. From then on requests wait for slots.
-    pub fn take_grants(&self) -> Option<mpsc::Receiver<ServerInstance>> {
-        self.waits.store(true, Ordering::Relaxed);
-        self.grant_receiver.lock().take()
-    }
-
-    /// Acquires a slot at the chosen server. A server without a free slot counts as full for some
-    /// time.
+    /// Acquires a slot at the chosen server. Waits for at most `patience_ms`, and only if one is expected by
+    /// then. A server without a slot counts as full for some time.
     ///
     /// # Errors
     /// [`FullPool`] when no slot is free.
@@ -140,29 +116,26 @@
         log: &Logger,
         choice: &Choice,
         urgency: u32,
+        patience_ms: Millis,
     ) -> Result<HeldSlot, FullPool> {
         let server = choice.instance();
         let Some(borne) = self.borne(&server) else {
             let id = self.held.lock().next_id();
             return Ok(self.hold(server, id));
         };
-        if let Some(id) = self.take_granted(&server) {
-            return Ok(self.hold(server, id));
-        }
         let id = self.held.lock().next_id();
         let slots = self.router.lock().listed_slots(&server);
-        let waits = self.waits.load(Ordering::Relaxed);
-        let request = SlotRequest { from: self.fleet.base.incarnation, id, urgency, slots, waits };
+        let from = self.fleet.base.incarnation;
+        let request = SlotRequest { from, id, urgency, slots, waits: true };
         let asked_at = self.now();
-        let (issuer, answer) = self.ask_issuers(&server, borne, request).await;
+        let patience = Duration::from_millis(patience_ms.min(MAX_PATIENCE_MS));
+        let (issuer, answer) = self.ask_issuers(&server, borne, request, patience).await;
         self.fleet.base.metrics.time("slot.ask_ms", self.now().saturating_sub(asked_at));
         let retry_ms = match answer {
             SlotAnswer::Granted => return Ok(self.hold(server, id)),
             SlotAnswer::Denied { retry_ms } => retry_ms,
         };
-        // A grant removes the mark.
-        let marked_ms = if waits { retry_ms.max(MIN_WAIT_MS) } else { retry_ms };
-        self.router.lock().mark_full(&server, self.now() + marked_ms);
+        self.router.lock().mark_full(&server, self.now() + retry_ms);
         self.fleet.base.metrics.count("slot.denied");
         slog::info!(log, "no slot at the server"; "server" => %server.name, "issuer" => issuer,
             "borne_per_s" => borne.per_second(), "retry_ms" => retry_ms);
@@ -174,57 +147,6 @@
         self.borne(server).is_some()
     }
 
-    /// Sets the number of requests that wait for places.
-    pub fn set_waiting(&self, waiting: usize) {
-        self.waiting.store(waiting, Ordering::Relaxed);
-    }
-
-    /// Accepts a slot that was granted to a waiting request; returns whether one may still use it.
-    pub fn accept_grant(self: &Arc<Self>, server: &ServerInstance, id: SlotId) -> bool {
-        {
-            let mut router = self.router.lock();
-            if !router.is_current_instance(&server.name, server.started_ms) {
-                return false;
-            }
-            router.clear_full(server);
-        }
-        if self.waiting.load(Ordering::Relaxed) == 0 {
-            return false;
-        }
-        self.granted.lock().push((server.clone(), id));
-        self.held.lock().add(server, id);
-        if self.grants.try_send(server.clone()).is_err() {
-            self.drop_granted(server, id);
-            return false;
-        }
-        let (slots, server) = (Arc::clone(self), server.clone());
-        tokio::spawn(async move {
-            tokio::time::sleep(GRANT_KEPT).await;
-            slots.release_granted(&server, id);
-        });
-        true
-    }
-
-    /// Releases a slot that was granted at this server, because no request waits.
-    pub fn decline_grant(&self, server: &ServerInstance) {
-        if let Some(id) = self.granted_at(server) {
-            self.release_granted(server, id);
-        }
-    }
-
-    /// Releases a granted slot, unless it is used.
-    fn release_granted(&self, server: &ServerInstance, id: SlotId) {
-        if self.drop_granted(server, id) {
-            self.fleet.base.metrics.count("slot.grant_unused");
-            self.queue_release(server, id, false);
-        }
-    }
-
-    fn granted_at(&self, server: &ServerInstance) -> Option<SlotId> {
-        let granted = self.granted.lock();
-        granted.iter().find(|(known, _)| known == server).map(|(_, id)| *id)
-    }
-
     /// Records the rejection limit in a response to a request sent at `sent_at`; returns the fact for
     /// peers if it has changed.
     pub(super) fn record_response(
@@ -323,26 +245,6 @@
         }
     }
 
-    /// Takes a slot that was granted at this server.
-    fn take_granted(&self, server: &ServerInstance) -> Option<SlotId> {
-        let mut granted = self.granted.lock();
-        let index = granted.iter().position(|(known, _)| known == server)?;
-        Some(granted.swap_remove(index).1)
-    }
-
-    /// Forgets a granted slot; returns whether it was unused.
-    fn drop_granted(&self, server: &ServerInstance, id: SlotId) -> bool {
-        let mut granted = self.granted.lock();
-        let before = granted.len();
-        granted.retain(|(known, known_id)| (known, *known_id) != (server, id));
-        let is_unused = granted.len() < before;
-        drop(granted);
-        if is_unused {
-            self.held.lock().remove(server, id);
-        }
-        is_unused
-    }
-
     /// Returns how many rejections a second a server bears; `None` if any number. A server that has
     /// not answered yet is presumed to be like the others of its pool.
     fn borne(&self, server: &ServerInstance) -> Option<RequestRate> {
--- a/crates/daemon/src/hints/slots/issue.rs
+++ b/crates/daemon/src/hints/slots/issue.rs
@@ -1,39 +1,91 @@
 //! Issues slots to peers and to this daemon.
 
+use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
-use bankcove_core::Incarnation;
 use bankcove_core::crashes::ServerInstance;
 use bankcove_core::limits::RequestRate;
-use bankcove_core::members::Peer;
-use bankcove_core::slot_leases::{Grant, SlotAnswer, SlotId, SlotRequest};
+use bankcove_core::slot_leases::{Grant, Requested, SlotAnswer, SlotId, SlotRequest};
+use bankcove_core::{Incarnation, Millis};
+use tokio::sync::oneshot;
 
 use crate::hints::slots::Slots;
-use crate::hints::slots::issuers::SLOT_TIMEOUT;
-use crate::peer::{PeerServiceClient, ReleasedSlot, SlotRenewal};
+use crate::peer::{ReleasedSlot, SlotRenewal};
+
+/// Requests that wait for slots of an issuer, by server and by the grant that ends their wait.
+pub(super) type WaitingRequests = HashMap<(ServerInstance, Grant), oneshot::Sender<()>>;
+
+/// Wait of a request for a slot. If it is dropped before the request is answered, because the daemon that
+/// has sent the request no longer needs a slot, the wait or the lease ends.
+struct WaitingRequest<'a> {
+    slots: &'a Arc<Slots>,
+    server: &'a ServerInstance,
+    grant: Grant,
+    is_answered: bool,
+}
+
+impl Drop for WaitingRequest<'_> {
+    fn drop(&mut self) {
+        self.slots.waiting.lock().remove(&(self.server.clone(), self.grant));
+        if !self.is_answered {
+            self.slots.end_lease(self.server, self.grant.to, self.grant.id, false);
+        }
+    }
+}
+
+impl WaitingRequest<'_> {
+    /// Waits until the request is granted a slot, at most until this time; returns its answer.
+    async fn wait(mut self, granted: oneshot::Receiver<()>, until: Millis) -> SlotAnswer {
+        let clock = &self.slots.fleet.base.clock;
+        // The answer says whether it was granted one.
+        let _granted = clock.timeout_at(until, granted).await;
+        let now = self.slots.now();
+        let answer = self.slots.issuer.lock().end_wait(now, self.server, self.grant);
+        self.is_answered = true;
+        answer
+    }
+}
 
 impl Slots {
     /// Leases a slot to a peer; `None` if this daemon is not an issuer of the server.
-    pub fn issue(
+    pub async fn issue(
         self: &Arc<Self>,
         server: &ServerInstance,
         borne: RequestRate,
         request: SlotRequest,
+        patience: Duration,
     ) -> Option<SlotAnswer> {
-        self.is_issuer(server).then(|| self.issue_locally(server, borne, request))
+        if !self.is_issuer(server) {
+            return None;
+        }
+        Some(self.issue_locally(server, borne, request, patience).await)
     }
 
-    /// Leases a slot.
-    pub(super) fn issue_locally(
+    /// Leases a slot; the request waits for it if it can expect one in time.
+    pub(super) async fn issue_locally(
         self: &Arc<Self>,
         server: &ServerInstance,
         borne: RequestRate,
         request: SlotRequest,
+        patience: Duration,
     ) -> SlotAnswer {
+        let grant = Grant { to: request.from, id: request.id };
+        let (granted_tx, granted) = oneshot::channel();
+        // Registered before it can be granted a slot.
+        self.waiting.lock().insert((server.clone(), grant), granted_tx);
+        let mut waiting = WaitingRequest { slots: self, server, grant, is_answered: false };
         let now = self.now();
-        let (answer, grants) = self.issuer.lock().request(now, server, borne, request);
+        let until = now + patience.as_millis() as Millis;
+        let (requested, grants) = self.issuer.lock().request(now, server, borne, request, until);
         self.send_grants(server, grants);
-        answer
+        match requested {
+            Requested::Answered(answer) => {
+                waiting.is_answered = true;
+                answer
+            }
+            Requested::Waiting(until) => waiting.wait(granted, until).await,
+        }
     }
 
     /// Grants slots that have come free with time.
@@ -83,35 +135,15 @@
         self.send_grants(server, grants);
     }
 
-    /// Sends grants to the daemons that wait for slots of this server.
+    /// Answers the requests that are granted slots of this server.
     fn send_grants(self: &Arc<Self>, server: &ServerInstance, grants: Vec<Grant>) {
         for grant in grants {
             self.fleet.base.metrics.count("slot.granted_late");
-            let (slots, server) = (Arc::clone(self), server.clone());
-            tokio::spawn(async move {
-                if !slots.send_grant(&server, grant).await {
-                    slots.fleet.base.metrics.count("slot.grant_declined");
-                    slots.end_lease(&server, grant.to, grant.id, false);
-                }
-            });
+            let waiting = self.waiting.lock().remove(&(server.clone(), grant));
+            if waiting.is_none_or(|granted| granted.send(()).is_err()) {
+                self.fleet.base.metrics.count("slot.grant_declined");
+                self.end_lease(server, grant.to, grant.id, false);
+            }
         }
     }
-
-    /// Sends a grant; returns whether it was accepted.
-    async fn send_grant(self: &Arc<Self>, server: &ServerInstance, grant: Grant) -> bool {
-        if grant.to == self.fleet.base.incarnation {
-            return self.accept_grant(server, grant.id);
-        }
-        let Some(peer) = self.peer(grant.to) else { return false };
-        let server = server.clone();
-        let call = |client: PeerServiceClient, cx| async move {
-            client.slot_granted(cx, server, grant.id).await
-        };
-        self.fleet.base.peers.call(&peer.address, SLOT_TIMEOUT, call).await.unwrap_or(false)
-    }
-
-    fn peer(&self, incarnation: Incarnation) -> Option<Peer> {
-        let members = self.fleet.members.lock();
-        members.peers().find(|peer| peer.incarnation == Some(incarnation)).cloned()
-    }
 }
--- a/crates/daemon/src/hints/slots/issuers.rs
+++ b/crates/daemon/src/hints/slots/issuers.rs
@@ -1,7 +1,7 @@
 //! Finds the issuer of a server's slots, and asks it for one.
 
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bankcove_core::Millis;
 use bankcove_core::crashes::ServerInstance;
@@ -9,14 +9,15 @@
 use bankcove_core::members::Peer;
 use bankcove_core::slot_leases::{SLOT_ISSUERS, SlotAnswer, SlotRequest};
 use tokio::sync::oneshot;
+use tokio_util::sync::CancellationToken;
 
 use crate::hints::slots::Slots;
 use crate::peer::PeerServiceClient;
 
-/// Time for which a caller's request waits for an issuer.
-const MAX_WAIT: Duration = Duration::from_millis(250);
+/// Time for which a caller's request waits for the answer of an issuer, beside the wait for a slot.
+const ANSWER_WAIT: Duration = Duration::from_millis(250);
 
-/// Timeout of calls about slots. An issuer is skipped only when it does not answer for so long: a
+/// Timeout of calls about slots, beside the wait for a slot. An issuer is skipped only when it does not answer for so long: a
 /// host that is short of processor time answers late, and two issuers of a server that don't know
 /// of each other lease more slots than it has.
 pub(super) const SLOT_TIMEOUT: Duration = Duration::from_millis(500);
@@ -35,15 +36,19 @@
         server: &ServerInstance,
         borne: RequestRate,
         request: SlotRequest,
+        patience: Duration,
     ) -> (String, SlotAnswer) {
         let Some(hosts) = self.fleet.size() else {
             return ("unknown fleet".to_owned(), NO_ANSWER);
         };
         for issuer in self.responsive_issuers(server) {
             let Some(peer) = issuer else {
-                return ("here".to_owned(), self.issue_locally(server, borne, request));
+                return (
+                    "here".to_owned(),
+                    self.issue_locally(server, borne, request, patience).await,
+                );
             };
-            if let Some(answer) = self.ask_peer(&peer, server, borne, request).await {
+            if let Some(answer) = self.ask_peer(&peer, server, borne, request, patience).await {
                 return (peer.name.to_string(), answer);
             }
         }
@@ -53,37 +58,46 @@
         // Cut off from all hosts, each may use its part of the slots.
         let slots = (request.slots / hosts.max(1) as u32).max(1);
         let request = SlotRequest { slots, ..request };
-        ("alone".to_owned(), self.issue_locally(server, borne, request))
+        ("alone".to_owned(), self.issue_locally(server, borne, request, patience).await)
     }
 
     /// Requests a slot from a peer; `None` if it can't be reached. A slot that is leased later than the
-    /// request waits for goes to another request.
+    /// request waits for is released, and the wait of a request that is dropped ends.
     async fn ask_peer(
         self: &Arc<Self>,
         peer: &Peer,
         server: &ServerInstance,
         borne: RequestRate,
         request: SlotRequest,
+        patience: Duration,
     ) -> Option<SlotAnswer> {
         let (answer_tx, answer_rx) = oneshot::channel();
+        let given_up = CancellationToken::new();
+        let call_guard = given_up.clone().drop_guard();
         let (slots, peer, server) = (Arc::clone(self), peer.clone(), server.clone());
         tokio::spawn(async move {
             let asked = server.clone();
             let call = |client: PeerServiceClient, cx| async move {
                 client.slot(cx, asked, borne, request).await
             };
-            let answer = slots.fleet.base.peers.call(&peer.address, SLOT_TIMEOUT, call).await;
+            let timeout = patience + SLOT_TIMEOUT;
+            let answer = tokio::select! {
+                answer = slots.fleet.base.peers.call(&peer.address, timeout, call) => answer,
+                // The issuer ends the wait, or else the lease.
+                () = given_up.cancelled() => return slots.queue_release(&server, request.id, false),
+            };
             if answer.is_none() {
                 slots.mark_unresponsive(&peer);
             }
             let answer = answer.map(|answer| answer.unwrap_or(NO_ANSWER));
-            if answer_tx.send(answer) == Err(Some(SlotAnswer::Granted))
-                && !slots.accept_grant(&server, request.id)
-            {
+            if answer_tx.send(answer) == Err(Some(SlotAnswer::Granted)) {
                 slots.queue_release(&server, request.id, false);
             }
         });
-        match tokio::time::timeout(MAX_WAIT, answer_rx).await {
+        let answer = tokio::time::timeout(patience + ANSWER_WAIT, answer_rx).await;
+        // Whether the issuer answers at all is still of interest.
+        call_guard.disarm();
+        match answer {
             Ok(answer) => answer.ok().flatten(),
             Err(_) => Some(NO_ANSWER),
         }
@@ -120,3 +134,8 @@
         self.fleet.members.lock().owners_including_silent(server.key(), SLOT_ISSUERS)
     }
 }
+
+/// Returns the time for which a request whose call has this deadline may wait for a slot.
+pub fn patience(deadline: Instant) -> Duration {
+    deadline.saturating_duration_since(Instant::now()).saturating_sub(SLOT_TIMEOUT)
+}
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -213,14 +213,13 @@
     /// the sender.
     async fn permits(fact: LimitFact, request: PermitRequest) -> PermitAnswer;
     /// Requests a slot of a server, which bears `borne` rejections a second, from the receiver as its
-    /// issuer. `None` if the receiver is not its issuer.
+    /// issuer. The answer comes when a slot is free, if that is expected some time before the deadline of
+    /// the call. `None` if the receiver is not its issuer.
     async fn slot(
         server: ServerInstance,
         borne: RequestRate,
         request: SlotRequest,
     ) -> Option<SlotAnswer>;
-    /// Grants the receiver a slot that it waits for. Returns whether it still does.
-    async fn slot_granted(server: ServerInstance, id: SlotId) -> bool;
     /// Releases slots that the receiver has issued to `from`.
     async fn release_slots(from: Incarnation, released: Vec<ReleasedSlot>);
     /// Renews the leases of `from` with the receiver as their issuer.
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -13,7 +13,7 @@
 use bankcove_core::request_log::{Entry, Outcome};
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
-use bankcove_core::slot_leases::{SlotAnswer, SlotId, SlotRequest};
+use bankcove_core::slot_leases::{SlotAnswer, SlotRequest};
 use bankcove_core::stream_versions::{AdmittedVersions, StreamAnswer, StreamKey};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use futures::StreamExt;
@@ -28,6 +28,7 @@
 use crate::budget::{collect, owner, statement};
 use crate::daemon::Daemon;
 use crate::error::Result;
+use crate::hints::slots::issuers;
 use crate::membership;
 use crate::peer::packed_list::PackedList;
 use crate::peer::packed_table::PackedTable;
@@ -195,16 +196,13 @@
 
     async fn slot(
         self,
-        _: Context,
+        cx: Context,
         server: ServerInstance,
         borne: RequestRate,
         request: SlotRequest,
     ) -> Option<SlotAnswer> {
-        self.daemon.hints.slots.issue(&server, borne, request)
-    }
-
-    async fn slot_granted(self, _: Context, server: ServerInstance, id: SlotId) -> bool {
-        self.daemon.hints.slots.accept_grant(&server, id)
+        let patience = issuers::patience(cx.deadline);
+        self.daemon.hints.slots.issue(&server, borne, request, patience).await
     }
 
     async fn release_slots(self, _: Context, from: Incarnation, released: Vec<ReleasedSlot>) {
