Slots: a request that does not wait names the present as its limit

SlotRequest said whether the request waits, and the issuer was given the time until which; the time alone says both.

--- a/crates/core/src/slot_leases/issuer.rs
+++ b/crates/core/src/slot_leases/issuer.rs
@@ -1,7 +1,7 @@
 //! Leases the slots of brittle servers to daemons.
 //!
-//! A request that finds no free slot may wait for one for a short time: the next slot that comes free is
-//! granted to the most urgent waiting request. Leases of daemons that stop renewing them expire. An issuer that takes
+//! A request that finds no free slot may wait for one: the next slot that comes free is granted to the
+//! most urgent waiting request. Leases of daemons that stop renewing them expire. An issuer that takes
 //! over from another one learns of its leases when the daemons renew them; until then the bound of
 //! the window rises slowly.
 
@@ -40,8 +40,6 @@
     pub urgency: u32,
     /// Slots of the server by its listing; 0 if unknown.
     pub slots: u32,
-    /// Whether the request waits if there is none.
-    pub waits: bool,
 }
 
 /// Answer to a [`SlotRequest`].
@@ -142,7 +140,7 @@
             return (Requested::Answered(SlotAnswer::Granted), grants);
         }
         let expected_ms = server.expected_wait_ms(now, urgency);
-        if request.waits && now as f64 + expected_ms < until as f64 {
+        if now as f64 + expected_ms < until as f64 {
             return (Requested::Waiting(until), grants);
         }
         server.stop_waiting(grant);
--- a/crates/core/tests/brittle_servers.rs
+++ b/crates/core/tests/brittle_servers.rs
@@ -182,7 +182,7 @@
         if self.servers[n].known_at.is_some_and(|at| now >= at) {
             let from = Incarnation(host as u64);
             let slots = SLOTS as u32;
-            let request = SlotRequest { from, id, urgency: 0, slots, waits: false };
+            let request = SlotRequest { from, id, urgency: 0, slots };
             let issuer = self.issuer(now, host);
             let (requested, _) = issuer.request(now, &instance(n), borne(), request, now);
             if let Requested::Answered(SlotAnswer::Denied { retry_ms }) = requested {
@@ -359,13 +359,7 @@
 #[test]
 fn the_bound_ends_with_the_announcement_and_with_the_start() {
     let mut issuer = SlotIssuer::default();
-    let request = |id| SlotRequest {
-        from: Incarnation(1),
-        id: SlotId(id),
-        urgency: 0,
-        slots: 1,
-        waits: false,
-    };
+    let request = |id| SlotRequest { from: Incarnation(1), id: SlotId(id), urgency: 0, slots: 1 };
     let is_granted = |issuer: &mut SlotIssuer, server: &ServerInstance, id| {
         let requested = issuer.request(0, server, borne(), request(id), 0).0;
         requested == Requested::Answered(SlotAnswer::Granted)
--- a/crates/core/tests/slot_leases.rs
+++ b/crates/core/tests/slot_leases.rs
@@ -21,13 +21,13 @@
 
 /// Requests a slot of a server with this many slots; returns whether it is leased at once.
 fn is_leased(issuer: &mut SlotIssuer, now: Millis, from: u64, id: u64, slots: u32) -> bool {
-    let request = SlotRequest { waits: false, ..request(from, id, slots, 0) };
-    let (requested, _) = issuer.request(now, &server(), borne(5.0), request, UNTIL);
+    let request = request(from, id, slots, 0);
+    let (requested, _) = issuer.request(now, &server(), borne(5.0), request, now);
     requested == Requested::Answered(SlotAnswer::Granted)
 }
 
 fn request(from: u64, id: u64, slots: u32, urgency: u32) -> SlotRequest {
-    SlotRequest { from: Incarnation(from), id: SlotId(id), urgency, slots, waits: true }
+    SlotRequest { from: Incarnation(from), id: SlotId(id), urgency, slots }
 }
 
 /// Requests the only slot of a server until `until`; returns whether the request waits for it.
@@ -192,8 +192,8 @@
             let grants = match step {
                 Step::Request { from, waits } => {
                     id += 1;
-                    let own = SlotRequest { waits, ..request(from, id, slots, 0) };
-                    let until = now + 600;
+                    let own = request(from, id, slots, 0);
+                    let until = if waits { now + 600 } else { now };
                     let (requested, grants) =
                         issuer.request(now, &server(), borne(5.0), own, until);
                     if requested == Requested::Answered(SlotAnswer::Granted) {
--- a/crates/daemon/src/hints/slots.rs
+++ b/crates/daemon/src/hints/slots.rs
@@ -32,7 +32,7 @@
 const RELEASE_QUEUE_CAPACITY: usize = 4_096;
 
 /// Longest wait of a request for a slot of one server, in milliseconds. An issuer that does not answer is
-/// replaced only after that.
+/// skipped only after that.
 const MAX_PATIENCE_MS: Millis = 1_000;
 
 /// Slots of this daemon, and those that it issues.
@@ -126,7 +126,7 @@
         let id = self.held.lock().next_id();
         let slots = self.router.lock().listed_slots(&server);
         let from = self.fleet.base.incarnation;
-        let request = SlotRequest { from, id, urgency, slots, waits: true };
+        let request = SlotRequest { from, id, urgency, slots };
         let asked_at = self.now();
         let patience = Duration::from_millis(patience_ms.min(MAX_PATIENCE_MS));
         let (issuer, answer) = self.ask_issuers(&server, borne, request, patience).await;
--- a/crates/daemon/src/hints/slots/issuers.rs
+++ b/crates/daemon/src/hints/slots/issuers.rs
@@ -17,9 +17,9 @@
 /// Time for which a caller's request waits for the answer of an issuer, beside the wait for a slot.
 const ANSWER_WAIT: Duration = Duration::from_millis(250);
 
-/// Timeout of calls about slots, beside the wait for a slot. An issuer is skipped only when it does not answer for so long: a
-/// host that is short of processor time answers late, and two issuers of a server that don't know
-/// of each other lease more slots than it has.
+/// Timeout of calls about slots, beside the wait for a slot. An issuer is skipped only when it does not
+/// answer for so long: a host that is short of processor time answers late, and two issuers of a server
+/// that don't know of each other lease more slots than it has.
 pub(super) const SLOT_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Delay after which a daemon asks again whose issuer answers late or does not know that it is one,
@@ -43,10 +43,8 @@
         };
         for issuer in self.responsive_issuers(server) {
             let Some(peer) = issuer else {
-                return (
-                    "here".to_owned(),
-                    self.issue_locally(server, borne, request, patience).await,
-                );
+                let answer = self.issue_locally(server, borne, request, patience).await;
+                return ("here".to_owned(), answer);
             };
             if let Some(answer) = self.ask_peer(&peer, server, borne, request, patience).await {
                 return (peer.name.to_string(), answer);
