--- a/crates/core/tests/slot_leases.rs
+++ b/crates/core/tests/slot_leases.rs
@@ -134,6 +134,7 @@
 fn the_bound_falls_to_what_the_server_takes() {
     const TAKEN: usize = 2;
     const LISTED: u32 = 32;
+    const MAX_WAIT: Millis = 600;
     let mut issuer = SlotIssuer::default();
     let mut open: Vec<u64> = Vec::new();
     let mut rejections: Vec<Millis> = Vec::new();
@@ -144,7 +145,10 @@
         // Until 10 s the server takes as many as it lists.
         let taken = if now < 10_000 { LISTED as usize } else { TAKEN };
         let id = now + 1;
-        if !is_leased(&mut issuer, now, 1, id, LISTED) {
+        // Requests that wait are given up before they use their slots, whose leases expire.
+        let waiting = request(1, id, LISTED, 0);
+        let (requested, _) = issuer.request(now, &server(), borne(5.0), waiting, now + MAX_WAIT);
+        if requested != Requested::Answered(SlotAnswer::Granted) {
             continue;
         }
         if open.len() < taken {
@@ -162,6 +166,32 @@
     assert!(stats(&issuer, 60_000).limit >= TAKEN as u32 - 1);
 }
 
+/// Guards against a bound that is raised again and again at a server whose room changes.
+#[test]
+fn the_bound_is_raised_rarely_enough_for_what_the_server_bears() {
+    const CHANGE_INTERVAL: Millis = 1_000;
+    let mut issuer = SlotIssuer::default();
+    let mut open: Vec<u64> = Vec::new();
+    let mut rejections = 0;
+    for now in 0..60_000 {
+        if now % 50 == 0 {
+            open.drain(..).for_each(|id| _ = release(&mut issuer, now, 1, id, false));
+        }
+        let taken = if now / CHANGE_INTERVAL % 2 == 0 { 8 } else { 2 };
+        if !is_leased(&mut issuer, now, 1, now, 8) {
+            continue;
+        }
+        if open.len() < taken {
+            open.push(now);
+        } else {
+            rejections += 1;
+            release(&mut issuer, now, 1, now, true);
+        }
+    }
+    // A fifth of the five rejections that it bears in each second.
+    assert!(rejections <= 60, "{rejections} rejections in a minute");
+}
+
 #[derive(Debug, Clone, Copy)]
 enum Step {
     Request { from: u64, waits: bool },
