--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -3,7 +3,7 @@
 # TROUBLE=0 does the same without the disruption.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
-case_name=case2
+case_name=endless_event
 program="$root/review/standins/target/release/$case_name"
 [ -x "$program" ] && [ -x "$root/target/release/bankcoved" ] || exit 2
 folder=$(mktemp -d) || exit 2
