--- a/review/standins/src/bin/silent_store.rs
+++ b/review/standins/src/bin/silent_store.rs
@@ -1,9 +1,12 @@
-//! Open connections to the store go silent for good, while new ones work. Meanwhile one runner's
-//! entry is removed without its ever saying `draining`, and another runner says `draining`, each as
-//! a planned end. Both serve on for many seconds; the first one then ends.
+//! A daemon's own connections to the store fail while runners leave.
 //!
-//! Checked: no machine in touch sends a request so that it reaches one of the two more than
-//! `drain-ms` after the store, which is stable all the time, has acknowledged its leaving (DRAIN).
+//! First the waiting watches are cut as the entry of a runner is removed. Later all open connections
+//! to the store go silent for good, while new ones work; meanwhile the entry of a second runner is
+//! removed, and a third one says `draining`. The first two never say `draining`. All serve on for many
+//! seconds; the second one then ends.
+//!
+//! Checked: no machine in touch sends a request so that it reaches one of them more than `drain-ms`
+//! after the store, which is stable all the time, has acknowledged its leaving (DRAIN).
 
 use std::path::Path;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -21,12 +24,13 @@
 
 const HOST: &str = "ficu95.example";
 const ZONES: [&str; 3] = ["vaasa-keskus", "seinajoki", "kokkola"];
-/// Services of the runners; the first runner is removed, the second drains.
-const RUNNERS: [&str; 8] = ["app", "app", "app", "app", "llm", "llm", "llm", "llm"];
+/// Services of the runners, and those runners that leave.
+const RUNNERS: [&str; 9] = ["app", "app", "app", "app", "app", "llm", "llm", "llm", "llm"];
 const REMOVED: usize = 0;
 const DRAINING: usize = 1;
+const REMOVED_AT_CUT: usize = 2;
 const TENANTS: u64 = 10;
-const CLIENTS_PER_DAEMON: usize = 16;
+const CLIENTS_PER_DAEMON: usize = 28;
 /// Bounds of the site, in milliseconds.
 const CONTACT_MS: f64 = 3_000.0;
 const DRAIN_MS: f64 = 2_000.0;
@@ -149,7 +153,7 @@
             },
         };
         let id = format!("{:016x}", random.next());
-        let is_stream = random.next() % 2 == 0;
+        let is_stream = random.next() % 3 == 0;
         let path = if is_stream { "/stream/2f" } else { "/confirm/2f" };
         let prompt = "X-Model: m\r\nX-Token-Count: 400,100\r\nX-Prefix-Hash: 5c1e07a2:200,91bd3f06:200\r\n";
         let text = format!(
@@ -252,7 +256,7 @@
     tokio::time::sleep(Duration::from_secs(3)).await;
     let seed = u64::from(std::process::id());
     record.say(&format!("clients begin, seed {seed}, trouble {}", has_trouble()));
-    let until = Instant::now() + Duration::from_secs(24);
+    let until = Instant::now() + Duration::from_secs(28);
     let mut clients = Vec::new();
     for (n, host) in hosts.iter().enumerate() {
         for c in 0..CLIENTS_PER_DAEMON {
@@ -260,7 +264,16 @@
             clients.push(tokio::spawn(client(host.front.clone(), seed, until, Arc::clone(&record), Arc::clone(&sent))));
         }
     }
-    tokio::time::sleep(Duration::from_secs(12)).await;
+    tokio::time::sleep(Duration::from_secs(5)).await;
+    let (at_cut, _) = &runners[REMOVED_AT_CUT];
+    if has_trouble() {
+        store.remove_and_cut("servers", &at_cut.id);
+    } else {
+        store.remove("servers", &at_cut.id);
+    }
+    let left_at_cut = record.now();
+    record.say(&format!("acknowledged: the entry of runner {} is removed; waiting watches are cut: {}", at_cut.id, has_trouble()));
+    tokio::time::sleep(Duration::from_secs(10)).await;
     let silenced = record.now();
     if has_trouble() {
         let count = store.silence();
@@ -293,7 +306,12 @@
     // touch. The store has no disruption.
     let in_touch_from = if has_trouble() { silenced + CONTACT_MS } else { 0.0 };
     let mut broken = 0;
-    for (runner, what) in [(removed, "removed"), (draining, "draining")] {
+    let leaving = [
+        (at_cut, "removed at the cut", left_at_cut, 0.0),
+        (removed, "removed", left, in_touch_from),
+        (draining, "draining", left, in_touch_from),
+    ];
+    for (runner, what, left, in_touch_from) in leaving {
         let here: Vec<&Arrival> = arrivals.iter().filter(|arrival| arrival.runner == runner.id).collect();
         let before = here.iter().filter(|arrival| arrival.at < left).count();
         let last = here.iter().map(|arrival| arrival.at - left).fold(f64::MIN, f64::max);
@@ -306,11 +324,11 @@
             late += 1;
             lost += u32::from(request.status != "200");
             record.line(&format!(
-                "DRAIN broken: {} reaches the {what} runner {} {:.0} ms after the acknowledgement; it was sent {:.0} ms after the silence began, and its client gets {}",
+                "DRAIN broken: {} reaches the runner {} ({what}) {:.0} ms after the acknowledgement; it was sent {:.0} ms after the silence begins, and its client gets {}",
                 arrival.request, runner.id, arrival.at - left, request.at - silenced, request.status));
         }
         record.say(&format!(
-            "{what} runner {}: {before} requests before, the last one {last:.0} ms after the acknowledgement; DRAIN broken by {late} requests of machines in touch, {lost} of them not answered with 200",
+            "runner {} ({what}): {before} requests before, the last one {last:.0} ms after the acknowledgement; DRAIN broken by {late} requests of machines in touch, {lost} of them not answered with 200",
             runner.id));
         if before == 0 {
             return COULD_NOT_RUN;
--- a/review/standins/src/store.rs
+++ b/review/standins/src/store.rs
@@ -69,6 +69,8 @@
     epoch: AtomicU64,
     /// Open connections of the current epoch.
     open: AtomicU64,
+    /// How many times waiting watches were cut.
+    cuts: AtomicU64,
 }
 
 impl Store {
@@ -81,6 +83,7 @@
             changed: Notify::new(),
             epoch: AtomicU64::new(0),
             open: AtomicU64::new(0),
+            cuts: AtomicU64::new(0),
         });
         let shared = Arc::clone(&store);
         tokio::spawn(async move {
@@ -103,6 +106,16 @@
         self.changed.notify_waiters();
     }
 
+    /// Removes an object, and cuts the watches that wait: their connections are closed.
+    pub fn remove_and_cut(&self, kind: &str, name: &str) {
+        {
+            let mut state = self.state.lock().expect("lock");
+            self.cuts.fetch_add(1, Ordering::SeqCst);
+            state.remove(kind, name);
+        }
+        self.changed.notify_waiters();
+    }
+
     /// Returns the specs of all objects of a kind.
     pub fn specs(&self, kind: &str) -> Vec<(String, Value)> {
         let state = self.state.lock().expect("lock");
@@ -133,7 +146,11 @@
             if self.epoch.load(Ordering::SeqCst) != epoch {
                 std::future::pending::<()>().await;
             }
+            let cuts = self.cuts.load(Ordering::SeqCst);
             let bytes = self.answer(&req).await;
+            if req.query("watch").is_some() && self.cuts.load(Ordering::SeqCst) != cuts {
+                return;
+            }
             tokio::time::sleep(ANSWER_TIME).await;
             if self.epoch.load(Ordering::SeqCst) != epoch {
                 std::future::pending::<()>().await;
@@ -202,12 +219,16 @@
 
     async fn watch(&self, kind: &str, after: u64, wait_ms: u64) -> Value {
         let until = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
+        let cuts = self.cuts.load(Ordering::SeqCst);
         loop {
             let changed = self.changed.notified();
             tokio::pin!(changed);
             changed.as_mut().enable();
             {
                 let state = self.state.lock().expect("lock");
+                if self.cuts.load(Ordering::SeqCst) != cuts {
+                    return Value::Null;
+                }
                 let events: Vec<&Value> = state
                     .events
                     .iter()
