--- a/crates/daemon/src/api.rs
+++ b/crates/daemon/src/api.rs
@@ -17,6 +17,7 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 
 use bankcove_core::AttemptId;
+use bankcove_ports::Connections;
 use salvo::Depot;
 
 use crate::bill::billing::Billing;
@@ -28,8 +29,8 @@
     pub requests: Arc<RequestContext>,
     /// Bills and other request log entries that wait for the store.
     pub billing: Arc<Billing>,
-    /// HTTP client with the connections to backend servers.
-    pub http: reqwest::Client,
+    /// Connections to backend servers.
+    pub connections: Connections,
     attempts: AtomicU64,
 }
 
@@ -38,9 +39,9 @@
     pub fn new(
         requests: Arc<RequestContext>,
         billing: Arc<Billing>,
-        http: reqwest::Client,
+        connections: Connections,
     ) -> Arc<Self> {
-        Arc::new(Api { requests, billing, http, attempts: AtomicU64::new(0) })
+        Arc::new(Api { requests, billing, connections, attempts: AtomicU64::new(0) })
     }
 
     /// Returns the identifier for a new attempt.
--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -11,7 +11,7 @@
 use bankcove_core::{AttemptId, Fingerprint, Millis, Name, Tokens};
 use bytes::Bytes;
 use reqwest::header::{DATE, RETRY_AFTER};
-use reqwest::{Method, Response, StatusCode};
+use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
 use serde_json::Value;
 
@@ -25,6 +25,10 @@
 /// Cancellations of a run and load reports don't count as requests.
 const LIMIT_HEADER: &str = "x-requests-per-second";
 
+/// Header of requests with the identifier of the attempt. Responses repeat it, since a server may send
+/// the response to another request in place of the one to this.
+const ATTEMPT_HEADER: &str = "x-attempt";
+
 /// Response header with the value "1", sent by a server that is shutting down.
 const LEAVING_HEADER: &str = "x-server-leaving";
 
@@ -40,8 +44,21 @@
         /// Whether the server refused the request because it is shutting down.
         leaving: bool,
     },
-    /// The server may have executed the request.
-    Unknown,
+    /// The connection broke; the server may have executed the request.
+    Broken,
+    /// The response is none to this request, which the server may have executed.
+    Foreign,
+}
+
+/// Error of a call without a usable response.
+#[derive(Debug, thiserror::Error)]
+enum CallError {
+    /// There is no response.
+    #[error(transparent)]
+    Http(#[from] reqwest::Error),
+    /// The response names another attempt.
+    #[error("the response is to another request")]
+    Foreign,
 }
 
 /// Request to a backend server.
@@ -105,32 +122,66 @@
     };
     let sent_at = api.requests.base.clock.now();
     let url = format!("http://{}{}", choice.address, backend_request.path);
-    let req = api.http.request(backend_request.method, url).headers(backend_request.headers);
-    let req = req.header("x-run-id", &backend_request.run_id);
-    let req =
-        req.header("x-attempt", backend_request.attempt.to_string()).body(backend_request.body);
-    let res = match req.send().await {
+    let BackendRequest { method, headers, body, run_id, attempt, .. } = backend_request;
+    let build = |http: &Client| {
+        http.request(method, url).headers(headers).header("x-run-id", run_id).body(body)
+    };
+    let res = match call(api, attempt, build).await {
         Ok(res) => res,
-        Err(e) if e.is_connect() => {
+        Err(CallError::Http(e)) if e.is_connect() => {
             let proof = NotExecuted::connection_failed();
             return Err(SendError::NotExecuted { proof, leaving: false });
         }
-        Err(_) => return Err(SendError::Unknown),
+        Err(CallError::Http(_)) => return Err(SendError::Broken),
+        Err(CallError::Foreign) => return Err(SendError::Foreign),
     };
     record_response_hints(api, &choice, sent_at, &res);
     // Only refusals of engines are trusted: the body of a plain service can contain anything.
     if kind == ServerKind::Service || res.status() != StatusCode::SERVICE_UNAVAILABLE {
         return Ok(res);
     }
+    // Without the header it may be the refusal of another attempt.
+    let names_attempt = res.headers().contains_key(ATTEMPT_HEADER);
     match res.json::<EngineRefusal>().await {
-        Ok(refusal) if !refusal.error.ran => Err(SendError::NotExecuted {
+        Ok(refusal) if !refusal.error.ran && names_attempt => Err(SendError::NotExecuted {
             proof: NotExecuted::refused_by_server(),
             leaving: refusal.error.code == "leaving",
         }),
-        _ => Err(SendError::Unknown),
+        Ok(_) => Err(SendError::Foreign),
+        Err(_) => Err(SendError::Broken),
     }
 }
 
+/// Makes a call under this identifier, and checks that the response names no other one. The connections
+/// are replaced otherwise: the next response on its connection would be the one to this call.
+async fn call(
+    api: &Api,
+    attempt: AttemptId,
+    build: impl FnOnce(&Client) -> RequestBuilder,
+) -> Result<Response, CallError> {
+    let connections = api.connections.current();
+    let attempt = attempt.to_string();
+    let res = build(&connections.client).header(ATTEMPT_HEADER, &attempt).send().await?;
+    let named = res.headers().get(ATTEMPT_HEADER);
+    if named.is_none_or(|named| *named == *attempt) {
+        return Ok(res);
+    }
+    slog::info!(api.requests.base.log, "answer of another request";
+        "attempt" => attempt, "named" => ?named);
+    api.requests.base.metrics.count("answer.foreign");
+    api.connections.replace(&connections);
+    Err(CallError::Foreign)
+}
+
+/// Makes a call that is not a request of a caller. Returns `None` if there is no usable response.
+async fn control_call(
+    api: &Api,
+    build: impl FnOnce(&Client) -> RequestBuilder,
+) -> Option<Response> {
+    let build = |http: &Client| build(http).timeout(CONTROL_CALL_TIMEOUT);
+    call(api, api.next_attempt(), build).await.ok()
+}
+
 /// Records the hints in the head of a response.
 fn record_response_hints(api: &Api, choice: &Choice, sent_at: Millis, res: &Response) {
     api.requests.hints.record_response(
@@ -178,8 +229,8 @@
     let choice = permit.consume().ok()?;
     let sent_at = api.requests.base.clock.now();
     let url = format!("http://{}/v1/runs/{run_id}/stream", choice.address);
-    let req = api.http.get(url).query(&[("offset", offset.to_string().as_str()), ("model", model)]);
-    let res = req.send().await.ok()?;
+    let query = [("offset", offset.to_string()), ("model", model.to_owned())];
+    let res = call(api, api.next_attempt(), |http| http.get(url).query(&query)).await.ok()?;
     record_response_hints(api, &choice, sent_at, &res);
     res.status().is_success().then_some(res)
 }
@@ -187,7 +238,7 @@
 /// Cancels a run and returns its cost, or `None` on failure.
 pub async fn cancel_run(api: &Api, choice: &Choice, run_id: &str) -> Option<CancelledRun> {
     let url = format!("http://{}/v1/runs/{run_id}/cancel", choice.address);
-    let res = api.http.post(url).timeout(CONTROL_CALL_TIMEOUT).send().await.ok()?;
+    let res = control_call(api, |http| http.post(url)).await?;
     record_control_response_hints(api, choice, &res);
     res.error_for_status().ok()?.json().await.ok()
 }
@@ -201,7 +252,7 @@
     let choice = permit.consume().ok()?;
     let sent_at = api.requests.base.clock.now();
     let url = format!("http://{}/v1/tokenize", choice.address);
-    let res = api.http.post(url).json(body).timeout(CONTROL_CALL_TIMEOUT).send().await.ok()?;
+    let res = control_call(api, |http| http.post(url).json(body)).await?;
     record_response_hints(api, &choice, sent_at, &res);
     let count: Count = res.error_for_status().ok()?.json().await.ok()?;
     Some(count.count)
@@ -244,7 +295,7 @@
 /// Fetches the load report of one server; `None` on failure.
 async fn fetch_load_report(api: &Api, choice: &Choice) -> Option<LoadReport> {
     let url = format!("http://{}/v1/load", choice.address);
-    let res = api.http.get(url).timeout(CONTROL_CALL_TIMEOUT).send().await.ok()?;
+    let res = control_call(api, |http| http.get(url)).await?;
     record_control_response_hints(api, choice, &res);
     res.error_for_status().ok()?.json().await.ok()
 }
--- a/crates/daemon/src/api/dispatch.rs
+++ b/crates/daemon/src/api/dispatch.rs
@@ -1,6 +1,7 @@
 //! Dispatch of an admitted attempt to a backend server, and retries on other servers as long as it
 //! is proved that the request was not executed.
 
+use std::collections::HashSet;
 use std::sync::Arc;
 
 use bankcove_core::crashes::{Placement, Verdict};
@@ -139,6 +140,8 @@
     let (mut attempt, mut isolated_run) = checked.map_err(DispatchFailure::Refused)?;
     let placement = api.requests.crashes.placement(|| fingerprint);
     let mut tried = Vec::new();
+    // A copy of an earlier refusal of this attempt could arrive on a kept connection.
+    let mut tried_addresses = HashSet::new();
     let mut no_server = NoServer::NoneUsable;
     while tried.len() < api.requests.base.cfg.limits.max_tries {
         let permit = match choose_server(api, request, &tried, placement).await {
@@ -149,7 +152,8 @@
             }
         };
         let choice = permit.choice().clone();
-        if !may_dispatch_to(api, &choice.server) {
+        if !may_dispatch_to(api, &choice.server) || !tried_addresses.insert(choice.address.clone())
+        {
             tried.push(choice.server);
             continue;
         }
@@ -191,9 +195,11 @@
                 attempt = dispatched.revert_dispatch(proof);
                 tried.push(choice.server);
             }
-            Err(SendError::Unknown) => {
+            Err(e @ (SendError::Broken | SendError::Foreign)) => {
                 open_request.record_failure();
-                api.requests.crashes.record_disconnect(&choice, fingerprint.into());
+                if matches!(e, SendError::Broken) {
+                    api.requests.crashes.record_disconnect(&choice, fingerprint.into());
+                }
                 return Err(DispatchFailure::Refused(finish_unknown(api, dispatched, &choice)));
             }
         }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -2,12 +2,13 @@
 //! peers get the whole daemon; each lower layer gets the parts that it depends on.
 
 use std::sync::{Arc, OnceLock};
+use std::time::Duration;
 
 use arc_swap::ArcSwapOption;
 use bankcove_core::Incarnation;
 use bankcove_core::router::Router;
 use bankcove_core::table::Table;
-use bankcove_ports::{Client, Store};
+use bankcove_ports::{Client, Connections, Store};
 use parking_lot::Mutex;
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
@@ -43,8 +44,8 @@
     pub metrics: Metrics,
     /// The platform's store.
     pub store: Store,
-    /// HTTP client for backend servers.
-    pub http: reqwest::Client,
+    /// Connections to backend servers of bankcove's own interface.
+    pub connections: Connections,
     /// Table in force; `None` until the first one is adopted.
     pub table: Arc<ArcSwapOption<Table>>,
     /// Routing state of the backend servers.
@@ -93,11 +94,7 @@
     /// [`crate::Error::Setup`] when the process can't be set up.
     pub fn with_store(cfg: Config, log: Logger, store: Store) -> Result<Arc<Self>> {
         let incarnation = Incarnation(rand::random());
-        let http = reqwest::Client::builder()
-            .no_proxy()
-            .connect_timeout(std::time::Duration::from_millis(cfg.limits.peer_timeout_ms))
-            .build()
-            .map_err(|e| crate::Error::Setup(std::io::Error::other(e.to_string())))?;
+        let connections = backend_connections(Duration::from_millis(cfg.limits.peer_timeout_ms));
         let base = Base {
             incarnation,
             clock: Clock::start(),
@@ -126,7 +123,7 @@
         let view = Arc::new(View::new(
             fleet.clone(),
             store.clone(),
-            http.clone(),
+            connections.current().client,
             Arc::clone(&table),
             Arc::clone(&router),
         ));
@@ -168,7 +165,7 @@
             clock: base.clock,
             metrics: base.metrics,
             store,
-            http,
+            connections,
             table,
             router,
             fleet,
@@ -195,3 +192,14 @@
         self.requests.revision()
     }
 }
+
+/// Returns connections to the backend servers of bankcove's own interface.
+///
+/// # Panics
+/// Panics if the HTTP client can't be created, which happens only in a broken build.
+fn backend_connections(connect_timeout: Duration) -> Connections {
+    Connections::new(move || {
+        let http = reqwest::Client::builder().no_proxy().connect_timeout(connect_timeout);
+        http.build().expect("an HTTP client without TLS requires no system configuration")
+    })
+}
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -19,6 +19,8 @@
 pub mod ready;
 pub mod refusal;
 pub mod relay;
+pub mod response;
+pub mod sends;
 pub mod serve;
 pub mod stop;
 pub mod tunnels;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -16,6 +16,7 @@
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::outcome::{InDoubt, NotExecuted, RunState};
+use crate::entry::response::{ForeignResponse, OwnResponse};
 use crate::hints::permit::Permit;
 use crate::paths::Route;
 use crate::paths::contact::Contact;
@@ -110,6 +111,7 @@
     let clock = &entry.requests.base.clock;
     let sent_at = clock.now();
     let path_losses = contact.losses();
+    let permit = call.sends.number(permit);
     let send = async {
         match tunnel {
             None => entry.backend_client.send(permit, path_losses, backend_request).await,
@@ -159,11 +161,18 @@
     };
     call.attempts_sent += 1;
     contact.record_data();
-    let head = entry.wire.read_response(res.status(), res.headers());
-    let is_foreign = head.id.as_ref().is_some_and(|id| *id != call.request_head.id);
+    let OwnResponse { res, head } = match res.check(entry.wire.as_ref(), &call.request_head.id) {
+        Ok(own) => own,
+        Err(foreign) => {
+            open_request.keep_until_end(Box::new(place));
+            open_request.record_failure();
+            log_foreign(call, &choice, &foreign);
+            return AttemptOutcome::AnswerLost(sent.in_doubt());
+        }
+    };
     // Hints count only from this instance of the server: another program, or another instance,
     // may answer at its address.
-    if !is_foreign && (head.is_signed || head.unrun == Some(NotRunReason::Full)) {
+    if head.is_signed || head.unrun == Some(NotRunReason::Full) {
         let (hints, server) = (&entry.requests.hints, choice.instance());
         hints.record_response(&call.log, &server, sent_at, &head.hints);
         if let Contact::ThroughPeer(peer) = &contact {
@@ -199,10 +208,9 @@
     let in_doubt = sent.in_doubt();
     open_request.keep_until_end(Box::new(place));
     let means_not_run = matches!(res.status().as_u16(), 408 | 421 | 429 | 503);
-    if is_foreign || head.is_encoded || !head.is_signed || means_not_run {
+    if head.is_encoded || !head.is_signed || means_not_run {
         open_request.record_failure();
-        let problem = "the answer is not the server's answer to this request";
-        log_failed_attempt(call, &choice, true, problem);
+        log_failed_attempt(call, &choice, true, "the answer is not from the server");
         return AttemptOutcome::AnswerLost(in_doubt);
     }
     if res.status().is_success() && call.plan.route.streams {
@@ -288,6 +296,14 @@
     }
 }
 
+/// Logs and counts an answer that does not name the request.
+fn log_foreign(call: &Call, choice: &Choice, foreign: &ForeignResponse) {
+    call.entry.requests.base.metrics.count("answer.foreign");
+    slog::info!(call.log, "answer of another request";
+        "server" => %choice.server, "named" => foreign.id.as_deref());
+    log_failed_attempt(call, choice, true, &foreign.to_string());
+}
+
 /// Logs and counts an attempt that brought no answer, or that ended with a server error.
 /// `may_have_run` is whether this attempt or an earlier one may have run.
 pub fn log_failed_attempt(call: &Call, choice: &Choice, may_have_run: bool, problem: &str) {
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -9,17 +9,19 @@
 
 use bankcove_core::Millis;
 use bankcove_core::held_answers::MAX_READ_BYTES;
+use bankcove_core::router::Choice;
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::http::uri::{PathAndQuery, Scheme, Uri};
-use hyper::{HeaderMap, Method, Request, Response};
+use hyper::{HeaderMap, Method, Request};
 use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::client::legacy::connect::{HttpConnector, capture_connection};
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use parking_lot::Mutex;
 
-use crate::hints::permit::{Permit, PermitError};
+use crate::entry::response::UncheckedResponse;
+use crate::entry::sends::NumberedPermit;
+use crate::hints::permit::PermitError;
 use crate::peer::tunnel::TunnelStream;
 
 /// Timeout for connecting. A reachable server accepts within 2 ms, and an unreachable one must not
@@ -66,26 +68,52 @@
 /// Client with the connections to servers at one or more addresses.
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
+/// Clients with separate connections, by the number of the sends that they carry.
+type NumberedClients = Vec<HttpClient>;
+
 /// HTTP client for all backend servers.
 #[derive(Debug)]
 pub struct BackendClient {
-    /// Client for servers of which only one instance is known.
-    shared: HttpClient,
-    /// Latest instance of the server at each address.
-    instances: Mutex<HashMap<String, Instance>>,
+    clients: Mutex<Clients>,
     /// IP address from which connections are made, if it is set.
     source: Option<IpAddr>,
 }
 
+#[derive(Debug, Default)]
+struct Clients {
+    /// For servers of which only one instance is known.
+    shared: NumberedClients,
+    /// Latest instance of the server at each address.
+    instances: HashMap<String, Instance>,
+}
+
 /// The instance of a server to which requests are sent.
 #[derive(Debug)]
 struct Instance {
     started_ms: Millis,
     /// How many times the path to it was lost.
     path_losses: u64,
-    /// Its own client, if requests were sent to an earlier instance at the same address, or before
+    /// Its own clients, if requests were sent to an earlier instance at the same address, or before
     /// the path was lost: connections from before may hang for [`TCP_USER_TIMEOUT`].
-    own: Option<HttpClient>,
+    own: Option<NumberedClients>,
+}
+
+impl Clients {
+    /// Returns the clients for this instance of a server.
+    fn of(&mut self, address: &str, started_ms: Millis, path_losses: u64) -> &mut NumberedClients {
+        if started_ms == 0 && path_losses == 0 {
+            return &mut self.shared;
+        }
+        let known = self.instances.entry(address.to_owned()).or_insert_with(|| Instance {
+            started_ms,
+            path_losses,
+            own: (path_losses > 0).then(Vec::new),
+        });
+        if (known.started_ms, known.path_losses) != (started_ms, path_losses) {
+            *known = Instance { started_ms, path_losses, own: Some(Vec::new()) };
+        }
+        known.own.as_mut().unwrap_or(&mut self.shared)
+    }
 }
 
 /// Creates a client without connections, which makes them from `source`.
@@ -108,27 +136,18 @@
     /// Creates a client without connections, which makes them from the IP address `source` if it
     /// is set.
     pub fn new(source: Option<IpAddr>) -> Self {
-        BackendClient { shared: new_client(source), instances: Mutex::default(), source }
+        BackendClient { clients: Mutex::default(), source }
     }
 
-    /// Returns the client for this instance of a server, the path to which was lost `path_losses`
-    /// times.
-    fn client_for(&self, address: &str, started_ms: Millis, path_losses: u64) -> HttpClient {
-        if started_ms == 0 && path_losses == 0 {
-            return self.shared.clone();
-        }
-        let mut instances = self.instances.lock();
-        if let Some(known) = instances.get_mut(address) {
-            if (known.started_ms, known.path_losses) != (started_ms, path_losses) {
-                let own = Some(new_client(self.source));
-                *known = Instance { started_ms, path_losses, own };
-            }
-            return known.own.clone().unwrap_or_else(|| self.shared.clone());
+    /// Returns the client for sends of this number to an instance of a server, the path to which was
+    /// lost `path_losses` times.
+    fn client_for(&self, choice: &Choice, path_losses: u64, number: usize) -> HttpClient {
+        let mut clients = self.clients.lock();
+        let clients = clients.of(&choice.address, choice.started_ms, path_losses);
+        while clients.len() <= number {
+            clients.push(new_client(self.source));
         }
-        let own = (path_losses > 0).then(|| new_client(self.source));
-        let client = own.clone().unwrap_or_else(|| self.shared.clone());
-        instances.insert(address.to_owned(), Instance { started_ms, path_losses, own });
-        client
+        clients[number].clone()
     }
 
     /// Sends a request over this host's own path, which was lost `path_losses` times, and returns the
@@ -138,10 +157,11 @@
     /// [`SendError`], by which the caller knows whether anything was sent.
     pub async fn send(
         &self,
-        permit: Permit,
+        permit: NumberedPermit,
         path_losses: u64,
         backend_request: BackendRequest,
-    ) -> Result<Response<Incoming>, SendError> {
+    ) -> Result<UncheckedResponse, SendError> {
+        let NumberedPermit { permit, number } = permit;
         let choice = permit.consume()?;
         let uri = Uri::builder()
             .scheme(Scheme::HTTP)
@@ -149,16 +169,18 @@
             .path_and_query(backend_request.path)
             .build()
             .map_err(|e| SendError::NotConnected(e.to_string()))?;
-        let req =
+        let mut req =
             new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
-        let client = self.client_for(&choice.address, choice.started_ms, path_losses);
-        client.request(req).await.map_err(|e| {
-            if e.is_connect() {
-                SendError::NotConnected(format_with_sources(&e))
-            } else {
-                SendError::Broken(format_with_sources(&e))
-            }
-        })
+        let connection = capture_connection(&mut req);
+        let res =
+            self.client_for(&choice, path_losses, number).request(req).await.map_err(|e| {
+                if e.is_connect() {
+                    SendError::NotConnected(format_with_sources(&e))
+                } else {
+                    SendError::Broken(format_with_sources(&e))
+                }
+            })?;
+        Ok(UncheckedResponse::pooled(res, connection))
     }
 }
 
@@ -169,10 +191,10 @@
 /// As [`BackendClient::send`].
 pub async fn send_through(
     tunnel: TunnelStream,
-    permit: Permit,
+    permit: NumberedPermit,
     backend_request: BackendRequest,
-) -> Result<Response<Incoming>, SendError> {
-    permit.consume()?;
+) -> Result<UncheckedResponse, SendError> {
+    permit.permit.consume()?;
     let mut http1 = hyper::client::conn::http1::Builder::new();
     http1.max_buf_size(MAX_READ_BYTES as usize);
     let (mut sender, connection) = http1
@@ -184,7 +206,9 @@
     let uri = Uri::from(backend_request.path);
     let req =
         new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
-    sender.send_request(req).await.map_err(|e| SendError::Broken(format_with_sources(&e)))
+    let res = sender.send_request(req).await;
+    let res = res.map_err(|e| SendError::Broken(format_with_sources(&e)))?;
+    Ok(UncheckedResponse::single(res))
 }
 
 fn new_request(method: Method, uri: Uri, headers: HeaderMap, body: Bytes) -> Request<Full<Bytes>> {
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -25,6 +25,7 @@
 use crate::entry::places::Applicant;
 use crate::entry::plan::Plan;
 use crate::entry::refusal::Refusal;
+use crate::entry::sends::Sends;
 use crate::hints::permit::{NoPermit, Permit, Purpose};
 use crate::paths::Route;
 use crate::paths::tunnels::NoTunnel;
@@ -78,6 +79,8 @@
     pub deadline: Millis,
     /// Servers that must not be tried again.
     pub tried_servers: Vec<Name>,
+    /// Its sends so far.
+    pub sends: Sends,
     /// Number of attempts that reached a server.
     pub attempts_sent: u32,
     /// Reservation of its traffic on this host's link.
--- a/crates/daemon/src/entry/outcome.rs
+++ b/crates/daemon/src/entry/outcome.rs
@@ -47,6 +47,16 @@
 //! }
 //! ```
 //!
+//! A head that was not checked to name the request proves nothing:
+//!
+//! ```compile_fail,E0308
+//! use bankcove_ports::wire::ResponseHead;
+//! use bankcoved::entry::outcome::NotExecuted;
+//! fn proof(head: &ResponseHead) -> Option<NotExecuted> {
+//!     NotExecuted::from_head(head)
+//! }
+//! ```
+//!
 //! States and proofs can't be made up:
 //!
 //! ```compile_fail,E0624
@@ -60,11 +70,11 @@
 use std::fmt;
 use std::time::Duration;
 
-use bankcove_ports::wire::ResponseHead;
 use salvo::http::StatusCode;
 
 use crate::entry::backend::SendError;
 use crate::entry::refusal::Refusal;
+use crate::entry::response::OwnHead;
 
 /// State: no server has run the request, and none will run it unless it is sent.
 #[derive(Debug)]
@@ -172,9 +182,9 @@
         }
     }
 
-    /// Proof by the head of an answer: the server states that it did not execute the request, or
-    /// another instance has its address.
-    pub fn from_head(head: &ResponseHead) -> Option<Self> {
+    /// Proof by the head of the answer to this attempt: the server states that it did not execute the
+    /// request, or another instance has its address.
+    pub fn from_head(head: &OwnHead) -> Option<Self> {
         head.unrun.map(|_| NotExecuted(()))
     }
 }
--- a/crates/daemon/src/entry/outcome/tests.rs
+++ b/crates/daemon/src/entry/outcome/tests.rs
@@ -11,11 +11,30 @@
 use crate::entry::backend::SendError;
 use crate::entry::outcome::{Failure, NotExecuted, RunState, Unrun};
 use crate::entry::refusal::Refusal;
+use crate::entry::response::OwnHead;
 use crate::hints::permit::PermitError;
 
-fn head(unrun: Option<NotRunReason>) -> ResponseHead {
-    let hints = ServerHints::default();
-    ResponseHead { id: None, unrun, is_signed: false, is_encoded: false, hints }
+/// Identifier of the request.
+const ID: &str = "own";
+
+/// Returns the head of an answer that names the request with this identifier.
+fn head_naming(id: Option<&str>, unrun: Option<NotRunReason>) -> ResponseHead {
+    let (id, hints) = (id.map(str::to_owned), ServerHints::default());
+    ResponseHead { id, unrun, is_signed: false, is_encoded: false, hints }
+}
+
+fn head(unrun: Option<NotRunReason>) -> OwnHead {
+    OwnHead::check(head_naming(Some(ID), unrun), ID).expect("it names the request")
+}
+
+/// Guards against a proof by the answer to another request.
+#[parameterized(
+    of_another = { Some("another") },
+    of_none = { None },
+)]
+fn a_head_that_does_not_name_the_request_is_not_its_own(id: Option<&str>) {
+    let foreign = OwnHead::check(head_naming(id, Some(NotRunReason::Full)), ID);
+    assert_eq!(foreign.expect_err("it is foreign").id.as_deref(), id);
 }
 
 /// Evidence of how an attempt ended.
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -24,6 +24,7 @@
 use crate::entry::plan::Plan;
 use crate::entry::ready::injected_entry;
 use crate::entry::refusal::Refusal;
+use crate::entry::sends::Sends;
 use crate::requests::RequestContext;
 use crate::requests::held_answers::HeldAnswer;
 
@@ -154,6 +155,7 @@
         request_head,
         plan,
         tried_servers: Vec::new(),
+        sends: Sends::default(),
         attempts_sent: 0,
         link,
         binding: Binding::default(),
--- a/crates/daemon/src/lifecycle.rs
+++ b/crates/daemon/src/lifecycle.rs
@@ -146,7 +146,7 @@
             None => {
                 let (requests, billing) =
                     (Arc::clone(&daemon.requests), Arc::clone(&daemon.billing));
-                let api = Api::new(requests, billing, daemon.http.clone());
+                let api = Api::new(requests, billing, daemon.connections.clone());
                 let callers = caller_router(Arc::clone(&api));
                 listeners.push(serve(&daemon.cfg.caller_listen, callers).await?);
                 tokio::spawn(backend::poll_load_reports(api));
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -10,12 +10,14 @@
 
 pub mod calls;
 mod client;
+mod connections;
 mod error;
 mod objects;
 mod store;
 pub mod wire;
 
 pub use client::{Client, ListPage};
+pub use connections::{Connections, Generation};
 pub use error::{Error, Result};
 pub use objects::{Kind, Version, Versioned, WriteOutcome, segment_name};
 pub use store::{Store, StoreApi, WatchResult};
--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -336,6 +336,22 @@
     assert_eq!(check::responses_complete(&attempts), Ok(8), "{attempts:?}");
 }
 
+/// Guards against a copy of another request's refusal that is taken as proof of "not run".
+#[tokio::test(flavor = "multi_thread")]
+async fn a_refusal_that_names_another_attempt_is_no_proof() {
+    let mut fleet = Fleet::start(&FleetConfig::default()).await;
+    fleet.engines[0].set_faults(Faults { misplace_refusals: true, ..Faults::default() }).await;
+    let request = ChatRequest::new("misplaced".to_owned()).max_tokens(4);
+    let attempt = Caller::default().chat(&addresses(&fleet)[0], &request).await;
+    assert!(matches!(attempt.outcome, AttemptOutcome::Unknown { .. }), "{attempt:?}");
+    assert_eq!(fleet.engine_runs().await.len(), 1);
+    // Its engine is not taken to be leaving.
+    fleet.engines[0].set_faults(Faults::default()).await;
+    let request = ChatRequest::new("next".to_owned()).max_tokens(4);
+    let attempt = Caller::default().chat(&addresses(&fleet)[0], &request).await;
+    assert!(matches!(attempt.outcome, AttemptOutcome::Done { .. }), "{attempt:?}");
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn a_request_past_its_deadline_is_cancelled_billed_and_answered_unknown() {
     let config = FleetConfig { step_ms: 20, ..FleetConfig::default() };
--- a/crates/standins/src/engine.rs
+++ b/crates/standins/src/engine.rs
@@ -2,8 +2,8 @@
 //! and fenced orders.
 //!
 //! Request headers: `x-run-id` identifies the run, so that a repeated request attaches to it
-//! instead of running again; `x-attempt` identifies the daemon's attempt. Response header:
-//! `x-run` is `new` or `attached`.
+//! instead of running again; `x-attempt` identifies the daemon's attempt. Response headers:
+//! `x-run` is `new` or `attached`; `x-attempt` is the one of the request.
 
 mod response;
 
@@ -178,10 +178,18 @@
     res.render(Json(json!({"error": {"code": code, "ran": false}})));
 }
 
-/// Delays each API call, or fails it, as the faults require.
+/// Names the attempt in the response, and delays or fails the call as the faults require.
 #[handler]
-async fn inject_faults(depot: &mut Depot, res: &mut Response, ctrl: &mut FlowCtrl) {
+async fn inject_faults(
+    req: &mut Request,
+    depot: &mut Depot,
+    res: &mut Response,
+    ctrl: &mut FlowCtrl,
+) {
     let faults = engine(depot).state.lock().faults;
+    if let Some(attempt) = req.headers().get("x-attempt") {
+        res.headers_mut().insert("x-attempt", attempt.clone());
+    }
     tokio::time::sleep(faults.delay()).await;
     if faults.down {
         error(res, StatusCode::SERVICE_UNAVAILABLE, "down");
@@ -211,6 +219,12 @@
     if is_new {
         tokio::spawn(generate(Arc::clone(&engine), Arc::clone(&run)));
     }
+    if faults.misplace_refusals {
+        let another = salvo::http::HeaderValue::from_static("another");
+        res.headers_mut().insert("x-attempt", another);
+        error(res, StatusCode::SERVICE_UNAVAILABLE, "leaving");
+        return;
+    }
     let kind = if is_new { "new" } else { "attached" };
     res.headers_mut().insert("x-run", salvo::http::HeaderValue::from_static(kind));
     if body.stream {
--- a/crates/standins/src/faults.rs
+++ b/crates/standins/src/faults.rs
@@ -36,6 +36,8 @@
     pub says_leaving: bool,
     /// Time in the `retry-after` header, in seconds. If set, all requests are refused.
     pub rest_s: Option<f64>,
+    /// Whether each run starts, but is answered with a refusal of another attempt.
+    pub misplace_refusals: bool,
     /// Factor by which the time per token is multiplied; 0 means 1.
     pub slow_factor: u64,
 }
--- a/crates/standins/src/service.rs
+++ b/crates/standins/src/service.rs
@@ -79,7 +79,14 @@
         calls.push(record);
         calls.len()
     };
+    if let Some(attempt) = req.headers().get("x-attempt") {
+        res.headers_mut().insert("x-attempt", attempt.clone());
+    }
     let faults = *service.faults.lock();
+    if faults.misplace_refusals {
+        let another = salvo::http::HeaderValue::from_static("another");
+        res.headers_mut().insert("x-attempt", another);
+    }
     tokio::time::sleep(faults.delay()).await;
     faults.insert_hint_headers(res.headers_mut());
     if faults.down || faults.rest_s.is_some() {
