--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -8,6 +8,14 @@
 /// Maximum size of an event, in bytes; a stream with a larger one is invalid.
 pub const MAX_EVENT_BYTES: usize = 1 << 20;
 
+/// Maximum capacity that an empty splitter keeps, in bytes.
+const MAX_KEPT_BYTES: usize = 64 << 10;
+
+/// Error: an event exceeds [`MAX_EVENT_BYTES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("an event is too large")]
+pub struct EventTooLarge;
+
 /// One complete event.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct RawEvent {
@@ -37,16 +45,37 @@
     }
 
     /// Removes and returns the next complete event; none if more bytes are needed.
-    pub fn next_event(&mut self) -> Option<RawEvent> {
+    ///
+    /// # Errors
+    /// [`EventTooLarge`] as soon as the next event exceeds [`MAX_EVENT_BYTES`], complete or not; no
+    /// further event is returned then.
+    pub fn next_event(&mut self) -> Result<Option<RawEvent>, EventTooLarge> {
         let rest = &self.buf[self.returned..];
-        let Some(end) = end_of_event(rest, self.searched) else {
+        let end = end_of_event(rest, self.searched);
+        if end.unwrap_or(rest.len()) > MAX_EVENT_BYTES {
+            return Err(EventTooLarge);
+        }
+        let Some(end) = end else {
             self.searched = rest.len();
-            return None;
+            self.release_if_empty();
+            return Ok(None);
         };
         let raw = rest[..end].to_vec();
         self.returned += end;
         self.searched = 0;
-        Some(RawEvent { id: id_of(&raw), raw })
+        Ok(Some(RawEvent { id: id_of(&raw), raw }))
+    }
+
+    /// Returns the size of what was received of the next event, in bytes.
+    pub fn partial_bytes(&self) -> usize {
+        self.buf.len() - self.returned
+    }
+
+    /// Frees the memory of a large event that was returned.
+    fn release_if_empty(&mut self) {
+        if self.is_empty() && self.buf.capacity() > MAX_KEPT_BYTES {
+            *self = EventSplitter::default();
+        }
     }
 
     /// Returns whether the buffer is empty, without a partial event.
--- a/crates/core/tests/events.rs
+++ b/crates/core/tests/events.rs
@@ -1,8 +1,20 @@
 //! Events of a stream: splitting, duplicates and gaps.
 
-use bankcove_core::events::{EventAction, EventSequence, EventSplitter};
+use bankcove_core::events::{
+    EventAction, EventSequence, EventSplitter, EventTooLarge, MAX_EVENT_BYTES, RawEvent,
+};
 use yare::parameterized;
 
+/// Returns the complete events, none of which is too large.
+fn complete_events(splitter: &mut EventSplitter) -> Vec<RawEvent> {
+    std::iter::from_fn(|| splitter.next_event().expect("no event is too large")).collect()
+}
+
+/// Returns the next event, which is complete.
+fn complete_event(splitter: &mut EventSplitter) -> RawEvent {
+    splitter.next_event().expect("it is not too large").expect("it is complete")
+}
+
 #[test]
 fn events_are_split_correctly_for_any_chunk_size() {
     let text = b"id: 4\ndata: a\n\nid: 5\r\ndata: b\r\n\r\n: comment\n\nid: 6\nda";
@@ -11,7 +23,7 @@
         let mut events = Vec::new();
         for chunk in text.chunks(size) {
             splitter.push(chunk);
-            events.extend(std::iter::from_fn(|| splitter.next_event()));
+            events.extend(complete_events(&mut splitter));
         }
         let ids: Vec<Option<u64>> = events.iter().map(|event| event.id).collect();
         assert_eq!(ids, [Some(4), Some(5), None]);
@@ -20,6 +32,35 @@
     }
 }
 
+/// Guards against bytes without the end of an event that are kept without a bound.
+#[parameterized(
+    without_an_end = { &[] },
+    with_an_end = { b"\n\n" },
+)]
+fn an_event_beyond_the_maximum_is_an_error(end: &[u8]) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(b"id: 1\n\n");
+    splitter.push(&vec![b'x'; MAX_EVENT_BYTES + 1 - end.len()]);
+    splitter.push(end);
+    assert_eq!(complete_event(&mut splitter).id, Some(1));
+    assert_eq!(splitter.next_event(), Err(EventTooLarge));
+    splitter.push(b"id: 2\n\n");
+    assert_eq!(splitter.next_event(), Err(EventTooLarge));
+}
+
+#[test]
+fn an_event_of_the_maximum_size_is_returned() {
+    let mut splitter = EventSplitter::default();
+    let mut event = vec![b'x'; MAX_EVENT_BYTES - 2];
+    event.extend(b"\n\n");
+    for chunk in event.chunks(60_000) {
+        assert_eq!(splitter.next_event(), Ok(None));
+        splitter.push(chunk);
+    }
+    assert_eq!(complete_event(&mut splitter).raw.len(), MAX_EVENT_BYTES);
+    assert_eq!((splitter.next_event(), splitter.partial_bytes()), (Ok(None), 0));
+}
+
 #[parameterized(
     first = { None, Some(7), EventAction::Deliver },
     next = { Some(7), Some(8), EventAction::Deliver },
--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -9,7 +9,7 @@
 use bankcove_core::router::{Choice, LoadReport};
 use bankcove_core::table::ServerKind;
 use bankcove_core::{AttemptId, Fingerprint, Millis, Name, Tokens};
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use reqwest::header::{DATE, RETRY_AFTER};
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
@@ -17,6 +17,7 @@
 
 use crate::api::Api;
 use crate::hints::permit::Permit;
+use crate::requests::gathering::Gathering;
 
 /// Timeout of calls that are not requests of callers, such as load reports and cancellations.
 const CONTROL_CALL_TIMEOUT: Duration = Duration::from_secs(2);
@@ -61,6 +62,18 @@
     Foreign,
 }
 
+/// Maximum size of a response that is not streamed, in bytes.
+const MAX_RESPONSE_BYTES: usize = 8 << 20;
+
+/// Error of a response whose head was received.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum BodyError {
+    /// It exceeds [`MAX_RESPONSE_BYTES`].
+    TooLarge,
+    /// The connection broke.
+    Broken,
+}
+
 /// Request to a backend server.
 #[derive(Debug, Clone)]
 pub struct BackendRequest {
@@ -182,6 +195,23 @@
     call(api, api.next_attempt(), build).await.ok()
 }
 
+/// Reads the rest of a response that is not streamed, within the memory of the host.
+///
+/// # Errors
+/// [`BodyError`] if it is not received completely.
+pub async fn read_body(api: &Api, mut res: Response) -> Result<Bytes, BodyError> {
+    let mut gathering = Gathering::new(&api.requests.gather_memory);
+    let mut buf = BytesMut::new();
+    while let Some(chunk) = res.chunk().await.map_err(|_| BodyError::Broken)? {
+        if buf.len() + chunk.len() > MAX_RESPONSE_BYTES {
+            return Err(BodyError::TooLarge);
+        }
+        buf.extend_from_slice(&chunk);
+        gathering.resize(buf.len()).await;
+    }
+    Ok(gathering.complete(buf))
+}
+
 /// Records the hints in the head of a response.
 fn record_response_hints(api: &Api, choice: &Choice, sent_at: Millis, res: &Response) {
     api.requests.hints.record_response(
--- a/crates/daemon/src/api/delivery.rs
+++ b/crates/daemon/src/api/delivery.rs
@@ -19,7 +19,7 @@
 use tokio::sync::{mpsc, oneshot};
 
 use crate::api::Api;
-use crate::api::backend;
+use crate::api::backend::{self, BodyError};
 use crate::api::dispatch::{AnsweredAttempt, Interrupted};
 use crate::api::response::{ErrorResponse, ResponseBody};
 use crate::api::sse::{Chunk, Event, EventSplitter, Usage};
@@ -200,7 +200,7 @@
     let AnsweredAttempt { attempt, choice, res, mut open_request, fingerprint } = answered;
     let settlement = Settlement { log, budget, attempt, attached: is_attached(&res) };
     let body = tokio::select! {
-        body = res.bytes() => body.ok(),
+        body = backend::read_body(api, res) => body,
         () = tx.closed() => return cancel_and_bill(api, settlement, &choice, &run_id).await,
         () = api.requests.base.clock.sleep_until(deadline) => {
             cancel_and_bill(api, settlement, &choice, &run_id).await;
@@ -209,21 +209,23 @@
             return;
         }
     };
-    let response =
-        body.as_ref().and_then(|body| serde_json::from_slice::<CompleteResponse>(body).ok());
+    let parsed = body.as_ref().map(|body| serde_json::from_slice::<CompleteResponse>(body).ok());
+    let response = parsed.ok().flatten();
     let cancelled = |response: &CompleteResponse| {
         response.choices.iter().any(|choice| choice.finish_reason.as_deref() == Some("cancelled"))
     };
     match (response, body) {
-        (Some(response), Some(body)) if response.id == run_id && !cancelled(&response) => {
+        (Some(response), Ok(body)) if response.id == run_id && !cancelled(&response) => {
             api.requests.crashes.record_success(&choice, || fingerprint.into());
             settle_and_bill(api, settlement, response.usage).await;
             // Fails if the caller has just disconnected; it is billed for the complete run.
             let _gone = tx.send(Ok(ResponseBody::Complete(body)));
         }
-        _ => {
+        (_, body) => {
             open_request.record_failure();
-            api.requests.crashes.record_disconnect(&choice, fingerprint.into());
+            if body == Err(BodyError::Broken) {
+                api.requests.crashes.record_disconnect(&choice, fingerprint.into());
+            }
             finish_unknown(api, settlement);
             // Fails if the caller has disconnected; no response is needed then.
             let _gone = tx.send(Err(server_lost_response()));
--- a/crates/daemon/src/api/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -18,19 +18,16 @@
 
 use crate::api::Api;
 use crate::api::admission::{self, Caller, identify_caller};
-use crate::api::backend::BackendRequest;
+use crate::api::backend::{BackendRequest, BodyError, read_body};
 use crate::api::chat::set_header;
 use crate::api::dispatch::{self, DispatchFailure, DispatchRequest, Interrupted};
 use crate::api::injected_api;
 use crate::api::response::{ATTEMPT_HEADER, ErrorResponse, KEY_HEADER};
 use crate::bill::bills;
 use crate::crashes;
-use crate::http::read_body;
+use crate::http;
 use crate::requests::open_request::OpenRequest;
 
-/// Maximum response body of a plain service, in bytes.
-const MAX_RESPONSE_BYTES: usize = 8 << 20;
-
 /// Retry delay after an unknown outcome.
 const RETRY_UNKNOWN_MS: u64 = 1_000;
 
@@ -119,7 +116,7 @@
         method: Method::from_bytes(req.method().as_str().as_bytes()).unwrap_or(Method::GET),
         path: path_and_query,
         headers,
-        body: read_body(&api.requests.base.cfg.limits, req).await?,
+        body: http::read_body(&api.requests.base.cfg.limits, req).await?,
         run_id: caller.request.to_string(),
         attempt: id,
     };
@@ -193,9 +190,12 @@
     let open_request = answered.open_request;
     let status = answered.res.status();
     let headers = answered.res.headers().clone();
-    let body = api.requests.base.clock.timeout_at(until, read_response_body(answered.res)).await;
-    let Some(Some(body)) = body else {
-        api.requests.crashes.record_disconnect(&answered.choice, answered.fingerprint.into());
+    let body = read_body(api, answered.res);
+    let body = api.requests.base.clock.timeout_at(until, body).await;
+    let Some(Ok(body)) = body else {
+        if body != Some(Err(BodyError::TooLarge)) {
+            api.requests.crashes.record_disconnect(&answered.choice, answered.fingerprint.into());
+        }
         return Err(finish_unknown(api, answered.attempt, open_request, &answered.choice.server));
     };
     let is_framed = crashes::is_framed(&headers);
@@ -219,18 +219,6 @@
     ErrorResponse::unknown("server_lost", message).retry_after(RETRY_UNKNOWN_MS)
 }
 
-/// Reads a response body. Returns `None` if it breaks off or exceeds [`MAX_RESPONSE_BYTES`].
-async fn read_response_body(mut res: reqwest::Response) -> Option<Bytes> {
-    let mut buf = bytes::BytesMut::new();
-    while let Some(chunk) = res.chunk().await.ok()? {
-        buf.extend_from_slice(&chunk);
-        if buf.len() > MAX_RESPONSE_BYTES {
-            return None;
-        }
-    }
-    Some(buf.freeze())
-}
-
 /// Settles the reservation and bills the call at its price.
 async fn settle_and_bill(
     api: &Arc<Api>,
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -29,6 +29,7 @@
 use crate::paths::Paths;
 use crate::peer::PeerPool;
 use crate::requests::RequestContext;
+use crate::requests::gathering::GatherMemory;
 use crate::requests::held_answers::AnswerMemory;
 use crate::requests::stream_versions::StreamVersions;
 use crate::rollouts::Rollouts;
@@ -160,6 +161,7 @@
             stopping,
             in_flight: TaskTracker::new(),
             answer_memory: Arc::new(AnswerMemory::new(base.clone())),
+            gather_memory: GatherMemory::new(base.clone()),
         };
         Ok(Arc::new(Daemon {
             clock: base.clock,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -96,6 +96,7 @@
     pub fn reload(&self, settings: EntrySettings) {
         self.retries.lock().set_allowance(settings.retry_allowance());
         self.requests.answer_memory.set_max_bytes(settings.max_held_answer_bytes());
+        self.requests.gather_memory.set_max_bytes(settings.max_held_answer_bytes());
     }
 
     /// Creates the entry proxy of a daemon.
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -6,13 +6,13 @@
 use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
 use bankcove_ports::wire::NotRunReason;
-use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
+use bytes::{Bytes, BytesMut};
+use http_body_util::BodyExt;
 use hyper::body::Incoming as Body;
 use hyper::{HeaderMap, Response, StatusCode};
 
 use crate::crashes;
-use crate::entry::backend::{SendError, send_through};
+use crate::entry::backend::{SendError, is_malformed, send_through};
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::outcome::{InDoubt, NotExecuted, RunState};
@@ -21,6 +21,7 @@
 use crate::paths::Route;
 use crate::paths::contact::Contact;
 use crate::paths::tunnels::NoTunnel;
+use crate::requests::gathering::Gathering;
 use crate::requests::open_request::OpenRequest;
 
 /// Maximum size of an answer that is not streamed, in bytes.
@@ -130,6 +131,7 @@
         }
         Some(Err(e)) => {
             let proof = NotExecuted::from_error(&e);
+            let is_connection_broken = matches!(e, SendError::Broken(_));
             let problem = match e {
                 SendError::Permit(e) => e.to_string(),
                 SendError::NotConnected(problem) => {
@@ -142,6 +144,10 @@
                     contact.record_failure(Evidence::Broken);
                     problem
                 }
+                SendError::Malformed(problem) => {
+                    open_request.record_failure();
+                    problem
+                }
                 SendError::PathLost => {
                     call.attempts_sent += 1;
                     log_failed_attempt(call, &choice, true, PATH_LOST);
@@ -154,7 +160,9 @@
             }
             call.attempts_sent += 1;
             log_failed_attempt(call, &choice, true, &problem);
-            entry.requests.crashes.record_disconnect(&choice, call.identity());
+            if is_connection_broken {
+                entry.requests.crashes.record_disconnect(&choice, call.identity());
+            }
             return AttemptOutcome::AnswerLost(sent.in_doubt());
         }
         Some(Ok(res)) => res,
@@ -244,7 +252,7 @@
     let is_framed = crashes::is_framed(res.headers());
     let status = res.status();
     let headers = call.entry.wire.response_headers(res.headers());
-    let body = Limited::new(res.into_body(), MAX_ANSWER_BYTES).collect();
+    let body = gather_body(call, res.into_body());
     let body = call.entry.requests.base.clock.timeout_at(call.deadline, body);
     let body = tokio::select! {
         body = body => body,
@@ -264,17 +272,15 @@
             AttemptOutcome::Answered(Box::new(BufferedAnswer {
                 status,
                 headers,
-                body: body.to_bytes(),
+                body,
                 choice,
                 is_framed,
             }))
         }
         Some(Err(e)) => {
             open_request.record_failure();
-            let is_too_large = e.downcast_ref::<LengthLimitError>().is_some();
-            let problem = if is_too_large { "the answer is too large" } else { "cut short" };
-            log_failed_attempt(call, &choice, true, problem);
-            if !is_too_large {
+            log_failed_attempt(call, &choice, true, &e.to_string());
+            if let BodyError::CutShort = e {
                 contact.record_failure(Evidence::Broken);
                 call.entry.requests.crashes.record_disconnect(&choice, call.identity());
             }
@@ -288,6 +294,35 @@
     }
 }
 
+/// Error of the body of an answer.
+#[derive(Debug, thiserror::Error)]
+enum BodyError {
+    #[error("the answer is too large")]
+    TooLarge,
+    #[error("the answer is no HTTP message")]
+    Malformed,
+    #[error("cut short")]
+    CutShort,
+}
+
+/// Reads a body to its end, within the memory of the host.
+async fn gather_body(call: &Call, mut body: Body) -> Result<Bytes, BodyError> {
+    let mut gathering = Gathering::new(&call.entry.requests.gather_memory);
+    let mut buf = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|e| {
+            if is_malformed(&e) { BodyError::Malformed } else { BodyError::CutShort }
+        })?;
+        let Ok(data) = frame.into_data() else { continue };
+        if buf.len() + data.len() > MAX_ANSWER_BYTES {
+            return Err(BodyError::TooLarge);
+        }
+        buf.extend_from_slice(&data);
+        gathering.resize(buf.len()).await;
+    }
+    Ok(gathering.complete(buf))
+}
+
 /// Returns the log text for a server that did not run the request.
 fn unrun_text(unrun: NotRunReason) -> &'static str {
     match unrun {
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -4,6 +4,8 @@
 //! escapes), and a server must receive the path as the caller wrote it.
 
 use std::collections::HashMap;
+use std::error::Error;
+use std::io;
 use std::net::IpAddr;
 use std::time::Duration;
 
@@ -60,11 +62,35 @@
     /// The connection broke; the request may have run.
     #[error("the connection broke: {0}")]
     Broken(String),
+    /// The answer is no HTTP message; the request may have run.
+    #[error("no HTTP message: {0}")]
+    Malformed(String),
     /// This host has lost its path to the server; the request may have run.
     #[error("the path to the server was lost")]
     PathLost,
 }
 
+impl SendError {
+    /// Error of a request that was sent and got no answer.
+    fn without_answer(e: &(dyn Error + 'static)) -> Self {
+        let problem = format_with_sources(e);
+        if is_malformed(e) { SendError::Malformed(problem) } else { SendError::Broken(problem) }
+    }
+}
+
+/// Returns whether an error was caused by what the server has sent, rather than by the end of its
+/// connection.
+pub fn is_malformed(e: &(dyn Error + 'static)) -> bool {
+    let mut causes = std::iter::successors(Some(e), |e| (*e).source());
+    causes.any(|cause| {
+        let parse_error = cause.downcast_ref::<hyper::Error>().is_some_and(hyper::Error::is_parse);
+        // Errors in the framing of a body.
+        let kind = cause.downcast_ref::<io::Error>().map(io::Error::kind);
+        parse_error
+            || matches!(kind, Some(io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput))
+    })
+}
+
 /// Client with the connections to servers at one or more addresses.
 type HttpClient = Client<HttpConnector, Full<Bytes>>;
 
@@ -207,7 +233,7 @@
     let req =
         new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
     let res = sender.send_request(req).await;
-    let res = res.map_err(|e| SendError::Broken(format_with_sources(&e)))?;
+    let res = res.map_err(|e| SendError::without_answer(&e))?;
     Ok(UncheckedResponse::single(res))
 }
 
@@ -220,7 +246,7 @@
 }
 
 /// Formats an error and its sources on one line.
-fn format_with_sources(e: &dyn std::error::Error) -> String {
-    let sources = std::iter::successors(e.source(), |e| e.source());
+fn format_with_sources(e: &dyn Error) -> String {
+    let sources = std::iter::successors(e.source(), |e| (*e).source());
     sources.fold(e.to_string(), |text, cause| format!("{text}: {cause}"))
 }
--- a/crates/daemon/src/entry/outcome.rs
+++ b/crates/daemon/src/entry/outcome.rs
@@ -178,7 +178,7 @@
     pub fn from_error(e: &SendError) -> Option<Self> {
         match e {
             SendError::Permit(_) | SendError::NotConnected(_) => Some(NotExecuted(())),
-            SendError::Broken(_) | SendError::PathLost => None,
+            SendError::Broken(_) | SendError::Malformed(_) | SendError::PathLost => None,
         }
     }
 
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use bankcove_core::Millis;
-use bankcove_core::events::{EventAction, EventSequence, EventSplitter};
+use bankcove_core::events::{EventAction, EventSequence, EventSplitter, EventTooLarge};
 use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
 use bankcove_core::stream_versions::Binding;
@@ -22,17 +22,21 @@
 use crate::entry::attempt::{
     AttemptOutcome, PATH_LOST, StartedStream, attempt, log_ended, log_failed_attempt,
 };
+use crate::entry::backend::is_malformed;
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::outcome::RunState;
 use crate::entry::pace::PaceMeter;
 use crate::paths::contact::Contact;
+use crate::requests::gathering::Gathering;
 use crate::requests::open_request::OpenRequest;
 use crate::requests::stream_versions::UntoldStream;
 
 /// Time from the first event after which a stream has not crashed its server, in milliseconds.
 const SURVIVED_MS: Millis = 1_000;
 
+const ENDED_WITHIN_EVENT: &str = "the stream ended within an event";
+
 /// Stream of events that is forwarded to the caller.
 pub struct Relay {
     call: Call,
@@ -46,6 +50,10 @@
     /// Whether a lost path to the server is a reason to resume the stream elsewhere.
     watches_path: bool,
     splitter: EventSplitter,
+    /// Memory of the event that is not complete.
+    gathering: Gathering,
+    /// Why the stream is invalid after the events that were forwarded.
+    invalid: Option<&'static str>,
     sequence: EventSequence,
     /// Whether events were forwarded, so that the stream is bound to a version.
     is_bound: bool,
@@ -61,7 +69,10 @@
 enum ReadResult {
     Events(Bytes),
     End,
+    /// The connection has ended within the stream.
     Broken(&'static str),
+    /// The server has sent something else than the events of the stream.
+    Invalid(&'static str),
     PathLost,
     TimedOut,
 }
@@ -75,6 +86,7 @@
         let sequence = EventSequence::after(call.request_head.resume_after);
         let pace = PaceMeter::started_before(Duration::from_millis(call.age_ms()));
         let splitter = EventSplitter::default();
+        let gathering = Gathering::new(&call.entry.requests.gather_memory);
         Relay {
             call,
             charge,
@@ -85,6 +97,8 @@
             contact,
             watches_path: true,
             splitter,
+            gathering,
+            invalid: None,
             sequence,
             is_bound: false,
             untold: None,
@@ -142,13 +156,20 @@
                     self.watches_path = self.resume().await;
                     continue;
                 }
-                ReadResult::Broken(problem) => problem,
+                ReadResult::Broken(problem) => {
+                    self.contact.record_failure(Evidence::Broken);
+                    let crashes = &self.call.entry.requests.crashes;
+                    crashes.record_disconnect(&self.choice, self.call.identity());
+                    problem
+                }
+                // The server has not crashed, and the path to it is not lost.
+                ReadResult::Invalid(problem) => {
+                    self.call.entry.requests.base.metrics.count("stream.invalid");
+                    problem
+                }
             };
             self.open_request.record_failure();
-            self.contact.record_failure(Evidence::Broken);
             log_failed_attempt(&self.call, &self.choice, true, problem);
-            let crashes = &self.call.entry.requests.crashes;
-            crashes.record_disconnect(&self.choice, self.call.identity());
             if !self.resume().await {
                 return Some(Err(self.abort(problem)));
             }
@@ -157,6 +178,9 @@
 
     /// Reads until an event is complete, the stream ends or breaks, or the deadline passes.
     async fn read(&mut self) -> ReadResult {
+        if let Some(problem) = self.invalid.take() {
+            return ReadResult::Invalid(problem);
+        }
         loop {
             let clock = &self.call.entry.requests.base.clock;
             let frame = clock.timeout_at(self.call.deadline, self.body.frame());
@@ -167,7 +191,11 @@
             let frame = match frame {
                 None => return ReadResult::TimedOut,
                 Some(None) if self.splitter.is_empty() => return ReadResult::End,
-                Some(None) => return ReadResult::Broken("the stream ended within an event"),
+                Some(None) if self.is_framed => return ReadResult::Invalid(ENDED_WITHIN_EVENT),
+                Some(None) => return ReadResult::Broken(ENDED_WITHIN_EVENT),
+                Some(Some(Err(e))) if is_malformed(&e) => {
+                    return ReadResult::Invalid("the stream is no HTTP message");
+                }
                 Some(Some(Err(_))) => return ReadResult::Broken("the stream broke off"),
                 Some(Some(Ok(frame))) => frame,
             };
@@ -175,9 +203,16 @@
             let Ok(data) = frame.into_data() else { continue };
             self.splitter.push(&data);
             match self.take_events() {
-                Err(problem) => return ReadResult::Broken(problem),
-                Ok(events) if events.is_empty() => {}
+                Err(problem) => return ReadResult::Invalid(problem),
+                Ok(events) if events.is_empty() => {
+                    let gathered = self.gathering.resize(self.splitter.partial_bytes());
+                    let clock = &self.call.entry.requests.base.clock;
+                    if clock.timeout_at(self.call.deadline, gathered).await.is_none() {
+                        return ReadResult::TimedOut;
+                    }
+                }
                 Ok(events) => {
+                    self.gathering.release();
                     self.pace.record_event();
                     self.record_survived();
                     self.open_request.record_prompt_read();
@@ -202,19 +237,32 @@
     /// Removes the complete events from the splitter; returns those that the caller does not have.
     fn take_events(&mut self) -> Result<Bytes, &'static str> {
         let mut out = BytesMut::new();
-        while let Some(event) = self.splitter.next_event() {
+        loop {
+            let event = match self.splitter.next_event() {
+                Ok(Some(event)) => event,
+                Ok(None) => break,
+                Err(EventTooLarge) => {
+                    self.invalid = Some("an event is too large");
+                    break;
+                }
+            };
             match self.sequence.accept(event.id) {
                 EventAction::Deliver => {
                     self.charge.record_event();
                     out.extend_from_slice(&event.raw);
                 }
                 EventAction::Duplicate => {}
-                // Events before the gap are delivered first.
-                EventAction::Gap if out.is_empty() => return Err("an event is missing"),
-                EventAction::Gap => break,
+                EventAction::Gap => {
+                    self.invalid = Some("an event is missing");
+                    break;
+                }
             }
         }
-        Ok(out.freeze())
+        // Events before the invalid one are delivered first.
+        match self.invalid.take_if(|_| out.is_empty()) {
+            Some(problem) => Err(problem),
+            None => Ok(out.freeze()),
+        }
     }
 
     /// Resumes the stream on another server, after the last event that the caller has; returns
@@ -245,6 +293,8 @@
                     self.choice = choice;
                     self.contact = contact;
                     self.splitter = EventSplitter::default();
+                    self.gathering.release();
+                    self.invalid = None;
                     (self.began_at, self.has_survived) = (None, false);
                     return true;
                 }
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -35,6 +35,7 @@
         "isolated": daemon.fleet.connectivity.is_isolated(now, daemon.cfg.limits.isolation_ms),
         "requests_in_flight": daemon.requests.in_flight.len(),
         "held_answers": daemon.requests.answer_memory.dump(),
+        "gathered": daemon.requests.gather_memory.dump(),
         "bills_waiting": daemon.billing.pending_entries(),
         "peers": peers,
     })
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -2,10 +2,11 @@
 //! platform's protocol (`entry`).
 //!
 //! Owns the set of open requests (`open_request`, [`RequestContext::in_flight`]), the answers held
-//! for callers (`held_answers`), the versions at which streams have begun (`stream_versions`) and the
+//! for callers (`held_answers`), what is gathered of incomplete ones (`gathering`), the versions at which streams have begun (`stream_versions`) and the
 //! flags by which a graceful shutdown stops the acceptance of new ones. May call the layers that hold
 //! state, the store and peers; called by `api`, `entry`, `lifecycle` and `peer_server`.
 
+pub mod gathering;
 pub mod held_answers;
 pub mod open_request;
 pub mod stream_versions;
@@ -27,6 +28,7 @@
 use crate::fleet::Fleet;
 use crate::hints::Hints;
 use crate::paths::Paths;
+use crate::requests::gathering::GatherMemory;
 use crate::requests::held_answers::AnswerMemory;
 use crate::requests::stream_versions::StreamVersions;
 use crate::rollouts::Rollouts;
@@ -67,6 +69,8 @@
     pub in_flight: TaskTracker,
     /// Answers that are held for callers.
     pub answer_memory: Arc<AnswerMemory>,
+    /// Events and answers that are not complete yet.
+    pub gather_memory: Arc<GatherMemory>,
 }
 
 impl RequestContext {
