Gathered answers: at least one of 8 MiB fits, also where none may be held for slow callers

With held_answers_mb 0 the account of incomplete answers had no memory, and all answers above 16 KiB would have waited for each other.

--- a/crates/daemon/src/requests/gathering.rs
+++ b/crates/daemon/src/requests/gathering.rs
@@ -18,6 +18,9 @@
 /// Bound for daemons without an entry proxy, in bytes.
 const DEFAULT_MAX_BYTES: u64 = 16 << 20;
 
+/// Smallest bound, in bytes: answers are gathered also where the settings let none be held.
+const MIN_MAX_BYTES: u64 = 8 << 20;
+
 /// Memory of the host for what is gathered.
 pub struct GatherMemory {
     base: Base,
@@ -33,7 +36,7 @@
     pub fn new(base: Base) -> Arc<Self> {
         let settings = base.cfg.entry.as_ref();
         let max_bytes = settings.map_or(DEFAULT_MAX_BYTES, |entry| entry.max_held_answer_bytes());
-        let max_bytes = max_bytes as usize;
+        let max_bytes = max_bytes.max(MIN_MAX_BYTES) as usize;
         Arc::new(GatherMemory {
             base,
             room: Arc::new(Semaphore::new(max_bytes)),
@@ -44,7 +47,7 @@
 
     /// Replaces the bound. A smaller one takes effect as far as memory is free.
     pub fn set_max_bytes(&self, max_bytes: u64) {
-        let max_bytes = max_bytes as usize;
+        let max_bytes = max_bytes.max(MIN_MAX_BYTES) as usize;
         let mut known = self.max_bytes.lock();
         if max_bytes >= *known {
             self.room.add_permits(max_bytes - *known);
