--- a/crates/core/src/freshness.rs
+++ b/crates/core/src/freshness.rs
@@ -42,6 +42,11 @@
         EventTime(now as i64 - age as i64)
     }
 
+    /// Returns the time from this event to a later one, in milliseconds; 0 if the other is earlier.
+    pub fn time_until(self, later: EventTime) -> Millis {
+        (later.0 - self.0).max(0) as Millis
+    }
+
     /// Returns the time since the event, in milliseconds; 0 if it is yet to come.
     pub fn age(self, now: Millis) -> Millis {
         (now as i64 - self.0).max(0) as Millis
--- a/crates/daemon/src/base/config.rs
+++ b/crates/daemon/src/base/config.rs
@@ -5,10 +5,10 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::Path;
 
-use bankcove_core::Name;
 use bankcove_core::owner::WRITE_INTERVAL_MS;
 use bankcove_core::request_log::APPEND_INTERVAL_MS;
 use bankcove_core::shard::BUDGET_SHARDS;
+use bankcove_core::{Millis, Name};
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
@@ -159,6 +159,12 @@
         self.entry.as_ref().is_some_and(|entry| entry.follow_evacuations)
     }
 
+    /// Returns the duration of an outage of the platform from which on entries of live servers may have
+    /// lapsed, in milliseconds. Without a platform that lists servers none lapse.
+    pub fn entry_lapse_ms(&self) -> Millis {
+        self.entry.as_ref().map_or(Millis::MAX, EntrySettings::entry_lapse_ms)
+    }
+
     /// Returns the IP address from which connections to backend servers are made, if it is set.
     pub fn source_ip(&self) -> Option<IpAddr> {
         self.entry.as_ref().and_then(|entry| entry.source_ip)
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -86,11 +86,23 @@
     /// chooses one for each connection.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub source_ip: Option<IpAddr>,
+    /// Interval at which backend servers write their entries in the platform's list, in milliseconds.
+    /// An entry lapses after three intervals without a write.
+    #[serde(default = "default_server_heartbeat_ms")]
+    pub server_heartbeat_ms: Millis,
     /// Region of each hall, for requests that may be served only in some regions.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub hall_regions: BTreeMap<Name, Name>,
 }
 
+/// Number of intervals without a write of any server, during an outage of the platform, after which
+/// entries may have lapsed: the last write before it may be an interval old.
+const LAPSE_INTERVALS: Millis = 2;
+
+fn default_server_heartbeat_ms() -> Millis {
+    1_200
+}
+
 /// Fraction of the host's memory that may hold answers. The rest is for the daemon's own state (up
 /// to 64 MB), request bodies and the socket buffers of its connections.
 const HELD_ANSWERS_FRACTION: f64 = 0.125;
@@ -158,6 +170,7 @@
             retry_window_s: default_retry_window_s(),
             link_mbps: Some(1_000.0),
             connect_queue_ms: 0.0,
+            server_heartbeat_ms: default_server_heartbeat_ms(),
             memory_mb: Some(512.0),
             held_answers_mb: Some(64.0),
             horizon_s: default_horizon_s(),
@@ -182,6 +195,12 @@
         }
     }
 
+    /// Returns the duration of an outage of the platform from which on entries of live servers may have
+    /// lapsed, in milliseconds.
+    pub fn entry_lapse_ms(&self) -> Millis {
+        self.server_heartbeat_ms * LAPSE_INTERVALS
+    }
+
     /// Returns the maximum size of all answers held for callers, in bytes.
     pub fn max_held_answer_bytes(&self) -> u64 {
         let of_memory = self.memory_mb.map(|memory_mb| memory_mb * HELD_ANSWERS_FRACTION);
@@ -257,6 +276,12 @@
             "must be a fraction of the requests",
             "use a number from 0 to 1, for example 0.1, or omit it",
         );
+        check(
+            self.server_heartbeat_ms == 0,
+            "entry.server_heartbeat_ms",
+            "must be above 0 milliseconds",
+            "use for example 1200",
+        );
         check(
             self.place_queue > MAX_PLACE_QUEUE,
             "entry.place_queue",
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -76,7 +76,8 @@
     /// Creates a view without known peers.
     pub fn new(base: Base) -> Self {
         let members = Arc::new(Mutex::new(Members::new(base.cfg.name.clone())));
-        let connectivity = Arc::new(Connectivity::new(base.cfg.follows_evacuations()));
+        let connectivity =
+            Arc::new(Connectivity::new(base.cfg.follows_evacuations(), base.cfg.entry_lapse_ms()));
         Fleet {
             base,
             members,
--- a/crates/daemon/src/fleet/connectivity.rs
+++ b/crates/daemon/src/fleet/connectivity.rs
@@ -26,6 +26,9 @@
 #[derive(Debug, Default)]
 struct State {
     store_answered_at: Option<EventTime>,
+    /// Time of the first answer of the store after a time without any in which entries may have
+    /// lapsed.
+    store_returned_at: Option<EventTime>,
     marked_unavailable: bool,
     store_paused_until: Millis,
     heartbeats: VecDeque<bool>,
@@ -35,6 +38,16 @@
 }
 
 impl State {
+    /// Records that the store answered this daemon or a peer. Entries may lapse after `lapse_ms`
+    /// without an answer, counted from the start of this daemon if it knows of none.
+    fn record_store_answer(&mut self, at: EventTime, lapse_ms: Millis) {
+        let last = self.store_answered_at.unwrap_or(EventTime::before(0, 0));
+        if last.time_until(at) >= lapse_ms {
+            self.store_returned_at = Some(at);
+        }
+        self.store_answered_at = self.store_answered_at.max(Some(at));
+    }
+
     fn is_cut_off_from_peers(&self) -> bool {
         let last = self.heartbeats.iter().rev().take(CUT_OFF_AFTER_FAILURES);
         self.heartbeats.len() >= CUT_OFF_AFTER_FAILURES
@@ -46,19 +59,22 @@
 #[derive(Debug, Default)]
 pub struct Connectivity {
     state: Mutex<State>,
+    /// Time without the store after which entries of live servers may have lapsed, in milliseconds.
+    lapse_ms: Millis,
 }
 
 impl Connectivity {
-    /// Creates a record without contact. `follows_halls` as in [`Freshness::new`].
-    pub fn new(follows_halls: bool) -> Self {
+    /// Creates a record without contact. `follows_halls` as in [`Freshness::new`]; `lapse_ms` is the
+    /// time without the store after which entries of live servers may have lapsed.
+    pub fn new(follows_halls: bool, lapse_ms: Millis) -> Self {
         let state = State { view: Freshness::new(follows_halls), ..State::default() };
-        Connectivity { state: Mutex::new(state) }
+        Connectivity { state: Mutex::new(state), lapse_ms }
     }
 
     /// Records that the store answered.
     pub fn record_store_answer(&self, now: Millis) {
         let mut state = self.state.lock();
-        state.store_answered_at = Some(EventTime::before(now, 0));
+        state.record_store_answer(EventTime::before(now, 0), self.lapse_ms);
         state.marked_unavailable = false;
         state.store_paused_until = 0;
     }
@@ -137,8 +153,14 @@
     /// `age` before `now`.
     pub fn record_peer_store_age(&self, now: Millis, age: Option<Millis>) {
         let Some(answered_at) = age.map(|age| EventTime::before(now, age)) else { return };
-        let mut state = self.state.lock();
-        state.store_answered_at = state.store_answered_at.max(Some(answered_at));
+        self.state.lock().record_store_answer(answered_at, self.lapse_ms);
+    }
+
+    /// Returns whether the store has come back within the last `within` milliseconds from a time in
+    /// which entries may have lapsed, as far as this daemon knows: nobody that it is in contact with
+    /// had an answer of the store for so long. A failed call or connection of its own is no such time.
+    pub fn may_entries_have_lapsed(&self, now: Millis, within: Millis) -> bool {
+        self.state.lock().store_returned_at.is_some_and(|at| at.age(now) <= within)
     }
 
     /// Returns the time since the store last answered this daemon or a peer that it is in contact
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -75,6 +75,7 @@
         "owners": daemon.budgets.owner_tasks.dump().await,
         "request_log": daemon.billing.log_tasks.dump().await,
         "servers": servers,
+        "server_list": *daemon.view.servers.lock(),
         "limits": daemon.hints.dump(),
         "brittle_servers": daemon.hints.slots.dump(),
         "paths": daemon.paths.dump(),
--- a/crates/daemon/src/view/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use bankcove_core::Millis;
-use bankcove_core::server_list::ServerChanges;
+use bankcove_core::server_list::{GRACE_PERIOD_MS, ServerChanges};
 
 use crate::fleet;
 use crate::fleet::WATCH_TIMEOUT;
@@ -81,8 +81,9 @@
     }
 }
 
-/// Applies a response of the store; returns whether any server has changed. `was_unavailable`
-/// is whether the store failed to answer before: missing entries then get a grace period.
+/// Applies a response of the store; returns whether any server has changed. `was_unavailable` is
+/// whether the store failed to answer before: missing entries then get a grace period, if they may
+/// have lapsed.
 fn apply_changes(
     view: &Arc<View>,
     asked_at: Millis,
@@ -96,10 +97,15 @@
     view.fleet.connectivity.record_servers_read(read_at);
     view.fleet.announce_if_current_again(was_current);
     view.unreadable.log_new(&view.fleet.base.log, "servers", &changes.unreadable);
+    let may_have_lapsed =
+        was_unavailable && view.fleet.connectivity.may_entries_have_lapsed(now, GRACE_PERIOD_MS);
     let mut list = view.servers.lock();
     if was_unavailable {
+        slog::info!(view.fleet.base.log, "store regained";
+            "at" => changes.at, "may_have_lapsed" => may_have_lapsed);
+    }
+    if may_have_lapsed {
         list.start_grace_period(now);
-        slog::info!(view.fleet.base.log, "store regained"; "at" => changes.at);
     }
     let changed = list.apply(now, changes) | list.drop_expired(now);
     drop(list);
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -52,6 +52,7 @@
     no_memory = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "memory_mb": 0}), "entry.memory_mb" },
     negative_held_answers = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "held_answers_mb": -1}), "entry.held_answers_mb" },
     held_answers_above_memory = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "memory_mb": 64, "held_answers_mb": 65}), "entry.held_answers_mb" },
+    no_server_heartbeat = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "server_heartbeat_ms": 0}), "entry.server_heartbeat_ms" },
     long_place_queue = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "place_queue": 1_001}), "entry.place_queue" },
     bad_protection = { "entry", serde_json::json!({"ready_listen": "127.0.0.1:1", "protect_horizon_s": -1}), "entry.protect_horizon_s" },
     adapter_without_entry = { "adapter", serde_json::json!("objects"), "setting 'entry'" },
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -17,7 +17,7 @@
 pub mod wire;
 
 pub use client::{Client, ListPage};
-pub use connections::{Connections, Generation};
+pub use connections::{Answer, CallError, Connections, Generation, Try};
 pub use error::{Error, Result};
 pub use objects::{Kind, Version, Versioned, WriteOutcome, segment_name};
 pub use store::{Store, StoreApi, WatchResult};
