Link: a refused request keeps nothing reserved, and a body declared too large reserves nothing

Cause: Link::settle took back the bytes of a request, but not those of its body, which have a backlog of their own. And the declared length was reserved, and counted as passed, before it was compared with the limit.

Change: settle takes back what was not sent of the body; a declared length above the limit gets 413 before anything is reserved. Before, the answer was 408 once the body had not come in time.

--- a/crates/core/src/link.rs
+++ b/crates/core/src/link.rs
@@ -139,5 +139,7 @@
     pub fn settle(&mut self, expected: Traffic, sent: Traffic, now: Millis) {
         self.backlog_ms(now);
         self.reserved_bytes = (self.reserved_bytes + sent.cost() - expected.cost()).max(0.0);
+        let body_bytes = sent.body_bytes as f64 - expected.body_bytes as f64;
+        self.body_bytes = (self.body_bytes + body_bytes).max(0.0);
     }
 }
--- a/crates/core/tests/link.rs
+++ b/crates/core/tests/link.rs
@@ -39,6 +39,17 @@
     assert!(link.reserve(traffic(1), 2, 100));
 }
 
+/// Guards against a request whose body was refused unread, and which then keeps others out.
+#[test]
+fn a_request_whose_body_is_not_sent_releases_its_reservation() {
+    let mut link = link();
+    let expected = Traffic { body_bytes: 99_999_999_999, bytes: 99_999_999_999, chunks: 1 };
+    assert!(link.reserve(expected, 0, 0));
+    link.settle(expected, traffic(800), 1);
+    assert_eq!(link.body_backlog_ms(1), 0.0);
+    assert!(link.reserve(traffic(1), 2, 1));
+}
+
 #[test]
 fn chunks_cost_more_than_their_bytes() {
     let mut link = link();
--- a/crates/daemon/src/entry/link_reservation.rs
+++ b/crates/daemon/src/entry/link_reservation.rs
@@ -53,6 +53,7 @@
 
     /// Records the body of the request as sent.
     pub fn record_body(&mut self, bytes: usize) {
+        self.sent.body_bytes += bytes as u64;
         self.sent.add(bytes);
     }
 
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -5,7 +5,6 @@
 
 use bankcove_core::outage;
 use bankcove_core::stream_versions::Binding;
-use bankcove_core::table::CallerLimits;
 use bankcove_core::{Millis, Name};
 use bankcove_ports::wire::RequestHead;
 use salvo::affix_state;
@@ -135,10 +134,17 @@
         return Err(Refusal::Stopping);
     }
     let path = req.uri().path_and_query().cloned();
+    let limits = &requests.base.cfg.limits;
+    let max_bytes = table.caller_limits.map_or(limits.max_body_bytes, |l| l.max_body_bytes);
+    let declared = declared_length(req);
+    // It is not read, so it takes up nothing of the link.
+    if declared > max_bytes {
+        return Err(Refusal::BodyTooLarge(max_bytes));
+    }
     // A body that is not read need not be received in full.
-    let link = LinkReservation::reserve(entry, &plan, &request_head, declared_length(req))
-        .ok_or(Refusal::LinkFull)?;
-    let body = read_body(table.caller_limits, &requests.base.cfg.limits, req).await?;
+    let link =
+        LinkReservation::reserve(entry, &plan, &request_head, declared).ok_or(Refusal::LinkFull)?;
+    let body = read_body(max_bytes, limits, req).await?;
     let caller_timeout = request_head.timeout.unwrap_or(Duration::MAX);
     let route_deadline = Duration::from_millis(plan.route.deadline_ms);
     Ok(Call {
@@ -171,13 +177,12 @@
     length.and_then(|length| length.parse().ok()).unwrap_or_default()
 }
 
-/// Reads the body within the limits of the table or, without them, of the settings.
+/// Reads the body, of at most `max_bytes`, within the time limit of the settings.
 async fn read_body(
-    table_limits: Option<CallerLimits>,
+    max_bytes: usize,
     limits: &crate::base::config::Limits,
     req: &mut Request,
 ) -> Result<bytes::Bytes, Refusal> {
-    let max_bytes = table_limits.map_or(limits.max_body_bytes, |limits| limits.max_body_bytes);
     let timeout = Duration::from_millis(limits.body_timeout_ms);
     let body = req.payload_with_max_size(max_bytes);
     match tokio::time::timeout(timeout, body).await {
