--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -95,7 +95,8 @@
     /// [`crate::Error::Setup`] when the process can't be set up.
     pub fn with_store(cfg: Config, log: Logger, store: Store) -> Result<Arc<Self>> {
         let incarnation = Incarnation(rand::random());
-        let connections = backend_connections(Duration::from_millis(cfg.limits.peer_timeout_ms));
+        let connect_timeout = Duration::from_millis(cfg.limits.peer_timeout_ms);
+        let connections = backend_connections(connect_timeout);
         let base = Base {
             incarnation,
             clock: Clock::start(),
@@ -124,7 +125,7 @@
         let view = Arc::new(View::new(
             fleet.clone(),
             store.clone(),
-            connections.current().client,
+            order_client(connect_timeout),
             Arc::clone(&table),
             Arc::clone(&router),
         ));
@@ -196,12 +197,24 @@
 }
 
 /// Returns connections to the backend servers of bankcove's own interface.
+fn backend_connections(connect_timeout: Duration) -> Connections {
+    Connections::new(move || build_client(backend_client(connect_timeout)))
+}
+
+/// Returns the client for orders to backend servers. It keeps no connections: a copy of an earlier answer
+/// would be taken for the answer to an order, which names nothing by which they are told apart.
+fn order_client(connect_timeout: Duration) -> reqwest::Client {
+    build_client(backend_client(connect_timeout).pool_max_idle_per_host(0))
+}
+
+fn backend_client(connect_timeout: Duration) -> reqwest::ClientBuilder {
+    reqwest::Client::builder().no_proxy().connect_timeout(connect_timeout)
+}
+
+/// Builds a client.
 ///
 /// # Panics
-/// Panics if the HTTP client can't be created, which happens only in a broken build.
-fn backend_connections(connect_timeout: Duration) -> Connections {
-    Connections::new(move || {
-        let http = reqwest::Client::builder().no_proxy().connect_timeout(connect_timeout);
-        http.build().expect("an HTTP client without TLS requires no system configuration")
-    })
+/// Panics if that fails, which happens only in a broken build.
+fn build_client(builder: reqwest::ClientBuilder) -> reqwest::Client {
+    builder.build().expect("an HTTP client without TLS requires no system configuration")
 }
--- a/crates/daemon/src/view.rs
+++ b/crates/daemon/src/view.rs
@@ -7,7 +7,7 @@
 
 pub mod hall_sync;
 pub mod host_list;
-mod orders;
+pub mod orders;
 pub mod routing_table;
 pub mod server_sync;
 pub mod table_sync;
