--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -8,11 +8,12 @@
 use bankcove_core::server_list::ServerChanges;
 use futures::FutureExt;
 use futures::future::BoxFuture;
-use reqwest::{Response, StatusCode};
+use reqwest::{RequestBuilder, StatusCode};
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
+use crate::connections::{Answer, CallError, Connections, Try};
 use crate::error::{Error, Result};
 use crate::objects::{Kind, Version, Versioned, WriteOutcome};
 use crate::store::{StoreApi, WatchResult};
@@ -52,7 +53,7 @@
 /// A client of the object API; clones share their connections.
 #[derive(Debug, Clone)]
 pub struct Client {
-    http: reqwest::Client,
+    connections: Connections,
     address: String,
 }
 
@@ -62,20 +63,21 @@
     /// # Panics
     /// If the HTTP client can't be built, which only a broken build of the library causes.
     pub fn new(address: &str) -> Self {
-        let http = reqwest::Client::builder()
-            .connect_timeout(CONNECT_TIMEOUT)
-            .no_proxy()
-            .build()
-            .expect("an HTTP client without TLS needs no system resources");
-        Client { http, address: address.to_owned() }
+        let connections = Connections::new(|| {
+            let http = reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT).no_proxy();
+            http.build().expect("an HTTP client without TLS needs no system resources")
+        });
+        Client { connections, address: address.to_owned() }
     }
 
     async fn read_object(&self, kind: Kind, name: &str) -> Result<Option<Versioned<Value>>> {
-        let req = self.http.get(self.object_url(kind, name)).timeout(CALL_TIMEOUT);
-        let res = req.send().await.map_err(|e| self.unavailable(&e))?;
-        self.parse_object(res).await
+        let url = self.object_url(kind, name);
+        let answer = self.read(|http| http.get(&url)).await?;
+        self.parse_object(&answer)
     }
 
+    /// Waits at most `wait` for a version after `after`. If kept connections turn out to be silent, the
+    /// object is read at once.
     async fn watch_object(
         &self,
         kind: Kind,
@@ -84,13 +86,16 @@
         wait: Duration,
     ) -> Result<WatchResult<Value>> {
         let url = format!("http://{}/v1/watch/{}/{name}", self.address, kind.path());
-        let millis = wait.as_millis() as u64;
-        let req = self.http.get(url).query(&[("after", after), ("timeout_ms", millis)]);
-        let res = req.timeout(wait + WATCH_GRACE).send().await.map_err(|e| self.unavailable(&e))?;
-        if res.status() == StatusCode::NO_CONTENT {
+        let build = |http: &reqwest::Client, which: Try| {
+            let wait = if which == Try::First { wait } else { Duration::ZERO };
+            let query = [("after", after), ("timeout_ms", wait.as_millis() as u64)];
+            http.get(&url).query(&query).timeout(wait + WATCH_GRACE)
+        };
+        let answer = self.connections.read(build).await.map_err(|e| self.unavailable(e))?;
+        if answer.status == StatusCode::NO_CONTENT {
             return Ok(WatchResult { version: after, changed: None });
         }
-        let changed = self.parse_object(res).await?;
+        let changed = self.parse_object(&answer)?;
         let version = changed.as_ref().map_or(after, |read| read.version);
         Ok(WatchResult { version, changed })
     }
@@ -102,48 +107,61 @@
         expect: Version,
         value: Value,
     ) -> WriteOutcome {
-        let req = self.http.put(self.object_url(kind, name)).query(&[("if_version", expect)]);
-        let res = match req.timeout(CALL_TIMEOUT).json(&value).send().await {
-            Ok(res) => res,
-            Err(e) if e.is_connect() => return WriteOutcome::NotSent,
+        let url = self.object_url(kind, name);
+        let build = |http: &reqwest::Client| {
+            http.put(url).query(&[("if_version", expect)]).timeout(CALL_TIMEOUT).json(&value)
+        };
+        let answer = match self.connections.write(build).await {
+            Ok(answer) => answer,
+            Err(CallError::NotConnected(_)) => return WriteOutcome::NotSent,
             Err(_) => return WriteOutcome::Ambiguous,
         };
-        match res.status() {
+        match answer.status {
             StatusCode::CONFLICT => WriteOutcome::Conflict(None),
-            status if status.is_success() => match res.json::<WriteAnswer>().await {
-                Ok(answer) => WriteOutcome::Written(answer.version),
-                Err(_) => WriteOutcome::Ambiguous,
-            },
+            status if status.is_success() => {
+                match serde_json::from_slice::<WriteAnswer>(&answer.body) {
+                    Ok(written) => WriteOutcome::Written(written.version),
+                    Err(_) => WriteOutcome::Ambiguous,
+                }
+            }
             _ => WriteOutcome::Ambiguous,
         }
     }
 
     async fn read_greatest_name(&self, kind: Kind) -> Result<Option<String>> {
         let url = format!("http://{}/v1/objects/{}", self.address, kind.path());
-        let req = self.http.get(url).query(&[("order", "descending"), ("limit", "1")]);
-        let page: ListPage = self.fetch_json(req).await?;
+        let query = [("order", "descending"), ("limit", "1")];
+        let answer = self.read(|http| http.get(&url).query(&query)).await?;
+        let page: ListPage = self.parse(&answer)?;
         Ok(page.names.into_iter().next())
     }
 
     async fn list_hosts(&self) -> Result<Hosts> {
-        let req = self.http.get(format!("http://{}/v1/hosts", self.address));
-        let answer: HostsAnswer = self.fetch_json(req).await?;
-        Ok(Hosts { hosts: answer.hosts, unreadable: Vec::new() })
+        let url = format!("http://{}/v1/hosts", self.address);
+        let hosts: HostsAnswer = self.parse(&self.read(|http| http.get(&url)).await?)?;
+        Ok(Hosts { hosts: hosts.hosts, unreadable: Vec::new() })
     }
 
-    async fn fetch_json<T: DeserializeOwned>(&self, req: reqwest::RequestBuilder) -> Result<T> {
-        let res = req.timeout(CALL_TIMEOUT).send().await.map_err(|e| self.unavailable(&e))?;
-        let res = res.error_for_status().map_err(|e| self.unavailable(&e))?;
-        res.json().await.map_err(|e| self.unavailable(&e))
+    /// Makes a call that changes nothing.
+    async fn read(&self, build: impl Fn(&reqwest::Client) -> RequestBuilder) -> Result<Answer> {
+        let answer = self.connections.read(|http, _| build(http).timeout(CALL_TIMEOUT)).await;
+        answer.map_err(|e| self.unavailable(e))
     }
 
-    async fn parse_object(&self, res: Response) -> Result<Option<Versioned<Value>>> {
-        if res.status() == StatusCode::NOT_FOUND {
+    fn parse_object(&self, answer: &Answer) -> Result<Option<Versioned<Value>>> {
+        if answer.status == StatusCode::NOT_FOUND {
             return Ok(None);
         }
-        let res = res.error_for_status().map_err(|e| self.unavailable(&e))?;
-        let answer: ReadAnswer = res.json().await.map_err(|e| self.unavailable(&e))?;
-        Ok(Some(Versioned { version: answer.version, value: answer.value }))
+        let read: ReadAnswer = self.parse(answer)?;
+        Ok(Some(Versioned { version: read.version, value: read.value }))
+    }
+
+    /// Parses the body of a successful answer.
+    fn parse<T: DeserializeOwned>(&self, answer: &Answer) -> Result<T> {
+        if !answer.status.is_success() {
+            return Err(self.unavailable(format!("status {}", answer.status)));
+        }
+        serde_json::from_slice(&answer.body).map_err(|e| self.unavailable(e))
     }
 
     fn object_url(&self, kind: Kind, name: &str) -> String {
@@ -151,8 +169,8 @@
     }
 
     /// Returns the error for a failed call.
-    fn unavailable(&self, e: &reqwest::Error) -> Error {
-        Error::Unavailable { address: self.address.clone(), problem: e.to_string() }
+    fn unavailable(&self, problem: impl ToString) -> Error {
+        Error::Unavailable { address: self.address.clone(), problem: problem.to_string() }
     }
 }
 
