--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -203,7 +203,7 @@
                 if e.is_connect() {
                     SendError::NotConnected(format_with_sources(&e))
                 } else {
-                    SendError::Broken(format_with_sources(&e))
+                    SendError::without_answer(&e)
                 }
             })?;
         Ok(UncheckedResponse::pooled(res, connection))
