--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -10,6 +10,7 @@
 pub mod backend;
 pub mod call;
 pub mod charge;
+pub mod connection;
 pub mod forward;
 pub mod link_reservation;
 pub mod outcome;
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -16,7 +16,7 @@
 use crate::entry::call::Call;
 use crate::entry::charge::Charge;
 use crate::entry::outcome::{InDoubt, NotExecuted, RunState};
-use crate::entry::response::{ForeignResponse, OwnResponse};
+use crate::entry::response::{ForeignResponse, OwnResponse, ResponseOrigin};
 use crate::hints::permit::Permit;
 use crate::paths::Route;
 use crate::paths::contact::Contact;
@@ -169,12 +169,13 @@
     };
     call.attempts_sent += 1;
     contact.record_data();
+    let origin = res.origin();
     let OwnResponse { res, head } = match res.check(entry.wire.as_ref(), &call.request_head.id) {
         Ok(own) => own,
         Err(foreign) => {
             open_request.keep_until_end(Box::new(place));
             open_request.record_failure();
-            log_foreign(call, &choice, &foreign);
+            log_foreign(call, &choice, &origin, &foreign);
             return AttemptOutcome::AnswerLost(sent.in_doubt());
         }
     };
@@ -189,6 +190,7 @@
     }
     if let (Some(unrun), Some(proof)) = (head.unrun, NotExecuted::from_head(&head)) {
         place.cancel();
+        log_rejection(call, &choice, &origin, unrun);
         let is_full = unrun == NotRunReason::Full;
         if is_full {
             open_request.record_rejection();
@@ -331,10 +333,21 @@
     }
 }
 
+/// Logs and counts an answer that proves that the server did not run the request.
+fn log_rejection(call: &Call, choice: &Choice, origin: &ResponseOrigin, unrun: NotRunReason) {
+    let metrics = &call.entry.requests.base.metrics;
+    metrics.count("answer.rejection");
+    if !origin.is_request_written() {
+        metrics.count("answer.early_rejection");
+    }
+    slog::info!(call.log, "answer states that the request was not run"; origin,
+        "server" => %choice.server, "why" => unrun_text(unrun), "body_bytes" => call.body.len());
+}
+
 /// Logs and counts an answer that does not name the request.
-fn log_foreign(call: &Call, choice: &Choice, foreign: &ForeignResponse) {
+fn log_foreign(call: &Call, choice: &Choice, origin: &ResponseOrigin, foreign: &ForeignResponse) {
     call.entry.requests.base.metrics.count("answer.foreign");
-    slog::info!(call.log, "answer of another request";
+    slog::info!(call.log, "answer of another request"; origin,
         "server" => %choice.server, "named" => foreign.id.as_deref());
     log_failed_attempt(call, choice, true, &foreign.to_string());
 }
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -21,6 +21,7 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use parking_lot::Mutex;
 
+use crate::entry::connection::{ObservedStream, ObservingConnector};
 use crate::entry::response::UncheckedResponse;
 use crate::entry::sends::NumberedPermit;
 use crate::hints::permit::PermitError;
@@ -92,7 +93,7 @@
 }
 
 /// Client with the connections to servers at one or more addresses.
-type HttpClient = Client<HttpConnector, Full<Bytes>>;
+type HttpClient = Client<ObservingConnector, Full<Bytes>>;
 
 /// Clients with separate connections, by the number of the sends that they carry.
 type NumberedClients = Vec<HttpClient>;
@@ -155,7 +156,7 @@
         .pool_idle_timeout(IDLE_TIMEOUT)
         .retry_canceled_requests(true)
         .http1_max_buf_size(MAX_READ_BYTES as usize)
-        .build(connector)
+        .build(ObservingConnector(connector))
 }
 
 impl BackendClient {
@@ -223,8 +224,10 @@
     permit.permit.consume()?;
     let mut http1 = hyper::client::conn::http1::Builder::new();
     http1.max_buf_size(MAX_READ_BYTES as usize);
+    let stream = ObservedStream::new(TokioIo::new(tunnel));
+    let state = stream.state();
     let (mut sender, connection) = http1
-        .handshake(TokioIo::new(tunnel))
+        .handshake(stream)
         .await
         .map_err(|e| SendError::NotConnected(format_with_sources(&e)))?;
     // It ends when the answer is complete or dropped.
@@ -234,7 +237,7 @@
         new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
     let res = sender.send_request(req).await;
     let res = res.map_err(|e| SendError::without_answer(&e))?;
-    Ok(UncheckedResponse::single(res))
+    Ok(UncheckedResponse::single(res, state))
 }
 
 fn new_request(method: Method, uri: Uri, headers: HeaderMap, body: Bytes) -> Request<Full<Bytes>> {
--- /dev/null
+++ b/crates/daemon/src/entry/connection.rs
@@ -0,0 +1,150 @@
+//! Connections to backend servers that know how far a request was written.
+
+use std::io::{self, IoSlice};
+use std::pin::Pin;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::task::{Context, Poll, ready};
+
+use futures::TryFutureExt;
+use hyper::http::uri::Uri;
+use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tower_service::Service;
+
+/// What is known of a connection; clones share it.
+#[derive(Debug, Clone)]
+pub struct ConnectionState(Arc<Inner>);
+
+#[derive(Debug)]
+struct Inner {
+    number: u64,
+    responses: AtomicU64,
+    is_write_blocked: AtomicBool,
+}
+
+impl ConnectionState {
+    fn new() -> Self {
+        static LAST: AtomicU64 = AtomicU64::new(0);
+        let number = LAST.fetch_add(1, Ordering::Relaxed);
+        let (responses, is_write_blocked) = (AtomicU64::new(0), AtomicBool::new(false));
+        ConnectionState(Arc::new(Inner { number, responses, is_write_blocked }))
+    }
+
+    /// Returns the number of the connection, which no other one of this process has.
+    pub fn number(&self) -> u64 {
+        self.0.number
+    }
+
+    /// Counts a response; returns its number on the connection, from 1.
+    pub fn count_response(&self) -> u64 {
+        self.0.responses.fetch_add(1, Ordering::Relaxed) + 1
+    }
+
+    /// Returns whether data of the latest request has not been passed to the kernel yet.
+    pub fn is_write_blocked(&self) -> bool {
+        self.0.is_write_blocked.load(Ordering::Relaxed)
+    }
+
+    /// Records the result of writing `len` bytes.
+    fn record_write(&self, len: usize, written: &Poll<io::Result<usize>>) {
+        if !matches!(written, Poll::Ready(Ok(n)) if *n == len) {
+            self.0.is_write_blocked.store(true, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Stream of a connection with its state.
+#[derive(Debug)]
+pub struct ObservedStream<T> {
+    stream: T,
+    state: ConnectionState,
+}
+
+impl<T> ObservedStream<T> {
+    /// Observes a new connection.
+    pub fn new(stream: T) -> Self {
+        ObservedStream { stream, state: ConnectionState::new() }
+    }
+
+    /// Returns the state of the connection.
+    pub fn state(&self) -> ConnectionState {
+        self.state.clone()
+    }
+}
+
+impl<T: Read + Unpin> Read for ObservedStream<T> {
+    fn poll_read(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: ReadBufCursor<'_>,
+    ) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_read(cx, buf)
+    }
+}
+
+impl<T: Write + Unpin> Write for ObservedStream<T> {
+    fn poll_write(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        buf: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write(cx, buf);
+        self.state.record_write(buf.len(), &written);
+        written
+    }
+
+    fn poll_write_vectored(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+        bufs: &[IoSlice<'_>],
+    ) -> Poll<io::Result<usize>> {
+        let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
+        self.state.record_write(bufs.iter().map(|buf| buf.len()).sum(), &written);
+        written
+    }
+
+    fn is_write_vectored(&self) -> bool {
+        self.stream.is_write_vectored()
+    }
+
+    /// The HTTP client flushes once it has written all that it has.
+    fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        let flushed = ready!(Pin::new(&mut self.stream).poll_flush(cx));
+        self.state.0.is_write_blocked.store(false, Ordering::Relaxed);
+        Poll::Ready(flushed)
+    }
+
+    fn poll_shutdown(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
+        Pin::new(&mut self.stream).poll_shutdown(cx)
+    }
+}
+
+impl Connection for ObservedStream<TokioIo<TcpStream>> {
+    fn connected(&self) -> Connected {
+        self.stream.connected().extra(self.state())
+    }
+}
+
+/// Connector that observes the connections it makes. Responses have the [`ConnectionState`] as an
+/// extension.
+#[derive(Debug, Clone)]
+pub struct ObservingConnector(pub HttpConnector);
+
+type HttpConnecting = <HttpConnector as Service<Uri>>::Future;
+
+impl Service<Uri> for ObservingConnector {
+    type Response = ObservedStream<TokioIo<TcpStream>>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = futures::future::MapOk<HttpConnecting, fn(TokioIo<TcpStream>) -> Self::Response>;
+
+    fn poll_ready(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.0.poll_ready(cx)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        self.0.call(uri).map_ok(ObservedStream::new)
+    }
+}
--- a/crates/daemon/src/entry/response.rs
+++ b/crates/daemon/src/entry/response.rs
@@ -11,6 +11,9 @@
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::CaptureConnection;
+use slog::{KV, Record, Serializer};
+
+use crate::entry::connection::ConnectionState;
 
 /// Response to a send, of which nothing may be used yet.
 #[derive(Debug)]
@@ -18,6 +21,42 @@
     res: Response<Incoming>,
     /// Its connection, if other requests may use it later.
     connection: Option<CaptureConnection>,
+    origin: ResponseOrigin,
+}
+
+/// Where a response came from. As part of a log line it tells what its statement rests on.
+#[derive(Debug, Clone)]
+pub struct ResponseOrigin {
+    status: u16,
+    /// Number of its connection, and its own number on this connection, from 1.
+    connection: Option<(u64, u64)>,
+    /// Whether the whole request had been passed to the kernel when the head was received.
+    is_request_written: bool,
+}
+
+impl ResponseOrigin {
+    fn new(res: &Response<Incoming>, connection: Option<&ConnectionState>) -> Self {
+        ResponseOrigin {
+            status: res.status().as_u16(),
+            connection: connection.map(|state| (state.number(), state.count_response())),
+            is_request_written: connection.is_some_and(|state| !state.is_write_blocked()),
+        }
+    }
+
+    /// Returns whether the whole request had been passed to the kernel when the head was received.
+    pub fn is_request_written(&self) -> bool {
+        self.is_request_written
+    }
+}
+
+impl KV for ResponseOrigin {
+    fn serialize(&self, _: &Record<'_>, serializer: &mut dyn Serializer) -> slog::Result {
+        serializer.emit_u16("status", self.status)?;
+        serializer.emit_bool("request_written", self.is_request_written)?;
+        let Some((connection, number)) = self.connection else { return Ok(()) };
+        serializer.emit_u64("connection", connection)?;
+        serializer.emit_u64("on_connection", number)
+    }
 }
 
 /// Response that answers the request which was sent.
@@ -44,12 +83,19 @@
 impl UncheckedResponse {
     /// Response over a connection of a pool.
     pub(in crate::entry) fn pooled(res: Response<Incoming>, connection: CaptureConnection) -> Self {
-        UncheckedResponse { res, connection: Some(connection) }
+        let origin = ResponseOrigin::new(&res, res.extensions().get());
+        UncheckedResponse { res, connection: Some(connection), origin }
     }
 
     /// Response over a connection that is used for one request.
-    pub(in crate::entry) fn single(res: Response<Incoming>) -> Self {
-        UncheckedResponse { res, connection: None }
+    pub(in crate::entry) fn single(res: Response<Incoming>, connection: ConnectionState) -> Self {
+        let origin = ResponseOrigin::new(&res, Some(&connection));
+        UncheckedResponse { res, connection: None, origin }
+    }
+
+    /// Returns where it came from.
+    pub fn origin(&self) -> ResponseOrigin {
+        self.origin.clone()
     }
 
     /// Checks that the response names the request with this identifier.
