--- a/crates/daemon/src/entry/connection.rs
+++ b/crates/daemon/src/entry/connection.rs
@@ -1,4 +1,4 @@
-//! Connections to backend servers that know how far a request was written.
+//! Connections to backend servers that know whether a request was written, and can stop writing it.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
@@ -7,6 +7,7 @@
 use std::task::{Context, Poll, ready};
 
 use futures::TryFutureExt;
+use futures::task::AtomicWaker;
 use hyper::http::uri::Uri;
 use hyper::rt::{Read, ReadBufCursor, Write};
 use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
@@ -23,14 +24,22 @@
     number: u64,
     responses: AtomicU64,
     is_write_blocked: AtomicBool,
+    is_abandoned: AtomicBool,
+    /// Task that waits to write.
+    writer: AtomicWaker,
 }
 
 impl ConnectionState {
     fn new() -> Self {
         static LAST: AtomicU64 = AtomicU64::new(0);
         let number = LAST.fetch_add(1, Ordering::Relaxed);
-        let (responses, is_write_blocked) = (AtomicU64::new(0), AtomicBool::new(false));
-        ConnectionState(Arc::new(Inner { number, responses, is_write_blocked }))
+        ConnectionState(Arc::new(Inner {
+            number,
+            responses: AtomicU64::new(0),
+            is_write_blocked: AtomicBool::new(false),
+            is_abandoned: AtomicBool::new(false),
+            writer: AtomicWaker::new(),
+        }))
     }
 
     /// Returns the number of the connection, which no other one of this process has.
@@ -48,6 +57,21 @@
         self.0.is_write_blocked.load(Ordering::Relaxed)
     }
 
+    /// Closes the connection before anything more is written.
+    pub fn abandon(&self) {
+        self.0.is_abandoned.store(true, Ordering::Release);
+        self.0.writer.wake();
+    }
+
+    /// Checks that the connection is not abandoned; otherwise `cx` is woken when it is.
+    fn check_write(&self, cx: &Context<'_>) -> io::Result<()> {
+        self.0.writer.register(cx.waker());
+        if self.0.is_abandoned.load(Ordering::Acquire) {
+            return Err(io::ErrorKind::ConnectionAborted.into());
+        }
+        Ok(())
+    }
+
     /// Records the result of writing `len` bytes.
     fn record_write(&self, len: usize, written: &Poll<io::Result<usize>>) {
         if !matches!(written, Poll::Ready(Ok(n)) if *n == len) {
@@ -91,6 +115,7 @@
         cx: &mut Context<'_>,
         buf: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.state.check_write(cx)?;
         let written = Pin::new(&mut self.stream).poll_write(cx, buf);
         self.state.record_write(buf.len(), &written);
         written
@@ -101,6 +126,7 @@
         cx: &mut Context<'_>,
         bufs: &[IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.state.check_write(cx)?;
         let written = Pin::new(&mut self.stream).poll_write_vectored(cx, bufs);
         self.state.record_write(bufs.iter().map(|buf| buf.len()).sum(), &written);
         written
--- a/crates/daemon/src/entry/response.rs
+++ b/crates/daemon/src/entry/response.rs
@@ -20,7 +20,8 @@
 pub struct UncheckedResponse {
     res: Response<Incoming>,
     /// Its connection, if other requests may use it later.
-    connection: Option<CaptureConnection>,
+    pooled: Option<CaptureConnection>,
+    connection: Option<ConnectionState>,
     origin: ResponseOrigin,
 }
 
@@ -83,14 +84,22 @@
 impl UncheckedResponse {
     /// Response over a connection of a pool.
     pub(in crate::entry) fn pooled(res: Response<Incoming>, connection: CaptureConnection) -> Self {
-        let origin = ResponseOrigin::new(&res, res.extensions().get());
-        UncheckedResponse { res, connection: Some(connection), origin }
+        let state = res.extensions().get().cloned();
+        Self::new(res, Some(connection), state)
     }
 
     /// Response over a connection that is used for one request.
     pub(in crate::entry) fn single(res: Response<Incoming>, connection: ConnectionState) -> Self {
-        let origin = ResponseOrigin::new(&res, Some(&connection));
-        UncheckedResponse { res, connection: None, origin }
+        Self::new(res, None, Some(connection))
+    }
+
+    fn new(
+        res: Response<Incoming>,
+        pooled: Option<CaptureConnection>,
+        connection: Option<ConnectionState>,
+    ) -> Self {
+        let origin = ResponseOrigin::new(&res, connection.as_ref());
+        UncheckedResponse { res, pooled, connection, origin }
     }
 
     /// Returns where it came from.
@@ -106,12 +115,32 @@
     pub fn check(self, wire: &dyn Wire, id: &str) -> Result<OwnResponse, ForeignResponse> {
         let head = wire.read_response(self.res.status(), self.res.headers());
         let checked = OwnHead::check(head, id);
-        let connection = self.connection.as_ref().map(CaptureConnection::connection_metadata);
-        if let (Err(_), Some(Some(connection))) = (&checked, connection.as_deref()) {
-            connection.poison();
+        match &checked {
+            Err(_) => self.poison(),
+            Ok(head) if head.unrun.is_some() => self.stop_writing(),
+            Ok(_) => {}
         }
         checked.map(|head| OwnResponse { res: self.res, head })
     }
+
+    /// Keeps other requests from using the connection.
+    fn poison(&self) {
+        let pooled = self.pooled.as_ref().map(CaptureConnection::connection_metadata);
+        if let Some(Some(pooled)) = pooled.as_deref() {
+            pooled.poison();
+        }
+    }
+
+    /// Writes no more of a request that is not written yet: a server that has rejected it must not
+    /// receive it in full, and the rest would only take up the link.
+    fn stop_writing(&self) {
+        if !self.origin.is_request_written
+            && let Some(connection) = &self.connection
+        {
+            self.poison();
+            connection.abandon();
+        }
+    }
 }
 
 impl OwnHead {
