--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -12,6 +12,7 @@
 pub mod charge;
 pub mod connection;
 pub mod forward;
+pub mod interim;
 pub mod link_reservation;
 pub mod outcome;
 pub mod pace;
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -13,6 +13,7 @@
 use bankcove_core::held_answers::MAX_READ_BYTES;
 use bankcove_core::router::Choice;
 use bytes::Bytes;
+use futures::TryFutureExt;
 use http_body_util::Full;
 use hyper::http::uri::{PathAndQuery, Scheme, Uri};
 use hyper::{HeaderMap, Method, Request};
@@ -22,6 +23,7 @@
 use parking_lot::Mutex;
 
 use crate::entry::connection::{ObservedStream, ObservingConnector};
+use crate::entry::interim::InterimResponses;
 use crate::entry::response::UncheckedResponse;
 use crate::entry::sends::NumberedPermit;
 use crate::hints::permit::PermitError;
@@ -199,14 +201,15 @@
         let mut req =
             new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
         let connection = capture_connection(&mut req);
-        let res =
-            self.client_for(&choice, path_losses, number).request(req).await.map_err(|e| {
-                if e.is_connect() {
-                    SendError::NotConnected(format_with_sources(&e))
-                } else {
-                    SendError::without_answer(&e)
-                }
-            })?;
+        let interim = InterimResponses::count(&mut req);
+        let res = self.client_for(&choice, path_losses, number).request(req).map_err(|e| {
+            if e.is_connect() {
+                SendError::NotConnected(format_with_sources(&e))
+            } else {
+                SendError::without_answer(&e)
+            }
+        });
+        let res = interim.bound(res).await?;
         Ok(UncheckedResponse::pooled(res, connection))
     }
 }
@@ -233,10 +236,11 @@
     // It ends when the answer is complete or dropped.
     tokio::spawn(connection);
     let uri = Uri::from(backend_request.path);
-    let req =
+    let mut req =
         new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
-    let res = sender.send_request(req).await;
-    let res = res.map_err(|e| SendError::without_answer(&e))?;
+    let interim = InterimResponses::count(&mut req);
+    let res = sender.send_request(req).map_err(|e| SendError::without_answer(&e));
+    let res = interim.bound(res).await?;
     Ok(UncheckedResponse::single(res, state))
 }
 
