--- a/crates/core/src/events.rs
+++ b/crates/core/src/events.rs
@@ -25,6 +25,13 @@
     pub raw: Vec<u8>,
 }
 
+impl RawEvent {
+    /// Returns whether it may contain a part of the response: a comment does not.
+    pub fn has_content(&self) -> bool {
+        self.id.is_some() || lines(&self.raw).any(|line| line.starts_with(b"data"))
+    }
+}
+
 /// Splits a byte stream into complete events.
 #[derive(Debug, Default)]
 pub struct EventSplitter {
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod slot_leases;
 pub mod store_read_policy;
 pub mod stream;
+pub mod stream_bounds;
 pub mod stream_versions;
 pub mod table;
 pub mod table_check;
--- a/crates/core/tests/events.rs
+++ b/crates/core/tests/events.rs
@@ -3,6 +3,7 @@
 use bankcove_core::events::{
     EventAction, EventSequence, EventSplitter, EventTooLarge, MAX_EVENT_BYTES, RawEvent,
 };
+use bankcove_core::stream_bounds::StreamBounds;
 use yare::parameterized;
 
 /// Returns the complete events, none of which is too large.
@@ -80,3 +81,32 @@
         assert_eq!(order.last(), last);
     }
 }
+
+#[parameterized(
+    with_an_id = { "id: 3\n\n", true },
+    with_text = { "data: a\n\n", true },
+    comment = { ": wait\n\n", false },
+    without_a_line = { "\n\n", false },
+)]
+fn a_comment_is_no_content(text: &str, expected: bool) {
+    let mut splitter = EventSplitter::default();
+    splitter.push(text.as_bytes());
+    assert_eq!(complete_event(&mut splitter).has_content(), expected);
+}
+
+/// Guards against a stream that is given up although its server sends the largest event in small
+/// reads, and against one that goes on with nothing but comments.
+#[test]
+fn the_largest_event_is_not_idle_and_twice_as_much_is() {
+    let mut bounds = StreamBounds::new(Some(1));
+    for _ in 0..MAX_EVENT_BYTES / 128 {
+        bounds.record_read(128);
+    }
+    assert!(!bounds.is_idle());
+    assert!(bounds.take_event());
+    bounds.record_read(2 * MAX_EVENT_BYTES);
+    assert!(bounds.is_idle());
+    bounds.restart();
+    assert!(!bounds.is_idle());
+    assert!(!bounds.take_event(), "one event was reserved");
+}
--- a/crates/daemon/src/entry/admission.rs
+++ b/crates/daemon/src/entry/admission.rs
@@ -57,10 +57,9 @@
     let (Some(prompt), Some(budget)) = (&call.request_head.prompt, &call.plan.budget) else {
         return Ok(Charge::new(requests, &call.log, None, 0, 0));
     };
-    let tokens_per_event = call.plan.tokens_per_event;
+    let tokens_per_event = call.plan.tokens_per_event.max(1);
     // Events are charged as full, and the last one may contain fewer tokens.
-    let tokens =
-        prompt.input_tokens + prompt.output_limit.next_multiple_of(tokens_per_event.max(1));
+    let tokens = prompt.input_tokens + call.plan.max_events(prompt) * tokens_per_event;
     let reservation = reserve_tokens(call, budget, tokens).await?;
     Ok(Charge::new(requests, &call.log, Some(reservation), prompt.input_tokens, tokens_per_event))
 }
--- a/crates/daemon/src/entry/link_reservation.rs
+++ b/crates/daemon/src/entry/link_reservation.rs
@@ -81,10 +81,10 @@
 
 /// Returns the traffic that a request and its answer are expected to send.
 fn expected_traffic(plan: &Plan, request_head: &RequestHead, body_bytes: usize) -> Traffic {
-    let events = request_head.prompt.as_ref().map(|prompt| {
-        let max_events = prompt.output_limit.div_ceil(plan.tokens_per_event.max(1));
-        max_events.div_ceil(MAX_TO_EXPECTED_EVENTS)
-    });
+    let events = request_head
+        .prompt
+        .as_ref()
+        .map(|prompt| plan.max_events(prompt).div_ceil(MAX_TO_EXPECTED_EVENTS));
     let answer_bytes = events.map_or(ANSWER_BYTES, |events| events * EVENT_BYTES);
     let bytes = body_bytes as u64 + HEAD_BYTES + answer_bytes;
     Traffic { body_bytes: body_bytes as u64, bytes, chunks: 2 + events.unwrap_or(1) }
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -5,7 +5,7 @@
 
 use bankcove_core::table::{Budget, Route, RouteTarget, ServiceShare, Table, Urgency, Workspace};
 use bankcove_core::{Name, Tokens};
-use bankcove_ports::wire::RequestHead;
+use bankcove_ports::wire::{Prompt, RequestHead};
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::auth::hash_key;
@@ -87,6 +87,12 @@
         self.urgency
     }
 
+    /// Returns the maximum number of events of a stream for this prompt: all are full, except for the
+    /// last one.
+    pub fn max_events(&self, prompt: &Prompt) -> u64 {
+        prompt.output_limit.div_ceil(self.tokens_per_event.max(1))
+    }
+
     /// Returns a conservative estimate of the time that the request takes.
     pub fn expected_time(&self, request_head: &RequestHead) -> Duration {
         let time_to_start = Duration::from_millis(self.route.goal_ms * GOAL_FACTOR);
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -10,6 +10,7 @@
 use bankcove_core::events::{EventAction, EventSequence, EventSplitter, EventTooLarge};
 use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
+use bankcove_core::stream_bounds::StreamBounds;
 use bankcove_core::stream_versions::Binding;
 use bytes::{Bytes, BytesMut};
 use futures::Stream;
@@ -55,6 +56,7 @@
     /// Why the stream is invalid after the events that were forwarded.
     invalid: Option<&'static str>,
     sequence: EventSequence,
+    bounds: StreamBounds,
     /// Whether events were forwarded, so that the stream is bound to a version.
     is_bound: bool,
     untold: Option<UntoldStream>,
@@ -84,6 +86,8 @@
         let is_framed = crashes::is_framed(res.headers());
         let body = res.into_body();
         let sequence = EventSequence::after(call.request_head.resume_after);
+        let prompt = call.request_head.prompt.as_ref();
+        let bounds = StreamBounds::new(prompt.map(|prompt| call.plan.max_events(prompt)));
         let pace = PaceMeter::started_before(Duration::from_millis(call.age_ms()));
         let splitter = EventSplitter::default();
         let gathering = Gathering::new(&call.entry.requests.gather_memory);
@@ -100,6 +104,7 @@
             gathering,
             invalid: None,
             sequence,
+            bounds,
             is_bound: false,
             untold: None,
             began_at: None,
@@ -202,6 +207,7 @@
             self.contact.record_data();
             let Ok(data) = frame.into_data() else { continue };
             self.splitter.push(&data);
+            self.bounds.record_read(data.len());
             match self.take_events() {
                 Err(problem) => return ReadResult::Invalid(problem),
                 Ok(events) if events.is_empty() => {
@@ -246,11 +252,19 @@
                     break;
                 }
             };
+            let before = self.sequence;
             match self.sequence.accept(event.id) {
-                EventAction::Deliver => {
+                EventAction::Deliver if !event.has_content() => out.extend_from_slice(&event.raw),
+                EventAction::Deliver if self.bounds.take_event() => {
                     self.charge.record_event();
                     out.extend_from_slice(&event.raw);
                 }
+                // The tokens for it are not reserved.
+                EventAction::Deliver => {
+                    self.sequence = before;
+                    self.invalid = Some("there are more events than the request allows");
+                    break;
+                }
                 EventAction::Duplicate => {}
                 EventAction::Gap => {
                     self.invalid = Some("an event is missing");
@@ -258,6 +272,9 @@
                 }
             }
         }
+        if self.bounds.is_idle() {
+            self.invalid.get_or_insert("too much was received without an event");
+        }
         // Events before the invalid one are delivered first.
         match self.invalid.take_if(|_| out.is_empty()) {
             Some(problem) => Err(problem),
@@ -294,6 +311,7 @@
                     self.contact = contact;
                     self.splitter = EventSplitter::default();
                     self.gathering.release();
+                    self.bounds.restart();
                     self.invalid = None;
                     (self.began_at, self.has_survived) = (None, false);
                     return true;
