--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -1,12 +1,17 @@
 //! Guarantees about single requests, each under the faults that could violate it.
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::Duration;
 
 use bankcove_core::{Name, RequestHash};
 use bankcove_proofs::caller::{Attempt, AttemptOutcome, Caller, ChatRequest};
 use bankcove_proofs::check;
 use bankcove_proofs::fleet::{Fleet, FleetConfig, segments};
+use bankcove_proofs::table::API_KEY;
 use bankcove_standins::faults::Faults;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpListener;
 use yare::parameterized;
 
 /// Number of requests in progress when a daemon is killed.
@@ -410,3 +415,58 @@
         (Some("server_lost"), Some("unknown"))
     );
 }
+
+/// Starts a service that runs each call and answers it with a redirect to an address at which nothing
+/// listens. Returns its address and the number of its runs.
+async fn start_redirecting_service(status: u16) -> (String, Arc<AtomicUsize>) {
+    let closed = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let target = closed.local_addr().expect("an address");
+    drop(closed);
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("an address").to_string();
+    let runs = Arc::<AtomicUsize>::default();
+    let counter = Arc::clone(&runs);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut req = vec![0; 64 << 10];
+            let mut len = 0;
+            while !req[..len].ends_with(b"two seats") {
+                match stream.read(&mut req[len..]).await {
+                    Ok(n) if n > 0 => len += n,
+                    _ => break,
+                }
+            }
+            let head = String::from_utf8_lossy(&req[..len]).to_lowercase();
+            let attempt = head.lines().find(|line| line.starts_with("x-attempt: "));
+            let Some(attempt) = attempt else { continue };
+            counter.fetch_add(1, Ordering::Relaxed);
+            let head = format!(
+                "HTTP/1.1 {status} Redirect\r\n{attempt}\r\nlocation: http://{target}/x\r\ncontent-length: 0\r\n\r\n"
+            );
+            let _gone = stream.write_all(head.as_bytes()).await;
+        }
+    });
+    (address, runs)
+}
+
+/// Guards against a redirect that is followed: the request leaves the server for which it has a permit,
+/// and counts as not executed if the other address does not accept a connection.
+#[parameterized(see_other = { 303 }, temporary = { 307 })]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn a_redirect_of_a_service_is_its_answer(status: u16) {
+    let (address, runs) = start_redirecting_service(status).await;
+    let config = FleetConfig { services: 1, ..FleetConfig::default() };
+    let fleet = Fleet::start_with(&config, |table| {
+        let servers = table["servers"].as_array_mut().expect("a list");
+        let service = servers.iter_mut().find(|server| server["kind"] == "service");
+        service.expect("a service")["address"] = serde_json::json!(address);
+    })
+    .await;
+    let http = reqwest::Client::builder().no_proxy().redirect(reqwest::redirect::Policy::none());
+    let url = format!("http://{}/orders/1", addresses(&fleet)[0]);
+    let req = http.build().expect("a client").post(url).bearer_auth(API_KEY);
+    let res = req.header("idempotency-key", "redirected").body("two seats").send().await;
+    let res = res.expect("an answer");
+    let (answered, body) = (res.status().as_u16(), res.text().await.expect("a body"));
+    assert_eq!((answered, runs.load(Ordering::Relaxed)), (status, 1), "{body}");
+}
