--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -9,10 +9,12 @@
 use bankcove_core::router::{Choice, LoadReport};
 use bankcove_core::table::ServerKind;
 use bankcove_core::{AttemptId, Fingerprint, Millis, Name, Tokens};
+use bankcove_ports::SendError as HttpError;
 use bytes::{Bytes, BytesMut};
 use reqwest::header::{DATE, RETRY_AFTER};
 use reqwest::{Client, Method, RequestBuilder, Response, StatusCode};
 use serde::Deserialize;
+use serde::de::DeserializeOwned;
 use serde_json::Value;
 
 use crate::api::Api;
@@ -56,7 +58,7 @@
 enum CallError {
     /// There is no response.
     #[error(transparent)]
-    Http(#[from] reqwest::Error),
+    Http(#[from] HttpError),
     /// The response names another attempt.
     #[error("the response is to another request")]
     Foreign,
@@ -141,7 +143,7 @@
     };
     let res = match call(api, attempt, build).await {
         Ok(res) => res,
-        Err(CallError::Http(e)) if e.is_connect() => {
+        Err(CallError::Http(HttpError::NotConnected(_))) => {
             let proof = NotExecuted::connection_failed();
             return Err(SendError::NotExecuted { proof, leaving: false });
         }
@@ -174,7 +176,8 @@
 ) -> Result<Response, CallError> {
     let connections = api.connections.current();
     let attempt = attempt.to_string();
-    let res = build(&connections.client).header(ATTEMPT_HEADER, &attempt).send().await?;
+    let req = build(connections.client.requests()).header(ATTEMPT_HEADER, &attempt);
+    let res = connections.client.send(req).await?;
     let named = res.headers().get(ATTEMPT_HEADER);
     if named.is_none_or(|named| *named == *attempt) {
         return Ok(res);
@@ -186,13 +189,20 @@
     Err(CallError::Foreign)
 }
 
-/// Makes a call that is not a request of a caller. Returns `None` if there is no usable response.
-async fn control_call(
+/// Makes a call that is not a request of a caller, and parses the response, whose head `record_head` gets
+/// before. Returns `None` if there is no usable response in time.
+async fn control_call<T: DeserializeOwned>(
     api: &Api,
     build: impl FnOnce(&Client) -> RequestBuilder,
-) -> Option<Response> {
-    let build = |http: &Client| build(http).timeout(CONTROL_CALL_TIMEOUT);
-    call(api, api.next_attempt(), build).await.ok()
+    record_head: impl FnOnce(&Response),
+) -> Option<T> {
+    let answer = async {
+        let res = call(api, api.next_attempt(), build).await.ok()?;
+        record_head(&res);
+        let body = read_body(api, res.error_for_status().ok()?).await.ok()?;
+        serde_json::from_slice(&body).ok()
+    };
+    tokio::time::timeout(CONTROL_CALL_TIMEOUT, answer).await.ok().flatten()
 }
 
 /// Reads the rest of a response that is not streamed, within the memory of the host.
@@ -268,9 +278,8 @@
 /// Cancels a run and returns its cost, or `None` on failure.
 pub async fn cancel_run(api: &Api, choice: &Choice, run_id: &str) -> Option<CancelledRun> {
     let url = format!("http://{}/v1/runs/{run_id}/cancel", choice.address);
-    let res = control_call(api, |http| http.post(url)).await?;
-    record_control_response_hints(api, choice, &res);
-    res.error_for_status().ok()?.json().await.ok()
+    let record = |res: &Response| record_control_response_hints(api, choice, res);
+    control_call(api, |http| http.post(url), record).await
 }
 
 /// Has a server count the tokens of a prompt. Returns `None` on failure.
@@ -282,9 +291,8 @@
     let choice = permit.consume().ok()?;
     let sent_at = api.requests.base.clock.now();
     let url = format!("http://{}/v1/tokenize", choice.address);
-    let res = control_call(api, |http| http.post(url).json(body)).await?;
-    record_response_hints(api, &choice, sent_at, &res);
-    let count: Count = res.error_for_status().ok()?.json().await.ok()?;
+    let record = |res: &Response| record_response_hints(api, &choice, sent_at, res);
+    let count: Count = control_call(api, |http| http.post(url).json(body), record).await?;
     Some(count.count)
 }
 
@@ -325,7 +333,6 @@
 /// Fetches the load report of one server; `None` on failure.
 async fn fetch_load_report(api: &Api, choice: &Choice) -> Option<LoadReport> {
     let url = format!("http://{}/v1/load", choice.address);
-    let res = control_call(api, |http| http.get(url)).await?;
-    record_control_response_hints(api, choice, &res);
-    res.error_for_status().ok()?.json().await.ok()
+    let record = |res: &Response| record_control_response_hints(api, choice, res);
+    control_call(api, |http| http.get(url), record).await
 }
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -96,7 +96,7 @@
     pub fn with_store(cfg: Config, log: Logger, store: Store) -> Result<Arc<Self>> {
         let incarnation = Incarnation(rand::random());
         let connect_timeout = Duration::from_millis(cfg.limits.peer_timeout_ms);
-        let connections = backend_connections(connect_timeout);
+        let connections = Connections::new(connect_timeout);
         let base = Base {
             incarnation,
             clock: Clock::start(),
@@ -196,11 +196,6 @@
     }
 }
 
-/// Returns connections to the backend servers of bankcove's own interface.
-fn backend_connections(connect_timeout: Duration) -> Connections {
-    Connections::new(move || build_client(backend_client(connect_timeout)))
-}
-
 /// Returns the client for orders to backend servers. It keeps no connections: a copy of an earlier answer
 /// would be taken for the answer to an order, which names nothing by which they are told apart.
 fn order_client(connect_timeout: Duration) -> reqwest::Client {
--- a/crates/ports/src/client.rs
+++ b/crates/ports/src/client.rs
@@ -59,15 +59,8 @@
 
 impl Client {
     /// Creates a client of the API at this address, given as IP address and port.
-    ///
-    /// # Panics
-    /// If the HTTP client can't be built, which only a broken build of the library causes.
     pub fn new(address: &str) -> Self {
-        let connections = Connections::new(|| {
-            let http = reqwest::Client::builder().connect_timeout(CONNECT_TIMEOUT).no_proxy();
-            http.build().expect("an HTTP client without TLS needs no system resources")
-        });
-        Client { connections, address: address.to_owned() }
+        Client { connections: Connections::new(CONNECT_TIMEOUT), address: address.to_owned() }
     }
 
     async fn read_object(&self, kind: Kind, name: &str) -> Result<Option<Versioned<Value>>> {
@@ -113,7 +106,7 @@
         };
         let answer = match self.connections.write(build).await {
             Ok(answer) => answer,
-            Err(CallError::NotConnected(_)) => return WriteOutcome::NotSent,
+            Err(CallError::NotSent(_)) => return WriteOutcome::NotSent,
             Err(_) => return WriteOutcome::Ambiguous,
         };
         match answer.status {
--- a/crates/ports/src/connections.rs
+++ b/crates/ports/src/connections.rs
@@ -7,14 +7,29 @@
 use std::fmt;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::Duration;
 
 use bytes::BytesMut;
 use reqwest::{Client, RequestBuilder, StatusCode};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
+
+use crate::http::{HttpClient, SendError};
 
 /// Maximum size of an answer to [`Connections::read`] or [`Connections::write`], in bytes: several pages
 /// of 1 MB.
-const MAX_ANSWER_BYTES: usize = 16 << 20;
+const MAX_ANSWER_BYTES: usize = 8 << 20;
+
+/// Timeout of a call whose request has none.
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Size beyond which an answer counts as large, in bytes.
+const LARGE_ANSWER_BYTES: usize = 256 << 10;
+
+/// Memory and time that a chunk of an answer takes up beside its data, counted in bytes.
+const CHUNK_OVERHEAD_BYTES: usize = 256;
+
+/// Maximum number of large answers that are received at the same time.
+const MAX_LARGE_ANSWERS: usize = 2;
 
 /// A client with all the connections that it keeps.
 #[derive(Debug, Clone)]
@@ -23,14 +38,16 @@
     /// Whether a call was answered, so that a call may use a kept connection.
     has_answered: Arc<AtomicBool>,
     /// The client.
-    pub client: Client,
+    pub client: HttpClient,
 }
 
 /// Connections of an HTTP client; clones share them.
 #[derive(Clone)]
 pub struct Connections {
-    build: Arc<dyn Fn() -> Client + Send + Sync>,
+    connect_timeout: Duration,
     current: watch::Sender<Generation>,
+    /// A permit for each large answer that may be received.
+    large_answers: Arc<Semaphore>,
 }
 
 /// Answer to a call.
@@ -45,12 +62,18 @@
 /// Error of a call without an answer.
 #[derive(Debug, thiserror::Error)]
 pub enum CallError {
-    /// No connection was made, so nothing was sent.
+    /// The request was not sent.
     #[error(transparent)]
-    NotConnected(reqwest::Error),
-    /// The connection broke, or no answer was received in time.
+    NotSent(SendError),
+    /// The connection broke, or what it received is no answer.
     #[error(transparent)]
-    Unanswered(reqwest::Error),
+    Unanswered(SendError),
+    /// The connection broke within the answer.
+    #[error(transparent)]
+    Incomplete(reqwest::Error),
+    /// No whole answer was received in time.
+    #[error("no whole answer in time")]
+    TimedOut,
     /// Kept connections are silent: this one, or another one that was made as early.
     #[error("the kept connections are silent")]
     Silent,
@@ -75,10 +98,11 @@
 }
 
 impl Connections {
-    /// Creates the connections of the clients that `build` creates.
-    pub fn new(build: impl Fn() -> Client + Send + Sync + 'static) -> Self {
-        let current = watch::Sender::new(Generation::new(0, build()));
-        Connections { build: Arc::new(build), current }
+    /// Creates a client without connections; one that takes longer to make than `connect_timeout` fails.
+    pub fn new(connect_timeout: Duration) -> Self {
+        let current = watch::Sender::new(Generation::new(0, connect_timeout));
+        let large_answers = Arc::new(Semaphore::new(MAX_LARGE_ANSWERS));
+        Connections { connect_timeout, current, large_answers }
     }
 
     /// Returns the current connections.
@@ -92,13 +116,13 @@
         self.current.send_if_modified(|current| {
             let is_current = current.number == used.number;
             if is_current {
-                *current = Generation::new(used.number + 1, (self.build)());
+                *current = Generation::new(used.number + 1, self.connect_timeout);
             }
             is_current
         });
     }
 
-    /// Makes a call that changes nothing. It is made a second time if kept connections are silent.
+    /// Makes a call that changes nothing; its request has a timeout for the whole answer. It is made a second time if kept connections are silent.
     ///
     /// # Errors
     /// [`CallError`] if no answer was received.
@@ -112,10 +136,10 @@
         }
     }
 
-    /// Makes a call once.
+    /// Makes a call once; its request has a timeout for the whole answer.
     ///
     /// # Errors
-    /// [`CallError`] if no answer was received. Except for [`CallError::NotConnected`] the call may have
+    /// [`CallError`] if no answer was received. Except for [`CallError::NotSent`] the call may have
     /// been carried out.
     pub async fn write(
         &self,
@@ -132,7 +156,7 @@
         let used = self.current();
         let is_replaced = |current: &Generation| current.number != used.number;
         let answer = tokio::select! {
-            answer = receive(build(&used.client)) => answer,
+            answer = self.receive(&used, build(used.client.requests())) => answer,
             _ = replaced.wait_for(is_replaced) => return Err(CallError::Silent),
         };
         match answer {
@@ -140,17 +164,53 @@
                 used.has_answered.store(true, Ordering::Relaxed);
                 Ok(answer)
             }
-            Err(CallError::Unanswered(e)) if e.is_timeout() && used.may_be_kept() => {
+            Err(CallError::TimedOut) if used.may_be_kept() => {
                 self.replace(&used);
                 Err(CallError::Silent)
             }
             Err(e) => Err(e),
         }
     }
+
+    /// Sends a request and receives the whole answer, within the timeout of the request.
+    async fn receive(&self, used: &Generation, req: RequestBuilder) -> Result<Answer, CallError> {
+        let (client, req) = req.build_split();
+        let req = req.map_err(|e| CallError::NotSent(SendError::Invalid(e)))?;
+        let timeout = req.timeout().copied().unwrap_or(DEFAULT_TIMEOUT);
+        let answer = self.receive_whole(used, RequestBuilder::from_parts(client, req));
+        tokio::time::timeout(timeout, answer).await.unwrap_or(Err(CallError::TimedOut))
+    }
+
+    async fn receive_whole(
+        &self,
+        used: &Generation,
+        req: RequestBuilder,
+    ) -> Result<Answer, CallError> {
+        let mut res = used.client.send(req).await.map_err(|e| match e {
+            SendError::Unanswered(_) => CallError::Unanswered(e),
+            SendError::Invalid(_) | SendError::NotConnected(_) => CallError::NotSent(e),
+        })?;
+        let mut large = None;
+        let mut body = BytesMut::new();
+        let mut size = 0;
+        while let Some(chunk) = res.chunk().await.map_err(CallError::Incomplete)? {
+            size += chunk.len() + CHUNK_OVERHEAD_BYTES;
+            if size > MAX_ANSWER_BYTES {
+                return Err(CallError::TooLarge);
+            }
+            if size > LARGE_ANSWER_BYTES && large.is_none() {
+                // The semaphore is never closed.
+                large = self.large_answers.acquire().await.ok();
+            }
+            body.extend_from_slice(&chunk);
+        }
+        Ok(Answer { status: res.status(), body })
+    }
 }
 
 impl Generation {
-    fn new(number: u64, client: Client) -> Self {
+    fn new(number: u64, connect_timeout: Duration) -> Self {
+        let client = HttpClient::new(connect_timeout);
         Generation { number, has_answered: Arc::default(), client }
     }
 
@@ -159,18 +219,3 @@
         self.has_answered.load(Ordering::Relaxed)
     }
 }
-
-/// Sends a request and receives the whole answer.
-async fn receive(req: RequestBuilder) -> Result<Answer, CallError> {
-    let mut res = req.send().await.map_err(|e| {
-        if e.is_connect() { CallError::NotConnected(e) } else { CallError::Unanswered(e) }
-    })?;
-    let mut body = BytesMut::new();
-    while let Some(chunk) = res.chunk().await.map_err(CallError::Unanswered)? {
-        if body.len() + chunk.len() > MAX_ANSWER_BYTES {
-            return Err(CallError::TooLarge);
-        }
-        body.extend_from_slice(&chunk);
-    }
-    Ok(Answer { status: res.status(), body })
-}
