--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -10,6 +10,7 @@
 use bankcove_core::table::Table;
 use bankcove_ports::{Client, Connections, Store};
 use parking_lot::Mutex;
+use reqwest::redirect::Policy;
 use slog::Logger;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
@@ -197,19 +198,13 @@
 }
 
 /// Returns the client for orders to backend servers. It keeps no connections: a copy of an earlier answer
-/// would be taken for the answer to an order, which names nothing by which they are told apart.
-fn order_client(connect_timeout: Duration) -> reqwest::Client {
-    build_client(backend_client(connect_timeout).pool_max_idle_per_host(0))
-}
-
-fn backend_client(connect_timeout: Duration) -> reqwest::ClientBuilder {
-    reqwest::Client::builder().no_proxy().connect_timeout(connect_timeout)
-}
-
-/// Builds a client.
+/// would be taken for the answer to an order, which names nothing by which they are told apart. It follows
+/// no redirects: another address answers for itself.
 ///
 /// # Panics
-/// Panics if that fails, which happens only in a broken build.
-fn build_client(builder: reqwest::ClientBuilder) -> reqwest::Client {
-    builder.build().expect("an HTTP client without TLS requires no system configuration")
+/// Panics if the client can't be built, which happens only in a broken build.
+fn order_client(connect_timeout: Duration) -> reqwest::Client {
+    let client = reqwest::Client::builder().no_proxy().connect_timeout(connect_timeout);
+    let client = client.pool_max_idle_per_host(0).redirect(Policy::none());
+    client.build().expect("an HTTP client without TLS requires no system configuration")
 }
--- a/crates/daemon/tests/orders.rs
+++ b/crates/daemon/tests/orders.rs
@@ -20,18 +20,26 @@
 const ACCEPTED: &[u8] = b"HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n";
 const UNAVAILABLE: &[u8] = b"HTTP/1.1 503 Service Unavailable\r\ncontent-length: 0\r\n\r\n";
 
-/// A server that accepts its first order, is not available for the second, and accepts the later ones.
-#[derive(Default)]
+/// Answer that sends an order on to another path.
+const REDIRECT: &[u8] =
+    b"HTTP/1.1 307 Temporary Redirect\r\nlocation: /elsewhere\r\ncontent-length: 0\r\n\r\n";
+
+/// A server that accepts its orders, except for one.
 struct OrderedServer {
     received: AtomicU32,
+    /// Number of requests for the path of [`REDIRECT`].
+    redirected: AtomicU32,
+    /// Number of the other order, from 0, and its answer.
+    exception: (u32, &'static [u8]),
 }
 
 impl OrderedServer {
     /// Starts the server; returns it and its address.
-    async fn start() -> (Arc<Self>, String) {
+    async fn start(exception: (u32, &'static [u8])) -> (Arc<Self>, String) {
         let listener = TcpListener::bind("127.0.0.1:0").await.expect("loopback has a free port");
         let address = listener.local_addr().expect("a listener has an address").to_string();
-        let server = Arc::<OrderedServer>::default();
+        let (received, redirected) = (AtomicU32::new(0), AtomicU32::new(0));
+        let server = Arc::new(OrderedServer { received, redirected, exception });
         let accepting = Arc::clone(&server);
         tokio::spawn(async move {
             while let Ok((stream, _)) = listener.accept().await {
@@ -47,8 +55,12 @@
         let mut buf = [0; 4 << 10];
         let mut last = None;
         while stream.read(&mut buf).await.is_ok_and(|read| read > 0) {
+            if buf.starts_with(b"POST /elsewhere") {
+                self.redirected.fetch_add(1, Ordering::SeqCst);
+            }
             let number = self.received.fetch_add(1, Ordering::SeqCst);
-            let answer = if number == 1 { UNAVAILABLE } else { ACCEPTED };
+            let (exception, answer) = self.exception;
+            let answer = if number == exception { answer } else { ACCEPTED };
             for answer in last.replace(answer).into_iter().chain([answer]) {
                 stream.write_all(answer).await.expect("the daemon reads");
             }
@@ -75,14 +87,18 @@
     serde_json::from_value(json!({ "servers": [row] })).expect("a table")
 }
 
+fn start_daemon() -> Arc<Daemon> {
+    let mut cfg = Config::example();
+    cfg.entry = None;
+    Daemon::new(cfg, logging::discard()).expect("the daemon can be set up")
+}
+
 /// Guards against an order that counts as accepted by the answer to an earlier one, so that a server that
 /// missed it stays out of service.
 #[tokio::test]
 async fn a_copy_of_an_earlier_answer_accepts_no_order() {
-    let (server, address) = OrderedServer::start().await;
-    let mut cfg = Config::example();
-    cfg.entry = None;
-    let daemon = Daemon::new(cfg, logging::discard()).expect("the daemon can be set up");
+    let (server, address) = OrderedServer::start((1, UNAVAILABLE)).await;
+    let daemon = start_daemon();
     let (serving, draining) = (table(&address, "serving"), table(&address, "draining"));
     send_changed(&daemon.view, Some(&serving), &draining);
     server.wait_for_orders(1).await;
@@ -91,3 +107,13 @@
     send_changed(&daemon.view, Some(&draining), &serving);
     server.wait_for_orders(3).await;
 }
+
+/// Guards against an order that counts as accepted because the server's answer led to another place.
+#[tokio::test]
+async fn a_redirect_accepts_no_order() {
+    let (server, address) = OrderedServer::start((0, REDIRECT)).await;
+    let daemon = start_daemon();
+    send_changed(&daemon.view, Some(&table(&address, "serving")), &table(&address, "draining"));
+    server.wait_for_orders(2).await;
+    assert_eq!(server.redirected.load(Ordering::SeqCst), 0);
+}
