--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -12,8 +12,10 @@
 use bankcove_core::Millis;
 use bankcove_core::held_answers::MAX_READ_BYTES;
 use bankcove_core::router::Choice;
+use bankcove_ports::observed::{
+    ConnectionState, ObservedStream, ObservingConnector, bound_interim_responses,
+};
 use bytes::Bytes;
-use futures::TryFutureExt;
 use http_body_util::Full;
 use hyper::http::uri::{PathAndQuery, Scheme, Uri};
 use hyper::{HeaderMap, Method, Request};
@@ -22,8 +24,6 @@
 use hyper_util::rt::{TokioExecutor, TokioIo};
 use parking_lot::Mutex;
 
-use crate::entry::connection::{ObservedStream, ObservingConnector};
-use crate::entry::interim::InterimResponses;
 use crate::entry::response::UncheckedResponse;
 use crate::entry::sends::NumberedPermit;
 use crate::hints::permit::PermitError;
@@ -201,15 +201,16 @@
         let mut req =
             new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
         let connection = capture_connection(&mut req);
-        let interim = InterimResponses::count(&mut req);
-        let res = self.client_for(&choice, path_losses, number).request(req).map_err(|e| {
-            if e.is_connect() {
-                SendError::NotConnected(format_with_sources(&e))
-            } else {
-                SendError::without_answer(&e)
-            }
-        });
-        let res = interim.bound(res).await?;
+        let used = connection.clone();
+        bound_interim_responses(&mut req, move || ConnectionState::of(&used));
+        let res =
+            self.client_for(&choice, path_losses, number).request(req).await.map_err(|e| {
+                if e.is_connect() {
+                    SendError::NotConnected(format_with_sources(&e))
+                } else {
+                    SendError::without_answer(&e)
+                }
+            })?;
         Ok(UncheckedResponse::pooled(res, connection))
     }
 }
@@ -238,9 +239,10 @@
     let uri = Uri::from(backend_request.path);
     let mut req =
         new_request(backend_request.method, uri, backend_request.headers, backend_request.body);
-    let interim = InterimResponses::count(&mut req);
-    let res = sender.send_request(req).map_err(|e| SendError::without_answer(&e));
-    let res = interim.bound(res).await?;
+    let used = state.clone();
+    bound_interim_responses(&mut req, move || Some(used.clone()));
+    let res = sender.send_request(req).await;
+    let res = res.map_err(|e| SendError::without_answer(&e))?;
     Ok(UncheckedResponse::single(res, state))
 }
 
--- a/crates/daemon/src/entry/response.rs
+++ b/crates/daemon/src/entry/response.rs
@@ -7,14 +7,13 @@
 
 use std::ops::Deref;
 
+use bankcove_ports::observed::ConnectionState;
 use bankcove_ports::wire::{ResponseHead, Wire};
 use hyper::Response;
 use hyper::body::Incoming;
 use hyper_util::client::legacy::connect::CaptureConnection;
 use slog::{KV, Record, Serializer};
 
-use crate::entry::connection::ConnectionState;
-
 /// Response to a send, of which nothing may be used yet.
 #[derive(Debug)]
 pub struct UncheckedResponse {
--- a/crates/ports/src/lib.rs
+++ b/crates/ports/src/lib.rs
@@ -14,6 +14,7 @@
 mod error;
 mod http;
 mod objects;
+pub mod observed;
 mod store;
 pub mod wire;
 
--- a/crates/ports/src/observed.rs
+++ b/crates/ports/src/observed.rs
@@ -1,20 +1,32 @@
-//! Connections to backend servers that know whether a request was written, and can stop writing it.
+//! Connections of an HTTP client that know whether a request was written, and that can be given up while
+//! the client library would go on to write the request or to read what is no answer.
 
 use std::io::{self, IoSlice};
 use std::pin::Pin;
 use std::sync::Arc;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
 use std::task::{Context, Poll, ready};
 
 use futures::TryFutureExt;
 use futures::task::AtomicWaker;
-use hyper::http::uri::Uri;
+use http::{Extensions, Request, Uri};
+use hyper::ext::on_informational;
 use hyper::rt::{Read, ReadBufCursor, Write};
-use hyper_util::client::legacy::connect::{Connected, Connection, HttpConnector};
+use hyper_util::client::legacy::connect::{
+    CaptureConnection, Connected, Connection, HttpConnector,
+};
 use hyper_util::rt::TokioIo;
+use socket2::SockRef;
 use tokio::net::TcpStream;
 use tower_service::Service;
 
+/// Amount of data that the kernel may hold without sending it, in bytes: the rest of a request can still
+/// be kept from a server that rejects it.
+const MAX_UNSENT_BYTES: u32 = 4 << 10;
+
+/// Maximum number of interim responses (1xx) to a request, none of which asks for any.
+const MAX_INTERIM_RESPONSES: u32 = 16;
+
 /// What is known of a connection; clones share it.
 #[derive(Debug, Clone)]
 pub struct ConnectionState(Arc<Inner>);
@@ -57,21 +69,34 @@
         self.0.is_write_blocked.load(Ordering::Relaxed)
     }
 
-    /// Closes the connection before anything more is written.
+    /// Gives the connection up: nothing more is written or read, so that the client closes it.
     pub fn abandon(&self) {
         self.0.is_abandoned.store(true, Ordering::Release);
         self.0.writer.wake();
     }
 
-    /// Checks that the connection is not abandoned; otherwise `cx` is woken when it is.
-    fn check_write(&self, cx: &Context<'_>) -> io::Result<()> {
-        self.0.writer.register(cx.waker());
+    /// Returns the state of the connection that a request uses; `None` before it has one.
+    pub fn of(connection: &CaptureConnection) -> Option<Self> {
+        let mut extras = Extensions::new();
+        connection.connection_metadata().as_ref()?.get_extras(&mut extras);
+        extras.remove()
+    }
+
+    /// Checks that the connection is not abandoned.
+    fn check(&self) -> io::Result<()> {
         if self.0.is_abandoned.load(Ordering::Acquire) {
-            return Err(io::ErrorKind::ConnectionAborted.into());
+            // What was received is no answer, or no more of the request is wanted.
+            return Err(io::ErrorKind::InvalidData.into());
         }
         Ok(())
     }
 
+    /// Checks that the connection is not abandoned; `cx` is woken when it is.
+    fn check_write(&self, cx: &Context<'_>) -> io::Result<()> {
+        self.0.writer.register(cx.waker());
+        self.check()
+    }
+
     /// Records the result of writing `len` bytes.
     fn record_write(&self, len: usize, written: &Poll<io::Result<usize>>) {
         if !matches!(written, Poll::Ready(Ok(n)) if *n == len) {
@@ -80,6 +105,21 @@
     }
 }
 
+/// Bounds the number of interim responses to a request: its connection is abandoned beyond it.
+pub fn bound_interim_responses<B>(
+    req: &mut Request<B>,
+    connection: impl Fn() -> Option<ConnectionState> + Send + Sync + 'static,
+) {
+    let received = AtomicU32::new(0);
+    on_informational(req, move |_| {
+        if received.fetch_add(1, Ordering::Relaxed) >= MAX_INTERIM_RESPONSES
+            && let Some(connection) = connection()
+        {
+            connection.abandon();
+        }
+    });
+}
+
 /// Stream of a connection with its state.
 #[derive(Debug)]
 pub struct ObservedStream<T> {
@@ -105,6 +145,7 @@
         cx: &mut Context<'_>,
         buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
+        self.state.check()?;
         Pin::new(&mut self.stream).poll_read(cx, buf)
     }
 }
@@ -148,6 +189,15 @@
     }
 }
 
+impl ObservedStream<TokioIo<TcpStream>> {
+    /// Observes a new TCP connection.
+    fn connected(stream: TokioIo<TcpStream>) -> Self {
+        // Without it more of a rejected request is sent.
+        let _unsupported = SockRef::from(stream.inner()).set_tcp_notsent_lowat(MAX_UNSENT_BYTES);
+        Self::new(stream)
+    }
+}
+
 impl Connection for ObservedStream<TokioIo<TcpStream>> {
     fn connected(&self) -> Connected {
         self.stream.connected().extra(self.state())
@@ -171,6 +221,6 @@
     }
 
     fn call(&mut self, uri: Uri) -> Self::Future {
-        self.0.call(uri).map_ok(ObservedStream::new)
+        self.0.call(uri).map_ok(ObservedStream::connected)
     }
 }
