--- a/crates/core/src/stream_bounds.rs
+++ b/crates/core/src/stream_bounds.rs
@@ -9,8 +9,9 @@
 /// nothing.
 const MAX_IDLE_BYTES: usize = 2 * MAX_EVENT_BYTES;
 
-/// Amount that a read counts in addition to its bytes: one of a single byte takes as much time.
-const READ_BYTES: usize = 64;
+/// Amount that a read from a server counts in addition to its bytes: one of a single byte takes as much
+/// time, and some of it is the framing of a chunk.
+pub const READ_COST_BYTES: usize = 64;
 
 /// What was received of one stream, which several servers may continue.
 #[derive(Debug, Clone, Copy)]
@@ -28,7 +29,7 @@
 
     /// Records a read of this many bytes.
     pub fn record_read(&mut self, bytes: usize) {
-        self.idle_bytes += bytes + READ_BYTES;
+        self.idle_bytes += bytes + READ_COST_BYTES;
     }
 
     /// Takes an event that is about to be delivered; returns whether it may be.
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -5,10 +5,11 @@
 use bankcove_core::Millis;
 use bankcove_core::paths::Evidence;
 use bankcove_core::router::Choice;
+use bankcove_core::stream_bounds::READ_COST_BYTES;
 use bankcove_ports::wire::NotRunReason;
 use bytes::{Bytes, BytesMut};
 use http_body_util::BodyExt;
-use hyper::body::Incoming as Body;
+use hyper::body::{Body as _, Incoming as Body};
 use hyper::{HeaderMap, Response, StatusCode};
 
 use crate::crashes;
@@ -24,7 +25,7 @@
 use crate::requests::gathering::Gathering;
 use crate::requests::open_request::OpenRequest;
 
-/// Maximum size of an answer that is not streamed, in bytes.
+/// Maximum size of an answer that is not streamed, in bytes; each read counts [`READ_COST_BYTES`] more.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
 /// Log text for an attempt that was given up because this host has lost its path to the server.
@@ -310,13 +311,17 @@
 /// Reads a body to its end, within the memory of the host.
 async fn gather_body(call: &Call, mut body: Body) -> Result<Bytes, BodyError> {
     let mut gathering = Gathering::new(&call.entry.requests.gather_memory);
-    let mut buf = BytesMut::new();
+    if body.size_hint().lower() > MAX_ANSWER_BYTES as u64 {
+        return Err(BodyError::TooLarge);
+    }
+    let (mut buf, mut read) = (BytesMut::new(), 0);
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|e| {
             if is_malformed(&e) { BodyError::Malformed } else { BodyError::CutShort }
         })?;
         let Ok(data) = frame.into_data() else { continue };
-        if buf.len() + data.len() > MAX_ANSWER_BYTES {
+        read += data.len() + READ_COST_BYTES;
+        if read > MAX_ANSWER_BYTES {
             return Err(BodyError::TooLarge);
         }
         buf.extend_from_slice(&data);
