--- a/crates/core/src/router.rs
+++ b/crates/core/src/router.rs
@@ -247,6 +247,14 @@
         });
     }
 
+    /// Records that a request to this instance of a server was given up before anything was known of
+    /// how the server serves it.
+    pub fn record_abandoned(&mut self, name: &Name, started_ms: Millis) {
+        if self.index_of_instance(name, started_ms).is_some() {
+            self.change_load(name, |view| view.in_flight = view.in_flight.saturating_sub(1));
+        }
+    }
+
     /// Returns whether one more server may be ejected. When most servers of a pool fail, the
     /// fault is on this host, and ejecting servers only makes requests fail: without this check
     /// a host whose link was full for 8 s refused 1,162 requests in 20 s for lack of a usable
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -114,6 +114,7 @@
     let sent_at = clock.now();
     let path_losses = contact.losses();
     let permit = call.sends.number(permit);
+    open_request.await_answer();
     let send = async {
         match tunnel {
             None => entry.backend_client.send(permit, path_losses, backend_request).await,
--- a/crates/daemon/src/requests/open_request.rs
+++ b/crates/daemon/src/requests/open_request.rs
@@ -12,6 +12,17 @@
 use crate::requests::RequestContext;
 use crate::rollouts::{TrialOutcome, VersionTrial};
 
+/// What a request has shown of its server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum ServerVerdict {
+    /// Nothing yet.
+    Unknown,
+    /// It answers.
+    Works,
+    /// It failed to serve the request.
+    Failed,
+}
+
 /// A request that is open at a server. Dropping it records the request as ended.
 pub struct OpenRequest {
     requests: Arc<RequestContext>,
@@ -20,7 +31,8 @@
     sent_at: Millis,
     /// Time from the send to the beginning of the response.
     first_ms: Option<Millis>,
-    succeeded: bool,
+    /// What its end tells of the server.
+    verdict: ServerVerdict,
     unread_prompt: Tokens,
     /// Registration of its only further run, if it has the same crashes as another request
     /// ([`bankcove_core::crashes::Verdict::Isolated`]).
@@ -53,7 +65,7 @@
             server: choice.server.clone(),
             started_ms: choice.started_ms,
             first_ms: None,
-            succeeded: true,
+            verdict: ServerVerdict::Works,
             sent_at,
             unread_prompt: prompt,
             isolated_run: None,
@@ -79,8 +91,15 @@
         self
     }
 
+    /// Records that the request waits for an answer: if its caller leaves before one begins, nothing
+    /// is known of the server.
+    pub fn await_answer(&mut self) {
+        self.verdict = ServerVerdict::Unknown;
+    }
+
     /// Records that the server has rejected the request because it is full.
     pub fn record_rejection(&mut self) {
+        self.record_working();
         if let Some(slot) = &mut self.slot {
             slot.record_rejection();
         }
@@ -95,11 +114,19 @@
     /// compared, if it was measured.
     pub fn record_answer(&mut self, millis: Option<f64>) {
         self.outcome = Some(TrialOutcome::Answered(millis));
+        self.record_working();
+    }
+
+    fn record_working(&mut self) {
+        if self.verdict == ServerVerdict::Unknown {
+            self.verdict = ServerVerdict::Works;
+        }
     }
 
     /// Records that the server has read the prompt, because its response has begun.
     pub fn record_prompt_read(&mut self) {
         self.first_ms.get_or_insert(self.requests.base.clock.now().saturating_sub(self.sent_at));
+        self.record_working();
         self.end_wait(true);
     }
 
@@ -120,7 +147,7 @@
 
     /// Records that the server failed to serve the request.
     pub fn record_failure(&mut self) {
-        self.succeeded = false;
+        self.verdict = ServerVerdict::Failed;
         self.outcome = Some(TrialOutcome::Failed);
     }
 }
@@ -135,7 +162,12 @@
         let answer_ms = now.saturating_sub(self.sent_at);
         let is_answered = matches!(self.outcome, Some(TrialOutcome::Answered(_)));
         let mut router = self.requests.router.lock();
-        router.record_ended(now, &self.server, self.started_ms, self.succeeded);
+        let (server, started_ms) = (&self.server, self.started_ms);
+        match self.verdict {
+            ServerVerdict::Unknown => router.record_abandoned(server, started_ms),
+            ServerVerdict::Works => router.record_ended(now, server, started_ms, true),
+            ServerVerdict::Failed => router.record_ended(now, server, started_ms, false),
+        }
         if is_answered {
             let times = AnswerTimes { first_ms: self.first_ms.unwrap_or(answer_ms), answer_ms };
             router.record_answer_times(&self.server, self.started_ms, times);
