--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -23,7 +23,7 @@
 use parking_lot::Mutex;
 
 use crate::entry::connection::{ObservedStream, ObservingConnector};
-use crate::entry::interim::InterimResponses;
+use crate::entry::interim::{InterimResponses, TooManyInterimResponses};
 use crate::entry::response::UncheckedResponse;
 use crate::entry::sends::NumberedPermit;
 use crate::hints::permit::PermitError;
@@ -73,6 +73,12 @@
     PathLost,
 }
 
+impl From<TooManyInterimResponses> for SendError {
+    fn from(e: TooManyInterimResponses) -> Self {
+        SendError::Malformed(e.to_string())
+    }
+}
+
 impl SendError {
     /// Error of a request that was sent and got no answer.
     fn without_answer(e: &(dyn Error + 'static)) -> Self {
--- a/crates/daemon/src/entry/interim.rs
+++ b/crates/daemon/src/entry/interim.rs
@@ -5,11 +5,14 @@
 use hyper::ext::on_informational;
 use tokio::sync::watch;
 
-use crate::entry::backend::SendError;
-
 /// Maximum number of interim responses to a request.
 const MAX_INTERIM_RESPONSES: u32 = 32;
 
+/// Error: there were more than [`MAX_INTERIM_RESPONSES`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+#[error("too many interim responses")]
+pub struct TooManyInterimResponses;
+
 /// Counter of the interim responses to one request.
 pub struct InterimResponses(watch::Receiver<u32>);
 
@@ -24,16 +27,16 @@
     /// Waits for the response. Dropping `res` closes the connection.
     ///
     /// # Errors
-    /// [`SendError::Malformed`] after too many interim responses, or the error of `res`.
-    pub async fn bound<T>(
-        mut self,
-        res: impl Future<Output = Result<T, SendError>>,
-    ) -> Result<T, SendError> {
+    /// [`TooManyInterimResponses`], or the error of `res`.
+    pub async fn bound<T, E>(mut self, res: impl Future<Output = Result<T, E>>) -> Result<T, E>
+    where
+        E: From<TooManyInterimResponses>,
+    {
         tokio::select! {
             res = res => res,
             // The counter is closed when the response begins.
             Ok(_) = self.0.wait_for(|count| *count > MAX_INTERIM_RESPONSES) => {
-                Err(SendError::Malformed("too many interim responses".to_owned()))
+                Err(TooManyInterimResponses.into())
             }
         }
     }
