--- a/crates/daemon/src/peer/pool.rs
+++ b/crates/daemon/src/peer/pool.rs
@@ -9,12 +9,16 @@
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpStream;
 
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+use crate::peer::frame_stream::{FrameStream, MessageMemory};
 use crate::peer::{PeerServiceClient, framed};
 
 /// Connections to peers, one per address, opened on first use.
 #[derive(Debug, Default)]
 pub struct PeerPool {
     clients: Mutex<HashMap<String, PeerServiceClient>>,
+    memory: MessageMemory,
 }
 
 impl PeerPool {
@@ -33,7 +37,7 @@
         let stream = tokio::time::timeout(timeout, TcpStream::connect(address)).await??;
         // Without this a call could wait for the TCP acknowledgement of the previous one.
         stream.set_nodelay(true)?;
-        let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+        let transport = tarpc::serde_transport::new(self.framed(stream), Bincode::default());
         let client = PeerServiceClient::new(tarpc::client::Config::default(), transport).spawn();
         self.clients.lock().insert(address.to_owned(), client.clone());
         Ok(client)
@@ -65,6 +69,11 @@
         }
     }
 
+    /// Wraps a connection in the codec for messages, which share the memory of this pool.
+    pub(crate) fn framed(&self, stream: TcpStream) -> Framed<FrameStream, LengthDelimitedCodec> {
+        framed(stream, &self.memory)
+    }
+
     /// Returns the number of open connections.
     pub fn len(&self) -> usize {
         self.clients.lock().len()
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -34,7 +34,7 @@
 use crate::peer::packed_table::PackedTable;
 use crate::peer::{
     AllotAnswer, GiveAnswer, HostListReply, OwnerAnswer, PeerService, PermitAnswer, ReleasedSlot,
-    RolloutAnswer, RolloutReport, SlotRenewal, framed,
+    RolloutAnswer, RolloutReport, SlotRenewal,
 };
 
 /// Pause after a failure to accept a connection.
@@ -272,7 +272,7 @@
 /// Serves one peer until it closes the connection or the daemon ends.
 async fn serve_connection(daemon: Arc<Daemon>, stream: TcpStream) {
     let shutdown = daemon.shutdown.clone();
-    let transport = tarpc::serde_transport::new(framed(stream), Bincode::default());
+    let transport = tarpc::serde_transport::new(daemon.peers.framed(stream), Bincode::default());
     let channel = BaseChannel::with_defaults(transport);
     let requests = channel.execute(PeerHandler { daemon }.serve()).for_each(|response| async {
         tokio::spawn(response);
