--- a/crates/daemon/src/api/backend.rs
+++ b/crates/daemon/src/api/backend.rs
@@ -157,13 +157,14 @@
     }
     // Without the header it may be the refusal of another attempt.
     let names_attempt = res.headers().contains_key(ATTEMPT_HEADER);
-    match res.json::<EngineRefusal>().await {
-        Ok(refusal) if !refusal.error.ran && names_attempt => Err(SendError::NotExecuted {
+    let body = read_body(api, res).await;
+    match body.map(|body| serde_json::from_slice::<EngineRefusal>(&body)) {
+        Ok(Ok(refusal)) if !refusal.error.ran && names_attempt => Err(SendError::NotExecuted {
             proof: NotExecuted::refused_by_server(),
             leaving: refusal.error.code == "leaving",
         }),
-        Ok(_) => Err(SendError::Foreign),
-        Err(_) => Err(SendError::Broken),
+        Ok(Ok(_)) => Err(SendError::Foreign),
+        Ok(Err(_)) | Err(_) => Err(SendError::Broken),
     }
 }
 
--- a/crates/daemon/src/api/delivery.rs
+++ b/crates/daemon/src/api/delivery.rs
@@ -25,6 +25,7 @@
 use crate::api::sse::{Chunk, Event, EventSplitter, Usage};
 use crate::bill::bills::{self, Billed};
 use crate::hints::permit::{NoPermit, Purpose};
+use crate::requests::gathering::Gathering;
 
 /// Event that ends a stream.
 const END_EVENT: &[u8] = b"data: [DONE]\n\n";
@@ -300,6 +301,7 @@
     /// Relays the chunks of one connection. Returns `None` if the stream has to be resumed.
     async fn relay_connection(&mut self, mut res: Response) -> Option<StreamEnd> {
         let mut splitter = EventSplitter::default();
+        let mut gathering = Gathering::new(&self.api.requests.gather_memory);
         loop {
             let data = tokio::select! {
                 data = res.chunk() => data,
@@ -314,6 +316,7 @@
                     EventAction::End(end) => return Some(end),
                 }
             }
+            gathering.resize(splitter.incomplete_len()).await;
         }
     }
 
--- a/crates/daemon/src/api/sse.rs
+++ b/crates/daemon/src/api/sse.rs
@@ -77,6 +77,11 @@
         self.buf.extend_from_slice(bytes);
     }
 
+    /// Returns the length of what was received and not returned yet, in bytes.
+    pub fn incomplete_len(&self) -> usize {
+        self.buf.len()
+    }
+
     /// Removes and returns the next complete event, or `None` if more bytes are needed.
     pub fn next_event(&mut self) -> Option<Event> {
         if let Some(at) = memmem::find(&self.buf[self.searched..], b"\n\n") {
--- a/platform/tests/common/endless.rs
+++ b/crates/proofs/src/endless.rs
@@ -27,6 +27,10 @@
     Chunks,
     /// The extension of a chunk.
     ChunkExtension,
+    /// The body of a refusal.
+    Refusal,
+    /// An event of a stream.
+    Event,
     /// Bytes that are no HTTP message.
     Noise,
 }
@@ -44,6 +48,10 @@
             Endless::ChunkExtension => {
                 ("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n1;", "b")
             }
+            Endless::Refusal => ("HTTP/1.1 503 Service Unavailable\r\n\r\n", "b"),
+            Endless::Event => {
+                ("HTTP/1.1 200 OK\r\ncontent-type: text/event-stream\r\n\r\ndata: ", "b")
+            }
             Endless::Noise => ("", "\0"),
         }
     }
--- a/crates/proofs/src/lib.rs
+++ b/crates/proofs/src/lib.rs
@@ -3,6 +3,7 @@
 
 pub mod caller;
 pub mod check;
+pub mod endless;
 pub mod fleet;
 pub mod process;
 pub mod relay;
--- a/crates/proofs/src/process.rs
+++ b/crates/proofs/src/process.rs
@@ -33,6 +33,18 @@
     path.join(name)
 }
 
+/// Returns the peak of a process's resident memory, in bytes.
+///
+/// # Panics
+/// If the process does not run.
+pub fn peak_memory(pid: u32) -> u64 {
+    let path = format!("/proc/{pid}/status");
+    let text = std::fs::read_to_string(path).expect("the process runs");
+    let line = text.lines().find_map(|line| line.strip_prefix("VmHWM:")).expect("a line");
+    let kilobytes = line.trim().trim_end_matches(" kB").parse::<u64>().expect("a number");
+    kilobytes << 10
+}
+
 /// Addresses of one fleet. Each fleet has its own loopback IP address, so that fleets running at
 /// the same time never use the same port.
 #[derive(Debug)]
@@ -105,6 +117,11 @@
         (Process { child }, address.expect("the line has an address"))
     }
 
+    /// Returns the peak of its resident memory, in bytes.
+    pub fn peak_memory(&self) -> u64 {
+        peak_memory(self.child.id())
+    }
+
     /// Kills the process with SIGKILL, so that it can't clean up, and waits for its end.
     pub fn kill(&mut self) {
         self.signal(Signal::SIGKILL);
--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -5,6 +5,7 @@
 use bankcove_core::{Name, RequestHash};
 use bankcove_proofs::caller::{Attempt, AttemptOutcome, Caller, ChatRequest};
 use bankcove_proofs::check;
+use bankcove_proofs::endless::{Endless, Flood, FloodingRelay};
 use bankcove_proofs::fleet::{Fleet, FleetConfig, segments};
 use bankcove_standins::faults::Faults;
 use yare::parameterized;
@@ -15,6 +16,13 @@
 /// Time for which callers wait.
 const CALLER_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// Number of requests whose answers have no end.
+const ENDLESS_REQUESTS: usize = 64;
+
+/// Memory that a daemon may use, in bytes. The allocator keeps some for each thread, so a daemon on one
+/// core uses less.
+const MAX_MEMORY: u64 = 256 << 20;
+
 /// Returns the hash of the request with this idempotency key.
 fn request_of(key: &str) -> RequestHash {
     RequestHash::of(&Name::from("dispatch"), key)
@@ -410,3 +418,33 @@
         (Some("server_lost"), Some("unknown"))
     );
 }
+
+/// Guards against what engines send being gathered until the memory of the host is exceeded.
+#[parameterized(
+    refusals = { Endless::Refusal },
+    interim_answers = { Endless::InterimAnswers },
+    headers = { Endless::HeaderValue },
+    bodies = { Endless::Body },
+    events = { Endless::Event },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread"))]
+async fn engine_answers_without_end_stay_within_the_hosts_memory(kind: Endless) {
+    let relay = FloodingRelay::start(String::new()).await;
+    relay.set(Some(Flood { kind, pause: None, every: 1 }));
+    let fleet = Fleet::start_with(&FleetConfig::default(), |table| {
+        table["servers"][0]["address"] = relay.address.as_str().into();
+        table["routes"][0]["deadline_ms"] = 2_000.into();
+    })
+    .await;
+    let target = &addresses(&fleet)[0];
+    let attempts = (0..ENDLESS_REQUESTS).map(async |n| {
+        let request = ChatRequest::new(format!("endless-{n}"));
+        let request = if kind == Endless::Event { request } else { request.unstreamed() };
+        Caller::default().chat(target, &request).await.outcome
+    });
+    for outcome in futures::future::join_all(attempts).await {
+        assert!(!matches!(outcome, AttemptOutcome::Done { .. }), "{outcome:?}");
+    }
+    let peak = fleet.daemons[0].process.peak_memory();
+    assert!(peak < MAX_MEMORY, "{peak} bytes");
+}
