--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hyper_util::rt::TokioTimer;
 use salvo::conn::tcp::TcpAcceptor;
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
@@ -13,6 +14,13 @@
 use crate::base::tcp;
 use crate::error::{Error, Result};
 
+/// Size of a connection's read buffer, in bytes; the head of a request must fit.
+const READ_BUFFER_BYTES: usize = 64 << 10;
+
+/// Timeout for the head of a request, counted from the end of the request before it: no caller reuses a
+/// connection that has been idle for so long.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// A running HTTP listener.
 pub struct HttpListener {
     /// Stops the listener.
@@ -41,7 +49,12 @@
     let acceptor = TcpAcceptor::try_from(tcp::listen_with_backlog(address, backlog)?);
     let acceptor =
         acceptor.map_err(|source| Error::Listen { address: address.to_owned(), source })?;
-    let server = Server::new(acceptor);
+    let mut server = Server::new(acceptor);
+    server
+        .http1_mut()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(READ_BUFFER_BYTES);
     let handle = server.handle();
     let task = tokio::spawn(async move { server.serve(router).await });
     Ok(HttpListener { handle, task })
