Budgets: requests that did not run do not count in the spending rate

Cause: `Holder::reserve` counts each reservation in the account's rate, and `settle` left it there when nothing was used. For the first second after its start this daemon rejects every request ("every backend server that is left is full"), and a caller that comes back at once reserves tokens and gets them back some hundred times. The ration divides what is left among as many expected requests, and the rate needs 20 s and more to decay. It also decides how much a host prefetches.

Ruled out by dumps of all daemons and the shard, once in 0.7 s: tokens lost with killed daemons (thousands are left in the ledger), a grant whose answer was late (the daemon has drawn nothing; it refuses before it asks).

Change: a reservation of which nothing is used is taken back from the rate, as tokens that come back to an owner already are from its own. Spend is not touched: rates decide only how much is drawn ahead and who is refused. The mean cost of a request still counts all requests.

--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -184,6 +184,11 @@
         let account = self.accounts.entry(reservation.budget).or_default();
         account.reserved -= reservation.tokens;
         account.running.end(reservation.since);
+        if used == 0 {
+            // A request that did not run is no spending: counted, those that servers reject would
+            // shrink the ration and raise the prefetch of this host.
+            account.rate.take_back(reservation.tokens, reservation.since);
+        }
         account.spent += used.min(reservation.tokens);
     }
 
--- a/crates/core/src/holder/rate.rs
+++ b/crates/core/src/holder/rate.rs
@@ -48,6 +48,12 @@
         self.sum = (self.sum - level.saturating_sub(before) as f64).max(0.0);
     }
 
+    /// Takes back `tokens` that were counted at the time `counted_at`.
+    pub(super) fn take_back(&mut self, tokens: Tokens, counted_at: Millis) {
+        let left = tokens as f64 * decay(self.at.saturating_sub(counted_at));
+        self.sum = (self.sum - left).max(0.0);
+    }
+
     /// Returns the time since the last count, in milliseconds.
     pub(super) fn idle_ms(&self, now: Millis) -> Millis {
         now.saturating_sub(self.at)
@@ -65,15 +71,19 @@
     }
 
     fn decayed(&self, now: Millis) -> f64 {
-        let age = now.saturating_sub(self.at) as f64;
-        self.sum * (-age / RATE_WINDOW_MS).exp()
+        self.sum * decay(now.saturating_sub(self.at))
     }
 
     /// Returns the time span that the sum covers, in milliseconds: less than the whole window
     /// shortly after the first count.
     fn window(&self, now: Millis) -> f64 {
-        let age = now.saturating_sub(self.since.unwrap_or(now)) as f64;
-        let covered = RATE_WINDOW_MS * (1.0 - (-age / RATE_WINDOW_MS).exp());
+        let age = now.saturating_sub(self.since.unwrap_or(now));
+        let covered = RATE_WINDOW_MS * (1.0 - decay(age));
         covered.max(MIN_WINDOW_MS)
     }
 }
+
+/// Returns the part of a count that is left after `age` milliseconds.
+fn decay(age: Millis) -> f64 {
+    (-(age as f64) / RATE_WINDOW_MS).exp()
+}
--- a/crates/core/tests/ration.rs
+++ b/crates/core/tests/ration.rs
@@ -2,7 +2,7 @@
 
 mod common;
 
-use bankcove_core::holder::{Holder, Outlook};
+use bankcove_core::holder::{Holder, Outlook, Reservation};
 use bankcove_core::{Incarnation, Millis, Tokens};
 use common::budget;
 use yare::parameterized;
@@ -83,6 +83,20 @@
     assert!(part(&holder) * 2 < part(&alone), "{} and {}", part(&holder), part(&alone));
 }
 
+/// A host refused requests for which it held tokens after it had rejected others at full servers.
+#[test]
+fn requests_that_did_not_run_do_not_count_as_expected_callers() {
+    let (mut holder, end) = holder_with_outlook(100_000);
+    holder.record_opened(&budget(), 500 * COST);
+    let unchanged = holder.clone();
+    let reserve = |n: Millis| holder.reserve(&budget(), COST, end + 10 * n).expect("it is open");
+    let rejected: Vec<Reservation> = (0..300).map(reserve).collect();
+    rejected.into_iter().for_each(|reservation| holder.settle(reservation, 0));
+    let part = |holder: &Holder| holder.ration(&budget(), RATION_S, 0, end + 3_000) as f64;
+    let ratio = part(&holder) / part(&unchanged);
+    assert!((0.99..1.01).contains(&ratio), "{} and {}", part(&holder), part(&unchanged));
+}
+
 #[test]
 fn top_up_takes_effect_at_once() {
     let (mut holder, now) = holder_with_outlook(10_000);
