Callers: a refusal that leaves the body unread announces the end of the connection

The HTTP server closes it, as it skips only what came with the head, and only a full link announced it.

--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -7,6 +7,7 @@
 use bankcove_core::stream_versions::Binding;
 use bankcove_core::{Millis, Name};
 use bankcove_ports::wire::RequestHead;
+use hyper::body::Body;
 use salvo::affix_state;
 use salvo::http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER};
 use salvo::http::uri::PathAndQuery;
@@ -27,6 +28,9 @@
 use crate::requests::RequestContext;
 use crate::requests::held_answers::HeldAnswer;
 
+/// Size up to which a body that was not read is skipped, in bytes: it has been received with the head.
+const MAX_SKIPPED_BODY_BYTES: u64 = 4 << 10;
+
 /// Returns the routes for callers: one handler for all paths, which the table resolves.
 pub fn router(entry: Arc<Entry>) -> Router {
     Router::with_path("{**rest}").hoop(affix_state::inject(entry)).goal(serve)
@@ -55,15 +59,28 @@
             let log = relay.log().clone();
             res.stream(AnswerBuffer::new(relay.into_stream(), held, log));
         }
-        Err(failure) => render(&failure, res),
+        Err(failure) => {
+            if leaves_body_unread(req) {
+                // The connection ends with this answer, and a new one may lead to another host.
+                res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            render(&failure, res);
+        }
     }
 }
 
+/// Returns whether more of the body is unread than the HTTP server skips to use the connection again.
+fn leaves_body_unread(req: &Request) -> bool {
+    let body = req.body();
+    let is_read = body.is_none() || body.is_end_stream();
+    !is_read && body.size_hint().upper().is_none_or(|bytes| bytes > MAX_SKIPPED_BODY_BYTES)
+}
+
 /// Writes a failure, with a `Retry-After` header in seconds.
 fn render(failure: &Failure, res: &mut Response) {
     res.status_code(failure.status());
     if matches!(failure.refusal(), Some(Refusal::LinkFull)) {
-        // The unread body is still on the connection, and a new one leads to another host.
+        // A new connection leads to another host.
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
     if let Some(delay) = failure.retry_after()
