Test of endless engine answers: the bound is the smallest host's memory

It is the 160 MB of the smallest host now, and the daemon of the test has one processor, as that host has; its runtime starts a thread for each processor, and the allocator keeps memory for each thread.

--- a/crates/proofs/src/fleet.rs
+++ b/crates/proofs/src/fleet.rs
@@ -94,6 +94,8 @@
     pub crash_on: Option<&'static str>,
     /// The `limits` section of the daemons' settings.
     pub limits: Value,
+    /// Number of processors of a host; `None` for those of this machine.
+    pub processors: Option<usize>,
 }
 
 impl Default for FleetConfig {
@@ -111,6 +113,7 @@
                 "budget_write_ms": 20, "log_append_ms": 10, "peer_timeout_ms": 500,
                 "bill_wait_ms": 1000,
             }),
+            processors: None,
         }
     }
 }
@@ -129,6 +132,7 @@
     pub table: Value,
     dir: TempDir,
     limits: Value,
+    processors: Option<usize>,
     addresses: LoopbackAddresses,
 }
 
@@ -168,6 +172,7 @@
             table,
             dir,
             limits,
+            processors: config.processors,
             addresses: LoopbackAddresses::new(),
         };
         for n in 0..config.daemons {
@@ -196,7 +201,7 @@
         let path = self.dir.path().join(format!("{name}.json"));
         std::fs::write(&path, config.to_string()).expect("the settings can be written");
         let log = self.dir.path().join(format!("{name}.log"));
-        let process = start_daemon(&path, &log);
+        let process = start_daemon(&path, &log, self.processors);
         let name = name.to_owned();
         self.daemons.push(DaemonProcess {
             process,
@@ -214,7 +219,7 @@
     /// operators.
     pub async fn restart_daemon(&mut self, index: usize) {
         let daemon = &mut self.daemons[index];
-        daemon.process = start_daemon(&daemon.config, &daemon.log);
+        daemon.process = start_daemon(&daemon.config, &daemon.log, self.processors);
         self.wait_until_serving(index).await;
     }
 
@@ -409,8 +414,9 @@
     }
 }
 
-fn start_daemon(config: &Path, log: &Path) -> Process {
-    Process::start("bankcoved", &["--config", &config.to_string_lossy()], log)
+fn start_daemon(config: &Path, log: &Path, processors: Option<usize>) -> Process {
+    let threads = processors.map(|count| ("TOKIO_WORKER_THREADS", count.to_string()));
+    Process::start("bankcoved", &["--config", &config.to_string_lossy()], threads, log)
 }
 
 fn http() -> reqwest::Client {
--- a/crates/proofs/src/process.rs
+++ b/crates/proofs/src/process.rs
@@ -80,15 +80,21 @@
 }
 
 impl Process {
-    /// Starts a program whose output is appended to `log`.
+    /// Starts a program, with an environment variable, whose output is appended to `log`.
     ///
     /// # Panics
     /// If it can't be started.
-    pub fn start(name: &str, args: &[&str], log: &std::path::Path) -> Self {
+    pub fn start(
+        name: &str,
+        args: &[&str],
+        env: Option<(&str, String)>,
+        log: &std::path::Path,
+    ) -> Self {
         let log = std::fs::File::options().create(true).append(true).open(log);
         let log = log.expect("the log file can be opened");
         let child = Command::new(binary(name))
             .args(args)
+            .envs(env)
             .stdin(Stdio::null())
             .stdout(log.try_clone().expect("the log file can be shared"))
             .stderr(log)
--- a/crates/proofs/tests/requests.rs
+++ b/crates/proofs/tests/requests.rs
@@ -24,9 +24,8 @@
 /// Number of requests whose answers have no end.
 const ENDLESS_REQUESTS: usize = 64;
 
-/// Memory that a daemon may use, in bytes. The allocator keeps some for each thread, so a daemon on one
-/// core uses less.
-const MAX_MEMORY: u64 = 256 << 20;
+/// Memory of the smallest host, in bytes.
+const MAX_MEMORY: u64 = 160 << 20;
 
 /// Returns the hash of the request with this idempotency key.
 fn request_of(key: &str) -> RequestHash {
@@ -491,7 +490,8 @@
 async fn engine_answers_without_end_stay_within_the_hosts_memory(kind: Endless) {
     let relay = FloodingRelay::start(String::new()).await;
     relay.set(Some(Flood { kind, pause: None, every: 1 }));
-    let fleet = Fleet::start_with(&FleetConfig::default(), |table| {
+    let config = FleetConfig { processors: Some(1), ..FleetConfig::default() };
+    let fleet = Fleet::start_with(&config, |table| {
         table["servers"][0]["address"] = relay.address.as_str().into();
         table["routes"][0]["deadline_ms"] = 2_000.into();
     })
