--- a/crates/ports/src/connections.rs
+++ b/crates/ports/src/connections.rs
@@ -17,7 +17,7 @@
 
 /// Maximum size of an answer to [`Connections::read`] or [`Connections::write`], in bytes: several pages
 /// of 1 MB.
-const MAX_ANSWER_BYTES: usize = 8 << 20;
+const MAX_ANSWER_BYTES: usize = 12 << 20;
 
 /// Timeout of a call whose request has none.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(2);
