--- a/review/standins-2/src/cases/mod.rs
+++ b/review/standins-2/src/cases/mod.rs
@@ -3,7 +3,7 @@
 pub mod bodies;
 pub mod config;
 pub mod drain;
-pub mod early;
+pub mod streams;
 
 use serde_json::{Value, json};
 
--- a/review/standins-2/src/cases/early.rs
+++ b/review/standins-2/src/cases/streams.rs
@@ -1,4 +1,4 @@
-//! LOST: runners send their answers before they have read the whole body of a request.
+//! LOST: streams of sound runners that are cut, at one machine and around a SIGTERM at another one.
 
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -14,17 +14,60 @@
 use crate::http::Connection;
 use crate::runner::{Runner, Runs, Work};
 
-/// Body of a request: the largest of the sheet's prompts.
-const BODY_BYTES: usize = 72_000;
-
 /// Requests to each of two machines, and the pause between two of them.
 const REQUESTS: usize = 30;
 const PAUSE: Duration = Duration::from_millis(50);
 
-/// Events of a stream, and the pause between two of them: 4 s in all.
-const EVENTS: u32 = 40;
+/// Pause between two events.
 const EVENT_PAUSE: Duration = Duration::from_millis(100);
 
+/// Time from the last request to the second machine to its SIGTERM.
+const SIGTERM_AFTER: Duration = Duration::from_millis(1_000);
+
+/// What is sent, and how runners answer it.
+struct Scenario {
+    body_bytes: usize,
+    /// `X-Token-Count` and `X-Prefix-Hash`.
+    prompt: &'static str,
+    /// Fields of the route that differ.
+    timeout_ms: u32,
+    goal_ms: u32,
+    priority: u32,
+    max_tries: u32,
+    resumable: bool,
+    work: Work,
+}
+
+/// Runners send their answers before they have read the whole body of a request.
+pub async fn run_early(record: &Record, has_trouble: bool) -> Result<Option<String>, String> {
+    let scenario = Scenario {
+        body_bytes: 72_000,
+        prompt: "X-Token-Count: 11992,420\r\nX-Prefix-Hash: 5c1e07a2:5382,e4402b7d:6610\r\n",
+        timeout_ms: 15_000,
+        goal_ms: 1_000,
+        priority: 0,
+        max_tries: 2,
+        resumable: true,
+        work: Work::NarrowStream(70, EVENT_PAUSE, has_trouble),
+    };
+    run(record, scenario).await
+}
+
+/// The first event of a runner holds one token, all others are full: 288 tokens make 49 events.
+pub async fn run_events(record: &Record, has_trouble: bool) -> Result<Option<String>, String> {
+    let scenario = Scenario {
+        body_bytes: 830,
+        prompt: "X-Token-Count: 628,288\r\nX-Prefix-Hash: 5c1e07a2:119,e4402b7d:509\r\n",
+        timeout_ms: 12_000,
+        goal_ms: 800,
+        priority: 1,
+        max_tries: 1,
+        resumable: false,
+        work: Work::Stream(if has_trouble { 49 } else { 48 }, EVENT_PAUSE),
+    };
+    run(record, scenario).await
+}
+
 /// What became of one request.
 struct Outcome {
     id: String,
@@ -35,15 +78,16 @@
 
 type Outcomes = Arc<Mutex<Vec<Outcome>>>;
 
-pub async fn run(record: &Record, has_trouble: bool) -> Result<Option<String>, String> {
+async fn run(record: &Record, scenario: Scenario) -> Result<Option<String>, String> {
     let zones = [("attica-a", 2), ("attica-b", 2), ("attica-c", 2)];
     let mut fleet = Fleet::new("attica", &zones).await;
     let runs = Runs::default();
     let mut spec = config(1, &[plain_route("r-stock", "/stock/")]);
     let stream = json!({
-        "name": "r-quote", "host": HOST, "prefix": "/quote/", "kind": "stream", "timeout-ms": 15000,
-        "goal-ms": 1000, "priority": 0, "service": "lm-pool", "max-tries": 2, "public": false,
-        "sticky": true, "resumable": false, "gap_aim_ms": 400
+        "name": "r-stream", "host": HOST, "prefix": "/stream/", "kind": "stream",
+        "timeout-ms": scenario.timeout_ms, "goal-ms": scenario.goal_ms,
+        "priority": scenario.priority, "service": "lm-pool", "max-tries": scenario.max_tries,
+        "public": false, "sticky": true, "resumable": scenario.resumable, "gap_aim_ms": 400
     });
     let engine = json!({
         "name": "lm-pool", "health-path": "/health", "max-conns": 370, "protocol": "h1", "tls": false,
@@ -57,7 +101,7 @@
         let (plain, engine) = (fleet.runner_address(), fleet.runner_address());
         let work = Work::Plain(Duration::from_millis(20));
         runners.push(Runner::start(&fleet.store, plain, "order-api", zone, 6, work, &runs).await);
-        let work = Work::NarrowStream(EVENTS, EVENT_PAUSE, has_trouble);
+        let work = scenario.work;
         runners.push(Runner::start(&fleet.store, engine, "lm-pool", zone, 64, work, &runs).await);
     }
     if !fleet.start().await {
@@ -65,12 +109,14 @@
     }
     record.add("6 daemons are ready".to_owned());
     sleep(Duration::from_secs(5)).await;
-    let calm = send_all(record, &fleet.machines[0].front(), "k").await;
-    sleep(Duration::from_secs(6)).await;
-    let stopped = send_all(record, &fleet.machines[2].front(), "t").await;
+    let request = Arc::new(request(&scenario));
+    let calm = send_all(record, &fleet.machines[0].front(), "k", &request).await;
+    sleep(Duration::from_secs(9)).await;
+    let stopped = send_all(record, &fleet.machines[2].front(), "t", &request).await;
+    sleep(SIGTERM_AFTER).await;
     record.add("the second machine gets SIGTERM".to_owned());
     fleet.machines[2].terminate();
-    sleep(Duration::from_secs(7)).await;
+    sleep(Duration::from_secs(9)).await;
     let ran = |id: &str| runs.lock().iter().any(|run| run.request == id);
     let lost = |outcomes: &Outcomes| {
         let outcomes = outcomes.lock();
@@ -95,13 +141,13 @@
 }
 
 /// Sends all requests to a daemon; the outcomes come as the requests end.
-async fn send_all(record: &Record, front: &str, name: &str) -> Outcomes {
+async fn send_all(record: &Record, front: &str, name: &str, request: &Arc<String>) -> Outcomes {
     let outcomes = Outcomes::default();
     for n in 0..REQUESTS {
         let (record, front, outcomes) = (record.clone(), front.to_owned(), Arc::clone(&outcomes));
-        let id = format!("{name}{n:03}");
+        let (id, request) = (format!("{name}{n:03}"), Arc::clone(request));
         tokio::spawn(async move {
-            let outcome = send(&front, id).await;
+            let outcome = send(&front, id, &request).await;
             record.add(format!(
                 "request {} ended {} ms after it was sent: {}, whole: {}",
                 outcome.id,
@@ -116,16 +162,28 @@
     outcomes
 }
 
+/// Returns a stream request; "ID" stands for its identifier.
+fn request(scenario: &Scenario) -> String {
+    format!(
+        "POST /stream/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: ID\r\nX-Model: m\r\n{}\
+         X-Deadline-Ms: {}\r\nX-Key: {KEY}\r\nContent-Length: {}\r\n\r\n{}",
+        scenario.prompt,
+        scenario.timeout_ms,
+        scenario.body_bytes,
+        "x".repeat(scenario.body_bytes)
+    )
+}
+
 /// Sends a small request and then a stream request over one connection.
-async fn send(front: &str, id: String) -> Outcome {
+async fn send(front: &str, id: String, request: &str) -> Outcome {
     let begun = Instant::now();
-    let exchanged = exchange(front, &id).await;
+    let exchanged = exchange(front, &id, request).await;
     let (status, is_whole, sent) = exchanged.unwrap_or((0, false, begun));
     Outcome { id, status, is_whole, lasted: sent.elapsed() }
 }
 
 /// Returns the status of the stream, whether it is whole, and when it was asked for.
-async fn exchange(front: &str, id: &str) -> std::io::Result<(u16, bool, Instant)> {
+async fn exchange(front: &str, id: &str, request: &str) -> std::io::Result<(u16, bool, Instant)> {
     let mut connection = Connection::new(TcpStream::connect(front).await?);
     let small = format!(
         "GET /stock/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: s{id}\r\nX-Deadline-Ms: 1500\r\n\
@@ -134,13 +192,7 @@
     connection.write(small.as_bytes()).await?;
     connection.read().await?;
     let sent = Instant::now();
-    let head = format!(
-        "POST /quote/1 HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: {id}\r\nX-Model: m\r\n\
-         X-Token-Count: 11992,400\r\nX-Prefix-Hash: 5c1e07a2:5382,e4402b7d:6610\r\n\
-         X-Deadline-Ms: 15000\r\nX-Key: {KEY}\r\nContent-Length: {BODY_BYTES}\r\n\r\n"
-    );
-    connection.write(head.as_bytes()).await?;
-    connection.write(&vec![b'x'; BODY_BYTES]).await?;
+    connection.write(request.replacen("X-Request-Id: ID", &format!("X-Request-Id: {id}"), 1).as_bytes()).await?;
     let answer = connection.read().await?;
     Ok(answer.map_or((0, false, sent), |answer| (answer.status(), answer.is_whole, sent)))
 }
--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -52,7 +52,8 @@
     let outcome = match case.as_str() {
         "bodies" => cases::bodies::run(&record, has_trouble).await,
         "drain" => cases::drain::run(&record, has_trouble).await,
-        "early" => cases::early::run(&record, has_trouble).await,
+        "early" => cases::streams::run_early(&record, has_trouble).await,
+        "events" => cases::streams::run_events(&record, has_trouble).await,
         "config" => cases::config::run(&record, has_trouble).await,
         _ => Err(format!("there is no case '{case}'")),
     };
--- a/review/standins-2/src/runner.rs
+++ b/review/standins-2/src/runner.rs
@@ -147,7 +147,8 @@
             );
             tokio::time::sleep(pause).await;
             connection.write(head.as_bytes()).await?;
-            for event in 1..=events {
+            let last = request.header("last-event-id").and_then(|last| last.parse().ok());
+            for event in last.unwrap_or(0) + 1..=events {
                 let text = format!("id: {event}\ndata: piece {event}\n\n");
                 connection.write(format!("{:x}\r\n{text}\r\n", text.len()).as_bytes()).await?;
                 tokio::time::sleep(pause).await;
