--- a/review/8/run.sh
+++ b/review/8/run.sh
@@ -2,4 +2,4 @@
 # Case 8. Needs the build of the deploy file and review/build-2.sh. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/bankcoved ] && [ -x target/review-2/release/bankcove-review-2 ] || exit 2
-exec target/review-2/release/bankcove-review-2 events review/8/record.txt
+exec target/review-2/release/bankcove-review-2 bodies review/8/record.txt
