--- a/review/standins-2/src/main.rs
+++ b/review/standins-2/src/main.rs
@@ -49,14 +49,9 @@
     let (case, file) = (args.next().unwrap_or_default(), args.next().unwrap_or_default());
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let record = Record::new();
-    let outcome = match case.as_str() {
-        "bodies" => cases::bodies::run(&record, has_trouble).await,
-        "drain" => cases::drain::run(&record, has_trouble).await,
-        "early" => cases::streams::run_early(&record, has_trouble).await,
-        "events" => cases::streams::run_events(&record, has_trouble).await,
-        "config" => cases::config::run(&record, has_trouble).await,
-        _ => Err(format!("there is no case '{case}'")),
-    };
+    let running = tokio::spawn(run_case(case, record.clone(), has_trouble));
+    // A panic ends the processes of the case, too.
+    let outcome = running.await.unwrap_or_else(|e| Err(e.to_string()));
     let (code, text) = match outcome {
         Ok(None) => (0, "the rule held".to_owned()),
         Ok(Some(breach)) => (1, format!("BROKEN: {breach}")),
@@ -67,3 +62,14 @@
     println!("{text}");
     std::process::exit(code);
 }
+
+async fn run_case(case: String, record: Record, has_trouble: bool) -> Result<Option<String>, String> {
+    match case.as_str() {
+        "bodies" => cases::bodies::run(&record, has_trouble).await,
+        "drain" => cases::drain::run(&record, has_trouble).await,
+        "early" => cases::streams::run_early(&record, has_trouble).await,
+        "events" => cases::streams::run_events(&record, has_trouble).await,
+        "config" => cases::config::run(&record, has_trouble).await,
+        _ => Err(format!("there is no case '{case}'")),
+    }
+}
