--- a/crates/core/src/id.rs
+++ b/crates/core/src/id.rs
@@ -82,12 +82,20 @@
     /// Hashes host, path with query, the caller's workspace (empty where no API key is required)
     /// and body.
     pub fn of(host: &str, path: &str, workspace: &str, body: &[u8]) -> Self {
+        Self::of_segments(host, path, workspace, &[body])
+    }
+
+    /// Like [`Fingerprint::of`], for a body in several segments.
+    pub fn of_segments(host: &str, path: &str, workspace: &str, body: &[impl AsRef<[u8]>]) -> Self {
         let mut hasher = Sha256::new();
         // Length prefixes make the concatenation of the parts unambiguous.
-        for part in [host.as_bytes(), path.as_bytes(), workspace.as_bytes(), body] {
+        for part in [host, path, workspace] {
             hasher.update((part.len() as u64).to_le_bytes());
             hasher.update(part);
         }
+        let body_bytes: usize = body.iter().map(|segment| segment.as_ref().len()).sum();
+        hasher.update((body_bytes as u64).to_le_bytes());
+        body.iter().for_each(|segment| hasher.update(segment));
         let digest = hasher.finalize();
         let first = digest.iter().take(size_of::<u128>());
         Fingerprint(first.fold(0, |bits, byte| bits << 8 | u128::from(*byte)))
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod freshness;
 pub mod hall_list;
 pub mod held_answers;
+pub mod held_bodies;
 pub mod hints;
 pub mod holder;
 pub mod id;
--- a/crates/daemon/src/api/admission.rs
+++ b/crates/daemon/src/api/admission.rs
@@ -2,12 +2,14 @@
 //! claims a request that must not run twice.
 
 use std::sync::Arc;
+use std::time::Duration;
 
+use bankcove_core::held_bodies::BodyOwner;
 use bankcove_core::holder::RequestDemand;
 use bankcove_core::lifecycle::{Admitted, Attempt, NotRun, Received};
 use bankcove_core::request_log::{Entry, Outcome};
 use bankcove_core::table::{Budget, Table, Workspace};
-use bankcove_core::{Name, RequestHash, Tokens};
+use bankcove_core::{Millis, Name, RequestHash, Tokens};
 use salvo::prelude::*;
 
 use crate::api::Api;
@@ -15,7 +17,9 @@
 use crate::auth::hash_key;
 use crate::bill::request_log;
 use crate::budget::reserve::reserve;
+use crate::http::declared_length;
 use crate::peer::Refusal;
+use crate::requests::held_bodies::{BodyError, BodyLimits, ChargedBytes};
 
 /// Request header with the name of a budget other than the workspace's default.
 const BUDGET_HEADER: &str = "x-bankcove-budget";
@@ -105,6 +109,39 @@
     })
 }
 
+/// Reads the body of a caller's request within the limits of the settings and the memory of the host.
+///
+/// # Errors
+/// The response to the caller if the body is too large or too slow, can't be read or has no room.
+pub async fn read_body(
+    api: &Api,
+    caller: &Caller,
+    req: &mut Request,
+) -> Result<ChargedBytes, ErrorResponse> {
+    let limits = &api.requests.base.cfg.limits;
+    let limits = BodyLimits {
+        max_bytes: limits.max_body_bytes,
+        timeout: Duration::from_millis(limits.body_timeout_ms),
+    };
+    let owner = BodyOwner { workspace: Some(caller.workspace.clone()), rank: 0 };
+    let declared = declared_length(req);
+    let body = api.requests.body_memory.read_contiguous(owner, declared, limits, req).await;
+    body.map_err(|e| match e {
+        BodyError::TooLarge(_) | BodyError::Broken => {
+            ErrorResponse::refused(StatusCode::PAYLOAD_TOO_LARGE, e.code(), e.to_string())
+        }
+        BodyError::TooSlow(_) => {
+            ErrorResponse::refused(StatusCode::REQUEST_TIMEOUT, e.code(), e.to_string())
+        }
+        BodyError::Full(full) => {
+            slog::info!(api.requests.base.log, "no room for the body";
+                "workspace" => %caller.workspace, "declared_bytes" => declared, full);
+            ErrorResponse::refused(StatusCode::SERVICE_UNAVAILABLE, e.code(), e.to_string())
+                .retry_after(full.retry_after.as_millis() as Millis)
+        }
+    })
+}
+
 /// Returns the value of a header if it is valid text.
 pub fn header<'a>(req: &'a Request, name: &str) -> Option<&'a str> {
     req.headers().get(name).and_then(|value| value.to_str().ok())
--- a/crates/daemon/src/api/chat.rs
+++ b/crates/daemon/src/api/chat.rs
@@ -24,7 +24,7 @@
 use crate::api::dispatch::{self, DispatchFailure, DispatchRequest};
 use crate::api::injected_api;
 use crate::api::response::{ATTEMPT_HEADER, ErrorResponse, KEY_HEADER, ResponseBody};
-use crate::http::read_body;
+use crate::requests::held_bodies::BodyCharge;
 
 /// Length of the prompt prefix that is hashed for routing, in bytes.
 const PREFIX_BYTES: usize = 512;
@@ -39,6 +39,8 @@
     /// Logger with the identifiers of the request and the attempt.
     pub log: Logger,
     body: Value,
+    /// Account of the memory of `body`.
+    _charge: BodyCharge,
     model: String,
     route_homes: Vec<Name>,
     max_tokens: Tokens,
@@ -113,8 +115,8 @@
     req: &mut Request,
 ) -> Result<ChatRequest, ErrorResponse> {
     let caller = identify_caller(api, req)?;
-    let bytes = read_body(&api.requests.base.cfg.limits, req).await?;
-    let body: Value = serde_json::from_slice(&bytes)
+    let bytes = admission::read_body(api, &caller, req).await?;
+    let body: Value = serde_json::from_slice(bytes.as_ref())
         .map_err(|e| ErrorResponse::bad_request("bad_json", format!("the body is no JSON: {e}")))?;
     let model = body["model"].as_str().unwrap_or_default().to_owned();
     let Some(route) = caller.table.route_for_model(&model).cloned() else {
@@ -151,6 +153,7 @@
         deadline: Duration::from_millis(route.deadline_ms),
         caller,
         body,
+        _charge: bytes.into_charge(),
         model,
         max_tokens,
     })
--- a/crates/daemon/src/api/proxy.rs
+++ b/crates/daemon/src/api/proxy.rs
@@ -25,7 +25,6 @@
 use crate::api::response::{ATTEMPT_HEADER, ErrorResponse, KEY_HEADER};
 use crate::bill::bills;
 use crate::crashes;
-use crate::http;
 use crate::requests::open_request::OpenRequest;
 
 /// Retry delay after an unknown outcome.
@@ -116,7 +115,7 @@
         method: Method::from_bytes(req.method().as_str().as_bytes()).unwrap_or(Method::GET),
         path: path_and_query,
         headers,
-        body: http::read_body(&api.requests.base.cfg.limits, req).await?,
+        body: admission::read_body(api, &caller, req).await?.into_bytes(),
         run_id: caller.request.to_string(),
         attempt: id,
     };
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -43,7 +43,8 @@
     /// milliseconds; further connections are not made. 0 sets no limit.
     #[serde(default)]
     pub connect_queue_ms: f64,
-    /// Memory of this host, in megabytes; a part of it holds answers for callers that read slowly.
+    /// Memory of this host, in megabytes; parts of it hold request bodies and answers for callers that
+    /// read slowly.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub memory_mb: Option<f64>,
     /// Maximum size of all answers held for callers that read slowly, in megabytes; derived from
@@ -51,6 +52,10 @@
     /// them.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub held_answers_mb: Option<f64>,
+    /// Maximum size of all request bodies held, in megabytes; derived from `memory_mb` if omitted.
+    /// Requests whose bodies have no room are refused.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub held_bodies_mb: Option<f64>,
     /// How far ahead to draw on a workspace's budget, in seconds of recent spending; a daemon
     /// that is cut off from the store and all peers spends these tokens.
     #[serde(default = "default_horizon_s")]
@@ -103,10 +108,17 @@
     1_200
 }
 
-/// Fraction of the host's memory that may hold answers. The rest is for the daemon's own state (up
-/// to 64 MB), request bodies and the socket buffers of its connections.
+/// Fraction of the host's memory that may hold answers. As much may hold what is gathered of incomplete
+/// ones.
 const HELD_ANSWERS_FRACTION: f64 = 0.125;
 
+/// Fraction of the host's memory that may hold request bodies. What it leaves beside answers is for the
+/// daemon's own state (up to 64 MB) and the buffers of its connections.
+const HELD_BODIES_FRACTION: f64 = 0.1875;
+
+/// Megabytes of held bodies on a host whose memory is not set: that fraction of 128 MB.
+const DEFAULT_HELD_BODIES_MB: f64 = 24.0;
+
 /// Megabytes of held answers on a host whose memory is not set: an eighth of 128 MB.
 const DEFAULT_HELD_ANSWERS_MB: f64 = 16.0;
 
@@ -173,6 +185,7 @@
             server_heartbeat_ms: default_server_heartbeat_ms(),
             memory_mb: Some(512.0),
             held_answers_mb: Some(64.0),
+            held_bodies_mb: Some(96.0),
             horizon_s: default_horizon_s(),
             share_divisor: default_share_divisor(),
             held_ahead: default_held_ahead(),
@@ -201,6 +214,13 @@
         self.server_heartbeat_ms * LAPSE_INTERVALS
     }
 
+    /// Returns the maximum size of all request bodies held, in bytes.
+    pub fn max_held_body_bytes(&self) -> u64 {
+        let of_memory = self.memory_mb.map(|memory_mb| memory_mb * HELD_BODIES_FRACTION);
+        let megabytes = self.held_bodies_mb.or(of_memory).unwrap_or(DEFAULT_HELD_BODIES_MB);
+        (megabytes * MEGABYTE) as u64
+    }
+
     /// Returns the maximum size of all answers held for callers, in bytes.
     pub fn max_held_answer_bytes(&self) -> u64 {
         let of_memory = self.memory_mb.map(|memory_mb| memory_mb * HELD_ANSWERS_FRACTION);
@@ -270,6 +290,18 @@
             "is more than the host's memory, entry.memory_mb",
             "use a part of it, or omit it",
         );
+        check(
+            self.held_bodies_mb.is_some_and(|held| !is_usable(held) || held == 0.0),
+            "entry.held_bodies_mb",
+            "must be above 0 megabytes",
+            "use a part of the host's memory, for example 24, or omit it",
+        );
+        check(
+            matches!((self.held_bodies_mb, self.memory_mb), (Some(held), Some(memory)) if held > memory),
+            "entry.held_bodies_mb",
+            "is more than the host's memory, entry.memory_mb",
+            "use a part of it, or omit it",
+        );
         check(
             self.rollout_fraction.is_some_and(|fraction| !(0.0..=1.0).contains(&fraction)),
             "entry.rollout_fraction",
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -32,6 +32,7 @@
 use crate::requests::RequestContext;
 use crate::requests::gathering::GatherMemory;
 use crate::requests::held_answers::AnswerMemory;
+use crate::requests::held_bodies::BodyMemory;
 use crate::requests::stream_versions::StreamVersions;
 use crate::rollouts::Rollouts;
 use crate::view::View;
@@ -162,6 +163,7 @@
             latest_end: Mutex::new(None),
             stopping,
             in_flight: TaskTracker::new(),
+            body_memory: BodyMemory::new(base.clone()),
             answer_memory: Arc::new(AnswerMemory::new(base.clone())),
             gather_memory: GatherMemory::new(base.clone()),
         };
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -95,6 +95,7 @@
     /// Applies those settings that may change at run time.
     pub fn reload(&self, settings: EntrySettings) {
         self.retries.lock().set_allowance(settings.retry_allowance());
+        self.requests.body_memory.set_max_bytes(settings.max_held_body_bytes());
         self.requests.answer_memory.set_max_bytes(settings.max_held_answer_bytes());
         self.requests.gather_memory.set_max_bytes(settings.max_held_answer_bytes());
     }
--- a/crates/daemon/src/entry/attempt.rs
+++ b/crates/daemon/src/entry/attempt.rs
@@ -218,6 +218,7 @@
         return end_not_run(call, charge, &choice, state, unrun_text(unrun));
     }
     let in_doubt = sent.in_doubt();
+    call.release_unneeded_body();
     open_request.keep_until_end(Box::new(place));
     let means_not_run = matches!(res.status().as_u16(), 408 | 421 | 429 | 503);
     if head.is_encoded || !head.is_signed || means_not_run {
--- a/crates/daemon/src/entry/backend.rs
+++ b/crates/daemon/src/entry/backend.rs
@@ -15,8 +15,6 @@
 use bankcove_ports::observed::{
     ConnectionState, ObservedStream, ObservingConnector, bound_interim_responses,
 };
-use bytes::Bytes;
-use http_body_util::Full;
 use hyper::http::uri::{PathAndQuery, Scheme, Uri};
 use hyper::{HeaderMap, Method, Request};
 use hyper_util::client::legacy::Client;
@@ -28,6 +26,7 @@
 use crate::entry::sends::NumberedPermit;
 use crate::hints::permit::PermitError;
 use crate::peer::tunnel::TunnelStream;
+use crate::requests::held_bodies::SendBody;
 
 /// Timeout for connecting. A reachable server accepts within 2 ms, and an unreachable one must not
 /// use up the 300 ms that callers of plain services allow.
@@ -40,8 +39,8 @@
 /// servers, which are a small number of whole seconds.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 
-/// Request to one server; the body is shared by all attempts.
-#[derive(Debug, Clone)]
+/// Request to one server.
+#[derive(Debug)]
 pub struct BackendRequest {
     /// Method.
     pub method: Method,
@@ -50,7 +49,7 @@
     /// Headers.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: SendBody,
 }
 
 /// Error of a request that got no answer.
@@ -95,7 +94,7 @@
 }
 
 /// Client with the connections to servers at one or more addresses.
-type HttpClient = Client<ObservingConnector, Full<Bytes>>;
+type HttpClient = Client<ObservingConnector, SendBody>;
 
 /// Clients with separate connections, by the number of the sends that they carry.
 type NumberedClients = Vec<HttpClient>;
@@ -246,8 +245,8 @@
     Ok(UncheckedResponse::single(res, state))
 }
 
-fn new_request(method: Method, uri: Uri, headers: HeaderMap, body: Bytes) -> Request<Full<Bytes>> {
-    let mut req = Request::new(Full::new(body));
+fn new_request(method: Method, uri: Uri, headers: HeaderMap, body: SendBody) -> Request<SendBody> {
+    let mut req = Request::new(body);
     *req.method_mut() = method;
     *req.uri_mut() = uri;
     *req.headers_mut() = headers;
--- a/crates/daemon/src/entry/call.rs
+++ b/crates/daemon/src/entry/call.rs
@@ -11,7 +11,6 @@
 use bankcove_core::stream_versions::{Binding, MAX_LIFE_MS, StreamKey};
 use bankcove_core::{Fingerprint, Millis, Name, Tokens};
 use bankcove_ports::wire::{Dispatch, Prompt, RequestHead};
-use bytes::Bytes;
 use salvo::http::uri::PathAndQuery;
 use salvo::http::{HeaderMap, Method};
 use slog::Logger;
@@ -29,6 +28,7 @@
 use crate::hints::permit::{NoPermit, Permit, Purpose};
 use crate::paths::Route;
 use crate::paths::tunnels::NoTunnel;
+use crate::requests::held_bodies::HeldBody;
 use crate::requests::stream_versions::{NotKnown, StreamId, UntoldStream};
 
 /// Minimum number of shared prompt tokens that are copied from another server's cache. Setting up
@@ -70,7 +70,7 @@
     /// Headers of the caller.
     pub headers: HeaderMap,
     /// Body.
-    pub body: Bytes,
+    pub body: HeldBody,
     /// Time at which it was received.
     pub arrived_at: Millis,
     /// Time from which the route's goal counts: its arrival, or the break of a stream that resumes.
@@ -106,15 +106,31 @@
         self.entry.requests.base.clock.time_until(self.deadline).is_zero()
     }
 
-    /// Returns the hash of the request's content. It is computed on first use, which is only for
-    /// requests that fail and, while some request is known to crash servers, for all.
+    /// Returns the hash of the request's content. It is computed on first use: at the latest when the
+    /// body is released.
     pub fn fingerprint(&self) -> Fingerprint {
         *self.fingerprint.get_or_init(|| {
             let workspace = self.plan.workspace.as_ref().map_or("", Name::as_str);
-            Fingerprint::of(self.host.as_str(), self.path.as_str(), workspace, &self.body)
+            let (host, path) = (self.host.as_str(), self.path.as_str());
+            Fingerprint::of_segments(host, path, workspace, &self.body.segments())
         })
     }
 
+    /// Releases the body of a request that a server may have run, unless a further attempt may send it.
+    /// What is still being written stays.
+    pub fn release_unneeded_body(&self) {
+        if !self.plan.is_retryable() || self.attempts_sent >= self.plan.route.max_tries {
+            // It is needed for failures that are found later.
+            self.fingerprint();
+            self.body.release();
+        }
+    }
+
+    /// Returns whether the route allows no attempt after the next one that reaches a server.
+    fn is_last_attempt(&self) -> bool {
+        self.attempts_sent + 1 >= self.plan.route.max_tries
+    }
+
     /// Returns the ids of the prompt parts that other requests may share, for a log line; `None`
     /// without any.
     pub fn parts_text(&self) -> Option<String> {
@@ -192,7 +208,7 @@
         if self.attempts_sent == 0 {
             return true;
         }
-        if self.attempts_sent >= self.plan.route.max_tries {
+        if self.attempts_sent >= self.plan.route.max_tries || self.body.is_released() {
             return false;
         }
         // Each retry of a suspect could crash a server, and would use up the retries of harmless
@@ -515,11 +531,16 @@
             urgency: self.plan.urgency().for_servers,
             resume_after,
         };
+        let is_last = self.is_last_attempt();
+        if is_last {
+            // It is needed for failures that are found later.
+            self.fingerprint();
+        }
         BackendRequest {
             method: self.method.clone(),
             path: self.path.clone(),
             headers: self.entry.wire.request_headers(&self.headers, &dispatch),
-            body: self.body.clone(),
+            body: self.body.to_send(is_last),
         }
     }
 }
--- a/crates/daemon/src/entry/refusal.rs
+++ b/crates/daemon/src/entry/refusal.rs
@@ -10,6 +10,8 @@
 use bankcove_ports::wire::MalformedHeader;
 use salvo::http::StatusCode;
 
+use crate::requests::held_bodies::BodyError;
+
 /// Retry delay while this daemon stops or its link is full: another daemon can serve the request
 /// at once.
 const OTHER_DAEMON_RETRY_DELAY: Duration = Duration::from_millis(100);
@@ -50,12 +52,9 @@
     /// A header can't be parsed.
     #[error(transparent)]
     Malformed(#[from] MalformedHeader),
-    /// The body exceeds this limit in bytes, or can't be read.
-    #[error("the body can't be read or is larger than {0} bytes")]
-    BodyTooLarge(usize),
-    /// The body was not received within this time.
-    #[error("the body took longer than {} ms", .0.as_millis())]
-    BodyTooSlow(Duration),
+    /// The body was not read.
+    #[error(transparent)]
+    Body(#[from] BodyError),
     /// The budget does not cover the maximum cost of the request.
     #[error("budget '{budget}' does not cover {tokens} tokens")]
     BudgetShort {
@@ -203,13 +202,16 @@
             | Refusal::CrashesInDoubt
             | Refusal::VersionUnknown { .. }
             | Refusal::VersionGone(_)
+            | Refusal::Body(BodyError::Full(_))
             | Refusal::TooLate => StatusCode::SERVICE_UNAVAILABLE,
             Refusal::NoRoute => StatusCode::NOT_FOUND,
             Refusal::UnknownKey => StatusCode::UNAUTHORIZED,
             // Client errors, after which callers don't retry.
             Refusal::Malformed(_) | Refusal::CrashesServers => StatusCode::BAD_REQUEST,
-            Refusal::BodyTooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
-            Refusal::BodyTooSlow(_) => StatusCode::REQUEST_TIMEOUT,
+            Refusal::Body(BodyError::TooLarge(_) | BodyError::Broken) => {
+                StatusCode::PAYLOAD_TOO_LARGE
+            }
+            Refusal::Body(BodyError::TooSlow(_)) => StatusCode::REQUEST_TIMEOUT,
             Refusal::BudgetShort { .. }
             | Refusal::BudgetRationed { .. }
             | Refusal::BudgetProtected { .. } => StatusCode::TOO_MANY_REQUESTS,
@@ -225,8 +227,7 @@
             Refusal::NoRoute => "no_route",
             Refusal::UnknownKey => "unknown_key",
             Refusal::Malformed(_) => "malformed",
-            Refusal::BodyTooLarge(_) => "body_too_large",
-            Refusal::BodyTooSlow(_) => "body_too_slow",
+            Refusal::Body(e) => e.code(),
             Refusal::BudgetShort { .. } => "budget_short",
             Refusal::BudgetRationed { .. } => "budget_rationed",
             Refusal::BudgetProtected { .. } => "budget_protected",
@@ -256,6 +257,7 @@
             Refusal::NoServer => Some(NO_SERVER_RETRY_DELAY),
             Refusal::NoneListed => Some(NONE_LISTED_RETRY_DELAY),
             Refusal::NoTable(retry_after) => Some(*retry_after),
+            Refusal::Body(BodyError::Full(full)) => Some(full.retry_after),
             Refusal::NoHall => Some(NO_HALL_RETRY_DELAY),
             Refusal::NoPath(delay)
             | Refusal::OnlyCold(delay)
--- a/crates/daemon/src/entry/serve.rs
+++ b/crates/daemon/src/entry/serve.rs
@@ -3,13 +3,15 @@
 use std::sync::{Arc, OnceLock};
 use std::time::Duration;
 
+use bankcove_core::held_bodies::BodyOwner;
 use bankcove_core::outage;
 use bankcove_core::stream_versions::Binding;
 use bankcove_core::{Millis, Name};
 use bankcove_ports::wire::RequestHead;
+use http_body_util::BodyExt;
 use hyper::body::Body;
 use salvo::affix_state;
-use salvo::http::header::{CONNECTION, CONTENT_LENGTH, HOST, HeaderValue, RETRY_AFTER};
+use salvo::http::header::{CONNECTION, EXPECT, HOST, HeaderValue, RETRY_AFTER};
 use salvo::http::uri::PathAndQuery;
 use salvo::prelude::*;
 use slog::o;
@@ -25,12 +27,17 @@
 use crate::entry::ready::injected_entry;
 use crate::entry::refusal::Refusal;
 use crate::entry::sends::Sends;
+use crate::http::declared_length;
 use crate::requests::RequestContext;
 use crate::requests::held_answers::HeldAnswer;
+use crate::requests::held_bodies::{BodyError, BodyLimits};
 
 /// Size up to which a body that was not read is skipped, in bytes: it has been received with the head.
 const MAX_SKIPPED_BODY_BYTES: u64 = 4 << 10;
 
+/// Longest time for which the rest of a refused body is skipped.
+const MAX_SKIP_TIME: Duration = Duration::from_secs(1);
+
 /// Returns the routes for callers: one handler for all paths, which the table resolves.
 pub fn router(entry: Arc<Entry>) -> Router {
     Router::with_path("{**rest}").hoop(affix_state::inject(entry)).goal(serve)
@@ -64,6 +71,9 @@
                 // The connection ends with this answer, and a new one may lead to another host.
                 res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
             }
+            if matches!(failure.refusal(), Some(Refusal::Body(BodyError::Full(_)))) {
+                skip_rest(req);
+            }
             render(&failure, res);
         }
     }
@@ -76,10 +86,23 @@
     !is_read && body.size_hint().upper().is_none_or(|bytes| bytes > MAX_SKIPPED_BODY_BYTES)
 }
 
+/// Skips what is on its way of a refused body, in the background: if the connection ended before, the
+/// caller, which is still sending, could lose the answer.
+fn skip_rest(req: &mut Request) {
+    if req.headers().contains_key(EXPECT) {
+        // The caller sends the body only when it is asked for.
+        return;
+    }
+    let mut body = req.take_body();
+    tokio::spawn(tokio::time::timeout(MAX_SKIP_TIME, async move {
+        while let Some(Ok(_)) = body.frame().await {}
+    }));
+}
+
 /// Writes a failure, with a `Retry-After` header in seconds.
 fn render(failure: &Failure, res: &mut Response) {
     res.status_code(failure.status());
-    if matches!(failure.refusal(), Some(Refusal::LinkFull)) {
+    if matches!(failure.refusal(), Some(Refusal::LinkFull | Refusal::Body(BodyError::Full(_)))) {
         // A new connection leads to another host.
         res.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
     }
@@ -153,20 +176,31 @@
     let path = req.uri().path_and_query().cloned();
     let limits = &requests.base.cfg.limits;
     let max_bytes = table.caller_limits.map_or(limits.max_body_bytes, |l| l.max_body_bytes);
+    let body_limits =
+        BodyLimits { max_bytes, timeout: Duration::from_millis(limits.body_timeout_ms) };
     let declared = declared_length(req);
+    let owner = BodyOwner { workspace: plan.workspace.clone(), rank: plan.urgency().rank };
+    let log = requests.base.log.new(o!("request" => request_head.id.clone()));
+    let log_full = |e: BodyError| {
+        if let BodyError::Full(full) = e {
+            slog::info!(log, "no room for the body";
+                "workspace" => owner.workspace.as_ref().map(Name::as_str), "rank" => owner.rank,
+                "declared_bytes" => declared, full);
+        }
+        e
+    };
     // It is not read, so it takes up nothing of the link.
-    if declared > max_bytes {
-        return Err(Refusal::BodyTooLarge(max_bytes));
-    }
+    requests.body_memory.check(&owner, declared, body_limits).map_err(log_full)?;
     // A body that is not read need not be received in full.
     let link =
         LinkReservation::reserve(entry, &plan, &request_head, declared).ok_or(Refusal::LinkFull)?;
-    let body = read_body(max_bytes, limits, req).await?;
+    let body = requests.body_memory.read(owner.clone(), declared, body_limits, req).await;
+    let body = body.map_err(log_full)?;
     let caller_timeout = request_head.timeout.unwrap_or(Duration::MAX);
     let route_deadline = Duration::from_millis(plan.route.deadline_ms);
     Ok(Call {
         entry: Arc::clone(entry),
-        log: requests.base.log.new(o!("request" => request_head.id.clone())),
+        log,
         method: req.method().clone(),
         host,
         path: path.unwrap_or_else(|| PathAndQuery::from_static("/")),
@@ -188,27 +222,6 @@
     })
 }
 
-/// Returns the length of the body by its header; 0 if there is none, as for a chunked body.
-fn declared_length(req: &Request) -> usize {
-    let length = req.headers().get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
-    length.and_then(|length| length.parse().ok()).unwrap_or_default()
-}
-
-/// Reads the body, of at most `max_bytes`, within the time limit of the settings.
-async fn read_body(
-    max_bytes: usize,
-    limits: &crate::base::config::Limits,
-    req: &mut Request,
-) -> Result<bytes::Bytes, Refusal> {
-    let timeout = Duration::from_millis(limits.body_timeout_ms);
-    let body = req.payload_with_max_size(max_bytes);
-    match tokio::time::timeout(timeout, body).await {
-        Ok(Ok(body)) => Ok(body.clone()),
-        Ok(Err(_)) => Err(Refusal::BodyTooLarge(max_bytes)),
-        Err(_) => Err(Refusal::BodyTooSlow(timeout)),
-    }
-}
-
 /// Returns the retry delay while this daemon has no table yet.
 fn no_table_retry_delay(requests: &RequestContext) -> Duration {
     Duration::from_millis(outage::retry_after_start(requests.base.clock.now(), rand::random()))
--- a/crates/daemon/src/http.rs
+++ b/crates/daemon/src/http.rs
@@ -1,16 +1,14 @@
-//! HTTP listeners for all interfaces of the daemon, and reading of request bodies for `api`.
+//! HTTP listeners for all interfaces of the daemon.
 
 use std::time::Duration;
 
-use bytes::Bytes;
 use hyper_util::rt::TokioTimer;
 use salvo::conn::tcp::TcpAcceptor;
+use salvo::http::header::CONTENT_LENGTH;
 use salvo::prelude::*;
 use salvo::server::ServerHandle;
 use tokio::task::JoinHandle;
 
-use crate::api::response::ErrorResponse;
-use crate::base::config::Limits;
 use crate::base::tcp;
 use crate::error::{Error, Result};
 
@@ -60,25 +58,8 @@
     Ok(HttpListener { handle, task })
 }
 
-/// Reads a request body within the size and time limits of the settings.
-///
-/// # Errors
-/// The response to the caller if the body is too large, too slow or can't be read.
-pub async fn read_body(
-    limits: &Limits,
-    req: &mut Request,
-) -> std::result::Result<Bytes, ErrorResponse> {
-    let reading = req.payload_with_max_size(limits.max_body_bytes);
-    match tokio::time::timeout(Duration::from_millis(limits.body_timeout_ms), reading).await {
-        Ok(Ok(body)) => Ok(body.clone()),
-        Ok(Err(_)) => {
-            let message =
-                format!("the body can't be read or exceeds {} bytes", limits.max_body_bytes);
-            Err(ErrorResponse::refused(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message))
-        }
-        Err(_) => {
-            let message = format!("the body took longer than {} ms", limits.body_timeout_ms);
-            Err(ErrorResponse::refused(StatusCode::REQUEST_TIMEOUT, "body_too_slow", message))
-        }
-    }
+/// Returns the length of a request's body by its head; 0 if there is none, as for a chunked body.
+pub fn declared_length(req: &Request) -> usize {
+    let length = req.headers().get(CONTENT_LENGTH).and_then(|length| length.to_str().ok());
+    length.and_then(|length| length.parse().ok()).unwrap_or_default()
 }
--- a/crates/daemon/src/operator/dump.rs
+++ b/crates/daemon/src/operator/dump.rs
@@ -34,6 +34,7 @@
         "store_heard_ms_ago": daemon.fleet.connectivity.store_age(now),
         "isolated": daemon.fleet.connectivity.is_isolated(now, daemon.cfg.limits.isolation_ms),
         "requests_in_flight": daemon.requests.in_flight.len(),
+        "held_bodies": daemon.requests.body_memory.dump(),
         "held_answers": daemon.requests.answer_memory.dump(),
         "gathered": daemon.requests.gather_memory.dump(),
         "bills_waiting": daemon.billing.pending_entries(),
--- a/crates/daemon/src/requests.rs
+++ b/crates/daemon/src/requests.rs
@@ -1,13 +1,14 @@
 //! State for serving callers' requests, over bankcove's own interface (`api`) and over the
 //! platform's protocol (`entry`).
 //!
-//! Owns the set of open requests (`open_request`, [`RequestContext::in_flight`]), the answers held
-//! for callers (`held_answers`), what is gathered of incomplete ones (`gathering`), the versions at which streams have begun (`stream_versions`) and the
-//! flags by which a graceful shutdown stops the acceptance of new ones. May call the layers that hold
+//! Owns the set of open requests (`open_request`, [`RequestContext::in_flight`]), their bodies
+//! (`held_bodies`), the answers held for callers (`held_answers`), what is gathered of incomplete ones
+//! (`gathering`), the versions at which streams have begun (`stream_versions`) and the flags by which a graceful shutdown stops the acceptance of new ones. May call the layers that hold
 //! state, the store and peers; called by `api`, `entry`, `lifecycle` and `peer_server`.
 
 pub mod gathering;
 pub mod held_answers;
+pub mod held_bodies;
 pub mod open_request;
 pub mod stream_versions;
 
@@ -30,6 +31,7 @@
 use crate::paths::Paths;
 use crate::requests::gathering::GatherMemory;
 use crate::requests::held_answers::AnswerMemory;
+use crate::requests::held_bodies::BodyMemory;
 use crate::requests::stream_versions::StreamVersions;
 use crate::rollouts::Rollouts;
 
@@ -67,6 +69,8 @@
     pub stopping: CancellationToken,
     /// Requests in flight.
     pub in_flight: TaskTracker,
+    /// Bodies of requests that may still be sent.
+    pub body_memory: Arc<BodyMemory>,
     /// Answers that are held for callers.
     pub answer_memory: Arc<AnswerMemory>,
     /// Events and answers that are not complete yet.
