--- a/crates/core/src/link/saturation.rs
+++ b/crates/core/src/link/saturation.rs
@@ -6,7 +6,6 @@
 
 use crate::Millis;
 use crate::link::{BITS_PER_BYTE, BITS_PER_MEGABIT, Link};
-use crate::store_read_policy::STALE_VIEW_MS;
 
 /// Mean size of a request with its head, in bytes: 4 to 5 KB on the users' two largest
 /// deployments, where a third to a half of the requests have bodies of 9 KB.
@@ -18,12 +17,12 @@
 
 impl Link {
     /// Returns whether this host may send new work to servers. `news_age` is the age of the last
-    /// message of the store or of a peer by which the host was current. When that is long ago and
-    /// the link is saturated, a server may have announced that it is leaving in a message that is
-    /// still queued. Beside a link that is not saturated, the age does not matter: messages that
+    /// message of the store or of a peer by which the host was current. When that is more than
+    /// `max_age` and the link is saturated, a server may have announced that it is leaving in a message
+    /// that is still queued. Beside a link that is not saturated, the age does not matter: messages that
     /// are on their way arrive.
-    pub fn may_send(&mut self, news_age: Option<Millis>, now: Millis) -> bool {
-        !self.is_saturated(now) || news_age.is_some_and(|age| age <= STALE_VIEW_MS)
+    pub fn may_send(&mut self, news_age: Option<Millis>, max_age: Millis, now: Millis) -> bool {
+        !self.is_saturated(now) || news_age.is_some_and(|age| age <= max_age)
     }
 }
 
--- a/crates/core/src/members.rs
+++ b/crates/core/src/members.rs
@@ -391,6 +391,11 @@
         in_hall.filter(|peer| rendezvous_score(key, peer.key) > mine).count()
     }
 
+    /// Returns the number of usable daemons in a hall, which is this daemon's, with itself.
+    pub fn hall_size(&self, hall: &Name) -> usize {
+        1 + self.usable().filter(|peer| peer.hall == *hall).count()
+    }
+
     /// Checks whether this daemon is one of the `count` that read the store for their hall.
     ///
     /// # Errors
--- a/crates/core/src/store_read_policy.rs
+++ b/crates/core/src/store_read_policy.rs
@@ -11,19 +11,55 @@
 
 use crate::Millis;
 
-/// Age of its view after which a daemon that learns of changes from peers reads the store
-/// itself, in milliseconds: readers receive a response of the store at least every 1.5 s,
-/// heartbeats take another 0.5 to 1 s, and changes must be in force everywhere within 2 to 3 s.
-pub const STALE_VIEW_MS: Millis = 2_500;
+/// Time within which the platform counts a daemon as connected again, in milliseconds: a longer promise
+/// would not let views be older.
+const CONNECTED_MS: Millis = 3_000;
+
+/// Longest time from the moment at which a daemon finds its view too old to the moment at which what it
+/// reads from the store is in force, in milliseconds.
+const READ_MS: Millis = 150;
+
+/// Longest time from the choice of a server to the arrival of the request there, in milliseconds.
+const SEND_MS: Millis = 100;
 
 /// Additional wait for each further rank after the readers, in milliseconds, so that a few
-/// daemons replace failed readers, not all of the hall at once.
+/// daemons replace failed readers, not all of the hall at once, and its upper bound.
 const RANK_DELAY_MS: Millis = 25;
-
-/// Upper bound of the additional wait, in milliseconds: a change right after the last message
-/// of readers that are then cut off is read 2.75 s later, and in force within 3 s.
 const MAX_RANK_DELAY_MS: Millis = 250;
 
+/// Shortest and longest duration of one watch call to the store, in milliseconds. A lost connection shows
+/// only when no response arrives, so this is also how long it may go unnoticed.
+const WATCH_RANGE_MS: (Millis, Millis) = (500, 1_500);
+
+/// Number of heartbeat intervals after which news of a reader has usually reached the daemons that rely
+/// on it.
+const NEWS_HEARTBEATS: Millis = 2;
+
+/// Ages that a view may have, by the time within which a change in the store must be in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ViewBounds {
+    in_force_ms: Millis,
+}
+
+impl ViewBounds {
+    /// Creates the bounds for changes that must be in force within `in_force_ms`.
+    pub fn new(in_force_ms: Millis) -> Self {
+        ViewBounds { in_force_ms: in_force_ms.min(CONNECTED_MS) }
+    }
+
+    /// Returns the greatest age of a view by which a request may be sent while the store is read, in
+    /// milliseconds.
+    pub fn max_age(self) -> Millis {
+        self.in_force_ms.saturating_sub(READ_MS + SEND_MS)
+    }
+
+    /// Returns the age of its view after which a daemon that learns of changes from peers begins to read
+    /// the store itself, in milliseconds; further ranks wait longer, the last until [`Self::max_age`].
+    pub fn trusted_age(self) -> Millis {
+        self.max_age().saturating_sub(MAX_RANK_DELAY_MS)
+    }
+}
+
 /// Additional wait for each further rank at startup, where all daemons would read at once, and
 /// its upper bound, in milliseconds.
 const STARTUP_RANK_DELAY_MS: Millis = 50;
@@ -70,6 +106,12 @@
     pub has_seeds: bool,
     /// Whether this daemon is a seed peer, named in the settings of all daemons.
     pub is_seed: bool,
+    /// Number of daemons in the hall, this one included.
+    pub hall_size: usize,
+    /// Interval of heartbeats, in milliseconds.
+    pub heartbeat_ms: Millis,
+    /// Ages that a view may have.
+    pub bounds: ViewBounds,
 }
 
 impl StoreReadPolicy {
@@ -94,7 +136,21 @@
     pub fn stale_after(&self) -> Option<Millis> {
         let is_top_ranked = self.rank < self.readers;
         let rank_delay = (self.rank_after_readers() * RANK_DELAY_MS).min(MAX_RANK_DELAY_MS);
-        (!is_top_ranked).then_some(STALE_VIEW_MS + rank_delay)
+        let stale_after = (self.bounds.trusted_age() + rank_delay).min(self.bounds.max_age());
+        (!is_top_ranked).then_some(stale_after)
+    }
+
+    /// Returns the longest duration of one watch call, in milliseconds: so short that news of readers
+    /// reaches the others of the hall before their views are stale, unless it takes fewer calls that
+    /// these read the store themselves.
+    pub fn watch_ms(&self) -> Millis {
+        let (shortest, longest) = WATCH_RANGE_MS;
+        let news_ms = NEWS_HEARTBEATS * self.heartbeat_ms;
+        let timely = self.bounds.trusted_age().saturating_sub(news_ms).clamp(shortest, longest);
+        let followers = self.hall_size.saturating_sub(self.readers) as Millis;
+        let calls_of_followers = followers * timely;
+        let further_calls_of_readers = self.readers as Millis * (longest - timely);
+        if further_calls_of_readers < calls_of_followers { timely } else { longest }
     }
 
     /// Returns the time, in milliseconds, for which this daemon still relies on peers with a view
--- a/crates/core/tests/link_saturation.rs
+++ b/crates/core/tests/link_saturation.rs
@@ -14,6 +14,9 @@
 const MBPS: f64 = 10.0;
 const BYTES_PER_MS: f64 = MBPS * 125.0;
 
+/// Age of news up to which a host with a saturated link sends, in milliseconds.
+const MAX_NEWS_AGE_MS: Millis = 2_500;
+
 /// Bytes of a request with its head.
 const REQUEST: u64 = 5_000;
 
@@ -32,15 +35,15 @@
     let mut link = Link::new(MBPS);
     let bytes = if is_saturated { BYTES_PER_MS * 500.0 } else { 1_000.0 };
     link.record_passed(passed(bytes as u64), 1_000);
-    assert_eq!(link.may_send(news_age, 1_200), may_send);
+    assert_eq!(link.may_send(news_age, MAX_NEWS_AGE_MS, 1_200), may_send);
 }
 
 #[test]
 fn sending_resumes_once_the_link_is_idle_again() {
     let mut link = Link::new(MBPS);
     link.record_passed(passed((BYTES_PER_MS * 500.0) as u64), 1_000);
-    assert!(!link.may_send(Some(8_000), 1_400));
-    assert!(link.may_send(Some(8_000), 2_500));
+    assert!(!link.may_send(Some(8_000), MAX_NEWS_AGE_MS, 1_400));
+    assert!(link.may_send(Some(8_000), MAX_NEWS_AGE_MS, 2_500));
 }
 
 /// What arrives at the host.
@@ -78,7 +81,7 @@
             match arrival {
                 Arrival::Heartbeat(as_of) => view_as_of = as_of,
                 Arrival::Request => {
-                    let may_send = !checks || link.may_send(Some(now - view_as_of), now);
+                    let may_send = !checks || link.may_send(Some(now - view_as_of), MAX_NEWS_AGE_MS, now);
                     if may_send && view_as_of < announced_at && now >= announced_at {
                         last_sent = now;
                     }
--- a/crates/core/tests/store_read_policy.rs
+++ b/crates/core/tests/store_read_policy.rs
@@ -6,13 +6,14 @@
 //! startup, the 295 daemons of the users made 629 and 654 calls, instead of 46 and 178.
 
 use bankcove_core::Millis;
-use bankcove_core::store_read_policy::StoreReadPolicy;
+use bankcove_core::store_read_policy::{StoreReadPolicy, ViewBounds};
 use yare::parameterized;
 
 const HALLS: usize = 5;
 const HALL_SIZE: usize = 59;
 const READERS: usize = 2;
 const OUTAGE_MS: Millis = 9_000;
+const HEARTBEAT_MS: Millis = 500;
 
 /// Consecutive failed probes after which the store counts as unavailable.
 const UNAVAILABLE_AFTER_FAILURES: u32 = 2;
@@ -28,6 +29,9 @@
         small_fleet: 12,
         has_seeds: true,
         is_seed: false,
+        hall_size: HALL_SIZE,
+        heartbeat_ms: HEARTBEAT_MS,
+        bounds: ViewBounds::new(IN_FORCE_MS),
     }
 }
 
@@ -106,21 +110,37 @@
 /// Time within which a change must be in force at the users' large fleets, in milliseconds.
 const IN_FORCE_MS: Millis = 3_000;
 
+/// The same at the users' small fleets: servers that are leaving get no requests from then on.
+const SHORT_IN_FORCE_MS: Millis = 2_000;
+
 /// Time to read the table and put it in force, in milliseconds: 40 to 150 ms in the logs of 87
 /// hosts under load.
-const ADOPTION_MS: Millis = 200;
+const ADOPTION_MS: Millis = 150;
+
+/// Time until a request that was sent reaches its server, in milliseconds.
+const SEND_MS: Millis = 100;
 
 /// Guards against late changes while all readers are cut off. 84 of 87 hosts, including all
 /// readers, were cut off from the store. A host that still reached it answered a new route with
 /// 404, 3.2 s after the store had the table: peers had reported a current view just before, the
 /// host waited 3.0 s from then, and checked only every 0.3 s whether the wait was over ("table
-/// adopted" at 30.57 s, the last response of the store at 27.07 s).
-#[test]
-fn a_daemon_whose_readers_are_all_cut_off_reads_the_store_before_a_change_is_due() {
-    for rank in READERS..HALL_SIZE {
-        let policy = policy(rank);
+/// adopted" at 30.57 s, the last response of the store at 27.07 s). Guards also against a wait that is
+/// longer than the promise: where changes had to be in force within 2 s, servers that were leaving got
+/// requests for 2.4 s.
+#[parameterized(
+    large_fleet = { IN_FORCE_MS, HALL_SIZE },
+    small_fleet = { SHORT_IN_FORCE_MS, HALL_SIZE },
+    short_promise_in_hundreds_of_daemons = { SHORT_IN_FORCE_MS, 130 },
+)]
+fn a_daemon_whose_readers_are_all_cut_off_reads_the_store_before_a_change_is_due(
+    in_force_ms: Millis,
+    hall_size: usize,
+) {
+    for rank in READERS..hall_size {
+        let policy = StoreReadPolicy { bounds: ViewBounds::new(in_force_ms), ..policy(rank) };
         let time_until_stale = policy.time_until_stale(Some(0)).expect("it relies on peers");
-        assert!(time_until_stale + ADOPTION_MS <= IN_FORCE_MS, "rank {rank}: {time_until_stale}");
+        let sum = time_until_stale + ADOPTION_MS + SEND_MS;
+        assert!(sum <= in_force_ms, "rank {rank}: {time_until_stale}");
         // It reads the store as soon as the view reported by its peers is too old.
         for age in (0..time_until_stale).step_by(50) {
             assert_eq!(policy.time_until_stale(Some(age)), Some(time_until_stale - age));
@@ -130,6 +150,35 @@
     }
 }
 
+/// Guards against a promise that is shorter than the time that a read takes.
+#[test]
+fn without_time_to_rely_on_peers_each_daemon_reads_the_store() {
+    let policy = StoreReadPolicy { bounds: ViewBounds::new(200), ..policy(READERS) };
+    assert_eq!(policy.time_until_stale(Some(0)), None);
+}
+
+/// Guards against hundreds of daemons that read the store because news of its readers is older, in the
+/// usual case, than what they may rely on; and against readers that call it more often for a few others
+/// than these would themselves.
+#[parameterized(
+    large_promise = { IN_FORCE_MS, HALL_SIZE, 1_500 },
+    short_promise = { SHORT_IN_FORCE_MS, HALL_SIZE, 500 },
+    short_promise_with_a_few_followers = { SHORT_IN_FORCE_MS, READERS + 2, 1_500 },
+    short_promise_with_readers_alone = { SHORT_IN_FORCE_MS, READERS, 1_500 },
+)]
+fn watches_end_in_time_for_those_that_rely_on_them(
+    in_force_ms: Millis,
+    hall_size: usize,
+    watch_ms: Millis,
+) {
+    let bounds = ViewBounds::new(in_force_ms);
+    let policy = StoreReadPolicy { bounds, hall_size, ..policy(0) };
+    assert_eq!(policy.watch_ms(), watch_ms);
+    if hall_size == HALL_SIZE {
+        assert!(watch_ms + 2 * HEARTBEAT_MS <= bounds.trusted_age());
+    }
+}
+
 #[test]
 fn readers_do_not_rely_on_peers() {
     assert_eq!(policy(0).time_until_stale(Some(0)), None);
--- a/crates/daemon/src/base/config.rs
+++ b/crates/daemon/src/base/config.rs
@@ -15,6 +15,9 @@
 use crate::base::config::entry::EntrySettings;
 use crate::error::{ConfigFault, Error, Result};
 
+/// Time within which changes must be in force without a platform that sets one, in milliseconds.
+const DEFAULT_IN_FORCE_MS: Millis = 3_000;
+
 /// Minimum length of the operators' token, in bytes.
 const MIN_TOKEN_BYTES: usize = 8;
 
@@ -165,6 +168,11 @@
         self.entry.as_ref().map_or(Millis::MAX, EntrySettings::entry_lapse_ms)
     }
 
+    /// Returns the time within which a change in the store must be in force, in milliseconds.
+    pub fn in_force_ms(&self) -> Millis {
+        self.entry.as_ref().map_or(DEFAULT_IN_FORCE_MS, EntrySettings::in_force_ms)
+    }
+
     /// Returns the IP address from which connections to backend servers are made, if it is set.
     pub fn source_ip(&self) -> Option<IpAddr> {
         self.entry.as_ref().and_then(|entry| entry.source_ip)
--- a/crates/daemon/src/base/config/entry.rs
+++ b/crates/daemon/src/base/config/entry.rs
@@ -95,6 +95,13 @@
     /// An entry lapses after three intervals without a write.
     #[serde(default = "default_server_heartbeat_ms")]
     pub server_heartbeat_ms: Millis,
+    /// Time after which a server that the platform lists as leaving must get no more requests, in
+    /// milliseconds.
+    #[serde(default = "default_in_force_ms")]
+    pub drain_ms: Millis,
+    /// Time within which a configuration must be in force, in milliseconds.
+    #[serde(default = "default_in_force_ms")]
+    pub apply_ms: Millis,
     /// Region of each hall, for requests that may be served only in some regions.
     #[serde(default, skip_serializing_if = "BTreeMap::is_empty")]
     pub hall_regions: BTreeMap<Name, Name>,
@@ -131,6 +138,11 @@
 /// Number of milliseconds in a second.
 const SECOND_MS: f64 = 1_000.0;
 
+/// The shortest of the users' deployments.
+fn default_in_force_ms() -> Millis {
+    2_000
+}
+
 /// The users' deployments allow 8 s.
 fn default_stop_grace_s() -> f64 {
     8.0
@@ -183,6 +195,8 @@
             link_mbps: Some(1_000.0),
             connect_queue_ms: 0.0,
             server_heartbeat_ms: default_server_heartbeat_ms(),
+            drain_ms: default_in_force_ms(),
+            apply_ms: default_in_force_ms(),
             memory_mb: Some(512.0),
             held_answers_mb: Some(64.0),
             held_bodies_mb: Some(96.0),
@@ -214,6 +228,11 @@
         self.server_heartbeat_ms * LAPSE_INTERVALS
     }
 
+    /// Returns the time within which any change in the store must be in force, in milliseconds.
+    pub fn in_force_ms(&self) -> Millis {
+        self.drain_ms.min(self.apply_ms)
+    }
+
     /// Returns the maximum size of all request bodies held, in bytes.
     pub fn max_held_body_bytes(&self) -> u64 {
         let of_memory = self.memory_mb.map(|memory_mb| memory_mb * HELD_BODIES_FRACTION);
@@ -314,6 +333,10 @@
             "must be above 0 milliseconds",
             "use for example 1200",
         );
+        for (path, millis) in [("entry.drain_ms", self.drain_ms), ("entry.apply_ms", self.apply_ms)]
+        {
+            check(millis == 0, path, "must be above 0 milliseconds", "use for example 2000");
+        }
         check(
             self.place_queue > MAX_PLACE_QUEUE,
             "entry.place_queue",
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -77,8 +77,10 @@
     /// of servers that are leaving.
     pub fn may_send(&self) -> bool {
         let now = self.requests.base.clock.now();
-        let news_age = self.requests.fleet.connectivity.news_age(now);
-        self.link.lock().as_mut().is_none_or(|link| link.may_send(news_age, now))
+        let fleet = &self.requests.fleet;
+        let (news_age, max_age) =
+            (fleet.connectivity.news_age(now), fleet.view_bounds.trusted_age());
+        self.link.lock().as_mut().is_none_or(|link| link.may_send(news_age, max_age, now))
     }
 
     /// Records traffic that has passed the link in one direction.
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -14,7 +14,7 @@
 use bankcove_core::Millis;
 use bankcove_core::freshness::{answer_time, unchanged_since};
 use bankcove_core::members::{FleetSize, Members};
-use bankcove_core::store_read_policy::{STALE_VIEW_MS, StoreReadPolicy};
+use bankcove_core::store_read_policy::{StoreReadPolicy, ViewBounds};
 
 use parking_lot::Mutex;
 use tokio::sync::Notify;
@@ -29,13 +29,9 @@
 /// Poll interval while a starting daemon waits to receive the store's state from peers.
 pub const STARTUP_POLL: Duration = Duration::from_millis(20);
 
-/// Longest duration of one watch call to the store. A lost connection shows only when no response
-/// arrives, so this is also how long it may go unnoticed.
-pub const WATCH_TIMEOUT: Duration = Duration::from_millis(1_500);
-
-/// Longest time from the start of a watch call to its response, in milliseconds: the adapter
-/// waits 0.7 s beyond the duration of the watch, and 0.3 s more for a connection.
-const WATCH_ANSWER_TIMEOUT_MS: Millis = WATCH_TIMEOUT.as_millis() as Millis + 1_000;
+/// Longest time from the end of a watch call's duration to its response, in milliseconds: the adapter
+/// waits 0.7 s beyond it, and 0.3 s more for a connection.
+const WATCH_DELAY_MS: Millis = 1_000;
 
 /// Pause after a failed watch call.
 pub const STORE_RETRY_PAUSE: Duration = Duration::from_millis(300);
@@ -62,6 +58,8 @@
     pub members: Arc<Mutex<Members>>,
     /// Recent contact with peers and the store.
     pub connectivity: Arc<Connectivity>,
+    /// Ages that this daemon's view may have.
+    pub view_bounds: ViewBounds,
     /// Notified to send heartbeats at once, which announce this daemon's state to peers.
     pub heartbeat_now: Arc<Notify>,
     /// Notified when a task that relies on peers must check again what is due: this daemon's rank
@@ -78,25 +76,33 @@
         let members = Arc::new(Mutex::new(Members::new(base.cfg.name.clone())));
         let connectivity =
             Arc::new(Connectivity::new(base.cfg.follows_evacuations(), base.cfg.entry_lapse_ms()));
+        let view_bounds = ViewBounds::new(base.cfg.in_force_ms());
         Fleet {
             base,
             members,
             connectivity,
+            view_bounds,
             heartbeat_now: Arc::default(),
             recheck_sync: Arc::default(),
             servers_changed: Arc::default(),
         }
     }
 
-    /// Returns the time as of which the response to a watch, which has just arrived, counts as
-    /// current; see [`answer_time`] and [`unchanged_since`].
-    pub fn watch_answer_time(&self, asked_at: Millis, has_changes: bool) -> Millis {
+    /// Returns the longest duration of one watch call to the store.
+    pub fn watch_timeout(&self) -> Duration {
+        Duration::from_millis(self.store_read_policy().watch_ms())
+    }
+
+    /// Returns the time as of which the response to a watch, asked to last for `wait`, counts as current;
+    /// it has just arrived. See [`answer_time`] and [`unchanged_since`].
+    pub fn watch_answer_time(&self, asked_at: Millis, wait: Duration, has_changes: bool) -> Millis {
         let now = self.base.clock.now();
+        let wait_ms = wait.as_millis() as Millis;
+        let longest_ms = wait_ms + WATCH_DELAY_MS;
         if has_changes {
-            return answer_time(asked_at, now, WATCH_ANSWER_TIMEOUT_MS);
+            return answer_time(asked_at, now, longest_ms);
         }
-        let wait_ms = WATCH_TIMEOUT.as_millis() as Millis;
-        unchanged_since(asked_at, now, wait_ms, WATCH_ANSWER_TIMEOUT_MS)
+        unchanged_since(asked_at, now, wait_ms, longest_ms)
     }
 
     /// Returns the number of daemons in the fleet, by the platform's list; `None` while the list
@@ -122,8 +128,16 @@
     pub fn store_read_policy(&self) -> StoreReadPolicy {
         let me = self.base.cfg.peer_address();
         let fleet = self.size();
+        let (rank, hall_size) = {
+            let members = self.members.lock();
+            let hall = &self.base.cfg.hall;
+            (members.store_reader_rank(hall), members.hall_size(hall))
+        };
         StoreReadPolicy {
-            rank: self.members.lock().store_reader_rank(&self.base.cfg.hall),
+            rank,
+            hall_size,
+            heartbeat_ms: self.base.cfg.limits.heartbeat_ms,
+            bounds: self.view_bounds,
             readers: self.base.cfg.limits.store_readers,
             fleet,
             small_fleet: self.base.cfg.limits.direct_daemons,
@@ -175,7 +189,7 @@
     /// Returns whether this daemon's view of the table and the lists is recent enough for a daemon
     /// that learns of changes from peers.
     pub fn is_current(&self) -> bool {
-        !self.connectivity.is_view_older_than(STALE_VIEW_MS, self.base.clock.now())
+        !self.connectivity.is_view_older_than(self.view_bounds.trusted_age(), self.base.clock.now())
     }
 
     /// Triggers heartbeats if this daemon has become current again: after an outage the state read
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -13,7 +13,6 @@
 
 use bankcove_core::Millis;
 use bankcove_core::members::{Heartbeat, Peer};
-use bankcove_core::store_read_policy::STALE_VIEW_MS;
 use tokio::sync::{Notify, Semaphore};
 use tokio_util::sync::CancellationToken;
 
@@ -144,7 +143,8 @@
 /// ages.
 pub fn handle_heartbeat(membership: &Arc<Membership>, heartbeat: &Heartbeat) {
     merge_heartbeat(membership, heartbeat);
-    let seems_current = heartbeat.view_age_ms.is_some_and(|age| age < STALE_VIEW_MS);
+    let trusted_age = membership.fleet.view_bounds.trusted_age();
+    let seems_current = heartbeat.view_age_ms.is_some_and(|age| age < trusted_age);
     let (membership, heartbeat) = (Arc::clone(membership), heartbeat.clone());
     if is_synced_with(&membership, &heartbeat) && (!seems_current || membership.fleet.is_current())
     {
--- a/crates/daemon/src/rollouts/sync.rs
+++ b/crates/daemon/src/rollouts/sync.rs
@@ -3,7 +3,7 @@
 
 use std::sync::Arc;
 
-use crate::fleet::{STORE_RETRY_PAUSE, WATCH_TIMEOUT, WatchStep};
+use crate::fleet::{STORE_RETRY_PAUSE, WatchStep};
 use crate::rollouts::Rollouts;
 
 /// Watches the list in the store whenever this daemon reads the store itself, until the daemon
@@ -18,8 +18,9 @@
             WatchStep::Wait => continue,
             WatchStep::Stop => return,
         }
+        let wait = fleet.watch_timeout();
         let watched = tokio::select! {
-            watched = rollouts.store.watch_rollouts(at, WATCH_TIMEOUT) => watched,
+            watched = rollouts.store.watch_rollouts(at, wait) => watched,
             () = fleet.base.shutdown.cancelled() => return,
         };
         match watched {
--- a/crates/daemon/src/view/hall_sync.rs
+++ b/crates/daemon/src/view/hall_sync.rs
@@ -2,11 +2,12 @@
 //! watch it in the store, the other daemons receive it in heartbeats.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 use bankcove_core::Millis;
 use bankcove_core::hall_list::{EvacuatedHalls, HallChanges};
 
-use crate::fleet::{STORE_RETRY_PAUSE, WATCH_TIMEOUT, WatchStep};
+use crate::fleet::{STORE_RETRY_PAUSE, WatchStep};
 use crate::view::View;
 use crate::view::routing_table;
 
@@ -21,16 +22,16 @@
             WatchStep::Wait => continue,
             WatchStep::Stop => return,
         }
-        let asked_at = view.fleet.base.clock.now();
+        let (asked_at, wait) = (view.fleet.base.clock.now(), view.fleet.watch_timeout());
         let watched = tokio::select! {
-            watched = view.store.watch_halls(at, WATCH_TIMEOUT) => watched,
+            watched = view.store.watch_halls(at, wait) => watched,
             () = view.fleet.base.shutdown.cancelled() => return,
         };
         match watched {
             Ok(None) => return,
             Ok(Some(changes)) => {
                 at = changes.at;
-                apply_changes(&view, asked_at, changes);
+                apply_changes(&view, (asked_at, wait), changes);
             }
             Err(bankcove_ports::Error::HistoryGone { after }) => {
                 slog::info!(view.fleet.base.log, "re-reading evacuated halls: the store no longer has the history"; "after" => after);
@@ -46,12 +47,13 @@
     }
 }
 
-fn apply_changes(view: &Arc<View>, asked_at: Millis, changes: HallChanges) {
+fn apply_changes(view: &Arc<View>, asked: (Millis, Duration), changes: HallChanges) {
     let now = view.fleet.base.clock.now();
     let was_current = view.fleet.is_current();
     let has_changes =
         changes.whole || !changes.evacuated.is_empty() || !changes.reopened.is_empty();
-    view.fleet.connectivity.record_halls_read(view.fleet.watch_answer_time(asked_at, has_changes));
+    let read_at = view.fleet.watch_answer_time(asked.0, asked.1, has_changes);
+    view.fleet.connectivity.record_halls_read(read_at);
     view.unreadable.log_new(&view.fleet.base.log, "evacuations", &changes.unreadable);
     let is_changed = view.halls.lock().apply(now, changes);
     if is_changed {
--- a/crates/daemon/src/view/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -8,7 +8,6 @@
 use bankcove_core::server_list::{GRACE_PERIOD_MS, ServerChanges};
 
 use crate::fleet;
-use crate::fleet::WATCH_TIMEOUT;
 use crate::peer::FETCH_TIMEOUT;
 use crate::view::View;
 use crate::view::routing_table;
@@ -23,10 +22,12 @@
     let mut at = 0;
     let mut was_unavailable = false;
     let mut failures = 0;
+    let mut relies_on_peers = false;
     loop {
         let known = view.servers.lock().version();
         if let Some(pause) = view.fleet.time_until_stale().filter(|_| known.is_some()) {
             // Heartbeats announce newer lists, which are fetched from peers.
+            relies_on_peers = true;
             at = known.at;
             was_unavailable = false;
             // Peers reach the store, so the next failed call counts as the first.
@@ -45,10 +46,13 @@
             tokio::time::sleep(fleet::STARTUP_POLL).await;
             continue;
         }
+        if std::mem::take(&mut relies_on_peers) {
+            log_own_read(&view);
+        }
         // The watch ends in time to drop entries as soon as their grace period is over.
         let next_drop = view.servers.lock().next_drop(view.fleet.base.clock.now());
-        let wait = next_drop
-            .map_or(WATCH_TIMEOUT, |millis| WATCH_TIMEOUT.min(Duration::from_millis(millis)));
+        let longest = view.fleet.watch_timeout();
+        let wait = next_drop.map_or(longest, |millis| longest.min(Duration::from_millis(millis)));
         let asked_at = view.fleet.base.clock.now();
         let watched = tokio::select! {
             watched = view.store.watch_servers(at, wait) => watched,
@@ -59,7 +63,8 @@
             Ok(Some(changes)) => {
                 failures = 0;
                 at = changes.at;
-                if apply_changes(&view, asked_at, changes, std::mem::take(&mut was_unavailable)) {
+                let was_unavailable = std::mem::take(&mut was_unavailable);
+                if apply_changes(&view, (asked_at, wait), changes, was_unavailable) {
                     tokio::time::sleep(CHANGE_PAUSE).await;
                 }
             }
@@ -81,19 +86,31 @@
     }
 }
 
-/// Applies a response of the store; returns whether any server has changed. `was_unavailable` is
+/// Logs and counts that this daemon begins to read the store because its peers' news is too old.
+fn log_own_read(view: &View) {
+    let fleet = &view.fleet;
+    fleet.base.metrics.count("store.read_without_peers");
+    let policy = fleet.store_read_policy();
+    slog::info!(fleet.base.log, "reading the store: the view is older than peers may be relied on";
+        "view_age_ms" => fleet.connectivity.view_age(fleet.base.clock.now()),
+        "relied_on_for_ms" => policy.stale_after(), "rank" => policy.rank,
+        "hall_size" => policy.hall_size);
+}
+
+/// Applies a response of the store to a watch `asked` at a time, to last for a duration; returns whether
+/// any server has changed. `was_unavailable` is
 /// whether the store failed to answer before: missing entries then get a grace period, if they may
 /// have lapsed.
 fn apply_changes(
     view: &Arc<View>,
-    asked_at: Millis,
+    asked: (Millis, Duration),
     changes: ServerChanges,
     was_unavailable: bool,
 ) -> bool {
     let now = view.fleet.base.clock.now();
     let was_current = view.fleet.is_current();
     let has_changes = changes.whole || !changes.put.is_empty() || !changes.gone.is_empty();
-    let read_at = view.fleet.watch_answer_time(asked_at, has_changes);
+    let read_at = view.fleet.watch_answer_time(asked.0, asked.1, has_changes);
     view.fleet.connectivity.record_servers_read(read_at);
     view.fleet.announce_if_current_again(was_current);
     view.unreadable.log_new(&view.fleet.base.log, "servers", &changes.unreadable);
--- a/crates/daemon/src/view/table_sync.rs
+++ b/crates/daemon/src/view/table_sync.rs
@@ -9,7 +9,7 @@
 use bankcove_core::table::Table;
 use bankcove_ports::{Kind, WriteOutcome};
 
-use crate::fleet::{STORE_RETRY_PAUSE, WATCH_TIMEOUT, WatchStep};
+use crate::fleet::{STORE_RETRY_PAUSE, WatchStep};
 use crate::peer::FETCH_TIMEOUT;
 use crate::view::View;
 use crate::view::{orders, routing_table};
@@ -67,15 +67,16 @@
             WatchStep::Wait => continue,
             WatchStep::Stop => return,
         }
-        let asked_at = view.fleet.base.clock.now();
+        let (asked_at, wait) = (view.fleet.base.clock.now(), view.fleet.watch_timeout());
         let watched = tokio::select! {
-            watched = view.store.watch::<Table>(Kind::Table, TABLE_NAME, at, WATCH_TIMEOUT) => watched,
+            watched = view.store.watch::<Table>(Kind::Table, TABLE_NAME, at, wait) => watched,
             () = view.fleet.base.shutdown.cancelled() => return,
         };
         match watched {
             Ok(watched) => {
                 let was_current = view.fleet.is_current();
-                let read_at = view.fleet.watch_answer_time(asked_at, watched.changed.is_some());
+                let read_at =
+                    view.fleet.watch_answer_time(asked_at, wait, watched.changed.is_some());
                 view.fleet.connectivity.record_table_read(read_at);
                 view.fleet.announce_if_current_again(was_current);
                 let is_missing = watched.version == 0 && watched.changed.is_none();
