Streams that are taken up late go on at no later version

Cause: a host concludes that a version is the only one if no other was listed for twice the route's timeout or the caller's patience. Each attempt names the rest of its patience alone, so that of a caller that has waited is shorter than the life of its stream.

On the way: a version that is listed again counts as admitted only once the store has it; it may have been removed there (core test; not seen with real daemons).

--- a/crates/core/src/stream_versions.rs
+++ b/crates/core/src/stream_versions.rs
@@ -10,7 +10,7 @@
 mod history;
 mod records;
 
-pub use admitted::AdmittedVersions;
+pub use admitted::{Admission, AdmittedVersions};
 pub use history::{MAX_LIFE_MS, MAX_NEWS_AGE_MS, NEW_VERSION_DELAY_MS, VersionHistory};
 pub use records::{Lookup, MAX_RECORDS, Source, StreamKey, StreamRecords};
 
--- a/crates/core/src/stream_versions/admitted.rs
+++ b/crates/core/src/stream_versions/admitted.rs
@@ -31,6 +31,17 @@
         only.as_ref()
     }
 
+    /// Returns whether streams of the service may have begun at another version than this.
+    pub fn has_other(&self, service: &Name, version: &Name) -> bool {
+        let versions = self.services.get(service);
+        versions.is_some_and(|versions| versions.iter().any(|v| v.as_ref() != Some(version)))
+    }
+
+    /// Returns whether there are none.
+    pub fn is_empty(&self) -> bool {
+        self.services.is_empty()
+    }
+
     /// Adds all versions of `other`.
     pub fn merge(&mut self, other: &AdmittedVersions) {
         for (service, versions) in &other.services {
@@ -51,3 +62,56 @@
         self.services.retain(|_, versions| !versions.is_empty());
     }
 }
+
+/// What one daemon knows of the admitted versions.
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
+pub struct Admission {
+    /// Versions that the store has had, until no stream of them can go on.
+    known: AdmittedVersions,
+    /// Those of them at which streams may begin here: listed without a gap since the store had them. One
+    /// that is listed again may have been removed from the store meanwhile.
+    confirmed: AdmittedVersions,
+}
+
+impl Admission {
+    /// Records that the store has these versions.
+    pub fn confirm(&mut self, versions: &AdmittedVersions) {
+        self.known.merge(versions);
+        self.confirmed.merge(versions);
+    }
+
+    /// Adds what a peer knows.
+    pub fn merge(&mut self, peer: &Admission) {
+        self.known.merge(&peer.known);
+        self.confirmed.merge(&peer.confirmed);
+    }
+
+    /// Records the versions that are listed now.
+    pub fn record_listed(&mut self, listed: &AdmittedVersions) {
+        self.confirmed.retain(|service, version| listed.contains(service, version));
+    }
+
+    /// Returns whether streams of the service may begin at this version.
+    pub fn may_begin(&self, service: &Name, version: Option<&Name>) -> bool {
+        self.confirmed.contains(service, version)
+    }
+
+    /// Returns the versions at which streams may have begun that can go on.
+    pub fn known(&self) -> &AdmittedVersions {
+        &self.known
+    }
+
+    /// Returns the versions of `listed` at which no streams may begin yet.
+    pub fn missing(&self, listed: &AdmittedVersions) -> AdmittedVersions {
+        let mut missing = listed.clone();
+        missing.retain(|service, version| !self.confirmed.contains(service, version));
+        missing
+    }
+
+    /// Removes all versions but `kept`, as no stream of them can go on.
+    pub fn keep_only(&mut self, kept: &AdmittedVersions) {
+        for versions in [&mut self.known, &mut self.confirmed] {
+            versions.retain(|service, version| kept.contains(service, version));
+        }
+    }
+}
--- a/crates/core/tests/link_saturation.rs
+++ b/crates/core/tests/link_saturation.rs
@@ -81,7 +81,8 @@
             match arrival {
                 Arrival::Heartbeat(as_of) => view_as_of = as_of,
                 Arrival::Request => {
-                    let may_send = !checks || link.may_send(Some(now - view_as_of), MAX_NEWS_AGE_MS, now);
+                    let may_send =
+                        !checks || link.may_send(Some(now - view_as_of), MAX_NEWS_AGE_MS, now);
                     if may_send && view_as_of < announced_at && now >= announced_at {
                         last_sent = now;
                     }
--- a/crates/core/tests/stream_versions.rs
+++ b/crates/core/tests/stream_versions.rs
@@ -7,8 +7,8 @@
 use bankcove_core::router::{Homes, ListedRow, NoServer, Router, RoutingRequest};
 use bankcove_core::server_list::ListedServer;
 use bankcove_core::stream_versions::{
-    Lookup, MAX_NEWS_AGE_MS, MAX_RECORDS, NEW_VERSION_DELAY_MS, Source, StreamKey, StreamRecords,
-    VersionHistory,
+    Admission, AdmittedVersions, Lookup, MAX_NEWS_AGE_MS, MAX_RECORDS, NEW_VERSION_DELAY_MS,
+    Source, StreamKey, StreamRecords, VersionHistory,
 };
 use bankcove_core::table::Table;
 use bankcove_core::{Millis, Name};
@@ -296,3 +296,32 @@
         assert_eq!(choose(&router, Versions::OfStream(&name("v2")), seed), Ok(name("b")));
     }
 }
+
+/// Guards against streams that begin at a version which was removed from the store and is listed again:
+/// after the loss of all daemons the store would name another as the only one.
+#[test]
+fn a_version_that_is_listed_again_is_not_admitted_before_the_store_has_it() {
+    let service = name("engines");
+    let versions = |names: &[&str]| {
+        let mut versions = AdmittedVersions::default();
+        names.iter().for_each(|version| versions.add(&service, Some(&Name::from(*version))));
+        versions
+    };
+    let may_begin =
+        |admission: &Admission, version| admission.may_begin(&service, Some(&name(version)));
+    let mut admission = Admission::default();
+    admission.confirm(&versions(&["v1", "v2"]));
+    admission.record_listed(&versions(&["v2"]));
+    assert!(may_begin(&admission, "v2"));
+    // Streams of it may still go on.
+    assert!(admission.known().has_other(&service, &name("v2")));
+    admission.record_listed(&versions(&["v1", "v2"]));
+    assert!(!may_begin(&admission, "v1"));
+    assert_eq!(admission.missing(&versions(&["v1", "v2"])), versions(&["v1"]));
+    admission.confirm(&versions(&["v1"]));
+    assert!(may_begin(&admission, "v1"));
+    // A daemon that learns it from this one knows the same.
+    let mut peer = Admission::default();
+    peer.merge(&admission);
+    assert_eq!(peer, admission);
+}
--- a/crates/daemon/src/peer/protocol.rs
+++ b/crates/daemon/src/peer/protocol.rs
@@ -12,7 +12,7 @@
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
 use bankcove_core::slot_leases::{SlotAnswer, SlotId, SlotRequest};
-use bankcove_core::stream_versions::{AdmittedVersions, StreamAnswer, StreamKey};
+use bankcove_core::stream_versions::{Admission, StreamAnswer, StreamKey};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use serde::{Deserialize, Serialize};
 
@@ -233,7 +233,7 @@
     async fn stream_version(key: Option<StreamKey>, service: Name, life_ms: Millis)
     -> StreamAnswer;
     /// Returns the versions of servers at which streams may begin, as known to the receiver.
-    async fn admitted_versions() -> AdmittedVersions;
+    async fn admitted_versions() -> Admission;
     /// Hands the receiver a bill, which it keeps until the store accepts it.
     async fn keep_bill(bill: Bill);
 }
--- a/crates/daemon/src/peer_server.rs
+++ b/crates/daemon/src/peer_server.rs
@@ -14,7 +14,7 @@
 use bankcove_core::router::UnreadReport;
 use bankcove_core::server_list::{ListUpdate, ListVersion};
 use bankcove_core::slot_leases::{SlotAnswer, SlotRequest};
-use bankcove_core::stream_versions::{AdmittedVersions, StreamAnswer, StreamKey};
+use bankcove_core::stream_versions::{Admission, StreamAnswer, StreamKey};
 use bankcove_core::{Incarnation, Millis, Name, Tokens};
 use futures::StreamExt;
 use tarpc::context::Context;
@@ -231,7 +231,7 @@
         self.daemon.requests.stream_versions.answer(key, &service, life_ms)
     }
 
-    async fn admitted_versions(self, _: Context) -> AdmittedVersions {
+    async fn admitted_versions(self, _: Context) -> Admission {
         self.daemon.requests.stream_versions.admitted()
     }
 
--- a/crates/daemon/src/requests/stream_versions.rs
+++ b/crates/daemon/src/requests/stream_versions.rs
@@ -15,7 +15,7 @@
 use bankcove_core::members::Peer;
 use bankcove_core::router::Router;
 use bankcove_core::stream_versions::{
-    AdmittedVersions, Lookup, Source, StreamAnswer, StreamKey, StreamRecords,
+    Admission, Lookup, Source, StreamAnswer, StreamKey, StreamRecords,
 };
 use bankcove_core::{Millis, Name};
 use bankcove_ports::Store;
@@ -132,7 +132,7 @@
     /// Open streams of this daemon whose versions peers were not told.
     untold: Mutex<HashMap<StreamKey, (StreamId, Name)>>,
     /// Versions that this daemon knows to be admitted.
-    admitted: Mutex<AdmittedVersions>,
+    admission: Mutex<Admission>,
     /// Last read of the admitted versions for a caller that took up a stream.
     last_read: tokio::sync::Mutex<ReadVersions>,
 }
@@ -152,7 +152,7 @@
             store,
             records: Mutex::default(),
             untold: Mutex::default(),
-            admitted: Mutex::default(),
+            admission: Mutex::default(),
             last_read: tokio::sync::Mutex::default(),
         }
     }
@@ -165,15 +165,19 @@
     fn only_version(&self, service: &Name, life_ms: Millis) -> Option<Name> {
         let now = self.now();
         let news_age = self.fleet.connectivity.news_age(now);
-        let router = self.router.lock();
-        router.version_history().only_version(now, service, life_ms, news_age).cloned()
+        let version = {
+            let router = self.router.lock();
+            router.version_history().only_version(now, service, life_ms, news_age).cloned()?
+        };
+        // A caller that has waited for long names a shorter life than its stream has had.
+        (!self.admission.lock().known().has_other(service, &version)).then_some(version)
     }
 
     /// Returns whether any daemon can conclude that streams of the pool have this version: from the
     /// store, or, if that is away, by its own news.
     fn is_only_version(&self, service: &Name, life_ms: Millis, version: &Name) -> bool {
         let is_store_away = self.fleet.connectivity.is_store_unavailable(self.now());
-        let is_only_admitted = self.admitted.lock().only(service) == Some(version);
+        let is_only_admitted = self.admission.lock().known().only(service) == Some(version);
         let is_in_store = is_only_admitted && !is_store_away;
         is_in_store || self.only_version(service, life_ms).as_ref() == Some(version)
     }
@@ -184,9 +188,9 @@
         let router = self.router.lock();
         let history = router.version_history();
         let mut held_back = history.new_versions(self.now(), service);
-        let admitted = self.admitted.lock();
+        let admission = self.admission.lock();
         let listed = history.listed_in(service).flatten();
-        held_back.extend(listed.filter(|v| !admitted.contains(service, Some(v))).cloned());
+        held_back.extend(listed.filter(|v| !admission.may_begin(service, Some(v))).cloned());
         held_back
     }
 
@@ -394,7 +398,7 @@
         let untold = self.untold.lock().len();
         json!({
             "untold": untold, "records": records, "evicted": evicted, "news_age_ms": news_age_ms, "now_ms": now,
-            "versions": router.version_history(), "admitted": *self.admitted.lock(),
+            "versions": router.version_history(), "admitted": self.admission.lock().known(),
         })
     }
 }
--- a/crates/daemon/src/requests/stream_versions/admission.rs
+++ b/crates/daemon/src/requests/stream_versions/admission.rs
@@ -6,7 +6,7 @@
 
 use bankcove_core::Millis;
 use bankcove_core::Name;
-use bankcove_core::stream_versions::AdmittedVersions;
+use bankcove_core::stream_versions::{Admission, AdmittedVersions};
 use bankcove_ports::{Kind, WriteOutcome};
 
 use crate::peer::PeerServiceClient;
@@ -93,37 +93,40 @@
 impl StreamVersions {
     /// Returns whether streams of the service may begin at this version.
     pub fn is_admitted(&self, service: &Name, version: Option<&Name>) -> bool {
-        self.admitted.lock().contains(service, version)
+        // A daemon that was suspended is asked before it forgets.
+        !self.is_outdated() && self.admission.lock().may_begin(service, version)
     }
 
-    /// Returns the admitted versions as known to this daemon, for a peer.
-    pub fn admitted(&self) -> AdmittedVersions {
-        self.admitted.lock().clone()
+    /// Returns what this daemon knows of the admitted versions, for a peer.
+    pub fn admitted(&self) -> Admission {
+        self.admission.lock().clone()
     }
 
-    /// Returns the listed versions that are not known to be admitted.
+    /// Returns the listed versions at which no streams may begin yet.
     fn missing(&self) -> AdmittedVersions {
-        let mut missing = AdmittedVersions::default();
-        let router = self.router.lock();
-        let admitted = self.admitted.lock();
-        for (service, version) in router.version_history().listed() {
-            if !admitted.contains(service, version) {
-                missing.add(service, version);
-            }
+        let mut listed = AdmittedVersions::default();
+        for (service, version) in self.router.lock().version_history().listed() {
+            listed.add(service, version);
         }
-        missing
+        let mut admission = self.admission.lock();
+        admission.record_listed(&listed);
+        admission.missing(&listed)
     }
 
     fn has_missing(&self) -> bool {
-        self.missing() != AdmittedVersions::default()
+        !self.missing().is_empty()
     }
 
-    fn forget_outdated(&self) {
+    fn is_outdated(&self) -> bool {
         let news_age = self.fleet.connectivity.news_age(self.now());
         // Without peers nobody else removes them.
         let has_peers = self.fleet.size().is_none_or(|size| size > 1);
-        if has_peers && news_age.is_none_or(|age| age > FORGET_AFTER_MS) {
-            *self.admitted.lock() = AdmittedVersions::default();
+        has_peers && news_age.is_none_or(|age| age > FORGET_AFTER_MS)
+    }
+
+    fn forget_outdated(&self) {
+        if self.is_outdated() {
+            *self.admission.lock() = Admission::default();
         }
     }
 
@@ -146,18 +149,18 @@
     async fn write_missing(&self) -> bool {
         for _ in 0..MAX_WRITES {
             let Some((object_version, stored)) = self.read_admitted().await else { return false };
-            self.admitted.lock().merge(&stored);
+            self.admission.lock().confirm(&stored);
             let missing = self.missing();
-            if missing == AdmittedVersions::default() {
+            if missing.is_empty() {
                 return true;
             }
             // An object that was lost is written anew as a whole.
             let mut next = stored;
-            next.merge(&self.admitted());
+            next.merge(self.admission.lock().known());
             next.merge(&missing);
             if self.write_admitted(object_version, &next).await {
                 slog::info!(self.fleet.base.log, "versions admitted"; "versions" => ?missing);
-                self.admitted.lock().merge(&next);
+                self.admission.lock().confirm(&next);
                 return true;
             }
         }
@@ -171,7 +174,7 @@
             let ask =
                 |client: PeerServiceClient, cx| async move { client.admitted_versions(cx).await };
             if let Some(known) = self.fleet.base.peers.call(&peer.address, timeout, ask).await {
-                self.admitted.lock().merge(&known);
+                self.admission.lock().merge(&known);
             }
         }
     }
@@ -202,12 +205,12 @@
             router.version_history().is_unused(self.now(), service, version)
         };
         let is_responsible = self.fleet.members.lock().is_first_owner(0);
-        let mut kept = self.admitted();
+        let mut kept = self.admission.lock().known().clone();
         kept.retain(|service, version| !is_unused(service, version));
-        if kept == self.admitted() {
+        if kept == *self.admission.lock().known() {
             return;
         }
-        *self.admitted.lock() = kept;
+        self.admission.lock().keep_only(&kept);
         if !is_responsible {
             return;
         }
