A stream goes on at no other service after its route was changed

Callers saw: the rest of a stream from another service, and so from another software version, than its beginning, with 200 and nothing in the answer to show it, when its host was lost and a configuration had moved its route meanwhile.

Cause: records of streams and conclusions from an only version name the service to which the route leads when the stream is taken up, not when it began.

Why it works: an only version is concluded only if no other service streams, by the table and by the admitted versions. Where several do, peers are told of each stream, and one whose record names another service is not found. Deployments with one service that streams are as before.

--- a/crates/core/src/stream_versions/admitted.rs
+++ b/crates/core/src/stream_versions/admitted.rs
@@ -6,6 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Name;
+use crate::table::{Service, Table};
 
 /// Versions of each service at which streams may begin; `None` stands for all unknown versions.
 ///
@@ -37,6 +38,15 @@
         versions.is_some_and(|versions| versions.iter().any(|v| v.as_ref() != Some(version)))
     }
 
+    /// Returns whether streams that can go on may have begun at another service than this: at one of the
+    /// table that streams, as a route may have led there, or at one that the table no longer has.
+    pub fn has_other_service(&self, service: &Name, table: &Table) -> bool {
+        let mut rows = table.services.iter();
+        let is_other_engine = |row: &Service| row.engine.is_some() && row.name != *service;
+        let is_gone = |name: &Name| table.service(name).is_none();
+        rows.any(is_other_engine) || self.services.keys().any(is_gone)
+    }
+
     /// Returns whether there are none.
     pub fn is_empty(&self) -> bool {
         self.services.is_empty()
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -156,6 +156,7 @@
             stream_versions: Arc::new(StreamVersions::new(
                 fleet.clone(),
                 Arc::clone(&router),
+                Arc::clone(&table),
                 store.clone(),
             )),
             unread_changed: Arc::clone(&membership.unread_changed),
--- a/crates/daemon/src/requests/stream_versions.rs
+++ b/crates/daemon/src/requests/stream_versions.rs
@@ -12,11 +12,13 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use arc_swap::ArcSwapOption;
 use bankcove_core::members::Peer;
 use bankcove_core::router::Router;
 use bankcove_core::stream_versions::{
-    Admission, Lookup, Source, StreamAnswer, StreamKey, StreamRecords,
+    Admission, AdmittedVersions, Lookup, Source, StreamAnswer, StreamKey, StreamRecords,
 };
+use bankcove_core::table::Table;
 use bankcove_core::{Millis, Name};
 use bankcove_ports::Store;
 use futures::StreamExt;
@@ -127,6 +129,7 @@
 pub struct StreamVersions {
     fleet: Fleet,
     router: Arc<Mutex<Router>>,
+    table: Arc<ArcSwapOption<Table>>,
     store: Store,
     records: Mutex<StreamRecords>,
     /// Open streams of this daemon whose versions peers were not told.
@@ -145,10 +148,16 @@
 
 impl StreamVersions {
     /// Creates the state without records.
-    pub fn new(fleet: Fleet, router: Arc<Mutex<Router>>, store: Store) -> Self {
+    pub fn new(
+        fleet: Fleet,
+        router: Arc<Mutex<Router>>,
+        table: Arc<ArcSwapOption<Table>>,
+        store: Store,
+    ) -> Self {
         StreamVersions {
             fleet,
             router,
+            table,
             store,
             records: Mutex::default(),
             untold: Mutex::default(),
@@ -169,15 +178,26 @@
             let router = self.router.lock();
             router.version_history().only_version(now, service, life_ms, news_age).cloned()?
         };
+        let admission = self.admission.lock();
         // A caller that has waited for long names a shorter life than its stream has had.
-        (!self.admission.lock().known().has_other(service, &version)).then_some(version)
+        let has_other = admission.known().has_other(service, &version);
+        (!has_other && self.is_only_service(service, admission.known())).then_some(version)
+    }
+
+    /// Returns whether streams can't have begun at another service, as far as these versions tell.
+    fn is_only_service(&self, service: &Name, admitted: &AdmittedVersions) -> bool {
+        self.table.load().as_ref().is_some_and(|table| !admitted.has_other_service(service, table))
     }
 
     /// Returns whether any daemon can conclude that streams of the pool have this version: from the
     /// store, or, if that is away, by its own news.
     fn is_only_version(&self, service: &Name, life_ms: Millis, version: &Name) -> bool {
         let is_store_away = self.fleet.connectivity.is_store_unavailable(self.now());
-        let is_only_admitted = self.admission.lock().known().only(service) == Some(version);
+        let is_only_admitted = {
+            let admission = self.admission.lock();
+            let known = admission.known();
+            known.only(service) == Some(version) && self.is_only_service(service, known)
+        };
         let is_in_store = is_only_admitted && !is_store_away;
         is_in_store || self.only_version(service, life_ms).as_ref() == Some(version)
     }
--- a/crates/daemon/src/requests/stream_versions/admission.rs
+++ b/crates/daemon/src/requests/stream_versions/admission.rs
@@ -233,7 +233,9 @@
             let read = tokio::time::timeout(READ_TIMEOUT, self.read_for_callers()).await;
             last.versions = read.ok().flatten();
         }
-        last.versions.as_ref()?.only(service).cloned()
+        let versions = last.versions.as_ref()?;
+        let only = versions.only(service).filter(|_| self.is_only_service(service, versions));
+        only.cloned()
     }
 
     async fn read_for_callers(&self) -> Option<AdmittedVersions> {
