--- a/crates/daemon/src/rollouts/sync.rs
+++ b/crates/daemon/src/rollouts/sync.rs
@@ -36,8 +36,8 @@
                     rollouts.publish_change();
                 }
             }
-            Err(bankcove_ports::Error::HistoryGone { after }) => {
-                slog::info!(fleet.base.log, "re-reading rollouts: the store no longer has the history"; "after" => after);
+            Err(e) if e.ends_watch() => {
+                slog::info!(fleet.base.log, "re-reading rollouts"; "reason" => %e);
                 at = 0;
             }
             Err(e) => {
--- a/crates/daemon/src/view/hall_sync.rs
+++ b/crates/daemon/src/view/hall_sync.rs
@@ -33,8 +33,8 @@
                 at = changes.at;
                 apply_changes(&view, (asked_at, wait), changes);
             }
-            Err(bankcove_ports::Error::HistoryGone { after }) => {
-                slog::info!(view.fleet.base.log, "re-reading evacuated halls: the store no longer has the history"; "after" => after);
+            Err(e) if e.ends_watch() => {
+                slog::info!(view.fleet.base.log, "re-reading evacuated halls"; "reason" => %e);
                 at = 0;
             }
             Err(e) => {
--- a/crates/daemon/src/view/server_sync.rs
+++ b/crates/daemon/src/view/server_sync.rs
@@ -68,8 +68,8 @@
                     tokio::time::sleep(CHANGE_PAUSE).await;
                 }
             }
-            Err(bankcove_ports::Error::HistoryGone { after }) => {
-                slog::info!(view.fleet.base.log, "re-reading server list: the store no longer has the history"; "after" => after);
+            Err(e) if e.ends_watch() => {
+                slog::info!(view.fleet.base.log, "re-reading server list"; "reason" => %e);
                 at = 0;
             }
             Err(e) => {
--- a/crates/daemon/src/view/table_sync.rs
+++ b/crates/daemon/src/view/table_sync.rs
@@ -21,6 +21,9 @@
 /// its response.
 const MAX_EDIT_ATTEMPTS: usize = 8;
 
+/// Number of consecutive failures after which the table is read anew instead of its changes.
+const MAX_WATCH_FAILURES: u32 = 2;
+
 /// Why an edit was not accepted.
 #[derive(Debug, thiserror::Error)]
 pub enum EditError {
@@ -60,6 +63,7 @@
 /// ends.
 pub async fn watch(view: Arc<View>) {
     let mut at = 0;
+    let mut failures = 0;
     loop {
         // Otherwise heartbeats announce new revisions, which are fetched from peers.
         match view.fleet.next_watch_step(view.revision() > 0).await {
@@ -87,11 +91,16 @@
                     view.fleet.wait_for_store_probe(u32::MAX).await;
                 }
             }
-            Err(bankcove_ports::Error::HistoryGone { after }) => {
-                slog::info!(view.fleet.base.log, "re-reading table: the store no longer has the history"; "after" => after);
+            Err(e) if e.ends_watch() => {
+                slog::info!(view.fleet.base.log, "re-reading table"; "reason" => %e);
                 at = 0;
             }
             Err(e) => {
+                failures += 1;
+                // An answer that takes too long each time would be asked for again and again.
+                if failures >= MAX_WATCH_FAILURES {
+                    at = 0;
+                }
                 if let bankcove_ports::Error::InvalidValue { name, problem, .. } = &e {
                     let entry = Unreadable {
                         name: Some(Name::from(name.as_str())),
--- a/crates/ports/src/error.rs
+++ b/crates/ports/src/error.rs
@@ -17,6 +17,12 @@
         /// The requested version.
         after: u64,
     },
+    /// The changes since the requested version are more than an answer may hold.
+    #[error("the changes since version {after} are too large for one answer")]
+    TooManyChanges {
+        /// The requested version.
+        after: u64,
+    },
     /// The stored value can't be deserialized into the expected type.
     #[error("object {kind}/{name} is invalid: {problem}")]
     InvalidValue {
@@ -29,5 +35,12 @@
     },
 }
 
+impl Error {
+    /// Returns whether a watch from the same version can't succeed, so that everything is to be read anew.
+    pub fn ends_watch(&self) -> bool {
+        matches!(self, Error::HistoryGone { .. } | Error::TooManyChanges { .. })
+    }
+}
+
 /// Result of a store call.
 pub type Result<T, E = Error> = std::result::Result<T, E>;
--- a/crates/ports/src/store.rs
+++ b/crates/ports/src/store.rs
@@ -42,7 +42,7 @@
     /// Waits until the object has changed since `after`, for at most `wait`. If `after` is 0, the
     /// object is read at once.
     ///
-    /// [`Error::HistoryGone`] means that `after` is too old and the watch must restart at 0.
+    /// [`Error::HistoryGone`] and [`Error::TooManyChanges`] mean that the watch must restart at 0.
     fn watch<'a>(
         &'a self,
         kind: Kind,
@@ -166,7 +166,7 @@
     /// [`StoreApi::watch_servers`] does.
     ///
     /// # Errors
-    /// [`Error::Unavailable`] or [`Error::HistoryGone`].
+    /// [`Error::Unavailable`], [`Error::HistoryGone`] or [`Error::TooManyChanges`].
     pub async fn watch_servers(
         &self,
         after: Version,
@@ -180,7 +180,7 @@
     /// [`StoreApi::watch_halls`] does.
     ///
     /// # Errors
-    /// [`Error::Unavailable`] or [`Error::HistoryGone`].
+    /// [`Error::Unavailable`], [`Error::HistoryGone`] or [`Error::TooManyChanges`].
     pub async fn watch_halls(&self, after: Version, wait: Duration) -> Result<Option<HallChanges>> {
         self.calls.count(Purpose::Halls);
         self.api.watch_halls(after, wait).await
@@ -189,7 +189,7 @@
     /// Waits for a change of the list of ordered rollouts, as [`StoreApi::watch_rollouts`] does.
     ///
     /// # Errors
-    /// [`Error::Unavailable`] or [`Error::HistoryGone`].
+    /// [`Error::Unavailable`], [`Error::HistoryGone`] or [`Error::TooManyChanges`].
     pub async fn watch_rollouts(
         &self,
         after: Version,
@@ -226,7 +226,8 @@
     /// Waits for a change of an object, as [`StoreApi::watch`] does.
     ///
     /// # Errors
-    /// [`Error::Unavailable`], [`Error::InvalidValue`] or [`Error::HistoryGone`].
+    /// [`Error::Unavailable`], [`Error::InvalidValue`], [`Error::HistoryGone`] or
+    /// [`Error::TooManyChanges`].
     pub async fn watch<T: DeserializeOwned>(
         &self,
         kind: Kind,
