--- a/crates/core/src/holder.rs
+++ b/crates/core/src/holder.rs
@@ -178,6 +178,17 @@
         Ok(Reservation { budget: budget.clone(), tokens, since: now })
     }
 
+    /// Adds `tokens` to a reservation; returns whether they were free.
+    pub fn extend(&mut self, reservation: &mut Reservation, tokens: Tokens) -> bool {
+        let account = self.accounts.entry(reservation.budget.clone()).or_default();
+        let is_free = account.free() >= tokens;
+        if is_free {
+            account.reserved += tokens;
+            reservation.tokens += tokens;
+        }
+        is_free
+    }
+
     /// Ends a reservation: `used` tokens are spent and the rest become free again.
     /// `used` is capped at the reserved amount.
     pub fn settle(&mut self, reservation: Reservation, used: Tokens) {
--- a/crates/core/src/stream_bounds.rs
+++ b/crates/core/src/stream_bounds.rs
@@ -18,13 +18,24 @@
 pub struct StreamBounds {
     /// Events that may still be delivered; none if the request doesn't name a maximum.
     events_left: Option<u64>,
+    /// Events that may be delivered beyond them: the first event of each server may hold fewer tokens than
+    /// the others.
+    partial_events_left: u64,
+    partial_events_per_server: u64,
     idle_bytes: usize,
 }
 
 impl StreamBounds {
-    /// Creates the bounds of a stream of which nothing was received.
-    pub fn new(max_events: Option<u64>) -> Self {
-        StreamBounds { events_left: max_events, idle_bytes: 0 }
+    /// Creates the bounds of a stream of which nothing was received, with the number of its events if all
+    /// are full, and whether they may be partial.
+    pub fn new(max_events: Option<u64>, may_be_partial: bool) -> Self {
+        let partial_events = u64::from(may_be_partial);
+        StreamBounds {
+            events_left: max_events,
+            partial_events_left: partial_events,
+            partial_events_per_server: partial_events,
+            idle_bytes: 0,
+        }
     }
 
     /// Records a read of this many bytes.
@@ -42,6 +53,14 @@
         true
     }
 
+    /// Takes an event beyond those that full ones would be; returns whether it may be delivered once its
+    /// tokens are reserved.
+    pub fn take_partial_event(&mut self) -> bool {
+        let Some(rest) = self.partial_events_left.checked_sub(1) else { return false };
+        self.partial_events_left = rest;
+        true
+    }
+
     /// Returns whether too much was received since the last event.
     pub fn is_idle(&self) -> bool {
         self.idle_bytes > MAX_IDLE_BYTES
@@ -49,6 +68,7 @@
 
     /// Records that another server continues the stream.
     pub fn restart(&mut self) {
+        self.partial_events_left += self.partial_events_per_server;
         self.idle_bytes = 0;
     }
 }
--- a/crates/core/tests/holder.rs
+++ b/crates/core/tests/holder.rs
@@ -75,6 +75,21 @@
     assert!(records.open(Incarnation(2), &budget(), 50));
 }
 
+/// Guards against a reservation that grows by tokens which are not free.
+#[test]
+fn a_reservation_grows_by_free_tokens_alone() {
+    let mut holder = Holder::new(Incarnation(1));
+    holder.record_granted(&budget(), 100);
+    holder.record_opened(&budget(), 100);
+    let mut reservation = holder.reserve(&budget(), 90, 1_000).expect("there is enough");
+    assert!(holder.extend(&mut reservation, 10));
+    assert!(!holder.extend(&mut reservation, 1));
+    assert_eq!(reservation.tokens(), 100);
+    holder.settle(reservation, 95);
+    let held = holder.holdings();
+    assert_eq!((held.spent, held.reserved, held.free), (95, 0, 5));
+}
+
 #[test]
 fn holdings_account_for_every_token() {
     let (lender, me) = (Incarnation(2), Incarnation(1));
--- a/crates/daemon/src/entry/charge.rs
+++ b/crates/daemon/src/entry/charge.rs
@@ -61,6 +61,12 @@
         self.may_be_incomplete = may_have_run_before;
     }
 
+    /// Reserves the tokens of one more event than before; returns whether they were free.
+    pub fn reserve_event(&mut self) -> bool {
+        let Some(reservation) = &mut self.reservation else { return true };
+        self.requests.budgets.holder().extend(reservation, self.tokens_per_event)
+    }
+
     /// Records that an event was received for the caller.
     pub fn record_event(&mut self) {
         self.events += 1;
--- a/crates/daemon/src/entry/plan.rs
+++ b/crates/daemon/src/entry/plan.rs
@@ -87,12 +87,17 @@
         self.urgency
     }
 
-    /// Returns the maximum number of events of a stream for this prompt: all are full, except for the
+    /// Returns the maximum number of events of a stream for this prompt if all are full, except for the
     /// last one.
     pub fn max_events(&self, prompt: &Prompt) -> u64 {
         prompt.output_limit.div_ceil(self.tokens_per_event.max(1))
     }
 
+    /// Returns whether events may hold fewer tokens than a full one.
+    pub fn has_partial_events(&self) -> bool {
+        self.tokens_per_event > 1
+    }
+
     /// Returns a conservative estimate of the time that the request takes.
     pub fn expected_time(&self, request_head: &RequestHead) -> Duration {
         let time_to_start = Duration::from_millis(self.route.goal_ms * GOAL_FACTOR);
--- a/crates/daemon/src/entry/relay.rs
+++ b/crates/daemon/src/entry/relay.rs
@@ -87,7 +87,8 @@
         let body = res.into_body();
         let sequence = EventSequence::after(call.request_head.resume_after);
         let prompt = call.request_head.prompt.as_ref();
-        let bounds = StreamBounds::new(prompt.map(|prompt| call.plan.max_events(prompt)));
+        let max_events = prompt.map(|prompt| call.plan.max_events(prompt));
+        let bounds = StreamBounds::new(max_events, call.plan.has_partial_events());
         let pace = PaceMeter::started_before(Duration::from_millis(call.age_ms()));
         let splitter = EventSplitter::default();
         let gathering = Gathering::new(&call.entry.requests.gather_memory);
@@ -255,7 +256,7 @@
             let before = self.sequence;
             match self.sequence.accept(event.id) {
                 EventAction::Deliver if !event.has_content() => out.extend_from_slice(&event.raw),
-                EventAction::Deliver if self.bounds.take_event() => {
+                EventAction::Deliver if self.may_deliver() => {
                     self.charge.record_event();
                     out.extend_from_slice(&event.raw);
                 }
@@ -282,6 +283,12 @@
         }
     }
 
+    /// Takes the next event, which is paid for; returns whether it may be delivered.
+    fn may_deliver(&mut self) -> bool {
+        self.bounds.take_event()
+            || (self.bounds.take_partial_event() && self.charge.reserve_event())
+    }
+
     /// Resumes the stream on another server, after the last event that the caller has; returns
     /// whether it did. Once the caller has events, only servers of their version are tried.
     async fn resume(&mut self) -> bool {
