A reader whose watch has just ended is current

With views bounded by 2 s a reader's view was older than what counted as current at each end of its watch of 1.5 s, so that it announced a return after each. Found on reading the diff; the messages were not counted. Deployments that allow 3 s or more are as before.

--- a/crates/core/src/store_read_policy.rs
+++ b/crates/core/src/store_read_policy.rs
@@ -53,6 +53,13 @@
         self.in_force_ms.saturating_sub(READ_MS + SEND_MS)
     }
 
+    /// Returns the age up to which a view is current, in milliseconds: that of a reader whose watch has just
+    /// ended is.
+    pub fn current_age(self) -> Millis {
+        let (_, longest_watch) = WATCH_RANGE_MS;
+        self.trusted_age().max(longest_watch + READ_MS)
+    }
+
     /// Returns the age of its view after which a daemon that learns of changes from peers begins to read
     /// the store itself, in milliseconds; further ranks wait longer, the last until [`Self::max_age`].
     pub fn trusted_age(self) -> Millis {
--- a/crates/core/tests/store_read_policy.rs
+++ b/crates/core/tests/store_read_policy.rs
@@ -150,6 +150,15 @@
     }
 }
 
+/// Guards against readers that announce after each watch that they are current again.
+#[parameterized(large_fleet = { IN_FORCE_MS }, small_fleet = { SHORT_IN_FORCE_MS })]
+fn the_view_of_a_reader_is_current_while_its_watch_lasts(in_force_ms: Millis) {
+    let bounds = ViewBounds::new(in_force_ms);
+    let policy = StoreReadPolicy { bounds, hall_size: READERS, ..policy(0) };
+    assert!(policy.watch_ms() + 100 <= bounds.current_age());
+    assert!(bounds.current_age() <= bounds.max_age());
+}
+
 /// Guards against a promise that is shorter than the time that a read takes.
 #[test]
 fn without_time_to_rely_on_peers_each_daemon_reads_the_store() {
--- a/crates/daemon/src/fleet.rs
+++ b/crates/daemon/src/fleet.rs
@@ -189,7 +189,7 @@
     /// Returns whether this daemon's view of the table and the lists is recent enough for a daemon
     /// that learns of changes from peers.
     pub fn is_current(&self) -> bool {
-        !self.connectivity.is_view_older_than(self.view_bounds.trusted_age(), self.base.clock.now())
+        !self.connectivity.is_view_older_than(self.view_bounds.current_age(), self.base.clock.now())
     }
 
     /// Triggers heartbeats if this daemon has become current again: after an outage the state read
--- a/crates/daemon/src/membership.rs
+++ b/crates/daemon/src/membership.rs
@@ -143,8 +143,8 @@
 /// ages.
 pub fn handle_heartbeat(membership: &Arc<Membership>, heartbeat: &Heartbeat) {
     merge_heartbeat(membership, heartbeat);
-    let trusted_age = membership.fleet.view_bounds.trusted_age();
-    let seems_current = heartbeat.view_age_ms.is_some_and(|age| age < trusted_age);
+    let current_age = membership.fleet.view_bounds.current_age();
+    let seems_current = heartbeat.view_age_ms.is_some_and(|age| age < current_age);
     let (membership, heartbeat) = (Arc::clone(membership), heartbeat.clone());
     if is_synced_with(&membership, &heartbeat) && (!seems_current || membership.fleet.is_current())
     {
